--- /dev/null
+++ b/packages/common/src/errors/index.ts
@@ -0,0 +1,2 @@
+export * from "./ShedtillerError.js";
+export * from "./describeError.js";
--- /dev/null
+++ b/packages/common/src/utils/statistics.ts
@@ -0,0 +1,36 @@
+/** Small statistics over a list of numbers. */
+
+/** The value below which `share` (0 to 1) of the numbers lie, by nearest rank; NaN for an empty list. */
+export function getQuantile(values: readonly number[], share: number): number {
+  if (values.length === 0) return Number.NaN;
+  const sorted = [...values].sort((a, b) => a - b);
+  const rank = Math.min(sorted.length - 1, Math.max(0, Math.ceil(share * sorted.length) - 1));
+  return sorted[rank] ?? Number.NaN;
+}
+
+/** The sum of the numbers. */
+export function getSum(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
+/** A straight line fitted by least squares. */
+export interface LineFit {
+  readonly slope: number;
+  readonly intercept: number;
+  /** Standard error of the slope. */
+  readonly slopeError: number;
+}
+
+/** Fits a line through points by ordinary least squares. Needs three points at least for a slope error. */
+export function fitLine(points: readonly (readonly [x: number, y: number])[]): LineFit {
+  const count = points.length;
+  const meanX = getSum(points.map((p) => p[0])) / count;
+  const meanY = getSum(points.map((p) => p[1])) / count;
+  const sxx = getSum(points.map((p) => (p[0] - meanX) ** 2));
+  const sxy = getSum(points.map((p) => (p[0] - meanX) * (p[1] - meanY)));
+  const slope = sxx === 0 ? 0 : sxy / sxx;
+  const intercept = meanY - slope * meanX;
+  const residual = getSum(points.map((p) => (p[1] - intercept - slope * p[0]) ** 2));
+  const slopeError = count > 2 && sxx > 0 ? Math.sqrt(residual / (count - 2) / sxx) : 0;
+  return { slope, intercept, slopeError };
+}
--- /dev/null
+++ b/packages/entry/bin/shedtillerd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/bin/shedtillerd.js";
--- /dev/null
+++ b/packages/timeline/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./HybridClock.js";
+export * from "./Timeline.js";
+export * from "./renderTimeline.js";
