--- /dev/null
+++ b/packages/admission/src/AdmissionQueue.ts
@@ -0,0 +1,257 @@
+/** The queue in front of a pipeline: by priority class, fair between accounts by tokens, shedding early. */
+import { results, utils } from "@shedtiller/common";
+import { RateMeter } from "./RateMeter.js";
+import { AdmissionRefusedError } from "./refusals.js";
+
+/** What a request asks the queue for. */
+export interface AdmissionRequest {
+  readonly requestId: string;
+  readonly account: string;
+  /** Rank of its class; 1 is the highest. */
+  readonly rank: number;
+  /** Share of the grants that its class gets even while higher ones wait. */
+  readonly floorShare: number;
+  /** Prompt and longest answer. */
+  readonly tokens: number;
+  /** Monotonic milliseconds after which nobody wants the answer. */
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** The right to run, given back with `release`. */
+export interface AdmissionPermit {
+  readonly waitedMs: number;
+  release(): void;
+}
+
+/** Settings of the queue. */
+export interface AdmissionOptions {
+  /** Longest wait that still makes sense; a request that would wait longer is refused at once. */
+  readonly longestWaitMs: number;
+  /** Part of the capacity that each rank below the highest leaves free for the ranks above it. */
+  readonly reservePerRank: number;
+}
+
+export const defaultAdmissionOptions: AdmissionOptions = { longestWaitMs: 2_000, reservePerRank: 0.05 };
+
+const rateTimeConstantMs = 2_000;
+const grantTimeConstantMs = 10_000;
+const shortestRetryMs = 200;
+const longestRetryMs = 30_000;
+const lowestLimitPart = 0.5;
+
+interface Waiting {
+  readonly request: AdmissionRequest;
+  /** Virtual start time within its class (start-time fair queuing; Goyal, Vin and Cheng, 1996). */
+  readonly startTag: number;
+  readonly sinceMs: number;
+  readonly done: utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>>;
+}
+
+/** The base of queues, so that the bench can put another one in its place. */
+export abstract class Admission {
+  /** Waits for the right to run. */
+  abstract acquire(request: AdmissionRequest): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>>;
+  /** Streams under way. */
+  abstract readonly active: number;
+  /** Requests that wait. */
+  abstract readonly waiting: number;
+}
+
+/** Grants the highest rank first, with floors for the others, and refuses early what could not be served in time. */
+export class AdmissionQueue extends Admission {
+  private readonly _waiting: Waiting[] = [];
+  private _active = 0;
+  private readonly _ends: RateMeter;
+  private readonly _grantsByRank = new Map<number, RateMeter>();
+  private readonly _finishTags = new Map<string, number>();
+  private _virtualTime = 0;
+
+  /**
+   * @param _getLimit - Streams that may be under way now.
+   * @param _nowMs - Monotonic clock, replaced in tests.
+   */
+  constructor(
+    private readonly _getLimit: () => number,
+    private readonly _options: AdmissionOptions = defaultAdmissionOptions,
+    private readonly _nowMs: () => number = utils.monotonicMs,
+  ) {
+    super();
+    this._ends = new RateMeter(rateTimeConstantMs, _nowMs);
+  }
+
+  override get active(): number {
+    return this._active;
+  }
+
+  override get waiting(): number {
+    return this._waiting.length;
+  }
+
+  override acquire(request: AdmissionRequest): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>> {
+    const waiting = this._createWaiting(request);
+    this._waiting.push(waiting);
+    request.signal.addEventListener("abort", () => this._refuse(waiting, "cancelled", 0), { once: true });
+    this._grantAll();
+    if (this._waiting.includes(waiting)) this._shed();
+    return waiting.done.promise;
+  }
+
+  /** Looks again whether more may run, after the limit has changed. */
+  refresh(): void {
+    this._grantAll();
+  }
+
+  private _createWaiting(request: AdmissionRequest): Waiting {
+    const tagKey = `${request.rank}|${request.account}`;
+    const startTag = Math.max(this._virtualTime, this._finishTags.get(tagKey) ?? 0);
+    this._finishTags.set(tagKey, startTag + request.tokens);
+    return { request, startTag, sinceMs: this._nowMs(), done: new utils.Deferred() };
+  }
+
+  private _grantAll(): void {
+    for (;;) {
+      const next = this._pickNext();
+      if (next === undefined) return;
+      this._grant(next);
+    }
+  }
+
+  /** The next to run: a class below its floor first, then the highest rank; within it the smallest start tag. */
+  private _pickNext(): Waiting | undefined {
+    const starved = this._waiting.filter((w) => this._isBelowFloor(w) && this._active < this._getLimit());
+    const candidates = starved.length > 0 ? starved : this._waiting.filter((w) => this._hasRoom(w.request.rank));
+    return candidates.reduce<Waiting | undefined>((best, w) => (best === undefined || isBefore(w, best) ? w : best), undefined);
+  }
+
+  private _isBelowFloor(waiting: Waiting): boolean {
+    const { rank, floorShare } = waiting.request;
+    if (floorShare <= 0) return false;
+    const own = this._grantsByRank.get(rank)?.getPerSecond() ?? 0;
+    const all = utils.getSum([...this._grantsByRank.values()].map((meter) => meter.getPerSecond()));
+    return own < floorShare * all;
+  }
+
+  /** Lower ranks leave some room free, so that a higher one need not wait for an end. */
+  private _hasRoom(rank: number): boolean {
+    const part = Math.max(lowestLimitPart, 1 - this._options.reservePerRank * (rank - 1));
+    return this._active < Math.max(1, Math.floor(this._getLimit() * part));
+  }
+
+  private _grant(waiting: Waiting): void {
+    this._remove(waiting);
+    this._active += 1;
+    this._virtualTime = Math.max(this._virtualTime, waiting.startTag);
+    const { rank, tokens } = waiting.request;
+    const meter = this._grantsByRank.get(rank) ?? new RateMeter(grantTimeConstantMs, this._nowMs);
+    this._grantsByRank.set(rank, meter);
+    meter.add(tokens);
+    this._dropOldTags();
+    let isReleased = false;
+    const release = (): void => {
+      if (isReleased) return;
+      isReleased = true;
+      this._active -= 1;
+      this._ends.add(1);
+      this._grantAll();
+    };
+    waiting.done.resolve(results.Ok({ waitedMs: this._nowMs() - waiting.sinceMs, release }));
+  }
+
+  /** Refuses, the lowest class and the youngest first, until those that stay can be served in time. */
+  private _shed(): void {
+    for (;;) {
+      const late = this._findLate();
+      if (late === undefined) return;
+      this._refuse(late, "overload", this._getRetryAfterMs());
+    }
+  }
+
+  private _findLate(): Waiting | undefined {
+    const ordered = [...this._waiting].sort((a, b) => (isBefore(a, b) ? -1 : 1));
+    const perSecond = Math.max(this._ends.getPerSecond(), 1);
+    for (let index = ordered.length - 1; index >= 0; index--) {
+      const waiting = ordered[index];
+      if (waiting === undefined) continue;
+      const waitMs = ((index + 1) / perSecond) * utils.msPerSecond;
+      const patienceMs = Math.min(this._options.longestWaitMs, waiting.request.deadlineMs - this._nowMs());
+      if (waitMs > patienceMs) return waiting;
+    }
+    return undefined;
+  }
+
+  /** By when the queue that stands now will have been served. */
+  private _getRetryAfterMs(): number {
+    const perSecond = Math.max(this._ends.getPerSecond(), 1);
+    const drainMs = (this._waiting.length / perSecond) * utils.msPerSecond;
+    return Math.min(longestRetryMs, Math.max(shortestRetryMs, drainMs));
+  }
+
+  private _refuse(waiting: Waiting, reason: "overload" | "cancelled", retryAfterMs: number): void {
+    if (!this._remove(waiting)) return;
+    waiting.done.resolve(results.Err(new AdmissionRefusedError(reason, retryAfterMs)));
+  }
+
+  private _remove(waiting: Waiting): boolean {
+    const index = this._waiting.indexOf(waiting);
+    if (index < 0) return false;
+    this._waiting.splice(index, 1);
+    return true;
+  }
+
+  /** Tags behind the virtual time say nothing any more. */
+  private _dropOldTags(): void {
+    const tagsBeforeSweep = 1_000;
+    if (this._finishTags.size < tagsBeforeSweep) return;
+    for (const [key, tag] of this._finishTags) if (tag <= this._virtualTime) this._finishTags.delete(key);
+  }
+}
+
+function isBefore(a: Waiting, b: Waiting): boolean {
+  if (a.request.rank !== b.request.rank) return a.request.rank < b.request.rank;
+  return a.startTag < b.startTag;
+}
+
+/** First come, first served, without shedding: the baseline that the bench compares against. */
+export class ArrivalOrderAdmission extends Admission {
+  private readonly _queue: { request: AdmissionRequest; sinceMs: number; done: utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>> }[] = [];
+  private _active = 0;
+
+  constructor(private readonly _getLimit: () => number) {
+    super();
+  }
+
+  override get active(): number {
+    return this._active;
+  }
+
+  override get waiting(): number {
+    return this._queue.length;
+  }
+
+  override acquire(request: AdmissionRequest): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>> {
+    const done = new utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>>();
+    this._queue.push({ request, sinceMs: utils.monotonicMs(), done });
+    this._grantAll();
+    return done.promise;
+  }
+
+  private _grantAll(): void {
+    while (this._active < this._getLimit()) {
+      const next = this._queue.shift();
+      if (next === undefined) return;
+      if (next.request.signal.aborted) {
+        next.done.resolve(results.Err(new AdmissionRefusedError("cancelled", 0)));
+        continue;
+      }
+      this._active += 1;
+      const waitedMs = utils.monotonicMs() - next.sinceMs;
+      next.done.resolve(results.Ok({ waitedMs, release: () => this._release() }));
+    }
+  }
+
+  private _release(): void {
+    this._active -= 1;
+    this._grantAll();
+  }
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./sharedLimit.js";
+export * from "./RateMeter.js";
+export * from "./refusals.js";
+export * from "./AccountLimits.js";
+export * from "./AdmissionQueue.js";
--- a/packages/lease/src/index.ts
+++ b/packages/lease/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./orders.js";
+export * from "./LeaseFold.js";
+export * from "./LeaseHolder.js";
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./peerFrames.js";
+export * from "./PeerLink.js";
+export * from "./Membership.js";
+export * from "./TrafficCounter.js";
+export * from "./controlBudget.js";
--- /dev/null
+++ b/packages/pipeline/src/engine/WsEngineConnector.ts
@@ -0,0 +1,76 @@
+/** Keeps one WebSocket link for each engine in use. */
+import { errors, results } from "@shedtiller/common";
+import * as ws from "ws";
+import { EngineConnector, type EngineLink } from "./EngineLink.js";
+import { WsEngineLink, type EngineLinkEvents } from "./WsEngineLink.js";
+
+/** Path of an engine's work listener. */
+export const enginePath = "/v1/stages";
+const connectTimeoutMs = 1_000;
+const largestFrameBytes = 64 * 1024 * 1024;
+
+type LinkResult = results.Result<EngineLink, errors.NotReachedError>;
+
+/** Opens links when they are first needed, and again after they were lost. */
+export class WsEngineConnector extends EngineConnector {
+  private readonly _links = new Map<string, WsEngineLink>();
+  private readonly _opening = new Map<string, Promise<LinkResult>>();
+  private _isClosed = false;
+
+  constructor(private readonly _events: Omit<EngineLinkEvents, "onClosed"> & { onLinkLost(endpoint: string): void }) {
+    super();
+  }
+
+  override getLink(endpoint: string, address: string): Promise<LinkResult> {
+    const open = this._links.get(address);
+    if (open?.isOpen === true) return Promise.resolve(results.Ok(open));
+    const opening = this._opening.get(address) ?? this._open(endpoint, address);
+    this._opening.set(address, opening);
+    return opening;
+  }
+
+  /** Ends all links. */
+  close(): void {
+    this._isClosed = true;
+    for (const link of this._links.values()) link.close();
+  }
+
+  private async _open(endpoint: string, address: string): Promise<LinkResult> {
+    const socket = new ws.WebSocket(`ws://${address}${enginePath}`, {
+      handshakeTimeout: connectTimeoutMs,
+      perMessageDeflate: false,
+      maxPayload: largestFrameBytes,
+    });
+    const failure = await waitForOpen(socket);
+    this._opening.delete(address);
+    if (failure !== undefined || this._isClosed) {
+      socket.terminate();
+      return results.Err(new errors.NotReachedError(address, failure));
+    }
+    const link = new WsEngineLink(endpoint, socket, {
+      onLeaving: (name) => this._events.onLeaving(name),
+      onStrayReply: (name) => this._events.onStrayReply(name),
+      onClosed: (closed) => this._drop(address, closed),
+    });
+    this._links.set(address, link);
+    return results.Ok(link);
+  }
+
+  private _drop(address: string, link: WsEngineLink): void {
+    if (this._links.get(address) !== link) return;
+    this._links.delete(address);
+    if (!this._isClosed) this._events.onLinkLost(link.endpoint);
+  }
+}
+
+/** Resolves with undefined once the socket is open, else with what went wrong. */
+function waitForOpen(socket: ws.WebSocket): Promise<Error | undefined> {
+  return new Promise((resolve) => {
+    socket.once("open", () => {
+      socket.removeAllListeners();
+      resolve(undefined);
+    });
+    socket.once("error", resolve);
+    socket.once("close", () => resolve(new Error("closed before it was open")));
+  });
+}
--- /dev/null
+++ b/packages/pipeline/src/request/PipelineContext.ts
@@ -0,0 +1,72 @@
+/** What all requests of one instance share. */
+import type { utils } from "@shedtiller/common";
+import type { ChainChooser, EndpointDirectory } from "@shedtiller/routing";
+import type { Timeline } from "@shedtiller/timeline";
+import type { EngineConnector } from "../engine/EngineLink.js";
+import { defaultSilenceOptions, SilenceDetector, type SilenceOptions } from "../engine/SilenceDetector.js";
+import { HistoryBudget } from "./BoundaryHistory.js";
+
+const defaultHistoryLimitBytes = 64 * 1024 * 1024;
+
+/** Counts for the metrics. */
+export interface PipelineCounters {
+  probes: number;
+  stagesLost: number;
+  stagesRebuilt: number;
+  chainsRestarted: number;
+  strayReplies: number;
+  tokens: number;
+}
+
+/** The parts that a request is run with. */
+export interface PipelineContextStructure {
+  readonly availabilityZone: string;
+  readonly directory: EndpointDirectory;
+  readonly connector: EngineConnector;
+  readonly chooser: ChainChooser;
+  readonly timeline: Timeline;
+  readonly random: utils.RandomSource;
+  readonly silence?: SilenceOptions;
+  readonly historyLimitBytes?: number;
+}
+
+/** Shared parts, and what is learned of each endpoint. */
+export class PipelineContext {
+  readonly availabilityZone: string;
+  readonly directory: EndpointDirectory;
+  readonly connector: EngineConnector;
+  readonly chooser: ChainChooser;
+  readonly timeline: Timeline;
+  readonly random: utils.RandomSource;
+  readonly historyBudget: HistoryBudget;
+  readonly counters: PipelineCounters = {
+    probes: 0,
+    stagesLost: 0,
+    stagesRebuilt: 0,
+    chainsRestarted: 0,
+    strayReplies: 0,
+    tokens: 0,
+  };
+  private readonly _silence: SilenceOptions;
+  private readonly _detectors = new Map<string, SilenceDetector>();
+
+  constructor(structure: PipelineContextStructure) {
+    this.availabilityZone = structure.availabilityZone;
+    this.directory = structure.directory;
+    this.connector = structure.connector;
+    this.chooser = structure.chooser;
+    this.timeline = structure.timeline;
+    this.random = structure.random;
+    this._silence = structure.silence ?? defaultSilenceOptions;
+    this.historyBudget = new HistoryBudget(structure.historyLimitBytes ?? defaultHistoryLimitBytes);
+  }
+
+  /** Gives what was learned of the times of an endpoint. */
+  getDetector(endpoint: string): SilenceDetector {
+    const known = this._detectors.get(endpoint);
+    if (known !== undefined) return known;
+    const detector = new SilenceDetector(this._silence);
+    this._detectors.set(endpoint, detector);
+    return detector;
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/request/PipelineRequest.ts
@@ -0,0 +1,60 @@
+/** What the pipeline is asked for, and how it can fail. */
+import { errors, type Ran } from "@shedtiller/common";
+
+/** One model request, checked and admitted. */
+export interface PipelineRequest {
+  readonly requestId: string;
+  readonly model: string;
+  readonly version: string;
+  /** Layers [0, layerCount) make the whole model. */
+  readonly layerCount: number;
+  readonly promptTokens: readonly number[];
+  readonly maxTokens: number;
+  /** 1 is the highest. */
+  readonly priority: number;
+  /** Monotonic milliseconds after which nobody wants the answer. */
+  readonly deadlineMs: number;
+}
+
+/** How an answer ended. */
+export interface PipelineAnswer {
+  readonly tokens: readonly number[];
+  readonly isEnd: boolean;
+  /** Stages that were replaced on the way. */
+  readonly replacements: number;
+}
+
+/** A request that did not get its whole answer, with what is known of its having run. */
+export abstract class PipelineError extends errors.ShedtillerError {
+  abstract readonly ran: Ran;
+}
+
+/** No chain of live endpoints covers the model. */
+export class NoChainError extends PipelineError {
+  readonly code = "no_endpoints";
+
+  constructor(
+    readonly model: string,
+    readonly ran: Ran,
+  ) {
+    super(`No live endpoints cover all layers of the model ${model}.`);
+  }
+}
+
+/** The request's deadline passed. */
+export class RequestDeadlineError extends PipelineError {
+  readonly code = "deadline_passed";
+
+  constructor(readonly ran: Ran) {
+    super("The request's deadline passed before its answer was whole.");
+  }
+}
+
+/** The caller went away or the instance cut the request short. */
+export class RequestCancelledError extends PipelineError {
+  readonly code = "cancelled";
+
+  constructor(readonly ran: Ran) {
+    super("The request was cancelled before its answer was whole.");
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -0,0 +1,268 @@
+/** One request through its stages, token by token, written straight down. */
+import { results, utils } from "@shedtiller/common";
+import { isSameRange, type EngineCandidate } from "@shedtiller/routing";
+import type { AppliedFrame, ApplyFrame } from "../engine/engineFrames.js";
+import { BoundaryHistory } from "./BoundaryHistory.js";
+import type { PipelineContext } from "./PipelineContext.js";
+import * as requests from "./PipelineRequest.js";
+import { Stage, type StageError } from "./Stage.js";
+
+const chooseAgainMs = 20;
+
+/** Takes each token once, in order, as soon as it is known. */
+export type TokenSink = (token: number, isEnd: boolean) => void;
+
+type Outcome<T> = results.Result<T, requests.PipelineError>;
+/** The chain was chosen anew and must run from its first layer. */
+const restarted = Symbol("restarted");
+
+/** Runs one request. Not reused. */
+export class PipelineRun {
+  private readonly _tokens: number[];
+  private _stages: Stage[] = [];
+  /** `_boundaries[i]` holds the inputs of stage i; stage 0 takes tokens and has none. */
+  private _boundaries: BoundaryHistory[] = [];
+  private _nextAttempt = 1;
+  private _replacements = 0;
+  private _isWritten = false;
+  private readonly _lostEndpoints = new Set<string>();
+
+  constructor(
+    private readonly _context: PipelineContext,
+    private readonly _request: requests.PipelineRequest,
+    private readonly _signal: AbortSignal,
+  ) {
+    this._tokens = [..._request.promptTokens];
+  }
+
+  /** Runs to the end, handing each token to `sink`. */
+  async run(sink: TokenSink): Promise<Outcome<requests.PipelineAnswer>> {
+    try {
+      const chosen = await this._chooseChain();
+      if (chosen.err) return chosen;
+      return await this._generate(sink);
+    } finally {
+      this._releaseAll();
+    }
+  }
+
+  private async _generate(sink: TokenSink): Promise<Outcome<requests.PipelineAnswer>> {
+    const answer: number[] = [];
+    let isEnd = false;
+    while (answer.length < this._request.maxTokens && !isEnd) {
+      const startMs = utils.monotonicMs();
+      const next = await this._forward();
+      if (next.err) return next;
+      const token = next.val.token ?? 0;
+      isEnd = next.val.isEnd === true;
+      this._tokens.push(token);
+      answer.push(token);
+      this._context.counters.tokens += 1;
+      this._addEvent("step", undefined, `token ${answer.length}`, utils.monotonicMs() - startMs);
+      sink(token, isEnd);
+    }
+    return results.Ok({ tokens: answer, isEnd, replacements: this._replacements });
+  }
+
+  /** Brings all positions through all stages and gives the last stage's outcome. */
+  private async _forward(): Promise<Outcome<AppliedFrame>> {
+    let index = 0;
+    for (;;) {
+      const stage = this._stages[index];
+      if (stage === undefined) return results.Err(new requests.NoChainError(this._request.model, this._ran));
+      const applied = await this._applyStage(index);
+      if (applied.err) return applied;
+      if (applied.val === restarted) {
+        index = 0;
+        continue;
+      }
+      if (index === this._stages.length - 1) return results.Ok(applied.val);
+      this._keepOutput(index, applied.val);
+      index += 1;
+    }
+  }
+
+  /** A rebuilt stage gives positions again that are known already; only the new ones are kept. */
+  private _keepOutput(index: number, applied: AppliedFrame): void {
+    const boundary = this._boundaries[index + 1];
+    if (boundary === undefined || applied.activations === undefined) return;
+    const end = applied.position + applied.count;
+    const newCount = end - boundary.length;
+    if (newCount <= 0) return;
+    const positionBytes = applied.activations.byteLength / applied.count;
+    boundary.add(applied.activations.subarray((applied.count - newCount) * positionBytes), newCount);
+  }
+
+  private async _applyStage(index: number): Promise<Outcome<AppliedFrame | typeof restarted>> {
+    for (;;) {
+      const stopped = this._getStop();
+      if (stopped !== undefined) return results.Err(stopped);
+      const stage = this._stages[index];
+      if (stage === undefined) return results.Ok(restarted);
+      const frame = this._createFrame(stage, index);
+      if (frame === undefined) return this._restart();
+      const applied = await this._raceWithStop(stage.apply(frame));
+      if (stage.isWritten) this._isWritten = true;
+      if (applied === undefined) continue;
+      if (applied.ok) return applied;
+      const replaced = await this._replaceStage(index, applied.val);
+      if (replaced.err) return replaced;
+      if (replaced.val === restarted) return results.Ok(restarted);
+    }
+  }
+
+  /** The call for all positions that the stage lacks, or undefined where their inputs are no longer held. */
+  private _createFrame(stage: Stage, index: number): ApplyFrame | undefined {
+    const position = stage.appliedTo;
+    const count = this._tokens.length - position;
+    const base = {
+      kind: "apply" as const,
+      ...stage.key,
+      layers: stage.candidate.layers,
+      position,
+      count,
+      priority: this._request.priority,
+      remainingMs: this._request.deadlineMs - utils.monotonicMs(),
+    };
+    if (index === 0) return { ...base, tokens: this._tokens.slice(position) };
+    const boundary = this._boundaries[index];
+    if (boundary?.isComplete !== true) return undefined;
+    return { ...base, activations: boundary.getFrom(position) };
+  }
+
+  private async _replaceStage(index: number, cause: StageError): Promise<Outcome<void | typeof restarted>> {
+    const lost = this._stages[index];
+    if (lost === undefined) return results.Ok(restarted);
+    this._recordLoss(lost, cause);
+    const startMs = utils.monotonicMs();
+    const replica = this._findReplica(lost.candidate);
+    if (replica === undefined) return this._restart();
+    lost.release();
+    this._stages[index] = this._createStage(replica);
+    this._replacements += 1;
+    this._context.counters.stagesRebuilt += 1;
+    this._addEvent("rebuilt", replica.entry.name, `instead of ${lost.endpoint}`, utils.monotonicMs() - startMs);
+    return results.Ok(undefined);
+  }
+
+  private _recordLoss(lost: Stage, cause: StageError): void {
+    const { directory, counters } = this._context;
+    counters.stagesLost += 1;
+    this._lostEndpoints.add(lost.endpoint);
+    directory.outliers.recordFailure(lost.endpoint);
+    if (cause.code === "stage_silent" || cause.code === "not_reached") directory.markUnreachable(lost.endpoint);
+    this._addEvent("stage-lost", lost.endpoint, cause.message);
+  }
+
+  /** Another endpoint with the same layers, the one with the least expected time. */
+  private _findReplica(lost: EngineCandidate): EngineCandidate | undefined {
+    const { directory, chooser } = this._context;
+    const replicas = directory
+      .getEngines(this._request.model, this._request.version)
+      .filter((candidate) => isSameRange(candidate.layers, lost.layers));
+    const shifted = replicas.map((candidate) => shiftToZero(candidate));
+    const chosen = chooser.choose(shifted, {
+      layerCount: lost.layers[1] - lost.layers[0],
+      availabilityZone: this._context.availabilityZone,
+      excluded: this._lostEndpoints,
+    });
+    return replicas.find((candidate) => candidate.entry === chosen?.[0]?.entry);
+  }
+
+  /** Gives up the whole chain and begins with a new one, from the prompt and the tokens known so far. */
+  private async _restart(): Promise<Outcome<typeof restarted>> {
+    this._releaseAll();
+    this._context.counters.chainsRestarted += 1;
+    const chosen = await this._chooseChain();
+    if (chosen.err) return chosen;
+    this._replacements += 1;
+    return results.Ok(restarted);
+  }
+
+  /** Chooses a chain; where none can be had, waits for one for as long as the request may. */
+  private async _chooseChain(): Promise<Outcome<void>> {
+    for (;;) {
+      const stopped = this._getStop();
+      if (stopped !== undefined) return results.Err(stopped);
+      const chain = this._tryChoose();
+      if (chain !== undefined) {
+        this._takeChain(chain);
+        return results.Ok(undefined);
+      }
+      if (!this._isWritten) return results.Err(new requests.NoChainError(this._request.model, "no"));
+      await utils.sleep(chooseAgainMs, this._signal).catch(() => undefined);
+    }
+  }
+
+  private _tryChoose(): EngineCandidate[] | undefined {
+    const candidates = this._context.directory.getEngines(this._request.model, this._request.version);
+    const options = {
+      layerCount: this._request.layerCount,
+      availabilityZone: this._context.availabilityZone,
+      excluded: this._lostEndpoints,
+    };
+    const chain = this._context.chooser.choose(candidates, options);
+    if (chain !== undefined) return chain;
+    // An endpoint that was lost may be back; without it there is no chain.
+    return this._context.chooser.choose(candidates, { ...options, excluded: undefined });
+  }
+
+  private _takeChain(chain: readonly EngineCandidate[]): void {
+    this._stages = chain.map((candidate) => this._createStage(candidate));
+    this._boundaries = chain.map(() => new BoundaryHistory(this._context.historyBudget));
+    this._addEvent("chosen", undefined, chain.map((c) => `${c.entry.name}[${c.layers.join(",")})`).join(" → "));
+  }
+
+  private _createStage(candidate: EngineCandidate): Stage {
+    const attempt = this._nextAttempt;
+    this._nextAttempt += 1;
+    const { requestId } = this._request;
+    return new Stage(this._context, candidate, { requestId, attempt, firstLayer: candidate.layers[0] });
+  }
+
+  private _releaseAll(): void {
+    for (const stage of this._stages) stage.release();
+    for (const boundary of this._boundaries) boundary.release();
+    this._stages = [];
+    this._boundaries = [];
+  }
+
+  private get _ran(): "no" | "unknown" {
+    return this._isWritten ? "unknown" : "no";
+  }
+
+  private _getStop(): requests.PipelineError | undefined {
+    if (this._signal.aborted) return new requests.RequestCancelledError(this._ran);
+    if (utils.monotonicMs() >= this._request.deadlineMs) return new requests.RequestDeadlineError(this._ran);
+    return undefined;
+  }
+
+  /** Settles as `work` does, or with undefined once the request is cancelled or its deadline has passed. */
+  private async _raceWithStop<T>(work: Promise<T>): Promise<T | undefined> {
+    const stop = new utils.Deferred<undefined>();
+    const onAbort = (): void => stop.resolve(undefined);
+    this._signal.addEventListener("abort", onAbort, { once: true });
+    const timer = setTimeout(onAbort, Math.max(0, this._request.deadlineMs - utils.monotonicMs()));
+    try {
+      return await Promise.race([work, stop.promise]);
+    } finally {
+      clearTimeout(timer);
+      this._signal.removeEventListener("abort", onAbort);
+    }
+  }
+
+  private _addEvent(
+    kind: "step" | "stage-lost" | "rebuilt" | "chosen",
+    subject: string | undefined,
+    detail: string,
+    durationMs?: number,
+  ): void {
+    this._context.timeline.add(kind, { requestId: this._request.requestId, subject, detail, durationMs });
+  }
+}
+
+/** A replica search is a choice for a model that has just the layers of the lost stage. */
+function shiftToZero(candidate: EngineCandidate): EngineCandidate {
+  const [first, end] = candidate.layers;
+  return { ...candidate, layers: [0, end - first] };
+}
--- /dev/null
+++ b/packages/routing/src/EndpointDirectory.ts
@@ -0,0 +1,135 @@
+/** What one instance knows of all endpoints: listed state, reports, and its own evidence, which goes first. */
+import { utils } from "@shedtiller/common";
+import type { ListedInstance } from "@shedtiller/platform";
+import type { EngineReport, LayerRange } from "./EngineReport.js";
+import { OutlierGuard } from "./OutlierGuard.js";
+
+/** An endpoint as the directory holds it. */
+export interface EndpointEntry {
+  readonly name: string;
+  readonly role: "engine" | "service";
+  readonly service: string | undefined;
+  readonly availabilityZone: string;
+  readonly address: string;
+  /** Seen to be leaving, by the list, the endpoint's own word or a peer's. Never taken back for this address. */
+  isLeaving: boolean;
+  /** Our own last contact failed. Cleared by the next report that comes from the endpoint itself. */
+  isUnreachable: boolean;
+  report: EngineReport | undefined;
+  reportAtMs: number;
+  /** Streams of ours that have this endpoint in their chain. */
+  ownStreams: number;
+  /** What `ownStreams` was when the report in hand was made, so that nothing is counted twice. */
+  ownStreamsAtReport: number;
+}
+
+/** An engine that holds layers, ready to be chosen. */
+export interface EngineCandidate {
+  readonly entry: EndpointEntry;
+  readonly report: EngineReport;
+  readonly layers: LayerRange;
+}
+
+/** Holds the endpoints and answers which may get new work. */
+export class EndpointDirectory {
+  readonly outliers = new OutlierGuard();
+  private readonly _entries = new Map<string, EndpointEntry>();
+  private readonly _leavingListeners: ((entry: EndpointEntry) => void)[] = [];
+
+  /** Takes a page of the platform's list. Endpoints that are no longer listed are dropped. */
+  setListed(instances: readonly ListedInstance[]): void {
+    const listed = instances.filter((instance) => instance.role !== "entry");
+    const names = new Set(listed.map((instance) => instance.name));
+    for (const name of this._entries.keys()) if (!names.has(name)) this._entries.delete(name);
+    for (const instance of listed) this._setOne(instance);
+  }
+
+  /** Takes a report. `isDirect` tells that the endpoint itself sent it to us just now. */
+  setReport(report: EngineReport, isDirect: boolean): void {
+    const entry = this._entries.get(report.name);
+    if (entry === undefined) return;
+    entry.report = report;
+    entry.reportAtMs = utils.monotonicMs();
+    entry.ownStreamsAtReport = entry.ownStreams;
+    if (isDirect) entry.isUnreachable = false;
+    if (report.state === "leaving") this.markLeaving(report.name);
+  }
+
+  /** Notes that an endpoint is leaving; it gets no new work from here on. */
+  markLeaving(name: string): void {
+    const entry = this._entries.get(name);
+    if (entry === undefined || entry.isLeaving) return;
+    entry.isLeaving = true;
+    for (const listener of this._leavingListeners) listener(entry);
+  }
+
+  /** Notes that a direct contact failed. */
+  markUnreachable(name: string): void {
+    const entry = this._entries.get(name);
+    if (entry !== undefined) entry.isUnreachable = true;
+  }
+
+  /** Notes that a direct contact worked. */
+  markReachable(name: string): void {
+    const entry = this._entries.get(name);
+    if (entry !== undefined) entry.isUnreachable = false;
+  }
+
+  /** Calls `listener` once for each endpoint that begins to leave. */
+  onLeaving(listener: (entry: EndpointEntry) => void): void {
+    this._leavingListeners.push(listener);
+  }
+
+  getEntry(name: string): EndpointEntry | undefined {
+    return this._entries.get(name);
+  }
+
+  getEntries(): EndpointEntry[] {
+    return [...this._entries.values()];
+  }
+
+  /** Engines that may get new work for a model version. */
+  getEngines(model: string, version: string): EngineCandidate[] {
+    const candidates: EngineCandidate[] = [];
+    for (const entry of this._entries.values()) {
+      const report = entry.report;
+      if (report?.layers === undefined || !isOpenToWork(entry)) continue;
+      if (report.state !== "live" || report.model !== model || report.version !== version) continue;
+      candidates.push({ entry, report, layers: report.layers });
+    }
+    return this.outliers.withoutEjected(candidates, (candidate) => candidate.entry.name);
+  }
+
+  /** Endpoints of a plain service that may get new work. */
+  getServiceEndpoints(service: string): EndpointEntry[] {
+    return this.getEntries().filter((entry) => entry.service === service && isOpenToWork(entry));
+  }
+
+  private _setOne(instance: ListedInstance): void {
+    const known = this._entries.get(instance.name);
+    if (known === undefined || known.address !== instance.address) {
+      this._entries.set(instance.name, createEntry(instance));
+    }
+    if (instance.state === "leaving") this.markLeaving(instance.name);
+  }
+}
+
+function isOpenToWork(entry: EndpointEntry): boolean {
+  return !entry.isLeaving && !entry.isUnreachable;
+}
+
+function createEntry(instance: ListedInstance): EndpointEntry {
+  return {
+    name: instance.name,
+    role: instance.role === "service" ? "service" : "engine",
+    service: instance.service,
+    availabilityZone: instance.availabilityZone,
+    address: instance.address,
+    isLeaving: false,
+    isUnreachable: false,
+    report: undefined,
+    reportAtMs: 0,
+    ownStreams: 0,
+    ownStreamsAtReport: 0,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/RetryBudget.ts
@@ -0,0 +1,31 @@
+/** A budget that holds retries to a share of live traffic, so that a fault is not made worse by retrying. */
+
+const defaultShare = 0.2;
+const defaultReserve = 10;
+
+/** Each request adds a share of a retry; each retry takes one. The reserve lets a quiet instance retry at all. */
+export class RetryBudget {
+  private _balance: number;
+
+  /**
+   * @param share - Retries allowed per request.
+   * @param reserve - Largest balance, and the balance at the start.
+   */
+  constructor(
+    readonly share = defaultShare,
+    readonly reserve = defaultReserve,
+  ) {
+    this._balance = reserve;
+  }
+
+  recordRequest(): void {
+    this._balance = Math.min(this.reserve, this._balance + this.share);
+  }
+
+  /** Takes one retry from the budget; tells whether there was one. */
+  tryTake(): boolean {
+    if (this._balance < 1) return false;
+    this._balance -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/choosers/index.ts
@@ -0,0 +1,3 @@
+export * from "./ChainChooser.js";
+export * from "./baselines.js";
+export * from "./ExpectedTimeChooser.js";
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./EngineReport.js";
+export * from "./EndpointDirectory.js";
+export * from "./OutlierGuard.js";
+export * from "./RetryBudget.js";
+export * from "./choosers/index.js";
--- /dev/null
+++ b/packages/settings/src/checkSettings.ts
@@ -0,0 +1,74 @@
+/** The check of a whole settings file: every fault is listed with its line, unknown keys with the nearest known one. */
+import * as fs from "node:fs";
+import { errors, results } from "@shedtiller/common";
+import type * as zod from "zod";
+import { instanceSettingsSchema, type InstanceSettings } from "./instanceSettings.js";
+import { getNearest } from "./getNearest.js";
+import { readIni, type IniDocument } from "./readIni.js";
+
+/** All faults of a settings file together. */
+export class SettingsError extends errors.ShedtillerError {
+  readonly code = "invalid_settings";
+
+  constructor(readonly faults: readonly errors.InvalidInputError[]) {
+    super(faults.map((fault) => fault.message).join("\n"));
+  }
+}
+
+/** Reads and checks the settings file of an entry instance. */
+export function loadSettings(file: string): results.Result<InstanceSettings, SettingsError> {
+  let text: string;
+  try {
+    text = fs.readFileSync(file, "utf8");
+  } catch (error) {
+    return results.Err(new SettingsError([new errors.InvalidInputError(file, errors.describeError(error))]));
+  }
+  return checkSettings(text, file);
+}
+
+/** Checks the text of a settings file. `file` names it in faults. */
+export function checkSettings(text: string, file: string): results.Result<InstanceSettings, SettingsError> {
+  const document = readIni(text, file);
+  if (document.err) return results.Err(new SettingsError([document.val]));
+  const checked = instanceSettingsSchema.safeParse(document.val.sections);
+  if (checked.success) return results.Ok(checked.data);
+  const faults = checked.error.issues.flatMap((issue) => describeIssue(issue, document.val, file));
+  return results.Err(new SettingsError(faults));
+}
+
+function describeIssue(issue: zod.core.$ZodIssue, document: IniDocument, file: string): errors.InvalidInputError[] {
+  const path = issue.path.map(String);
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => describeUnknown([...path, key], document, file));
+  }
+  const reason = issue.message.replace(/\.$/, "");
+  return [new errors.InvalidInputError(getPlace(path, document, file), reason)];
+}
+
+function describeUnknown(path: readonly string[], document: IniDocument, file: string): errors.InvalidInputError {
+  const key = path[path.length - 1] ?? "";
+  const nearest = getNearest(key, getKnownKeys(path.slice(0, -1)));
+  const advice = nearest === undefined ? "" : `; did you mean ${nearest}`;
+  return new errors.InvalidInputError(getPlace(path, document, file), `is not a known name${advice}`);
+}
+
+function getKnownKeys(sectionPath: readonly string[]): string[] {
+  const shape: Record<string, unknown> = instanceSettingsSchema.shape;
+  const section = sectionPath[0];
+  if (section === undefined) return Object.keys(shape);
+  return Object.keys(unwrapShape(shape[section]));
+}
+
+/** Sections with defaults wrap their object; this finds the keys behind the wrapping. */
+function unwrapShape(schema: unknown): object {
+  const candidate = schema as { shape?: object; def?: { innerType?: unknown } };
+  if (candidate.shape !== undefined) return candidate.shape;
+  return candidate.def?.innerType === undefined ? {} : unwrapShape(candidate.def.innerType);
+}
+
+function getPlace(path: readonly string[], document: IniDocument, file: string): string {
+  const [section = "", key = ""] = path;
+  const line = document.lines.get(`${section}/${key}`);
+  const where = line === undefined ? file : `${file}:${line}`;
+  return key === "" ? `${where}: [${section}]` : `${where}: [${section}] ${key}`;
+}
--- /dev/null
+++ b/packages/standins/src/network/Relay.ts
@@ -0,0 +1,91 @@
+/** A TCP relay on loopback that stands for one link, and can be cut, held or made slow. */
+import * as net from "node:net";
+import { errors } from "@shedtiller/common";
+
+/** State that links share, so that one cut acts on many. */
+export interface LinkState {
+  /** Nothing passes, in either direction; what was sent waits, as packets that are sent again. */
+  isCut: boolean;
+  /** Added each way. */
+  delayMs: number;
+}
+
+const loopback = "127.0.0.1";
+const pumpMs = 2;
+
+interface Parcel {
+  readonly dueMs: number;
+  readonly deliver: () => void;
+}
+
+/** Passes connections on to one target. */
+export class Relay {
+  private readonly _server = net.createServer({ pauseOnConnect: true }, (socket) => this._accept(socket));
+  private readonly _sockets = new Set<net.Socket>();
+
+  /** @param getState - Gives the state of the link now. */
+  constructor(
+    private readonly _targetPort: number,
+    private readonly _getState: () => LinkState,
+  ) {}
+
+  /** Starts to listen and gives the relay's port. */
+  start(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this._server.once("error", reject);
+      this._server.listen(0, loopback, () => {
+        const bound = this._server.address();
+        if (bound === null || typeof bound === "string") reject(new errors.InvariantError("A relay has no port."));
+        else resolve(bound.port);
+      });
+    });
+  }
+
+  /** Resets all connections and listens no more. */
+  close(): void {
+    this._server.close();
+    this.reset();
+  }
+
+  /** Resets the connections that stand. */
+  reset(): void {
+    for (const socket of this._sockets) socket.resetAndDestroy();
+  }
+
+  private _accept(client: net.Socket): void {
+    this._watch(client);
+    const target = net.connect(this._targetPort, loopback);
+    this._watch(target);
+    target.once("error", () => client.resetAndDestroy());
+    target.once("connect", () => {
+      this._pass(client, target);
+      this._pass(target, client);
+    });
+  }
+
+  private _watch(socket: net.Socket): void {
+    socket.setNoDelay(true);
+    this._sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("close", () => this._sockets.delete(socket));
+  }
+
+  private _pass(from: net.Socket, to: net.Socket): void {
+    const parcels: Parcel[] = [];
+    const pump = (): void => {
+      const state = this._getState();
+      const nowMs = performance.now();
+      while (!state.isCut && parcels[0] !== undefined && parcels[0].dueMs <= nowMs) parcels.shift()?.deliver();
+      if (parcels.length > 0) setTimeout(pump, pumpMs);
+    };
+    const send = (deliver: () => void): void => {
+      const state = this._getState();
+      if (parcels.length === 0 && !state.isCut && state.delayMs === 0) return deliver();
+      parcels.push({ dueMs: performance.now() + state.delayMs, deliver });
+      if (parcels.length === 1) setTimeout(pump, Math.max(pumpMs, state.delayMs));
+    };
+    from.on("data", (chunk) => send(() => to.write(chunk)));
+    from.once("close", (hadError) => send(() => (hadError ? to.resetAndDestroy() : to.destroySoon())));
+    from.resume();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/service/StandInService.ts
@@ -0,0 +1,67 @@
+/** A stand-in for one endpoint of a plain service, which counts how often each key ran. */
+import { utils } from "@shedtiller/common";
+import type * as restify from "restify";
+import { HttpStandIn } from "../HttpStandIn.js";
+
+/** Runs of all endpoints of a fleet's services, by key. */
+export type RunCounts = Map<string, number>;
+
+/** What a service endpoint is made of. */
+export interface ServiceStructure {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly service: string;
+  readonly serviceMs: number;
+}
+
+/** A plain service that would bill twice if it were called twice. */
+export class StandInService extends HttpStandIn {
+  private _repliesToLose = 0;
+  private _hang: utils.Deferred<void> | undefined;
+  leavingSinceMs: number | undefined;
+  /** Monotonic milliseconds at which each call began. */
+  readonly callsAtMs: number[] = [];
+
+  constructor(
+    readonly structure: ServiceStructure,
+    private readonly _runs: RunCounts,
+  ) {
+    super(structure.name);
+    this.server.post("/*", async (request: restify.Request, response: restify.Response) => {
+      await this._run(request, response);
+    });
+  }
+
+  /** The next reply is lost after the call ran. */
+  loseNextReply(): void {
+    this._repliesToLose += 1;
+  }
+
+  leave(): void {
+    this.leavingSinceMs = utils.monotonicMs();
+  }
+
+  hang(): void {
+    this._hang ??= new utils.Deferred<void>();
+  }
+
+  resume(): void {
+    this._hang?.resolve();
+    this._hang = undefined;
+  }
+
+  private async _run(request: restify.Request, response: restify.Response): Promise<void> {
+    await this._hang?.promise;
+    this.callsAtMs.push(utils.monotonicMs());
+    const key = String(request.header("idempotency-key") ?? request.header("shedtiller-request-id") ?? "none");
+    const runs = (this._runs.get(key) ?? 0) + 1;
+    this._runs.set(key, runs);
+    await utils.sleep(this.structure.serviceMs);
+    if (this._repliesToLose > 0) {
+      this._repliesToLose -= 1;
+      response.socket?.destroy();
+      return;
+    }
+    response.send({ service: this.structure.service, key, runs });
+  }
+}
