--- a/packages/admission/src/AccountLimits.ts
+++ b/packages/admission/src/AccountLimits.ts
@@ -20,7 +20,7 @@
 }
 
 /** Demand of one account at one instance, as it is told to the others. */
-export type AccountDemand = readonly [account: string, concurrency: number, tokensPerSecond: number];
+export type AccountDemand = [account: string, concurrency: number, tokensPerSecond: number];
 
 interface AccountUsage {
   active: number;
@@ -41,7 +41,7 @@
 /** Admits by the account's shares at this instance. */
 export class AccountLimits {
   private readonly _usages = new Map<string, AccountUsage>();
-  private readonly _otherDemands = new Map<string, Map<string, AccountDemand>>();
+  private readonly _otherDemands = new Map<string, { demands: Map<string, AccountDemand>; instanceCount: number }>();
 
   /** @param _nowMs - Monotonic clock, replaced in tests. */
   constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
@@ -71,14 +71,30 @@
     return demands.sort((a, b) => b[2] - a[2] || b[1] - a[1]).slice(0, accountsExchanged);
   }
 
-  /** Takes the demands that another instance told. They stand until the next ones, also while it is cut off. */
-  setDemands(instance: string, demands: readonly AccountDemand[]): void {
-    this._otherDemands.set(instance, new Map(demands.map((demand) => [demand[0], demand])));
+  /** Demands of this instance and of the named others, in sum, for other zones. */
+  getZoneDemands(names: ReadonlySet<string>): AccountDemand[] {
+    const sums = new Map<string, AccountDemand>();
+    const add = ([account, concurrency, tokens]: AccountDemand): void => {
+      const known = sums.get(account);
+      sums.set(account, [account, (known?.[1] ?? 0) + concurrency, (known?.[2] ?? 0) + tokens]);
+    };
+    this.getDemands().forEach(add);
+    for (const [source, { demands }] of this._otherDemands) if (names.has(source)) [...demands.values()].forEach(add);
+    return [...sums.values()].sort((a, b) => b[2] - a[2]).slice(0, accountsExchanged);
+  }
+
+  /**
+   * Takes the demands that another instance, or another zone in sum, told. They stand until the next ones, also while
+   * it is cut off.
+   */
+  setDemands(source: string, demands: readonly AccountDemand[], instanceCount = 1): void {
+    const byAccount = new Map(demands.map((demand) => [demand[0], demand]));
+    this._otherDemands.set(source, { demands: byAccount, instanceCount });
   }
 
-  /** Forgets instances that are gone for good. */
-  keepInstances(instances: ReadonlySet<string>): void {
-    for (const name of this._otherDemands.keys()) if (!instances.has(name)) this._otherDemands.delete(name);
+  /** Forgets sources that are gone for good. */
+  keepSources(sources: ReadonlySet<string>): void {
+    for (const name of this._otherDemands.keys()) if (!sources.has(name)) this._otherDemands.delete(name);
   }
 
   private _getUsage(account: string, limit: AccountLimit): AccountUsage {
@@ -89,7 +105,7 @@
       active: 0,
       wantedStarts: new RateMeter(demandTimeConstantMs, this._nowMs),
       wantedTokens: new RateMeter(demandTimeConstantMs, this._nowMs),
-      balanceTokens: (perSecond * burstSeconds) / (this._otherDemands.size + 1),
+      balanceTokens: (perSecond * burstSeconds) / (this._getOthers(account, 1).length + 1),
       balanceAtMs: this._nowMs(),
       durationMs: utils.msPerSecond,
     };
@@ -126,7 +142,12 @@
   }
 
   private _getOthers(account: string, field: 1 | 2): number[] {
-    return [...this._otherDemands.values()].map((demands) => demands.get(account)?.[field] ?? 0);
+    const others: number[] = [];
+    for (const { demands, instanceCount } of this._otherDemands.values()) {
+      const each = (demands.get(account)?.[field] ?? 0) / instanceCount;
+      for (let index = 0; index < instanceCount; index++) others.push(each);
+    }
+    return others;
   }
 
   private _createPermit(usage: AccountUsage, tokens: number): AccountPermit {
--- /dev/null
+++ b/packages/cli/src/commands/CommandContext.ts
@@ -0,0 +1,104 @@
+/** What every command works with: output, exit code and the operators' interface. */
+import { errors, results } from "@shedtiller/common";
+import got from "got";
+
+/** Exit codes. */
+export const exitCodes = {
+  ok: 0,
+  /** The command ran and the answer is no: a trace did not hold, a plan was rejected, a file has faults. */
+  no: 1,
+  /** The command could not run: bad arguments, unreadable input, no instance reached. */
+  unusable: 2,
+} as const;
+
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+/** Options that every command has. */
+export interface CommonOptions {
+  readonly json?: boolean;
+  /** IP address and port of any instance's operator listener. */
+  readonly operator?: string;
+}
+
+export const defaultOperatorAddress = "127.0.0.1:9080";
+const tokenVariable = "SHEDTILLER_OPERATOR_TOKEN";
+const requestTimeoutMs = 30_000;
+
+/** Writes a line to the standard output. */
+export function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+/** Writes a line to the standard error. */
+export function printError(text: string): void {
+  process.stderr.write(`${text}\n`);
+}
+
+/** The instance answered with an error. */
+export class OperatorError extends errors.ShedtillerError {
+  readonly code = "operator_error";
+
+  constructor(
+    readonly address: string,
+    readonly status: number,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+/** An answer of the operators' interface. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Answer = results.Result<OperatorAnswer, errors.ShedtillerError>;
+
+/** Calls the operators' interface of one instance. Statuses up to 299 and 409 are answers. */
+export async function callOperator(
+  options: CommonOptions,
+  method: "GET" | "POST" | "PUT",
+  path: string,
+  json?: unknown,
+): Promise<Answer> {
+  const address = options.operator ?? process.env["SHEDTILLER_OPERATOR_ADDRESS"] ?? defaultOperatorAddress;
+  const token = process.env[tokenVariable];
+  if (token === undefined || token === "") {
+    return results.Err(new errors.InvalidInputError(tokenVariable, "is not set; it holds the operators' token"));
+  }
+  try {
+    const response = await got(`http://${address}${path}`, {
+      method,
+      json: json as Record<string, unknown> | undefined,
+      headers: { authorization: `Bearer ${token}` },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      timeout: { request: requestTimeoutMs },
+    });
+    return readAnswer(address, response.statusCode, response.body);
+  } catch (error) {
+    return results.Err(new errors.NotReachedError(address, error));
+  }
+}
+
+const conflictStatus = 409;
+const firstErrorStatus = 300;
+
+function readAnswer(address: string, status: number, text: string): Answer {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch {
+    return results.Err(new OperatorError(address, status, `${address} answered ${status} without JSON.`));
+  }
+  if (status < firstErrorStatus || status === conflictStatus) return results.Ok({ status, body });
+  const message = (body as { error?: { message?: string } }).error?.message;
+  return results.Err(new OperatorError(address, status, message ?? `${address} answered ${status}.`));
+}
+
+/** Reports a failure that kept the command from running. */
+export function failUnusable(error: errors.ShedtillerError): ExitCode {
+  printError(error.message);
+  return exitCodes.unusable;
+}
--- /dev/null
+++ b/packages/cli/src/commands/timeline.ts
@@ -0,0 +1,56 @@
+/** `shedtiller timeline`: events of all instances, merged. */
+import { utils } from "@shedtiller/common";
+import { renderEventText, renderTraceEvents, timelineEventSchema, type TimelineEvent } from "@shedtiller/timeline";
+import * as zod from "zod";
+import { callOperator, exitCodes, failUnusable, print, printError, type CommonOptions, type ExitCode } from "./CommandContext.js";
+
+const timelineSchema = zod.object({ events: zod.array(timelineEventSchema), gaps: zod.array(zod.string()) });
+const followEveryMs = 500;
+
+/** Options of the command. */
+export interface TimelineOptions extends CommonOptions {
+  /** Only events of this request. */
+  readonly request?: string;
+  /** Only events since so many seconds ago. */
+  readonly since?: number;
+  /** Prints new events as they come, until interrupted. */
+  readonly follow?: boolean;
+  /** Prints Trace Event JSON, which trace viewers open. */
+  readonly trace?: boolean;
+}
+
+export async function runTimeline(options: TimelineOptions): Promise<ExitCode> {
+  let sinceMs = options.since === undefined ? 0 : utils.wallMs() - options.since * utils.msPerSecond;
+  let startMs: number | undefined;
+  const seen = new Set<string>();
+  for (;;) {
+    const answer = await callOperator(options, "GET", getPath(options, sinceMs));
+    if (answer.err) return failUnusable(answer.val);
+    const { events, gaps } = timelineSchema.parse(answer.val.body);
+    const fresh = events.filter((event) => !seen.has(getEventId(event)));
+    for (const event of fresh) seen.add(getEventId(event));
+    startMs ??= fresh[0]?.stamp.wallMs;
+    printEvents(fresh, startMs ?? 0, options);
+    if (gaps.length > 0) printError(`Not reached, so their events are missing: ${gaps.join(", ")}.`);
+    if (options.follow !== true) return gaps.length === 0 ? exitCodes.ok : exitCodes.no;
+    const lastMs = events[events.length - 1]?.stamp.wallMs;
+    // Late events of other instances may still come; asking a little back finds them.
+    if (lastMs !== undefined) sinceMs = lastMs - utils.msPerSecond;
+    await utils.sleep(followEveryMs);
+  }
+}
+
+function getPath(options: TimelineOptions, sinceMs: number): string {
+  const query = new URLSearchParams({ sinceMs: String(Math.max(0, sinceMs)) });
+  if (options.request !== undefined) query.set("request", options.request);
+  return `/v1/timeline?${query.toString()}`;
+}
+
+function getEventId(event: TimelineEvent): string {
+  return `${event.instance}|${event.stamp.wallMs}|${event.stamp.counter}`;
+}
+
+function printEvents(events: readonly TimelineEvent[], startMs: number, options: TimelineOptions): void {
+  if (options.trace === true) return print(renderTraceEvents(events));
+  for (const event of events) print(options.json === true ? JSON.stringify(event) : renderEventText(event, startMs));
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,74 @@
+/** The operators' command line. */
+import { errors } from "@shedtiller/common";
+import { cac } from "cac";
+import { runCheck } from "./commands/check.js";
+import { exitCodes, printError, type CommonOptions, type ExitCode } from "./commands/CommandContext.js";
+import { runKey } from "./commands/key.js";
+import { runConfirm, runPlan, runShow } from "./commands/plans.js";
+import { runReplay } from "./commands/replay.js";
+import { runStatus } from "./commands/status.js";
+import { runTimeline, type TimelineOptions } from "./commands/timeline.js";
+
+const program = cac("shedtiller");
+const asJson = ["--json", "Print JSON"] as const;
+const operator = ["--operator <address>", "IP address and port of any instance's operator listener"] as const;
+
+program
+  .command("plan <file>", "State an intent (JSON or INI) and read the plan that answers it")
+  .option(...asJson)
+  .option(...operator)
+  .action((file: string, options: CommonOptions) => runPlan(file, options));
+program
+  .command("confirm <plan>", "Confirm a plan")
+  .option(...asJson)
+  .option(...operator)
+  .action((plan: string, options: CommonOptions) => runConfirm(plan, options));
+program
+  .command("show <plan>", "Show a plan and what became of it")
+  .option(...asJson)
+  .option(...operator)
+  .action((plan: string, options: CommonOptions) => runShow(plan, options));
+program
+  .command("status", "Show each instance with its offset, age and reachability")
+  .option(...asJson)
+  .option(...operator)
+  .action((options: CommonOptions) => runStatus(options));
+program
+  .command("timeline", "Show the events of all instances, merged")
+  .option("--request <id>", "Only events of this request")
+  .option("--since <seconds>", "Only events of the last so many seconds")
+  .option("--follow", "Go on printing as events come")
+  .option("--trace", "Print Trace Event JSON for a trace viewer")
+  .option("--json", "Print JSON lines")
+  .option(...operator)
+  .action((options: TimelineOptions) => runTimeline(options));
+program
+  .command("replay <trace>", "Replay a recorded trace and compare it with its stated outcomes")
+  .option(...asJson)
+  .action((trace: string, options: CommonOptions) => runReplay(trace, options));
+program
+  .command("check <file>", "Check a settings file as a whole")
+  .option(...asJson)
+  .action((file: string, options: CommonOptions) => runCheck(file, options));
+program
+  .command("key", "Make a key for a client account or the operators")
+  .option(...asJson)
+  .action((options: CommonOptions) => runKey(options));
+program.help();
+
+async function main(): Promise<ExitCode> {
+  program.parse(process.argv, { run: false });
+  if (program.options["help"] === true) return exitCodes.ok;
+  if (program.matchedCommand === undefined) {
+    printError(`${program.args[0] ?? "Nothing"} is not a command; see shedtiller --help.`);
+    return exitCodes.unusable;
+  }
+  return (await program.runMatchedCommand()) as ExitCode;
+}
+
+try {
+  process.exitCode = await main();
+} catch (error) {
+  printError(errors.describeError(error));
+  process.exitCode = exitCodes.unusable;
+}
--- /dev/null
+++ b/packages/entry/src/composeEntry.ts
@@ -0,0 +1,287 @@
+/** Composition of an entry instance. Embedders may rebind any part before `EntryInstance` is asked for. */
+import "reflect-metadata";
+import * as admission from "@shedtiller/admission";
+import * as claims from "@shedtiller/claims";
+import { utils } from "@shedtiller/common";
+import * as intent from "@shedtiller/intent";
+import * as lease from "@shedtiller/lease";
+import * as membership from "@shedtiller/membership";
+import * as pipeline from "@shedtiller/pipeline";
+import * as platform from "@shedtiller/platform";
+import * as routing from "@shedtiller/routing";
+import type { InstanceSettings } from "@shedtiller/settings";
+import * as timeline from "@shedtiller/timeline";
+import * as inversify from "inversify";
+import { ConfigurationSync } from "./configuration/ConfigurationSync.js";
+import { EntryInstance } from "./EntryInstance.js";
+import { PipelineDemands } from "./feeds/PipelineDemands.js";
+import { ZoneFeed } from "./feeds/ZoneFeed.js";
+import { AccountDirectory } from "./http/authenticate.js";
+import { storedAnswerSchema, type StoredAnswer } from "./http/StoredAnswer.js";
+import { splitAddress } from "./http/HttpListener.js";
+import { InFlight } from "./InFlight.js";
+import { createLogs, type LogOptions, type Logs } from "./logs/createLogs.js";
+import { InstanceMetrics } from "./metrics/InstanceMetrics.js";
+import { ModelQueues } from "./ModelQueues.js";
+import { PlanDesk } from "./operators/PlanDesk.js";
+import { Planner } from "./operators/Planner.js";
+import { StatusGatherer } from "./operators/StatusGatherer.js";
+import { TimelineGatherer } from "./operators/TimelineGatherer.js";
+import { parts } from "./parts.js";
+import { OrderKeeper } from "./orders/OrderKeeper.js";
+import type { InstanceSecrets } from "./secrets.js";
+import { Tokenizer, WordTokenizer } from "./text/Tokenizer.js";
+
+/** What may differ beside the settings. */
+export interface ComposeOptions {
+  readonly logs?: Partial<LogOptions>;
+  /** Seed of the instance's random choices; by default one from its name and the time. */
+  readonly seed?: number;
+  readonly silence?: pipeline.SilenceOptions;
+}
+
+const claimsTopic = "claims";
+const leaseDurationMs = 8_000;
+
+/** Binds every part of an instance. */
+export function composeEntry(
+  settings: InstanceSettings,
+  secrets: InstanceSecrets,
+  options: ComposeOptions = {},
+): inversify.Container {
+  const container = new inversify.Container({ defaultScope: "Singleton" });
+  container.bind(parts.settings).toConstantValue(settings);
+  container.bind(parts.secrets).toConstantValue(secrets);
+  container.bind(parts.shutdown).toConstantValue(new AbortController());
+  const seed = options.seed ?? utils.hash32(`${settings.instance.name}${utils.wallMs()}`);
+  container.bind(parts.random).toConstantValue(new utils.RandomSource(seed));
+  const logOptions = { instance: settings.instance.name, ...settings.logs, ...options.logs };
+  container.bind(parts.logs).toConstantValue(createLogs(logOptions));
+  bindPlatform(container, settings);
+  bindConfiguration(container, settings, secrets);
+  bindRequests(container, settings, options);
+  bindClaims(container, settings);
+  bindOrders(container, settings);
+  bindOperators(container, settings);
+  container.bind(EntryInstance).toDynamicValue((context) => new EntryInstance(context)).inSingletonScope();
+  return container;
+}
+
+type Context = inversify.ResolutionContext;
+
+function bindPlatform(container: inversify.Container, settings: InstanceSettings): void {
+  const { logAddress, instanceListAddress } = settings.platform;
+  container.bind(platform.LogService).toDynamicValue(() => new platform.HttpLogService(logAddress)).inSingletonScope();
+  container
+    .bind(platform.InstanceList)
+    .toDynamicValue(() => new platform.HttpInstanceList(instanceListAddress, settings.instance.name))
+    .inSingletonScope();
+}
+
+function bindConfiguration(container: inversify.Container, settings: InstanceSettings, secrets: InstanceSecrets): void {
+  const { name, availabilityZone, peerAddress } = settings.instance;
+  container.bind(timeline.Timeline).toConstantValue(new timeline.Timeline(name));
+  container.bind(intent.ConfigurationFold).toConstantValue(new intent.ConfigurationFold());
+  container
+    .bind(parts.configurationFollower)
+    .toDynamicValue((c) => new platform.LogFollower(c.get(platform.LogService), intent.configurationStream, c.get(intent.ConfigurationFold)))
+    .inSingletonScope();
+  container
+    .bind(membership.Membership)
+    .toDynamicValue((c) => {
+      const [host, port] = splitAddress(peerAddress);
+      const self = { name, availabilityZone };
+      return new membership.Membership({ self, secret: secrets.peerSecret, timeline: c.get(timeline.Timeline), host, port });
+    })
+    .inSingletonScope();
+  container
+    .bind(ConfigurationSync)
+    .toDynamicValue((c) => {
+      return new ConfigurationSync({
+        fold: c.get(intent.ConfigurationFold),
+        membership: c.get(membership.Membership),
+        log: c.get(platform.LogService),
+        logRetentionMs: settings.platform.logRetentionMs,
+      });
+    })
+    .inSingletonScope();
+}
+
+function bindRequests(container: inversify.Container, settings: InstanceSettings, options: ComposeOptions): void {
+  container.bind(routing.EndpointDirectory).toConstantValue(new routing.EndpointDirectory());
+  container.bind(routing.RetryBudget).toConstantValue(new routing.RetryBudget());
+  container
+    .bind(routing.ChainChooser)
+    .toDynamicValue((c) => new routing.ExpectedTimeChooser(c.get<utils.RandomSource>(parts.random)))
+    .inSingletonScope();
+  container
+    .bind(pipeline.PipelineContext)
+    .toDynamicValue((c) => {
+      const directory = c.get(routing.EndpointDirectory);
+      const context: pipeline.PipelineContext = new pipeline.PipelineContext({
+        availabilityZone: settings.instance.availabilityZone,
+        directory,
+        connector: new pipeline.WsEngineConnector({
+          onLeaving: (endpoint) => directory.markLeaving(endpoint),
+          onStrayReply: () => {
+            context.counters.strayReplies += 1;
+          },
+          onLinkLost: (endpoint) => directory.markUnreachable(endpoint),
+        }),
+        chooser: c.get(routing.ChainChooser),
+        timeline: c.get(timeline.Timeline),
+        random: c.get<utils.RandomSource>(parts.random),
+        silence: options.silence,
+      });
+      return context;
+    })
+    .inSingletonScope();
+  container.bind(admission.AccountLimits).toConstantValue(new admission.AccountLimits());
+  container.bind(ModelQueues).toDynamicValue((c) => new ModelQueues(c.get(routing.EndpointDirectory))).inSingletonScope();
+  container
+    .bind(PipelineDemands)
+    .toDynamicValue((c) => {
+      const queues = c.get(ModelQueues);
+      const demands = new PipelineDemands(() => queues.getOwnDemands());
+      queues.setDemands(demands);
+      return demands;
+    })
+    .inSingletonScope();
+  container.bind(Tokenizer).toDynamicValue(() => new WordTokenizer()).inSingletonScope();
+  container.bind(InFlight).toDynamicValue(() => new InFlight()).inSingletonScope();
+  container.bind(InstanceMetrics).toDynamicValue(() => new InstanceMetrics()).inSingletonScope();
+  container.bind(AccountDirectory).toDynamicValue((c) => new AccountDirectory(c.get(intent.ConfigurationFold))).inSingletonScope();
+  container.bind(ZoneFeed).toDynamicValue(createZoneFeed).inSingletonScope();
+}
+
+function createZoneFeed(c: Context): ZoneFeed {
+  const metrics = c.get(InstanceMetrics);
+  return new ZoneFeed({
+    membership: c.get(membership.Membership),
+    directory: c.get(routing.EndpointDirectory),
+    limits: c.get(admission.AccountLimits),
+    demands: c.get(PipelineDemands),
+    onCpu: (duty, tookMs) => metrics.controlSeconds.inc({ duty }, tookMs / utils.msPerSecond),
+  });
+}
+
+function bindClaims(container: inversify.Container, settings: InstanceSettings): void {
+  const { name } = settings.instance;
+  container.bind(claims.ClaimFold).toConstantValue(new claims.ClaimFold(settings.claims.horizonMs));
+  container
+    .bind(parts.claimFollower)
+    .toDynamicValue((c) => new platform.LogFollower(c.get(platform.LogService), claims.claimsStream, c.get(claims.ClaimFold)))
+    .inSingletonScope();
+  container
+    .bind(claims.ClaimBatcher)
+    .toDynamicValue((c) => {
+      const members = c.get(membership.Membership);
+      const structure: claims.ClaimBatcherStructure = {
+        log: c.get(platform.LogService),
+        holder: name,
+        appendsPerSecond: settings.platform.appendsPerSecond,
+        countAppenders: () => members.getMembers().length + 1,
+      };
+      return new claims.ClaimBatcher(structure, c.get<AbortController>(parts.shutdown).signal);
+    })
+    .inSingletonScope();
+  container.bind(claims.AtMostOnce).toDynamicValue((c) => createAtMostOnce(c, settings)).inSingletonScope();
+  container
+    .bind(claims.ServiceCaller)
+    .toDynamicValue((c) => new claims.ServiceCaller(c.get(routing.EndpointDirectory), c.get(routing.RetryBudget)))
+    .inSingletonScope();
+}
+
+function createAtMostOnce(c: Context, settings: InstanceSettings): claims.AtMostOnce<StoredAnswer> {
+  const members = c.get(membership.Membership);
+  const once = new claims.AtMostOnce<StoredAnswer>({
+    fold: c.get(claims.ClaimFold),
+    batcher: c.get(claims.ClaimBatcher),
+    timeline: c.get(timeline.Timeline),
+    holder: settings.instance.name,
+    answersKept: settings.claims.answersKept,
+    askHolder: async (holder, key, timeoutMs) => {
+      const reply = await members.request(holder, claimsTopic, key, timeoutMs);
+      const answer = reply.ok ? storedAnswerSchema.safeParse(reply.val) : undefined;
+      return answer?.success === true ? answer.data : undefined;
+    },
+  });
+  members.onRequest(claimsTopic, (body) => (typeof body === "string" ? once.getAnswer(body) : undefined));
+  return once;
+}
+
+function bindOrders(container: inversify.Container, settings: InstanceSettings): void {
+  const { name, availabilityZone } = settings.instance;
+  container.bind(lease.LeaseFold).toConstantValue(new lease.LeaseFold());
+  container
+    .bind(parts.leaseFollower)
+    .toDynamicValue((c) => new platform.LogFollower(c.get(platform.LogService), lease.leasesStream, c.get(lease.LeaseFold)))
+    .inSingletonScope();
+  container
+    .bind(lease.LeaseHolder)
+    .toDynamicValue((c) => {
+      return new lease.LeaseHolder({
+        lease: `orders/${availabilityZone}`,
+        holder: name,
+        durationMs: leaseDurationMs,
+        log: c.get(platform.LogService),
+        fold: c.get(lease.LeaseFold),
+        follower: c.get<platform.LogFollower>(parts.leaseFollower),
+        timeline: c.get(timeline.Timeline),
+      });
+    })
+    .inSingletonScope();
+  container
+    .bind(OrderKeeper)
+    .toDynamicValue((c) => {
+      return new OrderKeeper({
+        fold: c.get(intent.ConfigurationFold),
+        directory: c.get(routing.EndpointDirectory),
+        membership: c.get(membership.Membership),
+        holder: c.get(lease.LeaseHolder),
+        timeline: c.get(timeline.Timeline),
+        log: c.get<Logs>(parts.logs).forPart("orders"),
+      });
+    })
+    .inSingletonScope();
+}
+
+function bindOperators(container: inversify.Container, settings: InstanceSettings): void {
+  container
+    .bind(Planner)
+    .toDynamicValue((c) => new Planner(c.get(intent.ConfigurationFold), c.get(routing.EndpointDirectory), settings.instance.name))
+    .inSingletonScope();
+  container
+    .bind(intent.Confirmer)
+    .toDynamicValue((c) => new intent.Confirmer(c.get(platform.LogService), c.get(intent.ConfigurationFold)))
+    .inSingletonScope();
+  container
+    .bind(TimelineGatherer)
+    .toDynamicValue((c) => new TimelineGatherer(c.get(timeline.Timeline), c.get(membership.Membership)))
+    .inSingletonScope();
+  container
+    .bind(StatusGatherer)
+    .toDynamicValue((c) => {
+      const follower = c.get<platform.LogFollower>(parts.configurationFollower);
+      return new StatusGatherer({
+        membership: c.get(membership.Membership),
+        fold: c.get(intent.ConfigurationFold),
+        getLogAgeMs: () => (follower.lastContactMs === undefined ? undefined : utils.monotonicMs() - follower.lastContactMs),
+        isReady: () => c.get(EntryInstance).isReady,
+        isDraining: () => c.get(EntryInstance).isDraining,
+        getActiveRequests: () => c.get(InFlight).size,
+      });
+    })
+    .inSingletonScope();
+  container
+    .bind(PlanDesk)
+    .toDynamicValue((c) => {
+      return new PlanDesk({
+        fold: c.get(intent.ConfigurationFold),
+        membership: c.get(membership.Membership),
+        confirmer: c.get(intent.Confirmer),
+        status: c.get(StatusGatherer),
+      });
+    })
+    .inSingletonScope();
+}
--- /dev/null
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -0,0 +1,246 @@
+/**
+ * What instances tell each other of endpoints and demands. Within a zone the steward of an endpoint reads its report
+ * and tells the others; across zones one instance a zone fetches a digest of another zone and passes it on.
+ */
+import { errors, utils } from "@shedtiller/common";
+import type { AccountLimits } from "@shedtiller/admission";
+import { getBudgetIntervalMs, type Membership } from "@shedtiller/membership";
+import { classifyHttpError } from "@shedtiller/platform";
+import { engineReportSchema, type EndpointDirectory, type EndpointEntry, type EngineReport } from "@shedtiller/routing";
+import got from "got";
+import * as zod from "zod";
+import type { PipelineDemands } from "./PipelineDemands.js";
+
+const reportsTopic = "reports";
+const digestTopic = "digest";
+const leavingTopic = "endpoint-leaving";
+const reportTimeoutMs = 400;
+const reportFloorMs = 200;
+const digestFloorMs = 500;
+const reportBytesPerSecond = 1_200;
+const digestBytesPerSecond = 800;
+const digestTimeoutMs = 1_000;
+const fullEveryRounds = 10;
+/** A report that is older than this many rounds is fetched by each instance itself. */
+const staleRounds = 5;
+
+const demandSchema = zod.tuple([zod.string(), zod.number(), zod.number()]);
+const loadSchema = zod.tuple([zod.string(), zod.number()]);
+const reportsSchema = zod.object({
+  full: zod.array(engineReportSchema),
+  loads: zod.array(loadSchema),
+  accounts: zod.array(demandSchema),
+  pipelines: zod.array(loadSchema),
+});
+const digestSchema = reportsSchema.extend({ availabilityZone: zod.string(), instanceCount: zod.number().int().positive() });
+
+type Reports = zod.infer<typeof reportsSchema>;
+type Digest = zod.infer<typeof digestSchema>;
+
+/** What the feed works on. */
+export interface ZoneFeedStructure {
+  readonly membership: Membership;
+  readonly directory: EndpointDirectory;
+  readonly limits: AccountLimits;
+  readonly demands: PipelineDemands;
+  readonly onCpu: (duty: string, tookMs: number) => void;
+}
+
+/** Sends and takes reports, digests and demands. */
+export class ZoneFeed {
+  private _round = 0;
+  private readonly _lastFull = new Map<string, string>();
+
+  constructor(private readonly _structure: ZoneFeedStructure) {
+    const { membership, directory } = _structure;
+    membership.onNotice(reportsTopic, (body, from) => this._takeReports(body, from.name));
+    membership.onNotice(digestTopic, (body) => this._takeDigest(body));
+    membership.onRequest(digestTopic, () => this._createDigest());
+    membership.onNotice(leavingTopic, (body) => {
+      if (typeof body === "string") directory.markLeaving(body);
+    });
+    directory.onLeaving((entry) => membership.notifyAll(leavingTopic, entry.name));
+  }
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this._runReports(signal), this._runDigests(signal)]);
+  }
+
+  private async _runReports(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const startMs = utils.monotonicMs();
+      const intervalMs = this._getReportIntervalMs();
+      await Promise.all(this._getOwnEndpoints(intervalMs).map((entry) => this._fetchReport(entry)));
+      this._tellZone();
+      await utils.sleep(Math.max(0, startMs + intervalMs - utils.monotonicMs()), signal).catch(() => undefined);
+    }
+  }
+
+  private _getReportIntervalMs(): number {
+    const { membership } = this._structure;
+    const receivers = membership.getDutyCandidates().length - 1;
+    const owned = this._getStewarded().length;
+    return getBudgetIntervalMs({
+      messageBytes: 60 + owned * 14,
+      receivers,
+      bytesPerSecond: reportBytesPerSecond,
+      floorMs: reportFloorMs,
+    });
+  }
+
+  /** Endpoints that this instance reads: those it is steward of, and those whose steward has gone silent. */
+  private _getOwnEndpoints(intervalMs: number): EndpointEntry[] {
+    const staleMs = Math.max(utils.msPerSecond, intervalMs * staleRounds);
+    const nowMs = utils.monotonicMs();
+    const zone = this._structure.membership.self.availabilityZone;
+    return this._structure.directory.getEntries().filter((entry) => {
+      if (entry.role !== "engine") return false;
+      if (entry.isUnreachable || entry.report === undefined) return true;
+      if (entry.availabilityZone === zone && this._structure.membership.ownsDuty(`report:${entry.name}`)) return true;
+      return nowMs - entry.reportAtMs > staleMs;
+    });
+  }
+
+  private _getStewarded(): EndpointEntry[] {
+    const { membership, directory } = this._structure;
+    const zone = membership.self.availabilityZone;
+    return directory
+      .getEntries()
+      .filter((e) => e.role === "engine" && e.availabilityZone === zone && membership.ownsDuty(`report:${e.name}`));
+  }
+
+  private async _fetchReport(entry: EndpointEntry): Promise<void> {
+    const { directory } = this._structure;
+    try {
+      const body: unknown = await got
+        .get(`http://${entry.address}/v1/state`, { retry: { limit: 0 }, timeout: { request: reportTimeoutMs } })
+        .json();
+      const report = engineReportSchema.safeParse(body);
+      if (report.success && report.data.name === entry.name) directory.setReport(report.data, true);
+      else directory.markUnreachable(entry.name);
+    } catch (error) {
+      if (errors.hasCode(classifyHttpError(entry.address, error), "not_reached", "connection_lost")) {
+        directory.markUnreachable(entry.name);
+      }
+    }
+  }
+
+  private _tellZone(): void {
+    const startMs = utils.monotonicMs();
+    const { membership, limits, demands } = this._structure;
+    this._round += 1;
+    const body: Reports = { full: [], loads: [], accounts: limits.getDemands(), pipelines: demands.getOwn() };
+    for (const entry of this._getStewarded()) this._addReport(body, entry);
+    const zone = membership.self.availabilityZone;
+    membership.notifyAll(reportsTopic, body, (member) => member.availabilityZone === zone);
+    this._structure.onCpu("reports", utils.monotonicMs() - startMs);
+  }
+
+  /** Whole reports go out when anything but the load changed, and now and then; else the load alone. */
+  private _addReport(body: Reports, entry: EndpointEntry): void {
+    const report = entry.report;
+    if (report === undefined || entry.isUnreachable) return;
+    const fixedPart = JSON.stringify({ ...report, activeStreams: 0 });
+    if (this._lastFull.get(entry.name) === fixedPart && this._round % fullEveryRounds !== 0) {
+      body.loads.push([entry.name, report.activeStreams]);
+      return;
+    }
+    this._lastFull.set(entry.name, fixedPart);
+    body.full.push(report);
+  }
+
+  private _takeReports(body: unknown, from: string): void {
+    const startMs = utils.monotonicMs();
+    const reports = reportsSchema.safeParse(body);
+    if (!reports.success) return;
+    this._applyReports(reports.data);
+    this._structure.limits.setDemands(from, reports.data.accounts);
+    this._structure.demands.setOther(from, reports.data.pipelines, 1);
+    this._structure.onCpu("reports", utils.monotonicMs() - startMs);
+  }
+
+  private _applyReports(reports: Reports): void {
+    const { directory } = this._structure;
+    for (const report of reports.full) directory.setReport(report, false);
+    for (const [name, activeStreams] of reports.loads) {
+      const known = directory.getEntry(name)?.report;
+      if (known !== undefined) directory.setReport({ ...known, activeStreams }, false);
+    }
+  }
+
+  private async _runDigests(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await Promise.all(this._getOtherZones().map((zone) => this._fetchDigest(zone)));
+      await utils.sleep(this._getDigestIntervalMs(), signal).catch(() => undefined);
+    }
+  }
+
+  private _getDigestIntervalMs(): number {
+    const { membership, directory } = this._structure;
+    return getBudgetIntervalMs({
+      messageBytes: 100 + directory.getEntries().length * 14,
+      receivers: membership.getDutyCandidates().length,
+      bytesPerSecond: digestBytesPerSecond,
+      floorMs: digestFloorMs,
+    });
+  }
+
+  /** Zones whose digest is ours to fetch. */
+  private _getOtherZones(): string[] {
+    const { membership } = this._structure;
+    const zones = new Set(membership.getLinked().map((member) => member.availabilityZone));
+    zones.delete(membership.self.availabilityZone);
+    return [...zones].filter((zone) => membership.ownsDuty(`digest:${zone}`));
+  }
+
+  private async _fetchDigest(zone: string): Promise<void> {
+    const { membership } = this._structure;
+    const contact = membership.getLinked().find((member) => member.availabilityZone === zone);
+    if (contact === undefined) return;
+    const digest = await membership.request(contact.name, digestTopic, null, digestTimeoutMs);
+    if (digest.err) return;
+    this._takeDigest(digest.val);
+    const own = membership.self.availabilityZone;
+    membership.notifyAll(digestTopic, digest.val, (member) => member.availabilityZone === own);
+  }
+
+  private _createDigest(): Digest {
+    const { membership, directory, limits, demands } = this._structure;
+    const zone = membership.self.availabilityZone;
+    const reports = directory
+      .getEntries()
+      .filter((entry) => entry.availabilityZone === zone && !entry.isUnreachable)
+      .flatMap((entry) => entry.report ?? []);
+    return {
+      availabilityZone: zone,
+      instanceCount: membership.getDutyCandidates().length,
+      full: reports as EngineReport[],
+      loads: [],
+      accounts: limits.getZoneDemands(this._getZoneNames()),
+      pipelines: demands.getZone(this._getZoneNames()),
+    };
+  }
+
+  private _getZoneNames(): Set<string> {
+    const { membership } = this._structure;
+    const zone = membership.self.availabilityZone;
+    return new Set(membership.getMembers().filter((m) => m.availabilityZone === zone).map((m) => m.name));
+  }
+
+  private _takeDigest(body: unknown): void {
+    const startMs = utils.monotonicMs();
+    const digest = digestSchema.safeParse(body);
+    if (!digest.success) return;
+    const { availabilityZone, instanceCount, accounts, pipelines } = digest.data;
+    this._applyReports(digest.data);
+    this._structure.limits.setDemands(getZoneSource(availabilityZone), accounts, instanceCount);
+    this._structure.demands.setOther(getZoneSource(availabilityZone), pipelines, instanceCount);
+    this._structure.onCpu("digests", utils.monotonicMs() - startMs);
+  }
+}
+
+/** Name under which a whole zone's demands are kept. */
+export function getZoneSource(availabilityZone: string): string {
+  return `zone:${availabilityZone}`;
+}
--- /dev/null
+++ b/packages/entry/src/http/AnswerWriter.ts
@@ -0,0 +1,95 @@
+/** Writes a model's answer, whole or token by token, in OpenAI's forms. */
+import type * as http from "node:http";
+import { ranHeader, sendJson, toErrorBody, type ApiError } from "./apiErrors.js";
+
+/** The two forms of completions. */
+export type CompletionForm = "chat" | "text";
+
+/** What an answer is written with. */
+export interface AnswerWriterStructure {
+  readonly response: http.ServerResponse;
+  readonly form: CompletionForm;
+  readonly isStream: boolean;
+  readonly requestId: string;
+  readonly model: string;
+  readonly promptTokens: number;
+}
+
+const okStatus = 200;
+const msPerSecond = 1000;
+
+/** One answer on its way to one caller. */
+export class AnswerWriter {
+  private _text = "";
+  private _tokens = 0;
+  private _isBegun = false;
+  private readonly _createdS = Math.floor(Date.now() / msPerSecond);
+  /** The part of every stream event that stays the same, made once. */
+  private readonly _prefix: string;
+
+  constructor(private readonly _structure: AnswerWriterStructure) {
+    const { requestId, form, model } = _structure;
+    const object = form === "chat" ? "chat.completion.chunk" : "text_completion";
+    const head = JSON.stringify({ id: getId(form, requestId), object, created: this._createdS, model });
+    this._prefix = `data: ${head.slice(0, -1)},"choices":[{"index":0,`;
+  }
+
+  /** Takes the text of the next token. */
+  addToken(text: string): void {
+    this._tokens += 1;
+    if (!this._structure.isStream) {
+      this._text += text;
+      return;
+    }
+    this._begin();
+    const quoted = JSON.stringify(text);
+    const delta = this._structure.form === "chat" ? `"delta":{"content":${quoted}}` : `"text":${quoted}`;
+    this._structure.response.write(`${this._prefix}${delta},"finish_reason":null}]}\n\n`);
+  }
+
+  /** Ends the whole answer. */
+  finish(isEnd: boolean): void {
+    const { response, isStream } = this._structure;
+    const reason = isEnd ? "stop" : "length";
+    if (!isStream) return sendJson(response, okStatus, this._createWhole(reason));
+    this._begin();
+    const delta = this._structure.form === "chat" ? `"delta":{}` : `"text":""`;
+    response.write(`${this._prefix}${delta},"finish_reason":"${reason}"}]}\n\n`);
+    response.end("data: [DONE]\n\n");
+  }
+
+  /** Ends a stream that has begun with an error event, and no [DONE], so that nobody takes it for whole. */
+  fail(error: ApiError): void {
+    this._structure.response.end(`data: ${JSON.stringify(toErrorBody(error))}\n\n`);
+  }
+
+  private _begin(): void {
+    if (this._isBegun) return;
+    this._isBegun = true;
+    const { response, form } = this._structure;
+    response.writeHead(okStatus, { "content-type": "text/event-stream", "cache-control": "no-cache", [ranHeader]: "yes" });
+    if (form === "chat") response.write(`${this._prefix}"delta":{"role":"assistant","content":""},"finish_reason":null}]}\n\n`);
+  }
+
+  private _createWhole(reason: string): object {
+    const { form, requestId, model, promptTokens } = this._structure;
+    const content =
+      form === "chat" ? { message: { role: "assistant", content: this._text } } : { text: this._text };
+    return {
+      id: getId(form, requestId),
+      object: form === "chat" ? "chat.completion" : "text_completion",
+      created: this._createdS,
+      model,
+      choices: [{ index: 0, ...content, finish_reason: reason }],
+      usage: {
+        prompt_tokens: promptTokens,
+        completion_tokens: this._tokens,
+        total_tokens: promptTokens + this._tokens,
+      },
+    };
+  }
+}
+
+function getId(form: CompletionForm, requestId: string): string {
+  return `${form === "chat" ? "chatcmpl" : "cmpl"}-${requestId}`;
+}
--- /dev/null
+++ b/packages/entry/src/http/CompletionHandler.ts
@@ -0,0 +1,235 @@
+/** Model requests: from the caller's body to the answer. */
+import { errors, results, utils } from "@shedtiller/common";
+import { AdmissionRefusedError, type AccountLimits, type AccountPermit, type AdmissionPermit } from "@shedtiller/admission";
+import type { AtMostOnce } from "@shedtiller/claims";
+import type * as intent from "@shedtiller/intent";
+import { PipelineRun, type PipelineAnswer, type PipelineContext, type PipelineError } from "@shedtiller/pipeline";
+import type { InstanceSettings } from "@shedtiller/settings";
+import type { Timeline } from "@shedtiller/timeline";
+import type * as restify from "restify";
+import type * as http from "node:http";
+import type { InstanceMetrics } from "../metrics/InstanceMetrics.js";
+import { getServedVersion } from "../orders/OrderKeeper.js";
+import type { ModelQueues } from "../ModelQueues.js";
+import type { Tokenizer } from "../text/Tokenizer.js";
+import type { InFlight } from "../InFlight.js";
+import { AnswerWriter, type CompletionForm } from "./AnswerWriter.js";
+import { ApiError, requestIdHeader, sendError, toApiError } from "./apiErrors.js";
+import { requireAccount, type AccountDirectory } from "./authenticate.js";
+import { chatBodySchema, getChatPrompt, getMaxTokens, textBodySchema } from "./completionSchemas.js";
+import * as guard from "./requestGuard.js";
+import type { StoredAnswer } from "./StoredAnswer.js";
+
+const badRequestStatus = 400;
+const notFoundStatus = 404;
+const forbiddenStatus = 403;
+const lowestRank = 9;
+
+/** What the handler works with. */
+export interface CompletionStructure {
+  readonly settings: InstanceSettings;
+  readonly fold: intent.ConfigurationFold;
+  readonly accounts: AccountDirectory;
+  readonly limits: AccountLimits;
+  readonly queues: ModelQueues;
+  readonly pipeline: PipelineContext;
+  readonly once: AtMostOnce<StoredAnswer>;
+  readonly tokenizer: Tokenizer;
+  readonly timeline: Timeline;
+  readonly metrics: InstanceMetrics;
+  readonly inFlight: InFlight;
+}
+
+/** One parsed and authenticated request. */
+interface Completion {
+  readonly requestId: string;
+  readonly account: intent.AccountObject;
+  readonly pipeline: intent.PipelineObject;
+  readonly rank: number;
+  readonly floorShare: number;
+  readonly promptTokens: readonly number[];
+  readonly maxTokens: number;
+  readonly deadlineMs: number;
+  readonly key: string | undefined;
+  readonly isStream: boolean;
+  readonly form: CompletionForm;
+  readonly signal: AbortSignal;
+}
+
+type Answered = results.Result<PipelineAnswer, PipelineError | AdmissionRefusedError>;
+
+/** Handles `/v1/chat/completions` and `/v1/completions`. */
+export class CompletionHandler {
+  constructor(private readonly _structure: CompletionStructure) {}
+
+  async handle(request: restify.Request, response: http.ServerResponse, form: CompletionForm): Promise<void> {
+    const { inFlight, metrics } = this._structure;
+    const controller = new AbortController();
+    const completion = this._parse(request, form, controller.signal);
+    // A keyed request goes on when its caller goes away: the caller's next try finds the answer.
+    if (completion.key === undefined) guard.abortWithCaller(response, controller);
+    response.setHeader(requestIdHeader, completion.requestId);
+    const leave = inFlight.enter(completion.requestId, controller);
+    try {
+      const outcome = await this._answer(completion, response);
+      metrics.requests.inc({ kind: "model", outcome });
+    } finally {
+      leave();
+    }
+  }
+
+  private _parse(request: restify.Request, form: CompletionForm, signal: AbortSignal): Completion {
+    const account = requireAccount(request, this._structure.accounts);
+    const schema = form === "chat" ? chatBodySchema : textBodySchema;
+    const checked = schema.safeParse(guard.parseJson(request.body));
+    if (!checked.success) {
+      const fault = errors.fromSchemaIssues("body", checked.error.issues);
+      throw new ApiError(badRequestStatus, "invalid_request_error", "invalid_body", fault.message);
+    }
+    const body = checked.data;
+    const pipeline = this._requirePipeline(body.model, account);
+    const priority = this._structure.fold.getObject("class", account.priorityClass);
+    const prompt = "messages" in body ? getChatPrompt(chatBodySchema.parse(body)) : textBodySchema.parse(body).prompt;
+    const isRepeatable = request.header("shedtiller-repeatable") !== "no";
+    const key = guard.getIdempotencyKey(request);
+    return {
+      requestId: utils.newId(),
+      account,
+      pipeline,
+      rank: priority?.rank ?? lowestRank,
+      floorShare: priority?.floorShare ?? 0,
+      promptTokens: this._structure.tokenizer.encode(prompt),
+      maxTokens: getMaxTokens(body),
+      deadlineMs: guard.getDeadlineMs(request, this._structure.settings.limits.requestTimeoutMs),
+      key: isRepeatable ? undefined : key,
+      isStream: body.stream,
+      form,
+      signal,
+    };
+  }
+
+  private _requirePipeline(model: string, account: intent.AccountObject): intent.PipelineObject {
+    const pipeline = this._structure.fold.getObject("pipeline", model);
+    if (pipeline === undefined) {
+      throw new ApiError(notFoundStatus, "not_found_error", "model_not_found", `The model ${model} is not known.`);
+    }
+    const mayUse = pipeline.clientAccounts.length === 0 || pipeline.clientAccounts.includes(account.name);
+    if (mayUse) return pipeline;
+    throw new ApiError(forbiddenStatus, "permission_error", "model_not_allowed", `The account may not use the model ${model}.`);
+  }
+
+  /** Answers, and tells the outcome for the metrics. */
+  private async _answer(completion: Completion, response: http.ServerResponse): Promise<string> {
+    const { requestId, form, isStream, pipeline, promptTokens } = completion;
+    const writer = new AnswerWriter({ response, form, isStream, requestId, model: pipeline.name, promptTokens: promptTokens.length });
+    const outcome = completion.key === undefined ? await this._run(completion, writer) : await this._runOnce(completion, completion.key, writer);
+    const { timeline, metrics } = this._structure;
+    if (outcome.ok) {
+      writer.finish(outcome.val.isEnd);
+      timeline.add("answered", { requestId, detail: `${outcome.val.tokens.length} tokens` });
+      return "answered";
+    }
+    const error = toApiError(outcome.val);
+    if (outcome.val instanceof AdmissionRefusedError) metrics.refusals.inc({ reason: outcome.val.reason });
+    else if (error.ran === "no") metrics.refusals.inc({ reason: outcome.val.code });
+    timeline.add(error.ran === "no" ? "refused" : "cancelled", { requestId, detail: outcome.val.message });
+    if (response.headersSent) writer.fail(error);
+    else sendError(response, error);
+    return error.ran === "no" ? "refused" : "unknown";
+  }
+
+  private async _runOnce(completion: Completion, key: string, writer: AnswerWriter): Promise<results.Result<PipelineAnswer, errors.ShedtillerError & { ran: "no" | "unknown" }>> {
+    let isOurs = false;
+    const outcome = await this._structure.once.run(key, {
+      requestId: completion.requestId,
+      deadlineMs: completion.deadlineMs,
+      signal: completion.signal,
+      run: async () => {
+        isOurs = true;
+        const answer = await this._run(completion, writer);
+        return answer.ok ? results.Ok({ kind: "model" as const, ...answer.val }) : answer;
+      },
+    });
+    if (outcome.err) return outcome;
+    if (outcome.val.kind !== "model") return results.Err(new KeyReusedError());
+    // The answer of an earlier call with this key is written whole.
+    if (!isOurs) for (const token of outcome.val.tokens) writer.addToken(this._structure.tokenizer.decode(token));
+    return results.Ok(outcome.val);
+  }
+
+  private async _run(completion: Completion, writer: AnswerWriter): Promise<Answered> {
+    const { limits, queues, timeline } = this._structure;
+    const tokens = completion.promptTokens.length + completion.maxTokens;
+    const arrivedAtMs = utils.monotonicMs();
+    const permit = limits.tryAdmit(completion.account.name, completion.account, tokens);
+    if (permit.err) return permit;
+    const queued = await queues.acquire(completion.pipeline, { ...completion, account: completion.account.name, tokens });
+    if (queued.err) {
+      permit.val.release(0);
+      return queued;
+    }
+    timeline.add("admitted", { requestId: completion.requestId, subject: completion.pipeline.name, durationMs: queued.val.waitedMs });
+    return this._runAdmitted(completion, writer, permit.val, queued.val, arrivedAtMs);
+  }
+
+  private async _runAdmitted(
+    completion: Completion,
+    writer: AnswerWriter,
+    account: AccountPermit,
+    queue: AdmissionPermit,
+    arrivedAtMs: number,
+  ): Promise<Answered> {
+    const { pipeline: context, tokenizer } = this._structure;
+    const meter = this._createMeter(completion.rank, arrivedAtMs);
+    const run = new PipelineRun(
+      context,
+      {
+        requestId: completion.requestId,
+        model: completion.pipeline.name,
+        version: getServedVersion(context.directory, completion.pipeline),
+        layerCount: completion.pipeline.layerCount,
+        promptTokens: completion.promptTokens,
+        maxTokens: completion.maxTokens,
+        priority: completion.rank,
+        deadlineMs: completion.deadlineMs,
+      },
+      completion.signal,
+    );
+    let answered = 0;
+    try {
+      return await run.run((token) => {
+        answered += 1;
+        meter();
+        writer.addToken(tokenizer.decode(token));
+      });
+    } finally {
+      queue.release();
+      account.release(answered === 0 ? 0 : completion.promptTokens.length + answered);
+    }
+  }
+
+  /** Notes the time to the first token, then the time between tokens. */
+  private _createMeter(rank: number, arrivedAtMs: number): () => void {
+    const { metrics } = this._structure;
+    const label = { rank: String(rank) };
+    let lastMs = arrivedAtMs;
+    let isFirst = true;
+    return () => {
+      const nowMs = utils.monotonicMs();
+      const histogram = isFirst ? metrics.firstToken : metrics.tokenGap;
+      histogram.observe(label, (nowMs - lastMs) / utils.msPerSecond);
+      isFirst = false;
+      lastMs = nowMs;
+    };
+  }
+}
+
+/** An idempotency key that belongs to a call of another kind. */
+class KeyReusedError extends errors.ShedtillerError {
+  readonly code = "outcome_unknown";
+  readonly ran = "unknown" as const;
+
+  constructor() {
+    super("The idempotency key was used for a call of another kind.");
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/HttpListener.ts
@@ -0,0 +1,146 @@
+/** A restify server with limits against slow, huge and many connections. */
+import type * as http from "node:http";
+import type * as net from "node:net";
+import { errors } from "@shedtiller/common";
+import type { InstanceSettings } from "@shedtiller/settings";
+import * as restify from "restify";
+import { ApiError, sendError } from "./apiErrors.js";
+
+export type Handler = (request: restify.Request, response: http.ServerResponse) => Promise<void> | void;
+
+/** What a listener is made of. */
+export interface ListenerStructure {
+  readonly name: string;
+  /** IP address and port, as in the settings. */
+  readonly address: string;
+  readonly limits: InstanceSettings["limits"];
+  /** PEM texts; absent for plain HTTP. */
+  readonly tls?: { readonly certificate: string; readonly key: string } | undefined;
+  readonly onFault: (error: unknown) => void;
+}
+
+const payloadTooLargeStatus = 413;
+
+/** Listens on one address and hands requests to handlers; whatever a handler throws becomes an error reply. */
+export class HttpListener {
+  private readonly _server: restify.Server;
+  private readonly _sockets = new Set<net.Socket>();
+
+  constructor(private readonly _structure: ListenerStructure) {
+    const { limits, tls } = _structure;
+    this._server = restify.createServer({
+      name: _structure.name,
+      // Typed as https options; Node's http server takes the header limit from the same place.
+      ...(tls === undefined ? {} : { certificate: tls.certificate, key: tls.key }),
+      httpServerOptions: { maxHeaderSize: limits.headerSizeBytes },
+    } as restify.ServerOptions);
+    this._server.use(restify.plugins.queryParser({ mapParams: false }));
+    this._server.pre((request: restify.Request, response: restify.Response, next: restify.Next) => {
+      if (Number(request.header("content-length") ?? 0) <= limits.bodySizeBytes) return next();
+      sendError(response, createTooLarge(limits.bodySizeBytes));
+      return next(false);
+    });
+    this._server.use(restify.plugins.bodyReader({ maxBodySize: limits.bodySizeBytes }));
+    this._setLimits();
+    this._server.on("restifyError", (_request: restify.Request, response: http.ServerResponse, error: unknown, done: () => void) => {
+      sendError(response, this._toReply(error));
+      done();
+    });
+  }
+
+  /** Port that is listened on. */
+  get port(): number {
+    const bound = this._httpServer.address();
+    return bound === null || typeof bound === "string" ? 0 : bound.port;
+  }
+
+  get(path: string, handler: Handler): void {
+    this._server.get(path, this._wrap(handler));
+  }
+
+  post(path: string, handler: Handler): void {
+    this._server.post(path, this._wrap(handler));
+  }
+
+  put(path: string, handler: Handler): void {
+    this._server.put(path, this._wrap(handler));
+  }
+
+  del(path: string, handler: Handler): void {
+    this._server.del(path, this._wrap(handler));
+  }
+
+  listen(): Promise<void> {
+    const [host, port] = splitAddress(this._structure.address);
+    return new Promise((resolve, reject) => {
+      this._httpServer.once("error", reject);
+      this._httpServer.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Replaces the certificate for new connections. */
+  setCertificate(certificate: string, key: string): void {
+    const server = this._httpServer as http.Server & { setSecureContext?: (options: object) => void };
+    server.setSecureContext?.({ cert: certificate, key });
+  }
+
+  /** Takes no new connections; those that stand end with their requests. */
+  stopAccepting(): void {
+    if (this._httpServer.listening) this._httpServer.close();
+    this._httpServer.closeIdleConnections();
+  }
+
+  /** Ends everything at once. */
+  destroy(): void {
+    if (this._httpServer.listening) this._httpServer.close();
+    for (const socket of this._sockets) socket.resetAndDestroy();
+  }
+
+  private get _httpServer(): http.Server {
+    return this._server.server as http.Server;
+  }
+
+  private _setLimits(): void {
+    const { limits } = this._structure;
+    this._httpServer.headersTimeout = limits.headerTimeoutMs;
+    this._httpServer.requestTimeout = limits.requestTimeoutMs;
+    this._httpServer.maxConnections = limits.connections;
+    this._httpServer.on("connection", (socket: net.Socket) => {
+      socket.setNoDelay(true);
+      this._sockets.add(socket);
+      socket.once("close", () => this._sockets.delete(socket));
+    });
+  }
+
+  private _wrap(handler: Handler): (request: restify.Request, response: restify.Response) => Promise<void> {
+    return async (request, response) => {
+      try {
+        await handler(request, response);
+      } catch (error) {
+        sendError(response, this._toReply(error));
+      }
+    };
+  }
+
+  private _toReply(error: unknown): ApiError {
+    if (error instanceof ApiError) return error;
+    const status = (error as { statusCode?: unknown } | null)?.statusCode;
+    if (status === payloadTooLargeStatus) return createTooLarge(this._structure.limits.bodySizeBytes);
+    if (typeof status === "number" && status >= 400 && status < 500) {
+      const type = status === 404 ? "not_found_error" : "invalid_request_error";
+      return new ApiError(status, type, "bad_request", errors.describeError(error));
+    }
+    this._structure.onFault(error);
+    return new ApiError(500, "api_error", "internal", "An internal error ended the request.", "unknown");
+  }
+}
+
+function createTooLarge(limitBytes: number): ApiError {
+  return new ApiError(payloadTooLargeStatus, "invalid_request_error", "body_too_large", `The body is larger than ${limitBytes} bytes.`);
+}
+
+/** Splits an address of the settings into host and port. */
+export function splitAddress(address: string): [host: string, port: number] {
+  const cut = address.lastIndexOf(":");
+  return [address.slice(0, cut).replace(/^\[|\]$/g, ""), Number(address.slice(cut + 1))];
+}
--- /dev/null
+++ b/packages/entry/src/http/completionSchemas.ts
@@ -0,0 +1,40 @@
+/** Bodies of the callers' interface. Unknown fields are let through, as OpenAI's clients send many. */
+import * as zod from "zod";
+
+const mostTokens = 32_768;
+const defaultTokens = 64;
+
+const common = {
+  model: zod.string().min(1),
+  stream: zod.boolean().default(false),
+  max_tokens: zod.number().int().positive().max(mostTokens).optional(),
+};
+
+const textPart = zod.object({ type: zod.literal("text"), text: zod.string() });
+
+export const chatBodySchema = zod.looseObject({
+  ...common,
+  max_completion_tokens: zod.number().int().positive().max(mostTokens).optional(),
+  messages: zod
+    .array(zod.looseObject({ role: zod.string().min(1), content: zod.union([zod.string(), zod.array(textPart)]) }))
+    .min(1),
+});
+
+export const textBodySchema = zod.looseObject({ ...common, prompt: zod.string().min(1) });
+
+export type ChatBody = zod.infer<typeof chatBodySchema>;
+export type TextBody = zod.infer<typeof textBodySchema>;
+
+/** The prompt that a chat stands for. */
+export function getChatPrompt(body: ChatBody): string {
+  return body.messages.map((message) => `${message.role}: ${getText(message.content)}`).join("\n");
+}
+
+function getText(content: ChatBody["messages"][number]["content"]): string {
+  return typeof content === "string" ? content : content.map((part) => part.text).join("");
+}
+
+/** Longest answer that a body asks for. */
+export function getMaxTokens(body: { max_tokens?: number | undefined; max_completion_tokens?: number | undefined }): number {
+  return body.max_completion_tokens ?? body.max_tokens ?? defaultTokens;
+}
--- /dev/null
+++ b/packages/entry/src/http/requestGuard.ts
@@ -0,0 +1,52 @@
+/** What every handler of the callers' interface does first and last. */
+import { utils } from "@shedtiller/common";
+import type * as restify from "restify";
+import type * as http from "node:http";
+import { ApiError } from "./apiErrors.js";
+
+const deadlineHeader = "shedtiller-deadline-ms";
+const badRequestStatus = 400;
+
+/** Aborts `controller` when the caller goes away before the answer has been sent. */
+export function abortWithCaller(response: http.ServerResponse, controller: AbortController): void {
+  response.once("close", () => {
+    if (!response.writableFinished) controller.abort();
+  });
+}
+
+/** Monotonic time after which the caller does not want the answer any more. */
+export function getDeadlineMs(request: restify.Request, longestMs: number): number {
+  const text = request.header(deadlineHeader);
+  if (text === undefined || text === "") return utils.monotonicMs() + longestMs;
+  const stated = Number(text);
+  if (!Number.isFinite(stated) || stated <= 0) {
+    throw new ApiError(badRequestStatus, "invalid_request_error", "invalid_header", `${deadlineHeader} must be a number of milliseconds.`);
+  }
+  return utils.monotonicMs() + Math.min(stated, longestMs);
+}
+
+/** The idempotency key, checked to be time-stamped. */
+export function getIdempotencyKey(request: restify.Request): string | undefined {
+  const key = request.header("idempotency-key");
+  if (key === undefined || key === "") return undefined;
+  if (utils.getIdTimeMs(key) !== undefined) return key;
+  throw new ApiError(
+    badRequestStatus,
+    "invalid_request_error",
+    "invalid_idempotency_key",
+    "Idempotency-Key must be a time-stamped UUID (version 7).",
+  );
+}
+
+/** Parses a body as JSON, or tells the caller what is wrong with it. */
+export function parseJson(body: unknown): unknown {
+  const text = typeof body === "string" ? body : Buffer.isBuffer(body) ? body.toString("utf8") : undefined;
+  if (text === undefined || text === "") {
+    throw new ApiError(badRequestStatus, "invalid_request_error", "invalid_json", "The body is missing.");
+  }
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new ApiError(badRequestStatus, "invalid_request_error", "invalid_json", "The body is not valid JSON.");
+  }
+}
--- /dev/null
+++ b/packages/entry/src/operators/PlanDesk.ts
@@ -0,0 +1,86 @@
+/** Plans that were made and not yet confirmed, wherever they were made; and their confirmation. */
+import { errors, results, utils } from "@shedtiller/common";
+import { planSchema, type Confirmer, type ConfigurationFold, type Plan, type PlanOutcome } from "@shedtiller/intent";
+import type { Membership } from "@shedtiller/membership";
+import type { StatusGatherer } from "./StatusGatherer.js";
+
+const plansKept = 1_000;
+const planTopic = "plan";
+const requestTimeoutMs = 1_000;
+const confirmTimeoutMs = 5_000;
+const inForceTimeoutMs = 5_000;
+const inForcePollMs = 20;
+
+/** No instance that can be reached knows the plan. */
+export class PlanNotFoundError extends errors.ShedtillerError {
+  readonly code = "plan_not_found";
+
+  constructor(readonly planId: string) {
+    super(`No instance that can be reached knows the plan ${planId}; state the intent again.`);
+  }
+}
+
+/** What came of a confirmation. */
+export interface Confirmation {
+  readonly outcome: PlanOutcome;
+  /** Whether every instance that can be reached has the outcome in force. */
+  readonly isInForce: boolean;
+  /** Instances that can't be reached, or are not there yet. */
+  readonly missing: readonly string[];
+}
+
+/** What the desk works with. */
+export interface PlanDeskStructure {
+  readonly fold: ConfigurationFold;
+  readonly membership: Membership;
+  readonly confirmer: Confirmer;
+  readonly status: StatusGatherer;
+}
+
+/** Keeps plans and confirms them. */
+export class PlanDesk {
+  private readonly _plans = new utils.KeyedCache<Plan>(plansKept);
+
+  constructor(private readonly _structure: PlanDeskStructure) {
+    _structure.membership.onRequest(planTopic, (body) => (typeof body === "string" ? this._plans.get(body) : undefined));
+  }
+
+  addPlan(plan: Plan): void {
+    this._plans.set(plan.planId, plan);
+  }
+
+  /** Finds a plan here or at another instance. */
+  async requirePlan(planId: string): Promise<results.Result<Plan, PlanNotFoundError>> {
+    const own = this._plans.get(planId);
+    if (own !== undefined) return results.Ok(own);
+    const { membership } = this._structure;
+    for (const member of membership.getMembers()) {
+      const reply = await membership.request(member.name, planTopic, planId, requestTimeoutMs);
+      const plan = reply.ok ? planSchema.safeParse(reply.val) : undefined;
+      if (plan?.success === true) return results.Ok(plan.data);
+    }
+    return results.Err(new PlanNotFoundError(planId));
+  }
+
+  /** Confirms a plan and waits until its outcome is in force wherever it can be seen to be. */
+  async confirm(planId: string): Promise<results.Result<Confirmation, errors.ShedtillerError>> {
+    const plan = await this.requirePlan(planId);
+    if (plan.err) return plan;
+    const outcome = await this._structure.confirmer.confirm(plan.val, confirmTimeoutMs);
+    if (outcome.err) return outcome;
+    const missing = await this._waitUntilInForce(outcome.val.offset);
+    const unreached = new Set((await this._structure.status.gather()).unreached.map((instance) => instance.name));
+    return results.Ok({ outcome: outcome.val, isInForce: missing.every((name) => unreached.has(name)), missing });
+  }
+
+  private async _waitUntilInForce(offset: number): Promise<string[]> {
+    const endMs = utils.monotonicMs() + inForceTimeoutMs;
+    for (;;) {
+      const { instances, unreached } = await this._structure.status.gather();
+      const behind = instances.filter((instance) => instance.offset < offset).map((instance) => instance.name);
+      const missing = [...behind, ...unreached.map((instance) => instance.name)];
+      if (behind.length === 0 || utils.monotonicMs() >= endMs) return missing;
+      await utils.sleep(inForcePollMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/operators/TimelineGatherer.ts
@@ -0,0 +1,47 @@
+/** The time line over all instances, gathered by the one that is asked. */
+import type { Membership } from "@shedtiller/membership";
+import { mergeEvents, timelineEventSchema, type Timeline, type TimelineEvent } from "@shedtiller/timeline";
+import * as zod from "zod";
+
+const timelineTopic = "timeline";
+const requestTimeoutMs = 2_000;
+const mostEvents = 20_000;
+
+const filterSchema = zod.object({ requestId: zod.string().optional(), sinceMs: zod.number().optional() });
+const eventsSchema = zod.array(timelineEventSchema);
+
+/** Which events are wanted. */
+export type TimelineFilter = zod.infer<typeof filterSchema>;
+
+/** Merged events, and the instances whose events are missing. */
+export interface FleetTimeline {
+  readonly events: readonly TimelineEvent[];
+  readonly gaps: readonly string[];
+}
+
+/** Answers with this instance's events and asks the others for theirs. */
+export class TimelineGatherer {
+  constructor(
+    private readonly _timeline: Timeline,
+    private readonly _membership: Membership,
+  ) {
+    _membership.onRequest(timelineTopic, (body) => {
+      const filter = filterSchema.safeParse(body);
+      return filter.success ? _timeline.getEvents(filter.data).slice(-mostEvents) : [];
+    });
+  }
+
+  async gather(filter: TimelineFilter): Promise<FleetTimeline> {
+    const members = this._membership.getMembers();
+    const lists = await Promise.all(members.map((member) => this._ask(member.name, filter)));
+    const gaps = members.filter((_member, index) => lists[index] === undefined).map((member) => member.name);
+    const own = this._timeline.getEvents(filter);
+    return { events: mergeEvents([own, ...lists.flatMap((list) => (list === undefined ? [] : [list]))]), gaps };
+  }
+
+  private async _ask(name: string, filter: TimelineFilter): Promise<TimelineEvent[] | undefined> {
+    const reply = await this._membership.request(name, timelineTopic, filter, requestTimeoutMs);
+    const events = reply.ok ? eventsSchema.safeParse(reply.val) : undefined;
+    return events?.success === true ? events.data : undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/orders/OrderKeeper.ts
@@ -0,0 +1,157 @@
+/** Brings engines to the placement in force: one instance a zone, under a lease, a few engines at a time. */
+import { utils } from "@shedtiller/common";
+import type { ConfigurationFold, PipelineObject } from "@shedtiller/intent";
+import { sendOrder, type LeaseHolder, type Order } from "@shedtiller/lease";
+import type { Membership } from "@shedtiller/membership";
+import { getBoundariesThatReach, type EndpointDirectory, type EndpointEntry } from "@shedtiller/routing";
+import type { Timeline } from "@shedtiller/timeline";
+import type { PartLog } from "../logs/createLogs.js";
+
+const tickMs = 250;
+/** Life of an order, after which engines that check it drop it. Shorter than the unusable part of a lease. */
+export const orderLifeMs = 2_000;
+const drainTimeoutMs = 30_000;
+
+/** What an engine is to hold, by the configuration in force. */
+export interface WantedHolding {
+  readonly model: string;
+  readonly version: string;
+  readonly layers: [number, number];
+}
+
+/** What the keeper works on. */
+export interface OrderKeeperStructure {
+  readonly fold: ConfigurationFold;
+  readonly directory: EndpointDirectory;
+  readonly membership: Membership;
+  readonly holder: LeaseHolder;
+  readonly timeline: Timeline;
+  readonly log: PartLog;
+}
+
+/** Sends orders while it holds its zone's lease. */
+export class OrderKeeper {
+  private readonly _drainingSinceMs = new Map<string, number>();
+  /** Engines that don't check orders get none before an older lease's orders have died out. */
+  private _quietUntilMs = 0;
+  private _lastToken: number | undefined;
+
+  constructor(private readonly _structure: OrderKeeperStructure) {}
+
+  /** Runs until `signal` aborts, then gives the lease back. */
+  async run(signal: AbortSignal): Promise<void> {
+    await utils.repeat(tickMs, signal, () => this._tick(), () => undefined);
+    await this._structure.holder.release();
+  }
+
+  private async _tick(): Promise<void> {
+    const { membership, holder, fold, directory } = this._structure;
+    const due = this._findDue();
+    if (due.length === 0 || !membership.ownsDuty("orders")) return;
+    if (!(await holder.keep())) return;
+    this._noteToken(holder.getToken());
+    // Where no engine can be spared, there is no way to the wanted placement but through a gap.
+    const isGapNeeded = due.every((entry) => !keepsChain(fold, directory, entry));
+    for (const entry of due) {
+      const wanted = getWanted(fold, entry.name);
+      if (wanted === undefined || !this._mayChange(entry, isGapNeeded)) continue;
+      await this._order(entry, wanted);
+      return;
+    }
+  }
+
+  private _noteToken(token: number | undefined): void {
+    if (token === undefined || token === this._lastToken) return;
+    if (this._lastToken === undefined) this._quietUntilMs = utils.monotonicMs() + orderLifeMs;
+    this._lastToken = token;
+  }
+
+  /** Engines of our zone that do not hold what they are to hold. */
+  private _findDue(): EndpointEntry[] {
+    const { directory, membership, fold } = this._structure;
+    const zone = membership.self.availabilityZone;
+    return directory.getEntries().filter((entry) => {
+      if (entry.availabilityZone !== zone || entry.isLeaving || entry.isUnreachable) return false;
+      return entry.report?.state === "live" && !isAsWanted(entry, getWanted(fold, entry.name));
+    });
+  }
+
+  /**
+   * An engine may be changed once no stream runs there, or after a while; and only if the model that it serves now
+   * keeps a whole chain without it, or it holds nothing that is in use.
+   */
+  private _mayChange(entry: EndpointEntry, isGapNeeded: boolean): boolean {
+    const { report } = entry;
+    if (report === undefined) return false;
+    const isChecked = report.checksOrders || utils.monotonicMs() >= this._quietUntilMs;
+    if (!isChecked) return false;
+    if (!isGapNeeded && !keepsChain(this._structure.fold, this._structure.directory, entry)) return false;
+    if (report.layers === undefined || report.activeStreams === 0) return true;
+    const sinceMs = this._drainingSinceMs.get(entry.name) ?? utils.monotonicMs();
+    this._drainingSinceMs.set(entry.name, sinceMs);
+    return utils.monotonicMs() - sinceMs > drainTimeoutMs;
+  }
+
+  private async _order(entry: EndpointEntry, wanted: WantedHolding): Promise<void> {
+    const { holder, timeline, log } = this._structure;
+    // Asked again just before the order goes out: this process may have stood still since the last time.
+    const fencingToken = holder.getToken();
+    if (fencingToken === undefined) return;
+    const order: Order = { fencingToken, expiresAtMs: utils.wallMs() + orderLifeMs, ...wanted };
+    timeline.add("order-sent", { subject: entry.name, detail: `${wanted.model}@${wanted.version} [${wanted.layers.join(",")})` });
+    const sent = await sendOrder(entry.name, entry.address, order);
+    this._drainingSinceMs.delete(entry.name);
+    if (sent.err) log.warn(sent.val.message);
+    else log.info(`Ordered ${entry.name} to hold ${wanted.model}@${wanted.version} [${wanted.layers.join(",")}).`);
+    // What became of it shows in the engine's next report; only then is it ordered again or counted as done.
+    entry.report = undefined;
+  }
+}
+
+/** What the configuration wants an engine to hold; undefined where it says nothing of it. */
+export function getWanted(fold: ConfigurationFold, endpoint: string): WantedHolding | undefined {
+  for (const pipeline of fold.getObjects("pipeline")) {
+    const layers = pipeline.placement?.[endpoint];
+    if (layers !== undefined) return toHolding(pipeline, layers);
+  }
+  return undefined;
+}
+
+function toHolding(pipeline: PipelineObject, layers: [number, number]): WantedHolding {
+  return { model: pipeline.name, version: pipeline.version, layers };
+}
+
+function isAsWanted(entry: EndpointEntry, wanted: WantedHolding | undefined): boolean {
+  const report = entry.report;
+  if (wanted === undefined || report === undefined) return true;
+  const isSameModel = report.model === wanted.model && report.version === wanted.version;
+  return isSameModel && report.layers?.[0] === wanted.layers[0] && report.layers[1] === wanted.layers[1];
+}
+
+/** Whether the model that an engine serves now keeps a whole chain, of some version, without that engine. */
+export function keepsChain(fold: ConfigurationFold, directory: EndpointDirectory, entry: EndpointEntry): boolean {
+  const report = entry.report;
+  const pipeline = report === undefined ? undefined : fold.getObject("pipeline", report.model);
+  if (report?.layers === undefined || pipeline === undefined) return true;
+  return directory.getVersions(report.model).some((version) => {
+    const others = directory.getEngines(report.model, version).filter((candidate) => candidate.entry !== entry);
+    return getBoundariesThatReach(others, pipeline.layerCount).has(0);
+  });
+}
+
+/** Marks the engines that are to hold something else, as far as their model keeps a whole chain without them. */
+export function updateRetiring(fold: ConfigurationFold, directory: EndpointDirectory): void {
+  for (const entry of directory.getEntries()) entry.isRetiring = false;
+  for (const entry of directory.getEntries()) {
+    if (entry.report === undefined || isAsWanted(entry, getWanted(fold, entry.name))) continue;
+    entry.isRetiring = keepsChain(fold, directory, entry);
+  }
+}
+
+/** The version to serve: the one in force once a whole chain holds it, until then one that a whole chain holds. */
+export function getServedVersion(directory: EndpointDirectory, pipeline: PipelineObject): string {
+  const versions = [pipeline.version, ...directory.getVersions(pipeline.name)];
+  const isWhole = (version: string): boolean =>
+    getBoundariesThatReach(directory.getEngines(pipeline.name, version), pipeline.layerCount).has(0);
+  return versions.find(isWhole) ?? pipeline.version;
+}
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -20,7 +20,7 @@
 const dialTickMs = 250;
 /** How long the peer whose part it is may take to dial before we do. */
 const dialGraceMs = 1_000;
-const contactsPerZone = 2;
+const contactsPerZone = 3;
 
 const forwardSchema = zod.object({ to: zod.string(), topic: zod.string(), body: zod.unknown(), timeoutMs: zod.number() });
 const forwardReplySchema = zod.object({ isDelivered: zod.boolean(), body: zod.unknown() });
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./PlacementEngine.js";
+export * from "./getThroughput.js";
+export * from "./planPlacement.js";
--- a/packages/routing/src/EndpointDirectory.ts
+++ b/packages/routing/src/EndpointDirectory.ts
@@ -17,6 +17,8 @@
   isUnreachable: boolean;
   report: EngineReport | undefined;
   reportAtMs: number;
+  /** Is to hold something else soon; new work goes elsewhere as long as a whole chain is left without it. */
+  isRetiring: boolean;
   /** Streams of ours that have this endpoint in their chain. */
   ownStreams: number;
   /** What `ownStreams` was when the report in hand was made, so that nothing is counted twice. */
@@ -88,12 +90,18 @@
     return [...this._entries.values()];
   }
 
+  /** Versions of a model that live engines hold. */
+  getVersions(model: string): string[] {
+    const reports = this.getEntries().flatMap((entry) => entry.report ?? []);
+    return [...new Set(reports.filter((report) => report.model === model).map((report) => report.version))];
+  }
+
   /** Engines that may get new work for a model version. */
   getEngines(model: string, version: string): EngineCandidate[] {
     const candidates: EngineCandidate[] = [];
     for (const entry of this._entries.values()) {
       const report = entry.report;
-      if (report?.layers === undefined || !isOpenToWork(entry)) continue;
+      if (report?.layers === undefined || !isOpenToWork(entry) || entry.isRetiring) continue;
       if (report.state !== "live" || report.model !== model || report.version !== version) continue;
       candidates.push({ entry, report, layers: report.layers });
     }
@@ -127,6 +135,7 @@
     address: instance.address,
     isLeaving: false,
     isUnreachable: false,
+    isRetiring: false,
     report: undefined,
     reportAtMs: 0,
     ownStreams: 0,
--- a/packages/settings/src/checkSettings.ts
+++ b/packages/settings/src/checkSettings.ts
@@ -6,6 +6,9 @@
 import { getNearest } from "./getNearest.js";
 import { readIni, type IniDocument } from "./readIni.js";
 
+/** How far clocks of callers and the log may differ; the claims fold uses the same figure. */
+const clockDifferenceMs = 60_000;
+
 /** All faults of a settings file together. */
 export class SettingsError extends errors.ShedtillerError {
   readonly code = "invalid_settings";
@@ -31,11 +34,31 @@
   const document = readIni(text, file);
   if (document.err) return results.Err(new SettingsError([document.val]));
   const checked = instanceSettingsSchema.safeParse(document.val.sections);
-  if (checked.success) return results.Ok(checked.data);
+  if (checked.success) return checkTogether(checked.data, document.val, file);
   const faults = checked.error.issues.flatMap((issue) => describeIssue(issue, document.val, file));
   return results.Err(new SettingsError(faults));
 }
 
+/** Faults that only show when fields are looked at together. */
+function checkTogether(
+  settings: InstanceSettings,
+  document: IniDocument,
+  file: string,
+): results.Result<InstanceSettings, SettingsError> {
+  const faults: errors.InvalidInputError[] = [];
+  const add = (section: string, key: string, reason: string): void => {
+    faults.push(new errors.InvalidInputError(getPlace([section, key], document, file), reason));
+  };
+  if (settings.claims.horizonMs + clockDifferenceMs >= settings.platform.logRetentionMs) {
+    add("claims", "horizonMs", `must stay ${clockDifferenceMs} ms or more below [platform] logRetentionMs`);
+  }
+  const { tlsCertificateFile, tlsKeyFile } = settings.security;
+  if ((tlsCertificateFile === undefined) !== (tlsKeyFile === undefined)) {
+    add("security", "tlsCertificateFile", "goes together with tlsKeyFile");
+  }
+  return faults.length === 0 ? results.Ok(settings) : results.Err(new SettingsError(faults));
+}
+
 function describeIssue(issue: zod.core.$ZodIssue, document: IniDocument, file: string): errors.InvalidInputError[] {
   const path = issue.path.map(String);
   if (issue.code === "unrecognized_keys") {
--- a/packages/settings/src/instanceSettings.ts
+++ b/packages/settings/src/instanceSettings.ts
@@ -21,6 +21,8 @@
     logAddress: address,
     instanceListAddress: address,
     appendsPerSecond: positive.default(100),
+    /** How long the log service keeps records. */
+    logRetentionMs: positive.default(86_400_000),
   }),
   security: zod
     .strictObject({
--- a/packages/standins/src/engine/StandInEngine.ts
+++ b/packages/standins/src/engine/StandInEngine.ts
@@ -52,7 +52,7 @@
   readonly takenOrders: TakenOrder[] = [];
   /** Monotonic milliseconds since when the engine is listed as leaving. */
   leavingSinceMs: number | undefined;
-  private readonly _sockets = new ws.WebSocketServer({ noServer: true, perMessageDeflate: false });
+  private readonly _links = new ws.WebSocketServer({ noServer: true, perMessageDeflate: false });
   private readonly _replyFaults: ReplyFault[] = [];
   private _heldReply: (() => void) | undefined;
   private _hang: utils.Deferred<void> | undefined;
@@ -78,13 +78,13 @@
       _surroundings.applications,
     );
     this._addRoutes();
-    this._sockets.on("connection", (socket: ws.WebSocket) => this._serve(socket));
+    this._links.on("connection", (socket: ws.WebSocket) => this._serve(socket));
   }
 
   /** Says that it will go; what it has is served on. */
   leave(): void {
     this.leavingSinceMs = utils.monotonicMs();
-    for (const client of this._sockets.clients) client.send(pipeline.encodeFrame({ kind: "leaving" }));
+    for (const client of this._links.clients) client.send(pipeline.encodeFrame({ kind: "leaving" }));
   }
 
   /** Stops answering; after `resume` it answers late what came meanwhile. */
@@ -105,7 +105,7 @@
   override async vanish(): Promise<void> {
     this.model.clear();
     this.resume();
-    for (const client of this._sockets.clients) client.terminate();
+    for (const client of this._links.clients) client.terminate();
     await super.vanish();
   }
 
@@ -138,7 +138,7 @@
       await this._takeOrder(request.body, response);
     });
     this.httpServer.on("upgrade", (request, socket, head) => {
-      this._sockets.handleUpgrade(request, socket, head, (client) => this._sockets.emit("connection", client, request));
+      this._links.handleUpgrade(request, socket, head, (client) => this._links.emit("connection", client, request));
     });
   }
 
--- /dev/null
+++ b/packages/standins/src/fleet/CallerClient.ts
@@ -0,0 +1,203 @@
+/** A caller as the traces and benches need it: sends requests and tells how they came out. */
+import { getExpectedTokens } from "../engine/layerFunction.js";
+import { errors, utils, type Ran } from "@shedtiller/common";
+import { WordTokenizer } from "@shedtiller/entry";
+import { createParser } from "eventsource-parser";
+import got from "got";
+import * as zod from "zod";
+
+/** How a request came out. */
+export type CallerOutcome = "answered" | "wrong" | "refused-not-run" | "unknown" | "cut";
+
+/** What a caller saw of one request. */
+export interface CallerReport {
+  readonly outcome: CallerOutcome;
+  /** Id under which the instance ran it, where one was told. */
+  readonly requestId: string | undefined;
+  readonly firstTokenMs: number | undefined;
+  readonly totalMs: number;
+  readonly status: number | undefined;
+  readonly retryAfterS: number | undefined;
+  /** Times of the tokens since the request was sent. */
+  readonly tokenTimesMs: readonly number[];
+  readonly detail: string;
+}
+
+/** A model request. */
+export interface ModelRequest {
+  readonly address: string;
+  readonly key: string;
+  readonly model: string;
+  readonly layerCount: number;
+  readonly prompt: string;
+  readonly outputTokens: number;
+  readonly headers?: Record<string, string>;
+  readonly signal?: AbortSignal;
+}
+
+const requestTimeoutMs = 120_000;
+const okStatus = 200;
+const tokenizer = new WordTokenizer();
+const errorBodySchema = zod.object({ error: zod.object({ ran: zod.enum(["no", "unknown"]), code: zod.string() }) });
+const chunkSchema = zod.object({ choices: zod.array(zod.object({ text: zod.string(), finish_reason: zod.string().nullable() })) });
+
+/** Makes a prompt of exactly `tokens` tokens that no other name has. */
+export function createPrompt(name: string, tokens: number): string {
+  return `${name} `.repeat(Math.ceil(tokens / (name.length + 1))).slice(0, tokens);
+}
+
+/** Sends a streamed model request and checks each token of the answer. */
+export async function sendModelRequest(request: ModelRequest): Promise<CallerReport> {
+  const watch = new AnswerWatch(request);
+  const startMs = utils.monotonicMs();
+  try {
+    const stream = got.stream.post(`http://${request.address}/v1/completions`, {
+      json: { model: request.model, prompt: request.prompt, max_tokens: request.outputTokens, stream: true },
+      headers: { authorization: `Bearer ${request.key}`, ...request.headers },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      timeout: { request: requestTimeoutMs },
+      signal: request.signal,
+    });
+    stream.once("response", (response: { statusCode: number; headers: Record<string, string | undefined> }) => {
+      watch.status = response.statusCode;
+      watch.headers = response.headers;
+    });
+    for await (const chunk of stream) watch.accept(String(chunk));
+    return watch.finish(startMs, undefined);
+  } catch (error) {
+    return watch.finish(startMs, error);
+  }
+}
+
+/** Reads the answer of one request as it comes. */
+class AnswerWatch {
+  status: number | undefined;
+  headers: Record<string, string | undefined> = {};
+  private _raw = "";
+  private _text = "";
+  private _isDone = false;
+  private _ran: Ran | undefined;
+  private readonly _timesMs: number[] = [];
+  private readonly _startMs = utils.monotonicMs();
+  private readonly _parser = createParser({ onEvent: (event) => this._acceptEvent(event.data) });
+
+  constructor(private readonly _request: ModelRequest) {}
+
+  accept(chunk: string): void {
+    if (this.status === okStatus) this._parser.feed(chunk);
+    else this._raw += chunk;
+  }
+
+  finish(startMs: number, error: unknown): CallerReport {
+    return {
+      outcome: this._getOutcome(error),
+      requestId: this.headers["shedtiller-request-id"],
+      firstTokenMs: this._timesMs[0],
+      totalMs: utils.monotonicMs() - startMs,
+      status: this.status,
+      retryAfterS: toNumber(this.headers["retry-after"]),
+      tokenTimesMs: this._timesMs,
+      detail: error === undefined ? this._raw : errors.describeError(error),
+    };
+  }
+
+  private _acceptEvent(data: string): void {
+    if (data === "[DONE]") {
+      this._isDone = true;
+      return;
+    }
+    const value: unknown = JSON.parse(data);
+    const failure = errorBodySchema.safeParse(value);
+    if (failure.success) {
+      this._ran = failure.data.error.ran;
+      return;
+    }
+    const text = chunkSchema.parse(value).choices[0]?.text ?? "";
+    if (text === "") return;
+    this._text += text;
+    this._timesMs.push(utils.monotonicMs() - this._startMs);
+  }
+
+  private _getOutcome(error: unknown): CallerOutcome {
+    const { prompt, layerCount, outputTokens } = this._request;
+    const expected = getExpectedTokens(tokenizer.encode(prompt), layerCount, outputTokens);
+    const text = expected.map((token) => tokenizer.decode(token)).join("");
+    if (this._isDone) return this._text === text ? "answered" : "wrong";
+    // What came before a failure must be a part of the right answer, too.
+    if (!text.startsWith(this._text)) return "wrong";
+    return getFailedOutcome(this.status, this._ran ?? readRan(this._raw), error);
+  }
+}
+
+/** A service call. */
+export interface ServiceRequest {
+  readonly address: string;
+  readonly key: string;
+  readonly service: string;
+  readonly idempotencyKey?: string | undefined;
+  readonly body: object;
+}
+
+/** Sends a call to a plain service. */
+export async function sendServiceCall(request: ServiceRequest): Promise<CallerReport> {
+  const startMs = utils.monotonicMs();
+  const headers: Record<string, string> = { authorization: `Bearer ${request.key}` };
+  if (request.idempotencyKey !== undefined) headers["idempotency-key"] = request.idempotencyKey;
+  try {
+    const response = await got.post(`http://${request.address}/services/${request.service}/entries`, {
+      json: request.body,
+      headers,
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      timeout: { request: requestTimeoutMs },
+    });
+    const isAnswer = response.statusCode === okStatus;
+    return {
+      outcome: isAnswer ? "answered" : getFailedOutcome(response.statusCode, readRan(response.body), undefined),
+      requestId: toText(response.headers["shedtiller-request-id"]),
+      firstTokenMs: undefined,
+      totalMs: utils.monotonicMs() - startMs,
+      status: response.statusCode,
+      retryAfterS: toNumber(toText(response.headers["retry-after"])),
+      tokenTimesMs: [],
+      detail: response.body,
+    };
+  } catch (error) {
+    return {
+      outcome: getFailedOutcome(undefined, undefined, error),
+      requestId: undefined,
+      firstTokenMs: undefined,
+      totalMs: utils.monotonicMs() - startMs,
+      status: undefined,
+      retryAfterS: undefined,
+      tokenTimesMs: [],
+      detail: errors.describeError(error),
+    };
+  }
+}
+
+/** A connection that never stood proves that nothing ran; one that broke without a word proves nothing. */
+function getFailedOutcome(status: number | undefined, ran: Ran | undefined, error: unknown): CallerOutcome {
+  if (ran !== undefined) return ran === "no" ? "refused-not-run" : "unknown";
+  const code = (error as { code?: unknown } | null)?.code;
+  if (status === undefined && code === "ECONNREFUSED") return "refused-not-run";
+  return "cut";
+}
+
+function readRan(body: string): Ran | undefined {
+  try {
+    const parsed = errorBodySchema.safeParse(JSON.parse(body));
+    return parsed.success ? parsed.data.error.ran : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function toNumber(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
+function toText(header: string | string[] | undefined): string | undefined {
+  return Array.isArray(header) ? header[0] : header;
+}
--- /dev/null
+++ b/packages/standins/src/fleet/seedConfiguration.ts
@@ -0,0 +1,47 @@
+/** The configuration that a fleet of stand-ins begins with, as operators confirmed it before. */
+import { utils } from "@shedtiller/common";
+import * as intent from "@shedtiller/intent";
+import type { StandInLog } from "../platform/StandInLog.js";
+import type { FleetStructure } from "./FleetStructure.js";
+
+/** Layers of a model: up to the last one that an endpoint holds. */
+export function getLayerCount(structure: FleetStructure, model: string): number {
+  const ends = structure.endpoints.filter((engine) => engine.model === model).map((engine) => engine.layers[1]);
+  return Math.max(0, ...ends);
+}
+
+/** Name of the priority class of a rank. */
+export function getClassName(rank: number): string {
+  return `priority-${rank}`;
+}
+
+/** Writes the first confirmation into the log, and gives the key of each account. */
+export function seedConfiguration(structure: FleetStructure, log: StandInLog): Map<string, string> {
+  const keys = new Map<string, string>();
+  const objects: intent.ConfigurationObject[] = [];
+  for (const rank of new Set(structure.clientAccounts.map((account) => account.priority))) {
+    objects.push({ kind: "class", name: getClassName(rank), rank, floorShare: 0 });
+  }
+  for (const { name, priority, concurrency, tokensPerMinute } of structure.clientAccounts) {
+    const key = intent.createAccountKey();
+    keys.set(name, key.text);
+    const priorityClass = getClassName(priority);
+    objects.push({ kind: "account", name, priorityClass, keys: [key.stored], concurrency, tokensPerMinute });
+  }
+  for (const { name, repeatable } of structure.services) objects.push({ kind: "service", name, repeatable });
+  for (const model of new Set(structure.endpoints.map((engine) => engine.model))) {
+    const version = structure.endpoints.find((engine) => engine.model === model)?.version ?? "1";
+    const layerCount = getLayerCount(structure, model);
+    objects.push({ kind: "pipeline", name: model, version, layerCount, tokensPerSecond: 0, clientAccounts: [] });
+  }
+  const planId = utils.newId();
+  const record: intent.ConfirmRecord = {
+    version: intent.recordVersion,
+    type: "confirm",
+    planId,
+    operator: "setup",
+    changes: objects.map((value) => ({ key: intent.getObjectKey(value), baseOffset: intent.absentOffset, value })),
+  };
+  log.seed(intent.configurationStream, planId, record);
+  return keys;
+}
