--- a/packages/cli/bin/shedtiller.js
+++ b/packages/cli/bin/shedtiller.js
@@ -1,2 +1,4 @@
 #!/usr/bin/env node
-import "../dist/main.js";
+// A dependency of restify still reads process.binding; the warning says nothing to a user.
+process.noDeprecation = true;
+await import("../dist/main.js");
--- a/packages/entry/src/EntryInstance.ts
+++ b/packages/entry/src/EntryInstance.ts
@@ -1,4 +1,5 @@
 /** One entry instance: starts its parts, serves, drains. */
+import { EventEmitter } from "node:events";
 import * as fs from "node:fs";
 import * as admission from "@shedtiller/admission";
 import * as claims from "@shedtiller/claims";
@@ -109,6 +110,8 @@
   /** Listens, and begins all tasks. */
   async start(): Promise<void> {
     this._startedAtMs = utils.monotonicMs();
+    // Every waiting task listens to the one signal.
+    EventEmitter.setMaxListeners(0, this._shutdown.signal);
     this._addRoutes();
     this._addMetricSources();
     await this.membership.listen();
--- /dev/null
+++ b/packages/standins/src/bench/main.ts
@@ -0,0 +1,34 @@
+/** `npm run bench -- NAME [--json] [--seed N]`: runs one experiment. */
+import { cac } from "cac";
+import { BenchReport } from "./BenchReport.js";
+import { runThroughput } from "./throughput.js";
+
+/** An experiment of at most 60 s. */
+type Bench = (report: BenchReport, seed: number) => Promise<void>;
+
+const benches: Readonly<Record<string, Bench>> = {
+  throughput: runThroughput,
+};
+const defaultSeed = 1;
+const usageStatus = 2;
+
+// A dependency of restify still reads process.binding; the warning says nothing to a reader of figures.
+process.noDeprecation = true;
+
+async function main(): Promise<number> {
+  const program = cac("bench");
+  program.option("--json", "Print JSON lines only").option("--seed <seed>", "Seed of all randomness");
+  const { args, options } = program.parse();
+  const name = args[0] ?? "";
+  const bench = benches[name];
+  if (bench === undefined) {
+    process.stderr.write(`${name === "" ? "Nothing" : name} is no bench; known: ${Object.keys(benches).join(", ")}.\n`);
+    return usageStatus;
+  }
+  const report = new BenchReport(name);
+  await bench(report, Number(options["seed"] ?? defaultSeed));
+  process.stdout.write(`${options["json"] === true ? report.renderJson() : report.renderTable()}\n`);
+  return 0;
+}
+
+process.exit(await main());
--- a/packages/standins/src/fleet/CallerClient.ts
+++ b/packages/standins/src/fleet/CallerClient.ts
@@ -63,6 +63,8 @@
       watch.status = response.statusCode;
       watch.headers = response.headers;
     });
+    // The loop below meets the error, too; without a listener it would end the process as well.
+    stream.on("error", () => undefined);
     for await (const chunk of stream) watch.accept(String(chunk));
     return watch.finish(startMs, undefined);
   } catch (error) {
