fix(claims): a claim that may be in the log is given back there, not just forgotten

Cause: after an append whose reply was lost, its claims were put back into the list of the next append, and a caller that gave up then took its claim out of that list as if it had never been sent. The claim stayed in the log for ever and the key answered unknown although nothing had run. Ruled out: the fold (it decides as stated) and the pacing. Change: the batcher remembers which claims may have been applied and gives those back with a record. Also found by the new tests and mended: a stage could not go on once its kept activations were over the budget (the chain restarted for ever), the planner skipped a group and gave up a zone that fits, and an unknown outcome of another instance was kept although the key had become free.

--- a/packages/claims/src/AtMostOnce.ts
+++ b/packages/claims/src/AtMostOnce.ts
@@ -69,11 +69,15 @@
   async run(key: string, options: OnceOptions<A>): Promise<Once<A>> {
     const known = this._outcomes.get(key);
     if (known !== undefined) return known;
-    const outcome = this._claimAndRun(key, options);
+    let isOurs = false;
+    const outcome = this._claimAndRun(key, options, () => {
+      isOurs = true;
+    });
     this._outcomes.set(key, outcome);
     const settled = await outcome;
-    // A call that provably did not run leaves the key free for the next one.
-    if (settled.err && settled.val.ran === "no" && this._outcomes.get(key) === outcome) this._outcomes.remove(key);
+    // Kept is what this instance ran. What did not run, or is another's to know, is found out anew by the next call.
+    const isKept = isOurs && (settled.ok || settled.val.ran === "unknown");
+    if (!isKept && this._outcomes.get(key) === outcome) this._outcomes.remove(key);
     return settled;
   }
 
@@ -83,7 +87,7 @@
     return outcome?.ok === true ? outcome.val : undefined;
   }
 
-  private async _claimAndRun(key: string, options: OnceOptions<A>): Promise<Once<A>> {
+  private async _claimAndRun(key: string, options: OnceOptions<A>, onWon: () => void): Promise<Once<A>> {
     const holder = this._structure.fold.getHolder(key);
     const isFree = holder === undefined || this._structure.batcher.isAbandoning(key);
     if (!isFree) return this._askHolder(holder, key);
@@ -95,6 +99,7 @@
       return results.Err(new OutcomeUnknownError("the key is older than the horizon or ahead of time"));
     }
     this._structure.timeline.add("claimed", { requestId: options.requestId, subject: key });
+    onWon();
     return this._runWon(claim, options);
   }
 
@@ -104,7 +109,7 @@
       return this._giveUp(claim, "its caller or its deadline had gone before it began");
     }
     const outcome = await options.run();
-    if (outcome.err && outcome.val.ran === "no") this._structure.batcher.addAbandoned(claim);
+    if (outcome.err && outcome.val.ran === "no") this._structure.batcher.abandon(claim);
     return outcome;
   }
 
@@ -123,7 +128,7 @@
   }
 
   private _giveUp(claim: Claim, reason: string): Once<A> {
-    if (!this._structure.batcher.removeUnsent(claim)) this._structure.batcher.addAbandoned(claim);
+    this._structure.batcher.abandon(claim);
     return results.Err(new ClaimRefusedError(reason));
   }
 
--- a/packages/claims/src/ClaimBatcher.ts
+++ b/packages/claims/src/ClaimBatcher.ts
@@ -23,6 +23,8 @@
 export class ClaimBatcher {
   private _claims: Claim[] = [];
   private _abandoned: Claim[] = [];
+  /** Ids of claims whose append failed in a way that does not prove that it took no effect. */
+  private readonly _perhapsSent = new Set<string>();
   private readonly _abandoningKeys = new Set<string>();
   private _isRunning = false;
   private _lastAppendMs = Number.NEGATIVE_INFINITY;
@@ -38,15 +40,12 @@
     this._wake();
   }
 
-  /** Takes a claim out that has not been sent yet; tells whether it was still there. */
-  removeUnsent(claim: Claim): boolean {
+  /** Gives a claim back that never ran and never will. One that was never sent is just forgotten. */
+  abandon(claim: Claim): void {
     const index = this._claims.indexOf(claim);
     if (index >= 0) this._claims.splice(index, 1);
-    return index >= 0;
-  }
-
-  /** Gives a claim back that never ran and never will. */
-  addAbandoned(claim: Claim): void {
+    // A claim that waits to be sent again may be in the log already, if only a reply was lost.
+    if (index >= 0 && !this._perhapsSent.has(claim.claimId)) return;
     this._abandoned.push(claim);
     this._abandoningKeys.add(claim.key);
     this._wake();
@@ -96,8 +95,11 @@
     const appended = await this._structure.log.append(claimsStream, utils.newId(), record);
     if (appended.ok) {
       for (const claim of abandoned) this._abandoningKeys.delete(claim.key);
+      for (const claim of [...record.claims, ...abandoned]) this._perhapsSent.delete(claim.claimId);
       return;
     }
+    const isProvenUnsent = errors.hasCode(appended.val, "log_refused", "not_reached");
+    if (!isProvenUnsent) for (const claim of record.claims) this._perhapsSent.add(claim.claimId);
     // A claim that is in the log twice counts once, so that whatever may be missing is sent again.
     this._claims.unshift(...record.claims);
     this._abandoned.unshift(...abandoned);
--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -126,7 +126,7 @@
     };
     if (index === 0) return { ...base, tokens: this._tokens.slice(position) };
     const boundary = this._boundaries[index];
-    if (boundary?.isComplete !== true) return undefined;
+    if (boundary?.hasFrom(position) !== true) return undefined;
     return { ...base, activations: boundary.getFrom(position) };
   }
 
--- a/packages/placement/src/planPlacement.ts
+++ b/packages/placement/src/planPlacement.ts
@@ -83,12 +83,14 @@
   const total = utils.getSum(sorted.map((engine) => engine.layersPerSecond));
   const groups: Group[] = Array.from({ length: stages }, () => ({ engines: [], layers: 0 }));
   let sum = 0;
+  let latest = -1;
   for (const [index, engine] of sorted.entries()) {
     const byRate = Math.floor(((sum + engine.layersPerSecond / 2) / total) * stages);
     // Every group gets at least one engine: never so late that too few are left for the groups behind.
     const earliest = stages - (sorted.length - index);
-    const target = Math.min(stages - 1, Math.max(byRate, earliest, 0));
+    const target = Math.min(stages - 1, latest + 1, Math.max(byRate, earliest, 0));
     groups[target]?.engines.push(engine);
+    latest = target;
     sum += engine.layersPerSecond;
   }
   return groups.every((group) => group.engines.length > 0) ? groups : undefined;
--- a/packages/standins/src/platform/StandInLog.ts
+++ b/packages/standins/src/platform/StandInLog.ts
@@ -64,6 +64,11 @@
     this._add(this._getStream(stream), id, payload);
   }
 
+  override async close(): Promise<void> {
+    for (const stream of this._streams.values()) wakeWaiters(stream);
+    await super.close();
+  }
+
   getRecords(stream: string): readonly LogRecord[] {
     return this._getStream(stream).records;
   }
@@ -106,9 +111,7 @@
     stream.records.push(record);
     this.appendCount += 1;
     this.appendedBytes += JSON.stringify(payload).length;
-    const waiters = stream.waiters;
-    stream.waiters = [];
-    for (const waiter of waiters) waiter.resolve();
+    wakeWaiters(stream);
     return record;
   }
 
@@ -143,6 +146,12 @@
   return stream.firstOffset + stream.records.length;
 }
 
+function wakeWaiters(stream: Stream): void {
+  const waiters = stream.waiters;
+  stream.waiters = [];
+  for (const waiter of waiters) waiter.resolve();
+}
+
 async function waitForRecord(stream: Stream, waitMs: number): Promise<void> {
   if (waitMs <= 0) return;
   const waiter = new utils.Deferred<void>();
--- a/packages/standins/src/replay/applyFault.ts
+++ b/packages/standins/src/replay/applyFault.ts
@@ -12,7 +12,7 @@
   const { target = "", forMs, delayMs = 0 } = fault;
   switch (fault.what) {
     case "endpoint-dies":
-      return endpointDies(getEndpoint(fleet, target), forMs);
+      return endpointDies(fleet, getEndpoint(fleet, target), forMs);
     case "endpoint-hangs":
       return endpointHangs(getEndpoint(fleet, target), forMs ?? 0);
     case "endpoint-leaves":
@@ -58,11 +58,13 @@
   end();
 }
 
-async function endpointDies(endpoint: Endpoint, forMs: number | undefined): Promise<void> {
+async function endpointDies(fleet: Fleet, endpoint: Endpoint, forMs: number | undefined): Promise<void> {
+  fleet.network.dropNode(endpoint.name);
   await endpoint.vanish();
   if (forMs === undefined) return;
   await utils.sleep(forMs);
   await endpoint.comeBack();
+  await fleet.network.restoreNode(endpoint.name);
 }
 
 async function endpointHangs(endpoint: Endpoint, forMs: number): Promise<void> {
