--- /dev/null
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -0,0 +1,139 @@
+/** Links, liveness and duties between instances on loopback. */
+import { utils } from "@shedtiller/common";
+import type { ListedInstance } from "@shedtiller/platform";
+import { Timeline } from "@shedtiller/timeline";
+import test from "ava";
+import * as fc from "fast-check";
+import { Packr } from "msgpackr";
+import * as ws from "ws";
+import { getBudgetIntervalMs } from "../controlBudget.js";
+import { Membership } from "../Membership.js";
+import { decodePeerFrame } from "../PeerLink.js";
+
+const waitMs = 20_000;
+
+class Peers {
+  readonly members = new Map<string, Membership>();
+  readonly stops = new Map<string, AbortController>();
+
+  async add(name: string, availabilityZone: string, secret = "the same secret"): Promise<Membership> {
+    const self = { name, availabilityZone };
+    const membership = new Membership({ self, secret, timeline: new Timeline(name), host: "127.0.0.1", port: 0 });
+    await membership.listen();
+    const stop = new AbortController();
+    void membership.run(stop.signal);
+    this.members.set(name, membership);
+    this.stops.set(name, stop);
+    return membership;
+  }
+
+  /** Lists all of them to all of them. */
+  list(): void {
+    const listed = [...this.members.values()].map(({ self, port }): ListedInstance => {
+      return { ...self, role: "entry", address: `127.0.0.1:${port}`, state: "live" };
+    });
+    for (const membership of this.members.values()) membership.setListed(listed);
+  }
+
+  kill(name: string): void {
+    this.stops.get(name)?.abort();
+    this.members.get(name)?.close();
+    this.members.delete(name);
+  }
+
+  close(): void {
+    for (const name of [...this.members.keys()]) this.kill(name);
+  }
+}
+
+test("instances link up, answer each other, and forward to those that are not linked", async (t) => {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  b.onRequest("echo", (body, from) => `${String(body)} from ${from.name}`);
+  peers.list();
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
+  t.is((await a.request("b", "echo", "hello", 2_000)).unwrap(), "hello from a");
+  t.true((await a.request("nobody", "echo", "hello", 2_000)).err);
+  peers.close();
+});
+
+test("a peer that does not know the secret gets no link", async (t) => {
+  const peers = new Peers();
+  const [a, stranger] = [await peers.add("a", "x"), await peers.add("b", "x", "another secret")];
+  const c = await peers.add("c", "x");
+  peers.list();
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && c.getLinked().length === 1, waitMs));
+  t.is(stranger.getLinked().length, 0);
+  peers.close();
+});
+
+test("a broken frame ends its own connection and no other", async (t) => {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  peers.list();
+  await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs);
+  const intruder = new ws.WebSocket(`ws://127.0.0.1:${a.port}/peer`);
+  const closed = new Promise((resolve) => intruder.once("close", resolve));
+  intruder.on("error", () => undefined);
+  intruder.once("open", () => intruder.send(Buffer.from([0xc1, 0xff, 0x00])));
+  await closed;
+  t.is(a.getLinked().length, 1);
+  peers.close();
+});
+
+test("every duty has one owner, and moves when the owner goes", async (t) => {
+  const peers = new Peers();
+  const names = ["a", "b", "c"];
+  for (const name of names) await peers.add(name, "x");
+  peers.list();
+  const isFull = (count: number) => () => [...peers.members.values()].every((m) => m.getLinked().length === count);
+  t.true(await utils.waitUntil(isFull(2), waitMs));
+  const duties = Array.from({ length: 30 }, (_value, index) => `report:g${index}`);
+  const countOwners = (duty: string): number => [...peers.members.values()].filter((m) => m.ownsDuty(duty)).length;
+  for (const duty of duties) t.is(countOwners(duty), 1);
+  peers.kill("a");
+  t.true(await utils.waitUntil(isFull(1), waitMs));
+  for (const duty of duties) t.is(countOwners(duty), 1);
+  peers.close();
+});
+
+test("an instance that leaves gives its duties to the others at once", async (t) => {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  peers.list();
+  await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs);
+  a.leave();
+  t.true(await utils.waitUntil(() => b.getDutyCandidates().length === 1, waitMs));
+  t.deepEqual(b.getDutyCandidates(), ["b"]);
+  t.deepEqual(a.getDutyCandidates(), ["b"]);
+  peers.close();
+});
+
+test("a zone that reaches no other says so, and since when", async (t) => {
+  const peers = new Peers();
+  const [a] = [await peers.add("a", "x"), await peers.add("b", "y")];
+  peers.list();
+  await utils.waitUntil(() => a.getLinked().length === 1, waitMs);
+  t.is(a.getCutOffSinceMs(), undefined);
+  peers.kill("b");
+  t.true(await utils.waitUntil(() => a.getCutOffSinceMs() !== undefined, waitMs));
+  peers.close();
+});
+
+test("the interval of a message grows with its receivers, so that its bytes a second stay within the share", (t) => {
+  const options = { messageBytes: 100, bytesPerSecond: 1_000, floorMs: 50 };
+  t.is(getBudgetIntervalMs({ ...options, receivers: 0 }), 50);
+  t.is(getBudgetIntervalMs({ ...options, receivers: 100 }), 10_000);
+});
+
+test("any bytes are a frame or a typed error", (t) => {
+  const packr = new Packr({ useRecords: false });
+  fc.assert(
+    fc.property(fc.oneof(fc.uint8Array({ maxLength: 80 }), fc.object().map((value) => packr.pack(value))), (bytes) => {
+      const decoded = decodePeerFrame(bytes);
+      return decoded.ok || decoded.val.code === "invalid_input";
+    }),
+    { seed: 9, numRuns: 2_000 },
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/routing/src/tests/routingTests.ts
@@ -0,0 +1,97 @@
+import { utils } from "@shedtiller/common";
+import test from "ava";
+import { ExpectedTimeChooser, RandomChooser, RoundRobinChooser, type ChainChooser } from "../choosers/index.js";
+import { EndpointDirectory } from "../EndpointDirectory.js";
+import type { EngineReport, LayerRange } from "../EngineReport.js";
+import { OutlierGuard } from "../OutlierGuard.js";
+import { RetryBudget } from "../RetryBudget.js";
+
+function createReport(name: string, layers: LayerRange, structure: Partial<EngineReport> = {}): EngineReport {
+  return {
+    name,
+    accelerator: "large",
+    memoryLayers: 32,
+    model: "m",
+    version: "1",
+    layers,
+    stepMs: 4,
+    prefillMsPerToken: 0.1,
+    slots: 8,
+    activeStreams: 0,
+    checksOrders: true,
+    fencingToken: 0,
+    state: "live",
+    ...structure,
+  };
+}
+
+function createDirectory(reports: readonly EngineReport[], zones: Readonly<Record<string, string>> = {}): EndpointDirectory {
+  const directory = new EndpointDirectory();
+  directory.setListed(
+    reports.map(({ name }) => {
+      return { name, role: "engine", availabilityZone: zones[name] ?? "z", address: name, state: "live" };
+    }),
+  );
+  for (const report of reports) directory.setReport(report, true);
+  return directory;
+}
+
+const options = { layerCount: 32, availabilityZone: "z" };
+
+test("every chooser covers the layers in order, and gives nothing where they can't be covered", (t) => {
+  const reports = [createReport("a", [0, 16]), createReport("b", [16, 32]), createReport("c", [0, 8]), createReport("d", [8, 32])];
+  const choosers: ChainChooser[] = [
+    new RandomChooser(new utils.RandomSource(1)),
+    new RoundRobinChooser(),
+    new ExpectedTimeChooser(new utils.RandomSource(1)),
+  ];
+  for (const chooser of choosers) {
+    for (let round = 0; round < 20; round++) {
+      const chain = chooser.choose(createDirectory(reports).getEngines("m", "1"), options) ?? [];
+      t.deepEqual(chain.map((c) => c.layers[0]), [0, ...chain.slice(0, -1).map((c) => c.layers[1])]);
+      t.is(chain[chain.length - 1]?.layers[1], 32);
+    }
+    t.is(chooser.choose(createDirectory(reports.slice(1, 3)).getEngines("m", "1"), options), undefined);
+  }
+});
+
+test("expected time prefers the near, the idle and the quick", (t) => {
+  const chooser = new ExpectedTimeChooser(new utils.RandomSource(1));
+  const choose = (reports: EngineReport[], zones = {}): string | undefined =>
+    chooser.choose(createDirectory(reports, zones).getEngines("m", "1"), options)?.[0]?.entry.name;
+  t.is(choose([createReport("far", [0, 32]), createReport("near", [0, 32])], { far: "y" }), "near");
+  t.is(choose([createReport("full", [0, 32], { activeStreams: 16 }), createReport("idle", [0, 32])]), "idle");
+  t.is(choose([createReport("slow", [0, 32], { stepMs: 9 }), createReport("quick", [0, 32])]), "quick");
+});
+
+test("a leaving endpoint gets no new work from the first evidence on, whatever the list says", (t) => {
+  const directory = createDirectory([createReport("a", [0, 32])]);
+  directory.setReport(createReport("a", [0, 32], { state: "leaving" }), true);
+  t.is(directory.getEngines("m", "1").length, 0);
+  directory.setListed([{ name: "a", role: "engine", availabilityZone: "z", address: "a", state: "live" }]);
+  directory.setReport(createReport("a", [0, 32]), true);
+  t.is(directory.getEngines("m", "1").length, 0);
+});
+
+test("an endpoint that failed three times in a row is left out for a while, but never more than half of them", (t) => {
+  let nowMs = 0;
+  const guard = new OutlierGuard(() => nowMs);
+  for (let count = 0; count < 3; count++) guard.recordFailure("a");
+  t.deepEqual(guard.withoutEjected(["a", "b", "c"], (name) => name), ["b", "c"]);
+  for (const name of ["b", "c"]) for (let count = 0; count < 3; count++) guard.recordFailure(name);
+  t.deepEqual(guard.withoutEjected(["a", "b", "c"], (name) => name), ["a", "b", "c"]);
+  nowMs = 3_000;
+  t.false(guard.isEjected("a"));
+});
+
+test("retries are held to a share of the requests", (t) => {
+  const budget = new RetryBudget(0.2, 10);
+  const takeAll = (): number => {
+    let taken = 0;
+    while (budget.tryTake()) taken += 1;
+    return taken;
+  };
+  t.is(takeAll(), 10);
+  for (let count = 0; count < 25; count++) budget.recordRequest();
+  t.is(takeAll(), 5);
+});
