perf(pipeline): the silence detector learns how soon an engine answers a probe

Further causes, found on the time line of single trials: an endpoint that hangs held up the reports of all others (the round waited for each), and ejection could take the last engine of a range of layers, so that a request waited for the end of the fault. Ruled out: the rebuild itself (about 27 ms, as computed from the replica's speed). Change: a probe goes beside the first 16 calls and then every 32nd; reports are fetched independently; ejection acts among engines of one range; a late answer to a probe shows that the endpoint lives.

--- a/packages/entry/src/feeds/ZoneFeed.ts
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -57,6 +57,7 @@
 /** Sends and takes reports, digests and demands. */
 export class ZoneFeed {
   private _round = 0;
+  private readonly _fetching = new Set<string>();
   private readonly _lastFull = new Map<string, string>();
 
   constructor(private readonly _structure: ZoneFeedStructure) {
@@ -79,7 +80,8 @@
     while (!signal.aborted) {
       const startMs = utils.monotonicMs();
       const intervalMs = this._getReportIntervalMs();
-      await Promise.all(this._getOwnEndpoints(intervalMs).map((entry) => this._fetchReport(entry)));
+      // Not waited for: an endpoint that hangs must not hold up the reports of the others.
+      for (const entry of this._getOwnEndpoints(intervalMs)) void this._fetchOnce(entry);
       this._tellZone();
       await utils
         .sleep(Math.max(0, startMs + intervalMs - utils.monotonicMs()), signal)
@@ -123,6 +125,13 @@
       );
   }
 
+  private async _fetchOnce(entry: EndpointEntry): Promise<void> {
+    if (this._fetching.has(entry.name)) return;
+    this._fetching.add(entry.name);
+    await this._fetchReport(entry);
+    this._fetching.delete(entry.name);
+  }
+
   private async _fetchReport(entry: EndpointEntry): Promise<void> {
     const { directory } = this._structure;
     try {
--- a/packages/pipeline/src/engine/SilenceDetector.ts
+++ b/packages/pipeline/src/engine/SilenceDetector.ts
@@ -5,26 +5,32 @@
 export interface SilenceOptions {
   /** Which of the recent times counts as the slowest ordinary one, from 0 to 1. */
   readonly quantile: number;
-  /** How many times that one the deadline is. */
+  /** How many times that one a call may be silent before the engine is asked. Asking too early costs one frame. */
   readonly factor: number;
   /** The deadline is never shorter than this. */
   readonly floorMs: number;
-  /** How long the engine's answer to a probe may take at the least. */
+  /** How many times the slowest ordinary answer to a probe may take. Too short costs the rebuilding of a stage. */
+  readonly probeFactor: number;
+  /** How long the answer to a probe may take at the least. */
   readonly probeFloorMs: number;
+  /** A probe goes out beside every so many calls, so that its times are known before they are needed; 0 for none. */
+  readonly callsPerProbe: number;
 }
 
 export const defaultSilenceOptions: SilenceOptions = {
   quantile: 0.99,
-  factor: 2,
-  floorMs: 10,
-  probeFloorMs: 20,
+  factor: 1.2,
+  floorMs: 5,
+  probeFactor: 2,
+  probeFloorMs: 8,
+  callsPerProbe: 32,
 };
 
 const windowLength = 128;
-const refreshEvery = 16;
+const refreshEvery = 8;
+const firstProbes = 16;
 const firstRatio = 4;
-const firstProbeMs = 250;
-const minSamples = 8;
+const firstProbeMs = 100;
 
 /** Times of one kind, as multiples of what was expected; the quantile is refreshed every few samples. */
 class RatioWindow {
@@ -35,7 +41,7 @@
   add(ratio: number, share: number): void {
     this._ratios[this._count % windowLength] = ratio;
     this._count += 1;
-    if (this._count < minSamples || this._count % refreshEvery !== 0) return;
+    if (this._count % refreshEvery !== 0) return;
     this._quantile = utils.getQuantile(this._ratios, share);
   }
 
@@ -48,6 +54,7 @@
 export class SilenceDetector {
   private readonly _steps = new RatioWindow();
   private readonly _probes = new RatioWindow();
+  private _calls = 0;
 
   constructor(private readonly _options: SilenceOptions = defaultSilenceOptions) {}
 
@@ -56,6 +63,14 @@
     this._steps.add(tookMs / expectedMs, this._options.quantile);
   }
 
+  /** Whether this call should have a probe beside it. */
+  isProbeDue(): boolean {
+    this._calls += 1;
+    const { callsPerProbe } = this._options;
+    if (callsPerProbe === 0) return false;
+    return this._calls <= firstProbes || this._calls % callsPerProbe === 0;
+  }
+
   /** Takes the time of an answered probe. */
   recordProbe(tookMs: number): void {
     this._probes.add(tookMs, this._options.quantile);
@@ -69,9 +84,8 @@
 
   /** How long the engine's answer to a probe may take before the engine counts as lost. */
   getProbeDeadlineMs(): number {
-    const slowest = this._probes.quantile;
-    if (slowest === undefined)
-      return Math.max(this._options.probeFloorMs, firstProbeMs / this._options.factor);
-    return Math.max(this._options.probeFloorMs, slowest * this._options.factor);
+    const slowestMs = this._probes.quantile;
+    const learnedMs = slowestMs === undefined ? firstProbeMs : slowestMs * this._options.probeFactor;
+    return Math.max(this._options.probeFloorMs, learnedMs);
   }
 }
--- a/packages/pipeline/src/request/Stage.ts
+++ b/packages/pipeline/src/request/Stage.ts
@@ -74,6 +74,7 @@
   private async _waitForOutcome(link: EngineLink, frame: ApplyFrame, expectedMs: number): Promise<Applied> {
     const reply = link.apply(frame);
     const detector = this._context.getDetector(this.endpoint);
+    if (detector.isProbeDue()) void this._learnProbeTime(link);
     const startMs = utils.monotonicMs();
     let waitMs = detector.getStepDeadlineMs(expectedMs);
     for (;;) {
@@ -89,11 +90,22 @@
     }
   }
 
+  /** Probes an engine that is not silent, to know how soon it answers. */
+  private async _learnProbeTime(link: EngineLink): Promise<void> {
+    const startMs = utils.monotonicMs();
+    const standing = await link.probe(this.key);
+    if (standing.ok) this._context.getDetector(this.endpoint).recordProbe(utils.monotonicMs() - startMs);
+  }
+
   private async _probe(link: EngineLink): Promise<results.Result<StandingFrame, EngineError> | undefined> {
     const detector = this._context.getDetector(this.endpoint);
     const startMs = utils.monotonicMs();
-    const standing = await settleWithin(link.probe(this.key), detector.getProbeDeadlineMs());
+    const answer = link.probe(this.key);
+    const standing = await settleWithin(answer, detector.getProbeDeadlineMs());
     this._context.counters.probes += 1;
+    // An answer that comes too late for this stage still shows that the endpoint lives.
+    if (standing === undefined)
+      void answer.then((late) => late.ok && this._context.directory.markReachable(this.endpoint));
     if (standing?.ok === true) detector.recordProbe(utils.monotonicMs() - startMs);
     return standing;
   }
--- a/packages/routing/src/EndpointDirectory.ts
+++ b/packages/routing/src/EndpointDirectory.ts
@@ -105,7 +105,7 @@
       if (report.state !== "live" || report.model !== model || report.version !== version) continue;
       candidates.push({ entry, report, layers: report.layers });
     }
-    return this.outliers.withoutEjected(candidates, (candidate) => candidate.entry.name);
+    return this._withoutEjected(candidates);
   }
 
   /** Endpoints of a plain service that may get new work. */
@@ -113,6 +113,19 @@
     return this.getEntries().filter((entry) => entry.service === service && isOpenToWork(entry));
   }
 
+  /** Ejection acts among engines with the same layers, so that it never takes the last one of a range. */
+  private _withoutEjected(candidates: readonly EngineCandidate[]): EngineCandidate[] {
+    const byRange = new Map<string, EngineCandidate[]>();
+    for (const candidate of candidates) {
+      const key = candidate.layers.join("-");
+      const group = byRange.get(key);
+      if (group === undefined) byRange.set(key, [candidate]);
+      else group.push(candidate);
+    }
+    const getName = (candidate: EngineCandidate): string => candidate.entry.name;
+    return [...byRange.values()].flatMap((group) => this.outliers.withoutEjected(group, getName));
+  }
+
   private _setOne(instance: ListedInstance): void {
     const known = this._entries.get(instance.name);
     if (known === undefined || known.address !== instance.address) {
--- a/packages/routing/src/tests/routingTests.ts
+++ b/packages/routing/src/tests/routingTests.ts
@@ -106,6 +106,24 @@
   t.false(guard.isEjected("a"));
 });
 
+test("ejection never takes the last engine of a range of layers", (t) => {
+  const directory = createDirectory([
+    createReport("a", [0, 16]),
+    createReport("b", [16, 32]),
+    createReport("c", [16, 32]),
+  ]);
+  for (let count = 0; count < 3; count++) directory.outliers.recordFailure("b");
+  t.deepEqual(
+    directory.getEngines("m", "1").map((c) => c.entry.name),
+    ["a", "c"],
+  );
+  directory.markUnreachable("c");
+  t.deepEqual(
+    directory.getEngines("m", "1").map((c) => c.entry.name),
+    ["a", "b"],
+  );
+});
+
 test("retries are held to a share of the requests", (t) => {
   const budget = new RetryBudget(0.2, 10);
   const takeAll = (): number => {
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -1,12 +1,18 @@
 /** `npm run bench -- NAME [--json] [--seed N]`: runs one experiment. */
 import { cac } from "cac";
 import { BenchReport } from "./BenchReport.js";
+import { runClaims } from "./claims.js";
+import { runControl } from "./control.js";
+import { runRecovery } from "./recovery.js";
 import { runThroughput } from "./throughput.js";
 
 /** An experiment of at most 60 s. */
 type Bench = (report: BenchReport, seed: number) => Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
+  claims: runClaims,
+  control: runControl,
+  recovery: runRecovery,
   throughput: runThroughput,
 };
 const defaultSeed = 1;
--- /dev/null
+++ b/packages/standins/src/bench/recovery.ts
@@ -0,0 +1,167 @@
+/** The pause in a stream when a stage dies and when it hangs, against the best that could be, by silence detector. */
+import { utils } from "@shedtiller/common";
+import type { SilenceOptions } from "@shedtiller/pipeline";
+import { createPrompt, sendModelRequest } from "../fleet/CallerClient.js";
+import { Fleet } from "../fleet/Fleet.js";
+import type { FleetEngine, FleetStructure } from "../fleet/FleetStructure.js";
+import type { BenchReport } from "./BenchReport.js";
+import { ClosedLoop } from "./ClosedLoop.js";
+
+const layerCount = 32;
+const model = "assistant";
+const zone = "east-plant";
+const promptTokens = 96;
+const stepMs = 10;
+const prefillMsPerToken = 0.15;
+const trials = 6;
+const backgroundCallers = 4;
+const warmUpMs = 2_000;
+const downMs = 600;
+const settleMs = 150;
+const fixedTimeoutMs = 500;
+
+const learned = { quantile: 0.99, floorMs: 5, probeFactor: 2, probeFloorMs: 8, callsPerProbe: 32 };
+const fixed = {
+  ...learned,
+  factor: 0,
+  floorMs: fixedTimeoutMs,
+  probeFloorMs: fixedTimeoutMs,
+  callsPerProbe: 0,
+};
+
+/** Detectors that are compared; the first is the baseline, the last is the default. */
+const detectors: readonly { name: string; silence: SilenceOptions }[] = [
+  { name: "fixed 500 ms", silence: fixed },
+  { name: "p99 x 3", silence: { ...learned, factor: 3 } },
+  { name: "p99 x 1.2", silence: { ...learned, factor: 1.2 } },
+];
+
+type Failure = "death" | "hang";
+
+/** Runs the experiment. */
+export async function runRecovery(report: BenchReport, seed: number): Promise<void> {
+  for (const { name, silence } of detectors) await measure(report, name, silence, seed, "hang");
+  const chosen = detectors[detectors.length - 1];
+  if (chosen !== undefined) await measure(report, chosen.name, chosen.silence, seed, "death");
+}
+
+function createEngine(name: string, layers: [number, number]): FleetEngine {
+  const speed = { stepMs, prefillMsPerToken, slots: 8 };
+  return {
+    name,
+    availabilityZone: zone,
+    accelerator: "large",
+    model,
+    version: "1",
+    layers,
+    ...speed,
+    checksOrders: true,
+  };
+}
+
+function createStructure(): FleetStructure {
+  return {
+    availabilityZones: [zone],
+    instances: [{ name: "e1", availabilityZone: zone }],
+    endpoints: [createEngine("g1", [0, 16]), createEngine("g2", [16, 32]), createEngine("g3", [16, 32])],
+    services: [],
+    clientAccounts: [{ name: "crews", priority: 1 }],
+  };
+}
+
+interface Trial {
+  readonly pauseMs: number;
+  readonly floorMs: number;
+}
+
+async function measure(
+  report: BenchReport,
+  detector: string,
+  silence: SilenceOptions,
+  seed: number,
+  failure: Failure,
+): Promise<void> {
+  const fleet = new Fleet(createStructure(), { isSilent: true, seed, silence });
+  await fleet.start();
+  const address = await fleet.getCallerAddress("e1");
+  const key = fleet.accountKeys.get("crews") ?? "";
+  const load = { addresses: [address], key, model, layerCount, callers: backgroundCallers, seed };
+  const background = new ClosedLoop({ ...load, promptTokens: 8, outputTokens: 60 });
+  background.start();
+  await utils.sleep(warmUpMs);
+  const outcomes: Trial[] = [];
+  const counters = fleet.requireInstance("e1").pipeline.counters;
+  const probesBefore = counters.probes;
+  const tokensBefore = counters.tokens;
+  for (let trial = 0; trial < trials; trial++)
+    outcomes.push(await runTrial(fleet, address, key, failure, trial));
+  await background.stop();
+  await fleet.close();
+  const variant = `${failure}, ${detector}`;
+  const pauses = outcomes.map((outcome) => outcome.pauseMs);
+  const ratios = outcomes.map((outcome) => outcome.pauseMs / outcome.floorMs);
+  for (const share of [0.5, 0.95])
+    report.add(variant, `pause p${share * 100}`, utils.getQuantile(pauses, share), "ms");
+  report.add(
+    variant,
+    "floor p50",
+    utils.getQuantile(
+      outcomes.map((outcome) => outcome.floorMs),
+      0.5,
+    ),
+    "ms",
+  );
+  report.add(variant, "ratio p50", utils.getQuantile(ratios, 0.5), "");
+  report.add(variant, "ratio p95", utils.getQuantile(ratios, 0.95), "");
+  const asked = counters.probes - probesBefore;
+  report.add(variant, "probes per 1000 tokens", (asked / (counters.tokens - tokensBefore)) * 1_000, "");
+  report.add(variant, "wrong answers", background.reports.filter((r) => r.outcome === "wrong").length, "");
+}
+
+/** Breaks the second stage of one stream in the middle, and measures the longest gap between its tokens. */
+async function runTrial(
+  fleet: Fleet,
+  address: string,
+  key: string,
+  failure: Failure,
+  trial: number,
+): Promise<Trial> {
+  const prompt = createPrompt(`trial${failure}${trial}`, promptTokens);
+  const answer = sendModelRequest({ address, key, model, layerCount, prompt, outputTokens: 40 });
+  await utils.sleep(400 + ((trial * 37) % 100));
+  const engine = fleet.requireEngine(findSecondStage(fleet));
+  if (failure === "death") await engine.vanish();
+  else engine.hang();
+  const positions = getPosition(fleet, engine.name);
+  await utils.sleep(downMs);
+  if (failure === "death") await engine.comeBack();
+  else engine.resume();
+  const { tokenTimesMs } = await answer;
+  const gaps = tokenTimesMs.slice(1).map((timeMs, index) => timeMs - (tokenTimesMs[index] ?? 0));
+  const ordinaryMs = utils.getQuantile(gaps, 0.5);
+  await utils.sleep(settleMs);
+  // Nobody can tell silence from an ordinary step before the slowest ordinary step; a closed link tells at once.
+  const detectionMs = failure === "death" ? 0 : utils.getQuantile(gaps, 0.9) / 2;
+  const rebuildMs = stepMs + positions * prefillMsPerToken;
+  return { pauseMs: Math.max(...gaps) - ordinaryMs, floorMs: detectionMs + rebuildMs };
+}
+
+/** The engine that runs the second stage of the newest trial: the one whose stream is the longest. */
+function findSecondStage(fleet: Fleet): string {
+  const last = getTrialApplications(fleet).filter((application) => application.firstLayer > 0);
+  return last[last.length - 1]?.endpoint ?? "g2";
+}
+
+function getPosition(fleet: Fleet, endpoint: string): number {
+  const last = getTrialApplications(fleet).filter((application) => application.endpoint === endpoint);
+  const newest = last[last.length - 1];
+  return newest === undefined ? promptTokens : newest.position + newest.count;
+}
+
+function getTrialApplications(fleet: Fleet) {
+  const ids = fleet.applications.getRequestIds();
+  const isTrial = (id: string): boolean =>
+    (fleet.applications.getApplications(id)[0]?.count ?? 0) === promptTokens;
+  const id = ids.filter(isTrial).pop() ?? "";
+  return fleet.applications.getApplications(id);
+}
--- a/packages/standins/src/fleet/Fleet.ts
+++ b/packages/standins/src/fleet/Fleet.ts
@@ -91,6 +91,7 @@
     const seed = this.options.seed === undefined ? undefined : this.options.seed + utils.hash32(name);
     const container = composeEntry(settings, secrets, {
       logs: { isSilent: this.options.isSilent ?? true },
+      silence: this.options.silence,
       seed,
     });
     for (const hook of this._hooks) hook(container);
--- a/packages/standins/src/fleet/FleetStructure.ts
+++ b/packages/standins/src/fleet/FleetStructure.ts
@@ -1,4 +1,5 @@
 /** What a fleet of entry instances and stand-ins is made of. The setup line of a trace has the same form. */
+import type { SilenceOptions } from "@shedtiller/pipeline";
 import { layerRangeSchema } from "@shedtiller/routing";
 import * as zod from "zod";
 
@@ -57,6 +58,8 @@
   readonly logRetentionMs?: number;
   readonly claimsHorizonMs?: number;
   readonly seed?: number;
+  /** How instances tell silence. */
+  readonly silence?: SilenceOptions;
   /** Ports of the first instance's listeners; the others follow. Picked by the system unless given. */
   readonly firstCallerPort?: number;
   readonly firstOperatorPort?: number;
--- a/packages/standins/src/tests/recoveryTests.ts
+++ b/packages/standins/src/tests/recoveryTests.ts
@@ -22,7 +22,7 @@
     timeline: new Timeline("e1"),
     random,
     historyLimitBytes,
-    silence: { quantile: 0.99, factor: 2, floorMs: 10, probeFloorMs: 10 },
+    silence: { ...pipeline.defaultSilenceOptions, floorMs: 10, probeFloorMs: 10 },
   });
 }
 
