--- a/packages/common/src/utils/KeyedCache.ts
+++ b/packages/common/src/utils/KeyedCache.ts
@@ -19,6 +19,11 @@
     if (this._entries.size > this.capacity) this._removeOldest();
   }
 
+  /** All values, the oldest first. */
+  getValues(): V[] {
+    return [...this._entries.values()];
+  }
+
   remove(key: string): void {
     this._entries.delete(key);
   }
--- a/packages/entry/src/http/authenticate.ts
+++ b/packages/entry/src/http/authenticate.ts
@@ -4,6 +4,7 @@
 import { ApiError } from "./apiErrors.js";
 
 const unauthorizedStatus = 401;
+const accountPrefix = "account/";
 
 /** The account that a request's key belongs to, or a 401. */
 export function requireAccount(request: restify.Request, accounts: AccountDirectory): intent.AccountObject {
@@ -41,22 +42,32 @@
   readonly stored: intent.AccountKey;
 }
 
-/** Accounts by the public part of their keys, made anew when the configuration changes. */
+/** Accounts by the public part of their keys, kept up with the configuration object by object. */
 export class AccountDirectory {
-  private _byKeyId = new Map<string, FoundAccount>();
+  private readonly _byKeyId = new Map<string, FoundAccount>();
+  private readonly _keyIds = new Map<string, readonly string[]>();
 
   constructor(private readonly _fold: intent.ConfigurationFold) {
-    _fold.onChanged(() => this._rebuild());
+    _fold.onChanged((changedKeys) => this._update(changedKeys));
   }
 
   find(keyId: string): FoundAccount | undefined {
     return this._byKeyId.get(keyId);
   }
 
-  private _rebuild(): void {
-    const found = this._fold.getObjects("account").flatMap((account) => {
-      return account.keys.map((stored): [string, FoundAccount] => [stored.keyId, { account, stored }]);
-    });
-    this._byKeyId = new Map(found);
+  private _update(changedKeys: readonly string[] | undefined): void {
+    const keys = changedKeys ?? [...this._keyIds.keys(), ...this._fold.getObjects("account").map(intent.getObjectKey)];
+    for (const key of new Set(keys)) if (key.startsWith(accountPrefix)) this._updateOne(key);
+  }
+
+  private _updateOne(key: string): void {
+    for (const keyId of this._keyIds.get(key) ?? []) this._byKeyId.delete(keyId);
+    const account = this._fold.getObject("account", key.slice(accountPrefix.length));
+    if (account === undefined) {
+      this._keyIds.delete(key);
+      return;
+    }
+    this._keyIds.set(key, account.keys.map((stored) => stored.keyId));
+    for (const stored of account.keys) this._byKeyId.set(stored.keyId, { account, stored });
   }
 }
--- a/packages/entry/src/http/operatorRoutes.ts
+++ b/packages/entry/src/http/operatorRoutes.ts
@@ -80,7 +80,7 @@
 
 function sendConfiguration({ fold }: OperatorStructure, response: http.ServerResponse): void {
   const objects = Object.fromEntries(
-    Object.entries(fold.state.objects).map(([key, held]) => [
+    [...fold.getHeldObjects()].map(([key, held]) => [
       key,
       { ...held, value: withoutSecrets(held.value) },
     ]),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./feeds/PipelineDemands.js";
 export * from "./feeds/ZoneFeed.js";
 export * from "./http/StoredAnswer.js";
+export { AccountDirectory } from "./http/authenticate.js";
 export * from "./logs/createLogs.js";
 export * from "./metrics/InstanceMetrics.js";
 export * from "./operators/Planner.js";
--- a/packages/intent/src/ConfigurationFold.ts
+++ b/packages/intent/src/ConfigurationFold.ts
@@ -1,5 +1,5 @@
 /** The fold of the configuration stream. Every instance that folds the same records holds the same configuration. */
-import { errors, results } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import type { LogRecord, LogSink } from "@shedtiller/platform";
 import type { ConfigurationObject, ObjectKind } from "./configurationObjects.js";
 import * as records from "./configurationRecords.js";
@@ -18,18 +18,21 @@
 export class ConfigurationFold implements LogSink {
   /** Records that could not be read; `status` shows them. */
   readonly unknownRecords: UnknownRecord[] = [];
-  private _state: records.ConfigurationState = { offset: -1, objects: {}, removedAt: {}, outcomes: [] };
+  private _offset = -1;
+  private readonly _objects = new Map<string, records.HeldObject>();
+  private readonly _removedAt = new Map<string, Omit<records.HeldObject, "value">>();
+  private readonly _outcomes = new utils.KeyedCache<records.PlanOutcome>(outcomesKept);
   /** Records that came while the state before them was missing. */
   private _held: LogRecord[] = [];
   private _isMissingPast = false;
   private _recent: LogRecord[] = [];
-  private _listeners: (() => void)[] = [];
+  private _listeners: ((changedKeys: readonly string[] | undefined) => void)[] = [];
   /** Offset of the last snapshot record seen, and when the log took it. */
   lastSnapshot: { offset: number; atMs: number } | undefined;
 
   /** All records up to this offset are in force. */
   get offset(): number {
-    return this._state.offset;
+    return this._offset;
   }
 
   /** Whether records aged out before they were read and no state has taken their place yet. */
@@ -37,13 +40,23 @@
     return this._isMissingPast;
   }
 
-  /** The whole state, for peers and snapshots. Not to be changed. */
+  /** The whole state, for peers and snapshots. */
   get state(): records.ConfigurationState {
-    return this._state;
+    return {
+      offset: this._offset,
+      objects: Object.fromEntries(this._objects),
+      removedAt: Object.fromEntries(this._removedAt),
+      outcomes: this._outcomes.getValues(),
+    };
   }
 
-  /** Calls `listener` after each change of the configuration in force. */
-  onChanged(listener: () => void): void {
+  /** Objects with what set them, by key. */
+  getHeldObjects(): ReadonlyMap<string, records.HeldObject> {
+    return this._objects;
+  }
+
+  /** Calls `listener` after each change of the configuration in force, with the changed keys; undefined for all. */
+  onChanged(listener: (changedKeys: readonly string[] | undefined) => void): void {
     this._listeners.push(listener);
   }
 
@@ -51,12 +64,12 @@
     kind: K,
     name: string,
   ): Extract<ConfigurationObject, { kind: K }> | undefined {
-    const held = this._state.objects[`${kind}/${name}`];
+    const held = this._objects.get(`${kind}/${name}`);
     return held?.value as Extract<ConfigurationObject, { kind: K }> | undefined;
   }
 
   getObjects<K extends ObjectKind>(kind: K): Extract<ConfigurationObject, { kind: K }>[] {
-    const values = Object.values(this._state.objects).map((held) => held.value);
+    const values = [...this._objects.values()].map((held) => held.value);
     return values.filter((value): value is Extract<ConfigurationObject, { kind: K }> => value.kind === kind);
   }
 
@@ -66,11 +79,11 @@
   }
 
   getOutcome(planId: string): records.PlanOutcome | undefined {
-    return this._state.outcomes.find((outcome) => outcome.planId === planId);
+    return this._outcomes.get(planId);
   }
 
   acceptRecord(record: LogRecord): void {
-    if (record.offset <= this._state.offset) return;
+    if (record.offset <= this._offset) return;
     const parsed = records.configurationRecordSchema.safeParse(record.payload);
     if (parsed.success && parsed.data.type === "snapshot")
       return this._acceptSnapshot(record, parsed.data.state);
@@ -78,32 +91,33 @@
       this._held.push(record);
       return;
     }
-    this._fold(record, parsed.success && parsed.data.type === "confirm" ? parsed.data : undefined);
-    this._notify();
+    const confirmation = parsed.success && parsed.data.type === "confirm" ? parsed.data : undefined;
+    this._fold(record, confirmation);
+    this._notify(confirmation?.changes.map((change) => change.key) ?? []);
   }
 
   skipTo(oldestOffset: number): void {
-    if (oldestOffset > this._state.offset + 1) this._isMissingPast = true;
+    if (oldestOffset > this._offset + 1) this._isMissingPast = true;
   }
 
   /** Takes a peer's state, if it is newer than ours. Tells whether it was taken. */
   adoptState(state: records.ConfigurationState): boolean {
-    if (state.offset <= this._state.offset) return false;
+    if (state.offset <= this._offset) return false;
     this._replaceState(state);
     return true;
   }
 
   /** Takes a peer's records, where they follow on without a gap. Tells whether anything was taken. */
   adoptRecords(recent: readonly LogRecord[]): boolean {
-    const before = this._state.offset;
-    for (const record of recent) if (record.offset === this._state.offset + 1) this.acceptRecord(record);
-    return this._state.offset > before;
+    const before = this._offset;
+    for (const record of recent) if (record.offset === this._offset + 1) this.acceptRecord(record);
+    return this._offset > before;
   }
 
   /** Records after `offset`, or an error where some are no longer kept and the state must be sent instead. */
   getRecordsSince(offset: number): results.Result<LogRecord[], errors.InvalidInputError> {
     const first = this._recent[0];
-    if (offset >= this._state.offset) return results.Ok([]);
+    if (offset >= this._offset) return results.Ok([]);
     if (first === undefined || first.offset > offset + 1) {
       return results.Err(new errors.InvalidInputError("offset", "records are no longer kept"));
     }
@@ -122,31 +136,37 @@
       }
       this._replaceState(state);
       for (const later of held) this._foldHeld(later);
+      this._notify(undefined);
     }
     this._remember(record);
-    this._state = { ...this._state, offset: record.offset };
-    this._notify();
+    this._offset = record.offset;
+    this._notify([]);
   }
 
   private _foldHeld(record: LogRecord): void {
-    if (record.offset <= this._state.offset) return;
+    if (record.offset <= this._offset) return;
     const parsed = records.confirmRecordSchema.safeParse(record.payload);
     this._fold(record, parsed.success ? parsed.data : undefined);
   }
 
   private _replaceState(state: records.ConfigurationState): void {
-    this._state = structuredClone(state);
+    this._offset = state.offset;
+    this._objects.clear();
+    this._removedAt.clear();
+    for (const [key, held] of Object.entries(state.objects)) this._objects.set(key, held);
+    for (const [key, removed] of Object.entries(state.removedAt)) this._removedAt.set(key, removed);
+    for (const outcome of state.outcomes) this._outcomes.set(outcome.planId, outcome);
     this._isMissingPast = false;
     this._held = [];
     this._recent = [];
-    this._notify();
+    this._notify(undefined);
   }
 
   private _fold(record: LogRecord, confirmation: records.ConfirmRecord | undefined): void {
     if (confirmation === undefined) this._keepUnknown(record);
     else if (this.getOutcome(confirmation.planId) === undefined) this._decide(record.offset, confirmation);
     this._remember(record);
-    this._state.offset = record.offset;
+    this._offset = record.offset;
   }
 
   private _remember(record: LogRecord): void {
@@ -182,22 +202,21 @@
 
   private _apply(offset: number, record: records.ConfirmRecord, change: records.Change): void {
     const standing = { setAtOffset: offset, setByPlan: record.planId, setByOperator: record.operator };
-    delete this._state.objects[change.key];
-    delete this._state.removedAt[change.key];
-    if (change.value === null) this._state.removedAt[change.key] = standing;
-    else this._state.objects[change.key] = { value: change.value, ...standing };
+    this._objects.delete(change.key);
+    this._removedAt.delete(change.key);
+    if (change.value === null) this._removedAt.set(change.key, standing);
+    else this._objects.set(change.key, { value: change.value, ...standing });
   }
 
   private _getStanding(key: string): Omit<records.HeldObject, "value"> | undefined {
-    return this._state.objects[key] ?? this._state.removedAt[key];
+    return this._objects.get(key) ?? this._removedAt.get(key);
   }
 
   private _addOutcome(outcome: records.PlanOutcome): void {
-    this._state.outcomes.push(outcome);
-    if (this._state.outcomes.length > outcomesKept) this._state.outcomes.shift();
+    this._outcomes.set(outcome.planId, outcome);
   }
 
-  private _notify(): void {
-    for (const listener of this._listeners) listener();
+  private _notify(changedKeys: readonly string[] | undefined): void {
+    for (const listener of this._listeners) listener(changedKeys);
   }
 }
--- a/packages/platform/src/http/HttpInstanceList.ts
+++ b/packages/platform/src/http/HttpInstanceList.ts
@@ -10,9 +10,13 @@
 import { classifyHttpError } from "./classifyHttpError.js";
 
 const requestTimeoutMs = 2_000;
+const notModifiedStatus = 304;
 
 /** Talks to the instance list at one address. */
 export class HttpInstanceList extends InstanceList {
+  private _entityTag: string | undefined;
+  private _known: ListedInstance[] = [];
+
   /**
    * @param address - IP address and port of the list.
    * @param viewer - Name of the asking instance.
@@ -26,15 +30,18 @@
 
   override async getInstances(): Promise<results.Result<ListedInstance[], InstanceListError>> {
     try {
-      const body: unknown = await got
-        .get(`http://${this.address}/instances`, {
-          searchParams: { viewer: this.viewer },
-          retry: { limit: 0 },
-          timeout: { request: requestTimeoutMs },
-        })
-        .json();
-      const page = instancePageSchema.safeParse(body);
+      const response = await got.get(`http://${this.address}/instances`, {
+        searchParams: { viewer: this.viewer },
+        headers: this._entityTag === undefined ? {} : { "if-none-match": this._entityTag },
+        retry: { limit: 0 },
+        timeout: { request: requestTimeoutMs },
+      });
+      // The page is large and changes seldom; where it has not changed, the service says just that.
+      if (response.statusCode === notModifiedStatus) return results.Ok(this._known);
+      const page = instancePageSchema.safeParse(JSON.parse(response.body));
       if (!page.success) return results.Err(errors.fromSchemaIssues("instance list", page.error.issues));
+      this._entityTag = response.headers.etag;
+      this._known = page.data.instances;
       return results.Ok(page.data.instances);
     } catch (error) {
       return results.Err(classifyHttpError(this.address, error));
--- a/packages/standins/src/bench/control.ts
+++ b/packages/standins/src/bench/control.ts
@@ -11,6 +11,7 @@
 import type { ListedInstance } from "@shedtiller/platform";
 import { EndpointDirectory, type EngineReport } from "@shedtiller/routing";
 import { HybridClock, Timeline } from "@shedtiller/timeline";
+import { AccountDirectory } from "@shedtiller/entry";
 import { getLayerCount } from "../fleet/seedConfiguration.js";
 import { createDemoStructure } from "../fleet/demoStructure.js";
 import type { BenchReport } from "./BenchReport.js";
@@ -88,6 +89,7 @@
   const objects = Array.from({ length: count }, (_value, index) => createAccount(index));
   const heapBefore = getHeapBytes();
   const fold = new intent.ConfigurationFold();
+  const directory = new AccountDirectory(fold);
   const changes = objects.map((value) => ({ key: intent.getObjectKey(value), baseOffset: -1, value }));
   const first = {
     version: 1,
@@ -101,6 +103,7 @@
   report.add(variant, "configuration memory", getHeapBytes() - heapBefore, "B");
   report.add(variant, "state sent to a new node", JSON.stringify(fold.state).length, "B");
   const rounds = 50;
+  directory.find("k0");
   const cpuMs = measureCpuMs(() => {
     for (let round = 0; round < rounds; round++) {
       const change = { key: `account/a${round}`, baseOffset: 0, value: createAccount(round) };
@@ -112,10 +115,7 @@
         changes: [change],
       };
       fold.acceptRecord({ offset: round + 1, atMs: 0, id: `p${round}`, payload });
-      new Map(
-        fold.getObjects("account").flatMap((account) => account.keys.map((key) => [key.keyId, account])),
-      );
-    }
+          }
   });
   report.add(variant, "configuration change cpu", cpuMs / rounds, "ms/change");
 }
--- a/packages/standins/src/platform/StandInInstanceList.ts
+++ b/packages/standins/src/platform/StandInInstanceList.ts
@@ -4,6 +4,9 @@
 import type * as restify from "restify";
 import { HttpStandIn } from "../HttpStandIn.js";
 
+const okStatus = 200;
+const notModifiedStatus = 304;
+
 /** Gives the address under which a viewer reaches a listed instance. */
 export type AddressView = (viewer: string, instance: ListedInstance) => Promise<string>;
 
@@ -22,7 +25,11 @@
       const instances = await Promise.all(
         shown.map(async (instance) => ({ ...instance, address: await this._view(viewer, instance) })),
       );
-      response.send({ instances });
+      const body = JSON.stringify({ instances });
+      const entityTag = `"${utils.hash32(body)}"`;
+      response.setHeader("etag", entityTag);
+      if (request.header("if-none-match") === entityTag) return response.send(notModifiedStatus);
+      response.sendRaw(okStatus, body, { "content-type": "application/json" });
     });
   }
 
