--- a/packages/entry/src/http/authenticate.ts
+++ b/packages/entry/src/http/authenticate.ts
@@ -56,7 +56,10 @@
   }
 
   private _update(changedKeys: readonly string[] | undefined): void {
-    const keys = changedKeys ?? [...this._keyIds.keys(), ...this._fold.getObjects("account").map(intent.getObjectKey)];
+    const keys = changedKeys ?? [
+      ...this._keyIds.keys(),
+      ...this._fold.getObjects("account").map(intent.getObjectKey),
+    ];
     for (const key of new Set(keys)) if (key.startsWith(accountPrefix)) this._updateOne(key);
   }
 
@@ -67,7 +70,10 @@
       this._keyIds.delete(key);
       return;
     }
-    this._keyIds.set(key, account.keys.map((stored) => stored.keyId));
+    this._keyIds.set(
+      key,
+      account.keys.map((stored) => stored.keyId),
+    );
     for (const stored of account.keys) this._byKeyId.set(stored.keyId, { account, stored });
   }
 }
--- a/packages/entry/src/http/operatorRoutes.ts
+++ b/packages/entry/src/http/operatorRoutes.ts
@@ -80,10 +80,7 @@
 
 function sendConfiguration({ fold }: OperatorStructure, response: http.ServerResponse): void {
   const objects = Object.fromEntries(
-    [...fold.getHeldObjects()].map(([key, held]) => [
-      key,
-      { ...held, value: withoutSecrets(held.value) },
-    ]),
+    [...fold.getHeldObjects()].map(([key, held]) => [key, { ...held, value: withoutSecrets(held.value) }]),
   );
   sendJson(response, okStatus, { offset: fold.offset, objects, unknownRecords: fold.unknownRecords });
 }
--- a/packages/entry/src/operators/Planner.ts
+++ b/packages/entry/src/operators/Planner.ts
@@ -45,8 +45,7 @@
 
   private _addRemoval(draft: intent.Plan, key: string): void {
     const baseOffset = this._fold.getBaseOffset(key);
-    if (!this._fold.getHeldObjects().has(key))
-      draft.warnings.push(`${key} is not there to be removed.`);
+    if (!this._fold.getHeldObjects().has(key)) draft.warnings.push(`${key} is not there to be removed.`);
     draft.changes.push({ key, baseOffset, value: null });
     const [kind, name = ""] = key.split("/");
     const pipeline = kind === "pipeline" ? this._fold.getObject("pipeline", name) : undefined;
--- a/packages/entry/src/orders/OrderKeeper.ts
+++ b/packages/entry/src/orders/OrderKeeper.ts
@@ -158,7 +158,8 @@
 
 /** Marks the engines that are to hold something else. */
 export function updateRetiring(fold: ConfigurationFold, directory: EndpointDirectory): void {
-  for (const entry of directory.getEntries()) entry.isRetiring = !isAsWanted(entry, getWanted(fold, entry.name));
+  for (const entry of directory.getEntries())
+    entry.isRetiring = !isAsWanted(entry, getWanted(fold, entry.name));
 }
 
 /** The version to serve: the one in force once a whole chain holds it, until then one that a whole chain holds. */
--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -62,7 +62,8 @@
       this._tokens.push(token);
       answer.push(token);
       this._context.counters.tokens += 1;
-      if (isRecorded) this._addEvent("step", undefined, `token ${answer.length}`, utils.monotonicMs() - startMs);
+      if (isRecorded)
+        this._addEvent("step", undefined, `token ${answer.length}`, utils.monotonicMs() - startMs);
       sink(token, isEnd);
     }
     return results.Ok({ tokens: answer, isEnd, replacements: this._replacements });
@@ -208,7 +209,10 @@
   private _tryChoose(): EngineCandidate[] | undefined {
     const all = this._context.directory.getEngines(this._request.model, this._request.version);
     const staying = all.filter((candidate) => !candidate.entry.isRetiring);
-    const options = { layerCount: this._request.layerCount, availabilityZone: this._context.availabilityZone };
+    const options = {
+      layerCount: this._request.layerCount,
+      availabilityZone: this._context.availabilityZone,
+    };
     const { chooser } = this._context;
     return (
       chooser.choose(staying, { ...options, excluded: this._lostEndpoints }) ??
--- a/packages/standins/src/bench/control.ts
+++ b/packages/standins/src/bench/control.ts
@@ -115,7 +115,7 @@
         changes: [change],
       };
       fold.acceptRecord({ offset: round + 1, atMs: 0, id: `p${round}`, payload });
-          }
+    }
   });
   report.add(variant, "configuration change cpu", cpuMs / rounds, "ms/change");
 }
--- a/packages/standins/src/capacity/capacityRows.ts
+++ b/packages/standins/src/capacity/capacityRows.ts
@@ -125,7 +125,8 @@
   const peers = c.zonePeers + Math.min(contacts, c.size.nodes - 1 - c.zonePeers);
   return {
     duty: "peer links",
-    mechanism: "one link a zone peer, three contacts a zone; the heartbeat's interval grows with its receivers",
+    mechanism:
+      "one link a zone peer, three contacts a zone; the heartbeat's interval grows with its receivers",
     formula: `${peers} links; bytes and processor as measured at most, since the interval holds them; memory × links`,
     cpuShare: largest(c, "peers cpu"),
     memoryBytes: (largest(c, "peers memory") / 31) * peers,
@@ -141,7 +142,8 @@
   const received = (c.size.runners / c.size.availabilityZones) * (1 / intervalS);
   return {
     duty: "steward of endpoints",
-    mechanism: "rendezvous hashing gives each endpoint one reader a zone; loads alone, whole reports every tenth round",
+    mechanism:
+      "rendezvous hashing gives each endpoint one reader a zone; loads alone, whole reports every tenth round",
     formula: `${owned.toFixed(1)} endpoints, a round every ${intervalS.toFixed(1)} s to ${c.zonePeers} peers`,
     cpuShare: (unit(c, "reports cpu") / utils.msPerSecond) * received,
     memoryBytes: at(c, "directory memory", c.size.runners),
@@ -158,9 +160,13 @@
   const rounds = zonesOwned / intervalS;
   return {
     duty: "digests of other zones",
-    mechanism: "one fetcher a zone pair, which passes the digest on to its zone; fixed parts only when changed",
+    mechanism:
+      "one fetcher a zone pair, which passes the digest on to its zone; fixed parts only when changed",
     formula: `${bytes.toFixed(0)} B a digest to ${c.zonePeers} peers, every ${intervalS.toFixed(1)} s`,
-    cpuShare: (unit(c, "reports cpu") / utils.msPerSecond) * zoneRunners * ((c.size.availabilityZones - 1) / intervalS),
+    cpuShare:
+      (unit(c, "reports cpu") / utils.msPerSecond) *
+      zoneRunners *
+      ((c.size.availabilityZones - 1) / intervalS),
     memoryBytes: 0,
     bytesPerSecond: bytes * c.zonePeers * rounds,
     messagesPerSecond: c.zonePeers * rounds,
@@ -187,9 +193,11 @@
   const intervalS = Math.max(reportFloorS, (bytes * c.zonePeers) / demandBytesPerSecond);
   return {
     duty: "account limits",
-    mechanism: "the 32 accounts in largest demand go with some of the reports; shares are computed without a round trip",
+    mechanism:
+      "the 32 accounts in largest demand go with some of the reports; shares are computed without a round trip",
     formula: `${bytes.toFixed(0)} B to ${c.zonePeers} peers, every ${intervalS.toFixed(1)} s`,
-    cpuShare: (at(c, "demands cpu", c.size.activeAccounts) / utils.msPerSecond) * ((c.zonePeers + 1) / intervalS),
+    cpuShare:
+      (at(c, "demands cpu", c.size.activeAccounts) / utils.msPerSecond) * ((c.zonePeers + 1) / intervalS),
     memoryBytes: bytes * (c.zonePeers + 1) * 4,
     bytesPerSecond: (bytes * c.zonePeers) / intervalS,
     messagesPerSecond: 0,
@@ -271,7 +279,9 @@
 }
 
 /** The sum over all duties. */
-export function sumRows(rows: readonly CapacityRow[]): Pick<CapacityRow, "cpuShare" | "memoryBytes" | "bytesPerSecond"> {
+export function sumRows(
+  rows: readonly CapacityRow[],
+): Pick<CapacityRow, "cpuShare" | "memoryBytes" | "bytesPerSecond"> {
   return {
     cpuShare: utils.getSum(rows.map((row) => row.cpuShare)),
     memoryBytes: utils.getSum(rows.map((row) => row.memoryBytes)),
--- a/packages/standins/src/capacity/renderCapacity.ts
+++ b/packages/standins/src/capacity/renderCapacity.ts
@@ -24,7 +24,14 @@
   const rows = computeRows(slopes, size);
   const sum = sumRows(rows);
   const lines = rows.map((row) =>
-    toLine([row.duty, row.formula, toShare(row.cpuShare), toMegabytes(row.memoryBytes), toBytes(row.bytesPerSecond), toFit(row)]),
+    toLine([
+      row.duty,
+      row.formula,
+      toShare(row.cpuShare),
+      toMegabytes(row.memoryBytes),
+      toBytes(row.bytesPerSecond),
+      toFit(row),
+    ]),
   );
   return [
     `### A node ${size.name === "today" ? "today" : "at the design size"} (${size.nodes} nodes, ${size.runners} runners)`,
@@ -32,8 +39,22 @@
     toLine(["duty", "formula", "core", "memory", "sent and read", "fits"]),
     toLine(["---", "---", "---:", "---:", "---:", "---"]),
     ...lines,
-    toLine(["**sum**", "", toShare(sum.cpuShare), toMegabytes(sum.memoryBytes), toBytes(sum.bytesPerSecond), toFit(sum)]),
-    toLine(["**allowed**", "", toShare(budget.cpuShare), toMegabytes(budget.memoryBytes), toBytes(budget.bytesPerSecond), ""]),
+    toLine([
+      "**sum**",
+      "",
+      toShare(sum.cpuShare),
+      toMegabytes(sum.memoryBytes),
+      toBytes(sum.bytesPerSecond),
+      toFit(sum),
+    ]),
+    toLine([
+      "**allowed**",
+      "",
+      toShare(budget.cpuShare),
+      toMegabytes(budget.memoryBytes),
+      toBytes(budget.bytesPerSecond),
+      "",
+    ]),
   ].join("\n");
 }
 
@@ -94,7 +115,13 @@
   return [
     "### Failures at the design size",
     "",
-    toLine(["what", "instances", "links lost, and dialled again where they come back", "state sent to new nodes", "log appends"]),
+    toLine([
+      "what",
+      "instances",
+      "links lost, and dialled again where they come back",
+      "state sent to new nodes",
+      "log appends",
+    ]),
     toLine(["---", "---:", "---:", "---:", "---:"]),
     ...lines,
   ].join("\n");
--- a/packages/standins/src/capacity/slopes.ts
+++ b/packages/standins/src/capacity/slopes.ts
@@ -34,7 +34,13 @@
     const own = points.filter((point) => point.figure === figure);
     const sized = own.map((point) => [getSize(point.variant), point.value] as const);
     const sizeName = own[0]?.variant.replace(/ \d+$/, "") ?? "";
-    slopes.set(figure, { ...utils.fitLine(sized), figure, sizeName, unit: own[0]?.unit ?? "", points: sized });
+    slopes.set(figure, {
+      ...utils.fitLine(sized),
+      figure,
+      sizeName,
+      unit: own[0]?.unit ?? "",
+      points: sized,
+    });
   }
   return slopes;
 }
--- a/packages/standins/src/tests/OperatorClient.ts
+++ b/packages/standins/src/tests/OperatorClient.ts
@@ -29,7 +29,10 @@
     return { status: answer.status, ...(answer.body as object) };
   }
 
-  async getStatus(): Promise<{ instances: { name: string; offset: number; cutOffSinceMs?: number }[]; unreached: { name: string }[] }> {
+  async getStatus(): Promise<{
+    instances: { name: string; offset: number; cutOffSinceMs?: number }[];
+    unreached: { name: string }[];
+  }> {
     return (await this._call("GET", "/v1/status")).body as Awaited<ReturnType<OperatorClient["getStatus"]>>;
   }
 
@@ -38,8 +41,12 @@
     return response.body;
   }
 
-  async getTimeline(requestId: string): Promise<{ events: { kind: string; subject?: string }[]; gaps: string[] }> {
-    return (await this._call("GET", `/v1/timeline?request=${requestId}`)).body as Awaited<ReturnType<OperatorClient["getTimeline"]>>;
+  async getTimeline(
+    requestId: string,
+  ): Promise<{ events: { kind: string; subject?: string }[]; gaps: string[] }> {
+    return (await this._call("GET", `/v1/timeline?request=${requestId}`)).body as Awaited<
+      ReturnType<OperatorClient["getTimeline"]>
+    >;
   }
 
   private get _headers(): Record<string, string> {
@@ -50,7 +57,11 @@
     return `http://127.0.0.1:${this._fleet.requireInstance(this._instance).operatorPort}${path}`;
   }
 
-  private async _call(method: "GET" | "POST", path: string, json?: object): Promise<{ status: number; body: unknown }> {
+  private async _call(
+    method: "GET" | "POST",
+    path: string,
+    json?: object,
+  ): Promise<{ status: number; body: unknown }> {
     const options = { method, headers: this._headers, throwHttpErrors: false, retry: { limit: 0 } };
     const response = await got(this._getUrl(path), json === undefined ? options : { ...options, json });
     return { status: response.statusCode, body: JSON.parse(response.body) };
--- a/packages/standins/src/tests/capacityTests.ts
+++ b/packages/standins/src/tests/capacityTests.ts
@@ -15,7 +15,13 @@
 
 test("a slope through exact points is exact, and its error is none", (t) => {
   const lines = [1, 2, 3, 4].map((size) => {
-    return JSON.stringify({ bench: "control", variant: `peers ${size}`, figure: "f", value: 5 + 2 * size, unit: "B" });
+    return JSON.stringify({
+      bench: "control",
+      variant: `peers ${size}`,
+      figure: "f",
+      value: 5 + 2 * size,
+      unit: "B",
+    });
   });
   const slope = fitSlopes(parsePoints(lines.join("\n"))).get("f");
   t.true(Math.abs((slope?.slope ?? 0) - 2) < 1e-9);
@@ -27,7 +33,9 @@
   const slopes = fitSlopes(parsePoints(points));
   for (const size of sizes) {
     const rows = computeRows(slopes, size);
-    for (const row of rows) for (const value of [row.cpuShare, row.memoryBytes, row.bytesPerSecond]) t.true(Number.isFinite(value), row.duty);
+    for (const row of rows)
+      for (const value of [row.cpuShare, row.memoryBytes, row.bytesPerSecond])
+        t.true(Number.isFinite(value), row.duty);
   }
   t.true(sumRows(computeRows(slopes, sizes[0]!)).memoryBytes < budget.memoryBytes);
 });
--- a/packages/standins/src/tests/configurationTests.ts
+++ b/packages/standins/src/tests/configurationTests.ts
@@ -9,7 +9,11 @@
 
 const waitMs = 30_000;
 
-async function startFleet(t: ExecutionContext, structure: FleetStructure, options: FleetOptions = {}): Promise<Fleet> {
+async function startFleet(
+  t: ExecutionContext,
+  structure: FleetStructure,
+  options: FleetOptions = {},
+): Promise<Fleet> {
   const fleet = new Fleet(structure, { hasRelays: true, seed: 1, ...options });
   await fleet.start();
   t.teardown(() => fleet.close());
@@ -50,7 +54,13 @@
   const [first, second, disjoint] = plans.map((plan) => plan.planId) as [string, string, string];
   const answers = await Promise.all([one.confirm(first), two.confirm(second), two.confirm(disjoint)]);
   t.is(answers[2].status, 200);
-  t.deepEqual(answers.slice(0, 2).map((answer) => answer.status).sort(), [200, 409]);
+  t.deepEqual(
+    answers
+      .slice(0, 2)
+      .map((answer) => answer.status)
+      .sort(),
+    [200, 409],
+  );
   const lost = answers.find((answer) => answer.status === 409)?.outcome;
   const winner = answers[0].status === 200 ? "anna" : "bo";
   t.is(lost?.overtakenKey, "class/night");
@@ -66,7 +76,11 @@
   t.is((await operator.confirm(plan.planId)).status, 200);
   const held = fleet.requireInstance("e2").fold.getHeldObjects().get("class/night");
   t.is(held?.setByPlan, plan.planId);
-  t.is(fleet.requireInstance("e2").fold.state.outcomes.filter((outcome) => outcome.planId === plan.planId).length, 1);
+  t.is(
+    fleet.requireInstance("e2").fold.state.outcomes.filter((outcome) => outcome.planId === plan.planId)
+      .length,
+    1,
+  );
 });
 
 test("with the log down nothing is confirmed, and the operator is told so", async (t) => {
@@ -104,10 +118,18 @@
   const confirmed = await operator.confirm(plan.planId);
   t.deepEqual(confirmed.missing, ["e2"]);
   t.is(getOffset(fleet, "e2"), before);
-  t.true(await utils.waitUntil(() => fleet.requireInstance("e2").membership.getCutOffSinceMs() !== undefined, waitMs));
+  t.true(
+    await utils.waitUntil(
+      () => fleet.requireInstance("e2").membership.getCutOffSinceMs() !== undefined,
+      waitMs,
+    ),
+  );
   const status = await new OperatorClient(fleet, "e2").getStatus();
   t.true((status.instances[0]?.cutOffSinceMs ?? 0) > 0);
-  t.deepEqual(status.unreached.map((instance) => instance.name), ["e1"]);
+  t.deepEqual(
+    status.unreached.map((instance) => instance.name),
+    ["e1"],
+  );
   // Its way to the log stays cut; only the peers come back.
   fleet.network.cutPair("e2", "platform");
   fleet.network.mendZone("b");
@@ -116,7 +138,9 @@
 });
 
 test("a rollout of a new version orders every engine under a lease, and serves all the while", async (t) => {
-  const engines = ["g1", "g2"].map((name) => createEngine(name, [0, 16])).concat(["g3", "g4"].map((name) => createEngine(name, [16, 32])));
+  const engines = ["g1", "g2"]
+    .map((name) => createEngine(name, [0, 16]))
+    .concat(["g3", "g4"].map((name) => createEngine(name, [16, 32])));
   const fleet = await startFleet(t, createStructure(["e1", "e2"], engines));
   const address = await fleet.getCallerAddress("e2");
   const key = fleet.accountKeys.get("crews") ?? "";
@@ -126,17 +150,25 @@
   t.true(plan.placement.length >= 4);
   t.true((plan.capacity[0]?.afterTokensPerSecond ?? 0) > 0);
   t.is((await operator.confirm(plan.planId)).status, 200);
-  const isDone = (): boolean => [...fleet.engines.values()].every((engine) => engine.getReport().version === "2" && engine.getReport().state === "live");
+  const isDone = (): boolean =>
+    [...fleet.engines.values()].every(
+      (engine) => engine.getReport().version === "2" && engine.getReport().state === "live",
+    );
   const outcomes: string[] = [];
   for (let index = 0; !isDone() && index < 500; index++) {
     const prompt = createPrompt(`rollout${index}`, 8);
-    outcomes.push((await sendModelRequest({ address, key, model, layerCount, prompt, outputTokens: 8 })).outcome);
+    outcomes.push(
+      (await sendModelRequest({ address, key, model, layerCount, prompt, outputTokens: 8 })).outcome,
+    );
   }
   t.true(isDone());
   t.deepEqual([...new Set(outcomes)], ["answered"]);
   for (const engine of fleet.engines.values()) {
     const tokens = engine.takenOrders.map((order) => order.fencingToken);
-    t.deepEqual(tokens, [...tokens].sort((a, b) => a - b));
+    t.deepEqual(
+      tokens,
+      [...tokens].sort((a, b) => a - b),
+    );
     t.true(tokens.length > 0);
   }
 });
@@ -145,11 +177,21 @@
   const fleet = await startFleet(t, createStructure(["e1"], [createEngine("g1", [0, 32])]));
   const { sendOrder } = await import("@shedtiller/lease");
   const engine = fleet.requireEngine("g1");
-  const order = { expiresAtMs: utils.wallMs() + 60_000, model, version: "1", layers: [0, 32] as [number, number] };
+  const order = {
+    expiresAtMs: utils.wallMs() + 60_000,
+    model,
+    version: "1",
+    layers: [0, 32] as [number, number],
+  };
   t.true((await sendOrder("g1", engine.address, { ...order, fencingToken: 7 })).ok);
   const stale = await sendOrder("g1", engine.address, { ...order, fencingToken: 6, version: "0" });
   t.true(stale.err && stale.val.code === "order_stale");
-  const expired = await sendOrder("g1", engine.address, { ...order, fencingToken: 8, expiresAtMs: utils.wallMs() - 1, version: "0" });
+  const expired = await sendOrder("g1", engine.address, {
+    ...order,
+    fencingToken: 8,
+    expiresAtMs: utils.wallMs() - 1,
+    version: "0",
+  });
   t.true(expired.err && expired.val.code === "order_stale");
   t.is(engine.getReport().version, "1");
 });
@@ -159,7 +201,14 @@
   const fleet = await startFleet(t, createStructure(["e1", "e2@b"], engines), { hasRelays: false });
   const address = await fleet.getCallerAddress("e1");
   const key = fleet.accountKeys.get("crews") ?? "";
-  const answer = sendModelRequest({ address, key, model, layerCount, prompt: createPrompt("seen", 8), outputTokens: 200 });
+  const answer = sendModelRequest({
+    address,
+    key,
+    model,
+    layerCount,
+    prompt: createPrompt("seen", 8),
+    outputTokens: 200,
+  });
   const hasStreams = (name: string): boolean => fleet.requireEngine(name).model.activeStreams > 0;
   t.true(await utils.waitUntil(() => hasStreams("g2") || hasStreams("g3"), waitMs));
   await fleet.requireEngine(hasStreams("g2") ? "g2" : "g3").vanish();
