--- /dev/null
+++ b/packages/cli/src/tests/examplesTests.ts
@@ -0,0 +1,78 @@
+/** The examples of the packages' READMEs run, and the example files are in order. */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as url from "node:url";
+import * as util from "node:util";
+import test from "ava";
+import { loadSettings } from "@shedtiller/settings";
+import { readIntent } from "../commands/plans.js";
+
+const root = url.fileURLToPath(new URL("../../../../", import.meta.url));
+const run = util.promisify(childProcess.execFile);
+const shedtiller = `${root}packages/cli/bin/shedtiller.js`;
+
+for (const name of fs.readdirSync(`${root}packages`)) {
+  const example = /```js\n([\s\S]*?)```/.exec(
+    fs.readFileSync(`${root}packages/${name}/README.md`, "utf8"),
+  )?.[1];
+  if (example === undefined) continue;
+  test.serial(`the example of ${name} runs`, async (t) => {
+    const file = `${root}packages/${name}/dist/example.mjs`;
+    fs.writeFileSync(file, example);
+    const { stdout } = await run(process.execPath, [file]);
+    t.true(stdout.length > 0 || name === "admission");
+  });
+}
+
+for (const name of fs.readdirSync(`${root}examples`)) {
+  test(`the example file ${name} is in order`, (t) => {
+    const file = `${root}examples/${name}`;
+    const isIntent = name.includes("intent");
+    const read = isIntent ? readIntent(file) : loadSettings(file);
+    t.is(read.err ? read.val.message : "", "");
+  });
+}
+
+interface Failure {
+  readonly code: number;
+  readonly stderr: string;
+}
+
+async function fail(...args: string[]): Promise<Failure> {
+  return run(process.execPath, [shedtiller, ...args], {
+    env: { ...process.env, SHEDTILLER_OPERATOR_TOKEN: "" },
+  }).then(
+    () => ({ code: 0, stderr: "" }),
+    (error: Failure) => error,
+  );
+}
+
+test("commands that can't run exit with 2 and say why in a sentence", async (t) => {
+  const cases: [string[], RegExp][] = [
+    [["replay", "nowhere.jsonl"], /nowhere\.jsonl/],
+    [["status"], /SHEDTILLER_OPERATOR_TOKEN/],
+    [["plan", "nowhere.json"], /nowhere\.json/],
+    [["dance"], /dance is not a command/],
+  ];
+  for (const [args, message] of cases) {
+    const failure = await fail(...args);
+    t.is(failure.code, 2);
+    t.regex(failure.stderr, message);
+  }
+});
+
+test("check exits with 1 and lists every fault with its line", async (t) => {
+  const file = `${root}packages/cli/dist/faulty.ini`;
+  fs.writeFileSync(file, "[instance]\nnme = e1\navailabilityZone = z\n");
+  const failure = await fail("check", file);
+  t.is(failure.code, 1);
+  t.regex(failure.stderr, /faulty\.ini:2: \[instance\] nme: .*did you mean name/);
+  t.regex(failure.stderr, /callerAddress/);
+});
+
+test("key makes a key that is stored as a hash only", async (t) => {
+  const { stdout } = await run(process.execPath, [shedtiller, "key", "--json"]);
+  const made = JSON.parse(stdout) as { key: string; hash: string };
+  t.regex(made.key, /^sk-/);
+  t.false(made.hash.includes(made.key.split("-")[2] ?? ""));
+});
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -3,7 +3,9 @@
 import { BenchReport } from "./BenchReport.js";
 import { runClaims } from "./claims.js";
 import { runControl } from "./control.js";
+import { runOverload } from "./overload.js";
 import { runRecovery } from "./recovery.js";
+import { runRouting } from "./routing.js";
 import { runThroughput } from "./throughput.js";
 
 /** An experiment of at most 60 s. */
@@ -12,7 +14,9 @@
 const benches: Readonly<Record<string, Bench>> = {
   claims: runClaims,
   control: runControl,
+  overload: runOverload,
   recovery: runRecovery,
+  routing: runRouting,
   throughput: runThroughput,
 };
 const defaultSeed = 1;
--- a/packages/standins/src/engine/StandInEngine.ts
+++ b/packages/standins/src/engine/StandInEngine.ts
@@ -32,6 +32,8 @@
   readonly applications: ApplicationLog;
   readonly weights: StandInWeightStore;
   readonly layerCountOf: (model: string) => number;
+  /** How old the load is that is reported. */
+  readonly reportLagMs: number;
 }
 
 /** One order as the engine took it. */
@@ -54,6 +56,7 @@
   leavingSinceMs: number | undefined;
   private readonly _links = new ws.WebSocketServer({ noServer: true, perMessageDeflate: false });
   private readonly _replyFaults: ReplyFault[] = [];
+  private readonly _loads: { atMs: number; streams: number }[] = [];
   private _heldReply: (() => void) | undefined;
   private _hang: utils.Deferred<void> | undefined;
   private _modelName: string;
@@ -131,7 +134,7 @@
   private _addRoutes(): void {
     this.server.get("/v1/state", async (_request: restify.Request, response: restify.Response) => {
       await this._hang?.promise;
-      response.send(this.getReport());
+      response.send({ ...this.getReport(), activeStreams: this._getLaggedStreams() });
     });
     this.server.post("/v1/orders", async (request: restify.Request, response: restify.Response) => {
       await this._hang?.promise;
@@ -144,6 +147,15 @@
     });
   }
 
+  /** The load as it was `reportLagMs` ago, as far as it was looked at. */
+  private _getLaggedStreams(): number {
+    const nowMs = utils.monotonicMs();
+    this._loads.push({ atMs: nowMs, streams: this.model.activeStreams });
+    const dueMs = nowMs - this._surroundings.reportLagMs;
+    while (this._loads[1] !== undefined && this._loads[1].atMs <= dueMs) this._loads.shift();
+    return this._loads[0]?.streams ?? 0;
+  }
+
   private async _takeOrder(body: unknown, response: restify.Response): Promise<void> {
     const order = orderSchema.safeParse(body);
     if (!order.success) throw errors.fromSchemaIssues("order", order.error.issues);
--- a/packages/standins/src/fleet/Fleet.ts
+++ b/packages/standins/src/fleet/Fleet.ts
@@ -172,6 +172,7 @@
     const surroundings = {
       applications: this.applications,
       weights: this.weights,
+      reportLagMs: this.options.reportLagMs ?? 0,
       layerCountOf: (model: string) => getLayerCount(this.structure, model),
     };
     return this.structure.endpoints.map(async (structure) => {
--- a/packages/standins/src/fleet/FleetStructure.ts
+++ b/packages/standins/src/fleet/FleetStructure.ts
@@ -58,6 +58,8 @@
   readonly logRetentionMs?: number;
   readonly claimsHorizonMs?: number;
   readonly seed?: number;
+  /** How old the loads are that engines report. */
+  readonly reportLagMs?: number;
   /** How instances tell silence. */
   readonly silence?: SilenceOptions;
   /** Ports of the first instance's listeners; the others follow. Picked by the system unless given. */
