perf(routing): eight entries together spread over the engines as one does

Cause: in a rush each instance saw only its own streams and reports from before it, so that all ran to the same chain (118 of 152 streams on an engine of 12 slots, none on three others), and a batched step was costed as if it slowed with its first stream. Change: an engine costs no more until its slots are full for its part of the layers; an instance takes the others to have as many streams as itself; 1.75 streams a slot instead of 1.25; shares of a pipeline grow step by step from an equal part.

--- a/packages/entry/src/ModelQueues.ts
+++ b/packages/entry/src/ModelQueues.ts
@@ -13,9 +13,10 @@
 import { getServedVersion } from "./orders/OrderKeeper.js";
 
 /** Streams for each slot: while some wait for a slot at the next stage, the slots stay full. */
-const streamsPerSlot = 1.25;
+const streamsPerSlot = 1.75;
 const refreshMs = 100;
 const limitMaxAgeMs = 100;
+const growthPerSecond = 2;
 
 /** Makes a queue with a given limit; the bench puts another kind in its place. */
 export type QueueFactory = (getLimit: () => number) => Admission;
@@ -25,6 +26,7 @@
   private readonly _queues = new Map<string, Admission>();
   private readonly _limits = new Map<string, { streams: number; atMs: number }>();
   private _demands: PipelineDemands | undefined;
+  private _getInstanceCount: () => number = () => 1;
 
   constructor(
     private readonly _directory: EndpointDirectory,
@@ -42,8 +44,9 @@
   }
 
   /** Shares are computed with the demands of the others from here on. */
-  setDemands(demands: PipelineDemands): void {
+  setDemands(demands: PipelineDemands, getInstanceCount: () => number): void {
     this._demands = demands;
+    this._getInstanceCount = getInstanceCount;
   }
 
   /** This instance's own demands. */
@@ -79,7 +82,13 @@
     const known = this._limits.get(pipeline.name);
     if (known !== undefined && nowMs - known.atMs < limitMaxAgeMs) return known.streams;
     const all = this._getAllStreams(pipeline);
-    const streams = Math.max(1, Math.round(this._demands?.getShare(pipeline.name, all) ?? all));
+    const share = this._demands?.getShare(pipeline.name, all) ?? all;
+    // What the others want is heard late. In a rush each begins with an equal part, and takes more of what they leave
+    // only step by step, so that all together never take much more than there is.
+    const equal = all / this._getInstanceCount();
+    const elapsedMs = known === undefined ? 0 : nowMs - known.atMs;
+    const grown = Math.max(equal, (known?.streams ?? 0) * growthPerSecond ** (elapsedMs / utils.msPerSecond));
+    const streams = Math.max(1, Math.min(share, grown));
     this._limits.set(pipeline.name, { streams, atMs: nowMs });
     return streams;
   }
--- a/packages/entry/src/composeEntry.ts
+++ b/packages/entry/src/composeEntry.ts
@@ -159,6 +159,7 @@
         timeline: c.get(timeline.Timeline),
         random: c.get<utils.RandomSource>(parts.random),
         silence: options.silence,
+        getInstanceCount: () => c.get(membership.Membership).getMembers().length + 1,
       });
       return context;
     })
@@ -173,7 +174,7 @@
     .toDynamicValue((c) => {
       const queues = c.get(ModelQueues);
       const demands = new PipelineDemands(() => queues.getOwnDemands());
-      queues.setDemands(demands);
+      queues.setDemands(demands, () => c.get(membership.Membership).getMembers().length + 1);
       return demands;
     })
     .inSingletonScope();
--- a/packages/pipeline/src/request/PipelineContext.ts
+++ b/packages/pipeline/src/request/PipelineContext.ts
@@ -28,6 +28,8 @@
   readonly random: utils.RandomSource;
   readonly silence?: SilenceOptions;
   readonly historyLimitBytes?: number;
+  /** Instances that share the engines, this one included. */
+  readonly getInstanceCount?: () => number;
 }
 
 /** Shared parts, and what is learned of each endpoint. */
@@ -39,6 +41,7 @@
   readonly timeline: Timeline;
   readonly random: utils.RandomSource;
   readonly historyBudget: HistoryBudget;
+  readonly getInstanceCount: () => number;
   readonly counters: PipelineCounters = {
     probes: 0,
     stagesLost: 0,
@@ -57,6 +60,7 @@
     this.chooser = structure.chooser;
     this.timeline = structure.timeline;
     this.random = structure.random;
+    this.getInstanceCount = structure.getInstanceCount ?? (() => 1);
     this._silence = structure.silence ?? defaultSilenceOptions;
     this.historyBudget = new HistoryBudget(structure.historyLimitBytes ?? defaultHistoryLimitBytes);
   }
--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -209,11 +209,12 @@
   private _tryChoose(): EngineCandidate[] | undefined {
     const all = this._context.directory.getEngines(this._request.model, this._request.version);
     const staying = all.filter((candidate) => !candidate.entry.isRetiring);
+    const { chooser, availabilityZone, getInstanceCount } = this._context;
     const options = {
       layerCount: this._request.layerCount,
-      availabilityZone: this._context.availabilityZone,
+      availabilityZone,
+      instanceCount: getInstanceCount(),
     };
-    const { chooser } = this._context;
     return (
       chooser.choose(staying, { ...options, excluded: this._lostEndpoints }) ??
       chooser.choose(all, { ...options, excluded: this._lostEndpoints }) ??
--- a/packages/routing/src/choosers/ChainChooser.ts
+++ b/packages/routing/src/choosers/ChainChooser.ts
@@ -6,6 +6,8 @@
   readonly layerCount: number;
   /** Availability zone of the choosing instance. */
   readonly availabilityZone: string;
+  /** Instances that choose among the same engines, this one included; 1 where that is not known. */
+  readonly instanceCount?: number;
   /** Endpoints that must not be chosen, for a retry. */
   readonly excluded?: ReadonlySet<string>;
 }
--- a/packages/routing/src/choosers/ExpectedTimeChooser.ts
+++ b/packages/routing/src/choosers/ExpectedTimeChooser.ts
@@ -4,6 +4,8 @@
 import { ChainChooser, type ChoiceOptions } from "./ChainChooser.js";
 
 const crossZoneMs = 1.5;
+/** Slight preference for the emptier of engines that are not full. */
+const fillWeight = 0.5;
 /** Relative spread of the random factor that keeps instances with the same reports from choosing alike. */
 const spread = 0.1;
 
@@ -43,19 +45,29 @@
     best.set(candidate.layers[1], { timeMs, last: candidate, before });
   }
 
+  /**
+   * A batched step takes its time whether its slots are full or not, and a stream is at this engine only for its part of
+   * the layers; so an engine costs no more until that many streams are there, and in proportion from then on.
+   */
   private _getTimeMs(candidate: EngineCandidate, options: ChoiceOptions): number {
-    const { entry, report } = candidate;
+    const { entry, report, layers } = candidate;
     const linkMs = entry.availabilityZone === options.availabilityZone ? 0 : crossZoneMs;
-    const timeMs = linkMs + report.stepMs * (1 + getExpectedLoad(candidate));
+    const part = (layers[1] - layers[0]) / options.layerCount;
+    const fill = getExpectedLoad(candidate, options.instanceCount ?? 1) * part;
+    const timeMs = linkMs + report.stepMs * (Math.max(1, fill) + fillWeight * fill);
     return timeMs * (1 + spread * this._random.nextUnit());
   }
 }
 
-/** Streams per slot now: what was reported, and what we ourselves began or ended since. */
-export function getExpectedLoad(candidate: EngineCandidate): number {
+/**
+ * Streams per slot now: what was reported, and what began or ended here since. A report can be so old that it shows none
+ * of a rush; but an instance knows its own streams, and takes the others to have as many, which keeps them all
+ * from running to the same engine between two reports.
+ */
+export function getExpectedLoad(candidate: EngineCandidate, instanceCount: number): number {
   const { entry, report } = candidate;
-  const sinceReport = entry.ownStreams - entry.ownStreamsAtReport;
-  return Math.max(0, report.activeStreams + sinceReport) / report.slots;
+  const reported = report.activeStreams + entry.ownStreams - entry.ownStreamsAtReport;
+  return Math.max(0, reported, entry.ownStreams * instanceCount) / report.slots;
 }
 
 interface Path {
--- a/packages/routing/src/tests/routingTests.ts
+++ b/packages/routing/src/tests/routingTests.ts
@@ -80,6 +80,22 @@
   t.is(choose([createReport("slow", [0, 32], { stepMs: 9 }), createReport("quick", [0, 32])]), "quick");
 });
 
+test("in a rush, before any report shows it, instances that choose alike spread over the engines by their speed", (t) => {
+  const reports = [
+    createReport("a", [0, 32]),
+    createReport("b", [0, 32]),
+    createReport("slow", [0, 32], { stepMs: 8 }),
+  ];
+  const directory = createDirectory(reports, { a: "y" });
+  const chooser = new ExpectedTimeChooser(new utils.RandomSource(1));
+  for (let stream = 0; stream < 12; stream++) {
+    const chain = chooser.choose(directory.getEngines("m", "1"), { ...options, instanceCount: 8 });
+    for (const candidate of chain ?? []) candidate.entry.ownStreams += 1;
+  }
+  const [a = 0, b = 0, slow = 0] = ["a", "b", "slow"].map((name) => directory.getEntry(name)?.ownStreams);
+  t.true(a >= 4 && b >= 4 && slow >= 1 && slow <= 3, `${a} ${b} ${slow}`);
+});
+
 test("a leaving endpoint gets no new work from the first evidence on, whatever the list says", (t) => {
   const directory = createDirectory([createReport("a", [0, 32])]);
   directory.setReport(createReport("a", [0, 32], { state: "leaving" }), true);
