fix(admission): a queue that has just begun is not taken for a slow one

Cause: ends a second were read off a meter that had not seen its whole time constant, and taken as one a second before any; in the first seconds of a rush requests of the highest class were refused for waits that were not there. Ruled out: the order of grants (ranks were kept). Change: the meter is read over what it has seen, and before any end the limit stands for it.

--- a/packages/admission/src/AdmissionQueue.ts
+++ b/packages/admission/src/AdmissionQueue.ts
@@ -177,7 +177,7 @@
 
   private _findLate(): Waiting | undefined {
     const ordered = [...this._waiting].sort((a, b) => (isBefore(a, b) ? -1 : 1));
-    const perSecond = Math.max(this._ends.getPerSecond(), 1);
+    const perSecond = this._getEndsPerSecond();
     for (let index = ordered.length - 1; index >= 0; index--) {
       const waiting = ordered[index];
       if (waiting === undefined) continue;
@@ -188,9 +188,15 @@
     return undefined;
   }
 
+  /** Ends a second; before any was seen, as many as streams may be under way, since most take about a second. */
+  private _getEndsPerSecond(): number {
+    const measured = this._ends.getSeenPerSecond();
+    return measured > 0 ? Math.max(1, measured) : Math.max(1, this._getLimit());
+  }
+
   /** By when the queue that stands now will have been served. */
   private _getRetryAfterMs(): number {
-    const perSecond = Math.max(this._ends.getPerSecond(), 1);
+    const perSecond = this._getEndsPerSecond();
     const drainMs = (this._waiting.length / perSecond) * utils.msPerSecond;
     return Math.min(longestRetryMs, Math.max(shortestRetryMs, drainMs));
   }
--- a/packages/admission/src/tests/admissionTests.ts
+++ b/packages/admission/src/tests/admissionTests.ts
@@ -102,6 +102,14 @@
   t.is(high.length, 2);
 });
 
+test("before any request has ended, a short queue is not taken for a long wait", async (t) => {
+  const queue = new AdmissionQueue(() => 8, { longestWaitMs: 2_000, reservePerRank: 0 }, clock);
+  const granted = Array.from({ length: 8 }, () => queue.acquire(createRequest({})));
+  await Promise.all(granted);
+  for (let count = 0; count < 8; count++) void queue.acquire(createRequest({}));
+  t.is(queue.waiting, 8);
+});
+
 test("a request whose caller goes away leaves the queue", async (t) => {
   const queue = new AdmissionQueue(() => 1, patient, clock);
   await queue.acquire(createRequest({}));
--- a/packages/common/src/utils/RandomSource.ts
+++ b/packages/common/src/utils/RandomSource.ts
@@ -3,12 +3,16 @@
 
 const range32 = 4294967296;
 
+const firstNumbersSkipped = 16;
+
 /** A stream of random numbers from one seed (xoroshiro128+). */
 export class RandomSource {
   private readonly _generator: prand.RandomGenerator;
 
   constructor(seed: number) {
     this._generator = prand.xoroshiro128plus(seed);
+    // The first numbers of a small seed are near the ends of the range.
+    for (let skipped = 0; skipped < firstNumbersSkipped; skipped++) this._generator.unsafeNext();
   }
 
   /** A number from 0 up to, not including, 1. */
