feat(entry): plans warn of falling capacity and of zones that could not serve alone

Cause: the example plan showed engines as unloaded that get no order, and said nothing of a fall from 8000 to 2000 tokens/s. Change: such engines are shown as left as they are, with two new warnings and a test for them.

--- a/packages/entry/src/operators/Planner.ts
+++ b/packages/entry/src/operators/Planner.ts
@@ -7,6 +7,8 @@
 /** Assumed rate of the weight store for the estimate, where nothing better is known. */
 const layersPerSecond = 200;
 const noLayers = "nothing";
+/** An engine that the plan does not need gets no order, and serves nothing once another version is in force. */
+const leftAsIs = "not needed, left as it is";
 
 /** Makes plans against the configuration in force and the engines that are known. */
 export class Planner {
@@ -90,7 +92,7 @@
       const range = ranges.get(report.name);
       const isHeld = report.model === pipeline.name && report.layers !== undefined;
       if (range === undefined && !isHeld) continue;
-      const after = range === undefined ? noLayers : describeRange(pipeline.name, pipeline.version, range);
+      const after = range === undefined ? leftAsIs : describeRange(pipeline.name, pipeline.version, range);
       this._addPlacementLine(draft, report, range, after);
     }
     this._addCapacity(draft, pipeline, engines, ranges);
@@ -133,9 +135,16 @@
     const held = new Map(reports.map((report) => [report.name, report.layers as placement.LayerRange]));
     const heldEngines = reports.map((report) => this._toPlacementEngine(report));
     const after = placement.getThroughput(engines, ranges, layerCount);
+    const before = placement.getThroughput(heldEngines, held, layerCount);
+    if (after < before) {
+      draft.warnings.push(
+        `The capacity of ${pipeline.name} falls from ${before.toFixed(0)} to ${after.toFixed(0)} tokens/s.`,
+      );
+    }
+    this._warnOfZones(draft, pipeline, engines, ranges);
     draft.capacity.push({
       pipeline: pipeline.name,
-      beforeTokensPerSecond: placement.getThroughput(heldEngines, held, layerCount),
+      beforeTokensPerSecond: before,
       afterTokensPerSecond: after,
       boundTokensPerSecond: placement.getHardwareBound(engines, layerCount),
     });
@@ -148,6 +157,23 @@
     }
   }
 
+  /** Warns of availability zones whose own engines do not make a whole chain. */
+  private _warnOfZones(
+    draft: intent.Plan,
+    pipeline: intent.PipelineObject,
+    engines: readonly placement.PlacementEngine[],
+    ranges: placement.Placement,
+  ): void {
+    const engineEntries = this._directory.getEntries().filter((entry) => entry.role === "engine");
+    for (const zone of new Set(engineEntries.map((entry) => entry.availabilityZone))) {
+      const own = engines.filter((engine) => engine.availabilityZone === zone);
+      if (placement.getThroughput(own, ranges, pipeline.layerCount) > 0) continue;
+      draft.warnings.push(
+        `The availability zone ${zone} can't serve ${pipeline.name} by itself when it is cut off.`,
+      );
+    }
+  }
+
   private _addAccounts(draft: intent.Plan): void {
     const affected = new Set<string>();
     for (const { value, key } of draft.changes) {
--- a/packages/standins/src/tests/configurationTests.ts
+++ b/packages/standins/src/tests/configurationTests.ts
@@ -173,6 +173,18 @@
   }
 });
 
+test("a plan that takes less than there is warns of the fall, and of zones that could not serve alone", async (t) => {
+  const zones = ["a", "b"].map((availabilityZone) =>
+    createEngine(`g${availabilityZone}`, [0, 32], { availabilityZone }),
+  );
+  const fleet = await startFleet(t, createStructure(["e1", "e2@b"], zones));
+  const pipeline = { kind: "pipeline", name: model, version: "2", layerCount, tokensPerSecond: 10 };
+  const plan = await new OperatorClient(fleet, "e1").plan({ operator: "anna", objects: [pipeline] });
+  t.regex(plan.warnings.join(" "), /capacity of assistant falls from/);
+  t.regex(plan.warnings.join(" "), /availability zone (a|b) can't serve assistant by itself/);
+  t.is(plan.placement.filter((line) => line.after.startsWith("not needed")).length, 1);
+});
+
 test("an engine that checks orders rejects a token older than one that it has seen", async (t) => {
   const fleet = await startFleet(t, createStructure(["e1"], [createEngine("g1", [0, 32])]));
   const { sendOrder } = await import("@shedtiller/lease");
