--- a/packages/intent/src/tests/configurationFoldTests.ts
+++ b/packages/intent/src/tests/configurationFoldTests.ts
@@ -39,6 +39,7 @@
   fold.acceptRecord(createRecord(1, "p1", changes));
   t.is(fold.getBaseOffset("class/a"), 0);
   t.is(fold.state.outcomes.length, 1);
+  t.true(fold.getOutcome("p1")?.isAccepted);
 });
 
 test("a plan made before an object was removed is overtaken by the removal", (t) => {
