--- a/packages/admission/src/AdmissionQueue.ts
+++ b/packages/admission/src/AdmissionQueue.ts
@@ -1,29 +1,9 @@
 /** The queue in front of a pipeline: by priority class, fair between accounts by tokens, shedding early. */
 import { results, utils } from "@shedtiller/common";
+import { Admission, type AdmissionPermit, type AdmissionRequest } from "./Admission.js";
 import { RateMeter } from "./RateMeter.js";
 import { AdmissionRefusedError } from "./refusals.js";
 
-/** What a request asks the queue for. */
-export interface AdmissionRequest {
-  readonly requestId: string;
-  readonly account: string;
-  /** Rank of its class; 1 is the highest. */
-  readonly rank: number;
-  /** Share of the grants that its class gets even while higher ones wait. */
-  readonly floorShare: number;
-  /** Prompt and longest answer. */
-  readonly tokens: number;
-  /** Monotonic milliseconds after which nobody wants the answer. */
-  readonly deadlineMs: number;
-  readonly signal: AbortSignal;
-}
-
-/** The right to run, given back with `release`. */
-export interface AdmissionPermit {
-  readonly waitedMs: number;
-  release(): void;
-}
-
 /** Settings of the queue. */
 export interface AdmissionOptions {
   /** Longest wait that still makes sense; a request that would wait longer is refused at once. */
@@ -48,18 +28,6 @@
   readonly done: utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>>;
 }
 
-/** The base of queues, so that the bench can put another one in its place. */
-export abstract class Admission {
-  /** Waits for the right to run. */
-  abstract acquire(
-    request: AdmissionRequest,
-  ): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>>;
-  /** Streams under way. */
-  abstract readonly active: number;
-  /** Requests that wait. */
-  abstract readonly waiting: number;
-}
-
 /** Grants the highest rank first, with floors for the others, and refuses early what could not be served in time. */
 export class AdmissionQueue extends Admission {
   private readonly _waiting: Waiting[] = [];
@@ -225,53 +193,3 @@
   if (a.request.rank !== b.request.rank) return a.request.rank < b.request.rank;
   return a.startTag < b.startTag;
 }
-
-/** First come, first served, without shedding: the baseline that the bench compares against. */
-export class ArrivalOrderAdmission extends Admission {
-  private readonly _queue: {
-    request: AdmissionRequest;
-    sinceMs: number;
-    done: utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>>;
-  }[] = [];
-  private _active = 0;
-
-  constructor(private readonly _getLimit: () => number) {
-    super();
-  }
-
-  override get active(): number {
-    return this._active;
-  }
-
-  override get waiting(): number {
-    return this._queue.length;
-  }
-
-  override acquire(
-    request: AdmissionRequest,
-  ): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>> {
-    const done = new utils.Deferred<results.Result<AdmissionPermit, AdmissionRefusedError>>();
-    this._queue.push({ request, sinceMs: utils.monotonicMs(), done });
-    this._grantAll();
-    return done.promise;
-  }
-
-  private _grantAll(): void {
-    while (this._active < this._getLimit()) {
-      const next = this._queue.shift();
-      if (next === undefined) return;
-      if (next.request.signal.aborted) {
-        next.done.resolve(results.Err(new AdmissionRefusedError("cancelled", 0)));
-        continue;
-      }
-      this._active += 1;
-      const waitedMs = utils.monotonicMs() - next.sinceMs;
-      next.done.resolve(results.Ok({ waitedMs, release: () => this._release() }));
-    }
-  }
-
-  private _release(): void {
-    this._active -= 1;
-    this._grantAll();
-  }
-}
--- a/packages/admission/src/tests/admissionTests.ts
+++ b/packages/admission/src/tests/admissionTests.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import * as fc from "fast-check";
 import { AccountLimits } from "../AccountLimits.js";
-import { AdmissionQueue, type AdmissionPermit, type AdmissionRequest } from "../AdmissionQueue.js";
+import type { AdmissionPermit, AdmissionRequest } from "../Admission.js";
+import { AdmissionQueue } from "../AdmissionQueue.js";
 import { getShare } from "../sharedLimit.js";
 
 let nowMs = 0;
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -6,14 +6,8 @@
 import * as ws from "ws";
 import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
-import {
-  acceptPeer,
-  dialPeer,
-  type PeerError,
-  type PeerIdentity,
-  type PeerLink,
-  type PeerLinkEvents,
-} from "./PeerLink.js";
+import { acceptPeer, dialPeer } from "./peerHandshake.js";
+import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
 import { TrafficCounter } from "./TrafficCounter.js";
 
 const heartbeatTopic = "heartbeat";
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./peerFrames.js";
 export * from "./PeerLink.js";
+export * from "./peerHandshake.js";
 export * from "./Membership.js";
 export * from "./TrafficCounter.js";
 export * from "./controlBudget.js";
