test(membership): a dialler that guesses its proof is never welcomed

A trial on a scratch copy left out the accepting side's check and no test failed, since the honest dialler's own check ended the link. With this test the broken guard is caught.

--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -73,6 +73,25 @@
   peers.close();
 });
 
+test("a dialler whose proof is wrong is never welcomed, though it checks nothing itself", async (t) => {
+  const peers = new Peers();
+  const a = await peers.add("a", "x");
+  const intruder = new ws.WebSocket(`ws://127.0.0.1:${a.port}/peer`);
+  const received: string[] = [];
+  intruder.on("error", () => undefined);
+  intruder.on("message", (data) => {
+    const frame = decodePeerFrame(data).unwrap();
+    received.push(frame.kind);
+    const hello = { kind: "hello", name: "z", availabilityZone: "x", nonce: "n", proof: "guessed" };
+    if (frame.kind === "challenge") intruder.send(new Packr({ useRecords: false }).pack(hello));
+    else intruder.close();
+  });
+  await new Promise((resolve) => intruder.once("close", resolve));
+  t.deepEqual(received, ["challenge"]);
+  t.is(a.getLinked().length, 0);
+  peers.close();
+});
+
 test("a broken frame ends its own connection and no other", async (t) => {
   const peers = new Peers();
   const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
