refactor: what the change wrote twice, or left behind, is gone

One pickStageKey serves the engine link and the stand-in; one createLargeEngine serves two benches; demands are computed once a round instead of twice.

--- a/packages/entry/src/feeds/ZoneFeed.ts
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -166,7 +166,8 @@
     const startMs = utils.monotonicMs();
     const { membership, limits, demands } = this._structure;
     this._round += 1;
-    const accounts = this._areDemandsDue() ? limits.getDemands() : undefined;
+    const ownDemands = limits.getDemands();
+    const accounts = this._areDemandsDue(ownDemands.length) ? ownDemands : undefined;
     const body: Reports = { full: [], loads: [], accounts, pipelines: demands.getOwn() };
     for (const entry of this._getStewarded()) this._addReport(body, entry);
     const zone = membership.self.availabilityZone;
@@ -175,10 +176,10 @@
   }
 
   /** Demands are many bytes; they have a share of their own. */
-  private _areDemandsDue(): boolean {
-    const { membership, limits } = this._structure;
+  private _areDemandsDue(demandCount: number): boolean {
+    const { membership } = this._structure;
     const intervalMs = getBudgetIntervalMs({
-      messageBytes: limits.getDemands().length * demandBytes,
+      messageBytes: demandCount * demandBytes,
       receivers: membership.getDutyCandidates().length - 1,
       bytesPerSecond: demandBytesPerSecond,
       floorMs: reportFloorMs,
--- a/packages/pipeline/src/engine/WsEngineLink.ts
+++ b/packages/pipeline/src/engine/WsEngineLink.ts
@@ -2,8 +2,7 @@
 import { errors, results, utils } from "@shedtiller/common";
 import * as ws from "ws";
 import { EngineLink, EngineRefusedError, type EngineError } from "./EngineLink.js";
-import type * as frames from "./engineFrames.js";
-import { fromEngineSchema } from "./engineFrames.js";
+import * as frames from "./engineFrames.js";
 import { decodeFrame, encodeFrame } from "./frameCodec.js";
 
 /** What a link tells its owner. */
@@ -45,11 +44,11 @@
   }
 
   override probe(key: frames.StageKey): Promise<results.Result<frames.StandingFrame, EngineError>> {
-    return this._call(this._probes, getStageText(key), { kind: "probe", ...pickKey(key) });
+    return this._call(this._probes, getStageText(key), { kind: "probe", ...frames.pickStageKey(key) });
   }
 
   override exportCache(key: frames.StageKey): Promise<results.Result<frames.ExportedFrame, EngineError>> {
-    return this._call(this._exports, getStageText(key), { kind: "export", ...pickKey(key) });
+    return this._call(this._exports, getStageText(key), { kind: "export", ...frames.pickStageKey(key) });
   }
 
   override importCache(
@@ -60,12 +59,7 @@
 
   override release(key: frames.StageKey): void {
     if (!this.isOpen) return;
-    this._socket.send(encodeFrame({ kind: "release", ...pickKey(key) }));
-  }
-
-  /** Forgets a call whose reply is no longer wanted. */
-  forgetApply(key: frames.StageKey, position: number): void {
-    this._applies.delete(`${getStageText(key)}|${position}`);
+    this._socket.send(encodeFrame({ kind: "release", ...frames.pickStageKey(key) }));
   }
 
   /** Ends the link. */
@@ -88,7 +82,7 @@
   }
 
   private _accept(data: ws.RawData): void {
-    const decoded = decodeFrame(data, fromEngineSchema, this.endpoint);
+    const decoded = decodeFrame(data, frames.fromEngineSchema, this.endpoint);
     if (decoded.err) return this._close(decoded.val);
     const frame = decoded.val;
     switch (frame.kind) {
@@ -140,10 +134,6 @@
   }
 }
 
-function pickKey(key: frames.StageKey): frames.StageKey {
-  return { requestId: key.requestId, attempt: key.attempt, firstLayer: key.firstLayer };
-}
-
 function getStageText(key: frames.StageKey): string {
   return `${key.requestId}|${key.attempt}|${key.firstLayer}`;
 }
--- a/packages/pipeline/src/engine/engineFrames.ts
+++ b/packages/pipeline/src/engine/engineFrames.ts
@@ -117,3 +117,8 @@
   readonly attempt: number;
   readonly firstLayer: number;
 }
+
+/** The name alone, out of a frame or anything else that carries it. */
+export function pickStageKey(key: StageKey): StageKey {
+  return { requestId: key.requestId, attempt: key.attempt, firstLayer: key.firstLayer };
+}
--- a/packages/standins/src/bench/control.ts
+++ b/packages/standins/src/bench/control.ts
@@ -10,7 +10,7 @@
 import { Membership } from "@shedtiller/membership";
 import type { ListedInstance } from "@shedtiller/platform";
 import { EndpointDirectory, type EngineReport } from "@shedtiller/routing";
-import { HybridClock, Timeline } from "@shedtiller/timeline";
+import { Timeline } from "@shedtiller/timeline";
 import { AccountDirectory } from "@shedtiller/entry";
 import { getLayerCount } from "../fleet/seedConfiguration.js";
 import { createDemoStructure } from "../fleet/demoStructure.js";
@@ -215,7 +215,6 @@
   const variant = `events ${count}`;
   report.add(variant, "timeline memory", getHeapBytes() - heapBefore, "B");
   report.add(variant, "timeline cpu", (cpuMs / count) * utils.msPerSecond, "us/event");
-  new HybridClock().next();
 }
 
 /** Limits with `count` accounts in use: what one exchange of demands costs, and its size. */
--- a/packages/standins/src/bench/overload.ts
+++ b/packages/standins/src/bench/overload.ts
@@ -7,9 +7,9 @@
 import { Fleet } from "../fleet/Fleet.js";
 import type { FleetEngine, FleetStructure } from "../fleet/FleetStructure.js";
 import type { BenchReport } from "./BenchReport.js";
+import { createLargeEngine, model } from "./createLargeEngine.js";
 import { runOpenLoop, type OpenLoopReport } from "./OpenLoop.js";
 
-const model = "assistant";
 const layerCount = 32;
 const loads = [0.8, 1.5, 3];
 const durationMs = 5_000;
@@ -33,16 +33,7 @@
   const engines = ["g1", "g2", "g3", "g4"].map((name, index): FleetEngine => {
     const layers: [number, number] = index % 2 === 0 ? [0, 16] : [16, 32];
     const speed = { stepMs, prefillMsPerToken: 0.2, slots };
-    return {
-      name,
-      availabilityZone: zone,
-      accelerator: "large",
-      model,
-      version: "1",
-      layers,
-      ...speed,
-      checksOrders: true,
-    };
+    return createLargeEngine(name, zone, layers, speed);
   });
   return {
     availabilityZones: [zone],
--- a/packages/standins/src/bench/recovery.ts
+++ b/packages/standins/src/bench/recovery.ts
@@ -6,9 +6,9 @@
 import type { FleetEngine, FleetStructure } from "../fleet/FleetStructure.js";
 import type { BenchReport } from "./BenchReport.js";
 import { ClosedLoop } from "./ClosedLoop.js";
+import { createLargeEngine, model } from "./createLargeEngine.js";
 
 const layerCount = 32;
-const model = "assistant";
 const zone = "east-plant";
 const promptTokens = 96;
 const stepMs = 10;
@@ -47,16 +47,7 @@
 
 function createEngine(name: string, layers: [number, number]): FleetEngine {
   const speed = { stepMs, prefillMsPerToken, slots: 8 };
-  return {
-    name,
-    availabilityZone: zone,
-    accelerator: "large",
-    model,
-    version: "1",
-    layers,
-    ...speed,
-    checksOrders: true,
-  };
+  return createLargeEngine(name, zone, layers, speed);
 }
 
 function createStructure(): FleetStructure {
--- a/packages/standins/src/engine/StandInEngine.ts
+++ b/packages/standins/src/engine/StandInEngine.ts
@@ -205,11 +205,10 @@
   }
 
   private _serve(socket: ws.WebSocket): void {
-    const queue: Promise<void>[] = [];
     socket.on("error", () => socket.terminate());
     socket.on("message", (data) => {
       if (this._hang === undefined) return this._accept(socket, data);
-      queue.push(this._hang.promise.then(() => this._accept(socket, data)));
+      void this._hang.promise.then(() => this._accept(socket, data));
     });
   }
 
@@ -228,7 +227,11 @@
         return this._export(socket, frame);
       case "import":
         this.model.importCache(frame);
-        return this._send(socket, { ...pickKey(frame), kind: "imported", position: frame.position });
+        return this._send(socket, {
+          ...pipeline.pickStageKey(frame),
+          kind: "imported",
+          position: frame.position,
+        });
     }
   }
 
@@ -237,7 +240,12 @@
       this._getRefusal(frame) ??
       this.model.apply(frame, this._modelName, (applied) => this._reply(socket, applied));
     if (reason === undefined) return;
-    this._send(socket, { ...pickKey(frame), kind: "refused", position: frame.position, reason });
+    this._send(socket, {
+      ...pipeline.pickStageKey(frame),
+      kind: "refused",
+      position: frame.position,
+      reason,
+    });
   }
 
   private _getRefusal(frame: pipeline.ApplyFrame): pipeline.RefusalReason | undefined {
@@ -250,13 +258,13 @@
     const exported = this.model.exportCache(frame);
     if (exported === undefined) {
       return this._send(socket, {
-        ...pickKey(frame),
+        ...pipeline.pickStageKey(frame),
         kind: "refused",
         position: 0,
         reason: "unknown-stream",
       });
     }
-    this._send(socket, { ...pickKey(frame), kind: "exported", ...exported });
+    this._send(socket, { ...pipeline.pickStageKey(frame), kind: "exported", ...exported });
   }
 
   private _reply(socket: ws.WebSocket, applied: pipeline.AppliedFrame): void {
@@ -299,7 +307,3 @@
     if (socket.readyState === ws.WebSocket.OPEN) socket.send(pipeline.encodeFrame(frame));
   }
 }
-
-function pickKey(key: pipeline.StageKey): pipeline.StageKey {
-  return { requestId: key.requestId, attempt: key.attempt, firstLayer: key.firstLayer };
-}
