--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,11 +2,11 @@
 import * as tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**"] },
+  { ignores: ["**/dist/**", "target/**", "**/node_modules/**"] },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
-    files: ["packages/*/src/**/*.ts"],
+    files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
     rules: {
       "@typescript-eslint/no-explicit-any": "error",
       "@typescript-eslint/consistent-type-imports": "off",
--- a/packages/claims/src/ClaimBatcher.ts
+++ b/packages/claims/src/ClaimBatcher.ts
@@ -1,6 +1,6 @@
 /** Gathers claims into few appends, paced so that all instances together stay within the log's rate. */
 import { errors, utils } from "@shedtiller/common";
-import type { LogService } from "@shedtiller/platform";
+import type { LogService } from "@shedtiller/logservice";
 import { claimRecordVersion, claimsStream, type Claim, type ClaimRecord } from "./claimRecords.js";
 
 /** The part of the log's rate that claims may use. */
--- a/packages/claims/src/ClaimFold.ts
+++ b/packages/claims/src/ClaimFold.ts
@@ -1,6 +1,6 @@
 /** The fold of the claims stream: which claim holds each key. The same on every instance, at every offset. */
 import { utils } from "@shedtiller/common";
-import type { LogRecord, LogSink } from "@shedtiller/platform";
+import type { LogRecord, LogSink } from "@shedtiller/logservice";
 import { claimRecordSchema, type Claim } from "./claimRecords.js";
 
 /** How far a key's time may lie ahead of the log's. */
--- a/packages/claims/src/service/ServiceCaller.ts
+++ b/packages/claims/src/service/ServiceCaller.ts
@@ -1,6 +1,6 @@
 /** Calls to plain services, retried only where that is safe. */
 import { errors, results, type Ran } from "@shedtiller/common";
-import { classifyHttpError } from "@shedtiller/platform";
+import { classifyHttpError } from "@shedtiller/logservice";
 import type { EndpointDirectory, EndpointEntry, RetryBudget } from "@shedtiller/routing";
 import got from "got";
 
--- a/packages/claims/src/tests/FakeLog.ts
+++ b/packages/claims/src/tests/FakeLog.ts
@@ -7,7 +7,7 @@
   type LogError,
   type LogPage,
   type LogRecord,
-} from "@shedtiller/platform";
+} from "@shedtiller/logservice";
 
 /** What happens at an append. */
 export type AppendFault = "refused" | "reply-lost" | "lost" | "twice";
--- a/packages/claims/src/tests/atMostOnceTests.ts
+++ b/packages/claims/src/tests/atMostOnceTests.ts
@@ -1,6 +1,6 @@
 /** Never two runs of a key, whatever the log and the instances do. */
 import { results, utils } from "@shedtiller/common";
-import { LogFollower } from "@shedtiller/platform";
+import { LogFollower } from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
 import test from "ava";
 import * as fc from "fast-check";
--- a/packages/common/src/utils/statistics.ts
+++ b/packages/common/src/utils/statistics.ts
@@ -34,3 +34,15 @@
   const slopeError = count > 2 && sxx > 0 ? Math.sqrt(residual / (count - 2) / sxx) : 0;
   return { slope, intercept, slopeError };
 }
+
+/** Groups items by a key, in the order of their first appearance. */
+export function groupBy<T>(items: readonly T[], getKey: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = getKey(item);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [item]);
+    else group.push(item);
+  }
+  return groups;
+}
--- a/packages/entry/src/EntryInstance.ts
+++ b/packages/entry/src/EntryInstance.ts
@@ -7,7 +7,7 @@
 import * as intent from "@shedtiller/intent";
 import * as membership from "@shedtiller/membership";
 import * as pipeline from "@shedtiller/pipeline";
-import * as platform from "@shedtiller/platform";
+import * as platform from "@shedtiller/logservice";
 import * as routing from "@shedtiller/routing";
 import type { InstanceSettings } from "@shedtiller/settings";
 import * as timeline from "@shedtiller/timeline";
--- a/packages/entry/src/configuration/ConfigurationSync.ts
+++ b/packages/entry/src/configuration/ConfigurationSync.ts
@@ -8,7 +8,7 @@
   type SnapshotRecord,
 } from "@shedtiller/intent";
 import type { Membership, PeerIdentity } from "@shedtiller/membership";
-import { logRecordSchema, type LogService } from "@shedtiller/platform";
+import { logRecordSchema, type LogService } from "@shedtiller/logservice";
 import * as zod from "zod";
 
 const sinceTopic = "configuration";
--- a/packages/entry/src/feeds/ListFeed.ts
+++ b/packages/entry/src/feeds/ListFeed.ts
@@ -1,6 +1,6 @@
 /** Follows the platform's instance list. While it can't be had, what was last listed stands. */
 import { utils } from "@shedtiller/common";
-import type { InstanceList, ListedInstance } from "@shedtiller/platform";
+import type { InstanceList, ListedInstance } from "@shedtiller/logservice";
 
 const intervalMs = 500;
 
--- a/packages/entry/src/feeds/ZoneFeed.ts
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -5,7 +5,7 @@
 import { errors, utils } from "@shedtiller/common";
 import type { AccountLimits } from "@shedtiller/admission";
 import { getBudgetIntervalMs, type Membership } from "@shedtiller/membership";
-import { classifyHttpError } from "@shedtiller/platform";
+import { classifyHttpError } from "@shedtiller/logservice";
 import {
   engineReportSchema,
   type EndpointDirectory,
--- /dev/null
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -0,0 +1,242 @@
+/** One gateway instance: its tasks from start to the end of a planned stop. */
+import { errors, utils } from "@shedtiller/common";
+import { Membership } from "@shedtiller/membership";
+import { Timeline } from "@shedtiller/timeline";
+import { ChainAdmission } from "./chains/ChainAdmission.js";
+import { ChainChooser } from "./chains/ChainChooser.js";
+import { ConfigurationKeeper } from "./configuration/ConfigurationKeeper.js";
+import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
+import type { ChangeFeed } from "./discovery/ChangeFeed.js";
+import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
+import { EndpointTable } from "./discovery/EndpointTable.js";
+import { EndpointWatch } from "./discovery/EndpointWatch.js";
+import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
+import { GatewayMetrics } from "./GatewayMetrics.js";
+import type { GatewaySettings } from "./gatewaySettings.js";
+import { HttpCaller } from "./http/HttpCaller.js";
+import type { MessageCodec } from "./http/MessageCodec.js";
+import type { DecisionLog } from "./logs/DecisionLog.js";
+import type { EngineOrders } from "./orders/EngineOrders.js";
+import { LayerKeeper } from "./orders/LayerKeeper.js";
+import type { LeaderElection } from "./orders/LeaderElection.js";
+import { LeaderSeat } from "./orders/LeaderSeat.js";
+import { PeerDirectory } from "./peers/PeerDirectory.js";
+import { PeerExchange } from "./peers/PeerExchange.js";
+import type { PeerRegistry } from "./peers/PeerRegistry.js";
+import { CallerListener } from "./requests/CallerListener.js";
+import type { CallerRequest } from "./requests/CallerRequest.js";
+import { PlainForwarder } from "./requests/PlainForwarder.js";
+import { ReadinessListener } from "./requests/ReadinessListener.js";
+import { pickTarget, type ForwardContext } from "./requests/RequestForwarder.js";
+import { RetryBudgets } from "./requests/RetryBudgets.js";
+import { StallMonitor } from "./requests/StallMonitor.js";
+import { StreamForwarder } from "./requests/StreamForwarder.js";
+
+/** Keys are refused this much before the bound, for the time between the check and the sending. */
+const revocationMarginMs = 500;
+/** After a stop signal the balancer asks twice, a second apart, until it sends no more connections. */
+const balancerNoticeMs = 2_500;
+/** What is left of the grace is kept for the end of the process itself. */
+const stopReserveMs = 400;
+const drainPollMs = 50;
+
+/** What the platform provides, behind the abstract classes of this package. */
+export interface GatewayPlatform {
+  readonly configurationFeed: ChangeFeed<GatewayConfiguration>;
+  readonly endpointFeed: ChangeFeed<ListedEndpoint>;
+  readonly registry: PeerRegistry;
+  readonly election: LeaderElection;
+  readonly orders: EngineOrders;
+  readonly codec: MessageCodec;
+}
+
+/** Wires the parts and runs them. */
+export class GatewayInstance {
+  readonly keeper = new ConfigurationKeeper();
+  readonly endpoints = new EndpointTable();
+  readonly metrics = new GatewayMetrics();
+  private readonly _membership: Membership;
+  private readonly _exchange: PeerExchange;
+  private readonly _directory: PeerDirectory;
+  private readonly _configurationWatch: ConfigurationWatch;
+  private readonly _endpointWatch: EndpointWatch;
+  private readonly _seat: LeaderSeat;
+  private readonly _layers: LayerKeeper;
+  private readonly _budgets: RetryBudgets;
+  private readonly _admission: ChainAdmission;
+  private readonly _monitor: StallMonitor;
+  private readonly _plain: PlainForwarder;
+  private readonly _streams: StreamForwarder;
+  private readonly _callers: CallerListener;
+  private readonly _readiness: ReadinessListener;
+  private readonly _httpCaller = new HttpCaller();
+  private readonly _stop = new AbortController();
+  private _isDraining = false;
+
+  constructor(
+    private readonly _settings: GatewaySettings,
+    platform: GatewayPlatform,
+    private readonly _log: DecisionLog,
+  ) {
+    const { instance, peers, callers, retries } = _settings;
+    const chooser = new ChainChooser();
+    this._budgets = new RetryBudgets({ ratio: retries.budgetRatio, slack: retries.budgetSlack });
+    this._membership = new Membership({
+      self: instance,
+      secret: peers.secret,
+      timeline: new Timeline(instance.name),
+      host: peers.host,
+      port: peers.port,
+    });
+    this._directory = new PeerDirectory({
+      self: { ...instance, address: `${peers.host}:${peers.port}` },
+      membership: this._membership,
+      registry: platform.registry,
+      log: _log,
+      onSize: (size) => this._budgets.setInstances(size),
+    });
+    this._configurationWatch = new ConfigurationWatch(this.keeper, platform.configurationFeed, _log);
+    this._endpointWatch = new EndpointWatch(this.endpoints, platform.endpointFeed, _log);
+    this._exchange = new PeerExchange({
+      membership: this._membership,
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      log: _log,
+      getListAgeMs: () => this._endpointWatch.getAgeMs(),
+      takeList: (list, provenAtMs) => this._endpointWatch.takeList(list, provenAtMs),
+      getInstances: () => this._directory.getInstances(),
+      takeInstances: (instances) => this._directory.take(instances),
+    });
+    this._seat = new LeaderSeat(platform.election, _log);
+    this._layers = new LayerKeeper({
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      orders: platform.orders,
+      log: _log,
+      mayOrder: () => this._seat.isHeld(),
+    });
+    const context = this._createContext(platform.codec);
+    this._admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
+    this._monitor = new StallMonitor(context, chooser, platform.orders);
+    this._plain = new PlainForwarder(context);
+    this._streams = new StreamForwarder(context, this._admission, this._monitor);
+    this._callers = new CallerListener({
+      ...callers.listen,
+      keeper: this.keeper,
+      codec: platform.codec,
+      log: _log,
+      areKeysFresh: () => this._areKeysFresh(),
+      forward: (request) => this._forward(request),
+    });
+    const { host, port } = callers.readiness;
+    this._readiness = new ReadinessListener(host, port, () => this._isReady());
+    this.keeper.onChanged((table) => this._exchange.tellVersion(table.version));
+    this._addGauges();
+  }
+
+  /** Starts listening and all tasks. Resolves once the listeners stand. */
+  async start(): Promise<void> {
+    const { signal } = this._stop;
+    await this._callers.listen();
+    await this._readiness.listen();
+    await this._membership.listen();
+    await this.metrics.listen(this._settings.metrics.host, this._settings.metrics.port);
+    const tasks = [
+      this._configurationWatch.run(signal),
+      this._endpointWatch.run(signal),
+      this._directory.run(signal),
+      this._membership.run(signal),
+      this._exchange.run(signal),
+      this._seat.run(signal),
+      this._layers.run(signal),
+      this._admission.run(signal),
+      this._monitor.run(signal),
+    ];
+    for (const task of tasks) task.catch((error: unknown) => this._noteTask(error));
+    this._log.info("instance-started", { ...this._settings.instance });
+  }
+
+  /** Finishes what is in hand, within the grace, and ends. */
+  async drain(): Promise<void> {
+    const startedAtMs = utils.monotonicMs();
+    this._isDraining = true;
+    this._callers.drain();
+    this._membership.leave();
+    this._log.info("drain-began", { inHand: this._callers.inHand });
+    const endMs = this._settings.callers.stopGraceS * utils.msPerSecond - stopReserveMs;
+    await utils.sleep(Math.min(balancerNoticeMs, endMs));
+    this._callers.closeIdle();
+    const leftMs = endMs - (utils.monotonicMs() - startedAtMs);
+    await utils.waitUntil(() => this._callers.inHand === 0, leftMs, drainPollMs);
+    this._log.info("instance-stopped", { inHand: this._callers.inHand });
+    this._stop.abort();
+    this._callers.close();
+    this._readiness.close();
+    this.metrics.close();
+    this._membership.close();
+    this._httpCaller.close();
+  }
+
+  private _createContext(codec: MessageCodec): ForwardContext {
+    return {
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      caller: this._httpCaller,
+      codec,
+      budgets: this._budgets,
+      log: this._log,
+      availabilityZone: this._settings.instance.availabilityZone,
+      suspect: (endpointId, reason) => this._suspect(endpointId, reason),
+    };
+  }
+
+  private _suspect(endpointId: string, reason: string): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (!this.endpoints.suspect(endpointId)) return;
+    this._exchange.tellSuspicion(endpointId);
+    this.metrics.suspicions.inc({ cause: reason.split(" ")[0] ?? "" });
+    this._log.warn("endpoint-suspected", { endpointId, address: endpoint?.listed.address, reason });
+  }
+
+  private async _forward(request: CallerRequest): Promise<void> {
+    const { route } = request;
+    const service = pickTarget(route.targets, Math.random());
+    this._budgets.recordRequest(service);
+    const forwarder = route.kind === "streaming" ? this._streams : this._plain;
+    await forwarder.run(request, service);
+    this.metrics.requests.inc({ kind: route.kind, outcome: request.outcome });
+    this.metrics.duration.observe(
+      { kind: route.kind },
+      (utils.monotonicMs() - request.arrivedAtMs) / utils.msPerSecond,
+    );
+  }
+
+  private _areKeysFresh(): boolean {
+    const { isRevocationStrict, revocationBoundMs } = this._settings.keys;
+    return !isRevocationStrict || this.keeper.getProofAgeMs() < revocationBoundMs - revocationMarginMs;
+  }
+
+  private _isReady(): boolean {
+    if (this._isDraining || this.keeper.table === undefined || !this.endpoints.isKnown) return false;
+    return !this.keeper.table.hasAccounts || this._areKeysFresh();
+  }
+
+  private _noteTask(error: unknown): void {
+    if (error instanceof errors.CancelledError) return;
+    this._log.error("task-failed", { cause: errors.describeError(error) });
+  }
+
+  private _addGauges(): void {
+    this.metrics.addGauge("requests_in_hand", "Requests without a final answer", () => this._callers.inHand);
+    this.metrics.addGauge("requests_waiting", "Requests that wait for room", () => this._admission.waiting);
+    this.metrics.addGauge("streams", "Streams at chains", () => this._monitor.size);
+    this.metrics.addGauge("configuration_version", "Version in force", () => this.keeper.version);
+    this.metrics.addGauge(
+      "configuration_proof_age_seconds",
+      "Age of the proof that nothing newer exists",
+      () => Math.min(this.keeper.getProofAgeMs() / utils.msPerSecond, Number.MAX_SAFE_INTEGER),
+    );
+    this.metrics.addGauge("peers", "Peers linked", () => this._membership.getLinked().length);
+    this.metrics.addGauge("endpoints", "Endpoints listed", () => this.endpoints.getAll().length);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -0,0 +1,66 @@
+/** Metrics of a gateway instance, served as text. Labels are few and bounded. */
+import * as http from "node:http";
+import * as prom from "prom-client";
+
+const durationBuckets = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20];
+
+/** Counters and histograms, in a registry of their own. */
+export class GatewayMetrics {
+  readonly registry = new prom.Registry();
+  readonly requests: prom.Counter<"kind" | "outcome">;
+  readonly duration: prom.Histogram<"kind">;
+  readonly suspicions: prom.Counter<"cause">;
+  private readonly _server = http.createServer((_message, response) => void this._answer(response));
+
+  constructor() {
+    const registers = [this.registry];
+    this.requests = new prom.Counter({
+      name: "shedtiller_gateway_requests_total",
+      help: "Requests ended, by kind and outcome",
+      labelNames: ["kind", "outcome"],
+      registers,
+    });
+    this.duration = new prom.Histogram({
+      name: "shedtiller_gateway_request_seconds",
+      help: "Time from arrival to the end of the answer, by kind",
+      labelNames: ["kind"],
+      buckets: durationBuckets,
+      registers,
+    });
+    this.suspicions = new prom.Counter({
+      name: "shedtiller_gateway_suspicions_total",
+      help: "Endpoints taken out of the choice for a while, by cause",
+      labelNames: ["cause"],
+      registers,
+    });
+  }
+
+  /** Adds a value that is read at scrape time. */
+  addGauge(name: string, help: string, getValue: () => number): void {
+    new prom.Gauge({
+      name: `shedtiller_gateway_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(getValue());
+      },
+    });
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this._server.once("error", reject);
+      this._server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private async _answer(response: http.ServerResponse): Promise<void> {
+    const text = await this.registry.metrics();
+    response.writeHead(200, { "Content-Type": this.registry.contentType }).end(text);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -0,0 +1,50 @@
+/** Times and room of engines, from the profile of their service. */
+import type * as placement from "@shedtiller/placement";
+import type { AcceleratorKind, EngineProfile } from "../configuration/gatewayConfiguration.js";
+import type { Endpoint } from "../discovery/Endpoint.js";
+
+const bytesPerMb = 1e6;
+/** Delay of a boundary inside a zone, each token; the platform's sheet says 0.2 ms one way, plus the engines' own wake-up. */
+export const hopMs = 0.25;
+/** Requests side by side on an engine that step times for planning are computed for. */
+const usualSequences = 24;
+
+/** Finds the accelerator kind of an engine. */
+export function getKind(endpoint: Endpoint, profile: EngineProfile): AcceleratorKind | undefined {
+  return profile.kinds.find((kind) => kind.name === endpoint.listed.kind) ?? profile.kinds[0];
+}
+
+/** Token-layers that fit beside the layers that an engine holds. */
+export function getCapacityTokenLayers(endpoint: Endpoint, profile: EngineProfile): number {
+  const kind = getKind(endpoint, profile);
+  if (kind === undefined) return 0;
+  const held = endpoint.listed.layers.reduce((sum, span) => sum + span.end - span.start, 0);
+  const freeMb = kind.memoryMb - held * profile.layerMb;
+  return (Math.max(0, freeMb) * bytesPerMb) / (profile.kvBytesPerToken / profile.layerCount);
+}
+
+/** One token step over all layers at factor 1, with `sequences` requests of `contextTokens` each side by side. */
+export function getStepMs(profile: EngineProfile, sequences: number, contextTokens: number): number {
+  const contextMs = (profile.stepMsPerKiloToken * sequences * contextTokens) / 1_000;
+  return profile.stepMs + profile.stepMsPerSequence * sequences + contextMs;
+}
+
+/** The model as the planner of layer copies wants it. */
+export function toCopyModel(profile: EngineProfile): placement.CopyModel {
+  const tokensPerRequest = profile.usualPromptTokens + profile.usualAnswerTokens;
+  return {
+    layerCount: profile.layerCount,
+    layerMb: profile.layerMb,
+    kvMbPerTokenLayer: profile.kvBytesPerToken / profile.layerCount / bytesPerMb,
+    tokensPerRequest,
+    answerTokens: profile.usualAnswerTokens,
+    stepMs: getStepMs(profile, usualSequences, tokensPerRequest),
+    hopMs,
+  };
+}
+
+/** An engine as the planner of layer copies wants it. */
+export function toCopyEngine(endpoint: Endpoint, profile: EngineProfile): placement.CopyEngine {
+  const kind = getKind(endpoint, profile);
+  return { name: endpoint.id, memoryMb: kind?.memoryMb ?? 0, stepFactor: kind?.stepFactor ?? 1 };
+}
--- /dev/null
+++ b/packages/gateway/src/configuration/ConfigurationKeeper.ts
@@ -0,0 +1,49 @@
+/** The configuration in force at this instance, and how fresh the proof is that nothing newer exists. */
+import { utils } from "@shedtiller/common";
+import type { GatewayConfiguration } from "./gatewayConfiguration.js";
+import { RouteTable } from "./RouteTable.js";
+
+/** Holds the newest configuration seen. Versions never go back within the life of a process. */
+export class ConfigurationKeeper {
+  private _table: RouteTable | undefined;
+  private _provenAtMs = Number.NEGATIVE_INFINITY;
+  private readonly _listeners: ((table: RouteTable) => void)[] = [];
+
+  /** @param nowMs - Monotonic clock, replaced in tests. */
+  constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
+
+  /** Look-ups in the configuration in force; undefined until one is known. */
+  get table(): RouteTable | undefined {
+    return this._table;
+  }
+
+  get version(): number {
+    return this._table?.version ?? -1;
+  }
+
+  /** How long ago the store is known to have held nothing newer; infinite before the first proof. */
+  getProofAgeMs(): number {
+    return this._nowMs() - this._provenAtMs;
+  }
+
+  /** Calls `listener` for each version that comes into force. */
+  onChanged(listener: (table: RouteTable) => void): void {
+    this._listeners.push(listener);
+  }
+
+  /** Takes a configuration; tells whether it is newer than the one in force. */
+  accept(configuration: GatewayConfiguration): boolean {
+    if (configuration.version <= this.version) return false;
+    this._table = new RouteTable(configuration);
+    for (const listener of this._listeners) listener(this._table);
+    return true;
+  }
+
+  /**
+   * Notes a proof that `version` was the newest at `atMs`. A proof for another version than ours proves nothing.
+   * @param atMs - Monotonic time before which the question was asked.
+   */
+  confirm(version: number, atMs: number): void {
+    if (version === this.version) this._provenAtMs = Math.max(this._provenAtMs, atMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -0,0 +1,65 @@
+/** What this instance knows of one endpoint. */
+import type { ListedEndpoint } from "./ListedEndpoint.js";
+
+/** Load that requests put on an endpoint. */
+export interface EndpointLoad {
+  /** Requests under way. */
+  readonly requests: number;
+  /** Tokens reserved in the KV cache, each counted once for each layer that the endpoint runs for it. */
+  readonly tokenLayers: number;
+}
+
+const noLoad: EndpointLoad = { requests: 0, tokenLayers: 0 };
+
+/** An endpoint with its listed state, our own load on it, and that of the peers as they last told. */
+export class Endpoint {
+  /** Monotonic time until which it gets no new work unless nothing else is left. */
+  suspectUntilMs = 0;
+  /** Monotonic time of the evidence that led to the suspicion. */
+  suspectedAtMs = 0;
+  /** Monotonic time of the last record that the store had of it. */
+  heardAtMs = 0;
+  /** Factor by which it is slower than its kind, by its own report; 1 is nominal. */
+  slowness = 1;
+  private _own: EndpointLoad = noLoad;
+  private readonly _peerLoads = new Map<string, EndpointLoad>();
+
+  constructor(public listed: ListedEndpoint) {}
+
+  get id(): string {
+    return this.listed.id;
+  }
+
+  get own(): EndpointLoad {
+    return this._own;
+  }
+
+  /** Our own load and that of all peers. */
+  getLoad(): EndpointLoad {
+    let { requests, tokenLayers } = this._own;
+    for (const load of this._peerLoads.values()) {
+      requests += load.requests;
+      tokenLayers += load.tokenLayers;
+    }
+    return { requests, tokenLayers };
+  }
+
+  addOwn(requests: number, tokenLayers: number): void {
+    this._own = { requests: this._own.requests + requests, tokenLayers: this._own.tokenLayers + tokenLayers };
+  }
+
+  /** Takes a peer's load; undefined where it has none. */
+  setPeerLoad(peer: string, load: EndpointLoad | undefined): void {
+    if (load === undefined) this._peerLoads.delete(peer);
+    else this._peerLoads.set(peer, load);
+  }
+
+  /** Forgets the load of peers that are not named. */
+  keepPeerLoads(peers: ReadonlySet<string>): void {
+    for (const peer of this._peerLoads.keys()) if (!peers.has(peer)) this._peerLoads.delete(peer);
+  }
+
+  isSuspect(nowMs: number): boolean {
+    return nowMs < this.suspectUntilMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/logs/DecisionLog.ts
@@ -0,0 +1,71 @@
+/** Structured logs: one object a line for each decision, bounded in volume, never blocking. */
+
+/** Fields of a line; values are plain data. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[]>>;
+
+export type LogLevel = "info" | "warn" | "error";
+
+/** Takes lines that are within the budget. */
+export abstract class LogSink {
+  /** Whether the reader of the output has fallen behind. */
+  abstract isBehind(): boolean;
+  abstract write(level: LogLevel, event: string, fields: LogFields): void;
+}
+
+/** Lines a second for each event name; one failed request has about five lines. Measured: a line costs about 20 µs. */
+const linesPerSecond: Readonly<Record<LogLevel, number>> = { info: 20, warn: 60, error: 60 };
+const windowMs = 1_000;
+
+interface Usage {
+  startedAtMs: number;
+  lines: number;
+  leftOut: number;
+}
+
+/** Writes decisions within a budget for each kind, and says how many lines were left out. */
+export class DecisionLog {
+  private readonly _usages = new Map<string, Usage>();
+
+  constructor(
+    private readonly _sink: LogSink,
+    private readonly _nowMs: () => number,
+  ) {}
+
+  info(event: string, fields: LogFields): void {
+    this._write("info", event, fields);
+  }
+
+  warn(event: string, fields: LogFields): void {
+    this._write("warn", event, fields);
+  }
+
+  error(event: string, fields: LogFields): void {
+    this._write("error", event, fields);
+  }
+
+  private _write(level: LogLevel, event: string, fields: LogFields): void {
+    const usage = this._getUsage(event);
+    if (usage.lines >= linesPerSecond[level] || this._sink.isBehind()) {
+      usage.leftOut += 1;
+      return;
+    }
+    usage.lines += 1;
+    const { leftOut } = usage;
+    usage.leftOut = 0;
+    this._sink.write(level, event, leftOut === 0 ? fields : { ...fields, leftOut });
+  }
+
+  private _getUsage(event: string): Usage {
+    const nowMs = this._nowMs();
+    let usage = this._usages.get(event);
+    if (usage === undefined) {
+      usage = { startedAtMs: nowMs, lines: 0, leftOut: 0 };
+      this._usages.set(event, usage);
+    }
+    if (nowMs - usage.startedAtMs >= windowMs) {
+      usage.startedAtMs = nowMs;
+      usage.lines = 0;
+    }
+    return usage;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/logs/WinstonSink.ts
@@ -0,0 +1,33 @@
+/** Writes log lines to the standard output through winston, one JSON object a line. */
+import * as winston from "winston";
+import { LogSink, type LogFields, type LogLevel } from "./DecisionLog.js";
+
+/** Lines are left out while this much waits for a reader of the output. */
+const maxWaitingBytes = 64 * 1024;
+
+/** The sink of a process. */
+export class WinstonSink extends LogSink {
+  private readonly _logger: winston.Logger;
+
+  constructor(
+    instance: string,
+    private readonly _output: NodeJS.WritableStream & { readonly writableLength: number } = process.stdout,
+  ) {
+    super();
+    const json = winston.format.printf((entry) => JSON.stringify(entry));
+    this._logger = winston.createLogger({
+      level: "info",
+      format: winston.format.combine(winston.format.timestamp(), json),
+      defaultMeta: { instance },
+      transports: [new winston.transports.Stream({ stream: _output })],
+    });
+  }
+
+  override isBehind(): boolean {
+    return this._output.writableLength > maxWaitingBytes;
+  }
+
+  override write(level: LogLevel, event: string, fields: LogFields): void {
+    this._logger.log({ level, message: event, ...fields });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -0,0 +1,72 @@
+/** Orders to engines and their reports, as the platform offers them. */
+import type { results } from "@shedtiller/common";
+import { errors } from "@shedtiller/common";
+import * as zod from "zod";
+import { layerSpanSchema, type LayerSpan } from "../discovery/ListedEndpoint.js";
+import type { CallError } from "../http/HttpCaller.js";
+import type { ChainStage } from "../http/MessageCodec.js";
+
+/** What an engine tells of itself; some hundred milliseconds old. */
+export const engineReportSchema = zod.object({
+  /** Orders that it has begun since its start. */
+  orderCount: zod.number().int().nonnegative(),
+  /** Whether an order is under way. */
+  isBusy: zod.boolean(),
+  layers: zod.array(layerSpanSchema),
+  running: zod.number(),
+  queued: zod.number(),
+  usedTokenLayers: zod.number(),
+  totalTokenLayers: zod.number(),
+  /** Factor by which it is slower than its kind; 1 is nominal. */
+  slowness: zod.number(),
+  /** Requests, begun here, that stand still, each with the address of the engine that they wait for. */
+  stalled: zod.array(zod.object({ requestId: zod.string(), address: zod.string() })),
+});
+export type EngineReport = zod.infer<typeof engineReportSchema>;
+
+/** An engine did not do what it was ordered to. */
+export class OrderRefusedError extends errors.ShedtillerError {
+  readonly code = "order_refused";
+
+  constructor(
+    readonly address: string,
+    readonly status: number,
+    /** The engine at fault, where the refusal names one. */
+    readonly faultyAddress: string | undefined,
+  ) {
+    super(`The engine at ${address} refused an order with status ${status}.`);
+  }
+}
+
+export type OrderError = CallError | OrderRefusedError | errors.InvalidInputError;
+
+/** An engine that orders and questions go to. */
+export interface OrderTarget {
+  readonly id: string;
+  readonly address: string;
+}
+
+/** Sends orders and reads reports. */
+export abstract class EngineOrders {
+  abstract getReport(
+    target: OrderTarget,
+    timeoutMs: number,
+  ): Promise<results.Result<EngineReport, OrderError>>;
+
+  /**
+   * Orders an engine to hold a span of layers and no others; layers given up wait for what still passes them.
+   * @param expectedOrderCount - The order does nothing if the engine has begun another number of orders.
+   */
+  abstract placeLayers(
+    target: OrderTarget,
+    span: LayerSpan,
+    expectedOrderCount: number,
+  ): Promise<results.Result<void, OrderError>>;
+
+  /** Moves a running request, begun at `target`, to another chain with the same first engine. */
+  abstract changeChain(
+    target: OrderTarget,
+    requestId: string,
+    chain: readonly ChainStage[],
+  ): Promise<results.Result<void, OrderError>>;
+}
--- /dev/null
+++ b/packages/gateway/src/orders/LeaderSeat.ts
@@ -0,0 +1,52 @@
+/** Keeps up the campaign, and tells whether this instance may give orders now. */
+import { utils } from "@shedtiller/common";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { LeaderElection } from "./LeaderElection.js";
+
+/** Campaigns in a term: one may be lost without losing the office. */
+const campaignsPerTerm = 3;
+/** The holder stops acting this much before its term ends, by its own clock. */
+const safetyMs = 500;
+
+/** The seat of one instance. */
+export class LeaderSeat {
+  private _untilMs = Number.NEGATIVE_INFINITY;
+  private _isHeld = false;
+
+  constructor(
+    private readonly _election: LeaderElection,
+    private readonly _log: DecisionLog,
+    private readonly _nowMs: () => number = utils.monotonicMs,
+  ) {}
+
+  /** Whether this instance leads now. To be asked just before each order. */
+  isHeld(): boolean {
+    return this._nowMs() < this._untilMs;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const intervalMs = this._election.termMs / campaignsPerTerm;
+    await utils.repeat(
+      intervalMs,
+      signal,
+      () => this.campaign(),
+      (error) => {
+        this._log.error("campaign-failed", { cause: String(error) });
+      },
+    );
+    if (this.isHeld()) await this._election.resign();
+    this._untilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Campaigns once. A term counts from before the call, since the store may have begun it any time after. */
+  async campaign(): Promise<void> {
+    const startedAtMs = this._nowMs();
+    const won = await this._election.campaign();
+    if (won.ok) {
+      this._untilMs = won.val ? startedAtMs + this._election.termMs - safetyMs : Number.NEGATIVE_INFINITY;
+    }
+    if (this._isHeld === this.isHeld()) return;
+    this._isHeld = this.isHeld();
+    this._log.info(this._isHeld ? "leader-began" : "leader-ended", { untilMs: Math.round(this._untilMs) });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -0,0 +1,204 @@
+/** The callers' HTTP side: reads requests within their limits, checks route and key, and hands them to a forwarder. */
+import * as http from "node:http";
+import { utils } from "@shedtiller/common";
+import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import type { CallerLimits, GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
+import type { RouteTable } from "../configuration/RouteTable.js";
+import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import { CallerRequest, sendRefusal, type RefusalReason } from "./CallerRequest.js";
+
+/** Connections rest longer than callers are told, so that a request never crosses our close. */
+const idleReserveMs = 1_500;
+const maxHeaderBytes = 64 * 1024;
+/** When to come back to an instance that has no configuration yet, or none that is fresh enough. */
+const notReadyRetryAfterMs = 500;
+
+/** What a listener works with. */
+export interface CallerListenerStructure {
+  readonly host: string;
+  readonly port: number;
+  readonly keeper: ConfigurationKeeper;
+  readonly codec: MessageCodec;
+  readonly log: DecisionLog;
+  /** Whether keys may be taken at their word now. */
+  readonly areKeysFresh: () => boolean;
+  readonly forward: (request: CallerRequest) => Promise<void>;
+}
+
+/** Why a request was not let in. */
+interface Refusal {
+  readonly status: number;
+  readonly reason: RefusalReason;
+  readonly retryAfterMs?: number;
+}
+
+/** One listener an instance. */
+export class CallerListener {
+  private readonly _server: http.Server;
+  private _inHand = 0;
+  private _isDraining = false;
+
+  constructor(private readonly _structure: CallerListenerStructure) {
+    this._server = http.createServer(
+      { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
+      (message, response) => {
+        void this._handle(message, response);
+      },
+    );
+    this._server.on("clientError", (_error, socket) => socket.destroy());
+    _structure.keeper.onChanged((table) => this._applyLimits(table.configuration.limits));
+  }
+
+  /** Requests that have no final answer yet. */
+  get inHand(): number {
+    return this._inHand;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = this._structure;
+    return new Promise((resolve, reject) => {
+      this._server.once("error", reject);
+      this._server.listen({ host, port, backlog: 1_024 }, resolve);
+    });
+  }
+
+  /** From now on each answer says that it is the last on its connection. */
+  drain(): void {
+    this._isDraining = true;
+  }
+
+  closeIdle(): void {
+    this._server.closeIdleConnections();
+  }
+
+  close(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private _applyLimits(limits: CallerLimits): void {
+    this._server.keepAliveTimeout = limits.idleTimeoutMs + idleReserveMs;
+    this._server.headersTimeout = limits.headerTimeoutMs + idleReserveMs;
+  }
+
+  private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const arrivedAtMs = utils.monotonicMs();
+    this._inHand += 1;
+    response.once("close", () => (this._inHand -= 1));
+    response.on("error", () => undefined);
+    const fields = this._structure.codec.decodeCaller(message.rawHeaders);
+    try {
+      const admitted = this._admit(message, fields);
+      if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
+      const body = await this._readBody(message, admitted.table.configuration.limits.maxBodyBytes);
+      if (body === undefined)
+        return this._refuse(message, response, fields, { status: 413, reason: "body-too-large" });
+      await this._forward(message, response, fields, admitted, body, arrivedAtMs);
+    } catch (error) {
+      this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
+      response.destroy();
+    }
+  }
+
+  private async _forward(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    fields: CallerFields,
+    admitted: Admitted,
+    body: Buffer,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    const { codec, forward, log } = this._structure;
+    const { route, account } = admitted;
+    const isDraining = (): boolean => this._isDraining;
+    const request = new CallerRequest({
+      message,
+      response,
+      fields,
+      route,
+      account,
+      body,
+      arrivedAtMs,
+      codec,
+      isDraining,
+    });
+    await forward(request);
+    const tookMs = Math.round(utils.monotonicMs() - arrivedAtMs);
+    const outcome = request.signal.aborted && request.outcome === "open" ? "caller-left" : request.outcome;
+    log.info("request-ended", {
+      requestId: request.id,
+      route: route.name,
+      outcome,
+      attempts: request.attempts,
+      tookMs,
+    });
+  }
+
+  private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
+    const { table } = this._structure.keeper;
+    if (table === undefined)
+      return { status: 503, reason: "no-configuration", retryAfterMs: notReadyRetryAfterMs };
+    const host = (message.headers.host ?? "").replace(/:\d+$/, "");
+    const route = table.getRoute(host, message.url ?? "/");
+    if (route === undefined) return { status: 404, reason: "no-route" };
+    if (!table.hasAccounts) return { table, route, account: undefined };
+    return this._admitKey(table, route, fields.apiKey);
+  }
+
+  private _admitKey(table: RouteTable, route: Route, apiKey: string | undefined): Admitted | Refusal {
+    if (apiKey === undefined && route.isAnonymousAllowed) return { table, route, account: undefined };
+    if (!this._structure.areKeysFresh()) {
+      return { status: 503, reason: "stale-configuration", retryAfterMs: notReadyRetryAfterMs };
+    }
+    if (apiKey === undefined) return { status: 401, reason: "no-key" };
+    const account = table.getAccount(apiKey);
+    if (account !== undefined) return { table, route, account };
+    return route.isAnonymousAllowed
+      ? { table, route, account: undefined }
+      : { status: 401, reason: "unknown-key" };
+  }
+
+  private _refuse(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    fields: CallerFields,
+    refusal: Refusal,
+  ): void {
+    const { keeper, codec, log } = this._structure;
+    message.resume();
+    sendRefusal(
+      response,
+      refusal.status,
+      refusal.reason,
+      codec.encodeRefusal(refusal.retryAfterMs),
+      this._isDraining,
+    );
+    log.warn("request-refused", {
+      requestId: fields.requestId,
+      host: message.headers.host,
+      path: message.url,
+      reason: refusal.reason,
+      version: keeper.version,
+      proofAgeMs: Math.round(keeper.getProofAgeMs()),
+    });
+  }
+
+  /** Reads a body whole; undefined if it is larger than allowed. */
+  private async _readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const part of message as AsyncIterable<Buffer>) {
+      sizeBytes += part.length;
+      if (sizeBytes > maxBytes) return undefined;
+      parts.push(part);
+    }
+    return Buffer.concat(parts);
+  }
+}
+
+interface Admitted {
+  readonly table: RouteTable;
+  readonly route: Route;
+  readonly account: GatewayAccount | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -0,0 +1,180 @@
+/** One request of a caller: what it asks, how long it may take, and its answer. */
+import type * as http from "node:http";
+import { utils } from "@shedtiller/common";
+import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
+import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
+
+/** Why the gateway itself ended a request. */
+export type RefusalReason =
+  | "no-configuration"
+  | "stale-configuration"
+  | "no-route"
+  | "no-key"
+  | "unknown-key"
+  | "body-too-large"
+  | "no-endpoint"
+  | "no-room"
+  | "not-run"
+  | "outcome-unknown"
+  | "out-of-time";
+
+/** What a request is made of. */
+export interface CallerRequestStructure {
+  readonly message: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly fields: CallerFields;
+  readonly route: Route;
+  readonly account: GatewayAccount | undefined;
+  readonly body: Buffer;
+  /** Monotonic time of the arrival of the head. */
+  readonly arrivedAtMs: number;
+  readonly codec: MessageCodec;
+  readonly isDraining: () => boolean;
+}
+
+/** A request in hand. Its answer is given exactly once. */
+export class CallerRequest {
+  readonly fields: CallerFields;
+  readonly route: Route;
+  readonly account: GatewayAccount | undefined;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+  /** Monotonic time by which the final answer is due. */
+  readonly dueAtMs: number;
+  readonly isIdempotent: boolean;
+  /** Endpoints that it was sent to. */
+  attempts = 0;
+  outcome = "open";
+  private readonly _left = new AbortController();
+
+  constructor(private readonly _structure: CallerRequestStructure) {
+    const { fields, route, account, body, arrivedAtMs } = _structure;
+    this.fields = fields;
+    this.route = route;
+    this.account = account;
+    this.body = body;
+    this.arrivedAtMs = arrivedAtMs;
+    this.dueAtMs = arrivedAtMs + Math.min(fields.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    this.isIdempotent = route.kind === "safe" || (route.kind === "streaming" && route.isResumable);
+    _structure.response.on("close", () => {
+      if (!_structure.response.writableFinished) this._left.abort();
+    });
+    _structure.response.on("error", () => this._left.abort());
+  }
+
+  get id(): string {
+    return this.fields.requestId ?? "";
+  }
+
+  get method(): string {
+    return this._structure.message.method ?? "GET";
+  }
+
+  get path(): string {
+    return this._structure.message.url ?? "/";
+  }
+
+  get headers(): readonly string[] {
+    return this._structure.message.rawHeaders;
+  }
+
+  get priority(): number {
+    return this.account?.priority ?? this.route.priority;
+  }
+
+  /** Aborts once the caller has left. */
+  get signal(): AbortSignal {
+    return this._left.signal;
+  }
+
+  get isHeadSent(): boolean {
+    return this._structure.response.headersSent;
+  }
+
+  get isAnswered(): boolean {
+    return this._structure.response.writableEnded || this._structure.response.destroyed;
+  }
+
+  getRemainingMs(): number {
+    return this.dueAtMs - utils.monotonicMs();
+  }
+
+  /** Passes on a whole answer of an endpoint. */
+  answer(status: number, headers: readonly string[], body: Buffer): void {
+    if (this.isAnswered) return;
+    this.outcome = `status ${status}`;
+    const lines = this._withConnection(this._structure.codec.encodeForCaller(headers));
+    const { response } = this._structure;
+    response.writeHead(status, [
+      ...lines,
+      "Content-Length",
+      String(body.length),
+    ] as unknown as http.OutgoingHttpHeader[]);
+    response.end(body);
+  }
+
+  /** Ends the request with an answer of our own. */
+  refuse(status: number, reason: RefusalReason, retryAfterMs?: number): void {
+    if (this.isAnswered) return;
+    this.outcome = reason;
+    if (this.isHeadSent) return this.breakOff(reason);
+    sendRefusal(
+      this._structure.response,
+      status,
+      reason,
+      this._structure.codec.encodeRefusal(retryAfterMs),
+      this._structure.isDraining(),
+    );
+  }
+
+  /** Passes on the head of a stream. */
+  startStream(status: number, headers: readonly string[]): void {
+    const lines = this._withConnection(this._structure.codec.encodeForCaller(headers));
+    this._structure.response.writeHead(status, lines as unknown as http.OutgoingHttpHeader[]);
+    this._structure.response.flushHeaders();
+  }
+
+  /** Passes on bytes of a stream; tells whether the caller keeps up. */
+  write(bytes: Buffer): boolean {
+    return this._structure.response.write(bytes);
+  }
+
+  /** Calls `listener` once the caller has taken what was written. */
+  onceDrained(listener: () => void): void {
+    this._structure.response.once("drain", listener);
+  }
+
+  /** Ends a stream as complete. */
+  finish(): void {
+    this.outcome = "completed";
+    this._structure.response.end();
+  }
+
+  /** Ends a stream so that it cannot look complete. */
+  breakOff(reason: RefusalReason): void {
+    this.outcome = reason;
+    this._structure.response.destroy();
+  }
+
+  private _withConnection(lines: readonly string[]): string[] {
+    return this._structure.isDraining() ? [...lines, "Connection", "close"] : [...lines];
+  }
+}
+
+/** Sends a refusal of our own; the body names the reason for a person who looks. */
+export function sendRefusal(
+  response: http.ServerResponse,
+  status: number,
+  reason: RefusalReason,
+  headers: Record<string, string>,
+  isLast: boolean,
+): void {
+  const body = Buffer.from(JSON.stringify({ error: reason }));
+  response.writeHead(status, {
+    ...headers,
+    "Content-Type": "application/json",
+    "Content-Length": body.length,
+    ...(isLast ? { Connection: "close" } : {}),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -0,0 +1,85 @@
+/** The parts that forwarders share, and the abstract class of the variants. */
+import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
+import type { Endpoint } from "../discovery/Endpoint.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { HttpCall, HttpCaller } from "../http/HttpCaller.js";
+import type { ChainStage, MessageCodec } from "../http/MessageCodec.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { RetryBudgets } from "./RetryBudgets.js";
+
+/** What every forwarder works with. */
+export interface ForwardContext {
+  readonly keeper: ConfigurationKeeper;
+  readonly endpoints: EndpointTable;
+  readonly caller: HttpCaller;
+  readonly codec: MessageCodec;
+  readonly budgets: RetryBudgets;
+  readonly log: DecisionLog;
+  readonly availabilityZone: string;
+  /** Notes evidence against an endpoint, here and at the peers. */
+  suspect(endpointId: string, reason: string): void;
+}
+
+/** A connection that does not stand after this is given up: round trips are below 2 ms, a lost opening packet costs 1 s. */
+const connectTimeoutMs = 400;
+
+/** Handles requests of one kind from their acceptance to their answer. */
+export abstract class RequestForwarder {
+  constructor(protected readonly context: ForwardContext) {}
+
+  /** Forwards the request to endpoints of `service` and answers it. */
+  abstract run(request: CallerRequest, service: string): Promise<void>;
+
+  /** The call that passes the request on to an endpoint. */
+  protected createCall(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    options: {
+      readonly headTimeoutMs: number;
+      readonly isFresh: boolean;
+      readonly lastEventId?: string | undefined;
+      readonly chain?: readonly ChainStage[] | undefined;
+      readonly signal?: AbortSignal;
+    },
+  ): HttpCall {
+    const headers = this.context.codec.encodeForEndpoint(request.headers, {
+      deadlineMs: Math.max(1, Math.floor(request.getRemainingMs())),
+      endpointId: endpoint.id,
+      accountName: request.account?.name,
+      priority: request.priority,
+      lastEventId: options.lastEventId,
+      chain: options.chain,
+    });
+    return {
+      address: endpoint.listed.address,
+      method: request.method,
+      path: request.path,
+      headers,
+      body: request.body,
+      isFresh: options.isFresh,
+      connectTimeoutMs,
+      headTimeoutMs: options.headTimeoutMs,
+      signal: options.signal ?? request.signal,
+    };
+  }
+
+  /** Whether the request may be sent once more, within its own attempts and the budget of all instances. */
+  protected mayRetry(request: CallerRequest, service: string): boolean {
+    if (request.attempts >= request.route.maxAttempts) return false;
+    if (request.getRemainingMs() <= 0 || request.signal.aborted) return false;
+    return this.context.budgets.tryTake(service);
+  }
+}
+
+/** Picks a service by the weights of a route's targets. */
+export function pickTarget(targets: readonly RouteTarget[], random: number): string {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0);
+  let left = random * total;
+  for (const target of targets) {
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return targets[0]?.service ?? "";
+}
--- /dev/null
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -0,0 +1,72 @@
+/** One run of a streamed request at a chain: passes whole events on and tells how it ended. */
+import { utils } from "@shedtiller/common";
+import type { ChainReservation } from "../chains/ChainReservation.js";
+import type { HttpAnswer } from "../http/HttpCaller.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import { EventSplitter } from "./EventSplitter.js";
+
+/** How far the answer of a streamed request is, over all its runs. */
+export class StreamProgress {
+  lastEventId: string | undefined;
+  events = 0;
+
+  constructor(lastEventId: string | undefined) {
+    this.lastEventId = lastEventId;
+  }
+}
+
+export type StreamEnd = "completed" | "broken" | "caller-left";
+
+/** One run. Its silence is watched from outside. */
+export class StreamAttempt {
+  /** Monotonic time of the sending, or of the last event. */
+  lastSignAtMs = utils.monotonicMs();
+  /** Ends the run; the stream may go on elsewhere. */
+  readonly abort = new AbortController();
+  /** Whether this run has given an event yet. */
+  hasEvents = false;
+  private readonly _splitter = new EventSplitter();
+
+  constructor(
+    readonly request: CallerRequest,
+    readonly service: string,
+    readonly reservation: ChainReservation,
+    readonly progress: StreamProgress,
+  ) {
+    request.signal.addEventListener("abort", () => this.abort.abort(), { once: true });
+  }
+
+  get firstStage(): { readonly endpointId: string; readonly address: string } | undefined {
+    return this.reservation.stages[0];
+  }
+
+  /** Passes the events of an answer on until it ends. */
+  relay(answer: HttpAnswer): Promise<StreamEnd> {
+    const done = new utils.Deferred<StreamEnd>();
+    const { message } = answer;
+    const end = (how: StreamEnd): void => {
+      done.resolve(this.request.signal.aborted ? "caller-left" : how);
+      answer.abort();
+    };
+    this.abort.signal.addEventListener("abort", () => end("broken"), { once: true });
+    if (this.abort.signal.aborted) end("broken");
+    message.on("data", (bytes: Buffer) => this._pass(bytes, answer));
+    message.on("end", () => end(message.complete && !this._splitter.hasRest ? "completed" : "broken"));
+    message.on("error", () => end("broken"));
+    message.on("close", () => end("broken"));
+    return done.promise;
+  }
+
+  private _pass(bytes: Buffer, answer: HttpAnswer): void {
+    if (this.abort.signal.aborted) return;
+    this.lastSignAtMs = utils.monotonicMs();
+    const whole = this._splitter.push(bytes);
+    if (whole === undefined) return;
+    this.hasEvents = true;
+    this.progress.events += 1;
+    this.progress.lastEventId = whole.lastId ?? this.progress.lastEventId;
+    if (this.request.write(whole.bytes)) return;
+    answer.message.pause();
+    this.request.onceDrained(() => answer.message.resume());
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -0,0 +1,180 @@
+/** Forwards streamed requests through chains of engines, and goes on elsewhere when a chain fails. */
+import { errors, utils } from "@shedtiller/common";
+import type { ChainAdmission } from "../chains/ChainAdmission.js";
+import type { ChainReservation } from "../chains/ChainReservation.js";
+import type { HttpAnswer } from "../http/HttpCaller.js";
+import { readBody } from "../http/HttpCaller.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import { RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import type { StallMonitor } from "./StallMonitor.js";
+import { StreamAttempt, StreamProgress } from "./StreamAttempt.js";
+
+/** Callers leave a stream that is silent for two seconds; waiting longer than this for room serves nobody. */
+const longestQueueMs = 1_500;
+/** When to come back after a refusal for want of room: streams end at some ten a second. */
+const retryAfterMs = 500;
+const maxErrorBytes = 1024 * 1024;
+const successStatus = 200;
+/** Without a guess of the caller, the longest answer it allows counts at this share. */
+const usualAnswerShare = 0.6;
+
+type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
+
+/** Streams: each run holds room at its chain; a lost run goes on after the last event that the caller has. */
+export class StreamForwarder extends RequestForwarder {
+  constructor(
+    context: ForwardContext,
+    private readonly _admission: ChainAdmission,
+    private readonly _monitor: StallMonitor,
+  ) {
+    super(context);
+  }
+
+  async run(request: CallerRequest, service: string): Promise<void> {
+    const progress = new StreamProgress(request.fields.lastEventId);
+    const timer = setTimeout(() => this._endLate(request), Math.max(0, request.getRemainingMs()));
+    let hasRun = false;
+    while (!request.isAnswered && !request.signal.aborted) {
+      const end = await this._tryOnce(request, service, progress);
+      if (end === undefined) {
+        this._refuse(request, hasRun, "no-room");
+        break;
+      }
+      if (end === "answered" || end === "caller-left") break;
+      if (end === "lost") hasRun = true;
+      const mayRepeat = !hasRun || request.isIdempotent;
+      const isFree = request.attempts === 0;
+      if (mayRepeat && (isFree || this.mayRetry(request, service))) continue;
+      this._refuse(request, hasRun, hasRun ? "outcome-unknown" : "not-run");
+    }
+    clearTimeout(timer);
+  }
+
+  private async _tryOnce(
+    request: CallerRequest,
+    service: string,
+    progress: StreamProgress,
+  ): Promise<AttemptEnd | undefined> {
+    const reservation = await this._acquire(request, service);
+    if (reservation === undefined) return request.signal.aborted ? "caller-left" : undefined;
+    const attempt = new StreamAttempt(request, service, reservation, progress);
+    this._monitor.add(attempt);
+    try {
+      return await this._send(attempt);
+    } finally {
+      this._monitor.remove(attempt);
+      reservation.release();
+      this._admission.pump();
+    }
+  }
+
+  private _acquire(request: CallerRequest, service: string): Promise<ChainReservation | undefined> {
+    const { promptTokens = 0, maxAnswerTokens = 0, answerTokensHint } = request.fields;
+    const answerTokens = Math.ceil(answerTokensHint ?? maxAnswerTokens * usualAnswerShare);
+    return this._admission.acquire({
+      service,
+      demand: { promptTokens, answerTokens, availabilityZone: this.context.availabilityZone },
+      priority: request.priority,
+      patienceMs: Math.max(0, Math.min(longestQueueMs, request.getRemainingMs())),
+      signal: request.signal,
+    });
+  }
+
+  private async _send(attempt: StreamAttempt): Promise<AttemptEnd> {
+    const { request, firstStage } = attempt;
+    const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
+    if (first === undefined) return "again";
+    request.attempts += 1;
+    attempt.lastSignAtMs = utils.monotonicMs();
+    const sent = await this.context.caller.send(
+      this.createCall(request, first, {
+        headTimeoutMs: Math.max(1, request.getRemainingMs()),
+        isFresh: !request.isIdempotent || request.attempts > 1,
+        lastEventId: attempt.progress.lastEventId,
+        chain: attempt.reservation.stages,
+        signal: attempt.abort.signal,
+      }),
+    );
+    if (sent.ok) return this._accept(attempt, sent.val);
+    if (request.signal.aborted) return "caller-left";
+    this._note(attempt, sent.val.code);
+    if (!(sent.val instanceof errors.NotReachedError)) return "lost";
+    request.attempts -= 1;
+    this.context.suspect(first.id, sent.val.code);
+    return "not-run";
+  }
+
+  private async _accept(attempt: StreamAttempt, answer: HttpAnswer): Promise<AttemptEnd> {
+    const { request } = attempt;
+    const fields = this.context.codec.decodeAnswer(answer.headers);
+    if (fields.hasNotRun) return this._acceptRefusal(attempt, answer, fields.faultyAddress);
+    if (fields.requestId !== request.fields.requestId || fields.isEncoded) {
+      answer.abort();
+      this._note(attempt, "answer of another request");
+      return "lost";
+    }
+    if (answer.status !== successStatus) return this._passFailure(attempt, answer);
+    if (!request.isHeadSent) request.startStream(answer.status, answer.headers);
+    const end = await attempt.relay(answer);
+    if (end === "caller-left") return "caller-left";
+    if (end === "completed") {
+      request.finish();
+      return "answered";
+    }
+    this._note(attempt, "stream broken off");
+    return "lost";
+  }
+
+  private _acceptRefusal(
+    attempt: StreamAttempt,
+    answer: HttpAnswer,
+    faultyAddress: string | undefined,
+  ): AttemptEnd {
+    answer.message.resume();
+    const faulty =
+      faultyAddress === undefined ? undefined : this.context.endpoints.getByAddress(faultyAddress);
+    if (faulty !== undefined) this.context.suspect(faulty.id, `refusal ${answer.status}`);
+    this._note(attempt, `refusal ${answer.status} for ${faultyAddress ?? "the first engine"}`);
+    return "not-run";
+  }
+
+  private async _passFailure(attempt: StreamAttempt, answer: HttpAnswer): Promise<AttemptEnd> {
+    const { request } = attempt;
+    const address = attempt.firstStage?.address ?? "";
+    const body = await readBody(answer, address, maxErrorBytes, Math.max(1, request.getRemainingMs()));
+    this._note(attempt, `status ${answer.status}`);
+    if (body.err || request.isHeadSent) return "lost";
+    if (request.isIdempotent && answer.status >= 500 && request.attempts < request.route.maxAttempts)
+      return "lost";
+    request.answer(answer.status, answer.headers, body.val);
+    return "answered";
+  }
+
+  private _refuse(
+    request: CallerRequest,
+    hasRun: boolean,
+    reason: "no-room" | "not-run" | "outcome-unknown",
+  ): void {
+    if (request.isAnswered) return;
+    if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
+    request.refuse(503, reason, retryAfterMs);
+  }
+
+  private _endLate(request: CallerRequest): void {
+    if (request.attempts === 0) request.refuse(503, "no-room", retryAfterMs);
+    else request.refuse(504, "out-of-time");
+  }
+
+  private _note(attempt: StreamAttempt, cause: string): void {
+    const { request, progress, reservation } = attempt;
+    this.context.log.warn("stream-run-failed", {
+      requestId: request.id,
+      cause,
+      chain: reservation.stages.map((stage) => `${stage.address}=${stage.start}-${stage.end}`),
+      events: progress.events,
+      lastEventId: progress.lastEventId,
+      attempts: request.attempts,
+      remainingMs: Math.round(request.getRemainingMs()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/pickPlainEndpoint.ts
@@ -0,0 +1,27 @@
+/** The choice of an endpoint for a plain request: by our own count of open requests, the own zone first. */
+import type { Endpoint } from "../discovery/Endpoint.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+
+/** Another zone counts as this many more open requests: a round trip of 1.5 ms is little against 60 ms of work. */
+const otherZoneRequests = 2;
+/** A suspect endpoint counts as this many more, so that it is taken only when all are. */
+const suspectRequests = 1_000;
+
+/** Picks the endpoint with the fewest requests in hand among those not tried yet; ties go to the smaller id. */
+export function pickPlainEndpoint(
+  context: { readonly endpoints: EndpointTable; readonly availabilityZone: string },
+  service: string,
+  tried: ReadonlySet<string>,
+  nowMs: number,
+): Endpoint | undefined {
+  const cost = (endpoint: Endpoint): number =>
+    endpoint.getLoad().requests +
+    (endpoint.listed.availabilityZone === context.availabilityZone ? 0 : otherZoneRequests) +
+    (endpoint.isSuspect(nowMs) ? suspectRequests : 0);
+  let best: Endpoint | undefined;
+  for (const endpoint of context.endpoints.getUsable(service)) {
+    if (tried.has(endpoint.id)) continue;
+    if (best === undefined || cost(endpoint) < cost(best)) best = endpoint;
+  }
+  return best;
+}
--- a/packages/intent/src/ConfigurationFold.ts
+++ b/packages/intent/src/ConfigurationFold.ts
@@ -1,6 +1,6 @@
 /** The fold of the configuration stream. Every instance that folds the same records holds the same configuration. */
 import { errors, results, utils } from "@shedtiller/common";
-import type { LogRecord, LogSink } from "@shedtiller/platform";
+import type { LogRecord, LogSink } from "@shedtiller/logservice";
 import type { ConfigurationObject, ObjectKind } from "./configurationObjects.js";
 import * as records from "./configurationRecords.js";
 
--- a/packages/intent/src/Confirmer.ts
+++ b/packages/intent/src/Confirmer.ts
@@ -1,6 +1,6 @@
 /** Confirmation of a plan: one append with the plan's id, resolved to the truth also when its reply is lost. */
 import { errors, results, utils } from "@shedtiller/common";
-import type { LogService } from "@shedtiller/platform";
+import type { LogService } from "@shedtiller/logservice";
 import type { ConfigurationFold } from "./ConfigurationFold.js";
 import * as records from "./configurationRecords.js";
 import type { Plan } from "./intents.js";
--- a/packages/intent/src/tests/configurationFoldTests.ts
+++ b/packages/intent/src/tests/configurationFoldTests.ts
@@ -1,5 +1,5 @@
 /** All instances fold the same records to the same configuration, and none goes back. */
-import type { LogRecord } from "@shedtiller/platform";
+import type { LogRecord } from "@shedtiller/logservice";
 import test from "ava";
 import * as fc from "fast-check";
 import { ConfigurationFold } from "../ConfigurationFold.js";
--- a/packages/lease/src/LeaseFold.ts
+++ b/packages/lease/src/LeaseFold.ts
@@ -1,5 +1,5 @@
 /** The fold of the leases stream. A lease lapses by the log's own times, so that every instance agrees. */
-import type { LogRecord, LogSink } from "@shedtiller/platform";
+import type { LogRecord, LogSink } from "@shedtiller/logservice";
 import * as zod from "zod";
 
 /** Name of the stream. */
--- a/packages/lease/src/LeaseHolder.ts
+++ b/packages/lease/src/LeaseHolder.ts
@@ -1,6 +1,6 @@
 /** Takes and renews one lease, and tells from moment to moment whether it may still be acted upon. */
 import { utils } from "@shedtiller/common";
-import type { LogFollower, LogService } from "@shedtiller/platform";
+import type { LogFollower, LogService } from "@shedtiller/logservice";
 import type { Timeline } from "@shedtiller/timeline";
 import { leaseRecordVersion, leasesStream, type LeaseFold, type LeaseRecord } from "./LeaseFold.js";
 
--- a/packages/lease/src/orders.ts
+++ b/packages/lease/src/orders.ts
@@ -1,6 +1,6 @@
 /** Orders to model engines: load, unload, another version or another range of layers. */
 import { errors, results } from "@shedtiller/common";
-import { classifyHttpError } from "@shedtiller/platform";
+import { classifyHttpError } from "@shedtiller/logservice";
 import got from "got";
 import * as zod from "zod";
 
--- a/packages/lease/src/tests/leaseTests.ts
+++ b/packages/lease/src/tests/leaseTests.ts
@@ -6,7 +6,7 @@
   type LogError,
   type LogPage,
   type LogRecord,
-} from "@shedtiller/platform";
+} from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
 import test from "ava";
 import { LeaseFold, leasesStream } from "../LeaseFold.js";
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -1,7 +1,7 @@
 /** Which entry instances live, by direct evidence, and the links between them. */
 import * as http from "node:http";
 import { errors, results, utils } from "@shedtiller/common";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import type { Timeline } from "@shedtiller/timeline";
 import * as ws from "ws";
 import * as zod from "zod";
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -1,6 +1,6 @@
 /** Links, liveness and duties between instances on loopback. */
 import { utils } from "@shedtiller/common";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
 import test from "ava";
 import * as fc from "fast-check";
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,5 @@
 export * from "./PlacementEngine.js";
 export * from "./getThroughput.js";
 export * from "./planPlacement.js";
+export * from "./planLayerCopies.js";
+export * from "./planRepair.js";
--- /dev/null
+++ b/packages/placement/src/planLayerCopies.ts
@@ -0,0 +1,210 @@
+/**
+ * Plans whole copies of a model for one availability zone, with room for requests: what the layers leave of an
+ * accelerator's memory holds the KV cache, and a chain holds as many tokens as its tightest engine.
+ */
+import { utils } from "@shedtiller/common";
+
+/** An accelerator that can hold layers. */
+export interface CopyEngine {
+  readonly name: string;
+  readonly memoryMb: number;
+  /** Factor on the duration of token steps. */
+  readonly stepFactor: number;
+}
+
+/** The model, and what a usual request needs. */
+export interface CopyModel {
+  readonly layerCount: number;
+  readonly layerMb: number;
+  /** KV cache of one token in one layer. */
+  readonly kvMbPerTokenLayer: number;
+  readonly tokensPerRequest: number;
+  readonly answerTokens: number;
+  /** One token step over all layers at factor 1. */
+  readonly stepMs: number;
+  /** Time that each boundary between engines adds to a token. */
+  readonly hopMs: number;
+}
+
+/** The layers of one engine, `end` exclusive. */
+export interface PlannedSpan {
+  readonly name: string;
+  readonly start: number;
+  readonly end: number;
+}
+
+/** Two copies in a zone let it go on when any one engine is lost. */
+const wantedCopies = 2;
+/** A copy that holds fewer usual requests than this is not worth its weights. */
+const minRequestsPerCopy = 12;
+/** Share of engines that are usually down; it makes long chains worth less. An assumption, not a measurement. */
+const engineLossShare = 0.03;
+const improvementRounds = 40;
+
+interface Group {
+  readonly engines: readonly CopyEngine[];
+  readonly rate: number;
+  readonly requests: number;
+}
+
+/** Plans the copies of one zone. Gives nothing where its memory does not hold the model. */
+export function planLayerCopies(engines: readonly CopyEngine[], model: CopyModel): PlannedSpan[] {
+  const sorted = [...engines].sort(
+    (a, b) => a.stepFactor - b.stepFactor || b.memoryMb - a.memoryMb || compareNames(a, b),
+  );
+  const most = Math.floor(
+    utils.getSum(sorted.map((engine) => engine.memoryMb)) / (model.layerCount * model.layerMb),
+  );
+  let best: Group[] | undefined;
+  for (let copies = 1; copies <= most; copies++) {
+    const groups = improve(cutByMemory(sorted, copies, model), model);
+    if (isBetter(groups, best)) best = groups;
+  }
+  return (best ?? []).flatMap((group) => spreadLayers(group.engines, model) ?? []);
+}
+
+/** Layers that an engine can hold while `tokens` tokens fit beside them. */
+export function getLayersBeside(engine: CopyEngine, tokens: number, model: CopyModel): number {
+  const perLayerMb = model.layerMb + tokens * model.kvMbPerTokenLayer;
+  return Math.min(model.layerCount, Math.floor(engine.memoryMb / perLayerMb));
+}
+
+/** Tokens that fit beside `layers` layers. */
+export function getTokensBeside(engine: CopyEngine, layers: number, model: CopyModel): number {
+  if (layers <= 0) return 0;
+  return Math.max(0, engine.memoryMb - layers * model.layerMb) / (layers * model.kvMbPerTokenLayer);
+}
+
+function compareNames(a: CopyEngine, b: CopyEngine): number {
+  return a.name < b.name ? -1 : 1;
+}
+
+/** Enough copies go before a higher rate; a copy without room for requests counts as none. */
+function isBetter(groups: readonly Group[], best: readonly Group[] | undefined): boolean {
+  if (groups.some((group) => group.requests <= 0)) return false;
+  if (best === undefined) return true;
+  const rank = (set: readonly Group[]): number =>
+    Math.min(wantedCopies, set.filter((group) => group.requests >= minRequestsPerCopy).length);
+  if (rank(groups) !== rank(best)) return rank(groups) > rank(best);
+  return getTotalRate(groups) > getTotalRate(best);
+}
+
+function getTotalRate(groups: readonly Group[]): number {
+  return utils.getSum(groups.map((group) => group.rate));
+}
+
+/** Cuts the engines, fastest first, into runs of about equal memory. */
+function cutByMemory(sorted: readonly CopyEngine[], copies: number, model: CopyModel): Group[] {
+  const total = utils.getSum(sorted.map((engine) => engine.memoryMb));
+  const runs: CopyEngine[][] = Array.from({ length: copies }, () => []);
+  let sumMb = 0;
+  for (const engine of sorted) {
+    const index = Math.min(copies - 1, Math.floor(((sumMb + engine.memoryMb / 2) / total) * copies));
+    runs[index]?.push(engine);
+    sumMb += engine.memoryMb;
+  }
+  return runs.map((run) => createGroup(run, model));
+}
+
+/** Moves or swaps engines between groups while that lifts the total rate. */
+function improve(start: readonly Group[], model: CopyModel): Group[] {
+  let groups = [...start];
+  for (let round = 0; round < improvementRounds; round++) {
+    const next = findBetter(groups, model);
+    if (next === undefined) break;
+    groups = next;
+  }
+  return groups;
+}
+
+function findBetter(groups: readonly Group[], model: CopyModel): Group[] | undefined {
+  let best: Group[] | undefined;
+  let bestValue = getValue(groups);
+  for (const [from, source] of groups.entries()) {
+    for (const [to, target] of groups.entries()) {
+      if (from === to) continue;
+      for (const [left, right] of getExchanges(source, target)) {
+        const candidate = [...groups];
+        candidate[from] = createGroup(left, model);
+        candidate[to] = createGroup(right, model);
+        const value = getValue(candidate);
+        if (value <= bestValue * 1.0001) continue;
+        best = candidate;
+        bestValue = value;
+      }
+    }
+  }
+  return best;
+}
+
+/** Groups without enough room pull the value down hard, so that the search first makes every copy whole. */
+function getValue(groups: readonly Group[]): number {
+  const whole = groups.filter((group) => group.requests >= minRequestsPerCopy).length;
+  const room = utils.getSum(groups.map((group) => Math.min(minRequestsPerCopy, group.requests)));
+  return whole * 1e6 + room * 1e3 + getTotalRate(groups);
+}
+
+/** All single moves and swaps; of engines that are alike one is enough. */
+function* getExchanges(source: Group, target: Group): Generator<[CopyEngine[], CopyEngine[]]> {
+  for (const moved of getDistinct(source.engines)) {
+    const left = source.engines.filter((engine) => engine !== moved);
+    yield [left, [...target.engines, moved]];
+    for (const other of getDistinct(target.engines)) {
+      yield [
+        [...left, other],
+        [...target.engines.filter((engine) => engine !== other), moved],
+      ];
+    }
+  }
+}
+
+function getDistinct(engines: readonly CopyEngine[]): CopyEngine[] {
+  return [...new Map(engines.map((engine) => [`${engine.memoryMb}|${engine.stepFactor}`, engine])).values()];
+}
+
+function createGroup(engines: readonly CopyEngine[], model: CopyModel): Group {
+  const spans = spreadLayers(engines, model);
+  if (spans === undefined) {
+    const missingMb =
+      model.layerCount * model.layerMb - utils.getSum(engines.map((engine) => engine.memoryMb));
+    return { engines, rate: 0, requests: -missingMb / (model.layerCount * model.layerMb) };
+  }
+  const byName = new Map(engines.map((engine) => [engine.name, engine]));
+  let tokens = Number.POSITIVE_INFINITY;
+  let tokenMs = spans.length * model.hopMs;
+  for (const span of spans) {
+    const engine = byName.get(span.name);
+    if (engine === undefined) continue;
+    const layers = span.end - span.start;
+    tokens = Math.min(tokens, getTokensBeside(engine, layers, model));
+    tokenMs += (layers / model.layerCount) * engine.stepFactor * model.stepMs;
+  }
+  const requests = tokens / model.tokensPerRequest;
+  const perSecond = (requests * utils.msPerSecond) / (tokenMs * model.answerTokens);
+  return { engines, requests, rate: perSecond * (1 - engineLossShare) ** spans.length };
+}
+
+/**
+ * Gives each engine of a chain layers so that the tightest one holds the most tokens: the largest token count for which
+ * the engines together hold all layers beside it (a bottleneck allocation, found by bisection).
+ */
+export function spreadLayers(engines: readonly CopyEngine[], model: CopyModel): PlannedSpan[] | undefined {
+  const count = (tokens: number): number =>
+    utils.getSum(engines.map((engine) => getLayersBeside(engine, tokens, model)));
+  if (count(1) < model.layerCount) return undefined;
+  let low = 1;
+  let high = 1e7;
+  for (let step = 0; step < 40; step++) {
+    const middle = (low + high) / 2;
+    if (count(middle) >= model.layerCount) low = middle;
+    else high = middle;
+  }
+  const spans: PlannedSpan[] = [];
+  let start = 0;
+  for (const engine of engines) {
+    const end = Math.min(model.layerCount, start + getLayersBeside(engine, low, model));
+    if (end > start) spans.push({ name: engine.name, start, end });
+    start = end;
+  }
+  return spans;
+}
--- a/packages/routing/src/EndpointDirectory.ts
+++ b/packages/routing/src/EndpointDirectory.ts
@@ -1,6 +1,6 @@
 /** What one instance knows of all endpoints: listed state, reports, and its own evidence, which goes first. */
 import { utils } from "@shedtiller/common";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import type { EngineReport, LayerRange } from "./EngineReport.js";
 import { OutlierGuard } from "./OutlierGuard.js";
 
--- a/packages/settings/src/checkSettings.ts
+++ b/packages/settings/src/checkSettings.ts
@@ -31,11 +31,30 @@
 
 /** Checks the text of a settings file. `file` names it in faults. */
 export function checkSettings(text: string, file: string): results.Result<InstanceSettings, SettingsError> {
+  const checked = checkSections(instanceSettingsSchema, text, file);
+  if (checked.err) return checked;
+  return checkTogether(checked.val.settings, checked.val.document, file);
+}
+
+/** Settings that passed the check of their fields, and where each key stands. */
+export interface CheckedSections<T> {
+  readonly settings: T;
+  readonly document: IniDocument;
+}
+
+/** Checks INI text against a schema of sections. `file` names it in faults. */
+export function checkSections<Shape extends zod.ZodRawShape>(
+  schema: zod.ZodObject<Shape>,
+  text: string,
+  file: string,
+): results.Result<CheckedSections<zod.output<zod.ZodObject<Shape>>>, SettingsError> {
   const document = readIni(text, file);
   if (document.err) return results.Err(new SettingsError([document.val]));
-  const checked = instanceSettingsSchema.safeParse(document.val.sections);
-  if (checked.success) return checkTogether(checked.data, document.val, file);
-  const faults = checked.error.issues.flatMap((issue) => describeIssue(issue, document.val, file));
+  const checked = schema.safeParse(document.val.sections);
+  if (checked.success) return results.Ok({ settings: checked.data, document: document.val });
+  const faults = checked.error.issues.flatMap((issue) =>
+    describeIssue(issue, schema.shape, document.val, file),
+  );
   return results.Err(new SettingsError(faults));
 }
 
@@ -61,12 +80,13 @@
 
 function describeIssue(
   issue: zod.core.$ZodIssue,
+  shape: zod.ZodRawShape,
   document: IniDocument,
   file: string,
 ): errors.InvalidInputError[] {
   const path = issue.path.map(String);
   if (issue.code === "unrecognized_keys") {
-    return issue.keys.map((key) => describeUnknown([...path, key], document, file));
+    return issue.keys.map((key) => describeUnknown([...path, key], shape, document, file));
   }
   const reason = issue.message.replace(/\.$/, "");
   return [new errors.InvalidInputError(getPlace(path, document, file), reason)];
@@ -74,17 +94,17 @@
 
 function describeUnknown(
   path: readonly string[],
+  shape: zod.ZodRawShape,
   document: IniDocument,
   file: string,
 ): errors.InvalidInputError {
   const key = path[path.length - 1] ?? "";
-  const nearest = getNearest(key, getKnownKeys(path.slice(0, -1)));
+  const nearest = getNearest(key, getKnownKeys(path.slice(0, -1), shape));
   const advice = nearest === undefined ? "" : `; did you mean ${nearest}`;
   return new errors.InvalidInputError(getPlace(path, document, file), `is not a known name${advice}`);
 }
 
-function getKnownKeys(sectionPath: readonly string[]): string[] {
-  const shape: Record<string, unknown> = instanceSettingsSchema.shape;
+function getKnownKeys(sectionPath: readonly string[], shape: zod.ZodRawShape): string[] {
   const section = sectionPath[0];
   if (section === undefined) return Object.keys(shape);
   return Object.keys(unwrapShape(shape[section]));
--- a/packages/standins/src/bench/claims.ts
+++ b/packages/standins/src/bench/claims.ts
@@ -1,7 +1,7 @@
 /** What a claim adds to a call, and what it costs the log, by rate of calls over eight instances. */
 import { results, utils } from "@shedtiller/common";
 import { AtMostOnce, ClaimBatcher, ClaimFold, claimsStream } from "@shedtiller/claims";
-import { HttpLogService, LogFollower } from "@shedtiller/platform";
+import { HttpLogService, LogFollower } from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
 import { StandInLog } from "../platform/StandInLog.js";
 import type { BenchReport } from "./BenchReport.js";
--- a/packages/standins/src/bench/control.ts
+++ b/packages/standins/src/bench/control.ts
@@ -8,7 +8,7 @@
 import { utils } from "@shedtiller/common";
 import * as intent from "@shedtiller/intent";
 import { Membership } from "@shedtiller/membership";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import { EndpointDirectory, type EngineReport } from "@shedtiller/routing";
 import { Timeline } from "@shedtiller/timeline";
 import { AccountDirectory } from "@shedtiller/entry";
--- a/packages/standins/src/fleet/Fleet.ts
+++ b/packages/standins/src/fleet/Fleet.ts
@@ -2,7 +2,7 @@
 import { errors, utils } from "@shedtiller/common";
 import { composeEntry, EntryInstance, type DrainReport } from "@shedtiller/entry";
 import * as intent from "@shedtiller/intent";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import { instanceSettingsSchema, type InstanceSettings } from "@shedtiller/settings";
 import type * as inversify from "inversify";
 import { ApplicationLog } from "../engine/ApplicationLog.js";
--- a/packages/standins/src/platform/StandInInstanceList.ts
+++ b/packages/standins/src/platform/StandInInstanceList.ts
@@ -1,6 +1,6 @@
 /** A stand-in for the platform's instance list, with its lag. */
 import { utils } from "@shedtiller/common";
-import type { ListedInstance } from "@shedtiller/platform";
+import type { ListedInstance } from "@shedtiller/logservice";
 import type * as restify from "restify";
 import { HttpStandIn } from "../HttpStandIn.js";
 
--- a/packages/standins/src/platform/StandInLog.ts
+++ b/packages/standins/src/platform/StandInLog.ts
@@ -1,6 +1,6 @@
 /** A stand-in for the platform's log service: offsets, limited rate and retention, outages, lost replies. */
 import { utils } from "@shedtiller/common";
-import type { LogPage, LogRecord } from "@shedtiller/platform";
+import type { LogPage, LogRecord } from "@shedtiller/logservice";
 import type * as restify from "restify";
 import { HttpStandIn } from "../HttpStandIn.js";
 
