--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -1,4 +1,5 @@
 /** One gateway instance: its tasks from start to the end of a planned stop. */
+import { setMaxListeners } from "node:events";
 import { errors, utils } from "@shedtiller/common";
 import { Membership } from "@shedtiller/membership";
 import { Timeline } from "@shedtiller/timeline";
@@ -17,6 +18,7 @@
 import type { MessageCodec } from "./http/MessageCodec.js";
 import type { DecisionLog } from "./logs/DecisionLog.js";
 import type { EngineOrders } from "./orders/EngineOrders.js";
+import { EnginePoll } from "./orders/EnginePoll.js";
 import { LayerKeeper } from "./orders/LayerKeeper.js";
 import type { LeaderElection } from "./orders/LeaderElection.js";
 import { LeaderSeat } from "./orders/LeaderSeat.js";
@@ -62,6 +64,7 @@
   private readonly _endpointWatch: EndpointWatch;
   private readonly _seat: LeaderSeat;
   private readonly _layers: LayerKeeper;
+  private readonly _poll: EnginePoll;
   private readonly _budgets: RetryBudgets;
   private readonly _admission: ChainAdmission;
   private readonly _monitor: StallMonitor;
@@ -114,6 +117,7 @@
       orders: platform.orders,
       log: _log,
       mayOrder: () => this._seat.isHeld(),
+      tellOrdered: (endpointId, span) => this._exchange.tellOrdered(endpointId, span),
     });
     const context = this._createContext(platform.codec);
     this._admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
@@ -130,6 +134,14 @@
     });
     const { host, port } = callers.readiness;
     this._readiness = new ReadinessListener(host, port, () => this._isReady());
+    this._poll = new EnginePoll({
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      orders: platform.orders,
+      log: _log,
+      mayAsk: () => this._seat.isHeld(),
+      tell: (endpointId, slowness) => this._exchange.tellSlowness(endpointId, slowness),
+    });
     this.keeper.onChanged((table) => this._exchange.tellVersion(table.version));
     this._addGauges();
   }
@@ -137,6 +149,8 @@
   /** Starts listening and all tasks. Resolves once the listeners stand. */
   async start(): Promise<void> {
     const { signal } = this._stop;
+    // Every task waits on this one signal.
+    setMaxListeners(0, signal);
     await this._callers.listen();
     await this._readiness.listen();
     await this._membership.listen();
@@ -149,6 +163,7 @@
       this._exchange.run(signal),
       this._seat.run(signal),
       this._layers.run(signal),
+      this._poll.run(signal),
       this._admission.run(signal),
       this._monitor.run(signal),
     ];
@@ -165,6 +180,7 @@
     this._log.info("drain-began", { inHand: this._callers.inHand });
     const endMs = this._settings.callers.stopGraceS * utils.msPerSecond - stopReserveMs;
     await utils.sleep(Math.min(balancerNoticeMs, endMs));
+    this._callers.refuseNew();
     this._callers.closeIdle();
     const leftMs = endMs - (utils.monotonicMs() - startedAtMs);
     await utils.waitUntil(() => this._callers.inHand === 0, leftMs, drainPollMs);
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -8,6 +8,16 @@
 /** Room may also come free at peers, which tell of it; this is how often waiting requests look again. */
 const lookAgainMs = 50;
 
+/** Requests that fit nowhere are passed over in one look, up to this many; each costs a search. */
+const mostMisses = 3;
+/** The rate at which chains come free is smoothed over about this many. */
+const smoothedReleases = 16;
+/** Before any chain has come free: a stream lives for about a second, and an instance has some ten. */
+const initialReleaseIntervalMs = 100;
+/** Longest time to come back that a refusal names; callers heed it up to a third of what they have left. */
+const longestRetryAfterMs = 4_000;
+const shortestRetryAfterMs = 500;
+
 /** Who waits for a chain. */
 export interface ChainApplicant {
   readonly service: string;
@@ -26,6 +36,8 @@
 /** Queues by priority, then by arrival. */
 export class ChainAdmission {
   private readonly _waiters: Waiter[] = [];
+  private _lastReleaseAtMs = utils.monotonicMs();
+  private _releaseIntervalMs = initialReleaseIntervalMs;
 
   constructor(
     private readonly _keeper: ConfigurationKeeper,
@@ -43,14 +55,41 @@
     const isNext = !this._waiters.some((waiter) => waiter.applicant.priority <= applicant.priority);
     const reservation = isNext ? this._tryReserve(applicant) : undefined;
     if (reservation !== undefined) return reservation;
+    // A refusal at once lets the caller come back in time; one after a wait in vain does not.
+    if (this._getExpectedWaitMs(applicant) > applicant.patienceMs) return undefined;
     return this._wait(applicant);
   }
 
+  /** When a refused request should come back. */
+  getRetryAfterMs(): number {
+    const waitMs = this._waiters.length * this._releaseIntervalMs;
+    return Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, waitMs));
+  }
+
+  /** Notes that a chain came free, and looks for those that wait. */
+  noteReleased(): void {
+    const nowMs = utils.monotonicMs();
+    const intervalMs = nowMs - this._lastReleaseAtMs;
+    this._lastReleaseAtMs = nowMs;
+    this._releaseIntervalMs += (intervalMs - this._releaseIntervalMs) / smoothedReleases;
+    this.pump();
+  }
+
+  private _getExpectedWaitMs(applicant: ChainApplicant): number {
+    const ahead = this._waiters.filter((waiter) => waiter.applicant.priority <= applicant.priority).length;
+    return (ahead + 1) * this._releaseIntervalMs;
+  }
+
   /** Looks again for all that wait. */
   pump(): void {
+    let misses = 0;
     for (const waiter of [...this._waiters]) {
+      if (misses >= mostMisses) return;
       const reservation = this._tryReserve(waiter.applicant);
-      if (reservation === undefined) continue;
+      if (reservation === undefined) {
+        misses += 1;
+        continue;
+      }
       this._remove(waiter);
       waiter.done.resolve(reservation);
     }
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -11,6 +11,8 @@
 const returnGraceMs = 2_000;
 /** First suspicion of an endpoint: two heartbeats of a usual deployment, so that a dead one drops out of the list next. */
 const suspicionMs = 3_000;
+/** Suspicions of an endpoint that stays silent double up to this; a heartbeat ends them. */
+const longestSuspicionMs = 24_000;
 /** A heartbeat that came this long after the evidence shows that the endpoint lives. */
 const clearedByHeartbeatAfterMs = 1_000;
 
@@ -91,7 +93,8 @@
     const nowMs = this._nowMs();
     if (endpoint === undefined || endpoint.isSuspect(nowMs)) return false;
     endpoint.suspectedAtMs = nowMs;
-    endpoint.suspectUntilMs = nowMs + suspicionMs;
+    endpoint.suspectUntilMs = nowMs + Math.min(longestSuspicionMs, suspicionMs * 2 ** endpoint.suspicions);
+    endpoint.suspicions += 1;
     this._notify(endpoint, "suspected");
     return true;
   }
@@ -128,7 +131,9 @@
   private _noteHeartbeat(endpoint: Endpoint): void {
     const nowMs = this._nowMs();
     endpoint.heardAtMs = nowMs;
-    if (!endpoint.isSuspect(nowMs) || nowMs - endpoint.suspectedAtMs < clearedByHeartbeatAfterMs) return;
+    if (nowMs - endpoint.suspectedAtMs < clearedByHeartbeatAfterMs) return;
+    endpoint.suspicions = 0;
+    if (!endpoint.isSuspect(nowMs)) return;
     endpoint.suspectUntilMs = 0;
     this._notify(endpoint, "cleared");
   }
--- a/packages/gateway/src/http/HttpCaller.ts
+++ b/packages/gateway/src/http/HttpCaller.ts
@@ -43,6 +43,8 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly message: http.IncomingMessage;
+  /** Whether the answer came whole. An answer without a length ends with its connection; a reset one is not whole. */
+  isWhole(): boolean;
   /** Ends the call and its connection. */
   abort(): void;
 }
@@ -160,12 +162,21 @@
   private _acceptHead(message: http.IncomingMessage): void {
     if (this._isSettled) return void message.destroy();
     const request = this._request;
+    let isReset = false;
+    // Node takes a reset for the end of an answer without a length, so the reset is noted before Node's own listener runs.
+    const { socket } = message;
+    const noteReset = (): void => {
+      isReset = true;
+    };
+    socket.prependListener("error", noteReset);
+    message.once("close", () => socket.off("error", noteReset));
     message.on("error", () => undefined);
     this._settle(
       results.Ok({
         status: message.statusCode ?? 0,
         headers: message.rawHeaders,
         message,
+        isWhole: () => message.complete && !isReset,
         abort: () => request?.destroy(),
       }),
     );
@@ -224,7 +235,7 @@
     if (sizeBytes > maxBytes) fail(new AnswerTooLargeError(address, maxBytes));
   });
   answer.message.on("end", () => {
-    if (answer.message.complete) done.resolve(results.Ok(Buffer.concat(parts)));
+    if (answer.isWhole()) done.resolve(results.Ok(Buffer.concat(parts)));
     else fail(new errors.ConnectionLostError(address));
   });
   answer.message.on("error", (error) => fail(new errors.ConnectionLostError(address, error)));
--- /dev/null
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -0,0 +1,62 @@
+/** Asks the engines in turn how slow they are, so that chains avoid those that slow down without failing. */
+import { utils } from "@shedtiller/common";
+import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import type { Endpoint } from "../discovery/Endpoint.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { EngineOrders } from "./EngineOrders.js";
+
+/** Each engine is asked once in this time, by one instance for all. A question is priced like a health check. */
+const roundMs = 2_000;
+const idleMs = 500;
+const reportTimeoutMs = 500;
+/** Below this a report of slowness is ordinary variation. */
+const slownessFloor = 1.2;
+/** Only changes by more than this are told. */
+const toldChange = 0.2;
+
+/** What a poll works with. */
+export interface EnginePollStructure {
+  readonly keeper: ConfigurationKeeper;
+  readonly endpoints: EndpointTable;
+  readonly orders: EngineOrders;
+  readonly log: DecisionLog;
+  readonly mayAsk: () => boolean;
+  readonly tell: (endpointId: string, slowness: number) => void;
+}
+
+/** One task an instance; it asks only while the instance leads. */
+export class EnginePoll {
+  constructor(private readonly _structure: EnginePollStructure) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const engines = this._structure.mayAsk() ? this._getEngines() : [];
+      if (engines.length === 0) await utils.sleep(idleMs, signal).catch(() => undefined);
+      for (const engine of engines) {
+        if (signal.aborted || !this._structure.mayAsk()) break;
+        void this._ask(engine);
+        await utils.sleep(roundMs / engines.length, signal).catch(() => undefined);
+      }
+    }
+  }
+
+  private _getEngines(): Endpoint[] {
+    const services = this._structure.keeper.table?.configuration.services ?? [];
+    const names = services.filter((service) => service.engine !== undefined).map((service) => service.name);
+    return names
+      .flatMap((name) => this._structure.endpoints.getUsable(name))
+      .filter((engine) => engine.listed.layers.length > 0);
+  }
+
+  private async _ask(engine: Endpoint): Promise<void> {
+    const target = { id: engine.id, address: engine.listed.address };
+    const report = await this._structure.orders.getReport(target, reportTimeoutMs);
+    if (report.err) return;
+    const slowness = report.val.slowness > slownessFloor ? report.val.slowness : 1;
+    if (Math.abs(slowness - engine.slowness) < toldChange) return;
+    engine.slowness = slowness;
+    this._structure.tell(engine.id, slowness);
+    this._structure.log.info("engine-slowness", { endpointId: engine.id, slowness });
+  }
+}
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -5,12 +5,15 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import { listedEndpointSchema, type LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { orderShownMs } from "../orders/LayerKeeper.js";
 import { registeredInstanceSchema, type RegisteredInstance } from "./PeerRegistry.js";
 
 const loadTopic = "load";
 const suspectTopic = "suspect";
+const orderedTopic = "ordered";
+const slownessTopic = "slowness";
 const newVersionTopic = "new-version";
 const configurationTopic = "configuration";
 const endpointsTopic = "endpoints";
@@ -26,6 +29,8 @@
 const peersAsked = 2;
 
 const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
+const orderedSchema = zod.object({ endpointId: zod.string(), start: zod.number(), end: zod.number() });
+const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
 const suspectSchema = zod.object({ endpointId: zod.string() });
 const questionSchema = zod.object({ version: zod.number() });
 const configurationAnswerSchema = zod.object({
@@ -66,6 +71,8 @@
     const { membership } = _structure;
     membership.onNotice(loadTopic, (body, from) => this._takeLoad(body, from));
     membership.onNotice(suspectTopic, (body) => this._takeSuspicion(body));
+    membership.onNotice(orderedTopic, (body) => this._takeOrdered(body));
+    membership.onNotice(slownessTopic, (body) => this._takeSlowness(body));
     membership.onNotice(newVersionTopic, (body, from) => void this._takeNewVersion(body, from));
     membership.onRequest(configurationTopic, (body) => this._answerConfiguration(body));
     membership.onRequest(endpointsTopic, () => this._answerEndpoints());
@@ -87,6 +94,16 @@
     this._structure.membership.notifyAll(suspectTopic, { endpointId });
   }
 
+  /** Tells all peers what an engine was ordered to hold. */
+  tellOrdered(endpointId: string, span: LayerSpan): void {
+    this._structure.membership.notifyAll(orderedTopic, { endpointId, ...span });
+  }
+
+  /** Tells all peers how slow an engine says that it is. */
+  tellSlowness(endpointId: string, slowness: number): void {
+    this._structure.membership.notifyAll(slownessTopic, { endpointId, slowness });
+  }
+
   /** Tells all peers that a version has come into force here. */
   tellVersion(version: number): void {
     this._structure.membership.notifyAll(newVersionTopic, { version });
@@ -120,6 +137,21 @@
     if (suspicion.success) this._structure.endpoints.suspect(suspicion.data.endpointId);
   }
 
+  private _takeOrdered(body: unknown): void {
+    const ordered = orderedSchema.safeParse(body);
+    if (!ordered.success) return;
+    const { endpointId, start, end } = ordered.data;
+    this._structure.endpoints
+      .get(endpointId)
+      ?.noteOrdered({ start, end }, utils.monotonicMs() + orderShownMs);
+  }
+
+  private _takeSlowness(body: unknown): void {
+    const told = slownessSchema.safeParse(body);
+    const endpoint = told.success ? this._structure.endpoints.get(told.data.endpointId) : undefined;
+    if (told.success && endpoint !== undefined) endpoint.slowness = told.data.slowness;
+  }
+
   private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
     const notice = questionSchema.safeParse(body);
     if (!notice.success) return this._noteBad(newVersionTopic, from);
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -14,6 +14,9 @@
 /** When to come back to an instance that has no configuration yet, or none that is fresh enough. */
 const notReadyRetryAfterMs = 500;
 
+/** When to come back after a refusal by an instance that stops: at once, on another connection to another instance. */
+const stoppingRetryAfterMs = 20;
+
 /** What a listener works with. */
 export interface CallerListenerStructure {
   readonly host: string;
@@ -38,6 +41,7 @@
   private readonly _server: http.Server;
   private _inHand = 0;
   private _isDraining = false;
+  private _isClosing = false;
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
@@ -68,6 +72,11 @@
     this._isDraining = true;
   }
 
+  /** From now on new requests are refused, since what begins now might not end in time. */
+  refuseNew(): void {
+    this._isClosing = true;
+  }
+
   closeIdle(): void {
     this._server.closeIdleConnections();
   }
@@ -137,6 +146,7 @@
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
     const { table } = this._structure.keeper;
+    if (this._isClosing) return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
     if (table === undefined)
       return { status: 503, reason: "no-configuration", retryAfterMs: notReadyRetryAfterMs };
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -6,6 +6,7 @@
 
 /** Why the gateway itself ended a request. */
 export type RefusalReason =
+  | "stopping"
   | "no-configuration"
   | "stale-configuration"
   | "no-route"
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -128,7 +128,9 @@
           firstEndpointId: first.endpointId,
           firstEnd: attempt.reservation.stages[0]?.end,
         });
-    if (chain === undefined) return this._giveUp(attempt, "no other chain");
+    // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
+    if (chain === undefined && !isFirstAtFault) return;
+    if (chain === undefined) return this._giveUp(attempt, "the first engine stands still");
     const moved = await this._orders.changeChain(
       { id: first.endpointId, address: first.address },
       attempt.request.id,
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -51,7 +51,7 @@
     this.abort.signal.addEventListener("abort", () => end("broken"), { once: true });
     if (this.abort.signal.aborted) end("broken");
     message.on("data", (bytes: Buffer) => this._pass(bytes, answer));
-    message.on("end", () => end(message.complete && !this._splitter.hasRest ? "completed" : "broken"));
+    message.on("end", () => end(answer.isWhole() && !this._splitter.hasRest ? "completed" : "broken"));
     message.on("error", () => end("broken"));
     message.on("close", () => end("broken"));
     return done.promise;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -11,13 +11,13 @@
 
 /** Callers leave a stream that is silent for two seconds; waiting longer than this for room serves nobody. */
 const longestQueueMs = 1_500;
-/** When to come back after a refusal for want of room: streams end at some ten a second. */
-const retryAfterMs = 500;
 const maxErrorBytes = 1024 * 1024;
 const successStatus = 200;
 /** Without a guess of the caller, the longest answer it allows counts at this share. */
 const usualAnswerShare = 0.6;
 
+const resumedPriority = -1;
+
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
 
 /** Streams: each run holds room at its chain; a lost run goes on after the last event that the caller has. */
@@ -64,7 +64,7 @@
     } finally {
       this._monitor.remove(attempt);
       reservation.release();
-      this._admission.pump();
+      this._admission.noteReleased();
     }
   }
 
@@ -74,7 +74,8 @@
     return this._admission.acquire({
       service,
       demand: { promptTokens, answerTokens, availabilityZone: this.context.availabilityZone },
-      priority: request.priority,
+      // A stream that has begun goes first: its caller already waits for the rest.
+      priority: request.isHeadSent ? resumedPriority : request.priority,
       patienceMs: Math.max(0, Math.min(longestQueueMs, request.getRemainingMs())),
       signal: request.signal,
     });
@@ -157,11 +158,11 @@
   ): void {
     if (request.isAnswered) return;
     if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
-    request.refuse(503, reason, retryAfterMs);
+    request.refuse(503, reason, this._admission.getRetryAfterMs());
   }
 
   private _endLate(request: CallerRequest): void {
-    if (request.attempts === 0) request.refuse(503, "no-room", retryAfterMs);
+    if (request.attempts === 0) request.refuse(503, "no-room", this._admission.getRetryAfterMs());
     else request.refuse(504, "out-of-time");
   }
 
