--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -63,7 +63,8 @@
 
   private _toCandidates(endpoint: Endpoint, profile: EngineProfile, demand: ChainDemand): Candidate[] {
     if (demand.excludedIds?.has(endpoint.id) === true) return [];
-    if (endpoint.isSuspect(this._nowMs())) return [];
+    const nowMs = this._nowMs();
+    if (endpoint.isSuspect(nowMs) || nowMs < endpoint.refusedUntilMs) return [];
     const kind = getKind(endpoint, profile);
     if (kind === undefined) return [];
     const tokens = demand.promptTokens + demand.answerTokens;
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -17,6 +17,8 @@
   suspectUntilMs = 0;
   /** Monotonic time of the evidence that led to the suspicion. */
   suspectedAtMs = 0;
+  /** Monotonic time until which it gets nothing new from this instance, since it just refused for want of room. */
+  refusedUntilMs = 0;
   /** Suspicions in a row without a heartbeat between them. */
   suspicions = 0;
   /** Monotonic time of the last record that the store had of it. */
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -17,6 +17,10 @@
 const usualAnswerShare = 0.6;
 
 const resumedPriority = -1;
+/** A refusal later than this came from a stalled chain: engines refuse for want of room at once. */
+const stalledRefusalMs = 1_000;
+/** Streams come free at some ten a second on an engine, so a full one has room again after about this. */
+const refusalBackoffMs = 250;
 
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
 
@@ -126,16 +130,24 @@
     return "lost";
   }
 
+  /**
+   * An engine that refuses at once is short of memory or gives the layers up: this instance leaves it alone for a moment.
+   * One that refuses after a long wait names an engine that does not answer.
+   */
   private _acceptRefusal(
     attempt: StreamAttempt,
     answer: HttpAnswer,
     faultyAddress: string | undefined,
   ): AttemptEnd {
     answer.message.resume();
-    const faulty =
-      faultyAddress === undefined ? undefined : this.context.endpoints.getByAddress(faultyAddress);
-    if (faulty !== undefined) this.context.suspect(faulty.id, `refusal ${answer.status}`);
-    this._note(attempt, `refusal ${answer.status} for ${faultyAddress ?? "the first engine"}`);
+    const nowMs = utils.monotonicMs();
+    const address = faultyAddress ?? attempt.firstStage?.address ?? "";
+    const faulty = this.context.endpoints.getByAddress(address);
+    const waitedMs = nowMs - attempt.lastSignAtMs;
+    if (faulty !== undefined && waitedMs >= stalledRefusalMs)
+      this.context.suspect(faulty.id, `refusal ${answer.status}`);
+    else if (faulty !== undefined) faulty.refusedUntilMs = nowMs + refusalBackoffMs;
+    this._note(attempt, `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`);
     return "not-run";
   }
 
--- /dev/null
+++ b/packages/gateway/src/tests/http/HttpCallerTests.ts
@@ -0,0 +1,95 @@
+/** What a caller of endpoints learns from answers that are whole, broken off, reset, or never come. */
+import * as net from "node:net";
+import test from "ava";
+import { errors } from "@shedtiller/common";
+import { HttpCaller, readBody, type HttpCall } from "../../http/HttpCaller.js";
+
+const maxBytes = 1024;
+const generousMs = 30_000;
+
+/** Listens on a free port and handles each connection. */
+async function listen(handle: (socket: net.Socket) => void): Promise<{ server: net.Server; address: string }> {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => undefined);
+    handle(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  return { server, address: `127.0.0.1:${port}` };
+}
+
+function createCall(address: string, isFresh: boolean): HttpCall {
+  return {
+    address,
+    method: "GET",
+    path: "/",
+    headers: ["Host", address],
+    isFresh,
+    connectTimeoutMs: generousMs,
+    headTimeoutMs: generousMs,
+  };
+}
+
+for (const isFresh of [true, false]) {
+  const kind = isFresh ? "fresh" : "kept";
+  test(`an answer without a length that is reset on the way is not whole (${kind} connection)`, async (t) => {
+    const sockets: net.Socket[] = [];
+    const { server, address } = await listen((socket) => {
+      sockets.push(socket);
+      // The request stays unread, so that closing the connection resets it.
+      socket.pause();
+      socket.write("HTTP/1.1 200 OK\r\n\r\npart of the bo");
+    });
+    const caller = new HttpCaller();
+    const head = await caller.send(createCall(address, isFresh));
+    if (head.err) return t.fail(head.val.message);
+    const body = readBody(head.val, address, maxBytes, generousMs);
+    for (const socket of sockets) socket.destroy();
+    const read = await body;
+    t.true(read.err && read.val instanceof errors.ConnectionLostError);
+    caller.close();
+    server.close();
+  });
+
+  test(`an answer without a length that ends with its connection is whole (${kind} connection)`, async (t) => {
+    const { server, address } = await listen((socket) => {
+      socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\nthe whole body"));
+    });
+    const caller = new HttpCaller();
+    const answer = await caller.fetch(createCall(address, isFresh), maxBytes, generousMs);
+    t.is(answer.ok ? answer.val.body.toString() : answer.val.code, "the whole body");
+    caller.close();
+    server.close();
+  });
+}
+
+test("an answer shorter than its length is not whole", async (t) => {
+  const { server, address } = await listen((socket) => {
+    socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort"));
+  });
+  const caller = new HttpCaller();
+  const answer = await caller.fetch(createCall(address, true), maxBytes, generousMs);
+  t.true(answer.err && answer.val instanceof errors.ConnectionLostError);
+  caller.close();
+  server.close();
+});
+
+test("a port that nobody listens on proves that nothing arrived", async (t) => {
+  const { server, address } = await listen(() => undefined);
+  await new Promise((resolve) => server.close(resolve));
+  const caller = new HttpCaller();
+  const answer = await caller.fetch(createCall(address, true), maxBytes, generousMs);
+  t.true(answer.err && answer.val instanceof errors.NotReachedError);
+  caller.close();
+});
+
+test("a connection that is closed after the request was read proves nothing", async (t) => {
+  const { server, address } = await listen((socket) => {
+    socket.once("data", () => socket.destroy());
+  });
+  const caller = new HttpCaller();
+  const answer = await caller.fetch(createCall(address, true), maxBytes, generousMs);
+  t.true(answer.err && answer.val instanceof errors.ConnectionLostError);
+  caller.close();
+  server.close();
+});
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -41,7 +41,8 @@
 const engineLossShare = 0.03;
 const improvementRounds = 40;
 
-interface Group {
+/** Engines that hold one copy together. */
+export interface CopyGroup {
   readonly engines: readonly CopyEngine[];
   readonly rate: number;
   readonly requests: number;
@@ -55,7 +56,7 @@
   const most = Math.floor(
     utils.getSum(sorted.map((engine) => engine.memoryMb)) / (model.layerCount * model.layerMb),
   );
-  let best: Group[] | undefined;
+  let best: CopyGroup[] | undefined;
   for (let copies = 1; copies <= most; copies++) {
     const groups = improve(cutByMemory(sorted, copies, model), model);
     if (isBetter(groups, best)) best = groups;
@@ -80,21 +81,21 @@
 }
 
 /** Enough copies go before a higher rate; a copy without room for requests counts as none. */
-function isBetter(groups: readonly Group[], best: readonly Group[] | undefined): boolean {
+function isBetter(groups: readonly CopyGroup[], best: readonly CopyGroup[] | undefined): boolean {
   if (groups.some((group) => group.requests <= 0)) return false;
   if (best === undefined) return true;
-  const rank = (set: readonly Group[]): number =>
+  const rank = (set: readonly CopyGroup[]): number =>
     Math.min(wantedCopies, set.filter((group) => group.requests >= minRequestsPerCopy).length);
   if (rank(groups) !== rank(best)) return rank(groups) > rank(best);
   return getTotalRate(groups) > getTotalRate(best);
 }
 
-function getTotalRate(groups: readonly Group[]): number {
+function getTotalRate(groups: readonly CopyGroup[]): number {
   return utils.getSum(groups.map((group) => group.rate));
 }
 
 /** Cuts the engines, fastest first, into runs of about equal memory. */
-function cutByMemory(sorted: readonly CopyEngine[], copies: number, model: CopyModel): Group[] {
+function cutByMemory(sorted: readonly CopyEngine[], copies: number, model: CopyModel): CopyGroup[] {
   const total = utils.getSum(sorted.map((engine) => engine.memoryMb));
   const runs: CopyEngine[][] = Array.from({ length: copies }, () => []);
   let sumMb = 0;
@@ -107,7 +108,7 @@
 }
 
 /** Moves or swaps engines between groups while that lifts the total rate. */
-function improve(start: readonly Group[], model: CopyModel): Group[] {
+function improve(start: readonly CopyGroup[], model: CopyModel): CopyGroup[] {
   let groups = [...start];
   for (let round = 0; round < improvementRounds; round++) {
     const next = findBetter(groups, model);
@@ -117,8 +118,9 @@
   return groups;
 }
 
-function findBetter(groups: readonly Group[], model: CopyModel): Group[] | undefined {
-  let best: Group[] | undefined;
+/** Finds the one move or swap of engines between groups that helps most. */
+export function findBetter(groups: readonly CopyGroup[], model: CopyModel): CopyGroup[] | undefined {
+  let best: CopyGroup[] | undefined;
   let bestValue = getValue(groups);
   for (const [from, source] of groups.entries()) {
     for (const [to, target] of groups.entries()) {
@@ -138,14 +140,14 @@
 }
 
 /** Groups without enough room pull the value down hard, so that the search first makes every copy whole. */
-function getValue(groups: readonly Group[]): number {
+function getValue(groups: readonly CopyGroup[]): number {
   const whole = groups.filter((group) => group.requests >= minRequestsPerCopy).length;
   const room = utils.getSum(groups.map((group) => Math.min(minRequestsPerCopy, group.requests)));
   return whole * 1e6 + room * 1e3 + getTotalRate(groups);
 }
 
 /** All single moves and swaps; of engines that are alike one is enough. */
-function* getExchanges(source: Group, target: Group): Generator<[CopyEngine[], CopyEngine[]]> {
+function* getExchanges(source: CopyGroup, target: CopyGroup): Generator<[CopyEngine[], CopyEngine[]]> {
   for (const moved of getDistinct(source.engines)) {
     const left = source.engines.filter((engine) => engine !== moved);
     yield [left, [...target.engines, moved]];
@@ -162,7 +164,8 @@
   return [...new Map(engines.map((engine) => [`${engine.memoryMb}|${engine.stepFactor}`, engine])).values()];
 }
 
-function createGroup(engines: readonly CopyEngine[], model: CopyModel): Group {
+/** Rates the copy that some engines can hold together. */
+export function createGroup(engines: readonly CopyEngine[], model: CopyModel): CopyGroup {
   const spans = spreadLayers(engines, model);
   if (spans === undefined) {
     const missingMb =
--- a/packages/placement/src/planRespread.ts
+++ b/packages/placement/src/planRespread.ts
@@ -1,34 +1,44 @@
-/** Makes a broken chain whole again: the engines that are left of it share its layers anew. */
-import { utils } from "@shedtiller/common";
-import { getTokensBeside, spreadLayers, type CopyModel, type PlannedSpan } from "./planLayerCopies.js";
+/** Makes a broken chain whole again: what is left of it, and an engine or two of its neighbours, share the layers anew. */
+import {
+  createGroup,
+  findBetter,
+  spreadLayers,
+  type CopyEngine,
+  type CopyGroup,
+  type CopyModel,
+  type PlannedSpan,
+} from "./planLayerCopies.js";
 import type { HeldSpan } from "./planRepair.js";
 
 /** A chain that holds fewer usual requests than this after it was spread anew is left as it is. */
 const minRequests = 8;
+/** Engines that may change chains for one repair; each one more reloads a chain's worth of boundaries. */
+const mostExchanges = 2;
 
 /** Plans new spans for engines whose chains have a gap. Gives only those that change, and nothing where it can't help. */
 export function planRespread(held: readonly HeldSpan[], model: CopyModel): PlannedSpan[] {
-  const broken = findBrokenParts(held, model.layerCount);
+  const chains = findChains(held, model.layerCount);
+  const inChains = new Set(chains.flat());
+  const broken = held.filter((span) => !inChains.has(span));
   if (broken.length === 0) return [];
-  const inOrder = [...broken].sort((a, b) => a.start - b.start || a.end - b.end);
-  const engines = inOrder.map((span) => span.engine);
-  const planned = spreadLayers(engines, model);
-  if (planned === undefined || getRoom(planned, inOrder, model) < minRequests) return [];
-  return planned.filter((span) => {
-    const before = inOrder.find((other) => other.engine.name === span.name);
-    return before === undefined || before.start !== span.start || before.end !== span.end;
-  });
+  let groups = [...chains, broken].map((spans) => createGroup(getEngines(spans), model));
+  for (let exchange = 0; exchange < mostExchanges; exchange++) groups = findBetter(groups, model) ?? groups;
+  const planned = groups.flatMap((group) => spreadInOrder(group, held, model));
+  return planned.filter((span) => !held.some((other) => isSame(span, other)));
 }
 
-/** Spans that are part of no whole chain. Chains are followed from layer 0 over exactly meeting boundaries. */
-export function findBrokenParts(held: readonly HeldSpan[], layerCount: number): HeldSpan[] {
+/** Whole chains, each span in one at most, followed from layer 0 over exactly meeting boundaries. */
+export function findChains(held: readonly HeldSpan[], layerCount: number): HeldSpan[][] {
   const left = new Set(held);
+  const chains: HeldSpan[][] = [];
   for (const first of held) {
     if (first.start !== 0 || !left.has(first)) continue;
     const chain = followChain(first, left, layerCount);
-    if (chain !== undefined) for (const span of chain) left.delete(span);
+    if (chain === undefined) continue;
+    chains.push(chain);
+    for (const span of chain) left.delete(span);
   }
-  return [...left];
+  return chains;
 }
 
 /** A whole chain from `first` on, or undefined. Depth first: a boundary may have several spans behind it. */
@@ -46,12 +56,19 @@
   return undefined;
 }
 
-function getRoom(planned: readonly PlannedSpan[], held: readonly HeldSpan[], model: CopyModel): number {
-  const engines = new Map(held.map((span) => [span.engine.name, span.engine]));
-  const tokens = planned.flatMap((span) => {
-    const engine = engines.get(span.name);
-    return engine === undefined ? [] : [getTokensBeside(engine, span.end - span.start, model)];
-  });
-  const isPartial = utils.getSum(planned.map((span) => span.end - span.start)) < model.layerCount;
-  return isPartial ? 0 : Math.min(...tokens) / model.tokensPerRequest;
+/** Keeps the engines in the order of the layers that they hold now, so that few layers are loaded. */
+function spreadInOrder(group: CopyGroup, held: readonly HeldSpan[], model: CopyModel): PlannedSpan[] {
+  if (group.requests < minRequests) return [];
+  const getStart = (engine: CopyEngine): number =>
+    held.find((span) => span.engine.name === engine.name)?.start ?? model.layerCount;
+  const inOrder = [...group.engines].sort((a, b) => getStart(a) - getStart(b));
+  return spreadLayers(inOrder, model) ?? [];
+}
+
+function getEngines(spans: readonly HeldSpan[]): CopyEngine[] {
+  return spans.map((span) => span.engine);
+}
+
+function isSame(planned: PlannedSpan, held: HeldSpan): boolean {
+  return planned.name === held.engine.name && planned.start === held.start && planned.end === held.end;
 }
