fix(gateway): a reset that comes together with data is not the end of an answer

Ruled out: Node's own socket error (never raised here; a trial logged all socket events), getpeername (still answers). Change: at the end of an answer without a length an empty line is written; a reset connection fails that write. Before: the new test failed on both kinds of connection.

--- a/packages/gateway/src/http/HttpCaller.ts
+++ b/packages/gateway/src/http/HttpCaller.ts
@@ -44,7 +44,7 @@
   readonly headers: readonly string[];
   readonly message: http.IncomingMessage;
   /** Whether the answer came whole. An answer without a length ends with its connection; a reset one is not whole. */
-  isWhole(): boolean;
+  isWhole(): Promise<boolean>;
   /** Ends the call and its connection. */
   abort(): void;
 }
@@ -162,21 +162,14 @@
   private _acceptHead(message: http.IncomingMessage): void {
     if (this._isSettled) return void message.destroy();
     const request = this._request;
-    let isReset = false;
-    // Node takes a reset for the end of an answer without a length, so the reset is noted before Node's own listener runs.
-    const { socket } = message;
-    const noteReset = (): void => {
-      isReset = true;
-    };
-    socket.prependListener("error", noteReset);
-    message.once("close", () => socket.off("error", noteReset));
+    const ending = isFramed(message) ? undefined : watchEnding(message);
     message.on("error", () => undefined);
     this._settle(
       results.Ok({
         status: message.statusCode ?? 0,
         headers: message.rawHeaders,
         message,
-        isWhole: () => message.complete && !isReset,
+        isWhole: async () => message.complete && (ending === undefined || (await ending) === "closed"),
         abort: () => request?.destroy(),
       }),
     );
@@ -211,6 +204,31 @@
   }
 }
 
+/** Whether the answer says where its body ends. */
+function isFramed(message: http.IncomingMessage): boolean {
+  return (
+    message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined
+  );
+}
+
+/** An empty line, which a server ignores before a request (RFC 9112, section 2.2). */
+const emptyLine = "\r\n";
+
+/**
+ * Tells how the connection of an answer without a length ended. A reset that is read together with data reaches Node as an
+ * ordinary end (libuv reports a hang-up after a partial read as such), and only a write shows that the connection is reset.
+ */
+function watchEnding(message: http.IncomingMessage): Promise<"closed" | "reset"> {
+  const { socket } = message;
+  return new Promise((resolve) => {
+    socket.prependOnceListener("error", () => resolve("reset"));
+    socket.prependOnceListener("end", () => {
+      socket.write(emptyLine, (error) => resolve(error === undefined || error === null ? "closed" : "reset"));
+    });
+    socket.once("close", () => resolve("reset"));
+  });
+}
+
 /** Reads a body to its end; an answer that was broken off is an error. */
 export function readBody(
   answer: HttpAnswer,
@@ -235,10 +253,14 @@
     if (sizeBytes > maxBytes) fail(new AnswerTooLargeError(address, maxBytes));
   });
   answer.message.on("end", () => {
-    if (answer.isWhole()) done.resolve(results.Ok(Buffer.concat(parts)));
-    else fail(new errors.ConnectionLostError(address));
+    void answer.isWhole().then((isWhole) => {
+      if (isWhole) done.resolve(results.Ok(Buffer.concat(parts)));
+      else fail(new errors.ConnectionLostError(address));
+    });
   });
   answer.message.on("error", (error) => fail(new errors.ConnectionLostError(address, error)));
-  answer.message.on("close", () => done.resolve(results.Err(new errors.ConnectionLostError(address))));
+  answer.message.on("close", () => {
+    if (!answer.message.complete) done.resolve(results.Err(new errors.ConnectionLostError(address)));
+  });
   return done.promise.finally(() => clearTimeout(timer));
 }
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -51,9 +51,15 @@
     this.abort.signal.addEventListener("abort", () => end("broken"), { once: true });
     if (this.abort.signal.aborted) end("broken");
     message.on("data", (bytes: Buffer) => this._pass(bytes, answer));
-    message.on("end", () => end(answer.isWhole() && !this._splitter.hasRest ? "completed" : "broken"));
+    message.on("end", () => {
+      void answer
+        .isWhole()
+        .then((isWhole) => end(isWhole && !this._splitter.hasRest ? "completed" : "broken"));
+    });
     message.on("error", () => end("broken"));
-    message.on("close", () => end("broken"));
+    message.on("close", () => {
+      if (!message.complete) end("broken");
+    });
     return done.promise;
   }
 
--- a/packages/gateway/src/tests/http/HttpCallerTests.ts
+++ b/packages/gateway/src/tests/http/HttpCallerTests.ts
@@ -1,15 +1,18 @@
 /** What a caller of endpoints learns from answers that are whole, broken off, reset, or never come. */
 import * as net from "node:net";
 import test from "ava";
-import { errors } from "@shedtiller/common";
+import { errors, utils } from "@shedtiller/common";
 import { HttpCaller, readBody, type HttpCall } from "../../http/HttpCaller.js";
 
 const maxBytes = 1024;
 const generousMs = 30_000;
 
 /** Listens on a free port and handles each connection. */
-async function listen(handle: (socket: net.Socket) => void): Promise<{ server: net.Server; address: string }> {
-  const server = net.createServer((socket) => {
+async function listen(
+  handle: (socket: net.Socket) => void,
+  isPaused = false,
+): Promise<{ server: net.Server; address: string }> {
+  const server = net.createServer({ pauseOnConnect: isPaused }, (socket) => {
     socket.on("error", () => undefined);
     handle(socket);
   });
@@ -51,6 +54,29 @@
     server.close();
   });
 
+  test(`an answer without a length whose reset comes together with its data is not whole (${kind} connection)`, async (t) => {
+    const sockets: net.Socket[] = [];
+    const isConnected = new utils.Deferred<void>();
+    const { server, address } = await listen((socket) => {
+      sockets.push(socket);
+      isConnected.resolve();
+    }, true);
+    const caller = new HttpCaller();
+    const fetched = caller.fetch(createCall(address, isFresh), maxBytes, generousMs);
+    await isConnected.promise;
+    // One more turn, so that the request has come and stays unread: closing with unread bytes resets the connection.
+    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise((resolve) => setImmediate(resolve));
+    for (const socket of sockets) {
+      socket.write("HTTP/1.1 200 OK\r\n\r\npart of the bo");
+      socket.destroy();
+    }
+    const answer = await fetched;
+    t.true(answer.err && answer.val instanceof errors.ConnectionLostError);
+    caller.close();
+    server.close();
+  });
+
   test(`an answer without a length that ends with its connection is whole (${kind} connection)`, async (t) => {
     const { server, address } = await listen((socket) => {
       socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\nthe whole body"));
