--- a/packages/gateway/src/chains/engineModel.ts
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -6,9 +6,6 @@
 const bytesPerMb = 1e6;
 /** Delay of a boundary inside a zone, each token; the platform's sheet says 0.2 ms one way, plus the engines' own wake-up. */
 export const hopMs = 0.25;
-/** Requests side by side on an engine that step times for planning are computed for. */
-const usualSequences = 24;
-
 /** Finds the accelerator kind of an engine. */
 export function getKind(endpoint: Endpoint, profile: EngineProfile): AcceleratorKind | undefined {
   return profile.kinds.find((kind) => kind.name === endpoint.listed.kind) ?? profile.kinds[0];
@@ -38,7 +35,8 @@
     kvMbPerTokenLayer: profile.kvBytesPerToken / profile.layerCount / bytesPerMb,
     tokensPerRequest,
     answerTokens: profile.usualAnswerTokens,
-    stepMs: getStepMs(profile, usualSequences, tokensPerRequest),
+    stepMs: profile.stepMs,
+    stepMsPerRequest: getStepMs(profile, 1, tokensPerRequest) - profile.stepMs,
     hopMs,
   };
 }
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -20,8 +20,10 @@
   readonly kvMbPerTokenLayer: number;
   readonly tokensPerRequest: number;
   readonly answerTokens: number;
-  /** One token step over all layers at factor 1. */
+  /** One token step over all layers at factor 1, without requests. */
   readonly stepMs: number;
+  /** What each request side by side adds to that. */
+  readonly stepMsPerRequest: number;
   /** Time that each boundary between engines adds to a token. */
   readonly hopMs: number;
 }
@@ -33,8 +35,6 @@
   readonly end: number;
 }
 
-/** Two copies in a zone let it go on when any one engine is lost. */
-const wantedCopies = 2;
 /** A copy that holds fewer usual requests than this is not worth its weights. */
 const minRequestsPerCopy = 12;
 /** Share of engines that are usually down; it makes long chains worth less. An assumption, not a measurement. */
@@ -80,14 +80,10 @@
   return a.name < b.name ? -1 : 1;
 }
 
-/** Enough copies go before a higher rate; a copy without room for requests counts as none. */
+/** The higher rate wins; a copy without room for requests rules a plan out. */
 function isBetter(groups: readonly CopyGroup[], best: readonly CopyGroup[] | undefined): boolean {
-  if (groups.some((group) => group.requests <= 0)) return false;
-  if (best === undefined) return true;
-  const rank = (set: readonly CopyGroup[]): number =>
-    Math.min(wantedCopies, set.filter((group) => group.requests >= minRequestsPerCopy).length);
-  if (rank(groups) !== rank(best)) return rank(groups) > rank(best);
-  return getTotalRate(groups) > getTotalRate(best);
+  if (groups.some((group) => group.requests < minRequestsPerCopy)) return false;
+  return best === undefined || getTotalRate(groups) > getTotalRate(best);
 }
 
 function getTotalRate(groups: readonly CopyGroup[]): number {
@@ -174,15 +170,18 @@
   }
   const byName = new Map(engines.map((engine) => [engine.name, engine]));
   let tokens = Number.POSITIVE_INFINITY;
-  let tokenMs = spans.length * model.hopMs;
+  let factor = 0;
   for (const span of spans) {
     const engine = byName.get(span.name);
     if (engine === undefined) continue;
     const layers = span.end - span.start;
     tokens = Math.min(tokens, getTokensBeside(engine, layers, model));
-    tokenMs += (layers / model.layerCount) * engine.stepFactor * model.stepMs;
+    factor += (layers / model.layerCount) * engine.stepFactor;
   }
   const requests = tokens / model.tokensPerRequest;
+  // The requests of a chain are spread over its engines, so each pass has only a part of them.
+  const stepMs = model.stepMs + (model.stepMsPerRequest * requests) / spans.length;
+  const tokenMs = spans.length * model.hopMs + factor * stepMs;
   const perSecond = (requests * utils.msPerSecond) / (tokenMs * model.answerTokens);
   return { engines, requests, rate: perSecond * (1 - engineLossShare) ** spans.length };
 }
