--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -117,7 +117,6 @@
       orders: platform.orders,
       log: _log,
       mayOrder: () => this._seat.isHeld(),
-      tellOrdered: (endpointId, span) => this._exchange.tellOrdered(endpointId, span),
     });
     const context = this._createContext(platform.codec);
     this._admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -79,9 +79,7 @@
       ((stepMs * demand.answerTokens + prefillMs) / profile.layerCount) *
       (1 + fullRoomFactor * fullness ** 2);
     const freeLayers = Math.floor(free / Math.max(1, tokens));
-    return endpoint
-      .getServedSpans(this._nowMs())
-      .map(({ start, end }) => ({ endpoint, start, end, msPerLayer, freeLayers }));
+    return endpoint.listed.layers.map(({ start, end }) => ({ endpoint, start, end, msPerLayer, freeLayers }));
   }
 }
 
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -1,5 +1,5 @@
 /** What this instance knows of one endpoint. */
-import type { LayerSpan, ListedEndpoint } from "./ListedEndpoint.js";
+import type { ListedEndpoint } from "./ListedEndpoint.js";
 
 /** Load that requests put on an endpoint. */
 export interface EndpointLoad {
@@ -25,8 +25,6 @@
   heardAtMs = 0;
   /** Factor by which it is slower than its kind, by its own report; 1 is nominal. */
   slowness = 1;
-  /** What it was ordered to hold, until the list shows it. */
-  private _ordered: { readonly span: LayerSpan; readonly untilMs: number } | undefined;
   private _own: EndpointLoad = noLoad;
   private readonly _peerLoads = new Map<string, EndpointLoad>();
 
@@ -50,23 +48,6 @@
     return { requests, tokenLayers };
   }
 
-  /** Notes an order: layers that it gives up take nothing new from now on. */
-  noteOrdered(span: LayerSpan, untilMs: number): void {
-    this._ordered = { span, untilMs };
-  }
-
-  /** Spans that new requests may use: those listed, less what an order takes away. */
-  getServedSpans(nowMs: number): readonly LayerSpan[] {
-    const ordered = this._ordered;
-    if (ordered === undefined || nowMs >= ordered.untilMs) return this.listed.layers;
-    return this.listed.layers
-      .map(({ start, end }) => ({
-        start: Math.max(start, ordered.span.start),
-        end: Math.min(end, ordered.span.end),
-      }))
-      .filter((span) => span.end > span.start);
-  }
-
   addOwn(requests: number, tokenLayers: number): void {
     this._own = { requests: this._own.requests + requests, tokenLayers: this._own.tokenLayers + tokenLayers };
   }
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -18,10 +18,6 @@
 const reportTimeoutMs = 500;
 /** An order whose layers do not show is looked into after the load time and this much more. */
 const overdueMs = 4_000;
-/** The list shows an order's layers within this: a heartbeat, the list's lag and the reading, with a load in between. */
-export const orderShownMs = 6_000;
-/** A chain that lost an engine is spread anew after this, unless the engine comes back or another one takes its place. */
-const returnWaitMs = 1_500;
 /** After an order that failed the engine is looked at again this much later. */
 const retryMs = 1_000;
 
@@ -38,8 +34,6 @@
   readonly log: DecisionLog;
   /** Whether this instance may order engines of a zone now. */
   readonly mayOrder: (availabilityZone: string) => boolean;
-  /** Tells the peers of an order. */
-  readonly tellOrdered: (endpointId: string, span: LayerSpan) => void;
 }
 
 /** One task an instance; it acts only while the instance may give orders. */
@@ -47,15 +41,11 @@
   private readonly _pending = new Map<string, Pending>();
   private readonly _retryAtMs = new Map<string, number>();
   private readonly _addedAtMs = new Map<string, number>();
-  private readonly _goneAtMs = new Map<string, number>();
 
   constructor(private readonly _structure: LayerKeeperStructure) {
     _structure.endpoints.onChanged((endpoint, event) => {
       if (event === "added") this._addedAtMs.set(getPool(endpoint), utils.monotonicMs());
-      if (event === "gone") {
-        this._goneAtMs.set(getPool(endpoint), utils.monotonicMs());
-        this._forget(endpoint.id);
-      }
+      if (event === "gone") this._forget(endpoint.id);
       if (event === "layers" && this._isShown(endpoint)) this._pending.delete(endpoint.id);
     });
   }
@@ -94,7 +84,7 @@
     const empty = members.filter((member) => this._isEmpty(member, nowMs));
     const held = this._getHeld(members, profile);
     const [sample] = empty;
-    if (sample === undefined) return this._planRespread(members, held, profile, nowMs);
+    if (sample === undefined) return [];
     const stillMs = nowMs - (this._addedAtMs.get(getPool(sample)) ?? 0);
     const model = toCopyModel(profile);
     const engines = empty.map((member) => toCopyEngine(member, profile));
@@ -104,25 +94,6 @@
     return stillMs < settledForRepairMs ? [] : placement.planRepair(engines, held, model);
   }
 
-  /** A zone that has no empty engine spreads a broken chain anew, once nothing else is under way there. */
-  private _planRespread(
-    members: readonly Endpoint[],
-    held: readonly placement.HeldSpan[],
-    profile: EngineProfile,
-    nowMs: number,
-  ): placement.PlannedSpan[] {
-    const [sample] = members;
-    if (sample === undefined) return [];
-    if (nowMs - (this._goneAtMs.get(getPool(sample)) ?? 0) < returnWaitMs) return [];
-    const isMoving = members.some((member) => {
-      const pending = this._pending.get(member.id);
-      return pending !== undefined && nowMs < pending.dueAtMs;
-    });
-    if (isMoving) return [];
-    const planned = placement.planRespread(held, toCopyModel(profile));
-    return planned.filter((span) => nowMs >= (this._retryAtMs.get(span.name) ?? 0));
-  }
-
   private _isEmpty(member: Endpoint, nowMs: number): boolean {
     if (member.listed.layers.length > 0) return false;
     const pending = this._pending.get(member.id);
@@ -162,9 +133,6 @@
     if (placed.err) return;
     const loadMs = (profile.loadMs * (span.end - span.start)) / profile.layerCount;
     this._pending.set(span.name, { span, dueAtMs: utils.monotonicMs() + loadMs + overdueMs });
-    if (endpoint.listed.layers.length === 0) return;
-    endpoint.noteOrdered(span, utils.monotonicMs() + orderShownMs);
-    this._structure.tellOrdered(span.name, { start: span.start, end: span.end });
   }
 
   private _note(endpoint: Endpoint, span: placement.PlannedSpan, outcome: string): void {
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -5,14 +5,12 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import { listedEndpointSchema, type LayerSpan } from "../discovery/ListedEndpoint.js";
+import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { orderShownMs } from "../orders/LayerKeeper.js";
 import { registeredInstanceSchema, type RegisteredInstance } from "./PeerRegistry.js";
 
 const loadTopic = "load";
 const suspectTopic = "suspect";
-const orderedTopic = "ordered";
 const slownessTopic = "slowness";
 const newVersionTopic = "new-version";
 const configurationTopic = "configuration";
@@ -29,7 +27,6 @@
 const peersAsked = 2;
 
 const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
-const orderedSchema = zod.object({ endpointId: zod.string(), start: zod.number(), end: zod.number() });
 const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
 const suspectSchema = zod.object({ endpointId: zod.string() });
 const questionSchema = zod.object({ version: zod.number() });
@@ -71,7 +68,6 @@
     const { membership } = _structure;
     membership.onNotice(loadTopic, (body, from) => this._takeLoad(body, from));
     membership.onNotice(suspectTopic, (body) => this._takeSuspicion(body));
-    membership.onNotice(orderedTopic, (body) => this._takeOrdered(body));
     membership.onNotice(slownessTopic, (body) => this._takeSlowness(body));
     membership.onNotice(newVersionTopic, (body, from) => void this._takeNewVersion(body, from));
     membership.onRequest(configurationTopic, (body) => this._answerConfiguration(body));
@@ -94,11 +90,6 @@
     this._structure.membership.notifyAll(suspectTopic, { endpointId });
   }
 
-  /** Tells all peers what an engine was ordered to hold. */
-  tellOrdered(endpointId: string, span: LayerSpan): void {
-    this._structure.membership.notifyAll(orderedTopic, { endpointId, ...span });
-  }
-
   /** Tells all peers how slow an engine says that it is. */
   tellSlowness(endpointId: string, slowness: number): void {
     this._structure.membership.notifyAll(slownessTopic, { endpointId, slowness });
@@ -137,15 +128,6 @@
     if (suspicion.success) this._structure.endpoints.suspect(suspicion.data.endpointId);
   }
 
-  private _takeOrdered(body: unknown): void {
-    const ordered = orderedSchema.safeParse(body);
-    if (!ordered.success) return;
-    const { endpointId, start, end } = ordered.data;
-    this._structure.endpoints
-      .get(endpointId)
-      ?.noteOrdered({ start, end }, utils.monotonicMs() + orderShownMs);
-  }
-
   private _takeSlowness(body: unknown): void {
     const told = slownessSchema.safeParse(body);
     const endpoint = told.success ? this._structure.endpoints.get(told.data.endpointId) : undefined;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,4 +3,3 @@
 export * from "./planPlacement.js";
 export * from "./planLayerCopies.js";
 export * from "./planRepair.js";
-export * from "./planRespread.js";
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -35,6 +35,11 @@
   readonly end: number;
 }
 
+/**
+ * With two copies a zone goes on when any one engine is lost; that is worth this factor on the rate. Measured in
+ * bench/RESULTS.md: one copy everywhere lost more to crashes than it won in room, two everywhere starved a small zone.
+ */
+const secondCopyCredit = 1.6;
 /** A copy that holds fewer usual requests than this is not worth its weights. */
 const minRequestsPerCopy = 12;
 /** Share of engines that are usually down; it makes long chains worth less. An assumption, not a measurement. */
@@ -42,7 +47,7 @@
 const improvementRounds = 40;
 
 /** Engines that hold one copy together. */
-export interface CopyGroup {
+interface CopyGroup {
   readonly engines: readonly CopyEngine[];
   readonly rate: number;
   readonly requests: number;
@@ -80,10 +85,12 @@
   return a.name < b.name ? -1 : 1;
 }
 
-/** The higher rate wins; a copy without room for requests rules a plan out. */
+/** The higher rate wins, with some credit for a second copy; a copy without room for requests rules a plan out. */
 function isBetter(groups: readonly CopyGroup[], best: readonly CopyGroup[] | undefined): boolean {
   if (groups.some((group) => group.requests < minRequestsPerCopy)) return false;
-  return best === undefined || getTotalRate(groups) > getTotalRate(best);
+  if (best === undefined) return true;
+  const credit = groups.length > 1 && best.length === 1 ? secondCopyCredit : 1;
+  return getTotalRate(groups) * credit > getTotalRate(best);
 }
 
 function getTotalRate(groups: readonly CopyGroup[]): number {
@@ -115,7 +122,7 @@
 }
 
 /** Finds the one move or swap of engines between groups that helps most. */
-export function findBetter(groups: readonly CopyGroup[], model: CopyModel): CopyGroup[] | undefined {
+function findBetter(groups: readonly CopyGroup[], model: CopyModel): CopyGroup[] | undefined {
   let best: CopyGroup[] | undefined;
   let bestValue = getValue(groups);
   for (const [from, source] of groups.entries()) {
@@ -161,7 +168,7 @@
 }
 
 /** Rates the copy that some engines can hold together. */
-export function createGroup(engines: readonly CopyEngine[], model: CopyModel): CopyGroup {
+function createGroup(engines: readonly CopyEngine[], model: CopyModel): CopyGroup {
   const spans = spreadLayers(engines, model);
   if (spans === undefined) {
     const missingMb =
