--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -141,6 +141,7 @@
       outcome,
       attempts: request.attempts,
       tookMs,
+      ...request.details,
     });
   }
 
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import { utils } from "@shedtiller/common";
 import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
+import type { LogFields } from "../logs/DecisionLog.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 
 /** Why the gateway itself ended a request. */
@@ -46,6 +47,8 @@
   /** Endpoints that it was sent to. */
   attempts = 0;
   outcome = "open";
+  /** What the forwarder noted for the line that ends the request. */
+  details: LogFields = {};
   private readonly _left = new AbortController();
 
   constructor(private readonly _structure: CallerRequestStructure) {
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -9,23 +9,26 @@
   readonly slack: number;
 }
 
-/** The share of the ratio in use; the rest covers requests that other instances count in another window. */
-const ratioShare = 0.8;
-/** A restarted instance begins with a full reserve, so only this share of the slack is dealt out. */
-const slackShare = 0.5;
+/** The share of the ratio in use; the rest covers requests that fall into another window than their retries. */
+const ratioShare = 0.9;
+/** The share of the slack that is dealt out. With the next figure, one restart of all instances in a window stays inside. */
+const slackShare = 0.7;
+/** A process begins with this share of its reserve, since the one before it may have used all of its own. */
+const initialShare = 0.25;
+/** Instances that the slack is shared among until the real number is known; too many is the safe side. */
+const assumedInstances = 16;
 
 /** One bucket a service. Each instance's share is safe alone, so no instance asks another. */
 export class RetryBudgets {
   private readonly _budgets = new Map<string, RetryBudget>();
-  private _instances = 16;
+  private _instances = assumedInstances;
 
   constructor(private readonly _options: RetryBudgetOptions) {}
 
-  /** Takes the number of instances that share the slack. The largest number seen counts. */
+  /** Takes the number of instances that share the slack. */
   setInstances(count: number): void {
-    if (count === this._instances) return;
     this._instances = Math.max(1, count);
-    this._budgets.clear();
+    for (const budget of this._budgets.values()) budget.setReserve(this._getReserve());
   }
 
   recordRequest(service: string): void {
@@ -36,11 +39,15 @@
     return this._get(service).tryTake();
   }
 
+  private _getReserve(): number {
+    return (this._options.slack * slackShare) / this._instances;
+  }
+
   private _get(service: string): RetryBudget {
     let budget = this._budgets.get(service);
     if (budget === undefined) {
-      const reserve = (this._options.slack * slackShare) / this._instances;
-      budget = new RetryBudget(this._options.ratio * ratioShare, reserve);
+      const reserve = this._getReserve();
+      budget = new RetryBudget(this._options.ratio * ratioShare, reserve, reserve * initialShare);
       this._budgets.set(service, budget);
     }
     return budget;
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -9,10 +9,27 @@
 export class StreamProgress {
   lastEventId: string | undefined;
   events = 0;
+  /** From the request's arrival to the first event that was passed on. */
+  firstEventMs: number | undefined;
+  /** Longest time between two events that were passed on. */
+  longestPauseMs = 0;
+  /** The chain of the last run. */
+  chain: readonly string[] = [];
+  private _lastEventAtMs: number | undefined;
 
   constructor(lastEventId: string | undefined) {
     this.lastEventId = lastEventId;
   }
+
+  /** Notes events that are passed on now. */
+  noteEvents(lastId: string | undefined, arrivedAtMs: number): void {
+    const nowMs = utils.monotonicMs();
+    this.events += 1;
+    this.lastEventId = lastId ?? this.lastEventId;
+    this.firstEventMs ??= nowMs - arrivedAtMs;
+    this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - (this._lastEventAtMs ?? nowMs));
+    this._lastEventAtMs = nowMs;
+  }
 }
 
 export type StreamEnd = "completed" | "broken" | "caller-left";
@@ -69,8 +86,7 @@
     const whole = this._splitter.push(bytes);
     if (whole === undefined) return;
     this.hasEvents = true;
-    this.progress.events += 1;
-    this.progress.lastEventId = whole.lastId ?? this.progress.lastEventId;
+    this.progress.noteEvents(whole.lastId, this.request.arrivedAtMs);
     if (this.request.write(whole.bytes)) return;
     answer.message.pause();
     this.request.onceDrained(() => answer.message.resume());
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -52,6 +52,12 @@
       this._refuse(request, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
     clearTimeout(timer);
+    request.details = {
+      firstEventMs: progress.firstEventMs === undefined ? undefined : Math.round(progress.firstEventMs),
+      longestPauseMs: Math.round(progress.longestPauseMs),
+      events: progress.events,
+      chain: progress.chain,
+    };
   }
 
   private async _tryOnce(
@@ -62,6 +68,7 @@
     const reservation = await this._acquire(request, service);
     if (reservation === undefined) return request.signal.aborted ? "caller-left" : undefined;
     const attempt = new StreamAttempt(request, service, reservation, progress);
+    progress.chain = reservation.stages.map((stage) => `${stage.address}=${stage.start}-${stage.end}`);
     this._monitor.add(attempt);
     try {
       return await this._send(attempt);
--- /dev/null
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -0,0 +1,98 @@
+/** Chains cover every layer once and in order, within the room of their engines. */
+import test from "ava";
+import * as fc from "fast-check";
+import { ChainChooser, type ChainDemand } from "../../chains/ChainChooser.js";
+import { getCapacityTokenLayers } from "../../chains/engineModel.js";
+import type { ChainStage } from "../../http/MessageCodec.js";
+import { createEngine, profile } from "../createParts.js";
+
+const demand: ChainDemand = { promptTokens: 8, answerTokens: 2, availabilityZone: "east" };
+const chooser = new ChainChooser(() => 1_000);
+
+function describe(chain: readonly ChainStage[] | undefined): string | undefined {
+  return chain?.map((stage) => `${stage.endpointId}=${stage.start}-${stage.end}`).join(",");
+}
+
+test("the faster of two chains is taken", (t) => {
+  const engines = [
+    createEngine("a", 0, 4, { kind: "slow" }),
+    createEngine("b", 0, 2),
+    createEngine("c", 2, 4),
+  ];
+  t.is(describe(chooser.choose(engines, profile, demand)), "b=0-2,c=2-4");
+});
+
+test("a part of what an engine holds stands in for one that is gone", (t) => {
+  const engines = [createEngine("a", 0, 2), createEngine("b", 1, 4, { kind: "slow" })];
+  t.is(describe(chooser.choose(engines, profile, demand)), "a=0-2,b=2-4");
+});
+
+test("without all layers there is no chain", (t) => {
+  t.is(chooser.choose([createEngine("a", 0, 2), createEngine("b", 3, 4)], profile, demand), undefined);
+});
+
+test("an engine without room is passed over", (t) => {
+  const full = createEngine("a", 0, 4);
+  full.addOwn(1, getCapacityTokenLayers(full, profile));
+  const other = createEngine("b", 0, 4, { kind: "slow" });
+  t.is(describe(chooser.choose([full, other], profile, demand)), "b=0-4");
+  t.is(chooser.choose([full], profile, demand), undefined);
+});
+
+test("the load that peers tell counts like our own", (t) => {
+  const full = createEngine("a", 0, 4);
+  full.setPeerLoad("peer", { requests: 9, tokenLayers: getCapacityTokenLayers(full, profile) });
+  t.is(chooser.choose([full], profile, demand), undefined);
+  full.keepPeerLoads(new Set());
+  t.is(describe(chooser.choose([full], profile, demand)), "a=0-4");
+});
+
+test("a suspect engine, and one that just refused, get nothing new", (t) => {
+  const suspect = createEngine("a", 0, 4);
+  suspect.suspectUntilMs = 2_000;
+  const refused = createEngine("b", 0, 4);
+  refused.refusedUntilMs = 1_100;
+  t.is(chooser.choose([suspect, refused], profile, demand), undefined);
+});
+
+test("a chain stays in the zone while it can", (t) => {
+  const engines = [
+    createEngine("a", 0, 4, { availabilityZone: "west" }),
+    createEngine("b", 0, 2, { kind: "slow" }),
+    createEngine("c", 2, 4, { kind: "slow" }),
+  ];
+  t.is(describe(chooser.choose(engines, profile, demand)), "b=0-2,c=2-4");
+});
+
+test("a moved request keeps its first engine and that engine's part", (t) => {
+  const engines = [createEngine("a", 0, 3), createEngine("b", 2, 4), createEngine("c", 0, 4)];
+  const moved = chooser.choose(engines, profile, { ...demand, firstEndpointId: "a", firstEnd: 2 });
+  t.is(describe(moved), "a=0-2,b=2-4");
+});
+
+test("any chain runs each layer once, in order, on engines that hold it, none twice", (t) => {
+  const span = fc.tuple(fc.nat({ max: 3 }), fc.integer({ min: 1, max: 4 })).map(([start, size]) => ({
+    start,
+    end: Math.min(4, start + size),
+  }));
+  const fleets = fc.array(fc.record({ span, isSlow: fc.boolean(), isWest: fc.boolean() }), { maxLength: 9 });
+  const property = fc.property(fleets, (fleet) => {
+    const engines = fleet.map((item, index) =>
+      createEngine(`e${index}`, item.span.start, item.span.end, {
+        kind: item.isSlow ? "slow" : "fast",
+        availabilityZone: item.isWest ? "west" : "east",
+      }),
+    );
+    const chain = chooser.choose(engines, profile, demand);
+    if (chain === undefined) return true;
+    const ends = chain.map((stage) => stage.end);
+    const starts = chain.map((stage) => stage.start);
+    const isInOrder = starts[0] === 0 && ends.at(-1) === 4 && starts.slice(1).every((s, i) => s === ends[i]);
+    const isHeld = chain.every((stage) => {
+      const held = engines.find((engine) => engine.id === stage.endpointId)?.listed.layers[0];
+      return held !== undefined && held.start <= stage.start && stage.end <= held.end;
+    });
+    return isInOrder && isHeld && new Set(chain.map((stage) => stage.endpointId)).size === chain.length;
+  });
+  t.notThrows(() => fc.assert(property, { seed: 7, numRuns: 500 }));
+});
--- /dev/null
+++ b/packages/gateway/src/tests/discovery/EndpointTableTests.ts
@@ -0,0 +1,65 @@
+/** Endpoints that drain or are gone get nothing new; those that the store only lost for a moment stay. */
+import test from "ava";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { createListed } from "../createParts.js";
+
+function setUp(ids: readonly string[]) {
+  const clock = { nowMs: 10_000 };
+  const table = new EndpointTable(() => clock.nowMs);
+  const set = (listed: ListedEndpoint[]): void =>
+    table.setAll(new Map(listed.map((item) => [item.id, item])));
+  set(ids.map((id) => createListed(id)));
+  const getUsable = (): string[] => table.getUsable("engines").map((endpoint) => endpoint.id);
+  return { clock, table, set, getUsable };
+}
+
+test("a dropped entry is gone at once", (t) => {
+  const { table, getUsable } = setUp(["a", "b"]);
+  table.apply([{ key: "a", value: undefined }]);
+  t.deepEqual(getUsable(), ["b"]);
+  t.is(table.get("a"), undefined);
+});
+
+test("a draining endpoint stays known but gets nothing new, also if a later record forgets the drain", (t) => {
+  const { table, getUsable } = setUp(["a"]);
+  table.apply([{ key: "a", value: createListed("a", { isDraining: true }) }]);
+  table.apply([{ key: "a", value: createListed("a") }]);
+  t.deepEqual(getUsable(), []);
+  t.truthy(table.get("a"));
+});
+
+test("entries that lapsed while the store was away come back within the grace, or are gone", (t) => {
+  const { clock, table, set, getUsable } = setUp(["a", "b"]);
+  table.noteStoreReturned();
+  set([]);
+  t.deepEqual(getUsable(), [], "nothing new meanwhile");
+  t.truthy(table.get("a"), "but not forgotten");
+  clock.nowMs += 1_000;
+  table.apply([{ key: "a", value: createListed("a") }]);
+  clock.nowMs += 1_500;
+  table.dropMissing();
+  t.deepEqual(getUsable(), ["a"]);
+  t.is(table.get("b"), undefined);
+});
+
+test("suspicion ends with a heartbeat that is newer than the evidence", (t) => {
+  const { clock, table } = setUp(["a"]);
+  t.true(table.suspect("a"));
+  t.false(table.suspect("a"), "the same evidence is told once");
+  table.apply([{ key: "a", value: createListed("a") }]);
+  t.true(table.get("a")?.isSuspect(clock.nowMs), "a heartbeat from before the evidence proves nothing");
+  clock.nowMs += 1_200;
+  table.apply([{ key: "a", value: createListed("a") }]);
+  t.false(table.get("a")?.isSuspect(clock.nowMs));
+});
+
+test("suspicion of an endpoint that stays silent doubles", (t) => {
+  const { clock, table } = setUp(["a"]);
+  table.suspect("a");
+  clock.nowMs += 3_000;
+  t.false(table.get("a")?.isSuspect(clock.nowMs));
+  table.suspect("a");
+  clock.nowMs += 3_000;
+  t.true(table.get("a")?.isSuspect(clock.nowMs));
+});
--- /dev/null
+++ b/packages/gateway/src/tests/logs/DecisionLogTests.ts
@@ -0,0 +1,41 @@
+/** The volume of the log is bounded, and what was left out is counted. */
+import test from "ava";
+import { DecisionLog, LogSink, type LogFields, type LogLevel } from "../../logs/DecisionLog.js";
+
+class CollectingSink extends LogSink {
+  readonly lines: { level: LogLevel; event: string; fields: LogFields }[] = [];
+  isSlow = false;
+
+  override isBehind(): boolean {
+    return this.isSlow;
+  }
+
+  override write(level: LogLevel, event: string, fields: LogFields): void {
+    this.lines.push({ level, event, fields });
+  }
+}
+
+test("lines beyond the budget of their kind are left out and counted", (t) => {
+  const sink = new CollectingSink();
+  let nowMs = 0;
+  const log = new DecisionLog(sink, () => nowMs);
+  for (let index = 0; index < 1_000; index++) log.info("often", {});
+  log.warn("seldom", {});
+  const often = sink.lines.filter((line) => line.event === "often").length;
+  t.true(often < 1_000);
+  t.is(sink.lines.filter((line) => line.event === "seldom").length, 1);
+  nowMs = 1_000;
+  log.info("often", {});
+  t.is(sink.lines.at(-1)?.fields["leftOut"], 1_000 - often);
+});
+
+test("nothing is written while the reader of the output is behind", (t) => {
+  const sink = new CollectingSink();
+  const log = new DecisionLog(sink, () => 0);
+  sink.isSlow = true;
+  log.error("lost", {});
+  t.is(sink.lines.length, 0);
+  sink.isSlow = false;
+  log.error("lost", {});
+  t.is(sink.lines[0]?.fields["leftOut"], 1);
+});
--- /dev/null
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -0,0 +1,39 @@
+/** The shares of all instances stay inside the budget of the deployment, also over a restart of all. */
+import test from "ava";
+import { RetryBudgets } from "../../requests/RetryBudgets.js";
+
+const options = { ratio: 0.2, slack: 200 };
+
+function drain(budgets: RetryBudgets): number {
+  let taken = 0;
+  while (budgets.tryTake("s")) taken += 1;
+  return taken;
+}
+
+function create(instances: number): RetryBudgets {
+  const budgets = new RetryBudgets(options);
+  budgets.setInstances(instances);
+  return budgets;
+}
+
+test("eight instances that use all they have, restart, and use all again stay below ratio and slack", (t) => {
+  const instances = 8;
+  const requestsEach = 100;
+  let retries = 0;
+  for (let instance = 0; instance < instances; instance++) {
+    for (const life of ["before", "after"]) {
+      const budgets = create(instances);
+      for (let request = 0; request < requestsEach / 2; request++) budgets.recordRequest("s");
+      retries += drain(budgets);
+      t.true(retries > 0, life);
+    }
+  }
+  t.true(retries <= options.ratio * requestsEach * instances + options.slack, `${retries} retries`);
+});
+
+test("a change of the number of instances gives no new budget", (t) => {
+  const budgets = create(8);
+  drain(budgets);
+  budgets.setInstances(4);
+  t.is(drain(budgets), 0);
+});
--- /dev/null
+++ b/packages/placement/src/tests/planLayerCopiesTests.ts
@@ -0,0 +1,80 @@
+/** Plans hold whole copies, within the memory of each engine, with room for requests. */
+import test from "ava";
+import * as fc from "fast-check";
+import { getTokensBeside, planLayerCopies, type CopyEngine, type CopyModel } from "../planLayerCopies.js";
+import { planRepair } from "../planRepair.js";
+
+const model: CopyModel = {
+  layerCount: 80,
+  layerMb: 1_750,
+  kvMbPerTokenLayer: 0.0164,
+  tokensPerRequest: 974,
+  answerTokens: 200,
+  stepMs: 1,
+  stepMsPerRequest: 0.024,
+  hopMs: 0.25,
+};
+const kinds = [
+  { memoryMb: 72_000, stepFactor: 2.4 },
+  { memoryMb: 43_200, stepFactor: 5.6 },
+  { memoryMb: 21_600, stepFactor: 16 },
+];
+
+function createFleet(counts: readonly number[]): CopyEngine[] {
+  return counts.flatMap((count, kind) =>
+    Array.from({ length: count }, (_, index) => ({
+      name: `${kind}-${index}`,
+      ...(kinds[kind] ?? { memoryMb: 0, stepFactor: 1 }),
+    })),
+  );
+}
+
+function countHolders(spans: readonly { start: number; end: number }[]): number[] {
+  return Array.from(
+    { length: model.layerCount },
+    (_, layer) => spans.filter((s) => s.start <= layer && layer < s.end).length,
+  );
+}
+
+test("any fleet gets whole copies only, each engine at most once and with room beside its layers", (t) => {
+  const property = fc.property(
+    fc.tuple(fc.nat({ max: 4 }), fc.nat({ max: 8 }), fc.nat({ max: 10 })),
+    (counts) => {
+      const fleet = createFleet(counts);
+      const spans = planLayerCopies(fleet, model);
+      const holders = new Set(countHolders(spans));
+      const hasRoom = spans.every((span) => {
+        const engine = fleet.find((item) => item.name === span.name);
+        return (
+          engine !== undefined &&
+          getTokensBeside(engine, span.end - span.start, model) > model.tokensPerRequest
+        );
+      });
+      return holders.size === 1 && hasRoom && new Set(spans.map((span) => span.name)).size === spans.length;
+    },
+  );
+  t.notThrows(() => fc.assert(property, { seed: 3, numRuns: 60 }));
+});
+
+test("a zone that cannot hold the model with room for requests holds nothing", (t) => {
+  t.deepEqual(planLayerCopies(createFleet([1, 1, 0]), model), []);
+});
+
+test("a zone whose second copy would leave little room has one copy", (t) => {
+  t.is(countHolders(planLayerCopies(createFleet([2, 2, 5]), model))[0], 1);
+  t.is(countHolders(planLayerCopies(createFleet([1, 3, 8]), model))[0], 2);
+});
+
+test("an empty engine takes the gap that a lost one left", (t) => {
+  const fleet = createFleet([2, 2, 5]);
+  const spans = planLayerCopies(fleet, model);
+  const lost = spans[1];
+  const held = spans.flatMap((span) => {
+    const engine = fleet.find((item) => item.name === span.name);
+    return engine === undefined || span === lost ? [] : [{ engine, start: span.start, end: span.end }];
+  });
+  const returned = { name: "returned", memoryMb: 72_000, stepFactor: 2.4 };
+  t.deepEqual(planRepair([returned], held, model), [
+    { name: "returned", start: lost?.start ?? -1, end: lost?.end ?? -1 },
+  ]);
+});
--- a/packages/routing/src/RetryBudget.ts
+++ b/packages/routing/src/RetryBudget.ts
@@ -9,13 +9,26 @@
 
   /**
    * @param share - Retries allowed per request.
-   * @param reserve - Largest balance, and the balance at the start.
+   * @param reserve - Largest balance.
+   * @param initialBalance - Balance at the start; less than the reserve where a restart must not give a full one.
    */
   constructor(
     readonly share = defaultShare,
-    readonly reserve = defaultReserve,
+    private _reserve = defaultReserve,
+    initialBalance = _reserve,
   ) {
-    this._balance = reserve;
+    this._balance = initialBalance;
+  }
+
+  /** Largest balance. */
+  get reserve(): number {
+    return this._reserve;
+  }
+
+  /** Sets the largest balance; what is above it is lost, and nothing is added. */
+  setReserve(reserve: number): void {
+    this._reserve = reserve;
+    this._balance = Math.min(this._balance, reserve);
   }
 
   recordRequest(): void {
