--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -18,6 +18,8 @@
 const reportTimeoutMs = 500;
 /** An order whose layers do not show is looked into after the load time and this much more. */
 const overdueMs = 4_000;
+/** A crashed engine is listed again about this long after its old entry went; its layers are left to it. */
+const returnWaitMs = 1_000;
 /** After an order that failed the engine is looked at again this much later. */
 const retryMs = 1_000;
 
@@ -41,11 +43,15 @@
   private readonly _pending = new Map<string, Pending>();
   private readonly _retryAtMs = new Map<string, number>();
   private readonly _addedAtMs = new Map<string, number>();
+  private readonly _goneAtMs = new Map<string, number>();
 
   constructor(private readonly _structure: LayerKeeperStructure) {
     _structure.endpoints.onChanged((endpoint, event) => {
       if (event === "added") this._addedAtMs.set(getPool(endpoint), utils.monotonicMs());
-      if (event === "gone") this._forget(endpoint.id);
+      if (event === "gone") {
+        this._goneAtMs.set(getPool(endpoint), utils.monotonicMs());
+        this._forget(endpoint.id);
+      }
       if (event === "layers" && this._isShown(endpoint)) this._pending.delete(endpoint.id);
     });
   }
@@ -84,7 +90,7 @@
     const empty = members.filter((member) => this._isEmpty(member, nowMs));
     const held = this._getHeld(members, profile);
     const [sample] = empty;
-    if (sample === undefined) return [];
+    if (sample === undefined) return this._planGrowth(members, held, profile, nowMs);
     const stillMs = nowMs - (this._addedAtMs.get(getPool(sample)) ?? 0);
     const model = toCopyModel(profile);
     const engines = empty.map((member) => toCopyEngine(member, profile));
@@ -94,6 +100,20 @@
     return stillMs < settledForRepairMs ? [] : placement.planRepair(engines, held, model);
   }
 
+  /** A zone without empty engines closes a gap by growing the neighbours, once no lost engine seems to come back. */
+  private _planGrowth(
+    members: readonly Endpoint[],
+    held: readonly placement.HeldSpan[],
+    profile: EngineProfile,
+    nowMs: number,
+  ): placement.PlannedSpan[] {
+    const [sample] = members;
+    if (sample === undefined) return [];
+    if (nowMs - (this._goneAtMs.get(getPool(sample)) ?? 0) < returnWaitMs) return [];
+    const planned = placement.planGrowth(held, toCopyModel(profile));
+    return planned.filter((span) => nowMs >= (this._retryAtMs.get(span.name) ?? 0));
+  }
+
   private _isEmpty(member: Endpoint, nowMs: number): boolean {
     if (member.listed.layers.length > 0) return false;
     const pending = this._pending.get(member.id);
