--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards streamed requests through chains of engines, and goes on elsewhere when a chain fails. */
 import { errors, utils } from "@shedtiller/common";
 import type { ChainAdmission } from "../chains/ChainAdmission.js";
+import { describeRoom } from "../chains/describeRoom.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCaller.js";
 import { readBody } from "../http/HttpCaller.js";
@@ -41,7 +42,7 @@
     while (!request.isAnswered && !request.signal.aborted) {
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
-        this._refuse(request, hasRun, "no-room");
+        this._refuse(request, service, hasRun, "no-room");
         break;
       }
       if (end === "answered" || end === "caller-left") break;
@@ -49,7 +50,7 @@
       const mayRepeat = !hasRun || request.isIdempotent;
       const isFree = request.attempts === 0;
       if (mayRepeat && (isFree || this.mayRetry(request, service))) continue;
-      this._refuse(request, hasRun, hasRun ? "outcome-unknown" : "not-run");
+      this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
     clearTimeout(timer);
     request.details = {
@@ -172,12 +173,23 @@
 
   private _refuse(
     request: CallerRequest,
+    service: string,
     hasRun: boolean,
     reason: "no-room" | "not-run" | "outcome-unknown",
   ): void {
     if (request.isAnswered) return;
     if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
-    request.refuse(503, reason, this._admission.getRetryAfterMs());
+    const retryAfterMs = this._admission.getRetryAfterMs();
+    const profile = this.context.keeper.table?.getEngineProfile(service);
+    const endpoints = this.context.endpoints.getUsable(service);
+    this.context.log.warn("stream-refused", {
+      requestId: request.id,
+      reason,
+      waiting: this._admission.waiting,
+      retryAfterMs: Math.round(retryAfterMs),
+      room: profile === undefined ? undefined : describeRoom(endpoints, profile, utils.monotonicMs()),
+    });
+    request.refuse(503, reason, retryAfterMs);
   }
 
   private _endLate(request: CallerRequest): void {
