fix(gateway): room of moved and returned engines is given back once; the store's return is told first

A chain changed by an order whose answer came after the request had ended took room for ever. An engine that left the list and came back was given room back that it had not lent. A watcher heard that the store was back only after the entries that had lapsed meanwhile were dropped, so the grace for them never began. Ruled out: the count itself (exact against reports), peers' load (dropped with the link). Change: reservations hold the endpoint and end once; the follower tells of the return before the data.

--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -1,10 +1,19 @@
 /** Room that a request holds at the engines of its chain. */
+import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 
+interface Hold {
+  /** The object itself: an endpoint that leaves the list and comes back is another one, with a count of its own. */
+  readonly endpoint: Endpoint;
+  readonly tokenLayers: number;
+}
+
 /** Counts a request at each engine of its chain until it is released. */
 export class ChainReservation {
   private _stages: readonly ChainStage[] = [];
+  private _holds: readonly Hold[] = [];
+  private _isReleased = false;
 
   constructor(
     private readonly _endpoints: EndpointTable,
@@ -18,21 +27,29 @@
     return this._stages;
   }
 
-  /** Takes another chain in place of the one held. */
+  /** Takes another chain in place of the one held. Does nothing once released: the request may end while it is moved. */
   move(stages: readonly ChainStage[]): void {
-    this._count(-1);
+    if (this._isReleased) return;
+    this._dropHolds();
     this._stages = stages;
-    this._count(1);
+    this._holds = stages.flatMap((stage) => this._hold(stage) ?? []);
   }
 
   release(): void {
-    this.move([]);
+    this._dropHolds();
+    this._isReleased = true;
+  }
+
+  private _hold(stage: ChainStage): Hold | undefined {
+    const endpoint = this._endpoints.get(stage.endpointId);
+    if (endpoint === undefined) return undefined;
+    const tokenLayers = (stage.end - stage.start) * this._tokens;
+    endpoint.addOwn(1, tokenLayers);
+    return { endpoint, tokenLayers };
   }
 
-  private _count(sign: 1 | -1): void {
-    for (const stage of this._stages) {
-      const tokenLayers = sign * (stage.end - stage.start) * this._tokens;
-      this._endpoints.get(stage.endpointId)?.addOwn(sign, tokenLayers);
-    }
+  private _dropHolds(): void {
+    for (const { endpoint, tokenLayers } of this._holds) endpoint.addOwn(-1, -tokenLayers);
+    this._holds = [];
   }
 }
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -37,7 +37,7 @@
     while (!signal.aborted) {
       const error =
         this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
-      this._noteState(error);
+      if (error !== undefined) this._noteFailed(error);
       const pauseMs = error === undefined ? this._options.intervalMs : this._options.retryMs;
       if (pauseMs > 0) await utils.sleep(pauseMs, signal).catch(() => undefined);
     }
@@ -47,6 +47,7 @@
     const askedAtMs = utils.monotonicMs();
     const snapshot = await this._feed.getSnapshot();
     if (snapshot.err) return snapshot.val;
+    this._noteAnswered();
     this._offset = snapshot.val.nextOffset;
     this._listener.onSnapshot(snapshot.val.values, askedAtMs);
     return undefined;
@@ -56,15 +57,21 @@
     const askedAtMs = utils.monotonicMs();
     const page = await this._feed.getChanges(offset, this._options.waitMs);
     if (page.err) return page.val;
+    this._noteAnswered();
     if (page.val.isCompacted) return this._readSnapshot();
     this._offset = page.val.nextOffset;
     this._listener.onChanges(page.val.changes, askedAtMs);
     return undefined;
   }
 
-  private _noteState(error: StoreError | undefined): void {
-    if (error !== undefined && !this._isLost) this._listener.onLost(error);
-    if (error === undefined && this._isLost) this._listener.onRegained();
-    this._isLost = error !== undefined;
+  /** The listener learns that the store is back before it gets what the store says. */
+  private _noteAnswered(): void {
+    if (this._isLost) this._listener.onRegained();
+    this._isLost = false;
+  }
+
+  private _noteFailed(error: StoreError): void {
+    if (!this._isLost) this._listener.onLost(error);
+    this._isLost = true;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -0,0 +1,67 @@
+/** A follower reads on where it stopped, and begins anew where the history has a gap. */
+import test from "ava";
+import { errors, results } from "@shedtiller/common";
+import { ChangeFeed, type FeedPage, type FeedSnapshot, type StoreError } from "../../discovery/ChangeFeed.js";
+import { FeedFollower } from "../../discovery/FeedFollower.js";
+
+type Page = results.Result<FeedPage<string>, StoreError>;
+
+/** Answers from a script; ends the follower with the last one. */
+class ScriptedFeed extends ChangeFeed<string> {
+  readonly asked: string[] = [];
+
+  constructor(
+    private readonly _pages: Page[],
+    private readonly _stop: AbortController,
+  ) {
+    super();
+  }
+
+  override getSnapshot(): Promise<results.Result<FeedSnapshot<string>, StoreError>> {
+    this.asked.push("snapshot");
+    return Promise.resolve(results.Ok({ values: new Map([["k", "v"]]), nextOffset: 10 }));
+  }
+
+  override getChanges(offset: number): Promise<Page> {
+    this.asked.push(`from ${offset}`);
+    const page = this._pages.shift();
+    if (this._pages.length === 0) this._stop.abort();
+    return Promise.resolve(page ?? results.Err(new errors.ConnectionLostError("store")));
+  }
+}
+
+async function follow(pages: Page[]): Promise<{ asked: string[]; heard: string[] }> {
+  const stop = new AbortController();
+  const feed = new ScriptedFeed(pages, stop);
+  const heard: string[] = [];
+  const listener = {
+    onSnapshot: () => heard.push("snapshot"),
+    onChanges: (changes: readonly unknown[]) => heard.push(`${changes.length} changes`),
+    onLost: () => heard.push("lost"),
+    onRegained: () => heard.push("regained"),
+  };
+  await new FeedFollower(feed, listener, { waitMs: 0, intervalMs: 0, retryMs: 0 }).run(stop.signal);
+  return { asked: feed.asked, heard };
+}
+
+const change = { key: "k", value: "w" };
+
+test("the store's return is told before what it says", async (t) => {
+  const lost: Page = results.Err(new errors.ConnectionLostError("store"));
+  const { asked, heard } = await follow([
+    lost,
+    lost,
+    results.Ok({ changes: [change], nextOffset: 11, isCompacted: false }),
+  ]);
+  t.deepEqual(heard, ["snapshot", "lost", "regained", "1 changes"]);
+  t.deepEqual(asked, ["snapshot", "from 10", "from 10", "from 10"]);
+});
+
+test("a gap in the history leads to a snapshot", async (t) => {
+  const { asked, heard } = await follow([
+    results.Ok({ changes: [], nextOffset: 10, isCompacted: true }),
+    results.Ok({ changes: [change], nextOffset: 11, isCompacted: false }),
+  ]);
+  t.deepEqual(heard, ["snapshot", "snapshot", "1 changes"]);
+  t.deepEqual(asked, ["snapshot", "from 10", "snapshot", "from 10"]);
+});
