perf(gateway): chains do not change zones on the way

A chain that goes on in another zone was charged 0.4 s, as one that lies there from its first engine, although only text passes then. Change: going on in another zone costs 20 s in the choice, beginning there 0.2 s.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -21,8 +21,13 @@
 const usableRoomShare = 0.92;
 /** Room that is nearly full costs this many times more than empty room, so that chains fill evenly. */
 const fullRoomFactor = 4;
-/** Cost of leaving a zone, in ms: the activations of a prompt over the shared pipe, and the price of the bytes. */
-const zoneChangeMs = 400;
+/**
+ * Cost of a chain that goes on in another zone, in ms: the activations of a prompt (50 MB on the deployments at hand) take the
+ * pipe that all share for 15 ms, and a pipe that is full slows every chain across it. Measured: bench/RESULTS.md, round 7.
+ */
+const zoneChangeMs = 20_000;
+/** Cost of a chain that lies in another zone from its beginning, in ms: only text passes between the zones. */
+const otherZoneMs = 200;
 /** A part of a chain, at most this many: the wire's bound is 32; longer chains than this lose more by hops. */
 const mostStages = 24;
 
@@ -128,8 +133,7 @@
     return;
   if (isUsed(label, candidate)) return;
   const zone = candidate.endpoint.listed.availabilityZone;
-  const previousZone = label.candidate?.endpoint.listed.availabilityZone ?? demand.availabilityZone;
-  const entryMs = hopMs * demand.answerTokens + (zone === previousZone ? 0 : zoneChangeMs);
+  const entryMs = hopMs * demand.answerTokens + getZoneMs(zone, label, demand);
   for (const to of boundaries) {
     if (from === 0 && demand.firstEnd !== undefined && to !== demand.firstEnd) continue;
     if (to <= from || to > candidate.end || to - from > candidate.freeLayers) continue;
@@ -141,6 +145,11 @@
   }
 }
 
+function getZoneMs(zone: string, label: Label, demand: ChainDemand): number {
+  if (label.candidate === undefined) return zone === demand.availabilityZone ? 0 : otherZoneMs;
+  return zone === label.candidate.endpoint.listed.availabilityZone ? 0 : zoneChangeMs;
+}
+
 function isUsed(label: Label, candidate: Candidate): boolean {
   for (let step: Label | undefined = label; step !== undefined; step = step.previous) {
     if (step.candidate?.endpoint === candidate.endpoint) return true;
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -64,6 +64,16 @@
   t.is(describe(chooser.choose(engines, profile, demand)), "b=0-2,c=2-4");
 });
 
+test("rather than change zones on the way, a chain lies in another zone as a whole", (t) => {
+  const engines = [
+    createEngine("a", 0, 2),
+    createEngine("b", 2, 4, { availabilityZone: "west" }),
+    createEngine("c", 0, 4, { availabilityZone: "west", kind: "slow" }),
+  ];
+  t.is(describe(chooser.choose(engines, profile, demand)), "c=0-2,b=2-4");
+  t.is(describe(chooser.choose(engines.slice(0, 2), profile, demand)), "a=0-2,b=2-4");
+});
+
 test("a moved request keeps its first engine and that engine's part", (t) => {
   const engines = [createEngine("a", 0, 3), createEngine("b", 2, 4), createEngine("c", 0, 4)];
   const moved = chooser.choose(engines, profile, { ...demand, firstEndpointId: "a", firstEnd: 2 });
