--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -42,6 +42,11 @@
 const stopReserveMs = 400;
 const drainPollMs = 50;
 
+function getChangedSections(before: GatewaySettings, after: GatewaySettings): string[] {
+  const sections = Object.keys(after) as (keyof GatewaySettings)[];
+  return sections.filter((section) => JSON.stringify(before[section]) !== JSON.stringify(after[section]));
+}
+
 /** What the platform provides, behind the abstract classes of this package. */
 export interface GatewayPlatform {
   readonly configurationFeed: ChangeFeed<GatewayConfiguration>;
@@ -77,7 +82,7 @@
   private _isDraining = false;
 
   constructor(
-    private readonly _settings: GatewaySettings,
+    private _settings: GatewaySettings,
     platform: GatewayPlatform,
     private readonly _log: DecisionLog,
   ) {
@@ -170,6 +175,21 @@
     this._log.info("instance-started", { ...this._settings.instance });
   }
 
+  /** Takes settings that were read anew. Those that listeners and names hang on need a restart, and are logged as such. */
+  reload(settings: GatewaySettings): void {
+    const { keys, retries, callers } = settings;
+    const changed = getChangedSections(this._settings, settings);
+    this._settings = {
+      ...this._settings,
+      keys,
+      retries,
+      callers: { ...this._settings.callers, stopGraceS: callers.stopGraceS },
+    };
+    this._budgets.setOptions({ ratio: retries.budgetRatio, slack: retries.budgetSlack });
+    const needsRestart = getChangedSections(this._settings, settings);
+    this._log.info("settings-reloaded", { changed, needsRestart });
+  }
+
   /** Finishes what is in hand, within the grace, and ends. */
   async drain(): Promise<void> {
     const startedAtMs = utils.monotonicMs();
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -23,7 +23,15 @@
   private readonly _budgets = new Map<string, RetryBudget>();
   private _instances = assumedInstances;
 
-  constructor(private readonly _options: RetryBudgetOptions) {}
+  constructor(private _options: RetryBudgetOptions) {}
+
+  /** Takes another budget of the deployment; what is in the buckets stays, within the new reserve. */
+  setOptions(options: RetryBudgetOptions): void {
+    const isSameRatio = options.ratio === this._options.ratio;
+    this._options = options;
+    if (!isSameRatio) this._budgets.clear();
+    this.setInstances(this._instances);
+  }
 
   /** Takes the number of instances that share the slack. */
   setInstances(count: number): void {
