--- a/packages/gateway/src/tests/gatewaySettingsTests.ts
+++ b/packages/gateway/src/tests/gatewaySettingsTests.ts
@@ -47,7 +47,9 @@
 });
 
 test("all faults are told together, each with its line, unknown names with the nearest one", (t) => {
-  const loaded = load(good.replace("stopGraceS = 8", "stopGraceSeconds = 8").replace("port = 7341", "port = 0"));
+  const loaded = load(
+    good.replace("stopGraceS = 8", "stopGraceSeconds = 8").replace("port = 7341", "port = 0"),
+  );
   if (loaded.ok) return t.fail();
   t.regex(loaded.val.message, /s\.ini:8.*stopGraceSeconds.*did you mean stopGraceS/);
   t.regex(loaded.val.message, /s\.ini:15.*port/);
--- /dev/null
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -0,0 +1,223 @@
+/** A gateway's request path over real sockets, with endpoints that tests script. */
+import * as http from "node:http";
+import type * as net from "node:net";
+import { results, utils } from "@shedtiller/common";
+import { ChainAdmission } from "../../chains/ChainAdmission.js";
+import { ChainChooser } from "../../chains/ChainChooser.js";
+import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import type { Route } from "../../configuration/gatewayConfiguration.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { HttpCaller } from "../../http/HttpCaller.js";
+import {
+  MessageCodec,
+  type AnswerFields,
+  type CallerFields,
+  type EndpointFields,
+  type RawHeaders,
+} from "../../http/MessageCodec.js";
+import { DecisionLog, LogSink } from "../../logs/DecisionLog.js";
+import {
+  EngineOrders,
+  OrderRefusedError,
+  type EngineReport,
+  type OrderError,
+} from "../../orders/EngineOrders.js";
+import { CallerListener } from "../../requests/CallerListener.js";
+import type { CallerRequest } from "../../requests/CallerRequest.js";
+import { PlainForwarder } from "../../requests/PlainForwarder.js";
+import { RetryBudgets } from "../../requests/RetryBudgets.js";
+import { StallMonitor } from "../../requests/StallMonitor.js";
+import { StreamForwarder } from "../../requests/StreamForwarder.js";
+import { createConfiguration, createListed, profile } from "../createParts.js";
+
+/** Headers of these tests: `x-id`, `x-key`, `x-last` and `x-not-run`. */
+class TestCodec extends MessageCodec {
+  override decodeCaller(headers: RawHeaders): CallerFields {
+    return {
+      requestId: lookUp(headers, "x-id"),
+      deadlineMs: undefined,
+      apiKey: lookUp(headers, "x-key"),
+      modelName: undefined,
+      promptTokens: 2,
+      maxAnswerTokens: 2,
+      answerTokensHint: undefined,
+      lastEventId: lookUp(headers, "x-last"),
+    };
+  }
+
+  override encodeForEndpoint(headers: RawHeaders, fields: EndpointFields): string[] {
+    const lines = ["Host", "notes.example", "x-id", lookUp(headers, "x-id") ?? ""];
+    return fields.lastEventId === undefined ? lines : [...lines, "x-last", fields.lastEventId];
+  }
+
+  override decodeAnswer(headers: RawHeaders): AnswerFields {
+    return {
+      requestId: lookUp(headers, "x-id"),
+      hasNotRun: lookUp(headers, "x-not-run") !== undefined,
+      faultyAddress: undefined,
+      retryAfterMs: undefined,
+      isEncoded: false,
+    };
+  }
+
+  override encodeForCaller(headers: RawHeaders): string[] {
+    return ["x-id", lookUp(headers, "x-id") ?? ""];
+  }
+
+  override encodeRefusal(retryAfterMs: number | undefined): Record<string, string> {
+    return retryAfterMs === undefined ? {} : { "x-retry-after-ms": String(retryAfterMs) };
+  }
+}
+
+function lookUp(headers: RawHeaders, name: string): string | undefined {
+  const index = headers.findIndex((header, at) => at % 2 === 0 && header.toLowerCase() === name);
+  return index < 0 ? undefined : headers[index + 1];
+}
+
+class SilentSink extends LogSink {
+  override isBehind(): boolean {
+    return true;
+  }
+  override write(): void {}
+}
+
+/** Engines that answer no question; stalls are not part of these tests. */
+class SilentOrders extends EngineOrders {
+  override getReport(): Promise<results.Result<EngineReport, OrderError>> {
+    return Promise.resolve(results.Err(new OrderRefusedError("", 404, undefined)));
+  }
+  override placeLayers(): Promise<results.Result<void, OrderError>> {
+    return Promise.resolve(results.Err(new OrderRefusedError("", 404, undefined)));
+  }
+  override changeChain(): Promise<results.Result<void, OrderError>> {
+    return Promise.resolve(results.Err(new OrderRefusedError("", 404, undefined)));
+  }
+}
+
+/** A whole answer as a caller sees it; `isWhole` is false where the connection broke off. */
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  readonly isWhole: boolean;
+}
+
+/** Handles one request at an endpoint. */
+export type EndpointHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+
+/** The request path of one gateway. */
+export class GatewayFixture {
+  readonly keeper = new ConfigurationKeeper();
+  readonly endpoints = new EndpointTable();
+  areKeysFresh = true;
+  private readonly _servers: http.Server[] = [];
+  private readonly _caller = new HttpCaller();
+  private _listener: CallerListener | undefined;
+  private _port = 0;
+
+  /** Starts the gateway with one route. */
+  async start(route: Route): Promise<void> {
+    const log = new DecisionLog(new SilentSink(), utils.monotonicMs);
+    const budgets = new RetryBudgets({ ratio: 1, slack: 1_000 });
+    const codec = new TestCodec();
+    const context = {
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      caller: this._caller,
+      codec,
+      budgets,
+      log,
+      availabilityZone: "east",
+      suspect: (id: string) => void this.endpoints.suspect(id),
+    };
+    const chooser = new ChainChooser();
+    const admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
+    const plain = new PlainForwarder(context);
+    const streams = new StreamForwarder(
+      context,
+      admission,
+      new StallMonitor(context, chooser, new SilentOrders()),
+    );
+    const forward = (request: CallerRequest): Promise<void> =>
+      (route.kind === "streaming" ? streams : plain).run(request, route.targets[0]?.service ?? "");
+    const areKeysFresh = (): boolean => this.areKeysFresh;
+    this._port = await getFreePort();
+    const { keeper } = this;
+    this._listener = new CallerListener({
+      host: "127.0.0.1",
+      port: this._port,
+      keeper,
+      codec,
+      log,
+      areKeysFresh,
+      forward,
+    });
+    await this._listener.listen();
+    const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
+    this.keeper.accept({ ...createConfiguration(1, [route]), services });
+  }
+
+  /** Adds endpoints that are listed in this order; a handler of undefined is a port that nobody listens on. */
+  async list(
+    handlers: readonly (EndpointHandler | undefined)[],
+    changes: Partial<ListedEndpoint>,
+  ): Promise<void> {
+    const listed = new Map<string, ListedEndpoint>();
+    for (const [index, handler] of handlers.entries()) {
+      const id = `endpoint-${index}`;
+      const port = handler === undefined ? await getFreePort() : await this._serve(handler);
+      listed.set(id, createListed(id, { ...changes, address: `127.0.0.1:${port}` }));
+    }
+    this.endpoints.setAll(listed);
+  }
+
+  /** Sends a request as a caller. */
+  request(method: string, headers: Record<string, string>): Promise<SeenAnswer> {
+    return new Promise((resolve, reject) => {
+      const options = { host: "127.0.0.1", port: this._port, method, path: "/a/x", agent: false };
+      const request = http.request(
+        { ...options, headers: { host: "notes.example", ...headers } },
+        (message) => {
+          let body = "";
+          message.on("data", (part: Buffer) => (body += part.toString()));
+          message.on("error", () => undefined);
+          message.on("close", () =>
+            resolve({
+              status: message.statusCode ?? 0,
+              headers: message.headers,
+              body,
+              isWhole: message.complete,
+            }),
+          );
+        },
+      );
+      request.on("error", reject);
+      request.end();
+    });
+  }
+
+  close(): void {
+    this._listener?.close();
+    this._caller.close();
+    for (const server of this._servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private async _serve(handler: EndpointHandler): Promise<number> {
+    const server = http.createServer(handler);
+    this._servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    return (server.address() as net.AddressInfo).port;
+  }
+}
+
+async function getFreePort(): Promise<number> {
+  const server = http.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
