--- /dev/null
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -0,0 +1,119 @@
+/** One call from its start to the head of its answer, with proof of whether the other side may have seen it. */
+import * as http from "node:http";
+import { errors, results } from "@shedtiller/common";
+import type { CallError, HttpAnswer, HttpCall } from "./HttpCall.js";
+import { watchEnding } from "./watchEnding.js";
+
+/** One request from its start to the head of its answer. */
+export class HttpExchange {
+  private _isSettled = false;
+  private _mayHaveArrived = false;
+  private _request: http.ClientRequest | undefined;
+  private _connectTimer: NodeJS.Timeout | undefined;
+  private _headTimer: NodeJS.Timeout | undefined;
+  private readonly _onAbort = (): void => this._end(new errors.CancelledError("A call"));
+
+  constructor(
+    private readonly _call: HttpCall,
+    private readonly _agent: http.Agent,
+    private readonly _resolve: (result: results.Result<HttpAnswer, CallError>) => void,
+  ) {}
+
+  /** Sends the request; its outcome goes to the function given. */
+  start(): void {
+    const { _call: call } = this;
+    if (call.signal?.aborted === true) return this._settle(results.Err(new errors.CancelledError("A call")));
+    const [host = "", port = ""] = call.address.split(":");
+    const request = http.request({
+      host,
+      port: Number(port),
+      method: call.method,
+      path: call.path,
+      agent: this._agent,
+      headers: this._getFramedHeaders() as unknown as http.OutgoingHttpHeaders,
+    });
+    this._request = request;
+    request.on("socket", (socket) => this._watchConnection(socket.connecting, socket));
+    request.on("response", (message) => this._acceptHead(message));
+    request.on("error", (error) => this._fail(error));
+    call.signal?.addEventListener("abort", this._onAbort, { once: true });
+    this._connectTimer = setTimeout(() => this._endUnconnected(), call.connectTimeoutMs);
+    this._headTimer = setTimeout(
+      () => this._end(new errors.DeadlineError(`The answer of ${call.address}`, call.headTimeoutMs)),
+      call.headTimeoutMs,
+    );
+    request.end(call.body);
+  }
+
+  private _getFramedHeaders(): string[] {
+    const { headers, body, method } = this._call;
+    const hasBody = body !== undefined && (body.length > 0 || method !== "GET");
+    const isKept = this._call.isFresh !== true;
+    const framed = [...headers, "Connection", isKept ? "keep-alive" : "close"];
+    return hasBody ? [...framed, "Content-Length", String(body.length)] : framed;
+  }
+
+  /** The request is written as soon as the connection stands; on a kept one that is now. */
+  private _watchConnection(
+    isConnecting: boolean,
+    socket: { once(event: "connect", listener: () => void): unknown },
+  ): void {
+    const connected = (): void => {
+      this._mayHaveArrived = true;
+      clearTimeout(this._connectTimer);
+    };
+    if (isConnecting) socket.once("connect", connected);
+    else connected();
+  }
+
+  private _acceptHead(message: http.IncomingMessage): void {
+    if (this._isSettled) return void message.destroy();
+    const request = this._request;
+    const ending = isFramed(message) ? undefined : watchEnding(message);
+    message.on("error", () => undefined);
+    this._settle(
+      results.Ok({
+        status: message.statusCode ?? 0,
+        headers: message.rawHeaders,
+        message,
+        isWhole: async () => message.complete && (ending === undefined || (await ending) === "closed"),
+        abort: () => request?.destroy(),
+      }),
+    );
+  }
+
+  private _fail(cause: unknown): void {
+    const { address } = this._call;
+    const error = this._mayHaveArrived
+      ? new errors.ConnectionLostError(address, cause)
+      : new errors.NotReachedError(address, cause);
+    this._settle(results.Err(error));
+  }
+
+  private _endUnconnected(): void {
+    if (this._mayHaveArrived) return;
+    this._settle(results.Err(new errors.NotReachedError(this._call.address)));
+    this._request?.destroy();
+  }
+
+  private _end(error: CallError): void {
+    this._settle(results.Err(error));
+    this._request?.destroy();
+  }
+
+  private _settle(result: results.Result<HttpAnswer, CallError>): void {
+    if (this._isSettled) return;
+    this._isSettled = true;
+    clearTimeout(this._connectTimer);
+    clearTimeout(this._headTimer);
+    this._call.signal?.removeEventListener("abort", this._onAbort);
+    this._resolve(result);
+  }
+}
+
+/** Whether the answer says where its body ends. */
+function isFramed(message: http.IncomingMessage): boolean {
+  return (
+    message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined
+  );
+}
--- a/packages/gateway/src/orders/EngineOrders.ts
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -3,7 +3,7 @@
 import { errors } from "@shedtiller/common";
 import * as zod from "zod";
 import { layerSpanSchema, type LayerSpan } from "../discovery/ListedEndpoint.js";
-import type { CallError } from "../http/HttpCaller.js";
+import type { CallError } from "../http/HttpCall.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 
 /** What an engine tells of itself; some hundred milliseconds old. */
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -1,7 +1,7 @@
 /** Forwards requests whose answer is passed on whole. */
 import { errors, type results } from "@shedtiller/common";
 import type { Endpoint } from "../discovery/Endpoint.js";
-import type { CallError, WholeAnswer } from "../http/HttpCaller.js";
+import type { CallError, WholeAnswer } from "../http/HttpCall.js";
 import type { AnswerFields } from "../http/MessageCodec.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -3,7 +3,8 @@
 import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import type { HttpCall, HttpCaller } from "../http/HttpCaller.js";
+import type { HttpCall } from "../http/HttpCall.js";
+import type { HttpCaller } from "../http/HttpCaller.js";
 import type { ChainStage, MessageCodec } from "../http/MessageCodec.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { CallerRequest } from "./CallerRequest.js";
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -1,7 +1,7 @@
 /** One run of a streamed request at a chain: passes whole events on and tells how it ended. */
 import { utils } from "@shedtiller/common";
 import type { ChainReservation } from "../chains/ChainReservation.js";
-import type { HttpAnswer } from "../http/HttpCaller.js";
+import type { HttpAnswer } from "../http/HttpCall.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { EventSplitter } from "./EventSplitter.js";
 
--- a/packages/gateway/src/tests/http/HttpCallerTests.ts
+++ b/packages/gateway/src/tests/http/HttpCallerTests.ts
@@ -2,7 +2,9 @@
 import * as net from "node:net";
 import test from "ava";
 import { errors, utils } from "@shedtiller/common";
-import { HttpCaller, readBody, type HttpCall } from "../../http/HttpCaller.js";
+import type { HttpCall } from "../../http/HttpCall.js";
+import { HttpCaller } from "../../http/HttpCaller.js";
+import { readBody } from "../../http/readBody.js";
 
 const maxBytes = 1024;
 const generousMs = 30_000;
