refactor(gateway): leftovers go

Fields, methods and exports that nothing reads are removed, and the engine's report is a plain type since nothing checks against its schema.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -72,7 +72,7 @@
     const intervalMs = nowMs - this._lastReleaseAtMs;
     this._lastReleaseAtMs = nowMs;
     this._releaseIntervalMs += (intervalMs - this._releaseIntervalMs) / smoothedReleases;
-    this.pump();
+    this._lookAgain();
   }
 
   private _getExpectedWaitMs(applicant: ChainApplicant): number {
@@ -80,8 +80,8 @@
     return (ahead + 1) * this._releaseIntervalMs;
   }
 
-  /** Looks again for all that wait. */
-  pump(): void {
+  /** Looks for room for those that wait, in their order, until too many have found none. */
+  private _lookAgain(): void {
     let misses = 0;
     for (const waiter of [...this._waiters]) {
       if (misses >= mostMisses) return;
@@ -100,7 +100,7 @@
     await utils.repeat(
       lookAgainMs,
       signal,
-      () => this.pump(),
+      () => this._lookAgain(),
       () => undefined,
     );
   }
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -14,7 +14,6 @@
   readonly firstEndpointId?: string | undefined;
   /** Where the first engine's part must end, where it is given. */
   readonly firstEnd?: number | undefined;
-  readonly excludedIds?: ReadonlySet<string>;
 }
 
 /** Share of an engine's room that is handed out; the rest covers answers longer than guessed. */
@@ -67,7 +66,6 @@
   }
 
   private _toCandidates(endpoint: Endpoint, profile: EngineProfile, demand: ChainDemand): Candidate[] {
-    if (demand.excludedIds?.has(endpoint.id) === true) return [];
     const nowMs = this._nowMs();
     if (endpoint.isSuspect(nowMs) || nowMs < endpoint.refusedUntilMs) return [];
     const kind = getKind(endpoint, profile);
@@ -88,11 +86,6 @@
   }
 }
 
-/** Room that one request needs in a stage of `layers` layers. */
-export function getNeededTokenLayers(layers: number, demand: ChainDemand): number {
-  return layers * (demand.promptTokens + demand.answerTokens);
-}
-
 /** The best label for each boundary and zone of the last engine. */
 type Labels = Map<number, Map<string, Label>>;
 
--- a/packages/gateway/src/configuration/RouteTable.ts
+++ b/packages/gateway/src/configuration/RouteTable.ts
@@ -46,14 +46,12 @@
     return undefined;
   }
 
-  getService(name: string): Service | undefined {
-    return this._services.get(name);
-  }
-
+  /** How the engines of a service compute; undefined where its endpoints are no engines. */
   getEngineProfile(service: string): EngineProfile | undefined {
     return this._services.get(service)?.engine;
   }
 
+  /** The client account that a key belongs to. */
   getAccount(apiKey: string): GatewayAccount | undefined {
     return this._accountsByKey.get(apiKey);
   }
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -10,7 +10,6 @@
 
 /** What may be done with a request: sent again freely, sent once, or answered as a stream of events. */
 export const routeKindSchema = zod.enum(["safe", "unsafe", "streaming"]);
-export type RouteKind = zod.infer<typeof routeKindSchema>;
 
 export const routeSchema = zod.object({
   name,
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -21,8 +21,6 @@
   refusedUntilMs = 0;
   /** Suspicions in a row without a heartbeat between them. */
   suspicions = 0;
-  /** Monotonic time of the last record that the store had of it. */
-  heardAtMs = 0;
   /** Factor by which it is slower than its kind, by its own report; 1 is nominal. */
   slowness = 1;
   private _own: EndpointLoad = noLoad;
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -16,7 +16,7 @@
 /** A heartbeat that came this long after the evidence shows that the endpoint lives. */
 const clearedByHeartbeatAfterMs = 1_000;
 
-/** Why an endpoint left the table, or what else became of it. */
+/** What became of an endpoint. */
 export type EndpointEvent = "added" | "draining" | "gone" | "layers" | "suspected" | "cleared";
 export type EndpointListener = (endpoint: Endpoint, event: EndpointEvent) => void;
 
@@ -123,14 +123,12 @@
 
   private _add(listed: ListedEndpoint): void {
     const endpoint = new Endpoint(listed);
-    endpoint.heardAtMs = this._nowMs();
     this._endpoints.set(listed.id, endpoint);
     this._notify(endpoint, "added");
   }
 
   private _noteHeartbeat(endpoint: Endpoint): void {
     const nowMs = this._nowMs();
-    endpoint.heardAtMs = nowMs;
     if (nowMs - endpoint.suspectedAtMs < clearedByHeartbeatAfterMs) return;
     endpoint.suspicions = 0;
     if (!endpoint.isSuspect(nowMs)) return;
--- a/packages/gateway/src/http/MessageCodec.ts
+++ b/packages/gateway/src/http/MessageCodec.ts
@@ -9,7 +9,6 @@
   /** How long the caller will wait, from its sending. */
   readonly deadlineMs: number | undefined;
   readonly apiKey: string | undefined;
-  readonly modelName: string | undefined;
   readonly promptTokens: number | undefined;
   /** The most tokens that the answer may have. */
   readonly maxAnswerTokens: number | undefined;
@@ -46,7 +45,6 @@
   readonly hasNotRun: boolean;
   /** The endpoint at fault, where a chain failed elsewhere than at its first stage. */
   readonly faultyAddress: string | undefined;
-  readonly retryAfterMs: number | undefined;
   readonly isEncoded: boolean;
 }
 
--- a/packages/gateway/src/orders/EngineOrders.ts
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -1,28 +1,25 @@
 /** Orders to engines and their reports, as the platform offers them. */
-import type { results } from "@shedtiller/common";
-import { errors } from "@shedtiller/common";
-import * as zod from "zod";
-import { layerSpanSchema, type LayerSpan } from "../discovery/ListedEndpoint.js";
+import { errors, type results } from "@shedtiller/common";
+import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { CallError } from "../http/HttpCall.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 
 /** What an engine tells of itself; some hundred milliseconds old. */
-export const engineReportSchema = zod.object({
+export interface EngineReport {
   /** Orders that it has begun since its start. */
-  orderCount: zod.number().int().nonnegative(),
+  readonly orderCount: number;
   /** Whether an order is under way. */
-  isBusy: zod.boolean(),
-  layers: zod.array(layerSpanSchema),
-  running: zod.number(),
-  queued: zod.number(),
-  usedTokenLayers: zod.number(),
-  totalTokenLayers: zod.number(),
+  readonly isBusy: boolean;
+  readonly layers: readonly LayerSpan[];
+  readonly running: number;
+  readonly queued: number;
+  readonly usedTokenLayers: number;
+  readonly totalTokenLayers: number;
   /** Factor by which it is slower than its kind; 1 is nominal. */
-  slowness: zod.number(),
+  readonly slowness: number;
   /** Requests, begun here, that stand still, each with the address of the engine that they wait for. */
-  stalled: zod.array(zod.object({ requestId: zod.string(), address: zod.string() })),
-});
-export type EngineReport = zod.infer<typeof engineReportSchema>;
+  readonly stalled: readonly { readonly requestId: string; readonly address: string }[];
+}
 
 /** An engine did not do what it was ordered to. */
 export class OrderRefusedError extends errors.ShedtillerError {
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -1,12 +1,10 @@
 /** Forwards requests whose answer is passed on whole. */
-import { errors, type results } from "@shedtiller/common";
+import { errors, utils, type results } from "@shedtiller/common";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { CallError, WholeAnswer } from "../http/HttpCall.js";
-import type { AnswerFields } from "../http/MessageCodec.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
 import { RequestForwarder } from "./RequestForwarder.js";
-import { utils } from "@shedtiller/common";
 
 const maxAnswerBytes = 16 * 1024 * 1024;
 /** When to come back after a refusal: about one service time of a plain request. */
@@ -18,7 +16,7 @@
 
 /** What came of one send. */
 type SendOutcome =
-  | { readonly kind: "answer"; readonly answer: WholeAnswer; readonly fields: AnswerFields }
+  | { readonly kind: "answer"; readonly answer: WholeAnswer }
   | { readonly kind: "not-run"; readonly error: string }
   | { readonly kind: "unknown"; readonly error: string };
 
@@ -89,7 +87,7 @@
     if (fields.requestId !== request.fields.requestId)
       return { kind: "unknown", error: "answer of another request" };
     if (fields.isEncoded) return { kind: "unknown", error: "encoded body" };
-    return { kind: "answer", answer: result.val, fields };
+    return { kind: "answer", answer: result.val };
   }
 
   private _note(request: CallerRequest, endpoint: Endpoint, outcome: SendOutcome): void {
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -32,6 +32,7 @@
   }
 }
 
+/** How a run ended. */
 export type StreamEnd = "completed" | "broken" | "caller-left";
 
 /** One run. Its silence is watched from outside. */
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -197,7 +197,7 @@
  * Gives each engine of a chain layers so that the tightest one holds the most tokens: the largest token count for which
  * the engines together hold all layers beside it (a bottleneck allocation, found by bisection).
  */
-export function spreadLayers(engines: readonly CopyEngine[], model: CopyModel): PlannedSpan[] | undefined {
+function spreadLayers(engines: readonly CopyEngine[], model: CopyModel): PlannedSpan[] | undefined {
   const count = (tokens: number): number =>
     utils.getSum(engines.map((engine) => getLayersBeside(engine, tokens, model)));
   if (count(1) < model.layerCount) return undefined;
--- a/packages/placement/src/planRepair.ts
+++ b/packages/placement/src/planRepair.ts
@@ -33,7 +33,7 @@
 }
 
 /** Tokens that fit at each layer over all engines that hold it. */
-export function getTokensByLayer(spans: readonly HeldSpan[], model: CopyModel): number[] {
+function getTokensByLayer(spans: readonly HeldSpan[], model: CopyModel): number[] {
   const tokens = new Array<number>(model.layerCount).fill(0);
   for (const span of spans) {
     const added = getTokensBeside(span.engine, span.end - span.start, model);
