refactor(gateway): doubled logic about chains and slowness has one place

What a chain reads like in a log line, how many layers an engine holds and when it counts as slow stand once. The move of a stalled stream is split into the choice and the order.

--- a/packages/gateway/src/chains/engineModel.ts
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -1,28 +1,35 @@
 /** Times and room of engines, from the profile of their service. */
+import { utils } from "@shedtiller/common";
 import type * as placement from "@shedtiller/placement";
 import type { AcceleratorKind, EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 
 const bytesPerMb = 1e6;
+const tokensPerKiloToken = 1_000;
 /** Delay of a boundary inside a zone, each token; the platform's sheet says 0.2 ms one way, plus the engines' own wake-up. */
 export const hopMs = 0.25;
+
 /** Finds the accelerator kind of an engine. */
 export function getKind(endpoint: Endpoint, profile: EngineProfile): AcceleratorKind | undefined {
   return profile.kinds.find((kind) => kind.name === endpoint.listed.kind) ?? profile.kinds[0];
 }
 
+/** How many layers an engine holds. */
+export function getHeldLayers(endpoint: Endpoint): number {
+  return utils.getSum(endpoint.listed.layers.map((span) => span.end - span.start));
+}
+
 /** Token-layers that fit beside the layers that an engine holds. */
 export function getCapacityTokenLayers(endpoint: Endpoint, profile: EngineProfile): number {
   const kind = getKind(endpoint, profile);
   if (kind === undefined) return 0;
-  const held = endpoint.listed.layers.reduce((sum, span) => sum + span.end - span.start, 0);
-  const freeMb = kind.memoryMb - held * profile.layerMb;
+  const freeMb = kind.memoryMb - getHeldLayers(endpoint) * profile.layerMb;
   return (Math.max(0, freeMb) * bytesPerMb) / (profile.kvBytesPerToken / profile.layerCount);
 }
 
 /** One token step over all layers at factor 1, with `sequences` requests of `contextTokens` each side by side. */
 export function getStepMs(profile: EngineProfile, sequences: number, contextTokens: number): number {
-  const contextMs = (profile.stepMsPerKiloToken * sequences * contextTokens) / 1_000;
+  const contextMs = (profile.stepMsPerKiloToken * sequences * contextTokens) / tokensPerKiloToken;
   return profile.stepMs + profile.stepMsPerSequence * sequences + contextMs;
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,8 @@
 export * from "./chains/ChainAdmission.js";
 export * from "./chains/ChainChooser.js";
 export * from "./chains/ChainReservation.js";
+export * from "./chains/describeChain.js";
+export * from "./chains/describeRoom.js";
 export * from "./chains/engineModel.js";
 export * from "./configuration/ConfigurationKeeper.js";
 export * from "./configuration/ConfigurationWatch.js";
@@ -23,6 +25,7 @@
 export * from "./logs/DecisionLog.js";
 export * from "./logs/WinstonSink.js";
 export * from "./orders/EngineOrders.js";
+export * from "./orders/getSlowness.js";
 export * from "./orders/LayerKeeper.js";
 export * from "./orders/LeaderElection.js";
 export * from "./orders/LeaderSeat.js";
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -5,13 +5,12 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "./EngineOrders.js";
+import { getSlowness } from "./getSlowness.js";
 
 /** Each engine is asked once in this time, by one instance for all. A question is priced like a health check. */
 const roundMs = 2_000;
 const idleMs = 500;
 const reportTimeoutMs = 500;
-/** Below this a report of slowness is ordinary variation. */
-const slownessFloor = 1.2;
 /** Only changes by more than this are told. */
 const toldChange = 0.2;
 
@@ -53,7 +52,7 @@
     const target = { id: engine.id, address: engine.listed.address };
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
     if (report.err) return;
-    const slowness = report.val.slowness > slownessFloor ? report.val.slowness : 1;
+    const slowness = getSlowness(report.val);
     if (Math.abs(slowness - engine.slowness) < toldChange) return;
     engine.slowness = slowness;
     this._structure.tell(engine.id, slowness);
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -1,8 +1,11 @@
 /** Watches running streams for silence, finds the engine at fault, and moves streams to other engines. */
 import { utils } from "@shedtiller/common";
 import type { ChainChooser } from "../chains/ChainChooser.js";
-import type { EngineOrders, EngineReport } from "../orders/EngineOrders.js";
-import { OrderRefusedError } from "../orders/EngineOrders.js";
+import { describeChain } from "../chains/describeChain.js";
+import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
+import type { ChainStage } from "../http/MessageCodec.js";
+import { OrderRefusedError, type EngineOrders, type EngineReport } from "../orders/EngineOrders.js";
+import { getSlowness } from "../orders/getSlowness.js";
 import type { ForwardContext } from "./RequestForwarder.js";
 import type { StreamAttempt } from "./StreamAttempt.js";
 
@@ -17,8 +20,6 @@
 const reportTimeoutMs = 400;
 /** After this much silence a stream goes on elsewhere, before its caller leaves at two seconds. */
 const giveUpSilenceMs = 1_200;
-/** Reports of slowness below this are ordinary variation. */
-const slownessFloor = 1.2;
 
 /** One task for all streams of this instance. */
 export class StallMonitor {
@@ -31,6 +32,7 @@
     private readonly _orders: EngineOrders,
   ) {}
 
+  /** Watches a run from now on. */
   add(attempt: StreamAttempt): void {
     this._attempts.add(attempt);
   }
@@ -39,10 +41,12 @@
     this._attempts.delete(attempt);
   }
 
+  /** Streams that run now. */
   get size(): number {
     return this._attempts.size;
   }
 
+  /** Looks at all runs from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await utils.repeat(
       checkIntervalMs,
@@ -80,7 +84,7 @@
       this._context.suspect(endpointId, `no report: ${report.val.code}`);
       return this._abandon(endpointId);
     }
-    endpoint.slowness = report.val.slowness > slownessFloor ? report.val.slowness : 1;
+    endpoint.slowness = getSlowness(report.val);
     await this._moveStalled(endpointId, report.val);
   }
 
@@ -97,8 +101,7 @@
     const addresses = new Map(report.stalled.map((entry) => [entry.requestId, entry.address]));
     const moves: Promise<void>[] = [];
     for (const address of new Set(addresses.values())) {
-      const faulty = this._context.endpoints.getByAddress(address);
-      if (faulty !== undefined) this._context.suspect(faulty.id, "stalled chain");
+      this._suspectAddress(address, "stalled chain");
     }
     for (const attempt of this._attempts) {
       const address = addresses.get(attempt.request.id);
@@ -113,24 +116,10 @@
     const first = attempt.firstStage;
     const profile = this._context.keeper.table?.getEngineProfile(attempt.service);
     if (first === undefined || profile === undefined) return;
-    const {
-      promptTokens = 0,
-      maxAnswerTokens = 0,
-      answerTokensHint = maxAnswerTokens,
-    } = attempt.request.fields;
-    const isFirstAtFault = first.address === faultyAddress;
-    const chain = isFirstAtFault
-      ? undefined
-      : this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
-          promptTokens,
-          answerTokens: answerTokensHint,
-          availabilityZone: this._context.availabilityZone,
-          firstEndpointId: first.endpointId,
-          firstEnd: attempt.reservation.stages[0]?.end,
-        });
+    if (first.address === faultyAddress) return this._giveUp(attempt, "the first engine stands still");
+    const chain = this._chooseOther(attempt, first, profile);
     // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
-    if (chain === undefined && !isFirstAtFault) return;
-    if (chain === undefined) return this._giveUp(attempt, "the first engine stands still");
+    if (chain === undefined) return;
     const moved = await this._orders.changeChain(
       { id: first.endpointId, address: first.address },
       attempt.request.id,
@@ -145,14 +134,34 @@
     this._context.log.info("chain-changed", {
       requestId: attempt.request.id,
       faultyAddress,
-      chain: chain.map((stage) => `${stage.address}=${stage.start}-${stage.end}`),
+      chain: describeChain(chain),
+    });
+  }
+
+  /** Another chain with the same first engine and the same layers there. */
+  private _chooseOther(
+    attempt: StreamAttempt,
+    first: ChainStage,
+    profile: EngineProfile,
+  ): ChainStage[] | undefined {
+    const { promptTokens = 0, maxAnswerTokens = 0, answerTokensHint } = attempt.request.fields;
+    return this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
+      promptTokens,
+      answerTokens: answerTokensHint ?? maxAnswerTokens,
+      availabilityZone: this._context.availabilityZone,
+      firstEndpointId: first.endpointId,
+      firstEnd: first.end,
     });
   }
 
   private _suspectNamed(error: unknown): void {
     if (!(error instanceof OrderRefusedError) || error.faultyAddress === undefined) return;
-    const endpoint = this._context.endpoints.getByAddress(error.faultyAddress);
-    if (endpoint !== undefined) this._context.suspect(endpoint.id, `chain change refused ${error.status}`);
+    this._suspectAddress(error.faultyAddress, `chain change refused ${error.status}`);
+  }
+
+  private _suspectAddress(address: string, reason: string): void {
+    const endpoint = this._context.endpoints.getByAddress(address);
+    if (endpoint !== undefined) this._context.suspect(endpoint.id, reason);
   }
 
   private _giveUp(attempt: StreamAttempt, cause: string): void {
@@ -162,5 +171,5 @@
 }
 
 function getAllowedSilenceMs(attempt: StreamAttempt): number {
-  return !attempt.hasEvents ? firstEventSilenceMs : laterEventSilenceMs;
+  return attempt.hasEvents ? laterEventSilenceMs : firstEventSilenceMs;
 }
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -2,6 +2,7 @@
 import { utils } from "@shedtiller/common";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
+import type { ChainStage } from "../http/MessageCodec.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { EventSplitter } from "./EventSplitter.js";
 
@@ -54,7 +55,7 @@
     request.signal.addEventListener("abort", () => this.abort.abort(), { once: true });
   }
 
-  get firstStage(): { readonly endpointId: string; readonly address: string } | undefined {
+  get firstStage(): ChainStage | undefined {
     return this.reservation.stages[0];
   }
 
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards streamed requests through chains of engines, and goes on elsewhere when a chain fails. */
 import { errors, utils } from "@shedtiller/common";
 import type { ChainAdmission } from "../chains/ChainAdmission.js";
+import { describeChain } from "../chains/describeChain.js";
 import { describeRoom } from "../chains/describeRoom.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
@@ -69,7 +70,7 @@
     const reservation = await this._acquire(request, service);
     if (reservation === undefined) return request.signal.aborted ? "caller-left" : undefined;
     const attempt = new StreamAttempt(request, service, reservation, progress);
-    progress.chain = reservation.stages.map((stage) => `${stage.address}=${stage.start}-${stage.end}`);
+    progress.chain = describeChain(reservation.stages);
     this._monitor.add(attempt);
     try {
       return await this._send(attempt);
@@ -202,7 +203,7 @@
     this.context.log.warn("stream-run-failed", {
       requestId: request.id,
       cause,
-      chain: reservation.stages.map((stage) => `${stage.address}=${stage.start}-${stage.end}`),
+      chain: describeChain(reservation.stages),
       events: progress.events,
       lastEventId: progress.lastEventId,
       attempts: request.attempts,
