refactor(gateway): requests are let in, refused and counted in files of their own

The check of route and key, refusals and the progress of a stream leave the listener, the request and the attempt. The loop over attempts is a method of its own.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -2,18 +2,16 @@
 import * as http from "node:http";
 import { utils } from "@shedtiller/common";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
-import type { CallerLimits, GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
-import type { RouteTable } from "../configuration/RouteTable.js";
+import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { CallerRequest, sendRefusal, type RefusalReason } from "./CallerRequest.js";
+import { admitCaller, type Admitted, type Refusal } from "./admitCaller.js";
+import { CallerRequest } from "./CallerRequest.js";
+import { sendRefusal } from "./sendRefusal.js";
 
 /** Connections rest longer than callers are told, so that a request never crosses our close. */
 const idleReserveMs = 1_500;
 const maxHeaderBytes = 64 * 1024;
-/** When to come back to an instance that has no configuration yet, or none that is fresh enough. */
-const notReadyRetryAfterMs = 500;
-
 /** When to come back after a refusal by an instance that stops: at once, on another connection to another instance. */
 const stoppingRetryAfterMs = 20;
 
@@ -29,13 +27,6 @@
   readonly forward: (request: CallerRequest) => Promise<void>;
 }
 
-/** Why a request was not let in. */
-interface Refusal {
-  readonly status: number;
-  readonly reason: RefusalReason;
-  readonly retryAfterMs?: number;
-}
-
 /** One listener an instance. */
 export class CallerListener {
   private readonly _server: http.Server;
@@ -100,7 +91,7 @@
     try {
       const admitted = this._admit(message, fields);
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
-      const body = await this._readBody(message, admitted.table.configuration.limits.maxBodyBytes);
+      const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
       if (body === undefined)
         return this._refuse(message, response, fields, { status: 413, reason: "body-too-large" });
       await this._forward(message, response, fields, admitted, body, arrivedAtMs);
@@ -110,6 +101,13 @@
     }
   }
 
+  private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
+    if (this._isClosing) return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
+    const { keeper, areKeysFresh } = this._structure;
+    const host = (message.headers.host ?? "").replace(/:\d+$/, "");
+    return admitCaller({ host, path: message.url ?? "/", apiKey: fields.apiKey }, keeper.table, areKeysFresh);
+  }
+
   private async _forward(
     message: http.IncomingMessage,
     response: http.ServerResponse,
@@ -145,31 +143,6 @@
     });
   }
 
-  private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
-    const { table } = this._structure.keeper;
-    if (this._isClosing) return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
-    if (table === undefined)
-      return { status: 503, reason: "no-configuration", retryAfterMs: notReadyRetryAfterMs };
-    const host = (message.headers.host ?? "").replace(/:\d+$/, "");
-    const route = table.getRoute(host, message.url ?? "/");
-    if (route === undefined) return { status: 404, reason: "no-route" };
-    if (!table.hasAccounts) return { table, route, account: undefined };
-    return this._admitKey(table, route, fields.apiKey);
-  }
-
-  private _admitKey(table: RouteTable, route: Route, apiKey: string | undefined): Admitted | Refusal {
-    if (apiKey === undefined && route.isAnonymousAllowed) return { table, route, account: undefined };
-    if (!this._structure.areKeysFresh()) {
-      return { status: 503, reason: "stale-configuration", retryAfterMs: notReadyRetryAfterMs };
-    }
-    if (apiKey === undefined) return { status: 401, reason: "no-key" };
-    const account = table.getAccount(apiKey);
-    if (account !== undefined) return { table, route, account };
-    return route.isAnonymousAllowed
-      ? { table, route, account: undefined }
-      : { status: 401, reason: "unknown-key" };
-  }
-
   private _refuse(
     message: http.IncomingMessage,
     response: http.ServerResponse,
@@ -194,22 +167,16 @@
       proofAgeMs: Math.round(keeper.getProofAgeMs()),
     });
   }
-
-  /** Reads a body whole; undefined if it is larger than allowed. */
-  private async _readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const parts: Buffer[] = [];
-    let sizeBytes = 0;
-    for await (const part of message as AsyncIterable<Buffer>) {
-      sizeBytes += part.length;
-      if (sizeBytes > maxBytes) return undefined;
-      parts.push(part);
-    }
-    return Buffer.concat(parts);
-  }
 }
 
-interface Admitted {
-  readonly table: RouteTable;
-  readonly route: Route;
-  readonly account: GatewayAccount | undefined;
+/** Reads a body whole; undefined if it is larger than allowed. */
+async function readCallerBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+  const parts: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const part of message as AsyncIterable<Buffer>) {
+    sizeBytes += part.length;
+    if (sizeBytes > maxBytes) return undefined;
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
 }
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -2,23 +2,9 @@
 import type * as http from "node:http";
 import { utils } from "@shedtiller/common";
 import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
-import type { LogFields } from "../logs/DecisionLog.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
-
-/** Why the gateway itself ended a request. */
-export type RefusalReason =
-  | "stopping"
-  | "no-configuration"
-  | "stale-configuration"
-  | "no-route"
-  | "no-key"
-  | "unknown-key"
-  | "body-too-large"
-  | "no-endpoint"
-  | "no-room"
-  | "not-run"
-  | "outcome-unknown"
-  | "out-of-time";
+import type { LogFields } from "../logs/DecisionLog.js";
+import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
 
 /** What a request is made of. */
 export interface CallerRequestStructure {
@@ -107,14 +93,8 @@
   answer(status: number, headers: readonly string[], body: Buffer): void {
     if (this.isAnswered) return;
     this.outcome = `status ${status}`;
-    const lines = this._withConnection(this._structure.codec.encodeForCaller(headers));
-    const { response } = this._structure;
-    response.writeHead(status, [
-      ...lines,
-      "Content-Length",
-      String(body.length),
-    ] as unknown as http.OutgoingHttpHeader[]);
-    response.end(body);
+    this._writeHead(status, headers, ["Content-Length", String(body.length)]);
+    this._structure.response.end(body);
   }
 
   /** Ends the request with an answer of our own. */
@@ -133,8 +113,7 @@
 
   /** Passes on the head of a stream. */
   startStream(status: number, headers: readonly string[]): void {
-    const lines = this._withConnection(this._structure.codec.encodeForCaller(headers));
-    this._structure.response.writeHead(status, lines as unknown as http.OutgoingHttpHeader[]);
+    this._writeHead(status, headers, []);
     this._structure.response.flushHeaders();
   }
 
@@ -160,25 +139,12 @@
     this._structure.response.destroy();
   }
 
-  private _withConnection(lines: readonly string[]): string[] {
-    return this._structure.isDraining() ? [...lines, "Connection", "close"] : [...lines];
+  /** Writes the head of an endpoint's answer as it goes to the caller, with lines of our own at its end. */
+  private _writeHead(status: number, headers: readonly string[], own: readonly string[]): void {
+    const { codec, response, isDraining } = this._structure;
+    const connection = isDraining() ? ["Connection", "close"] : [];
+    const lines = [...codec.encodeForCaller(headers), ...connection, ...own];
+    // Node takes raw lines as well, which its types leave out.
+    response.writeHead(status, lines as unknown as http.OutgoingHttpHeader[]);
   }
 }
-
-/** Sends a refusal of our own; the body names the reason for a person who looks. */
-export function sendRefusal(
-  response: http.ServerResponse,
-  status: number,
-  reason: RefusalReason,
-  headers: Record<string, string>,
-  isLast: boolean,
-): void {
-  const body = Buffer.from(JSON.stringify({ error: reason }));
-  response.writeHead(status, {
-    ...headers,
-    "Content-Type": "application/json",
-    "Content-Length": body.length,
-    ...(isLast ? { Connection: "close" } : {}),
-  });
-  response.end(body);
-}
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -5,33 +5,7 @@
 import type { ChainStage } from "../http/MessageCodec.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { EventSplitter } from "./EventSplitter.js";
-
-/** How far the answer of a streamed request is, over all its runs. */
-export class StreamProgress {
-  lastEventId: string | undefined;
-  events = 0;
-  /** From the request's arrival to the first event that was passed on. */
-  firstEventMs: number | undefined;
-  /** Longest time between two events that were passed on. */
-  longestPauseMs = 0;
-  /** The chain of the last run. */
-  chain: readonly string[] = [];
-  private _lastEventAtMs: number | undefined;
-
-  constructor(lastEventId: string | undefined) {
-    this.lastEventId = lastEventId;
-  }
-
-  /** Notes events that are passed on now. */
-  noteEvents(lastId: string | undefined, arrivedAtMs: number): void {
-    const nowMs = utils.monotonicMs();
-    this.events += 1;
-    this.lastEventId = lastId ?? this.lastEventId;
-    this.firstEventMs ??= nowMs - arrivedAtMs;
-    this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - (this._lastEventAtMs ?? nowMs));
-    this._lastEventAtMs = nowMs;
-  }
-}
+import type { StreamProgress } from "./StreamProgress.js";
 
 /** How a run ended. */
 export type StreamEnd = "completed" | "broken" | "caller-left";
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -9,7 +9,8 @@
 import type { CallerRequest } from "./CallerRequest.js";
 import { RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 import type { StallMonitor } from "./StallMonitor.js";
-import { StreamAttempt, StreamProgress } from "./StreamAttempt.js";
+import { StreamAttempt } from "./StreamAttempt.js";
+import { StreamProgress } from "./StreamProgress.js";
 
 /** Callers leave a stream that is silent for two seconds; waiting longer than this for room serves nobody. */
 const longestQueueMs = 1_500;
@@ -18,12 +19,14 @@
 /** Without a guess of the caller, the longest answer it allows counts at this share. */
 const usualAnswerShare = 0.6;
 
+/** Before the most urgent priority that a route or an account can have. */
 const resumedPriority = -1;
 /** A refusal later than this came from a stalled chain: engines refuse for want of room at once. */
 const stalledRefusalMs = 1_000;
 /** Streams come free at some ten a second on an engine, so a full one has room again after about this. */
 const refusalBackoffMs = 250;
 
+/** What became of one attempt; `again` means that its first engine was gone before the sending. */
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
 
 /** Streams: each run holds room at its chain; a lost run goes on after the last event that the caller has. */
@@ -39,27 +42,30 @@
   async run(request: CallerRequest, service: string): Promise<void> {
     const progress = new StreamProgress(request.fields.lastEventId);
     const timer = setTimeout(() => this._endLate(request), Math.max(0, request.getRemainingMs()));
+    await this._tryUntilEnded(request, service, progress);
+    clearTimeout(timer);
+    request.details = progress.describe();
+  }
+
+  /** Runs the request at one chain after the other, until it is answered or may not be sent again. */
+  private async _tryUntilEnded(
+    request: CallerRequest,
+    service: string,
+    progress: StreamProgress,
+  ): Promise<void> {
     let hasRun = false;
     while (!request.isAnswered && !request.signal.aborted) {
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
-        this._refuse(request, service, hasRun, "no-room");
-        break;
+        return this._refuse(request, service, hasRun, "no-room");
       }
-      if (end === "answered" || end === "caller-left") break;
+      if (end === "answered" || end === "caller-left") return;
       if (end === "lost") hasRun = true;
       const mayRepeat = !hasRun || request.isIdempotent;
       const isFree = request.attempts === 0;
       if (mayRepeat && (isFree || this.mayRetry(request, service))) continue;
       this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
-    clearTimeout(timer);
-    request.details = {
-      firstEventMs: progress.firstEventMs === undefined ? undefined : Math.round(progress.firstEventMs),
-      longestPauseMs: Math.round(progress.longestPauseMs),
-      events: progress.events,
-      chain: progress.chain,
-    };
   }
 
   private async _tryOnce(
