fix(gateway): a moved stream that finds no room is moved elsewhere, not ended

The engine that had refused was suspected by everybody for 3 s besides. Ruled out: detection (moves began 0.3 s after the death). Change: a refused move leaves the engine alone for 0.6 s and is tried elsewhere at the next look; room counts when the move is ordered; moves are spread by chance over engines of like cost. Tests for each, on a clock of their own.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -14,6 +14,11 @@
   readonly firstEndpointId?: string | undefined;
   /** Where the first engine's part must end, where it is given. */
   readonly firstEnd?: number | undefined;
+  /**
+   * Whether the choice is spread by chance over engines of like cost. For streams that many instances move at the same
+   * moment: each knows the others' load only as it was before.
+   */
+  readonly isSpread?: boolean | undefined;
 }
 
 /** Share of an engine's room that is handed out; the rest covers answers longer than guessed. */
@@ -27,6 +32,8 @@
 const zoneChangeMs = 20_000;
 /** Cost of a chain that lies in another zone from its beginning, in ms: only text passes between the zones. */
 const otherZoneMs = 200;
+/** A spread choice takes costs from half to one and a half of what they are. */
+const spreadRange = 1;
 /** A part of a chain, at most this many: the wire's bound is 32; longer chains than this lose more by hops. */
 const mostStages = 24;
 
@@ -50,8 +57,14 @@
 
 /** Finds chains over the layer boundaries of the engines in hand (dynamic programming, boundary by boundary). */
 export class ChainChooser {
-  /** @param nowMs - Monotonic clock, replaced in tests. */
-  constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
+  /**
+   * @param nowMs - Monotonic clock, replaced in tests.
+   * @param random - Numbers from 0 to 1, replaced in tests.
+   */
+  constructor(
+    private readonly _nowMs: () => number = utils.monotonicMs,
+    private readonly _random: () => number = Math.random,
+  ) {}
 
   /** Gives the cheapest chain with room, or undefined. */
   choose(
@@ -78,7 +91,9 @@
     const stepMs = getStepMs(profile, load.requests + 1, tokens) * kind.stepFactor * endpoint.slowness;
     const prefillMs =
       (demand.promptTokens / profile.prefillTokensPerSecond) * utils.msPerSecond * kind.prefillFactor;
+    const spread = demand.isSpread === true ? 1 + spreadRange * (this._random() - 0.5) : 1;
     const msPerLayer =
+      spread *
       ((stepMs * demand.answerTokens + prefillMs) / profile.layerCount) *
       (1 + fullRoomFactor * fullness ** 2);
     const freeLayers = Math.floor(free / Math.max(1, tokens));
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -4,7 +4,12 @@
 import { describeChain } from "../chains/describeChain.js";
 import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { ChainStage } from "../http/MessageCodec.js";
-import { OrderRefusedError, type EngineOrders, type EngineReport } from "../orders/EngineOrders.js";
+import {
+  OrderRefusedError,
+  type EngineOrders,
+  type EngineReport,
+  type OrderError,
+} from "../orders/EngineOrders.js";
 import { getSlowness } from "../orders/getSlowness.js";
 import type { ForwardContext } from "./RequestForwarder.js";
 import type { StreamAttempt } from "./StreamAttempt.js";
@@ -21,6 +26,11 @@
 /** After this much silence a stream goes on elsewhere, before its caller leaves at two seconds. */
 const giveUpSilenceMs = 1_200;
 
+/** An engine that refused a moved stream is left alone for as long as two looks take. */
+const refusedChangeBackoffMs = 600;
+/** The first engine does not know the request any more. */
+const unknownRequestStatus = 404;
+
 /** One task for all streams of this instance. */
 export class StallMonitor {
   private readonly _attempts = new Set<StreamAttempt>();
@@ -30,6 +40,7 @@
     private readonly _context: ForwardContext,
     private readonly _chooser: ChainChooser,
     private readonly _orders: EngineOrders,
+    private readonly _nowMs: () => number = utils.monotonicMs,
   ) {}
 
   /** Watches a run from now on. */
@@ -51,15 +62,16 @@
     await utils.repeat(
       checkIntervalMs,
       signal,
-      () => this._check(),
+      () => void this.check(),
       (error) => {
         this._context.log.error("stall-check-failed", { cause: String(error) });
       },
     );
   }
 
-  private _check(): void {
-    const nowMs = utils.monotonicMs();
+  /** Looks at all runs once; resolves when what the look led to is done. */
+  async check(): Promise<void> {
+    const nowMs = this._nowMs();
     const firsts = new Set<string>();
     for (const attempt of this._attempts) {
       const silenceMs = nowMs - attempt.lastSignAtMs;
@@ -68,11 +80,11 @@
         firsts.add(attempt.firstStage.endpointId);
       }
     }
-    for (const id of firsts) {
-      if (nowMs - (this._askedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < askAgainMs) continue;
-      this._askedAtMs.set(id, nowMs);
-      void this._ask(id);
-    }
+    const isDue = (id: string): boolean =>
+      nowMs - (this._askedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) >= askAgainMs;
+    const due = [...firsts].filter(isDue);
+    for (const id of due) this._askedAtMs.set(id, nowMs);
+    await Promise.all(due.map((id) => this._ask(id)));
   }
 
   private async _ask(endpointId: string): Promise<void> {
@@ -90,7 +102,7 @@
 
   /** Streams that began at an engine which does not answer go on elsewhere. */
   private _abandon(endpointId: string): void {
-    const nowMs = utils.monotonicMs();
+    const nowMs = this._nowMs();
     for (const attempt of this._attempts) {
       if (attempt.firstStage?.endpointId !== endpointId || !attempt.request.isIdempotent) continue;
       if (nowMs - attempt.lastSignAtMs >= laterEventSilenceMs) attempt.abort.abort();
@@ -120,17 +132,19 @@
     const chain = this._chooseOther(attempt, first, profile);
     // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
     if (chain === undefined) return;
+    // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
+    const before = attempt.reservation.stages;
+    attempt.reservation.move(chain);
     const moved = await this._orders.changeChain(
       { id: first.endpointId, address: first.address },
       attempt.request.id,
       chain,
     );
     if (moved.err) {
-      this._suspectNamed(moved.val);
-      return this._giveUp(attempt, moved.val.code);
+      attempt.reservation.move(before);
+      return this._noteRefused(attempt, moved.val);
     }
-    attempt.reservation.move(chain);
-    attempt.lastSignAtMs = utils.monotonicMs();
+    attempt.lastSignAtMs = this._nowMs();
     this._context.log.info("chain-changed", {
       requestId: attempt.request.id,
       faultyAddress,
@@ -151,12 +165,22 @@
       availabilityZone: this._context.availabilityZone,
       firstEndpointId: first.endpointId,
       firstEnd: first.end,
+      isSpread: true,
     });
   }
 
-  private _suspectNamed(error: unknown): void {
-    if (!(error instanceof OrderRefusedError) || error.faultyAddress === undefined) return;
-    this._suspectAddress(error.faultyAddress, `chain change refused ${error.status}`);
+  /** The engine named has no room, or not these layers: the next look takes another, until the stream is given up. */
+  private _noteRefused(attempt: StreamAttempt, error: OrderError): void {
+    const isUnknown = error instanceof OrderRefusedError && error.status === unknownRequestStatus;
+    if (isUnknown) return this._giveUp(attempt, error.code);
+    const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
+    const endpoint = address === undefined ? undefined : this._context.endpoints.getByAddress(address);
+    if (endpoint !== undefined) endpoint.refusedUntilMs = this._nowMs() + refusedChangeBackoffMs;
+    this._context.log.info("chain-change-refused", {
+      requestId: attempt.request.id,
+      address,
+      cause: error.message,
+    });
   }
 
   private _suspectAddress(address: string, reason: string): void {
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -80,6 +80,22 @@
   t.is(describe(moved), "a=0-2,b=2-4");
 });
 
+test("streams that are moved at the same moment are spread over engines of like cost", (t) => {
+  const engines = [
+    createEngine("a", 0, 2),
+    createEngine("b", 2, 4),
+    createEngine("c", 2, 4, { availabilityZone: "east" }),
+  ];
+  const numbers = [0.5, 0.9, 0.1, 0.5, 0.1, 0.9];
+  const spreading = new ChainChooser(
+    () => 1_000,
+    () => numbers.shift() ?? 0.5,
+  );
+  const moved = { ...demand, firstEndpointId: "a", firstEnd: 2, isSpread: true };
+  t.is(describe(spreading.choose(engines, profile, moved)), "a=0-2,c=2-4");
+  t.is(describe(spreading.choose(engines, profile, moved)), "a=0-2,b=2-4");
+});
+
 test("any chain runs each layer once, in order, on engines that hold it, none twice", (t) => {
   const span = fc.tuple(fc.nat({ max: 3 }), fc.integer({ min: 1, max: 4 })).map(([start, size]) => ({
     start,
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -38,7 +38,6 @@
       requestId: lookUp(headers, "x-id"),
       deadlineMs: undefined,
       apiKey: lookUp(headers, "x-key"),
-      modelName: undefined,
       promptTokens: 2,
       maxAnswerTokens: 2,
       answerTokensHint: undefined,
@@ -56,7 +55,6 @@
       requestId: lookUp(headers, "x-id"),
       hasNotRun: lookUp(headers, "x-not-run") !== undefined,
       faultyAddress: undefined,
-      retryAfterMs: undefined,
       isEncoded: false,
     };
   }
--- /dev/null
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -0,0 +1,151 @@
+/** What becomes of streams whose chain stands still. */
+import { EventEmitter } from "node:events";
+import type * as http from "node:http";
+import test from "ava";
+import { results } from "@shedtiller/common";
+import { ChainChooser } from "../../chains/ChainChooser.js";
+import { ChainReservation } from "../../chains/ChainReservation.js";
+import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { HttpCaller } from "../../http/HttpCaller.js";
+import type { ChainStage, MessageCodec } from "../../http/MessageCodec.js";
+import { DecisionLog, LogSink } from "../../logs/DecisionLog.js";
+import {
+  EngineOrders,
+  OrderRefusedError,
+  type EngineReport,
+  type OrderError,
+} from "../../orders/EngineOrders.js";
+import { CallerRequest } from "../../requests/CallerRequest.js";
+import { RetryBudgets } from "../../requests/RetryBudgets.js";
+import { StallMonitor } from "../../requests/StallMonitor.js";
+import { StreamAttempt } from "../../requests/StreamAttempt.js";
+import { StreamProgress } from "../../requests/StreamProgress.js";
+import { createConfiguration, createListed, createRoute, profile } from "../createParts.js";
+
+class SilentSink extends LogSink {
+  override isBehind(): boolean {
+    return true;
+  }
+  override write(): void {}
+}
+
+/** An engine "a" whose chain waits for the engine at `stalledAddress`. */
+class ScriptedOrders extends EngineOrders {
+  readonly chains: string[] = [];
+  changeAnswer: results.Result<void, OrderError> = results.Ok(undefined);
+
+  override getReport(): Promise<results.Result<EngineReport, OrderError>> {
+    const stalled = [{ requestId: "r1", address: "b:1" }];
+    const numbers = { running: 1, queued: 0, usedTokenLayers: 0, totalTokenLayers: 0, slowness: 1 };
+    return Promise.resolve(results.Ok({ orderCount: 1, isBusy: false, layers: [], stalled, ...numbers }));
+  }
+  override placeLayers(): Promise<results.Result<void, OrderError>> {
+    return Promise.resolve(results.Ok(undefined));
+  }
+  override changeChain(
+    _target: unknown,
+    _id: string,
+    chain: readonly ChainStage[],
+  ): Promise<results.Result<void, OrderError>> {
+    this.chains.push(chain.map((stage) => stage.endpointId).join(","));
+    return Promise.resolve(this.changeAnswer);
+  }
+}
+
+function createRequest(): CallerRequest {
+  const response = new EventEmitter() as http.ServerResponse;
+  const fields = { requestId: "r1", promptTokens: 2, maxAnswerTokens: 2 };
+  return new CallerRequest({
+    message: new EventEmitter() as http.IncomingMessage,
+    response,
+    fields: {
+      ...fields,
+      deadlineMs: undefined,
+      apiKey: undefined,
+      answerTokensHint: undefined,
+      lastEventId: undefined,
+    },
+    route: createRoute({ kind: "streaming", isResumable: true }),
+    account: undefined,
+    body: Buffer.alloc(0),
+    arrivedAtMs: 0,
+    codec: {} as MessageCodec,
+    isDraining: () => false,
+  });
+}
+
+function setUp() {
+  const clock = { nowMs: 10_000 };
+  const endpoints = new EndpointTable(() => clock.nowMs);
+  const listed = (id: string, start: number, end: number): [string, ListedEndpoint] => [
+    id,
+    createListed(id, { layers: [{ start, end }], address: `${id}:1` }),
+  ];
+  endpoints.setAll(new Map([listed("a", 0, 2), listed("b", 2, 4), listed("c", 2, 4), listed("d", 2, 4)]));
+  const keeper = new ConfigurationKeeper();
+  const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
+  keeper.accept({ ...createConfiguration(1), services });
+  const orders = new ScriptedOrders();
+  const context = {
+    keeper,
+    endpoints,
+    caller: new HttpCaller(),
+    codec: {} as MessageCodec,
+    budgets: new RetryBudgets({ ratio: 1, slack: 10 }),
+    log: new DecisionLog(new SilentSink(), () => 0),
+    availabilityZone: "east",
+    suspect: (id: string) => void endpoints.suspect(id),
+  };
+  const chooser = new ChainChooser(
+    () => clock.nowMs,
+    () => 0.5,
+  );
+  const monitor = new StallMonitor(context, chooser, orders, () => clock.nowMs);
+  const stage = (endpointId: string, start: number, end: number): ChainStage => ({
+    endpointId,
+    address: `${endpointId}:1`,
+    start,
+    end,
+  });
+  const reservation = new ChainReservation(endpoints, [stage("a", 0, 2), stage("b", 2, 4)], 4);
+  const attempt = new StreamAttempt(createRequest(), "engines", reservation, new StreamProgress(undefined));
+  attempt.hasEvents = true;
+  attempt.lastSignAtMs = clock.nowMs - 400;
+  monitor.add(attempt);
+  return { clock, endpoints, orders, monitor, attempt, reservation };
+}
+
+test("a stream that stands still is moved to another holder of the layers, and the engine at fault gets nothing new", async (t) => {
+  const { clock, endpoints, orders, monitor, attempt, reservation } = setUp();
+  await monitor.check();
+  t.deepEqual(orders.chains, ["a,c"]);
+  t.deepEqual(
+    reservation.stages.map((stage) => stage.endpointId),
+    ["a", "c"],
+  );
+  t.true(endpoints.get("b")?.isSuspect(clock.nowMs));
+  t.false(attempt.abort.signal.aborted);
+});
+
+test("an engine that has no room for a moved stream does not end it: the next look takes another", async (t) => {
+  const { clock, endpoints, orders, monitor, attempt, reservation } = setUp();
+  orders.changeAnswer = results.Err(new OrderRefusedError("a:1", 409, "c:1"));
+  await monitor.check();
+  t.false(attempt.abort.signal.aborted);
+  t.false(endpoints.get("c")?.isSuspect(clock.nowMs), "want of room is no evidence of a fault");
+  t.deepEqual(endpoints.get("c")?.own, { requests: 0, tokenLayers: 0 });
+  orders.changeAnswer = results.Ok(undefined);
+  clock.nowMs += 350;
+  await monitor.check();
+  t.deepEqual(orders.chains, ["a,c", "a,d"]);
+  t.is(reservation.stages[1]?.endpointId, "d");
+});
+
+test("a stream that stays silent is given up before its caller leaves", async (t) => {
+  const { clock, monitor, attempt } = setUp();
+  clock.nowMs += 1_000;
+  await monitor.check();
+  t.true(attempt.abort.signal.aborted);
+});
