--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./orders/LeaderSeat.js";
 export * from "./peers/PeerDirectory.js";
 export * from "./peers/PeerExchange.js";
+export * from "./peers/peerMessages.js";
 export * from "./peers/PeerRegistry.js";
 export * from "./requests/admitCaller.js";
 export * from "./requests/CallerListener.js";
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,21 +1,22 @@
 /** What instances tell each other: load, evidence against endpoints, the configuration and the list of endpoints. */
 import { utils } from "@shedtiller/common";
 import type { Membership, PeerIdentity } from "@shedtiller/membership";
-import * as zod from "zod";
+import type * as zod from "zod";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
-import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import type { ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { registeredInstanceSchema, type RegisteredInstance } from "./PeerRegistry.js";
-
-const loadTopic = "load";
-const suspectTopic = "suspect";
-const slownessTopic = "slowness";
-const newVersionTopic = "new-version";
-const configurationTopic = "configuration";
-const endpointsTopic = "endpoints";
-const instancesTopic = "instances";
+import {
+  configurationAnswerSchema,
+  endpointsAnswerSchema,
+  instancesSchema,
+  loadSchema,
+  peerTopics,
+  slownessSchema,
+  suspectSchema,
+  versionSchema,
+} from "./peerMessages.js";
+import type { RegisteredInstance } from "./PeerRegistry.js";
 
 /** Load is told this often; a stream lives for seconds. */
 const loadIntervalMs = 200;
@@ -26,23 +27,6 @@
 /** Peers asked each time. */
 const peersAsked = 2;
 
-const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
-const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
-const suspectSchema = zod.object({ endpointId: zod.string() });
-const questionSchema = zod.object({ version: zod.number() });
-const configurationAnswerSchema = zod.object({
-  version: zod.number(),
-  /** How old the answerer's own proof is that nothing newer exists. */
-  proofAgeMs: zod.number().nonnegative(),
-  /** Left out where the asker has it already. */
-  configuration: gatewayConfigurationSchema.optional(),
-});
-const endpointsAnswerSchema = zod.object({
-  proofAgeMs: zod.number().nonnegative(),
-  endpoints: zod.array(listedEndpointSchema),
-});
-const instancesSchema = zod.array(registeredInstanceSchema);
-
 /** What the exchange works with. */
 export interface PeerExchangeStructure {
   readonly membership: Membership;
@@ -52,10 +36,7 @@
   /** How old the newest proof is that the list of endpoints is complete. */
   readonly getListAgeMs: () => number;
   /** Takes a list that was complete at `provenAtMs`. */
-  readonly takeList: (
-    answer: zod.infer<typeof endpointsAnswerSchema>["endpoints"],
-    provenAtMs: number,
-  ) => void;
+  readonly takeList: (list: readonly ListedEndpoint[], provenAtMs: number) => void;
   readonly getInstances: () => readonly RegisteredInstance[];
   readonly takeInstances: (instances: readonly RegisteredInstance[]) => void;
 }
@@ -66,16 +47,17 @@
 
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
-    membership.onNotice(loadTopic, (body, from) => this._takeLoad(body, from));
-    membership.onNotice(suspectTopic, (body) => this._takeSuspicion(body));
-    membership.onNotice(slownessTopic, (body) => this._takeSlowness(body));
-    membership.onNotice(newVersionTopic, (body, from) => void this._takeNewVersion(body, from));
-    membership.onRequest(configurationTopic, (body) => this._answerConfiguration(body));
-    membership.onRequest(endpointsTopic, () => this._answerEndpoints());
-    membership.onRequest(instancesTopic, () => [..._structure.getInstances()]);
+    membership.onNotice(peerTopics.load, (body, from) => this._takeLoad(body, from));
+    membership.onNotice(peerTopics.suspect, (body) => this._takeSuspicion(body));
+    membership.onNotice(peerTopics.slowness, (body) => this._takeSlowness(body));
+    membership.onNotice(peerTopics.newVersion, (body, from) => void this._takeNewVersion(body, from));
+    membership.onRequest(peerTopics.configuration, (body) => this._answerConfiguration(body));
+    membership.onRequest(peerTopics.endpoints, () => this._answerEndpoints());
+    membership.onRequest(peerTopics.instances, () => [..._structure.getInstances()]);
     membership.onLinked((peer) => void this._greet(peer));
   }
 
+  /** Tells and asks from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const onError = (error: unknown): void =>
       this._structure.log.error("peer-exchange-failed", { cause: String(error) });
@@ -87,17 +69,17 @@
 
   /** Tells all peers of evidence against an endpoint. */
   tellSuspicion(endpointId: string): void {
-    this._structure.membership.notifyAll(suspectTopic, { endpointId });
+    this._structure.membership.notifyAll(peerTopics.suspect, { endpointId });
   }
 
   /** Tells all peers how slow an engine says that it is. */
   tellSlowness(endpointId: string, slowness: number): void {
-    this._structure.membership.notifyAll(slownessTopic, { endpointId, slowness });
+    this._structure.membership.notifyAll(peerTopics.slowness, { endpointId, slowness });
   }
 
   /** Tells all peers that a version has come into force here. */
   tellVersion(version: number): void {
-    this._structure.membership.notifyAll(newVersionTopic, { version });
+    this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
   private _tellLoad(): void {
@@ -111,12 +93,12 @@
     const text = JSON.stringify(load);
     if (text === this._lastLoad) return;
     this._lastLoad = text;
-    this._structure.membership.notifyAll(loadTopic, load);
+    this._structure.membership.notifyAll(peerTopics.load, load);
   }
 
   private _takeLoad(body: unknown, from: PeerIdentity): void {
     const load = loadSchema.safeParse(body);
-    if (!load.success) return this._noteBad(loadTopic, from);
+    if (!load.success) return this._noteBad(peerTopics.load, from);
     const loads = Object.entries(load.data).map(
       ([id, [requests, tokenLayers]]) => [id, { requests, tokenLayers }] as const,
     );
@@ -135,17 +117,16 @@
   }
 
   private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
-    const notice = questionSchema.safeParse(body);
-    if (!notice.success) return this._noteBad(newVersionTopic, from);
+    const notice = versionSchema.safeParse(body);
+    if (!notice.success) return this._noteBad(peerTopics.newVersion, from);
     if (notice.data.version > this._structure.keeper.version) await this._askConfiguration(from.name);
   }
 
   private async _greet(peer: PeerIdentity): Promise<void> {
     // A new peer does not know our load yet.
     this._lastLoad = "";
-    const answer = await this._structure.membership.request(peer.name, instancesTopic, null, askTimeoutMs);
-    const instances = answer.ok ? instancesSchema.safeParse(answer.val) : undefined;
-    if (instances?.success === true) this._structure.takeInstances(instances.data);
+    const instances = await this._ask(peer.name, peerTopics.instances, null, instancesSchema);
+    if (instances !== undefined) this._structure.takeInstances(instances);
   }
 
   private async _askIfStale(): Promise<void> {
@@ -164,42 +145,47 @@
   }
 
   private _answerConfiguration(body: unknown): unknown {
-    const question = questionSchema.safeParse(body);
+    const question = versionSchema.safeParse(body);
     const { keeper } = this._structure;
     const { table } = keeper;
     if (!question.success || table === undefined) return undefined;
-    const proofAgeMs = Math.min(keeper.getProofAgeMs(), Number.MAX_SAFE_INTEGER);
+    const proofAgeMs = getFiniteAgeMs(keeper.getProofAgeMs());
     if (question.data.version >= table.version) return { version: table.version, proofAgeMs };
     return { version: table.version, proofAgeMs, configuration: table.configuration };
   }
 
   /** The peer's proof is as old as it says, counted from before we asked. */
   private async _askConfiguration(name: string): Promise<void> {
-    const { keeper, membership } = this._structure;
+    const { keeper } = this._structure;
     const askedAtMs = utils.monotonicMs();
-    const reply = await membership.request(
-      name,
-      configurationTopic,
-      { version: keeper.version },
-      askTimeoutMs,
-    );
-    const answer = reply.ok ? configurationAnswerSchema.safeParse(reply.val) : undefined;
-    if (answer?.success !== true) return;
-    if (answer.data.configuration !== undefined) keeper.accept(answer.data.configuration);
-    keeper.confirm(answer.data.version, askedAtMs - answer.data.proofAgeMs);
+    const question = { version: keeper.version };
+    const answer = await this._ask(name, peerTopics.configuration, question, configurationAnswerSchema);
+    if (answer === undefined) return;
+    if (answer.configuration !== undefined) keeper.accept(answer.configuration);
+    keeper.confirm(answer.version, askedAtMs - answer.proofAgeMs);
   }
 
   private _answerEndpoints(): unknown {
-    const proofAgeMs = Math.min(this._structure.getListAgeMs(), Number.MAX_SAFE_INTEGER);
+    const proofAgeMs = getFiniteAgeMs(this._structure.getListAgeMs());
     return { proofAgeMs, endpoints: this._structure.endpoints.getAll().map((endpoint) => endpoint.listed) };
   }
 
   private async _askEndpoints(name: string): Promise<void> {
     const askedAtMs = utils.monotonicMs();
-    const reply = await this._structure.membership.request(name, endpointsTopic, null, askTimeoutMs);
-    const answer = reply.ok ? endpointsAnswerSchema.safeParse(reply.val) : undefined;
-    if (answer?.success !== true) return;
-    this._structure.takeList(answer.data.endpoints, askedAtMs - answer.data.proofAgeMs);
+    const answer = await this._ask(name, peerTopics.endpoints, null, endpointsAnswerSchema);
+    if (answer !== undefined) this._structure.takeList(answer.endpoints, askedAtMs - answer.proofAgeMs);
+  }
+
+  /** Asks a peer; undefined where it does not answer, or not in the form that is due. */
+  private async _ask<T>(
+    name: string,
+    topic: string,
+    question: { readonly version: number } | null,
+    schema: zod.ZodType<T>,
+  ): Promise<T | undefined> {
+    const reply = await this._structure.membership.request(name, topic, question, askTimeoutMs);
+    const answer = reply.ok ? schema.safeParse(reply.val) : undefined;
+    return answer?.success === true ? answer.data : undefined;
   }
 
   private _noteBad(topic: string, from: PeerIdentity): void {
@@ -207,6 +193,11 @@
   }
 }
 
+/** An age without a proof is infinite, which JSON does not have. */
+function getFiniteAgeMs(ageMs: number): number {
+  return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
+}
+
 function pickSome<T>(items: readonly T[], count: number): T[] {
   const left = [...items];
   const picked: T[] = [];
--- /dev/null
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -0,0 +1,46 @@
+/** The messages between instances: their topics and forms. */
+import * as zod from "zod";
+import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
+import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import { registeredInstanceSchema } from "./PeerRegistry.js";
+
+/** Names of the kinds of messages. */
+export const peerTopics = {
+  load: "load",
+  suspect: "suspect",
+  slowness: "slowness",
+  newVersion: "new-version",
+  configuration: "configuration",
+  endpoints: "endpoints",
+  instances: "instances",
+} as const;
+
+/** Requests in hand and reserved token-layers of the sender, by endpoint; those without any are left out. */
+export const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
+
+/** How slow an engine says that it is. */
+export const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
+
+/** An endpoint that there is evidence against. */
+export const suspectSchema = zod.object({ endpointId: zod.string() });
+
+/** A version in force: that of the asker, or of the one that tells. */
+export const versionSchema = zod.object({ version: zod.number() });
+
+/** What the answerer has in force. */
+export const configurationAnswerSchema = zod.object({
+  version: zod.number(),
+  /** How old the answerer's own proof is that nothing newer exists. */
+  proofAgeMs: zod.number().nonnegative(),
+  /** Left out where the asker has it already. */
+  configuration: gatewayConfigurationSchema.optional(),
+});
+
+/** The list of endpoints as the answerer has it. */
+export const endpointsAnswerSchema = zod.object({
+  proofAgeMs: zod.number().nonnegative(),
+  endpoints: zod.array(listedEndpointSchema),
+});
+
+/** The instances that the sender knows. */
+export const instancesSchema = zod.array(registeredInstanceSchema);
