refactor(placement): growth over a gap has a file, and bare figures have names

The plan of growth and the held spans leave the repair; the rate of a chain and the search for tokens are functions of their own. The tests import from the new files.

--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -42,9 +42,20 @@
 const secondCopyCredit = 1.6;
 /** A copy that holds fewer usual requests than this is not worth its weights. */
 const minRequestsPerCopy = 12;
+/** A stage that holds fewer requests than this beside its layers would be the bottleneck of every chain through it. */
+const requestsBesideRepair = 16;
 /** Share of engines that are usually down; it makes long chains worth less. An assumption, not a measurement. */
 const engineLossShare = 0.03;
 const improvementRounds = 40;
+/** A move or swap has to help by more than this factor; less is rounding. */
+const worthwhileGain = 1.0001;
+/** What a copy with enough room is worth in the search, and each request of room until then, against a rate of one a second. */
+const wholeCopyValue = 1e6;
+const requestRoomValue = 1e3;
+/** Where the search for the most tokens beside the layers begins. */
+const tokensCeiling = 1e7;
+/** Halvings of the interval of token counts; this many leave it far below one token. */
+const bisectionSteps = 40;
 
 /** Engines that hold one copy together. */
 interface CopyGroup {
@@ -81,6 +92,11 @@
   return Math.max(0, engine.memoryMb - layers * model.layerMb) / (layers * model.kvMbPerTokenLayer);
 }
 
+/** Tokens that have to fit beside the layers of an engine that repairs or grows. */
+export function getMinTokensBeside(model: CopyModel): number {
+  return requestsBesideRepair * model.tokensPerRequest;
+}
+
 function compareNames(a: CopyEngine, b: CopyEngine): number {
   return a.name < b.name ? -1 : 1;
 }
@@ -133,7 +149,7 @@
         candidate[from] = createGroup(left, model);
         candidate[to] = createGroup(right, model);
         const value = getValue(candidate);
-        if (value <= bestValue * 1.0001) continue;
+        if (value <= bestValue * worthwhileGain) continue;
         best = candidate;
         bestValue = value;
       }
@@ -146,7 +162,7 @@
 function getValue(groups: readonly CopyGroup[]): number {
   const whole = groups.filter((group) => group.requests >= minRequestsPerCopy).length;
   const room = utils.getSum(groups.map((group) => Math.min(minRequestsPerCopy, group.requests)));
-  return whole * 1e6 + room * 1e3 + getTotalRate(groups);
+  return whole * wholeCopyValue + room * requestRoomValue + getTotalRate(groups);
 }
 
 /** All single moves and swaps; of engines that are alike one is enough. */
@@ -175,6 +191,15 @@
       model.layerCount * model.layerMb - utils.getSum(engines.map((engine) => engine.memoryMb));
     return { engines, rate: 0, requests: -missingMb / (model.layerCount * model.layerMb) };
   }
+  return { engines, ...rateChain(engines, spans, model) };
+}
+
+/** The requests that a chain holds, and how many it ends in a second. */
+function rateChain(
+  engines: readonly CopyEngine[],
+  spans: readonly PlannedSpan[],
+  model: CopyModel,
+): { requests: number; rate: number } {
   const byName = new Map(engines.map((engine) => [engine.name, engine]));
   let tokens = Number.POSITIVE_INFINITY;
   let factor = 0;
@@ -190,7 +215,7 @@
   const stepMs = model.stepMs + (model.stepMsPerRequest * requests) / spans.length;
   const tokenMs = spans.length * model.hopMs + factor * stepMs;
   const perSecond = (requests * utils.msPerSecond) / (tokenMs * model.answerTokens);
-  return { engines, requests, rate: perSecond * (1 - engineLossShare) ** spans.length };
+  return { requests, rate: perSecond * (1 - engineLossShare) ** spans.length };
 }
 
 /**
@@ -201,19 +226,25 @@
   const count = (tokens: number): number =>
     utils.getSum(engines.map((engine) => getLayersBeside(engine, tokens, model)));
   if (count(1) < model.layerCount) return undefined;
-  let low = 1;
-  let high = 1e7;
-  for (let step = 0; step < 40; step++) {
-    const middle = (low + high) / 2;
-    if (count(middle) >= model.layerCount) low = middle;
-    else high = middle;
-  }
+  const tokens = findMostTokens(count, model.layerCount);
   const spans: PlannedSpan[] = [];
   let start = 0;
   for (const engine of engines) {
-    const end = Math.min(model.layerCount, start + getLayersBeside(engine, low, model));
+    const end = Math.min(model.layerCount, start + getLayersBeside(engine, tokens, model));
     if (end > start) spans.push({ name: engine.name, start, end });
     start = end;
   }
   return spans;
 }
+
+/** The most tokens beside which `countLayers` still gives all layers. */
+function findMostTokens(countLayers: (tokens: number) => number, layerCount: number): number {
+  let low = 1;
+  let high = tokensCeiling;
+  for (let step = 0; step < bisectionSteps; step++) {
+    const middle = (low + high) / 2;
+    if (countLayers(middle) >= layerCount) low = middle;
+    else high = middle;
+  }
+  return low;
+}
--- a/packages/placement/src/tests/planLayerCopiesTests.ts
+++ b/packages/placement/src/tests/planLayerCopiesTests.ts
@@ -2,7 +2,9 @@
 import test from "ava";
 import * as fc from "fast-check";
 import { getTokensBeside, planLayerCopies, type CopyEngine, type CopyModel } from "../planLayerCopies.js";
-import { planGrowth, planRepair, type HeldSpan } from "../planRepair.js";
+import type { HeldSpan } from "../HeldSpan.js";
+import { planGrowth } from "../planGrowth.js";
+import { planRepair } from "../planRepair.js";
 
 const model: CopyModel = {
   layerCount: 80,
