--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -1,7 +1,9 @@
 /** Metrics of a gateway instance, served as text. Labels are few and bounded. */
 import * as http from "node:http";
 import * as prom from "prom-client";
+import { startListening, stopListening } from "./http/startListening.js";
 
+/** Bounds of the buckets, in seconds: from a quick plain request to the longest streams. */
 const durationBuckets = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20];
 
 /** Counters and histograms, in a registry of their own. */
@@ -47,16 +49,14 @@
     });
   }
 
+  /** Resolves once it listens. */
   listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this._server.once("error", reject);
-      this._server.listen(port, host, resolve);
-    });
+    return startListening(this._server, { host, port });
   }
 
+  /** Ends all connections. */
   close(): void {
-    this._server.close();
-    this._server.closeAllConnections();
+    stopListening(this._server);
   }
 
   private async _answer(response: http.ServerResponse): Promise<void> {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./http/HttpCaller.js";
 export * from "./http/MessageCodec.js";
 export * from "./http/readBody.js";
+export * from "./http/startListening.js";
 export * from "./logs/DecisionLog.js";
 export * from "./logs/WinstonSink.js";
 export * from "./orders/EngineOrders.js";
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
+import { startListening, stopListening } from "../http/startListening.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { admitCaller, type Admitted, type Refusal } from "./admitCaller.js";
 import { CallerRequest } from "./CallerRequest.js";
@@ -12,6 +13,8 @@
 /** Connections rest longer than callers are told, so that a request never crosses our close. */
 const idleReserveMs = 1_500;
 const maxHeaderBytes = 64 * 1024;
+/** Connections that wait to be accepted; the kernel may hold fewer. */
+const maxWaitingConnections = 1_024;
 /** When to come back after a refusal by an instance that stops: at once, on another connection to another instance. */
 const stoppingRetryAfterMs = 20;
 
@@ -50,12 +53,10 @@
     return this._inHand;
   }
 
+  /** Resolves once it listens. */
   listen(): Promise<void> {
     const { host, port } = this._structure;
-    return new Promise((resolve, reject) => {
-      this._server.once("error", reject);
-      this._server.listen({ host, port, backlog: 1_024 }, resolve);
-    });
+    return startListening(this._server, { host, port, backlog: maxWaitingConnections });
   }
 
   /** From now on each answer says that it is the last on its connection. */
@@ -68,13 +69,14 @@
     this._isClosing = true;
   }
 
+  /** Ends the connections that carry no request now. */
   closeIdle(): void {
     this._server.closeIdleConnections();
   }
 
+  /** Ends all connections. */
   close(): void {
-    this._server.close();
-    this._server.closeAllConnections();
+    stopListening(this._server);
   }
 
   private _applyLimits(limits: CallerLimits): void {
--- a/packages/gateway/src/requests/ReadinessListener.ts
+++ b/packages/gateway/src/requests/ReadinessListener.ts
@@ -1,5 +1,6 @@
 /** Answers the balancer's question whether this instance takes new connections. */
 import * as http from "node:http";
+import { startListening, stopListening } from "../http/startListening.js";
 
 const readyStatus = 200;
 const notReadyStatus = 503;
@@ -18,15 +19,13 @@
     });
   }
 
+  /** Resolves once it listens. */
   listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this._server.once("error", reject);
-      this._server.listen(this._port, this._host, resolve);
-    });
+    return startListening(this._server, { host: this._host, port: this._port });
   }
 
+  /** Ends all connections. */
   close(): void {
-    this._server.close();
-    this._server.closeAllConnections();
+    stopListening(this._server);
   }
 }
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -49,7 +49,7 @@
 const improvementRounds = 40;
 /** A move or swap has to help by more than this factor; less is rounding. */
 const worthwhileGain = 1.0001;
-/** What a copy with enough room is worth in the search, and each request of room until then, against a rate of one a second. */
+/** What a copy with enough room is worth in the search against a rate of one a second, and each request of room until then. */
 const wholeCopyValue = 1e6;
 const requestRoomValue = 1e3;
 /** Where the search for the most tokens beside the layers begins. */
