--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -2,8 +2,9 @@
 import { utils } from "@shedtiller/common";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import type { ChainChooser, ChainDemand } from "./ChainChooser.js";
+import type { ChainChooser } from "./ChainChooser.js";
 import { ChainReservation } from "./ChainReservation.js";
+import type { ChainDemand } from "./coverLayers.js";
 
 /** Room may also come free at peers, which tell of it; this is how often waiting requests look again. */
 const lookAgainMs = 50;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./chains/ChainAdmission.js";
 export * from "./chains/ChainChooser.js";
 export * from "./chains/ChainReservation.js";
+export * from "./chains/coverLayers.js";
 export * from "./chains/describeChain.js";
 export * from "./chains/describeRoom.js";
 export * from "./chains/engineModel.js";
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -1,7 +1,8 @@
 /** Chains cover every layer once and in order, within the room of their engines. */
 import test from "ava";
 import * as fc from "fast-check";
-import { ChainChooser, type ChainDemand } from "../../chains/ChainChooser.js";
+import { ChainChooser } from "../../chains/ChainChooser.js";
+import type { ChainDemand } from "../../chains/coverLayers.js";
 import { getCapacityTokenLayers } from "../../chains/engineModel.js";
 import type { ChainStage } from "../../http/MessageCodec.js";
 import { createEngine, profile } from "../createParts.js";
