--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -35,7 +35,8 @@
     const capacity = getCapacityTokenLayers(endpoint, profile) * usableRoomShare;
     const load = endpoint.getLoad();
     const fullness = capacity <= 0 ? 1 : load.tokenLayers / capacity;
-    const msPerLayer = getMsPerLayer(endpoint, profile, kind, demand) * (1 + fullRoomFactor * fullness ** 2);
+    const state = { sequences: load.requests + 1, slowness: endpoint.slowness };
+    const msPerLayer = getMsPerLayer(profile, kind, demand, state) * (1 + fullRoomFactor * fullness ** 2);
     const freeLayers = Math.floor((capacity - load.tokenLayers) / Math.max(1, tokens));
     return endpoint.listed.layers.map(({ start, end }) => ({ endpoint, start, end, msPerLayer, freeLayers }));
   }
@@ -43,14 +44,13 @@
 
 /** Time that one layer of the whole request takes at an engine, beside what it runs already. */
 function getMsPerLayer(
-  endpoint: Endpoint,
   profile: EngineProfile,
   kind: AcceleratorKind,
   demand: ChainDemand,
+  state: { readonly sequences: number; readonly slowness: number },
 ): number {
   const tokens = demand.promptTokens + demand.answerTokens;
-  const sequences = endpoint.getLoad().requests + 1;
-  const stepMs = getStepMs(profile, sequences, tokens) * kind.stepFactor * endpoint.slowness;
+  const stepMs = getStepMs(profile, state.sequences, tokens) * kind.stepFactor * state.slowness;
   const prefillMs =
     (demand.promptTokens / profile.prefillTokensPerSecond) * utils.msPerSecond * kind.prefillFactor;
   return (stepMs * demand.answerTokens + prefillMs) / profile.layerCount;
