fix(gateway): a moved stream asks for the room it holds, and its own hold does not count against it; stops serve what surely ends

Cause, found on reading: a stalled stream asked a new chain for its longest answer, while it holds room for the expected one, and its own hold at the first engine counted as taken; so it might find no chain where there was one. Change: one expectation of tokens; the hold is lifted for the choice; near the end of a stop only what may last longer is refused. Tests: StallMonitorTests, forwardingTests.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -199,7 +199,7 @@
     this._log.info("drain-began", { inHand: this._callers.inHand });
     const endMs = this._settings.callers.stopGraceS * utils.msPerSecond - stopReserveMs;
     await utils.sleep(Math.min(balancerNoticeMs, endMs));
-    this._callers.refuseNew();
+    this._callers.refuseLasting(startedAtMs + endMs);
     this._callers.closeIdle();
     const leftMs = endMs - (utils.monotonicMs() - startedAtMs);
     await utils.waitUntil(() => this._callers.inHand === 0, leftMs, drainPollMs);
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -35,7 +35,7 @@
   private readonly _server: http.Server;
   private _inHand = 0;
   private _isDraining = false;
-  private _isClosing = false;
+  private _endsAtMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
@@ -64,9 +64,12 @@
     this._isDraining = true;
   }
 
-  /** From now on new requests are refused, since what begins now might not end in time. */
-  refuseNew(): void {
-    this._isClosing = true;
+  /**
+   * From now on new requests are refused unless they surely end before the process does.
+   * @param endsAtMs - Monotonic time of the end.
+   */
+  refuseLasting(endsAtMs: number): void {
+    this._endsAtMs = endsAtMs;
   }
 
   /** Ends the connections that carry no request now. */
@@ -104,10 +107,14 @@
   }
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
-    if (this._isClosing) return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
     const { keeper, areKeysFresh } = this._structure;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
-    return admitCaller({ host, path: message.url ?? "/", apiKey: fields.apiKey }, keeper.table, areKeysFresh);
+    const claim = { host, path: message.url ?? "/", apiKey: fields.apiKey };
+    const admitted = admitCaller(claim, keeper.table, areKeysFresh);
+    if ("reason" in admitted) return admitted;
+    const longestMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
+    if (utils.monotonicMs() + longestMs <= this._endsAtMs) return admitted;
+    return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
   }
 
   private async _forward(
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -1,6 +1,7 @@
 /** Watches running streams for silence, finds the engine at fault, and moves streams to other engines. */
 import { utils } from "@shedtiller/common";
 import type { ChainChooser } from "../chains/ChainChooser.js";
+import { expectTokens } from "../chains/expectTokens.js";
 import { describeChain } from "../chains/describeChain.js";
 import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { ChainStage } from "../http/MessageCodec.js";
@@ -129,12 +130,14 @@
     const profile = this._context.keeper.table?.getEngineProfile(attempt.service);
     if (first === undefined || profile === undefined) return;
     if (first.address === faultyAddress) return this._giveUp(attempt, "the first engine stands still");
+    // The room that the stream holds now is its own, and must not look taken to it.
+    const before = attempt.reservation.stages;
+    attempt.reservation.move([]);
     const chain = this._chooseOther(attempt, first, profile);
+    // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
+    attempt.reservation.move(chain ?? before);
     // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
     if (chain === undefined) return;
-    // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
-    const before = attempt.reservation.stages;
-    attempt.reservation.move(chain);
     const moved = await this._orders.changeChain(
       { id: first.endpointId, address: first.address },
       attempt.request.id,
@@ -158,10 +161,8 @@
     first: ChainStage,
     profile: EngineProfile,
   ): ChainStage[] | undefined {
-    const { promptTokens = 0, maxAnswerTokens = 0, answerTokensHint } = attempt.request.fields;
     return this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
-      promptTokens,
-      answerTokens: answerTokensHint ?? maxAnswerTokens,
+      ...expectTokens(attempt.request.fields),
       availabilityZone: this._context.availabilityZone,
       firstEndpointId: first.endpointId,
       firstEnd: first.end,
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -3,6 +3,7 @@
 import type { ChainAdmission } from "../chains/ChainAdmission.js";
 import { describeChain } from "../chains/describeChain.js";
 import { describeRoom } from "../chains/describeRoom.js";
+import { expectTokens } from "../chains/expectTokens.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
@@ -16,8 +17,6 @@
 const longestQueueMs = 1_500;
 const maxErrorBytes = 1024 * 1024;
 const successStatus = 200;
-/** Without a guess of the caller, the longest answer it allows counts at this share. */
-const usualAnswerShare = 0.6;
 
 /** Before the most urgent priority that a route or an account can have. */
 const resumedPriority = -1;
@@ -88,11 +87,9 @@
   }
 
   private _acquire(request: CallerRequest, service: string): Promise<ChainReservation | undefined> {
-    const { promptTokens = 0, maxAnswerTokens = 0, answerTokensHint } = request.fields;
-    const answerTokens = Math.ceil(answerTokensHint ?? maxAnswerTokens * usualAnswerShare);
     return this._admission.acquire({
       service,
-      demand: { promptTokens, answerTokens, availabilityZone: this.context.availabilityZone },
+      demand: { ...expectTokens(request.fields), availabilityZone: this.context.availabilityZone },
       // A stream that has begun goes first: its caller already waits for the rest.
       priority: request.isHeadSent ? resumedPriority : request.priority,
       patienceMs: Math.max(0, Math.min(longestQueueMs, request.getRemainingMs())),
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -170,6 +170,11 @@
     this.endpoints.setAll(listed);
   }
 
+  /** Begins the end of a planned stop: the process ends after `leftMs`. */
+  refuseLasting(leftMs: number): void {
+    this._listener?.refuseLasting(utils.monotonicMs() + leftMs);
+  }
+
   /** Sends a request as a caller. */
   request(method: string, headers: Record<string, string>): Promise<SeenAnswer> {
     return new Promise((resolve, reject) => {
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { results } from "@shedtiller/common";
 import { ChainChooser } from "../../chains/ChainChooser.js";
+import { getCapacityTokenLayers } from "../../chains/engineModel.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
@@ -143,6 +144,17 @@
   t.is(reservation.stages[1]?.endpointId, "d");
 });
 
+test("the room that a stream holds at its first engine does not stand in its own way", async (t) => {
+  const { endpoints, orders, monitor } = setUp();
+  const first = endpoints.get("a");
+  if (first === undefined) return t.fail();
+  const capacity = getCapacityTokenLayers(first, profile);
+  // All that is handed out is taken, this stream's own part included.
+  first.addOwn(1, Math.floor(capacity * 0.92) - first.own.tokenLayers);
+  await monitor.check();
+  t.deepEqual(orders.chains, ["a,c"]);
+});
+
 test("a stream that stays silent is given up before its caller leaves", async (t) => {
   const { clock, monitor, attempt } = setUp();
   clock.nowMs += 1_000;
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -91,6 +91,19 @@
   t.is(endpoint.requests.length, 0);
 });
 
+test("near the end of a planned stop only what surely ends in time is begun", async (t) => {
+  const fixture = await setUp(t, { kind: "safe" });
+  const endpoint = count(answer(200, "whole"));
+  await fixture.list([endpoint], {});
+  fixture.refuseLasting(2 * generousMs);
+  t.is((await fixture.request("GET", key)).status, 200);
+  fixture.refuseLasting(generousMs / 2);
+  const refused = await fixture.request("GET", key);
+  t.is(refused.status, 503);
+  t.truthy(refused.headers["x-retry-after-ms"]);
+  t.is(endpoint.requests.length, 1);
+});
+
 const stream = { kind: "streaming", isResumable: true } as const;
 const whole = { layers: [{ start: 0, end: 4 }] };
 
