--- a/packages/gateway/src/tests/orders/LeaderSeatTests.ts
+++ b/packages/gateway/src/tests/orders/LeaderSeatTests.ts
@@ -2,16 +2,10 @@
 import test from "ava";
 import { errors, results } from "@shedtiller/common";
 import type { StoreError } from "../../discovery/ChangeFeed.js";
-import { DecisionLog, LogSink } from "../../logs/DecisionLog.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
 import { LeaderElection } from "../../orders/LeaderElection.js";
 import { LeaderSeat } from "../../orders/LeaderSeat.js";
-
-class SilentSink extends LogSink {
-  override isBehind(): boolean {
-    return false;
-  }
-  override write(): void {}
-}
+import { SilentSink } from "../SilentSink.js";
 
 class ScriptedElection extends LeaderElection {
   override readonly termMs = 3_000;
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -16,7 +16,7 @@
   type EndpointFields,
   type RawHeaders,
 } from "../../http/MessageCodec.js";
-import { DecisionLog, LogSink } from "../../logs/DecisionLog.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
   EngineOrders,
   OrderRefusedError,
@@ -30,6 +30,7 @@
 import { StallMonitor } from "../../requests/StallMonitor.js";
 import { StreamForwarder } from "../../requests/StreamForwarder.js";
 import { createConfiguration, createListed, profile } from "../createParts.js";
+import { SilentSink } from "../SilentSink.js";
 
 /** Headers of these tests: `x-id`, `x-key`, `x-last` and `x-not-run`. */
 class TestCodec extends MessageCodec {
@@ -73,13 +74,6 @@
   return index < 0 ? undefined : headers[index + 1];
 }
 
-class SilentSink extends LogSink {
-  override isBehind(): boolean {
-    return true;
-  }
-  override write(): void {}
-}
-
 /** Engines that answer no question; stalls are not part of these tests. */
 class SilentOrders extends EngineOrders {
   override getReport(): Promise<results.Result<EngineReport, OrderError>> {
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -11,7 +11,7 @@
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { HttpCaller } from "../../http/HttpCaller.js";
 import type { ChainStage, MessageCodec } from "../../http/MessageCodec.js";
-import { DecisionLog, LogSink } from "../../logs/DecisionLog.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
   EngineOrders,
   OrderRefusedError,
@@ -24,13 +24,7 @@
 import { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamProgress } from "../../requests/StreamProgress.js";
 import { createConfiguration, createListed, createRoute, profile } from "../createParts.js";
-
-class SilentSink extends LogSink {
-  override isBehind(): boolean {
-    return true;
-  }
-  override write(): void {}
-}
+import { SilentSink } from "../SilentSink.js";
 
 /** An engine "a" whose chain waits for the engine at `stalledAddress`. */
 class ScriptedOrders extends EngineOrders {
