feat(gateway): one instance of each zone collects load, and one reads the store for the others

Change: ZoneDuty picks one instance of a zone for a duty and passes over one that shows no sign of work. LoadExchange: members tell a collector, it tells each the sum of the others, collectors tell the other zones. StoreRelay: the reader tells its zone the list's changes and the proofs, and only the fact of a new configuration; who is not told reads by itself. Only readers campaign. The poll of engines is a duty of each zone.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -11,7 +11,7 @@
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
-import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
+import { listedEndpointSchema, type ListedEndpoint } from "./discovery/ListedEndpoint.js";
 import { GatewayMetrics } from "./GatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { HttpCaller } from "./http/HttpCaller.js";
@@ -22,9 +22,12 @@
 import { LayerKeeper } from "./orders/LayerKeeper.js";
 import type { LeaderElection } from "./orders/LeaderElection.js";
 import { LeaderSeat } from "./orders/LeaderSeat.js";
+import { LoadExchange } from "./peers/LoadExchange.js";
 import { PeerDirectory } from "./peers/PeerDirectory.js";
 import { PeerExchange } from "./peers/PeerExchange.js";
+import { peerTopics } from "./peers/peerMessages.js";
 import type { PeerRegistry } from "./peers/PeerRegistry.js";
+import { StoreRelay } from "./peers/StoreRelay.js";
 import { CallerListener } from "./requests/CallerListener.js";
 import type { CallerRequest } from "./requests/CallerRequest.js";
 import { PlainForwarder } from "./requests/PlainForwarder.js";
@@ -64,6 +67,8 @@
   readonly metrics = new GatewayMetrics();
   private readonly _membership: Membership;
   private readonly _exchange: PeerExchange;
+  private readonly _loads: LoadExchange;
+  private readonly _relay: StoreRelay;
   private readonly _directory: PeerDirectory;
   private readonly _configurationWatch: ConfigurationWatch;
   private readonly _endpointWatch: EndpointWatch;
@@ -110,12 +115,18 @@
       keeper: this.keeper,
       endpoints: this.endpoints,
       log: _log,
-      getListAgeMs: () => this._endpointWatch.getAgeMs(),
-      takeList: (list, provenAtMs) => this._endpointWatch.takeList(list, provenAtMs),
+      getListAgeMs: () => this._endpointWatch.follower.getProofAgeMs(),
+      getListOffset: () => this._endpointWatch.follower.nextOffset,
+      takeList: (list, nextOffset, provenAtMs) => this._endpointWatch.takeList(list, nextOffset, provenAtMs),
       getInstances: () => this._directory.getInstances(),
       takeInstances: (instances) => this._directory.take(instances),
     });
-    this._seat = new LeaderSeat(platform.election, _log);
+    this._loads = new LoadExchange({ membership: this._membership, endpoints: this.endpoints, log: _log });
+    this._relay = new StoreRelay({ membership: this._membership, log: _log });
+    // A configuration may be large, and is read from the store by each instance; of the list the changes are told.
+    this._relay.add(peerTopics.configurationRead, this._configurationWatch.follower, undefined);
+    this._relay.add(peerTopics.endpointsRead, this._endpointWatch.follower, listedEndpointSchema);
+    this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => this._relay.isReader });
     this._layers = new LayerKeeper({
       keeper: this.keeper,
       endpoints: this.endpoints,
@@ -143,7 +154,8 @@
       endpoints: this.endpoints,
       orders: platform.orders,
       log: _log,
-      mayAsk: () => this._seat.isHeld(),
+      availabilityZone: instance.availabilityZone,
+      mayAsk: () => this._loads.isCollector,
       tell: (endpointId, slowness) => this._exchange.tellSlowness(endpointId, slowness),
     });
     this.keeper.onChanged((table) => this._exchange.tellVersion(table.version));
@@ -165,6 +177,8 @@
       this._directory.run(signal),
       this._membership.run(signal),
       this._exchange.run(signal),
+      this._loads.run(signal),
+      this._relay.run(signal),
       this._seat.run(signal),
       this._layers.run(signal),
       this._poll.run(signal),
--- a/packages/gateway/src/configuration/ConfigurationWatch.ts
+++ b/packages/gateway/src/configuration/ConfigurationWatch.ts
@@ -9,12 +9,12 @@
  * A held read proves freshness only as of its sending, so a proof may be twice this old. It has to stay well below the
  * bound on revoked keys, 5 s on the deployments at hand.
  */
-const heldReadMs = 1_500;
+const heldReadMs = 1_000;
 const retryMs = 250;
 
 /** One watch an instance. */
 export class ConfigurationWatch {
-  private readonly _follower: FeedFollower<GatewayConfiguration>;
+  readonly follower: FeedFollower<GatewayConfiguration>;
 
   constructor(
     private readonly _keeper: ConfigurationKeeper,
@@ -32,11 +32,11 @@
       onLost: (error: StoreError) => _log.warn("configuration-store-lost", { cause: error.message }),
       onRegained: () => _log.info("configuration-store-regained", { version: _keeper.version }),
     };
-    this._follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, intervalMs: 0, retryMs });
+    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs });
   }
 
   run(signal: AbortSignal): Promise<void> {
-    return this._follower.run(signal);
+    return this.follower.run(signal);
   }
 
   private _take(configurations: readonly GatewayConfiguration[], provenAtMs: number): void {
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -1,19 +1,17 @@
 /** Follows the list of endpoints in the store. */
-import { utils } from "@shedtiller/common";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { Change, ChangeFeed, StoreError } from "./ChangeFeed.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { FeedFollower } from "./FeedFollower.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
 
-/** Heartbeats change the list all the time, so reads are spaced; an endpoint that leaves must be known within 2 s. */
-const readIntervalMs = 700;
+/** A held read proves only that the list was complete when it was sent, so a proof is up to twice this old. */
+const heldReadMs = 1_000;
 const retryMs = 250;
 
 /** One watch an instance. */
 export class EndpointWatch {
-  private readonly _follower: FeedFollower<ListedEndpoint>;
-  private _provenAtMs = Number.NEGATIVE_INFINITY;
+  readonly follower: FeedFollower<ListedEndpoint>;
 
   constructor(
     private readonly _endpoints: EndpointTable,
@@ -21,21 +19,15 @@
     log: DecisionLog,
   ) {
     const listener = {
-      onSnapshot: (values: ReadonlyMap<string, ListedEndpoint>, provenAtMs: number) => {
-        _endpoints.setAll(values);
-        this._provenAtMs = provenAtMs;
-      },
-      onChanges: (changes: readonly Change<ListedEndpoint>[], provenAtMs: number) => {
-        _endpoints.apply(changes);
-        this._provenAtMs = provenAtMs;
-      },
+      onSnapshot: (values: ReadonlyMap<string, ListedEndpoint>) => _endpoints.setAll(values),
+      onChanges: (changes: readonly Change<ListedEndpoint>[]) => _endpoints.apply(changes),
       onLost: (error: StoreError) => log.warn("endpoint-store-lost", { cause: error.message }),
       onRegained: () => {
         _endpoints.noteStoreReturned();
         log.info("endpoint-store-regained", { endpoints: _endpoints.getAll().length });
       },
     };
-    this._follower = new FeedFollower(feed, listener, { waitMs: 0, intervalMs: readIntervalMs, retryMs });
+    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
       const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
@@ -48,19 +40,13 @@
     });
   }
 
-  /** How old the proof is that the list is complete. */
-  getAgeMs(): number {
-    return utils.monotonicMs() - this._provenAtMs;
-  }
-
   run(signal: AbortSignal): Promise<void> {
-    return this._follower.run(signal);
+    return this.follower.run(signal);
   }
 
   /** Takes a list that a peer knew to be complete at `provenAtMs`, if that is newer than what we have. */
-  takeList(list: readonly ListedEndpoint[], provenAtMs: number): void {
-    if (provenAtMs <= this._provenAtMs) return;
-    this._provenAtMs = provenAtMs;
-    this._endpoints.setAll(new Map(list.map((listed) => [listed.id, listed])));
+  takeList(list: readonly ListedEndpoint[], nextOffset: number, provenAtMs: number): void {
+    const values = new Map(list.map((listed) => [listed.id, listed]));
+    this.follower.takeSnapshot(values, nextOffset, provenAtMs);
   }
 }
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -1,6 +1,16 @@
-/** Follows a change feed: a snapshot first, then changes, with a new snapshot where the history has a gap. */
+/**
+ * Follows a change feed: a snapshot first, then changes, with a new snapshot where the history has a gap. It reads the store by
+ * itself, or takes what another instance has read.
+ */
 import { utils } from "@shedtiller/common";
-import type { Change, ChangeFeed, StoreError } from "./ChangeFeed.js";
+import type { Change, ChangeFeed, FeedPage, StoreError } from "./ChangeFeed.js";
+
+/** Without a proof for this long the store counts as away; a follower that takes pages from a peer notices by this. */
+const awayAfterMs = 3_000;
+/** A page that a peer has read, but not told whole, is read from the store; several in a row are read together. */
+const catchUpIntervalMs = 200;
+/** Failed reads of a follower that was not asked to read double their pause up to this. */
+const longestRetryMs = 2_000;
 
 /** What a follower reports to. */
 export interface FeedListener<T> {
@@ -14,56 +24,155 @@
 
 /** How a follower paces its calls. */
 export interface FollowOptions {
-  /** How long the store may hold a read. 0 where changes are so frequent that reads are spaced instead. */
+  /** How long the store may hold a read. */
   readonly waitMs: number;
-  /** Pause between two reads. */
-  readonly intervalMs: number;
   /** Pause after a failed read. */
   readonly retryMs: number;
+  /** Monotonic clock, replaced in tests. */
+  readonly nowMs?: () => number;
+}
+
+/** A read of the store, or what a peer tells of one. */
+export interface ToldPage<T> {
+  /** Where the read began. */
+  readonly fromOffset: number;
+  readonly nextOffset: number;
+  /** Undefined where the peer tells only that something has changed. */
+  readonly changes: readonly Change<T>[] | undefined;
 }
 
-/** One task that reads until its signal aborts. */
+/** One task that follows until its signal aborts. */
 export class FeedFollower<T> {
+  private readonly _nowMs: () => number;
+  private readonly _readListeners: ((page: FeedPage<T>, fromOffset: number) => void)[] = [];
   private _offset: number | undefined;
+  private _provenAtMs = Number.NEGATIVE_INFINITY;
   private _isLost = false;
+  private _isReader = true;
+  /** The next read is answered at once: nothing has been proven for a while, or there is something to catch up with. */
+  private _isHurried = true;
+  private _isBehind = false;
+  private _failures = 0;
+  private _woken = new utils.Deferred<void>();
 
   constructor(
     private readonly _feed: ChangeFeed<T>,
     private readonly _listener: FeedListener<T>,
     private readonly _options: FollowOptions,
-  ) {}
+  ) {
+    this._nowMs = _options.nowMs ?? utils.monotonicMs;
+  }
+
+  /** Where reading goes on; undefined before the first snapshot. */
+  get nextOffset(): number | undefined {
+    return this._offset;
+  }
+
+  /** How old the proof is that the set is complete. */
+  getProofAgeMs(): number {
+    return this._nowMs() - this._provenAtMs;
+  }
+
+  /** Calls `listener` with each page of changes that this follower has read by itself. */
+  onRead(listener: (page: FeedPage<T>, fromOffset: number) => void): void {
+    this._readListeners.push(listener);
+  }
+
+  /** Sets whether this follower reads the store all the time. */
+  setReader(isReader: boolean): void {
+    if (isReader === this._isReader) return;
+    this._isReader = isReader;
+    this._isHurried = true;
+    if (isReader) this._woken.resolve();
+  }
+
+  /** Takes what a peer has read. What does not join on is read from the store. */
+  takeTold(page: ToldPage<T>, provenAtMs: number): void {
+    if (this._offset === undefined || page.nextOffset < this._offset) return;
+    const isKnown = page.nextOffset === this._offset;
+    if (!isKnown && (page.changes === undefined || page.fromOffset !== this._offset)) return this._catchUp();
+    this._noteProofGap(provenAtMs);
+    this._offset = page.nextOffset;
+    this._accept(isKnown ? [] : (page.changes ?? []), provenAtMs);
+  }
+
+  /** Takes a whole set that a peer knew to be complete at `provenAtMs`, unless ours is newer. */
+  takeSnapshot(values: ReadonlyMap<string, T>, nextOffset: number, provenAtMs: number): void {
+    if (provenAtMs <= this._provenAtMs || nextOffset < (this._offset ?? 0)) return;
+    this._offset = nextOffset;
+    this._provenAtMs = provenAtMs;
+    this._listener.onSnapshot(values, provenAtMs);
+  }
 
   async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener("abort", () => this._woken.resolve(), { once: true });
     while (!signal.aborted) {
-      const error =
-        this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
+      if (this._offset !== undefined && !this._isReader && !this._isBehind) {
+        await this._woken.promise;
+        this._woken = new utils.Deferred();
+        continue;
+      }
+      const wasCatchingUp = !this._isReader && this._offset !== undefined;
+      const error = await this._read();
       if (error !== undefined) this._noteFailed(error);
-      const pauseMs = error === undefined ? this._options.intervalMs : this._options.retryMs;
+      else this._failures = 0;
+      const pauseMs = error === undefined ? (wasCatchingUp ? catchUpIntervalMs : 0) : this._getRetryMs();
       if (pauseMs > 0) await utils.sleep(pauseMs, signal).catch(() => undefined);
     }
   }
 
+  private async _read(): Promise<StoreError | undefined> {
+    this._isBehind = false;
+    const error =
+      this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
+    if (error !== undefined) this._isBehind = !this._isReader;
+    return error;
+  }
+
   private async _readSnapshot(): Promise<StoreError | undefined> {
-    const askedAtMs = utils.monotonicMs();
+    const askedAtMs = this._nowMs();
     const snapshot = await this._feed.getSnapshot();
     if (snapshot.err) return snapshot.val;
     this._noteAnswered();
     this._offset = snapshot.val.nextOffset;
+    this._provenAtMs = askedAtMs;
     this._listener.onSnapshot(snapshot.val.values, askedAtMs);
     return undefined;
   }
 
   private async _readChanges(offset: number): Promise<StoreError | undefined> {
-    const askedAtMs = utils.monotonicMs();
-    const page = await this._feed.getChanges(offset, this._options.waitMs);
+    const askedAtMs = this._nowMs();
+    const waitMs = this._isHurried || !this._isReader ? 0 : this._options.waitMs;
+    this._isHurried = false;
+    const page = await this._feed.getChanges(offset, waitMs);
     if (page.err) return page.val;
     this._noteAnswered();
     if (page.val.isCompacted) return this._readSnapshot();
+    // A peer told the same changes while this read was under way.
+    if (this._offset !== offset) return undefined;
     this._offset = page.val.nextOffset;
-    this._listener.onChanges(page.val.changes, askedAtMs);
+    this._accept(page.val.changes, askedAtMs);
+    for (const listener of this._readListeners) listener(page.val, offset);
     return undefined;
   }
 
+  private _accept(changes: readonly Change<T>[], provenAtMs: number): void {
+    this._provenAtMs = Math.max(this._provenAtMs, provenAtMs);
+    this._listener.onChanges(changes, this._provenAtMs);
+  }
+
+  private _catchUp(): void {
+    this._isBehind = true;
+    this._isHurried = true;
+    this._woken.resolve();
+  }
+
+  /** A peer that proves something after a long pause has just got the store back. */
+  private _noteProofGap(provenAtMs: number): void {
+    if (provenAtMs - this._provenAtMs > awayAfterMs || this._isLost) this._listener.onRegained();
+    this._isLost = false;
+  }
+
   /** The listener learns that the store is back before it gets what the store says. */
   private _noteAnswered(): void {
     if (this._isLost) this._listener.onRegained();
@@ -71,7 +180,15 @@
   }
 
   private _noteFailed(error: StoreError): void {
+    this._isHurried = true;
+    this._failures += 1;
     if (!this._isLost) this._listener.onLost(error);
     this._isLost = true;
   }
+
+  private _getRetryMs(): number {
+    const { retryMs } = this._options;
+    if (this._isReader) return retryMs;
+    return Math.min(longestRetryMs, retryMs * 2 ** Math.min(this._failures - 1, 8));
+  }
 }
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -7,7 +7,7 @@
 import type { EngineOrders } from "./EngineOrders.js";
 import { getSlowness } from "./getSlowness.js";
 
-/** Each engine is asked once in this time, by one instance for all. A question is priced like a health check. */
+/** Each engine is asked once in this time, by one instance for all of its zone. A question is priced like a health check. */
 const roundMs = 2_000;
 const idleMs = 500;
 const reportTimeoutMs = 500;
@@ -20,11 +20,13 @@
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
   readonly log: DecisionLog;
+  readonly availabilityZone: string;
+  /** Whether this instance asks for its zone now. */
   readonly mayAsk: () => boolean;
   readonly tell: (endpointId: string, slowness: number) => void;
 }
 
-/** One task an instance; it asks only while the instance leads. */
+/** One task an instance; it asks the engines of its zone while it is its turn. */
 export class EnginePoll {
   constructor(private readonly _structure: EnginePollStructure) {}
 
@@ -45,6 +47,7 @@
     const names = services.filter((service) => service.engine !== undefined).map((service) => service.name);
     return names
       .flatMap((name) => this._structure.endpoints.getUsable(name))
+      .filter((engine) => engine.listed.availabilityZone === this._structure.availabilityZone)
       .filter((engine) => engine.listed.layers.length > 0);
   }
 
--- a/packages/gateway/src/orders/LeaderSeat.ts
+++ b/packages/gateway/src/orders/LeaderSeat.ts
@@ -8,16 +8,27 @@
 /** The holder stops acting this much before its term ends, by its own clock. */
 const safetyMs = 500;
 
+/** Choices of a seat. */
+export interface LeaderSeatOptions {
+  /** Whether this instance campaigns though it does not lead. The one that leads goes on in any case. */
+  readonly mayCampaign?: () => boolean;
+  /** Monotonic clock, replaced in tests. */
+  readonly nowMs?: () => number;
+}
+
 /** The seat of one instance. */
 export class LeaderSeat {
   private _untilMs = Number.NEGATIVE_INFINITY;
   private _isHeld = false;
+  private readonly _nowMs: () => number;
 
   constructor(
     private readonly _election: LeaderElection,
     private readonly _log: DecisionLog,
-    private readonly _nowMs: () => number = utils.monotonicMs,
-  ) {}
+    private readonly _options: LeaderSeatOptions = {},
+  ) {
+    this._nowMs = _options.nowMs ?? utils.monotonicMs;
+  }
 
   /** Whether this instance leads now. To be asked just before each order. */
   isHeld(): boolean {
@@ -29,7 +40,7 @@
     await utils.repeat(
       intervalMs,
       signal,
-      () => this.campaign(),
+      () => this._campaignIfDue(),
       (error) => {
         this._log.error("campaign-failed", { cause: String(error) });
       },
@@ -38,6 +49,11 @@
     this._untilMs = Number.NEGATIVE_INFINITY;
   }
 
+  private async _campaignIfDue(): Promise<void> {
+    if (this.isHeld() || this._options.mayCampaign?.() !== false) await this.campaign();
+    this._noteChange();
+  }
+
   /** Campaigns once. A term counts from before the call, since the store may have begun it any time after. */
   async campaign(): Promise<void> {
     const startedAtMs = this._nowMs();
@@ -45,6 +61,10 @@
     if (won.ok) {
       this._untilMs = won.val ? startedAtMs + this._election.termMs - safetyMs : Number.NEGATIVE_INFINITY;
     }
+    this._noteChange();
+  }
+
+  private _noteChange(): void {
     if (this._isHeld === this.isHeld()) return;
     this._isHeld = this.isHeld();
     this._log.info(this._isHeld ? "leader-began" : "leader-ended", { untilMs: Math.round(this._untilMs) });
--- /dev/null
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -0,0 +1,207 @@
+/**
+ * How instances learn each other's load on endpoints. The instances of a zone tell one among them, the collector, which tells
+ * each of them the sum of the others. Messages grow with the number of instances, not with its square.
+ */
+import { utils } from "@shedtiller/common";
+import type { Membership, PeerIdentity } from "@shedtiller/membership";
+import type { EndpointLoad } from "../discovery/Endpoint.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import { loadSchema, peerTopics, zoneLoadSchema } from "./peerMessages.js";
+import { ZoneDuty } from "./ZoneDuty.js";
+
+/** Load is told this often where it changed; a stream lives for seconds. */
+const tellIntervalMs = 200;
+/** Load that stays as it is is told again after this, so that a new collector learns it. */
+const repeatIntervalMs = 600;
+/** A source that has not told for this long no longer counts: two repeats may be lost. */
+const forgetAfterMs = 1_800;
+/** The sum that a collector told, among the sources of load. */
+const collectedSource = "collected";
+const dutyName = "load-collector";
+
+/** What an exchange works with. */
+export interface LoadExchangeStructure {
+  readonly membership: Pick<Membership, "self" | "getDutyCandidates" | "notifyAll" | "onNotice">;
+  readonly endpoints: EndpointTable;
+  readonly log: DecisionLog;
+  /** Monotonic clock, replaced in tests. */
+  readonly nowMs?: () => number;
+}
+
+type Loads = ReadonlyMap<string, EndpointLoad>;
+/** Requests and token-layers by endpoint, as they go over the wire. */
+type LoadMessage = Record<string, [number, number]>;
+
+interface Source {
+  readonly loads: Loads;
+  readonly heardAtMs: number;
+}
+
+/** One exchange an instance. */
+export class LoadExchange {
+  /** What members of this zone told, while this instance collects. */
+  private readonly _members = new Map<string, Source>();
+  /** What the collectors of other zones told. */
+  private readonly _otherZones = new Map<string, Source>();
+  private readonly _nowMs: () => number;
+  private readonly _duty: ZoneDuty;
+  private _toldText = "";
+  private _toldAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly _structure: LoadExchangeStructure) {
+    const { membership, log, nowMs } = _structure;
+    this._nowMs = nowMs ?? utils.monotonicMs;
+    this._duty = new ZoneDuty({ name: dutyName, membership, log, nowMs });
+    membership.onNotice(peerTopics.load, (body, from) => this._takeMemberLoad(body, from));
+    membership.onNotice(peerTopics.collectedLoad, (body, from) => this._takeCollected(body, from));
+    membership.onNotice(peerTopics.zoneLoad, (body, from) => this._takeZoneLoad(body, from));
+  }
+
+  /** Whether this instance collects the load of its zone now. Two may both think so for a moment. */
+  get isCollector(): boolean {
+    return this._duty.isOwn;
+  }
+
+  /** Tells from time to time until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await utils.repeat(
+      tellIntervalMs,
+      signal,
+      () => this.tell(),
+      (error) => {
+        this._structure.log.error("load-exchange-failed", { cause: String(error) });
+      },
+    );
+  }
+
+  /** Tells what is due now. */
+  tell(): void {
+    this._pickCollector();
+    this._forgetSilent();
+    if (this.isCollector) this._tellSums();
+    else this._tellOwn();
+  }
+
+  private _pickCollector(): void {
+    // A collector that stood still for a while finds that the others have passed it over: nobody tells it anything.
+    if (this.isCollector && (this._duty.isAlone || this._members.size > 0)) this._duty.noteSign();
+    if (this._duty.update()) this._toldText = "";
+  }
+
+  /** Drops sources that fell silent; what a collector told goes once this instance collects by itself. */
+  private _forgetSilent(): void {
+    const oldestMs = this._nowMs() - forgetAfterMs;
+    for (const sources of [this._members, this._otherZones]) {
+      for (const [name, { heardAtMs }] of sources) if (heardAtMs < oldestMs) sources.delete(name);
+    }
+    const kept = this.isCollector ? [...this._members.keys(), ...this._otherZones.keys()] : [collectedSource];
+    this._structure.endpoints.keepPeerLoads(new Set(kept));
+  }
+
+  private _tellOwn(): void {
+    const nowMs = this._nowMs();
+    const message = toMessage(this._getOwn());
+    const text = JSON.stringify(message);
+    if (text === this._toldText && nowMs - this._toldAtMs < repeatIntervalMs) return;
+    this._toldText = text;
+    this._toldAtMs = nowMs;
+    this._notify(this._duty.holder, peerTopics.load, message);
+  }
+
+  private _tellSums(): void {
+    const own = this._getOwn();
+    const zoneLoad = addUp([own, ...[...this._members.values()].map((source) => source.loads)]);
+    const all = addUp([zoneLoad, ...[...this._otherZones.values()].map((source) => source.loads)]);
+    for (const [name, source] of this._members) {
+      this._notify(name, peerTopics.collectedLoad, toMessage(subtract(all, source.loads)));
+    }
+    const { membership } = this._structure;
+    const { availabilityZone } = membership.self;
+    const body = { availabilityZone, load: toMessage(zoneLoad) };
+    membership.notifyAll(peerTopics.zoneLoad, body, (member) => member.availabilityZone !== availabilityZone);
+  }
+
+  private _takeMemberLoad(body: unknown, from: PeerIdentity): void {
+    const load = loadSchema.safeParse(body);
+    if (!load.success) return this._noteBad(peerTopics.load, from);
+    this._take(this._members, from.name, toLoads(load.data));
+  }
+
+  private _takeCollected(body: unknown, from: PeerIdentity): void {
+    const load = loadSchema.safeParse(body);
+    if (!load.success) return this._noteBad(peerTopics.collectedLoad, from);
+    if (from.name !== this._duty.holder) return;
+    this._duty.noteSign();
+    this._structure.endpoints.setPeerLoads(collectedSource, toLoads(load.data));
+  }
+
+  /** Another zone's load comes to the instances that its collector is linked to; they pass it on to their own. */
+  private _takeZoneLoad(body: unknown, from: PeerIdentity): void {
+    const told = zoneLoadSchema.safeParse(body);
+    if (!told.success) return this._noteBad(peerTopics.zoneLoad, from);
+    const { availabilityZone, load } = told.data;
+    if (availabilityZone === this._structure.membership.self.availabilityZone) return;
+    if (this.isCollector) this._take(this._otherZones, availabilityZone, toLoads(load));
+    else if (from.availabilityZone === availabilityZone)
+      this._notify(this._duty.holder, peerTopics.zoneLoad, told.data);
+  }
+
+  private _take(sources: Map<string, Source>, name: string, loads: Loads): void {
+    sources.set(name, { loads, heardAtMs: this._nowMs() });
+    if (this.isCollector) this._structure.endpoints.setPeerLoads(name, loads);
+  }
+
+  private _getOwn(): Loads {
+    const endpoints = this._structure.endpoints.getAll().filter((endpoint) => endpoint.own.requests > 0);
+    return new Map(endpoints.map((endpoint) => [endpoint.id, endpoint.own]));
+  }
+
+  private _notify(name: string, topic: string, body: unknown): void {
+    this._structure.membership.notifyAll(topic, body, (member) => member.name === name);
+  }
+
+  private _noteBad(topic: string, from: PeerIdentity): void {
+    this._structure.log.warn("peer-message-invalid", { topic, peer: from.name });
+  }
+}
+
+function addUp(parts: readonly Loads[]): Loads {
+  const sum = new Map<string, EndpointLoad>();
+  for (const part of parts) {
+    for (const [id, load] of part) {
+      const known = sum.get(id);
+      sum.set(id, known === undefined ? load : add(known, load, 1));
+    }
+  }
+  return sum;
+}
+
+function subtract(all: Loads, part: Loads): Loads {
+  const rest = new Map(all);
+  for (const [id, load] of part) {
+    const known = all.get(id);
+    if (known !== undefined) rest.set(id, add(known, load, -1));
+  }
+  return rest;
+}
+
+function add(first: EndpointLoad, second: EndpointLoad, sign: 1 | -1): EndpointLoad {
+  return {
+    requests: first.requests + sign * second.requests,
+    tokenLayers: first.tokenLayers + sign * second.tokenLayers,
+  };
+}
+
+function toMessage(loads: Loads): LoadMessage {
+  const message: LoadMessage = {};
+  for (const [id, { requests, tokenLayers }] of loads) {
+    if (requests > 0) message[id] = [requests, Math.round(tokenLayers)];
+  }
+  return message;
+}
+
+function toLoads(message: LoadMessage): Loads {
+  const entries = Object.entries(message);
+  return new Map(entries.map(([id, [requests, tokenLayers]]) => [id, { requests, tokenLayers }]));
+}
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,4 +1,4 @@
-/** What instances tell each other: load, evidence against endpoints, the configuration and the list of endpoints. */
+/** What instances tell each other: evidence against endpoints, the configuration and the list of endpoints. */
 import { utils } from "@shedtiller/common";
 import type { Membership, PeerIdentity } from "@shedtiller/membership";
 import type * as zod from "zod";
@@ -10,7 +10,6 @@
   configurationAnswerSchema,
   endpointsAnswerSchema,
   instancesSchema,
-  loadSchema,
   peerTopics,
   slownessSchema,
   suspectSchema,
@@ -18,8 +17,6 @@
 } from "./peerMessages.js";
 import type { RegisteredInstance } from "./PeerRegistry.js";
 
-/** Load is told this often; a stream lives for seconds. */
-const loadIntervalMs = 200;
 /** Without a proof of its own younger than this an instance asks its peers. */
 const askWhenOlderThanMs = 2_500;
 const askIntervalMs = 400;
@@ -35,19 +32,18 @@
   readonly log: DecisionLog;
   /** How old the newest proof is that the list of endpoints is complete. */
   readonly getListAgeMs: () => number;
+  /** Where the store's list goes on after what this instance has read; undefined before the first read. */
+  readonly getListOffset: () => number | undefined;
   /** Takes a list that was complete at `provenAtMs`. */
-  readonly takeList: (list: readonly ListedEndpoint[], provenAtMs: number) => void;
+  readonly takeList: (list: readonly ListedEndpoint[], nextOffset: number, provenAtMs: number) => void;
   readonly getInstances: () => readonly RegisteredInstance[];
   readonly takeInstances: (instances: readonly RegisteredInstance[]) => void;
 }
 
 /** One exchange an instance. */
 export class PeerExchange {
-  private _lastLoad = "";
-
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
-    membership.onNotice(peerTopics.load, (body, from) => this._takeLoad(body, from));
     membership.onNotice(peerTopics.suspect, (body) => this._takeSuspicion(body));
     membership.onNotice(peerTopics.slowness, (body) => this._takeSlowness(body));
     membership.onNotice(peerTopics.newVersion, (body, from) => void this._takeNewVersion(body, from));
@@ -57,14 +53,16 @@
     membership.onLinked((peer) => void this._greet(peer));
   }
 
-  /** Tells and asks from time to time until `signal` aborts. */
+  /** Asks from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const onError = (error: unknown): void =>
-      this._structure.log.error("peer-exchange-failed", { cause: String(error) });
-    await Promise.all([
-      utils.repeat(loadIntervalMs, signal, () => this._tellLoad(), onError),
-      utils.repeat(askIntervalMs, signal, () => this._askIfStale(), onError),
-    ]);
+    await utils.repeat(
+      askIntervalMs,
+      signal,
+      () => this._askIfStale(),
+      (error) => {
+        this._structure.log.error("peer-exchange-failed", { cause: String(error) });
+      },
+    );
   }
 
   /** Tells all peers of evidence against an endpoint. */
@@ -82,29 +80,6 @@
     this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
-  private _tellLoad(): void {
-    const linked = this._structure.membership.getLinked().map((member) => member.name);
-    this._structure.endpoints.keepPeerLoads(new Set(linked));
-    const load: Record<string, [number, number]> = {};
-    for (const endpoint of this._structure.endpoints.getAll()) {
-      const { requests, tokenLayers } = endpoint.own;
-      if (requests > 0) load[endpoint.id] = [requests, Math.round(tokenLayers)];
-    }
-    const text = JSON.stringify(load);
-    if (text === this._lastLoad) return;
-    this._lastLoad = text;
-    this._structure.membership.notifyAll(peerTopics.load, load);
-  }
-
-  private _takeLoad(body: unknown, from: PeerIdentity): void {
-    const load = loadSchema.safeParse(body);
-    if (!load.success) return this._noteBad(peerTopics.load, from);
-    const loads = Object.entries(load.data).map(
-      ([id, [requests, tokenLayers]]) => [id, { requests, tokenLayers }] as const,
-    );
-    this._structure.endpoints.setPeerLoads(from.name, new Map(loads));
-  }
-
   private _takeSuspicion(body: unknown): void {
     const suspicion = suspectSchema.safeParse(body);
     if (suspicion.success) this._structure.endpoints.suspect(suspicion.data.endpointId);
@@ -123,8 +98,6 @@
   }
 
   private async _greet(peer: PeerIdentity): Promise<void> {
-    // A new peer does not know our load yet.
-    this._lastLoad = "";
     const instances = await this._ask(peer.name, peerTopics.instances, null, instancesSchema);
     if (instances !== undefined) this._structure.takeInstances(instances);
   }
@@ -166,14 +139,18 @@
   }
 
   private _answerEndpoints(): unknown {
+    const nextOffset = this._structure.getListOffset();
+    if (nextOffset === undefined) return undefined;
     const proofAgeMs = getFiniteAgeMs(this._structure.getListAgeMs());
-    return { proofAgeMs, endpoints: this._structure.endpoints.getAll().map((endpoint) => endpoint.listed) };
+    const endpoints = this._structure.endpoints.getAll().map((endpoint) => endpoint.listed);
+    return { proofAgeMs, nextOffset, endpoints };
   }
 
   private async _askEndpoints(name: string): Promise<void> {
     const askedAtMs = utils.monotonicMs();
     const answer = await this._ask(name, peerTopics.endpoints, null, endpointsAnswerSchema);
-    if (answer !== undefined) this._structure.takeList(answer.endpoints, askedAtMs - answer.proofAgeMs);
+    if (answer === undefined) return;
+    this._structure.takeList(answer.endpoints, answer.nextOffset, askedAtMs - answer.proofAgeMs);
   }
 
   /** Asks a peer; undefined where it does not answer, or not in the form that is due. */
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -7,6 +7,10 @@
 /** Names of the kinds of messages. */
 export const peerTopics = {
   load: "load",
+  collectedLoad: "collected-load",
+  zoneLoad: "zone-load",
+  configurationRead: "configuration-read",
+  endpointsRead: "endpoints-read",
   suspect: "suspect",
   slowness: "slowness",
   newVersion: "new-version",
@@ -15,9 +19,12 @@
   instances: "instances",
 } as const;
 
-/** Requests in hand and reserved token-layers of the sender, by endpoint; those without any are left out. */
+/** Requests in hand and reserved token-layers, by endpoint; those without any are left out. */
 export const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
 
+/** The load that the instances of a zone have together. */
+export const zoneLoadSchema = zod.object({ availabilityZone: zod.string(), load: loadSchema });
+
 /** How slow an engine says that it is. */
 export const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
 
@@ -39,6 +46,8 @@
 /** The list of endpoints as the answerer has it. */
 export const endpointsAnswerSchema = zod.object({
   proofAgeMs: zod.number().nonnegative(),
+  /** Where the store's list goes on after what the answerer has read. */
+  nextOffset: zod.number(),
   endpoints: zod.array(listedEndpointSchema),
 });
 
--- a/packages/gateway/src/tests/orders/LeaderSeatTests.ts
+++ b/packages/gateway/src/tests/orders/LeaderSeatTests.ts
@@ -22,11 +22,9 @@
 function setUp() {
   const clock = { nowMs: 0 };
   const election = new ScriptedElection();
-  const seat = new LeaderSeat(
-    election,
-    new DecisionLog(new SilentSink(), () => clock.nowMs),
-    () => clock.nowMs,
-  );
+  const seat = new LeaderSeat(election, new DecisionLog(new SilentSink(), () => clock.nowMs), {
+    nowMs: () => clock.nowMs,
+  });
   return { clock, election, seat };
 }
 
--- /dev/null
+++ b/packages/gateway/src/tests/peers/LoadExchangeTests.ts
@@ -0,0 +1,129 @@
+/** Each instance knows the load of all others through one collector of its zone, also when a collector falls silent. */
+import test from "ava";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { LoadExchange } from "../../peers/LoadExchange.js";
+import { createListed } from "../createParts.js";
+import { SilentSink } from "../SilentSink.js";
+import { PeerNetwork } from "./PeerNetwork.js";
+
+const tickMs = 200;
+
+interface Instance {
+  readonly name: string;
+  readonly endpoints: EndpointTable;
+  readonly exchange: LoadExchange;
+}
+
+class Fleet {
+  readonly network = new PeerNetwork();
+  readonly instances: Instance[] = [];
+  private _nowMs = 0;
+
+  constructor(namesByZone: Readonly<Record<string, readonly string[]>>) {
+    for (const [availabilityZone, names] of Object.entries(namesByZone)) {
+      for (const name of names) this._add(name, availabilityZone);
+    }
+  }
+
+  get(name: string): Instance {
+    const instance = this.instances.find((candidate) => candidate.name === name);
+    if (instance === undefined) throw new RangeError(`There is no instance ${name}.`);
+    return instance;
+  }
+
+  /** Lets time pass; `isSkipped` names instances that stand still. */
+  run(ticks: number, isSkipped: (name: string) => boolean = () => false): void {
+    for (let tick = 0; tick < ticks; tick++) {
+      this._nowMs += tickMs;
+      for (const { name, exchange } of this.instances) if (!isSkipped(name)) exchange.tell();
+    }
+  }
+
+  /** Load on the only engine, as an instance sees it. */
+  getRequests(name: string): number {
+    return this.get(name).endpoints.get("engine")?.getLoad().requests ?? 0;
+  }
+
+  getCollectors(zone: readonly string[]): string[] {
+    return zone.filter((name) => this.get(name).exchange.isCollector);
+  }
+
+  private _add(name: string, availabilityZone: string): void {
+    const nowMs = (): number => this._nowMs;
+    const endpoints = new EndpointTable(nowMs);
+    endpoints.setAll(new Map([["engine", createListed("engine")]]));
+    const membership = this.network.join({ name, availabilityZone });
+    const log = new DecisionLog(new SilentSink(), nowMs);
+    this.instances.push({
+      name,
+      endpoints,
+      exchange: new LoadExchange({ membership, endpoints, log, nowMs }),
+    });
+  }
+}
+
+const east = ["a", "b", "c", "d"];
+const west = ["e", "f", "g"];
+
+function createLoadedFleet(): Fleet {
+  const fleet = new Fleet({ east, west });
+  for (const { endpoints } of fleet.instances) endpoints.get("engine")?.addOwn(1, 10);
+  return fleet;
+}
+
+test("every instance sees the load of all instances of both zones", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  for (const { name } of fleet.instances) t.is(fleet.getRequests(name), east.length + west.length, name);
+});
+
+test("a zone has one collector, and members tell only it", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  t.is(fleet.getCollectors(east).length, 1);
+  fleet.network.sent.clear();
+  fleet.run(3);
+  const told = fleet.network.sent.get("load") ?? 0;
+  t.true(told <= 3 * (east.length + west.length - 2), `${told} notices`);
+});
+
+test("a collector that falls silent is passed over, and the load of those that still tell stays known", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  const [collector = ""] = fleet.getCollectors(east);
+  fleet.network.silence(collector);
+  fleet.run(24);
+  for (const name of east.filter((other) => other !== collector)) {
+    t.is(fleet.getRequests(name), east.length + west.length - 1, name);
+  }
+});
+
+test("after a collector is gone another one takes over at once", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  const [collector = ""] = fleet.getCollectors(east);
+  fleet.network.remove(collector);
+  fleet.run(3, (name) => name === collector);
+  const left = east.filter((name) => name !== collector);
+  t.is(fleet.getCollectors(left).length, 1);
+  for (const name of left) t.true(fleet.getRequests(name) >= left.length, name);
+});
+
+test("a request that has ended leaves the load of all instances", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  fleet.get("b").endpoints.get("engine")?.addOwn(-1, -10);
+  fleet.run(6);
+  for (const { name } of fleet.instances) t.is(fleet.getRequests(name), east.length + west.length - 1, name);
+});
+
+test("a collector that stood still and comes back sees the load of all again", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  const [collector = ""] = fleet.getCollectors(east);
+  fleet.run(12, (name) => name === collector);
+  fleet.run(12);
+  t.is(fleet.getCollectors(east).length, 1);
+  for (const name of east) t.is(fleet.getRequests(name), east.length + west.length, name);
+});
