fix(gateway): an instance of a large fleet can retry: its part of the slack comes back with time

Ruled out: attempts (the route allows two); endpoints that fail twice in a row (14% each, so 2% of requests). Change: the part of an instance is half reserve, a quarter that comes back over each window, and the rest for a restart; the window is a setting. Tests: the first request of one instance among 85 can be retried (failed before); 1, 8, 85 and 340 instances that use all they get over a window and restart in it stay inside.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -33,7 +33,7 @@
 import { PlainForwarder } from "./requests/PlainForwarder.js";
 import { ReadinessListener } from "./requests/ReadinessListener.js";
 import { pickTarget, type ForwardContext } from "./requests/RequestForwarder.js";
-import { RetryBudgets } from "./requests/RetryBudgets.js";
+import { RetryBudgets, type RetryBudgetOptions } from "./requests/RetryBudgets.js";
 import { StallMonitor } from "./requests/StallMonitor.js";
 import { StreamForwarder } from "./requests/StreamForwarder.js";
 
@@ -50,6 +50,11 @@
   return sections.filter((section) => JSON.stringify(before[section]) !== JSON.stringify(after[section]));
 }
 
+function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
+  const { budgetRatio, budgetSlack, budgetWindowS } = retries;
+  return { ratio: budgetRatio, slack: budgetSlack, windowMs: budgetWindowS * utils.msPerSecond };
+}
+
 /** What the platform provides, behind the abstract classes of this package. */
 export interface GatewayPlatform {
   readonly configurationFeed: ChangeFeed<GatewayConfiguration>;
@@ -93,7 +98,7 @@
   ) {
     const { instance, peers, callers, retries } = _settings;
     const chooser = new ChainChooser();
-    this._budgets = new RetryBudgets({ ratio: retries.budgetRatio, slack: retries.budgetSlack });
+    this._budgets = new RetryBudgets(toBudgetOptions(retries));
     this._membership = new Membership({
       self: instance,
       secret: peers.secret,
@@ -199,7 +204,7 @@
       retries,
       callers: { ...this._settings.callers, stopGraceS: callers.stopGraceS },
     };
-    this._budgets.setOptions({ ratio: retries.budgetRatio, slack: retries.budgetSlack });
+    this._budgets.setOptions(toBudgetOptions(retries));
     const needsRestart = getChangedSections(this._settings, settings);
     this._log.info("settings-reloaded", { changed, needsRestart });
   }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -50,6 +50,8 @@
     budgetRatio: zod.coerce.number().nonnegative(),
     /** Retries over all instances beyond the ratio in one window. */
     budgetSlack: zod.coerce.number().nonnegative(),
+    /** The time over which retries are counted. */
+    budgetWindowS: zod.coerce.number().positive(),
   }),
   store: zod.strictObject({ address: text, leaseMinimumMs: milliseconds, seeds: addressList.default([]) }),
 });
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -1,4 +1,5 @@
 /** This instance's share of the retry budget that all instances have together for each service. */
+import { utils } from "@shedtiller/common";
 import { RetryBudget } from "@shedtiller/routing";
 
 /** The budget of the whole deployment, from its settings. */
@@ -7,23 +8,36 @@
   readonly ratio: number;
   /** Retries allowed in a window beyond the ratio, over all instances. */
   readonly slack: number;
+  readonly windowMs: number;
 }
 
 /** The share of the ratio in use; the rest covers requests that fall into another window than their retries. */
 const ratioShare = 0.9;
-/** The share of the slack that is dealt out. With the next figure, one restart of all instances in a window stays inside. */
-const slackShare = 0.7;
-/** A process begins with this share of its reserve, since the one before it may have used all of its own. */
-const initialShare = 0.25;
+/**
+ * How an instance uses its part of the slack in a window: what it may have saved up, what comes back with time, and what a new
+ * process begins with, since the one before it may have used all of its own. One restart of all stays inside the slack.
+ */
+const reserveShare = 0.5;
+const refillShare = 0.25;
+const initialShare = 0.2;
 /** Instances that the slack is shared among until the real number is known; too many is the safe side. */
-const assumedInstances = 16;
+const assumedInstances = 100;
+
+interface ServiceBudget {
+  readonly budget: RetryBudget;
+  refilledAtMs: number;
+}
 
 /** One bucket a service. Each instance's share is safe alone, so no instance asks another. */
 export class RetryBudgets {
-  private readonly _budgets = new Map<string, RetryBudget>();
+  private readonly _budgets = new Map<string, ServiceBudget>();
   private _instances = assumedInstances;
 
-  constructor(private _options: RetryBudgetOptions) {}
+  /** @param nowMs - Monotonic clock, replaced in tests. */
+  constructor(
+    private _options: RetryBudgetOptions,
+    private readonly _nowMs: () => number = utils.monotonicMs,
+  ) {}
 
   /** Takes another budget of the deployment; what is in the buckets stays, within the new reserve. */
   setOptions(options: RetryBudgetOptions): void {
@@ -36,7 +50,7 @@
   /** Takes the number of instances that share the slack. */
   setInstances(count: number): void {
     this._instances = Math.max(1, count);
-    for (const budget of this._budgets.values()) budget.setReserve(this._getReserve());
+    for (const { budget } of this._budgets.values()) budget.setReserve(this._getPart() * reserveShare);
   }
 
   recordRequest(service: string): void {
@@ -47,17 +61,33 @@
     return this._get(service).tryTake();
   }
 
-  private _getReserve(): number {
-    return (this._options.slack * slackShare) / this._instances;
+  /** This instance's part of the slack. */
+  private _getPart(): number {
+    return this._options.slack / this._instances;
+  }
+
+  /** One retry at least, where that is inside the part: a part of a retry serves nobody. */
+  private _getInitial(): number {
+    const part = this._getPart();
+    const spare = part * (1 - reserveShare - refillShare);
+    return spare >= 1 ? Math.max(1, part * initialShare) : part * initialShare;
   }
 
   private _get(service: string): RetryBudget {
-    let budget = this._budgets.get(service);
-    if (budget === undefined) {
-      const reserve = this._getReserve();
-      budget = new RetryBudget(this._options.ratio * ratioShare, reserve, reserve * initialShare);
-      this._budgets.set(service, budget);
+    const nowMs = this._nowMs();
+    const known = this._budgets.get(service);
+    if (known !== undefined) {
+      const windows = (nowMs - known.refilledAtMs) / this._options.windowMs;
+      known.budget.refill(windows * this._getPart() * refillShare);
+      known.refilledAtMs = nowMs;
+      return known.budget;
     }
+    const budget = new RetryBudget(
+      this._options.ratio * ratioShare,
+      this._getPart() * reserveShare,
+      this._getInitial(),
+    );
+    this._budgets.set(service, { budget, refilledAtMs: nowMs });
     return budget;
   }
 }
--- a/packages/gateway/src/tests/gatewaySettingsTests.ts
+++ b/packages/gateway/src/tests/gatewaySettingsTests.ts
@@ -26,6 +26,7 @@
 [retries]
 budgetRatio = 0.2
 budgetSlack = 200
+budgetWindowS = 10
 [store]
 address = 10.0.0.9:82
 leaseMinimumMs = 1000
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -111,7 +111,7 @@
   /** Starts the gateway with one route. */
   async start(route: Route): Promise<void> {
     const log = new DecisionLog(new SilentSink(), utils.monotonicMs);
-    const budgets = new RetryBudgets({ ratio: 1, slack: 1_000 });
+    const budgets = new RetryBudgets({ ratio: 1, slack: 1_000, windowMs: 10_000 });
     const codec = new TestCodec();
     const context = {
       keeper: this.keeper,
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import { RetryBudgets } from "../../requests/RetryBudgets.js";
 
-const options = { ratio: 0.2, slack: 200 };
+const options = { ratio: 0.2, slack: 200, windowMs: 10_000 };
 
 function drain(budgets: RetryBudgets): number {
   let taken = 0;
@@ -11,7 +11,7 @@
 }
 
 function create(instances: number): RetryBudgets {
-  const budgets = new RetryBudgets(options);
+  const budgets = new RetryBudgets(options, () => 0);
   budgets.setInstances(instances);
   return budgets;
 }
@@ -37,3 +37,34 @@
   budgets.setInstances(4);
   t.is(drain(budgets), 0);
 });
+
+test("an instance of a large fleet can retry its first request", (t) => {
+  const budgets = new RetryBudgets({ ...options, slack: 354 }, () => 0);
+  budgets.setInstances(85);
+  budgets.recordRequest("s");
+  t.true(budgets.tryTake("s"));
+});
+
+for (const instances of [1, 8, 85, 340]) {
+  test(`${instances} instances that use all they get over a window, and restart in it, stay inside`, (t) => {
+    const clock = { nowMs: 0 };
+    let retries = 0;
+    for (let instance = 0; instance < instances; instance++) {
+      clock.nowMs = 0;
+      const before = new RetryBudgets(options, () => clock.nowMs);
+      before.setInstances(instances);
+      before.recordRequest("s");
+      // It saves up all that it may have, and the window begins.
+      clock.nowMs = 10 * options.windowMs;
+      retries += drain(before);
+      clock.nowMs += options.windowMs / 2;
+      retries += drain(before);
+      const after = new RetryBudgets(options, () => clock.nowMs);
+      after.setInstances(instances);
+      after.recordRequest("s");
+      clock.nowMs += options.windowMs / 2;
+      retries += drain(after);
+    }
+    t.true(retries <= options.slack + options.ratio * 2 * instances, `${retries} retries`);
+  });
+}
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -88,7 +88,7 @@
     endpoints,
     caller: new HttpCaller(),
     codec: {} as MessageCodec,
-    budgets: new RetryBudgets({ ratio: 1, slack: 10 }),
+    budgets: new RetryBudgets({ ratio: 1, slack: 10, windowMs: 10_000 }),
     log: new DecisionLog(new SilentSink(), () => 0),
     availabilityZone: "east",
     suspect: (id: string) => void endpoints.suspect(id),
--- a/packages/routing/src/RetryBudget.ts
+++ b/packages/routing/src/RetryBudget.ts
@@ -32,7 +32,12 @@
   }
 
   recordRequest(): void {
-    this._balance = Math.min(this.reserve, this._balance + this.share);
+    this.refill(this.share);
+  }
+
+  /** Adds retries, up to the reserve. */
+  refill(retries: number): void {
+    this._balance = Math.min(this.reserve, this._balance + retries);
   }
 
   /** Takes one retry from the budget; tells whether there was one. */
