--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -6,6 +6,8 @@
 export interface LinkState {
   /** Nothing passes, in either direction; what was sent waits, as packets that are sent again. */
   isCut: boolean;
+  /** What the target sends waits, though what is sent to it passes. */
+  isReplyCut?: boolean;
   /** Added each way. */
   delayMs: number;
 }
@@ -71,8 +73,8 @@
     this._watch(target);
     target.once("error", () => utils.resetSocket(client));
     target.once("connect", () => {
-      this._pass(client, target);
-      this._pass(target, client);
+      this._pass(client, target, () => this._getState().isCut);
+      this._pass(target, client, () => this._getState().isCut || this._getState().isReplyCut === true);
     });
   }
 
@@ -83,19 +85,17 @@
     socket.once("close", () => this._sockets.delete(socket));
   }
 
-  private _pass(from: net.Socket, to: net.Socket): void {
+  private _pass(from: net.Socket, to: net.Socket, isHeld: () => boolean): void {
     const parcels: Parcel[] = [];
     const pump = (): void => {
-      const state = this._getState();
       const nowMs = performance.now();
       if (to.destroyed) parcels.length = 0;
-      while (!state.isCut && parcels[0] !== undefined && parcels[0].dueMs <= nowMs)
-        parcels.shift()?.deliver();
+      while (!isHeld() && parcels[0] !== undefined && parcels[0].dueMs <= nowMs) parcels.shift()?.deliver();
       if (parcels.length > 0) setTimeout(pump, pumpMs);
     };
     const send = (deliver: () => void): void => {
       const state = this._getState();
-      if (parcels.length === 0 && !state.isCut && state.delayMs === 0) return deliver();
+      if (parcels.length === 0 && !isHeld() && state.delayMs === 0) return deliver();
       parcels.push({ dueMs: performance.now() + state.delayMs, deliver });
       if (parcels.length === 1) setTimeout(pump, Math.max(pumpMs, state.delayMs));
     };
