--- a/packages/common/src/utils/tasks.ts
+++ b/packages/common/src/utils/tasks.ts
@@ -18,6 +18,11 @@
   });
 }
 
+/** Lets what has arrived meanwhile be handled, before a long computation goes on. */
+export function yieldToEvents(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 /** Settles as `work` does, or rejects with `DeadlineError` after `durationMs`. The work itself is not stopped. */
 export function withDeadline<T>(work: Promise<T>, durationMs: number, what: string): Promise<T> {
   return new Promise((resolve, reject) => {
@@ -35,7 +40,15 @@
   });
 }
 
-/** Runs `step` again and again, `intervalMs` apart, until `signal` aborts. A failed step goes to `onError`. */
+/** Time until the next whole multiple of an interval, so that tasks with like intervals wake the process together. */
+function getTimeToTick(intervalMs: number): number {
+  return intervalMs - (monotonicMs() % intervalMs);
+}
+
+/**
+ * Runs `step` again and again until `signal` aborts, at whole multiples of `intervalMs` of the monotonic clock. A failed step
+ * goes to `onError`. Measured: an idle process spends most of its time on waking up.
+ */
 export async function repeat(
   intervalMs: number,
   signal: AbortSignal,
@@ -49,7 +62,7 @@
       if (!signal.aborted) onError(error);
     }
     if (signal.aborted) return;
-    await sleep(intervalMs, signal).catch(() => undefined);
+    await sleep(getTimeToTick(intervalMs), signal).catch(() => undefined);
   }
 }
 
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -187,7 +187,6 @@
       this._seat.run(signal),
       this._layers.run(signal),
       this._poll.run(signal),
-      this._admission.run(signal),
       this._monitor.run(signal),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._noteTask(error));
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -37,6 +37,8 @@
 /** Queues by priority, then by arrival. */
 export class ChainAdmission {
   private readonly _waiters: Waiter[] = [];
+  /** Runs while somebody waits. */
+  private _lookAgainTimer: NodeJS.Timeout | undefined;
   private _lastReleaseAtMs = utils.monotonicMs();
   private _releaseIntervalMs = initialReleaseIntervalMs;
 
@@ -96,16 +98,6 @@
     }
   }
 
-  /** Looks again from time to time until `signal` aborts. */
-  async run(signal: AbortSignal): Promise<void> {
-    await utils.repeat(
-      lookAgainMs,
-      signal,
-      () => this._lookAgain(),
-      () => undefined,
-    );
-  }
-
   private async _wait(applicant: ChainApplicant): Promise<ChainReservation | undefined> {
     const waiter: Waiter = { applicant, done: new utils.Deferred() };
     const giveUp = (): void => {
@@ -115,6 +107,7 @@
     const timer = setTimeout(giveUp, applicant.patienceMs);
     applicant.signal.addEventListener("abort", giveUp, { once: true });
     this._insert(waiter);
+    this._lookAgainTimer ??= setInterval(() => this._lookAgain(), lookAgainMs);
     const reservation = await waiter.done.promise;
     clearTimeout(timer);
     applicant.signal.removeEventListener("abort", giveUp);
@@ -130,6 +123,9 @@
   private _remove(waiter: Waiter): void {
     const at = this._waiters.indexOf(waiter);
     if (at >= 0) this._waiters.splice(at, 1);
+    if (this._waiters.length > 0) return;
+    clearInterval(this._lookAgainTimer);
+    this._lookAgainTimer = undefined;
   }
 
   private _tryReserve(applicant: ChainApplicant): ChainReservation | undefined {
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -7,8 +7,8 @@
 
 /** Without a proof for this long the store counts as away; a follower that takes pages from a peer notices by this. */
 const awayAfterMs = 3_000;
-/** A page that a peer has read, but not told whole, is read from the store; several in a row are read together. */
-const catchUpIntervalMs = 200;
+/** After a page with changes the next read waits, so that changes that come in a row are read together. */
+const gatherIntervalMs = 200;
 /** Failed reads of a follower that was not asked to read double their pause up to this. */
 const longestRetryMs = 2_000;
 
@@ -28,6 +28,8 @@
   readonly waitMs: number;
   /** Pause after a failed read. */
   readonly retryMs: number;
+  /** Pause after a page with changes. */
+  readonly gatherMs?: number;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
 }
@@ -112,15 +114,19 @@
         this._woken = new utils.Deferred();
         continue;
       }
-      const wasCatchingUp = !this._isReader && this._offset !== undefined;
+      const before = this._offset;
       const error = await this._read();
       if (error !== undefined) this._noteFailed(error);
       else this._failures = 0;
-      const pauseMs = error === undefined ? (wasCatchingUp ? catchUpIntervalMs : 0) : this._getRetryMs();
-      if (pauseMs > 0) await utils.sleep(pauseMs, signal).catch(() => undefined);
+      await utils.sleep(this._getPauseMs(error, before), signal).catch(() => undefined);
     }
   }
 
+  private _getPauseMs(error: StoreError | undefined, offsetBefore: number | undefined): number {
+    if (error !== undefined) return this._getRetryMs();
+    return this._offset === offsetBefore ? 0 : (this._options.gatherMs ?? gatherIntervalMs);
+  }
+
   private async _read(): Promise<StoreError | undefined> {
     this._isBehind = false;
     const error =
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -10,7 +10,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "./EngineOrders.js";
 
-const tickMs = 250;
+const tickMs = 200;
 /** A zone without any copy is planned once its list has been still for longer than a heartbeat interval. */
 const settledForPlanMs = 1_500;
 /** A single engine is planned for once the list has been still for this long, so that several come together. */
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -40,7 +40,7 @@
     onLost: () => heard.push("lost"),
     onRegained: () => heard.push("regained"),
   };
-  await new FeedFollower(feed, listener, { waitMs: 0, retryMs: 0 }).run(stop.signal);
+  await new FeedFollower(feed, listener, { waitMs: 0, retryMs: 0, gatherMs: 0 }).run(stop.signal);
   return { asked: feed.asked, heard };
 }
 
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -115,7 +115,7 @@
       onRegained: () => void (this.get(name).regained += 1),
     };
     const feed = this.store.createFeed(name);
-    const follower = new FeedFollower(feed, listener, { waitMs: 0, retryMs: 0, nowMs });
+    const follower = new FeedFollower(feed, listener, { waitMs: 0, retryMs: 0, gatherMs: 0, nowMs });
     const membership = this.network.join({ name, availabilityZone: "east" });
     const relay = new StoreRelay({ membership, log: new DecisionLog(new SilentSink(), nowMs), nowMs });
     relay.add(topic, follower, listedEndpointSchema);
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -18,7 +18,7 @@
 const heartbeatBytesPerSecond = 800;
 const heartbeatFloorMs = 250;
 const missedHeartbeats = 4;
-const dialTickMs = 250;
+const dialTickMs = 200;
 /** How long the peer whose part it is may take to dial before we do. */
 const dialGraceMs = 1_000;
 const contactsPerZone = 3;
@@ -66,6 +66,8 @@
   private readonly _members = new Map<string, Member>();
   private readonly _links = new Map<string, PeerLink>();
   private readonly _dialling = new Set<string>();
+  /** Names of the contacts in other zones; undefined after the members have changed. */
+  private _contacts: Set<string> | undefined;
   private readonly _requestHandlers = new Map<string, RequestHandler>();
   private readonly _noticeHandlers = new Map<string, NoticeHandler>();
   private readonly _heartbeatFields = new Map<string, () => unknown>();
@@ -244,14 +246,27 @@
     return member.availabilityZone === this.self.availabilityZone || this._isContact(member);
   }
 
-  /** The few of another zone that this instance keeps links to, spread by rendezvous hashing. */
+  /** Whether it is one of the few of another zone that this instance keeps links to. */
   private _isContact(member: Member): boolean {
-    const zone = member.availabilityZone;
-    if (zone === this.self.availabilityZone) return false;
-    const rivals = this.getMembers().filter((other) => other.availabilityZone === zone);
-    if (rivals.length <= contactsPerZone) return true;
-    const weight = (m: Member): number => utils.hash32(`${this.self.name}\u0000${m.name}`);
-    return rivals.filter((other) => weight(other) > weight(member)).length < contactsPerZone;
+    this._contacts ??= this._pickContacts();
+    return this._contacts.has(member.name);
+  }
+
+  /** The contacts of all other zones, spread by rendezvous hashing. */
+  private _pickContacts(): Set<string> {
+    const others = this.getMembers().filter(
+      (member) => member.availabilityZone !== this.self.availabilityZone,
+    );
+    const contacts = new Set<string>();
+    for (const members of utils.groupBy(others, (member) => member.availabilityZone).values()) {
+      const weights = members.map(({ name }) => ({
+        name,
+        weight: utils.hash32(`${this.self.name}\u0000${name}`),
+      }));
+      weights.sort((a, b) => b.weight - a.weight);
+      for (const { name } of weights.slice(0, contactsPerZone)) contacts.add(name);
+    }
+    return contacts;
   }
 
   private async _dial(member: Member): Promise<void> {
@@ -295,12 +310,14 @@
       heartbeat: {},
     };
     this._members.set(listed.name, member);
+    this._contacts = undefined;
     return member;
   }
 
   private _forget(name: string): void {
     if (this._links.get(name)?.isOpen === true) return;
     this._members.delete(name);
+    this._contacts = undefined;
   }
 
   private _createEvents(): PeerLinkEvents {
