fix(gateway): a leaving endpoint is known to all within the bound also after a zone's reader has lost the store

Change: the list is read with holds of 0.4 s, an instance that is told no newer proof for 1.4 s reads by itself whoever has the duty, and what is told is told with each read. Configuration reads are held for 1.5 s again; any feed's proof shows the store. Test: when the store turns a reader away, all others know of a leaving endpoint within two seconds (failed before: the proof of a turned-away reader counted for 2.6 s); proofs stay below two seconds everywhere else.

--- a/packages/gateway/src/configuration/ConfigurationWatch.ts
+++ b/packages/gateway/src/configuration/ConfigurationWatch.ts
@@ -9,7 +9,7 @@
  * A held read proves freshness only as of its sending, so a proof may be twice this old. It has to stay well below the
  * bound on revoked keys, 5 s on the deployments at hand.
  */
-const heldReadMs = 1_000;
+const heldReadMs = 1_500;
 const retryMs = 250;
 
 /** One watch an instance. */
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -5,8 +5,11 @@
 import { FeedFollower } from "./FeedFollower.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
 
-/** A held read proves only that the list was complete when it was sent, so a proof is up to twice this old. */
-const heldReadMs = 1_000;
+/**
+ * A held read proves only that the list was complete when it was sent, so a proof is up to twice this old. An endpoint that leaves
+ * has to be known within 2 s, also after the reader of a zone has lost the store.
+ */
+const heldReadMs = 400;
 const retryMs = 250;
 
 /** One watch an instance. */
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -6,7 +6,7 @@
 import type { Change, ChangeFeed, FeedPage, StoreError } from "./ChangeFeed.js";
 
 /** Without a proof for this long the store counts as away; a follower that takes pages from a peer notices by this. */
-const awayAfterMs = 3_000;
+const awayAfterMs = 4_000;
 /** After a page with changes the next read waits, so that changes that come in a row are read together. */
 const gatherIntervalMs = 200;
 /** Failed reads of a follower that was not asked to read double their pause up to this. */
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -17,8 +17,10 @@
 } from "./peerMessages.js";
 import type { RegisteredInstance } from "./PeerRegistry.js";
 
-/** Without a proof of its own younger than this an instance asks its peers. */
-const askWhenOlderThanMs = 2_500;
+/** Without a younger proof of the configuration an instance asks its peers; a sound proof is up to 3 s old. */
+const askConfigurationAfterMs = 3_200;
+/** The same for the list of endpoints, whose proofs are up to 0.8 s old. */
+const askListAfterMs = 1_500;
 const askIntervalMs = 400;
 const askTimeoutMs = 400;
 /** Peers asked each time. */
@@ -104,8 +106,8 @@
 
   private async _askIfStale(): Promise<void> {
     const { keeper, membership, getListAgeMs } = this._structure;
-    const isConfigurationStale = keeper.getProofAgeMs() > askWhenOlderThanMs;
-    const isListStale = getListAgeMs() > askWhenOlderThanMs;
+    const isConfigurationStale = keeper.getProofAgeMs() > askConfigurationAfterMs;
+    const isListStale = getListAgeMs() > askListAfterMs;
     if (!isConfigurationStale && !isListStale) return;
     const linked = membership.getLinked().map((member) => member.name);
     const asked = pickSome(linked, peersAsked);
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -10,14 +10,13 @@
 import { ZoneDuty } from "./ZoneDuty.js";
 
 const dutyName = "store-reader";
-const tellIntervalMs = 400;
+const tickMs = 200;
 /**
- * A reader whose proofs are older than this does not reach the store, and another one takes over. Reads are held for a second,
- * so the proofs of a sound reader are at most two seconds old, and some more while the store is slow.
+ * A reader without a proof for this long does not reach the store: an instance that is told nothing newer reads by itself, and
+ * another one takes over. An endpoint that leaves has to be known to all within 2 s, on the deployments at hand. The reads of a
+ * sound reader are held for 0.4 s, so its proofs are at most 0.8 s old, and some more while the store is slow.
  */
-const staleReaderMs = 2_600;
-/** An instance that nobody has told of a proof for this long reads by itself, whoever has the duty. */
-const readAloneAfterMs = 2_800;
+const staleMs = 1_400;
 
 /** What a relay works with. */
 export interface StoreRelayStructure {
@@ -31,7 +30,6 @@
 interface RelayedFeed {
   readonly getProofAgeMs: () => number;
   readonly setReader: (isReader: boolean) => void;
-  readonly tellProof: () => void;
 }
 
 /** One relay an instance. */
@@ -64,11 +62,11 @@
         .array(zod.object({ key: zod.string(), value: (valueSchema ?? zod.never()).optional() }))
         .optional(),
     });
-    const tell = (fromOffset: number, nextOffset: number, changes: unknown): void =>
-      this._tell(topic, { fromOffset, nextOffset, changes, proofAgeMs: follower.getProofAgeMs() });
     follower.onRead((page, fromOffset) => {
       if (!this.isReader) return;
-      tell(fromOffset, page.nextOffset, valueSchema === undefined ? undefined : page.changes);
+      const changes = valueSchema === undefined ? undefined : page.changes;
+      const proofAgeMs = follower.getProofAgeMs();
+      this._tell(topic, { fromOffset, nextOffset: page.nextOffset, changes, proofAgeMs });
     });
     this._structure.membership.onNotice(topic, (body, from) => {
       const page = told.safeParse(body);
@@ -76,39 +74,33 @@
       const { proofAgeMs, fromOffset, nextOffset } = page.data;
       const changes = page.data.changes?.map(({ key, value }) => ({ key, value: value as T | undefined }));
       follower.takeTold({ fromOffset, nextOffset, changes }, this._nowMs() - proofAgeMs);
-      if (from.name === this._duty.holder && proofAgeMs < staleReaderMs) this._duty.noteSign();
+      if (from.name === this._duty.holder && proofAgeMs < staleMs) this._duty.noteSign();
     });
     this._feeds.push({
       getProofAgeMs: () => follower.getProofAgeMs(),
       setReader: (isReader) => follower.setReader(isReader),
-      tellProof: () => {
-        const { nextOffset } = follower;
-        if (nextOffset !== undefined) tell(nextOffset, nextOffset, undefined);
-      },
     });
   }
 
-  /** Tells from time to time until `signal` aborts. */
+  /** Looks after the duty from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await utils.repeat(
-      tellIntervalMs,
+      tickMs,
       signal,
-      () => this.tell(),
+      () => this.check(),
       (error) => {
         this._structure.log.error("store-relay-failed", { cause: String(error) });
       },
     );
   }
 
-  /** Takes or gives up the duty, and tells the proofs where this instance has it. */
-  tell(): void {
-    const oldestMs = Math.max(...this._feeds.map((feed) => feed.getProofAgeMs()));
-    if (this.isReader && (this._duty.isAlone || oldestMs < staleReaderMs)) this._duty.noteSign();
+  /** Takes or gives up the duty; without a proof for too long this instance reads by itself, whoever has the duty. */
+  check(): void {
+    // Any feed's proof shows that the store is reached; the one with the shorter reads is the newer.
+    const ageMs = Math.min(...this._feeds.map((feed) => feed.getProofAgeMs()));
+    if (this.isReader && (this._duty.isAlone || ageMs < staleMs)) this._duty.noteSign();
     this._duty.update();
-    for (const feed of this._feeds) {
-      feed.setReader(this.isReader || feed.getProofAgeMs() > readAloneAfterMs);
-      if (this.isReader) feed.tellProof();
-    }
+    for (const feed of this._feeds) feed.setReader(this.isReader || ageMs > staleMs);
   }
 
   private _tell(topic: string, body: object): void {
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -17,8 +17,10 @@
 import { PeerNetwork } from "./PeerNetwork.js";
 
 const topic = "endpoints-read";
-const tickMs = 400;
+const tickMs = 200;
 const names = ["a", "b", "c"];
+/** Within this an endpoint that leaves has to be known. */
+const boundMs = 2_000;
 
 /** A store in memory. Held reads are answered when the test says so. */
 class Store {
@@ -77,7 +79,7 @@
   async run(ticks: number): Promise<void> {
     for (let tick = 0; tick < ticks; tick++) {
       this._nowMs += tickMs;
-      for (const { relay } of this.instances.values()) relay.tell();
+      for (const { relay } of this.instances.values()) relay.check();
       // Each turn of the loop answers reads and lets their followers go on.
       for (let turn = 0; turn < 20; turn++) await new Promise((resolve) => setImmediate(resolve));
     }
@@ -155,17 +157,30 @@
   zone.stop();
 });
 
-test("a reader that the store turns away is followed by another, before proofs are too old", async (t) => {
+test("when the store turns a reader away, all others know of a leaving endpoint within two seconds", async (t) => {
+  const zone = new Zone();
+  zone.store.changes.push({ key: "x", value: createListed("x") });
+  await zone.run(4);
+  const [reader = ""] = zone.getReaders();
+  zone.store.cutOff.add(reader);
+  zone.store.changes.push({ key: "x", value: undefined });
+  await zone.run(boundMs / tickMs - 1);
+  for (const name of names.filter((other) => other !== reader)) t.false(zone.get(name).known.has("x"), name);
+  zone.stop();
+});
+
+test("a reader that the store turns away is followed by another, and proofs stay young everywhere else", async (t) => {
   const zone = new Zone();
   await zone.run(4);
   const [reader = ""] = zone.getReaders();
   zone.store.cutOff.add(reader);
   let oldestMs = 0;
-  for (let tick = 0; tick < 12; tick++) {
+  for (let tick = 0; tick < 24; tick++) {
     await zone.run(1);
-    for (const name of names) oldestMs = Math.max(oldestMs, zone.get(name).follower.getProofAgeMs());
+    for (const name of names.filter((other) => other !== reader))
+      oldestMs = Math.max(oldestMs, zone.get(name).follower.getProofAgeMs());
   }
-  t.true(oldestMs < 4_500, `${oldestMs} ms`);
+  t.true(oldestMs < boundMs, `${oldestMs} ms`);
   t.notDeepEqual(zone.getReaders(), [reader]);
   for (const name of names) t.true(zone.get(name).follower.getProofAgeMs() <= 2 * tickMs, name);
   zone.stop();
@@ -175,9 +190,9 @@
   const zone = new Zone();
   await zone.run(4);
   for (const name of names) zone.store.cutOff.add(name);
-  await zone.run(12);
+  await zone.run(24);
   zone.store.cutOff.clear();
-  await zone.run(6);
+  await zone.run(12);
   for (const name of names) t.true(zone.get(name).regained >= 1, name);
   zone.stop();
 });
