--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { cac } from "cac";
 import { runCheck } from "./commands/check.js";
 import { exitCodes, printError, type CommonOptions, type ExitCode } from "./commands/CommandContext.js";
+import { runExplain } from "./commands/explain.js";
 import { runKey } from "./commands/key.js";
 import { runConfirm, runPlan, runShow } from "./commands/plans.js";
 import { runReplay } from "./commands/replay.js";
@@ -46,6 +47,13 @@
   .command("replay <trace>", "Replay a recorded trace and compare it with its stated outcomes")
   .option(...asJson)
   .action((trace: string, options: CommonOptions) => runReplay(trace, options));
+program
+  .command(
+    "explain <request> [...logs]",
+    "Show the decisions about a request, over the logs of all instances",
+  )
+  .option(...asJson)
+  .action((request: string, logs: string[], options: CommonOptions) => runExplain(request, logs, options));
 program
   .command("check <file>", "Check a settings file as a whole")
   .option(...asJson)
--- /dev/null
+++ b/packages/cli/src/tests/explainTests.ts
@@ -0,0 +1,84 @@
+/** The lines that explain a request are found over all instances, in their order, without those of others. */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as url from "node:url";
+import * as util from "node:util";
+import test from "ava";
+import { explainRequest } from "../explain/explainRequest.js";
+import { parseLogLine, type LogLine } from "../explain/logLine.js";
+
+const shedtiller = url.fileURLToPath(new URL("../../bin/shedtiller.js", import.meta.url));
+const run = util.promisify(childProcess.execFile);
+
+function create(second: number, instance: string, message: string, fields: object = {}): LogLine {
+  const timestamp = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+  return { level: "info", message, instance, timestamp, ...fields };
+}
+
+const chain = ["10.0.0.1:80=0-40", "10.0.0.2:80=40-80"];
+const lines = [
+  create(0, "a", "instance-started"),
+  create(20, "b", "endpoint-suspected", { endpointId: "e2", address: "10.0.0.2:80" }),
+  create(21, "a", "stream-run-failed", { requestId: "r1", cause: "stream broken off", chain }),
+  create(20.5, "a", "endpoint-gone", { endpointId: "e2", address: "10.0.0.2:80" }),
+  create(20.6, "a", "endpoint-gone", { endpointId: "e9", address: "10.0.0.9:80" }),
+  create(21, "a", "request-ended", { requestId: "r2", outcome: "completed", chain }),
+  create(22, "a", "request-ended", { requestId: "r1", outcome: "outcome-unknown", tookMs: 3_000, chain }),
+  create(19, "a", "configuration-in-force", { version: 4 }),
+  create(19, "b", "configuration-in-force", { version: 4 }),
+  create(30, "a", "endpoint-added", { endpointId: "e3", address: "10.0.0.2:80" }),
+];
+
+test("a cut request: its lines, its engines' on all instances, and what its instance believed", (t) => {
+  const found = explainRequest("r1", lines).map((line) => `${line.instance} ${line.message}`);
+  t.deepEqual(found, [
+    "a configuration-in-force",
+    "b endpoint-suspected",
+    "a endpoint-gone",
+    "a stream-run-failed",
+    "a request-ended",
+  ]);
+});
+
+test("a request without room: the endpoints that were lost before it as well", (t) => {
+  const refused = create(23, "a", "stream-refused", { requestId: "r3", reason: "no-room" });
+  const found = explainRequest("r3", [...lines, refused]).map((line) => line.message);
+  t.deepEqual(found, ["configuration-in-force", "endpoint-gone", "endpoint-gone", "stream-refused"]);
+});
+
+test("a refusal for a key behind a cut: the lost store", (t) => {
+  const cut = [
+    create(2, "a", "configuration-store-lost", { cause: "no answer" }),
+    create(7, "a", "request-refused", { requestId: "r4", reason: "stale-configuration", proofAgeMs: 4_700 }),
+  ];
+  t.deepEqual(
+    explainRequest("r4", cut).map((line) => line.message),
+    ["configuration-store-lost", "request-refused"],
+  );
+});
+
+test("a line may have a time and a host before its object; others are typed errors with their place", (t) => {
+  const good = parseLogLine(`12.5 front-1 ${JSON.stringify(lines[0])}`, "x.log:1");
+  t.is(good.ok ? good.val.message : "", "instance-started");
+  const bad = parseLogLine("no object", "x.log:2");
+  t.regex(bad.err ? bad.val.message : "", /x\.log:2/);
+});
+
+test("the command prints what it finds, and says so by its exit code where it finds nothing", async (t) => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "explain-"));
+  t.teardown(() => fs.rmSync(folder, { recursive: true }));
+  const file = path.join(folder, "a.log");
+  fs.writeFileSync(file, lines.map((line) => JSON.stringify(line)).join("\n"));
+  const { stdout } = await run(process.execPath, [shedtiller, "explain", "r1", file]);
+  t.regex(stdout, /a {2}request-ended {2}requestId=r1 outcome=outcome-unknown tookMs=3000/);
+  const none = await t.throwsAsync<Error & { code: number }>(
+    run(process.execPath, [shedtiller, "explain", "r0", file]),
+  );
+  t.is(none?.code, 1);
+  const unreadable = await t.throwsAsync<Error & { code: number }>(
+    run(process.execPath, [shedtiller, "explain", "r1", path.join(folder, "none.log")]),
+  );
+  t.is(unreadable?.code, 2);
+});
