fix(gateway): a new version is told by readers only, and its body is taken from one place

Ruled out: the store's own reads (0.016 GB). Change: readers tell; who is told waits 0.7 s for its own read of the store and then asks one peer; who knows of something newer that the store does not give for 0.6 s asks peers as if its proof were too old.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -121,6 +121,7 @@
       endpoints: this.endpoints,
       log: _log,
       getListAgeMs: () => this._endpointWatch.follower.getProofAgeMs(),
+      getConfigurationBehindMs: () => this._configurationWatch.follower.getBehindMs(),
       getListOffset: () => this._endpointWatch.follower.nextOffset,
       takeList: (list, nextOffset, provenAtMs) => this._endpointWatch.takeList(list, nextOffset, provenAtMs),
       getInstances: () => this._directory.getInstances(),
@@ -163,7 +164,9 @@
       mayAsk: () => this._loads.isCollector,
       tell: (endpointId, slowness) => this._exchange.tellSlowness(endpointId, slowness),
     });
-    this.keeper.onChanged((table) => this._exchange.tellVersion(table.version));
+    this.keeper.onChanged((table) => {
+      if (this._relay.isReader) this._exchange.tellVersion(table.version);
+    });
     this._addGauges();
   }
 
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -53,7 +53,10 @@
   private _isReader = true;
   /** The next read is answered at once: nothing has been proven for a while, or there is something to catch up with. */
   private _isHurried = true;
-  private _isBehind = false;
+  /** Since when something newer is known to exist that was not read yet. */
+  private _behindSinceMs: number | undefined;
+  /** How often something newer was told; what is told during a read needs another one. */
+  private _timesTold = 0;
   private _failures = 0;
   private _woken = new utils.Deferred<void>();
 
@@ -75,6 +78,11 @@
     return this._nowMs() - this._provenAtMs;
   }
 
+  /** For how long something newer has been known to exist that was not read yet. */
+  getBehindMs(): number {
+    return this._behindSinceMs === undefined ? 0 : this._nowMs() - this._behindSinceMs;
+  }
+
   /** Calls `listener` with each page of changes that this follower has read by itself. */
   onRead(listener: (page: FeedPage<T>, fromOffset: number) => void): void {
     this._readListeners.push(listener);
@@ -109,7 +117,7 @@
   async run(signal: AbortSignal): Promise<void> {
     signal.addEventListener("abort", () => this._woken.resolve(), { once: true });
     while (!signal.aborted) {
-      if (this._offset !== undefined && !this._isReader && !this._isBehind) {
+      if (this._offset !== undefined && !this._isReader && this._behindSinceMs === undefined) {
         await this._woken.promise;
         this._woken = new utils.Deferred();
         continue;
@@ -128,10 +136,11 @@
   }
 
   private async _read(): Promise<StoreError | undefined> {
-    this._isBehind = false;
+    const toldBefore = this._timesTold;
     const error =
       this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
-    if (error !== undefined) this._isBehind = !this._isReader;
+    if (error !== undefined) this._behindSinceMs ??= this._isReader ? undefined : this._nowMs();
+    else if (this._timesTold === toldBefore) this._behindSinceMs = undefined;
     return error;
   }
 
@@ -168,7 +177,8 @@
   }
 
   private _catchUp(): void {
-    this._isBehind = true;
+    this._timesTold += 1;
+    this._behindSinceMs ??= this._nowMs();
     this._isHurried = true;
     this._woken.resolve();
   }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -21,6 +21,10 @@
 const askConfigurationAfterMs = 3_200;
 /** The same for the list of endpoints, whose proofs are up to 0.8 s old. */
 const askListAfterMs = 1_500;
+/** Something newer is known, but the store does not give it: peers are asked after this. */
+const askWhenBehindMs = 600;
+/** A peer that tells of a new version is asked for it after this, unless the store has given it meanwhile. */
+const readFirstMs = 700;
 const askIntervalMs = 400;
 const askTimeoutMs = 400;
 /** Peers asked each time. */
@@ -28,12 +32,17 @@
 
 /** What the exchange works with. */
 export interface PeerExchangeStructure {
-  readonly membership: Membership;
+  readonly membership: Pick<
+    Membership,
+    "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
+  >;
   readonly keeper: ConfigurationKeeper;
   readonly endpoints: EndpointTable;
   readonly log: DecisionLog;
   /** How old the newest proof is that the list of endpoints is complete. */
   readonly getListAgeMs: () => number;
+  /** For how long a newer configuration has been known to exist that the store did not give. */
+  readonly getConfigurationBehindMs: () => number;
   /** Where the store's list goes on after what this instance has read; undefined before the first read. */
   readonly getListOffset: () => number | undefined;
   /** Takes a list that was complete at `provenAtMs`. */
@@ -44,6 +53,9 @@
 
 /** One exchange an instance. */
 export class PeerExchange {
+  /** Whether a peer is about to be asked for a new version. Versions are large, and many peers tell of one. */
+  private _isAsking = false;
+
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
     membership.onNotice(peerTopics.suspect, (body) => this._takeSuspicion(body));
@@ -96,7 +108,12 @@
   private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
     const notice = versionSchema.safeParse(body);
     if (!notice.success) return this._noteBad(peerTopics.newVersion, from);
-    if (notice.data.version > this._structure.keeper.version) await this._askConfiguration(from.name);
+    const { keeper } = this._structure;
+    if (notice.data.version <= keeper.version || this._isAsking) return;
+    this._isAsking = true;
+    await utils.sleep(readFirstMs);
+    if (notice.data.version > keeper.version) await this._askConfiguration(from.name);
+    this._isAsking = false;
   }
 
   private async _greet(peer: PeerIdentity): Promise<void> {
@@ -105,8 +122,9 @@
   }
 
   private async _askIfStale(): Promise<void> {
-    const { keeper, membership, getListAgeMs } = this._structure;
-    const isConfigurationStale = keeper.getProofAgeMs() > askConfigurationAfterMs;
+    const { keeper, membership, getListAgeMs, getConfigurationBehindMs } = this._structure;
+    const isConfigurationStale =
+      keeper.getProofAgeMs() > askConfigurationAfterMs || getConfigurationBehindMs() > askWhenBehindMs;
     const isListStale = getListAgeMs() > askListAfterMs;
     if (!isConfigurationStale && !isListStale) return;
     const linked = membership.getLinked().map((member) => member.name);
--- a/packages/gateway/src/tests/peers/PeerNetwork.ts
+++ b/packages/gateway/src/tests/peers/PeerNetwork.ts
@@ -1,13 +1,18 @@
 /** Memberships without sockets: notices arrive at once, and tests cut instances off. */
-import type { Membership, NoticeHandler, PeerIdentity } from "@shedtiller/membership";
+import { errors, results } from "@shedtiller/common";
+import type { Member, Membership, NoticeHandler, PeerIdentity, RequestHandler } from "@shedtiller/membership";
 
-type NetworkMember = Pick<Membership, "self" | "getDutyCandidates" | "notifyAll" | "onNotice">;
+type NetworkMember = Pick<
+  Membership,
+  "self" | "getDutyCandidates" | "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
+>;
 
 /** The instances of a test, and the links between them. */
 export class PeerNetwork {
   /** Notices that were sent, by topic. */
   readonly sent = new Map<string, number>();
   private readonly _handlers = new Map<string, Map<string, NoticeHandler>>();
+  private readonly _requestHandlers = new Map<string, Map<string, RequestHandler>>();
   private readonly _peers: PeerIdentity[] = [];
   private readonly _silent = new Set<string>();
   private readonly _gone = new Set<string>();
@@ -17,6 +22,8 @@
     const handlers = new Map<string, NoticeHandler>();
     this._peers.push(self);
     this._handlers.set(self.name, handlers);
+    const requestHandlers = new Map<string, RequestHandler>();
+    this._requestHandlers.set(self.name, requestHandlers);
     const getOthers = (): PeerIdentity[] =>
       this._peers.filter((peer) => peer.name !== self.name && !this._gone.has(peer.name));
     return {
@@ -25,17 +32,19 @@
         const inZone = getOthers().filter((peer) => peer.availabilityZone === self.availabilityZone);
         return [...inZone.map((peer) => peer.name), self.name];
       },
+      getLinked: () => getOthers().map(toMember),
+      onLinked: () => undefined,
       onNotice: (topic, handler) => void handlers.set(topic, handler),
+      onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
+      request: async (name, topic, body) => {
+        this.sent.set(topic, (this.sent.get(topic) ?? 0) + 1);
+        const handler = this._requestHandlers.get(name)?.get(topic);
+        if (handler === undefined) return results.Err(new errors.ConnectionLostError(name));
+        return results.Ok(await handler(body, self));
+      },
       notifyAll: (topic, body, wants = () => true) => {
         for (const peer of getOthers()) {
-          const member = {
-            ...peer,
-            address: "",
-            isLeaving: false,
-            lostSinceMs: undefined,
-            unlinkedSinceMs: 0,
-            heartbeat: {},
-          };
+          const member = toMember(peer);
           if (wants(member)) this._deliver(self, peer.name, topic, body);
         }
       },
@@ -63,3 +72,14 @@
     this._handlers.get(to)?.get(topic)?.(body, from);
   }
 }
+
+function toMember(peer: PeerIdentity): Member {
+  const unknown = {
+    address: "",
+    isLeaving: false,
+    lostSinceMs: undefined,
+    unlinkedSinceMs: 0,
+    heartbeat: {},
+  };
+  return { ...peer, ...unknown };
+}
