--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -1,17 +1,13 @@
 /** One gateway instance: its tasks from start to the end of a planned stop. */
 import { setMaxListeners } from "node:events";
 import { errors, utils } from "@shedtiller/common";
-import { Membership } from "@shedtiller/membership";
-import { Timeline } from "@shedtiller/timeline";
-import { ChainAdmission } from "./chains/ChainAdmission.js";
-import { ChainChooser } from "./chains/ChainChooser.js";
 import { ConfigurationKeeper } from "./configuration/ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
-import { listedEndpointSchema, type ListedEndpoint } from "./discovery/ListedEndpoint.js";
+import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
 import { GatewayMetrics } from "./GatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { HttpCaller } from "./http/HttpCaller.js";
@@ -22,20 +18,14 @@
 import { LayerKeeper } from "./orders/LayerKeeper.js";
 import type { LeaderElection } from "./orders/LeaderElection.js";
 import { LeaderSeat } from "./orders/LeaderSeat.js";
-import { LoadExchange } from "./peers/LoadExchange.js";
-import { PeerDirectory } from "./peers/PeerDirectory.js";
-import { PeerExchange } from "./peers/PeerExchange.js";
-import { peerTopics } from "./peers/peerMessages.js";
+import { GatewayPeers } from "./peers/GatewayPeers.js";
 import type { PeerRegistry } from "./peers/PeerRegistry.js";
-import { StoreRelay } from "./peers/StoreRelay.js";
 import { CallerListener } from "./requests/CallerListener.js";
 import type { CallerRequest } from "./requests/CallerRequest.js";
-import { PlainForwarder } from "./requests/PlainForwarder.js";
+import { ForwarderSet } from "./requests/ForwarderSet.js";
 import { ReadinessListener } from "./requests/ReadinessListener.js";
-import { pickTarget, type ForwardContext } from "./requests/RequestForwarder.js";
+import type { ForwardContext } from "./requests/RequestForwarder.js";
 import { RetryBudgets, type RetryBudgetOptions } from "./requests/RetryBudgets.js";
-import { StallMonitor } from "./requests/StallMonitor.js";
-import { StreamForwarder } from "./requests/StreamForwarder.js";
 
 /** Keys are refused this much before the bound, for the time between the check and the sending. */
 const revocationMarginMs = 500;
@@ -70,21 +60,14 @@
   readonly keeper = new ConfigurationKeeper();
   readonly endpoints = new EndpointTable();
   readonly metrics = new GatewayMetrics();
-  private readonly _membership: Membership;
-  private readonly _exchange: PeerExchange;
-  private readonly _loads: LoadExchange;
-  private readonly _relay: StoreRelay;
-  private readonly _directory: PeerDirectory;
   private readonly _configurationWatch: ConfigurationWatch;
   private readonly _endpointWatch: EndpointWatch;
+  private readonly _peers: GatewayPeers;
   private readonly _seat: LeaderSeat;
   private readonly _layers: LayerKeeper;
   private readonly _poll: EnginePoll;
   private readonly _budgets: RetryBudgets;
-  private readonly _admission: ChainAdmission;
-  private readonly _monitor: StallMonitor;
-  private readonly _plain: PlainForwarder;
-  private readonly _streams: StreamForwarder;
+  private readonly _forwarders: ForwarderSet;
   private readonly _callers: CallerListener;
   private readonly _readiness: ReadinessListener;
   private readonly _httpCaller = new HttpCaller();
@@ -96,76 +79,21 @@
     platform: GatewayPlatform,
     private readonly _log: DecisionLog,
   ) {
-    const { instance, peers, callers, retries } = _settings;
-    const chooser = new ChainChooser();
+    const { callers, retries } = _settings;
     this._budgets = new RetryBudgets(toBudgetOptions(retries));
-    this._membership = new Membership({
-      self: instance,
-      secret: peers.secret,
-      timeline: new Timeline(instance.name),
-      host: peers.host,
-      port: peers.port,
-    });
-    this._directory = new PeerDirectory({
-      self: { ...instance, address: `${peers.host}:${peers.port}` },
-      membership: this._membership,
-      registry: platform.registry,
-      log: _log,
-      onSize: (size) => this._budgets.setInstances(size),
-    });
     this._configurationWatch = new ConfigurationWatch(this.keeper, platform.configurationFeed, _log);
     this._endpointWatch = new EndpointWatch(this.endpoints, platform.endpointFeed, _log);
-    this._exchange = new PeerExchange({
-      membership: this._membership,
-      keeper: this.keeper,
-      endpoints: this.endpoints,
-      log: _log,
-      getListAgeMs: () => this._endpointWatch.follower.getProofAgeMs(),
-      getConfigurationBehindMs: () => this._configurationWatch.follower.getBehindMs(),
-      getListOffset: () => this._endpointWatch.follower.nextOffset,
-      takeList: (list, nextOffset, provenAtMs) => this._endpointWatch.takeList(list, nextOffset, provenAtMs),
-      getInstances: () => this._directory.getInstances(),
-      takeInstances: (instances) => this._directory.take(instances),
-    });
-    this._loads = new LoadExchange({ membership: this._membership, endpoints: this.endpoints, log: _log });
-    this._relay = new StoreRelay({ membership: this._membership, log: _log });
-    // A configuration may be large, and is read from the store by each instance; of the list the changes are told.
-    this._relay.add(peerTopics.configurationRead, this._configurationWatch.follower, undefined);
-    this._relay.add(peerTopics.endpointsRead, this._endpointWatch.follower, listedEndpointSchema);
-    this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => this._relay.isReader });
-    this._layers = new LayerKeeper({
-      keeper: this.keeper,
-      endpoints: this.endpoints,
-      orders: platform.orders,
-      log: _log,
-      mayOrder: () => this._seat.isHeld(),
-    });
-    const context = this._createContext(platform.codec);
-    this._admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
-    this._monitor = new StallMonitor(context, chooser, platform.orders);
-    this._plain = new PlainForwarder(context);
-    this._streams = new StreamForwarder(context, this._admission, this._monitor);
-    this._callers = new CallerListener({
-      ...callers.listen,
-      keeper: this.keeper,
-      codec: platform.codec,
-      log: _log,
-      areKeysFresh: () => this._areKeysFresh(),
-      forward: (request) => this._forward(request),
-    });
+    this._peers = this._createPeers(platform.registry);
+    const { relay, exchange } = this._peers;
+    this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => relay.isReader });
+    this._layers = this._createLayers(platform.orders);
+    this._forwarders = new ForwarderSet(this._createContext(platform.codec), platform.orders);
+    this._callers = this._createCallers(platform.codec);
     const { host, port } = callers.readiness;
     this._readiness = new ReadinessListener(host, port, () => this._isReady());
-    this._poll = new EnginePoll({
-      keeper: this.keeper,
-      endpoints: this.endpoints,
-      orders: platform.orders,
-      log: _log,
-      availabilityZone: instance.availabilityZone,
-      mayAsk: () => this._loads.isCollector,
-      tell: (endpointId, slowness) => this._exchange.tellSlowness(endpointId, slowness),
-    });
+    this._poll = this._createPoll(platform.orders);
     this.keeper.onChanged((table) => {
-      if (this._relay.isReader) this._exchange.tellVersion(table.version);
+      if (relay.isReader) exchange.tellVersion(table.version);
     });
     this._addGauges();
   }
@@ -177,20 +105,16 @@
     setMaxListeners(0, signal);
     await this._callers.listen();
     await this._readiness.listen();
-    await this._membership.listen();
+    await this._peers.membership.listen();
     await this.metrics.listen(this._settings.metrics.host, this._settings.metrics.port);
     const tasks = [
       this._configurationWatch.run(signal),
       this._endpointWatch.run(signal),
-      this._directory.run(signal),
-      this._membership.run(signal),
-      this._exchange.run(signal),
-      this._loads.run(signal),
-      this._relay.run(signal),
+      ...this._peers.start(signal),
       this._seat.run(signal),
       this._layers.run(signal),
       this._poll.run(signal),
-      this._monitor.run(signal),
+      this._forwarders.monitor.run(signal),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._noteTask(error));
     this._log.info("instance-started", { ...this._settings.instance });
@@ -216,7 +140,7 @@
     const startedAtMs = utils.monotonicMs();
     this._isDraining = true;
     this._callers.drain();
-    this._membership.leave();
+    this._peers.membership.leave();
     this._log.info("drain-began", { inHand: this._callers.inHand });
     const endMs = this._settings.callers.stopGraceS * utils.msPerSecond - stopReserveMs;
     await utils.sleep(Math.min(balancerNoticeMs, endMs));
@@ -229,10 +153,56 @@
     this._callers.close();
     this._readiness.close();
     this.metrics.close();
-    this._membership.close();
+    this._peers.membership.close();
     this._httpCaller.close();
   }
 
+  private _createPeers(registry: PeerRegistry): GatewayPeers {
+    return new GatewayPeers({
+      settings: this._settings,
+      registry,
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      configurationWatch: this._configurationWatch,
+      endpointWatch: this._endpointWatch,
+      log: this._log,
+      onSize: (size) => this._budgets.setInstances(size),
+    });
+  }
+
+  private _createLayers(orders: EngineOrders): LayerKeeper {
+    return new LayerKeeper({
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      orders,
+      log: this._log,
+      mayOrder: () => this._seat.isHeld(),
+    });
+  }
+
+  private _createCallers(codec: MessageCodec): CallerListener {
+    return new CallerListener({
+      ...this._settings.callers.listen,
+      keeper: this.keeper,
+      codec,
+      log: this._log,
+      areKeysFresh: () => this._areKeysFresh(),
+      forward: (request) => this._forward(request),
+    });
+  }
+
+  private _createPoll(orders: EngineOrders): EnginePoll {
+    return new EnginePoll({
+      keeper: this.keeper,
+      endpoints: this.endpoints,
+      orders,
+      log: this._log,
+      availabilityZone: this._settings.instance.availabilityZone,
+      mayAsk: () => this._peers.loads.isCollector,
+      tell: (endpointId, slowness) => this._peers.exchange.tellSlowness(endpointId, slowness),
+    });
+  }
+
   private _createContext(codec: MessageCodec): ForwardContext {
     return {
       keeper: this.keeper,
@@ -249,22 +219,16 @@
   private _suspect(endpointId: string, reason: string): void {
     const endpoint = this.endpoints.get(endpointId);
     if (!this.endpoints.suspect(endpointId)) return;
-    this._exchange.tellSuspicion(endpointId);
+    this._peers.exchange.tellSuspicion(endpointId);
     this.metrics.suspicions.inc({ cause: reason.split(" ")[0] ?? "" });
     this._log.warn("endpoint-suspected", { endpointId, address: endpoint?.listed.address, reason });
   }
 
   private async _forward(request: CallerRequest): Promise<void> {
-    const { route } = request;
-    const service = pickTarget(route.targets, Math.random());
-    this._budgets.recordRequest(service);
-    const forwarder = route.kind === "streaming" ? this._streams : this._plain;
-    await forwarder.run(request, service);
-    this.metrics.requests.inc({ kind: route.kind, outcome: request.outcome });
-    this.metrics.duration.observe(
-      { kind: route.kind },
-      (utils.monotonicMs() - request.arrivedAtMs) / utils.msPerSecond,
-    );
+    await this._forwarders.forward(request);
+    const { kind } = request.route;
+    this.metrics.requests.inc({ kind, outcome: request.outcome });
+    this.metrics.duration.observe({ kind }, (utils.monotonicMs() - request.arrivedAtMs) / utils.msPerSecond);
   }
 
   private _areKeysFresh(): boolean {
@@ -284,15 +248,15 @@
 
   private _addGauges(): void {
     this.metrics.addGauge("requests_in_hand", "Requests without a final answer", () => this._callers.inHand);
-    this.metrics.addGauge("requests_waiting", "Requests that wait for room", () => this._admission.waiting);
-    this.metrics.addGauge("streams", "Streams at chains", () => this._monitor.size);
+    this.metrics.addGauge("requests_waiting", "Requests that wait for room", () => this._forwarders.waiting);
+    this.metrics.addGauge("streams", "Streams at chains", () => this._forwarders.monitor.size);
     this.metrics.addGauge("configuration_version", "Version in force", () => this.keeper.version);
     this.metrics.addGauge(
       "configuration_proof_age_seconds",
       "Age of the proof that nothing newer exists",
       () => Math.min(this.keeper.getProofAgeMs() / utils.msPerSecond, Number.MAX_SAFE_INTEGER),
     );
-    this.metrics.addGauge("peers", "Peers linked", () => this._membership.getLinked().length);
+    this.metrics.addGauge("peers", "Peers linked", () => this._peers.membership.getLinked().length);
     this.metrics.addGauge("endpoints", "Endpoints listed", () => this.endpoints.getAll().length);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -0,0 +1,106 @@
+/** The peers' side of an instance: its links to the others, and all that goes over them. */
+import { Membership } from "@shedtiller/membership";
+import { Timeline } from "@shedtiller/timeline";
+import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import type { ConfigurationWatch } from "../configuration/ConfigurationWatch.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { EndpointWatch } from "../discovery/EndpointWatch.js";
+import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import type { GatewaySettings } from "../gatewaySettings.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import { LoadExchange } from "./LoadExchange.js";
+import { PeerDirectory } from "./PeerDirectory.js";
+import { PeerExchange } from "./PeerExchange.js";
+import { peerTopics } from "./peerMessages.js";
+import type { PeerRegistry } from "./PeerRegistry.js";
+import { StoreRelay } from "./StoreRelay.js";
+
+/** What the peers' side is made of. */
+export interface GatewayPeersStructure {
+  readonly settings: Pick<GatewaySettings, "instance" | "peers">;
+  readonly registry: PeerRegistry;
+  readonly keeper: ConfigurationKeeper;
+  readonly endpoints: EndpointTable;
+  readonly configurationWatch: ConfigurationWatch;
+  readonly endpointWatch: EndpointWatch;
+  readonly log: DecisionLog;
+  /** Told the number of instances known, this one included. */
+  readonly onSize: (size: number) => void;
+}
+
+/** Wires the parts that talk to peers. */
+export class GatewayPeers {
+  readonly membership: Membership;
+  readonly exchange: PeerExchange;
+  readonly loads: LoadExchange;
+  readonly relay: StoreRelay;
+  private readonly _directory: PeerDirectory;
+
+  constructor(private readonly _structure: GatewayPeersStructure) {
+    const { endpoints, log } = _structure;
+    this.membership = this._createMembership();
+    this._directory = this._createDirectory();
+    this.exchange = this._createExchange();
+    this.loads = new LoadExchange({ membership: this.membership, endpoints, log });
+    this.relay = this._createRelay();
+  }
+
+  /** Starts all tasks, which end once `signal` aborts. */
+  start(signal: AbortSignal): Promise<void>[] {
+    return [
+      this._directory.run(signal),
+      this.membership.run(signal),
+      this.exchange.run(signal),
+      this.loads.run(signal),
+      this.relay.run(signal),
+    ];
+  }
+
+  private _createMembership(): Membership {
+    const { instance, peers } = this._structure.settings;
+    return new Membership({
+      self: instance,
+      secret: peers.secret,
+      timeline: new Timeline(instance.name),
+      host: peers.host,
+      port: peers.port,
+    });
+  }
+
+  private _createDirectory(): PeerDirectory {
+    const { settings, registry, log, onSize } = this._structure;
+    const { instance, peers } = settings;
+    return new PeerDirectory({
+      self: { ...instance, address: `${peers.host}:${peers.port}` },
+      membership: this.membership,
+      registry,
+      log,
+      onSize,
+    });
+  }
+
+  private _createExchange(): PeerExchange {
+    const { keeper, endpoints, configurationWatch, endpointWatch, log } = this._structure;
+    return new PeerExchange({
+      membership: this.membership,
+      keeper,
+      endpoints,
+      log,
+      getListAgeMs: () => endpointWatch.follower.getProofAgeMs(),
+      getConfigurationBehindMs: () => configurationWatch.follower.getBehindMs(),
+      getListOffset: () => endpointWatch.follower.nextOffset,
+      takeList: (list, nextOffset, provenAtMs) => endpointWatch.takeList(list, nextOffset, provenAtMs),
+      getInstances: () => this._directory.getInstances(),
+      takeInstances: (instances) => this._directory.take(instances),
+    });
+  }
+
+  /** A configuration may be large, and is read from the store by each instance; of the list the changes are told. */
+  private _createRelay(): StoreRelay {
+    const { configurationWatch, endpointWatch, log } = this._structure;
+    const relay = new StoreRelay({ membership: this.membership, log });
+    relay.add(peerTopics.configurationRead, configurationWatch.follower, undefined);
+    relay.add(peerTopics.endpointsRead, endpointWatch.follower, listedEndpointSchema);
+    return relay;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -0,0 +1,42 @@
+/** The forwarders of an instance, and what they share: retry budgets, admission to chains, the watch on streams. */
+import { ChainAdmission } from "../chains/ChainAdmission.js";
+import { ChainChooser } from "../chains/ChainChooser.js";
+import type { EngineOrders } from "../orders/EngineOrders.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import { PlainForwarder } from "./PlainForwarder.js";
+import { pickTarget, type ForwardContext } from "./RequestForwarder.js";
+import { StallMonitor } from "./StallMonitor.js";
+import { StreamForwarder } from "./StreamForwarder.js";
+
+/** One set an instance. */
+export class ForwarderSet {
+  readonly monitor: StallMonitor;
+  private readonly _admission: ChainAdmission;
+  private readonly _plain: PlainForwarder;
+  private readonly _streams: StreamForwarder;
+
+  constructor(
+    private readonly _context: ForwardContext,
+    orders: EngineOrders,
+  ) {
+    const chooser = new ChainChooser();
+    this._admission = new ChainAdmission(_context.keeper, _context.endpoints, chooser);
+    this.monitor = new StallMonitor(_context, chooser, orders);
+    this._plain = new PlainForwarder(_context);
+    this._streams = new StreamForwarder(_context, this._admission, this.monitor);
+  }
+
+  /** Requests that wait for room. */
+  get waiting(): number {
+    return this._admission.waiting;
+  }
+
+  /** Forwards a request to a service of its route, and answers it. */
+  async forward(request: CallerRequest): Promise<void> {
+    const { route } = request;
+    const service = pickTarget(route.targets, Math.random());
+    this._context.budgets.recordRequest(service);
+    const forwarder = route.kind === "streaming" ? this._streams : this._plain;
+    await forwarder.run(request, service);
+  }
+}
