--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -4,9 +4,10 @@
  */
 import { utils } from "@shedtiller/common";
 import type { Membership, PeerIdentity } from "@shedtiller/membership";
-import type { EndpointLoad } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { addUp, subtract, toLoads, toMessage, type Loads } from "./endpointLoads.js";
+import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import { loadSchema, peerTopics, zoneLoadSchema } from "./peerMessages.js";
 import { ZoneDuty } from "./ZoneDuty.js";
 
@@ -29,10 +30,7 @@
   readonly nowMs?: () => number;
 }
 
-type Loads = ReadonlyMap<string, EndpointLoad>;
-/** Requests and token-layers by endpoint, as they go over the wire. */
-type LoadMessage = Record<string, [number, number]>;
-
+/** An instance or a zone that told its load. */
 interface Source {
   readonly loads: Loads;
   readonly heardAtMs: number;
@@ -110,12 +108,15 @@
   }
 
   private _tellSums(): void {
-    const own = this._getOwn();
-    const zoneLoad = addUp([own, ...[...this._members.values()].map((source) => source.loads)]);
-    const all = addUp([zoneLoad, ...[...this._otherZones.values()].map((source) => source.loads)]);
+    const zoneLoad = addUp([this._getOwn(), ...getLoads(this._members)]);
+    const all = addUp([zoneLoad, ...getLoads(this._otherZones)]);
     for (const [name, source] of this._members) {
       this._notify(name, peerTopics.collectedLoad, toMessage(subtract(all, source.loads)));
     }
+    this._tellOtherZones(zoneLoad);
+  }
+
+  private _tellOtherZones(zoneLoad: Loads): void {
     const { membership } = this._structure;
     const { availabilityZone } = membership.self;
     const body = { availabilityZone, load: toMessage(zoneLoad) };
@@ -124,13 +125,13 @@
 
   private _takeMemberLoad(body: unknown, from: PeerIdentity): void {
     const load = loadSchema.safeParse(body);
-    if (!load.success) return this._noteBad(peerTopics.load, from);
+    if (!load.success) return notePeerMessageInvalid(this._structure.log, peerTopics.load, from);
     this._take(this._members, from.name, toLoads(load.data));
   }
 
   private _takeCollected(body: unknown, from: PeerIdentity): void {
     const load = loadSchema.safeParse(body);
-    if (!load.success) return this._noteBad(peerTopics.collectedLoad, from);
+    if (!load.success) return notePeerMessageInvalid(this._structure.log, peerTopics.collectedLoad, from);
     if (from.name !== this._duty.holder) return;
     this._duty.noteSign();
     this._structure.endpoints.setPeerLoads(collectedSource, toLoads(load.data));
@@ -139,7 +140,7 @@
   /** Another zone's load comes to the instances that its collector is linked to; they pass it on to their own. */
   private _takeZoneLoad(body: unknown, from: PeerIdentity): void {
     const told = zoneLoadSchema.safeParse(body);
-    if (!told.success) return this._noteBad(peerTopics.zoneLoad, from);
+    if (!told.success) return notePeerMessageInvalid(this._structure.log, peerTopics.zoneLoad, from);
     const { availabilityZone, load } = told.data;
     if (availabilityZone === this._structure.membership.self.availabilityZone) return;
     if (this.isCollector) this._take(this._otherZones, availabilityZone, toLoads(load));
@@ -160,48 +161,8 @@
   private _notify(name: string, topic: string, body: unknown): void {
     this._structure.membership.notifyAll(topic, body, (member) => member.name === name);
   }
-
-  private _noteBad(topic: string, from: PeerIdentity): void {
-    this._structure.log.warn("peer-message-invalid", { topic, peer: from.name });
-  }
-}
-
-function addUp(parts: readonly Loads[]): Loads {
-  const sum = new Map<string, EndpointLoad>();
-  for (const part of parts) {
-    for (const [id, load] of part) {
-      const known = sum.get(id);
-      sum.set(id, known === undefined ? load : add(known, load, 1));
-    }
-  }
-  return sum;
-}
-
-function subtract(all: Loads, part: Loads): Loads {
-  const rest = new Map(all);
-  for (const [id, load] of part) {
-    const known = all.get(id);
-    if (known !== undefined) rest.set(id, add(known, load, -1));
-  }
-  return rest;
-}
-
-function add(first: EndpointLoad, second: EndpointLoad, sign: 1 | -1): EndpointLoad {
-  return {
-    requests: first.requests + sign * second.requests,
-    tokenLayers: first.tokenLayers + sign * second.tokenLayers,
-  };
-}
-
-function toMessage(loads: Loads): LoadMessage {
-  const message: LoadMessage = {};
-  for (const [id, { requests, tokenLayers }] of loads) {
-    if (requests > 0) message[id] = [requests, Math.round(tokenLayers)];
-  }
-  return message;
 }
 
-function toLoads(message: LoadMessage): Loads {
-  const entries = Object.entries(message);
-  return new Map(entries.map(([id, [requests, tokenLayers]]) => [id, { requests, tokenLayers }]));
+function getLoads(sources: ReadonlyMap<string, Source>): Loads[] {
+  return [...sources.values()].map((source) => source.loads);
 }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -6,6 +6,7 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
   configurationAnswerSchema,
   endpointsAnswerSchema,
@@ -107,8 +108,8 @@
 
   private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
     const notice = versionSchema.safeParse(body);
-    if (!notice.success) return this._noteBad(peerTopics.newVersion, from);
-    const { keeper } = this._structure;
+    const { keeper, log } = this._structure;
+    if (!notice.success) return notePeerMessageInvalid(log, peerTopics.newVersion, from);
     if (notice.data.version <= keeper.version || this._isAsking) return;
     this._isAsking = true;
     await utils.sleep(readFirstMs);
@@ -184,10 +185,6 @@
     const answer = reply.ok ? schema.safeParse(reply.val) : undefined;
     return answer?.success === true ? answer.data : undefined;
   }
-
-  private _noteBad(topic: string, from: PeerIdentity): void {
-    this._structure.log.warn("peer-message-invalid", { topic, peer: from.name });
-  }
 }
 
 /** An age without a proof is infinite, which JSON does not have. */
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -3,13 +3,15 @@
  * store grow with the zones and not with the instances. An instance that is not told reads by itself.
  */
 import { utils } from "@shedtiller/common";
-import type { Membership, PeerIdentity } from "@shedtiller/membership";
+import type { Membership } from "@shedtiller/membership";
 import * as zod from "zod";
 import type { FeedFollower } from "../discovery/FeedFollower.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import { ZoneDuty } from "./ZoneDuty.js";
 
 const dutyName = "store-reader";
+/** The duty is looked after this often: well within the bound below. */
 const tickMs = 200;
 /**
  * A reader without a proof for this long does not reach the store: an instance that is told nothing newer reads by itself, and
@@ -54,28 +56,8 @@
    * @param valueSchema - Form of the values that are told; undefined where only the fact of a change is told, since values are large.
    */
   add<T>(topic: string, follower: FeedFollower<T>, valueSchema: zod.ZodType<T> | undefined): void {
-    const told = zod.object({
-      fromOffset: zod.number(),
-      nextOffset: zod.number(),
-      proofAgeMs: zod.number(),
-      changes: zod
-        .array(zod.object({ key: zod.string(), value: (valueSchema ?? zod.never()).optional() }))
-        .optional(),
-    });
-    follower.onRead((page, fromOffset) => {
-      if (!this.isReader) return;
-      const changes = valueSchema === undefined ? undefined : page.changes;
-      const proofAgeMs = follower.getProofAgeMs();
-      this._tell(topic, { fromOffset, nextOffset: page.nextOffset, changes, proofAgeMs });
-    });
-    this._structure.membership.onNotice(topic, (body, from) => {
-      const page = told.safeParse(body);
-      if (!page.success) return this._noteBad(topic, from);
-      const { proofAgeMs, fromOffset, nextOffset } = page.data;
-      const changes = page.data.changes?.map(({ key, value }) => ({ key, value: value as T | undefined }));
-      follower.takeTold({ fromOffset, nextOffset, changes }, this._nowMs() - proofAgeMs);
-      if (from.name === this._duty.holder && proofAgeMs < staleMs) this._duty.noteSign();
-    });
+    this._tellReads(topic, follower, valueSchema !== undefined);
+    this._takeReads(topic, follower, valueSchema);
     this._feeds.push({
       getProofAgeMs: () => follower.getProofAgeMs(),
       setReader: (isReader) => follower.setReader(isReader),
@@ -103,13 +85,46 @@
     for (const feed of this._feeds) feed.setReader(this.isReader || ageMs > staleMs);
   }
 
+  private _tellReads<T>(topic: string, follower: FeedFollower<T>, areChangesTold: boolean): void {
+    follower.onRead((page, fromOffset) => {
+      if (!this.isReader) return;
+      const changes = areChangesTold ? page.changes : undefined;
+      const proofAgeMs = follower.getProofAgeMs();
+      this._tell(topic, { fromOffset, nextOffset: page.nextOffset, changes, proofAgeMs });
+    });
+  }
+
+  private _takeReads<T>(
+    topic: string,
+    follower: FeedFollower<T>,
+    valueSchema: zod.ZodType<T> | undefined,
+  ): void {
+    const { membership, log } = this._structure;
+    const toldSchema = createToldSchema(valueSchema);
+    membership.onNotice(topic, (body, from) => {
+      const page = toldSchema.safeParse(body);
+      if (!page.success) return notePeerMessageInvalid(log, topic, from);
+      const { proofAgeMs, fromOffset, nextOffset } = page.data;
+      const changes = page.data.changes?.map(({ key, value }) => ({ key, value: value as T | undefined }));
+      follower.takeTold({ fromOffset, nextOffset, changes }, this._nowMs() - proofAgeMs);
+      if (from.name === this._duty.holder && proofAgeMs < staleMs) this._duty.noteSign();
+    });
+  }
+
   private _tell(topic: string, body: object): void {
     const { membership } = this._structure;
     const { availabilityZone } = membership.self;
     membership.notifyAll(topic, body, (member) => member.availabilityZone === availabilityZone);
   }
+}
 
-  private _noteBad(topic: string, from: PeerIdentity): void {
-    this._structure.log.warn("peer-message-invalid", { topic, peer: from.name });
-  }
+/** The form of a read that is told; without a schema of values only the fact of a change. */
+function createToldSchema<T>(valueSchema: zod.ZodType<T> | undefined) {
+  const change = zod.object({ key: zod.string(), value: (valueSchema ?? zod.never()).optional() });
+  return zod.object({
+    fromOffset: zod.number(),
+    nextOffset: zod.number(),
+    proofAgeMs: zod.number(),
+    changes: zod.array(change).optional(),
+  });
 }
--- a/packages/gateway/src/peers/ZoneDuty.ts
+++ b/packages/gateway/src/peers/ZoneDuty.ts
@@ -52,16 +52,22 @@
 
   /** Passes over a holder that was silent for too long, and picks anew; tells whether the holder changed. */
   update(): boolean {
-    const { membership, name, log } = this._structure;
+    const { name, log } = this._structure;
     const nowMs = this._nowMs();
     if (nowMs - this._signAtMs > longestSilenceMs) this._passedOver.set(this._holder, nowMs + passOverMs);
-    const all = membership.getDutyCandidates();
-    const candidates = all.filter((candidate) => nowMs >= (this._passedOver.get(candidate) ?? 0));
-    const picked = utils.pickOwner(name, candidates) ?? utils.pickOwner(name, all) ?? membership.self.name;
+    const picked = this._pick(nowMs);
     if (picked === this._holder) return false;
     log.info("zone-duty-changed", { duty: name, before: this._holder, holder: picked });
     this._holder = picked;
     this._signAtMs = nowMs;
     return true;
   }
+
+  /** Where all are passed over, each of them counts again. */
+  private _pick(nowMs: number): string {
+    const { membership, name } = this._structure;
+    const all = membership.getDutyCandidates();
+    const candidates = all.filter((candidate) => nowMs >= (this._passedOver.get(candidate) ?? 0));
+    return utils.pickOwner(name, candidates) ?? utils.pickOwner(name, all) ?? membership.self.name;
+  }
 }
