--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -11,6 +11,8 @@
 const gatherIntervalMs = 200;
 /** Failed reads of a follower that was not asked to read double their pause up to this. */
 const longestRetryMs = 2_000;
+/** The pause doubles this often at most, so that the power stays a small number. */
+const mostRetryDoublings = 8;
 
 /** What a follower reports to. */
 export interface FeedListener<T> {
@@ -114,27 +116,39 @@
     this._listener.onSnapshot(values, provenAtMs);
   }
 
+  /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     signal.addEventListener("abort", () => this._woken.resolve(), { once: true });
     while (!signal.aborted) {
-      if (this._offset !== undefined && !this._isReader && this._behindSinceMs === undefined) {
-        await this._woken.promise;
-        this._woken = new utils.Deferred();
-        continue;
-      }
-      const before = this._offset;
-      const error = await this._read();
-      if (error !== undefined) this._noteFailed(error);
-      else this._failures = 0;
-      await utils.sleep(this._getPauseMs(error, before), signal).catch(() => undefined);
+      if (this._isIdle()) await this._waitUntilWoken();
+      else await this._readAndPause(signal);
     }
   }
 
+  /** Whether peers tell all that there is to know: it does not read for others, and has nothing to catch up with. */
+  private _isIdle(): boolean {
+    return this._offset !== undefined && !this._isReader && this._behindSinceMs === undefined;
+  }
+
+  private async _waitUntilWoken(): Promise<void> {
+    await this._woken.promise;
+    this._woken = new utils.Deferred();
+  }
+
+  private async _readAndPause(signal: AbortSignal): Promise<void> {
+    const before = this._offset;
+    const error = await this._read();
+    if (error !== undefined) this._noteFailed(error);
+    else this._failures = 0;
+    await utils.sleep(this._getPauseMs(error, before), signal).catch(() => undefined);
+  }
+
   private _getPauseMs(error: StoreError | undefined, offsetBefore: number | undefined): number {
     if (error !== undefined) return this._getRetryMs();
     return this._offset === offsetBefore ? 0 : (this._options.gatherMs ?? gatherIntervalMs);
   }
 
+  /** Reads once. What is told while the read is under way needs another one. */
   private async _read(): Promise<StoreError | undefined> {
     const toldBefore = this._timesTold;
     const error =
@@ -176,6 +190,7 @@
     this._listener.onChanges(changes, this._provenAtMs);
   }
 
+  /** Something newer exists than what was told; it is read from the store at once. */
   private _catchUp(): void {
     this._timesTold += 1;
     this._behindSinceMs ??= this._nowMs();
@@ -205,6 +220,6 @@
   private _getRetryMs(): number {
     const { retryMs } = this._options;
     if (this._isReader) return retryMs;
-    return Math.min(longestRetryMs, retryMs * 2 ** Math.min(this._failures - 1, 8));
+    return Math.min(longestRetryMs, retryMs * 2 ** Math.min(this._failures - 1, mostRetryDoublings));
   }
 }
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -53,10 +53,12 @@
     for (const { budget } of this._budgets.values()) budget.setReserve(this._getPart() * reserveShare);
   }
 
+  /** Notes a request to a service: it gives room for its share of a retry. */
   recordRequest(service: string): void {
     this._get(service).recordRequest();
   }
 
+  /** Takes a retry for a service; tells whether there was room for it. */
   tryTake(service: string): boolean {
     return this._get(service).tryTake();
   }
@@ -76,12 +78,19 @@
   private _get(service: string): RetryBudget {
     const nowMs = this._nowMs();
     const known = this._budgets.get(service);
-    if (known !== undefined) {
-      const windows = (nowMs - known.refilledAtMs) / this._options.windowMs;
-      known.budget.refill(windows * this._getPart() * refillShare);
-      known.refilledAtMs = nowMs;
-      return known.budget;
-    }
+    if (known === undefined) return this._create(service, nowMs);
+    this._refill(known, nowMs);
+    return known.budget;
+  }
+
+  /** Gives back what came with the time since the last refill. */
+  private _refill(known: ServiceBudget, nowMs: number): void {
+    const windows = (nowMs - known.refilledAtMs) / this._options.windowMs;
+    known.budget.refill(windows * this._getPart() * refillShare);
+    known.refilledAtMs = nowMs;
+  }
+
+  private _create(service: string, nowMs: number): RetryBudget {
     const budget = new RetryBudget(
       this._options.ratio * ratioShare,
       this._getPart() * reserveShare,
