--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -6,8 +6,10 @@
 import * as ws from "ws";
 import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
+import type { Member } from "./Member.js";
 import { acceptPeer, dialPeer } from "./peerHandshake.js";
 import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
+import { pickContacts } from "./pickContacts.js";
 import { TrafficCounter } from "./TrafficCounter.js";
 
 const heartbeatTopic = "heartbeat";
@@ -21,7 +23,6 @@
 const dialTickMs = 200;
 /** How long the peer whose part it is may take to dial before we do. */
 const dialGraceMs = 1_000;
-const contactsPerZone = 3;
 
 const forwardSchema = zod.object({
   to: zod.string(),
@@ -31,20 +32,6 @@
 });
 const forwardReplySchema = zod.object({ isDelivered: zod.boolean(), body: zod.unknown() });
 
-/** What is known of another instance. */
-export interface Member {
-  readonly name: string;
-  readonly availabilityZone: string;
-  readonly address: string;
-  isLeaving: boolean;
-  /** Wall time since when there is no link; undefined while there is one. */
-  lostSinceMs: number | undefined;
-  /** Monotonic milliseconds since when there is no link. */
-  unlinkedSinceMs: number;
-  /** The fields of its last heartbeat. */
-  heartbeat: Record<string, unknown>;
-}
-
 /** Answers a request of a peer. */
 export type RequestHandler = (body: unknown, from: PeerIdentity) => Promise<unknown> | unknown;
 /** Takes a notice of a peer. */
@@ -187,10 +174,7 @@
 
   /** Whether no other zone is reached, though others are listed; with the time since when. */
   getCutOffSinceMs(): number | undefined {
-    const others = this.getMembers().filter(
-      (member) => member.availabilityZone !== this.self.availabilityZone,
-    );
-    const wanted = others.filter((member) => this._isContact(member));
+    const wanted = this._getOtherZones().filter((member) => this._isContact(member));
     if (wanted.length === 0 || wanted.some((member) => member.lostSinceMs === undefined)) return undefined;
     return Math.max(...wanted.map((member) => member.lostSinceMs ?? 0));
   }
@@ -248,25 +232,12 @@
 
   /** Whether it is one of the few of another zone that this instance keeps links to. */
   private _isContact(member: Member): boolean {
-    this._contacts ??= this._pickContacts();
+    this._contacts ??= pickContacts(this.self.name, this._getOtherZones());
     return this._contacts.has(member.name);
   }
 
-  /** The contacts of all other zones, spread by rendezvous hashing. */
-  private _pickContacts(): Set<string> {
-    const others = this.getMembers().filter(
-      (member) => member.availabilityZone !== this.self.availabilityZone,
-    );
-    const contacts = new Set<string>();
-    for (const members of utils.groupBy(others, (member) => member.availabilityZone).values()) {
-      const weights = members.map(({ name }) => ({
-        name,
-        weight: utils.hash32(`${this.self.name}\u0000${name}`),
-      }));
-      weights.sort((a, b) => b.weight - a.weight);
-      for (const { name } of weights.slice(0, contactsPerZone)) contacts.add(name);
-    }
-    return contacts;
+  private _getOtherZones(): Member[] {
+    return this.getMembers().filter((member) => member.availabilityZone !== this.self.availabilityZone);
   }
 
   private async _dial(member: Member): Promise<void> {
