--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -59,8 +59,8 @@
 
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
-    membership.onNotice(peerTopics.suspect, (body) => this._takeSuspicion(body));
-    membership.onNotice(peerTopics.slowness, (body) => this._takeSlowness(body));
+    membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
+    membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
     membership.onNotice(peerTopics.newVersion, (body, from) => void this._takeNewVersion(body, from));
     membership.onRequest(peerTopics.configuration, (body) => this._answerConfiguration(body));
     membership.onRequest(peerTopics.endpoints, () => this._answerEndpoints());
@@ -95,15 +95,19 @@
     this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
-  private _takeSuspicion(body: unknown): void {
+  private _takeSuspicion(body: unknown, from: PeerIdentity): void {
     const suspicion = suspectSchema.safeParse(body);
-    if (suspicion.success) this._structure.endpoints.suspect(suspicion.data.endpointId);
+    const { endpoints, log } = this._structure;
+    if (!suspicion.success) return notePeerMessageInvalid(log, peerTopics.suspect, from);
+    endpoints.suspect(suspicion.data.endpointId);
   }
 
-  private _takeSlowness(body: unknown): void {
+  private _takeSlowness(body: unknown, from: PeerIdentity): void {
     const told = slownessSchema.safeParse(body);
-    const endpoint = told.success ? this._structure.endpoints.get(told.data.endpointId) : undefined;
-    if (told.success && endpoint !== undefined) endpoint.slowness = told.data.slowness;
+    const { endpoints, log } = this._structure;
+    if (!told.success) return notePeerMessageInvalid(log, peerTopics.slowness, from);
+    const endpoint = endpoints.get(told.data.endpointId);
+    if (endpoint !== undefined) endpoint.slowness = told.data.slowness;
   }
 
   private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
@@ -112,9 +116,12 @@
     if (!notice.success) return notePeerMessageInvalid(log, peerTopics.newVersion, from);
     if (notice.data.version <= keeper.version || this._isAsking) return;
     this._isAsking = true;
-    await utils.sleep(readFirstMs);
-    if (notice.data.version > keeper.version) await this._askConfiguration(from.name);
-    this._isAsking = false;
+    try {
+      await utils.sleep(readFirstMs);
+      if (notice.data.version > keeper.version) await this._askConfiguration(from.name);
+    } finally {
+      this._isAsking = false;
+    }
   }
 
   private async _greet(peer: PeerIdentity): Promise<void> {
