fix(common): the hash is ready as soon as its module is

Cause: the bundle ran timers before the hash in WebAssembly, awaited at a module's top level, was there; at each start the first ticks of the load exchange and the store relay failed with TypeError (reading 'h32'). Ruled out: an order of start in the gateway; any module that awaits at its top level may be late in a bundle.

--- a/packages/common/src/utils/hashing.ts
+++ b/packages/common/src/utils/hashing.ts
@@ -1,11 +1,9 @@
 /** Hashing that is alike on every instance, and rendezvous hashing over it (Thaler and Ravishankar, 1998). */
-import createXxhash from "xxhash-wasm";
+import * as crypto from "node:crypto";
 
-const hasher = await createXxhash();
-
-/** 32-bit hash of a text (xxHash). */
+/** 32-bit hash of a text: the first bytes of its SHA-256. Ready as soon as the module is, unlike hashes in WebAssembly. */
 export function hash32(text: string): number {
-  return hasher.h32(text);
+  return crypto.createHash("sha256").update(text).digest().readUInt32BE(0);
 }
 
 /** Picks the one of `candidates` that owns `key`. Every instance with the same candidates picks the same one. */
