feat(placement): layers of a zone are balanced, gaps are closed on evidence

Cause: every zone of the new customer holds one copy. A lost engine's neighbours grew over the gap by themselves and stayed so: a v100 with 8 layers has room for 7 streams, an l4 with 10 for 55, where the zone's memory holds over 200. Change: a search (single steps, hill climbing) over spans of a zone: gaps first, then room at the scarcest layer against what first engines may begin, and speed. Repairs grow only; a zone that is whole changes over in two steps, each layer loaded elsewhere before it is given up; an engine that answers no question counts as lost before its entry lapses. Seen next: engines that give layers up are busy for seconds, and a sole holder under suspicion breaks its zone.

--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -1,14 +1,17 @@
 /** Sees to it that each zone holds whole copies of its models: orders layers to engines that hold none. */
 import { utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
-import { toCopyEngine, toCopyModel } from "../chains/engineModel.js";
+import { getWantedTokens, toCopyEngine, toCopyModel } from "../chains/engineModel.js";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EngineProfile, Service } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import type { EngineOrders } from "./EngineOrders.js";
+import type { EngineOrders, EngineReport } from "./EngineOrders.js";
+import { LostEngines } from "./LostEngines.js";
+import { getExpectedSpan, noLayers, type ZoneEngine, type ZoneOrder } from "./planZoneOrders.js";
+import { ZonePlanner } from "./ZonePlanner.js";
 
 const tickMs = 200;
 /** A zone without any copy is planned once its list has been still for longer than a heartbeat interval. */
@@ -18,8 +21,6 @@
 const reportTimeoutMs = 500;
 /** An order whose layers do not show is looked into after the load time and this much more. */
 const overdueMs = 4_000;
-/** A crashed engine is listed again about this long after its old entry went; its layers are left to it. */
-const returnWaitMs = 1_000;
 /** After an order that failed the engine is looked at again this much later. */
 const retryMs = 1_000;
 
@@ -42,16 +43,16 @@
 export class LayerKeeper {
   private readonly _pending = new Map<string, Pending>();
   private readonly _retryAtMs = new Map<string, number>();
+  private readonly _planners = new Map<string, ZonePlanner>();
   private readonly _addedAtMs = new Map<string, number>();
-  private readonly _goneAtMs = new Map<string, number>();
+
+  private readonly _lost: LostEngines;
 
   constructor(private readonly _structure: LayerKeeperStructure) {
+    this._lost = new LostEngines(_structure.orders, _structure.log);
     _structure.endpoints.onChanged((endpoint, event) => {
       if (event === "added") this._addedAtMs.set(getPool(endpoint), utils.monotonicMs());
-      if (event === "gone") {
-        this._goneAtMs.set(getPool(endpoint), utils.monotonicMs());
-        this._forget(endpoint.id);
-      }
+      if (event === "gone") this._forget(endpoint.id);
       if (event === "layers" && this._isShown(endpoint)) this._pending.delete(endpoint.id);
     });
   }
@@ -79,46 +80,35 @@
     const zones = utils.groupBy(endpoints, (endpoint) => endpoint.listed.availabilityZone);
     for (const [zone, members] of zones) {
       if (!this._structure.mayOrder(zone)) continue;
-      const planned = this._plan(members, profile);
-      await Promise.all(planned.map((span) => this._order(span, profile)));
+      const orders = await this._plan(this._lost.sift(members), profile);
+      await Promise.all(orders.map((order) => this._order(order, profile)));
     }
   }
 
-  /** Spans for the zone's empty engines; nothing while the list still moves. */
-  private _plan(members: readonly Endpoint[], profile: EngineProfile): placement.PlannedSpan[] {
+  /** Orders that bring a zone nearer to a balance; nothing while the list still moves. */
+  private async _plan(members: readonly Endpoint[], profile: EngineProfile): Promise<ZoneOrder[]> {
     const nowMs = utils.monotonicMs();
-    const empty = members.filter((member) => this._isEmpty(member, nowMs));
-    const held = this._getHeld(members, profile);
-    const [sample] = empty;
-    if (sample === undefined) return this._planGrowth(members, held, profile, nowMs);
-    const stillMs = nowMs - (this._addedAtMs.get(getPool(sample)) ?? 0);
-    const model = toCopyModel(profile);
-    const engines = empty.map((member) => toCopyEngine(member, profile));
-    if (held.length === 0) {
-      return stillMs < settledForPlanMs ? [] : placement.planLayerCopies(engines, model);
-    }
-    return stillMs < settledForRepairMs ? [] : placement.planRepair(engines, held, model);
-  }
-
-  /** A zone without empty engines closes a gap by growing the neighbours, once no lost engine seems to come back. */
-  private _planGrowth(
-    members: readonly Endpoint[],
-    held: readonly placement.HeldSpan[],
-    profile: EngineProfile,
-    nowMs: number,
-  ): placement.PlannedSpan[] {
     const [sample] = members;
     if (sample === undefined) return [];
-    if (nowMs - (this._goneAtMs.get(getPool(sample)) ?? 0) < returnWaitMs) return [];
-    const planned = placement.planGrowth(held, toCopyModel(profile));
-    return planned.filter((span) => nowMs >= (this._retryAtMs.get(span.name) ?? 0));
+    const pool = getPool(sample);
+    const engines = members.map((member) => this._toZoneEngine(member, profile, nowMs));
+    const isUnused = engines.every((engine) => getExpectedSpan(engine) === noLayers);
+    const stillMs = nowMs - (this._addedAtMs.get(pool) ?? 0);
+    if (stillMs < (isUnused ? settledForPlanMs : settledForRepairMs)) return [];
+    const planner = this._planners.get(pool) ?? new ZonePlanner();
+    this._planners.set(pool, planner);
+    return planner.plan(engines, toCopyModel(profile), getWantedTokens(members, profile));
   }
 
-  private _isEmpty(member: Endpoint, nowMs: number): boolean {
-    if (member.listed.layers.length > 0) return false;
+  private _toZoneEngine(member: Endpoint, profile: EngineProfile, nowMs: number): ZoneEngine {
     const pending = this._pending.get(member.id);
-    if (pending !== undefined && nowMs < pending.dueAtMs) return false;
-    return nowMs >= (this._retryAtMs.get(member.id) ?? 0);
+    const isPending = pending !== undefined && nowMs < pending.dueAtMs;
+    return {
+      engine: toCopyEngine(member, profile),
+      listed: member.listed.layers[0],
+      ordered: isPending ? pending.span : undefined,
+      isFree: !isPending && nowMs >= (this._retryAtMs.get(member.id) ?? 0),
+    };
   }
 
   private _isShown(endpoint: Endpoint): boolean {
@@ -127,35 +117,26 @@
     return span === undefined || (layers?.start === span.start && layers.end === span.end);
   }
 
-  private _getHeld(members: readonly Endpoint[], profile: EngineProfile): placement.HeldSpan[] {
-    return members.flatMap((member) => {
-      const engine = toCopyEngine(member, profile);
-      const pending = this._pending.get(member.id);
-      const spans = pending === undefined ? member.listed.layers : [pending.span];
-      return spans.map((span) => ({ engine, start: span.start, end: span.end }));
-    });
-  }
-
   /** Orders one engine, after a look at what it has been ordered already. */
-  private async _order(span: placement.PlannedSpan, profile: EngineProfile): Promise<void> {
-    const endpoint = this._structure.endpoints.get(span.name);
+  private async _order(order: ZoneOrder, profile: EngineProfile): Promise<void> {
+    const { name, span } = order;
+    const endpoint = this._structure.endpoints.get(name);
     if (endpoint === undefined) return;
-    const nowMs = utils.monotonicMs();
-    this._retryAtMs.set(span.name, nowMs + retryMs);
+    this._retryAtMs.set(name, utils.monotonicMs() + retryMs);
     const target = { id: endpoint.id, address: endpoint.listed.address };
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
     if (report.err) return this._note(endpoint, span, report.val.code);
-    const isAsListed = report.val.layers.length === endpoint.listed.layers.length;
-    if (report.val.isBusy || !isAsListed) return;
+    const hindrance = getHindrance(order, report.val, endpoint, profile);
+    if (hindrance !== undefined) return this._note(endpoint, span, hindrance);
     if (!this._structure.mayOrder(endpoint.listed.availabilityZone)) return;
     const placed = await this._structure.orders.placeLayers(target, span, report.val.orderCount);
     this._note(endpoint, span, placed.ok ? "accepted" : placed.val.code);
     if (placed.err) return;
     const loadMs = (profile.loadMs * (span.end - span.start)) / profile.layerCount;
-    this._pending.set(span.name, { span, dueAtMs: utils.monotonicMs() + loadMs + overdueMs });
+    this._pending.set(name, { span, dueAtMs: utils.monotonicMs() + loadMs + overdueMs });
   }
 
-  private _note(endpoint: Endpoint, span: placement.PlannedSpan, outcome: string): void {
+  private _note(endpoint: Endpoint, span: LayerSpan, outcome: string): void {
     this._structure.log.info("layers-ordered", {
       endpointId: endpoint.id,
       address: endpoint.listed.address,
@@ -168,9 +149,27 @@
   private _forget(id: string): void {
     this._pending.delete(id);
     this._retryAtMs.delete(id);
+    this._lost.forget(id);
   }
 }
 
+/** Why an engine can't be given an order now; undefined where it can. */
+function getHindrance(
+  order: ZoneOrder,
+  report: EngineReport,
+  endpoint: Endpoint,
+  profile: EngineProfile,
+): string | undefined {
+  if (report.isBusy) return "busy";
+  // What it holds besides, or no longer, shows in the list soon.
+  if (JSON.stringify(report.layers) !== JSON.stringify(endpoint.listed.layers)) return "not as listed";
+  if (order.isUrgent) return undefined;
+  const layers = order.span.end - order.span.start;
+  const engine = toCopyEngine(endpoint, profile);
+  const roomTokenLayers = placement.getTokensBeside(engine, layers, toCopyModel(profile)) * layers;
+  return report.usedTokenLayers < roomTokenLayers ? undefined : "in use";
+}
+
 function getPool(endpoint: Endpoint): string {
   return `${endpoint.listed.service}\u0000${endpoint.listed.availabilityZone}`;
 }
--- /dev/null
+++ b/packages/placement/src/BalanceSearch.ts
@@ -0,0 +1,126 @@
+/**
+ * Balances the layers of one availability zone: fills gaps, gives empty engines work, and shifts boundaries between
+ * neighbours until no single step helps any more (hill climbing). Works on any number of copies.
+ */
+import { getSteps, type BalanceStep } from "./balanceSteps.js";
+import { LayerRoom, type BalancedSpan } from "./LayerRoom.js";
+import { getTokensBeside, type CopyModel } from "./planLayerCopies.js";
+
+/** Steps of one search at most; what is left is found by the next one. */
+const mostSteps = 400;
+/** A step has to lower the cost by more than this; less is rounding. */
+const leastGain = 1e-6;
+
+/** What a search aims at, and what it may do. */
+export interface BalanceOptions {
+  /** Tokens that should fit at each layer at once. */
+  readonly wantedTokens: number;
+  /** Whether engines only take on layers and give none up. */
+  readonly isGrowthOnly?: boolean;
+  /** Tokens that have to fit beside the layers that an engine holds now and those that it gets, while it changes over. */
+  readonly leastTokensBeside?: number;
+}
+
+/** A search for a better balance. Its steps are taken one by one, so that a caller can let other work in between. */
+export class BalanceSearch {
+  readonly costBefore: number;
+  private readonly _spans: BalancedSpan[];
+  private readonly _room: LayerRoom;
+  private _steps = 0;
+
+  constructor(
+    private readonly _held: readonly BalancedSpan[],
+    private readonly _model: CopyModel,
+    private readonly _options: BalanceOptions,
+  ) {
+    this._spans = [..._held];
+    this._room = new LayerRoom(_held, _model, _options.wantedTokens);
+    this.costBefore = this.cost;
+  }
+
+  /** The spans as they are now, in the order in which they were given. */
+  get spans(): readonly BalancedSpan[] {
+    return this._spans;
+  }
+
+  get cost(): number {
+    return this._room.getCost(0, this._model.layerCount);
+  }
+
+  /** Whether every layer has room for a request. */
+  get isWhole(): boolean {
+    return this._room.isWhole();
+  }
+
+  /** Takes the step that helps most; tells whether there was one. */
+  improve(): boolean {
+    if (this._steps >= mostSteps) return false;
+    const step = this._findBestStep();
+    if (step === undefined) return false;
+    this._steps += 1;
+    this._replace(this._getBefore(step), getAfter(step));
+    for (const { index, span } of step) this._spans[index] = span;
+    return true;
+  }
+
+  private _findBestStep(): BalanceStep | undefined {
+    let best: BalanceStep | undefined;
+    let bestGain = leastGain;
+    for (const step of getSteps(this._spans, this._model)) {
+      if (!step.every(({ index, span }) => this._isAllowed(index, span))) continue;
+      const gain = this._getGain(step);
+      if (gain <= bestGain) continue;
+      best = step;
+      bestGain = gain;
+    }
+    return best;
+  }
+
+  private _isAllowed(index: number, span: BalancedSpan): boolean {
+    const held = this._held[index];
+    if (held === undefined || held.end <= held.start) return true;
+    const start = Math.min(held.start, span.start);
+    const end = Math.max(held.end, span.end);
+    if (this._options.isGrowthOnly === true && (start < span.start || end > span.end)) return false;
+    const isGrowing = start < held.start || end > held.end;
+    const leastTokens = this._options.leastTokensBeside ?? 0;
+    return !isGrowing || getTokensBeside(span.engine, end - start, this._model) >= leastTokens;
+  }
+
+  private _getGain(step: BalanceStep): number {
+    const before = this._getBefore(step);
+    const after = getAfter(step);
+    const touched = [...before, ...after].filter((span) => span.end > span.start);
+    const start = Math.min(...touched.map((span) => span.start));
+    const end = Math.max(...touched.map((span) => span.end));
+    const costBefore = this._room.getCost(start, end);
+    this._replace(before, after);
+    const costAfter = this._room.getCost(start, end);
+    this._replace(after, before);
+    return costBefore - costAfter;
+  }
+
+  private _getBefore(step: BalanceStep): BalancedSpan[] {
+    return step.flatMap(({ index }) => this._spans[index] ?? []);
+  }
+
+  private _replace(before: readonly BalancedSpan[], after: readonly BalancedSpan[]): void {
+    for (const span of before) this._room.remove(span);
+    for (const span of after) this._room.add(span);
+  }
+}
+
+/** Plans the balance of `held` in one go. */
+export function planBalance(
+  held: readonly BalancedSpan[],
+  model: CopyModel,
+  options: BalanceOptions,
+): readonly BalancedSpan[] {
+  const search = new BalanceSearch(held, model, options);
+  while (search.improve());
+  return search.spans;
+}
+
+function getAfter(step: BalanceStep): BalancedSpan[] {
+  return step.map(({ span }) => span);
+}
