feat(gateway): repairs only close gaps, and a zone that serves is rearranged when calm and for a large gain

Ruled out: the load time (0.2 s a layer) and the store's list (shown within 0.5 s). Change: a repair stops as soon as the zone is whole and grows layer by layer over the neighbours; empty engines get work without moving others; the rest waits for 2 s of calm and a gain of 15 in 100.

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -10,18 +10,29 @@
 } from "./planZoneOrders.js";
 
 /**
- * A zone that is whole is rearranged only if that lowers the cost of its arrangement to this share or less: a shift of one
- * boundary loads layers at two engines or more.
+ * A zone that serves is rearranged only if that lowers the cost of its arrangement to this share or less. Engines that give
+ * layers up take no other order until what passes there has ended, which takes as long as the longest stream.
  */
-const worthwhileCostShare = 0.97;
+const worthwhileCostShare = 0.85;
+/** An engine that holds nothing gets work if that lowers the cost to this share or less; nothing waits for it. */
+const worthwhileFillShare = 0.99;
+/** A zone is rearranged once its engines have stood as they are for this long; a loss is often followed by a return. */
+const calmMs = 2_000;
 /** While engines of a zone that serves change over, this share of the wanted tokens has to fit at each of them. */
 const changeOverRoomShare = 0.5;
 /** A search for a better arrangement lets other work in after this long. */
 const searchSliceMs = 4;
 
-/** Plans for one zone; remembers what led to no order. */
+type Spans = readonly placement.BalancedSpan[];
+
+/** Plans for one zone; remembers what led to no order, and since when its engines stand as they are. */
 export class ZonePlanner {
   private _settledState = "";
+  private _lastSpans = "";
+  private _calmSinceMs = 0;
+
+  /** @param _nowMs - Monotonic clock, replaced in tests. */
+  constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
 
   /** Gives the orders that are due now. */
   async plan(
@@ -29,45 +40,68 @@
     model: placement.CopyModel,
     wantedTokens: number,
   ): Promise<ZoneOrder[]> {
-    const state = JSON.stringify(engines);
+    const isCalm = this._noteSpans(engines);
+    const state = JSON.stringify([engines, isCalm]);
     if (state === this._settledState) return [];
-    const target = await this._findTarget(engines, model, wantedTokens);
+    const target = await this._findTarget(engines, model, wantedTokens, isCalm);
     const orders = target === undefined ? [] : planZoneOrders(engines, target, model);
     if (orders.length === 0) this._settledState = state;
     return orders;
   }
 
+  /** Tells whether the engines have held the same for long enough. */
+  private _noteSpans(engines: readonly ZoneEngine[]): boolean {
+    const nowMs = this._nowMs();
+    const spans = JSON.stringify(engines.map((engine) => [engine.engine.name, getExpectedSpan(engine)]));
+    if (spans !== this._lastSpans) this._calmSinceMs = nowMs;
+    this._lastSpans = spans;
+    return nowMs - this._calmSinceMs >= calmMs;
+  }
+
   /** The spans that the engines should hold; undefined where they are left as they are. */
   private async _findTarget(
     engines: readonly ZoneEngine[],
     model: placement.CopyModel,
     wantedTokens: number,
-  ): Promise<readonly placement.BalancedSpan[] | undefined> {
+    isCalm: boolean,
+  ): Promise<Spans | undefined> {
     const held = engines.map(toBalanced);
-    if (held.every((span) => span.end === span.start)) {
-      const first = getFirstPlan(engines, model);
-      return (await search(first, model, { wantedTokens })).spans;
-    }
-    const isWholeSoon = new placement.BalanceSearch(held, model, { wantedTokens }).isWhole;
-    if (!isWholeSoon) return this._repair(held, model, wantedTokens);
-    const isSettled = isZoneWhole(engines, model) && engines.every((engine) => engine.ordered === undefined);
-    if (!isSettled) return undefined;
+    if (held.every(isEmpty))
+      return (await search(getFirstPlan(engines, model), model, { wantedTokens })).spans;
+    const now = new placement.BalanceSearch(held, model, { wantedTokens });
+    if (!now.isWhole) return repair(held, model, wantedTokens);
+    if (!isZoneWhole(engines, model)) return undefined;
+    const filled = held.some(isEmpty) ? await fill(held, model, wantedTokens) : undefined;
+    if (filled !== undefined) return filled;
+    const isSettled = engines.every((engine) => engine.ordered === undefined);
+    if (!isCalm || !isSettled) return undefined;
     const leastTokensBeside = wantedTokens * changeOverRoomShare;
     const better = await search(held, model, { wantedTokens, leastTokensBeside });
-    return better.cost < better.costBefore * worthwhileCostShare ? better.spans : undefined;
+    return better.cost <= better.costBefore * worthwhileCostShare ? better.spans : undefined;
   }
+}
 
-  /** Closes gaps by growth alone, which waits for nothing that passes; a zone that can't be made whole so starts anew. */
-  private async _repair(
-    held: readonly placement.BalancedSpan[],
-    model: placement.CopyModel,
-    wantedTokens: number,
-  ): Promise<readonly placement.BalancedSpan[]> {
-    const leastTokensBeside = placement.getMinTokensBeside(model);
-    const grown = await search(held, model, { wantedTokens, isGrowthOnly: true, leastTokensBeside });
-    if (grown.isWhole) return grown.spans;
-    return (await search(held, model, { wantedTokens })).spans;
-  }
+/** Closes gaps by growth alone, which waits for nothing that passes; a zone that can't be made whole so starts anew. */
+async function repair(held: Spans, model: placement.CopyModel, wantedTokens: number): Promise<Spans> {
+  const leastTokensBeside = placement.getMinTokensBeside(model);
+  const options = { wantedTokens, leastTokensBeside, isGrowthOnly: true, longestShift: 1 };
+  const grown = await search(held, model, options, (running) => running.isWhole);
+  if (grown.isWhole) return grown.spans;
+  return (await search(held, model, { wantedTokens })).spans;
+}
+
+/** Gives engines that hold nothing work, and leaves the others as they are. */
+async function fill(
+  held: Spans,
+  model: placement.CopyModel,
+  wantedTokens: number,
+): Promise<Spans | undefined> {
+  const filled = await search(held, model, { wantedTokens, isFillOnly: true });
+  return filled.cost <= filled.costBefore * worthwhileFillShare ? filled.spans : undefined;
+}
+
+function isEmpty(span: placement.BalancedSpan): boolean {
+  return span.end === span.start;
 }
 
 /** Whole copies for a zone whose engines hold nothing. */
@@ -85,15 +119,16 @@
   return { engine: member.engine, start, end };
 }
 
-/** Runs a search to its end, in slices. */
+/** Runs a search, in slices, until nothing helps any more or `isEnough` says so. */
 async function search(
   held: readonly placement.BalancedSpan[],
   model: placement.CopyModel,
   options: placement.BalanceOptions,
+  isEnough: (running: placement.BalanceSearch) => boolean = () => false,
 ): Promise<placement.BalanceSearch> {
   const running = new placement.BalanceSearch(held, model, options);
   let sliceEndMs = utils.monotonicMs() + searchSliceMs;
-  while (running.improve()) {
+  while (!isEnough(running) && running.improve()) {
     if (utils.monotonicMs() < sliceEndMs) continue;
     await utils.yieldToEvents();
     sliceEndMs = utils.monotonicMs() + searchSliceMs;
--- /dev/null
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -0,0 +1,73 @@
+/** When a zone gets orders: at once for gaps and empty engines, and for a better balance only when it is calm. */
+import test from "ava";
+import type * as placement from "@shedtiller/placement";
+import type { LayerSpan } from "../../discovery/ListedEndpoint.js";
+import type { ZoneEngine, ZoneOrder } from "../../orders/planZoneOrders.js";
+import { ZonePlanner } from "../../orders/ZonePlanner.js";
+
+/** Eight layers of 10 MB; a request of 10 tokens takes 1 MB a layer. */
+const model: placement.CopyModel = {
+  layerCount: 8,
+  layerMb: 10,
+  kvMbPerTokenLayer: 0.1,
+  tokensPerRequest: 10,
+  answerTokens: 2,
+  stepMs: 1,
+  stepMsPerRequest: 0.01,
+  hopMs: 0.25,
+};
+const wantedTokens = 200;
+
+function createMember(name: string, start: number, end: number, memoryMb = 200): ZoneEngine {
+  const listed: LayerSpan | undefined = end > start ? { start, end } : undefined;
+  return { engine: { name, memoryMb, stepFactor: 1 }, listed, ordered: undefined, isFree: true };
+}
+
+function describe(orders: readonly ZoneOrder[]): string {
+  return orders.map(({ name, span: { start, end } }) => `${name}=${start}-${end}`).join(",");
+}
+
+function setUp() {
+  const clock = { nowMs: 10_000 };
+  const planner = new ZonePlanner(() => clock.nowMs);
+  const plan = async (members: readonly ZoneEngine[]): Promise<string> =>
+    describe(await planner.plan(members, model, wantedTokens));
+  return { clock, plan };
+}
+
+test("a zone whose engines hold nothing gets whole copies", async (t) => {
+  const { plan } = setUp();
+  const ordered = await plan([createMember("a", 0, 0), createMember("b", 0, 0)]);
+  t.is(ordered.split(",").length, 2);
+});
+
+test("a gap is closed at once, by its neighbours, and by no more than it takes", async (t) => {
+  const { plan } = setUp();
+  const members = [createMember("a", 0, 2), createMember("c", 4, 6), createMember("d", 6, 8)];
+  t.is(await plan(members), "a=0-3,c=3-6");
+});
+
+test("a gap that nobody can grow over starts the zone anew", async (t) => {
+  const { plan } = setUp();
+  // Neither has room for more beside what it holds, but the other one could hold both parts of it.
+  const members = [createMember("a", 0, 4, 42), createMember("b", 0, 4, 120)];
+  t.regex(await plan(members), /[ab]=\d-\d/);
+});
+
+test("an empty engine gets work at once, and nobody else is disturbed", async (t) => {
+  const { plan } = setUp();
+  const members = [createMember("a", 0, 4, 100), createMember("b", 4, 8, 100), createMember("c", 0, 0)];
+  t.regex(await plan(members), /^c=\d-\d$/);
+});
+
+test("a zone that is whole is balanced only once it has been calm, and for a large gain", async (t) => {
+  const { clock, plan } = setUp();
+  const uneven = [createMember("a", 0, 7, 120), createMember("b", 7, 8, 120)];
+  t.is(await plan(uneven), "");
+  clock.nowMs += 3_000;
+  t.regex(await plan(uneven), /^b=\d-8$/);
+  const even = [createMember("a", 0, 4, 120), createMember("b", 4, 8, 120)];
+  t.is(await plan(even), "");
+  clock.nowMs += 3_000;
+  t.is(await plan(even), "");
+});
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -17,6 +17,10 @@
   readonly wantedTokens: number;
   /** Whether engines only take on layers and give none up. */
   readonly isGrowthOnly?: boolean;
+  /** Whether only engines that held nothing at first may change. */
+  readonly isFillOnly?: boolean;
+  /** Layers by which one step shifts a boundary at most. */
+  readonly longestShift?: number;
   /** Tokens that have to fit beside the layers that an engine holds now and those that it gets, while it changes over. */
   readonly leastTokensBeside?: number;
 }
@@ -66,7 +70,7 @@
   private _findBestStep(): BalanceStep | undefined {
     let best: BalanceStep | undefined;
     let bestGain = leastGain;
-    for (const step of getSteps(this._spans, this._model)) {
+    for (const step of getSteps(this._spans, this._model, this._options.longestShift)) {
       if (!step.every(({ index, span }) => this._isAllowed(index, span))) continue;
       const gain = this._getGain(step);
       if (gain <= bestGain) continue;
@@ -82,6 +86,7 @@
     const start = Math.min(held.start, span.start);
     const end = Math.max(held.end, span.end);
     if (this._options.isGrowthOnly === true && (start < span.start || end > span.end)) return false;
+    if (this._options.isFillOnly === true) return false;
     const isGrowing = start < held.start || end > held.end;
     const leastTokens = this._options.leastTokensBeside ?? 0;
     return !isGrowing || getTokensBeside(span.engine, end - start, this._model) >= leastTokens;
--- a/packages/placement/src/balanceSteps.ts
+++ b/packages/placement/src/balanceSteps.ts
@@ -2,19 +2,23 @@
 import type { BalancedSpan } from "./LayerRoom.js";
 import type { CopyEngine, CopyModel } from "./planLayerCopies.js";
 
-/** A boundary is shifted by at most this many layers in one step; many steps make a large shift. */
-const longestShift = 4;
+/** A boundary is shifted by at most this many layers in one step, where nothing else is said; many steps make a large shift. */
+const usualLongestShift = 4;
 
 /** Spans, by index, that one step replaces. */
 export type BalanceStep = readonly { readonly index: number; readonly span: BalancedSpan }[];
 
 /** All steps from here: an empty engine takes layers, an engine grows or shrinks, a boundary between neighbours shifts. */
-export function* getSteps(spans: readonly BalancedSpan[], model: CopyModel): Generator<BalanceStep> {
+export function* getSteps(
+  spans: readonly BalancedSpan[],
+  model: CopyModel,
+  longestShift = usualLongestShift,
+): Generator<BalanceStep> {
   const emptyKinds = new Set<string>();
   for (const [index, span] of spans.entries()) {
     if (span.end > span.start) {
-      yield* getResized(index, span, model);
-      yield* getShifted(index, spans, model);
+      yield* getResized(index, span, model, longestShift);
+      yield* getShifted(index, spans, model, longestShift);
       continue;
     }
     // Of empty engines that are alike one is enough.
@@ -33,7 +37,12 @@
   }
 }
 
-function* getResized(index: number, span: BalancedSpan, model: CopyModel): Generator<BalanceStep> {
+function* getResized(
+  index: number,
+  span: BalancedSpan,
+  model: CopyModel,
+  longestShift: number,
+): Generator<BalanceStep> {
   const { start, end } = span;
   for (let layers = 1; layers <= longestShift; layers++) {
     const resized = [
@@ -54,6 +63,7 @@
   index: number,
   spans: readonly BalancedSpan[],
   model: CopyModel,
+  longestShift: number,
 ): Generator<BalanceStep> {
   const chain = followChain(index, spans);
   for (let length = 2; length <= chain.length; length++) {
