feat(gateway): an engine that another one names is asked before it counts as suspect

Cause: engines refuse with the name of one that is short of room, or report that they wait for one that is slow; it was suspected by all instances for 3 s and more. Ruled out: that the engine was lost; it answered every question and order. Change: what an instance saw itself is told at once; what an engine says of another is checked with that one (150 ms), and told only if it stays silent. An engine counts as lost after two questions of 150 ms, begun with the suspicion.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -5,6 +5,7 @@
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
+import { EndpointSuspicions } from "./discovery/EndpointSuspicions.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
 import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
@@ -87,7 +88,7 @@
     const { relay, exchange } = this._peers;
     this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => relay.isReader });
     this._layers = this._createLayers(platform.orders);
-    this._forwarders = new ForwarderSet(this._createContext(platform.codec), platform.orders);
+    this._forwarders = new ForwarderSet(this._createContext(platform), platform.orders);
     this._callers = this._createCallers(platform.codec);
     const { host, port } = callers.readiness;
     this._readiness = new ReadinessListener(host, port, () => this._isReady());
@@ -203,7 +204,7 @@
     });
   }
 
-  private _createContext(codec: MessageCodec): ForwardContext {
+  private _createContext({ codec, orders }: GatewayPlatform): ForwardContext {
     return {
       keeper: this.keeper,
       endpoints: this.endpoints,
@@ -212,16 +213,18 @@
       budgets: this._budgets,
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
-      suspect: (endpointId, reason) => this._suspect(endpointId, reason),
+      suspicions: this._createSuspicions(orders),
     };
   }
 
-  private _suspect(endpointId: string, reason: string): void {
-    const endpoint = this.endpoints.get(endpointId);
-    if (!this.endpoints.suspect(endpointId)) return;
-    this._peers.exchange.tellSuspicion(endpointId);
-    this.metrics.suspicions.inc({ cause: reason.split(" ")[0] ?? "" });
-    this._log.warn("endpoint-suspected", { endpointId, address: endpoint?.listed.address, reason });
+  private _createSuspicions(orders: EngineOrders): EndpointSuspicions {
+    return new EndpointSuspicions({
+      endpoints: this.endpoints,
+      orders,
+      log: this._log,
+      tellPeers: (endpointId) => this._peers.exchange.tellSuspicion(endpointId),
+      count: (cause) => this.metrics.suspicions.inc({ cause }),
+    });
   }
 
   private async _forward(request: CallerRequest): Promise<void> {
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -99,6 +99,15 @@
     return true;
   }
 
+  /** Takes a suspicion back that turned out to be wrong. */
+  clear(id: string): void {
+    const endpoint = this._endpoints.get(id);
+    if (endpoint === undefined || !endpoint.isSuspect(this._nowMs())) return;
+    endpoint.suspectUntilMs = 0;
+    endpoint.suspicions -= 1;
+    this._notify(endpoint, "cleared");
+  }
+
   /** Takes a peer's load on all endpoints; those not named have none of it. */
   setPeerLoads(peer: string, loads: ReadonlyMap<string, EndpointLoad>): void {
     for (const endpoint of this._endpoints.values()) endpoint.setPeerLoad(peer, loads.get(endpoint.id));
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -53,6 +53,7 @@
     _structure.endpoints.onChanged((endpoint, event) => {
       if (event === "added") this._addedAtMs.set(getPool(endpoint), utils.monotonicMs());
       if (event === "gone") this._forget(endpoint.id);
+      if (event === "suspected" && this._isKept(endpoint)) void this._lost.check(endpoint);
       if (event === "layers" && this._isShown(endpoint)) this._pending.delete(endpoint.id);
     });
   }
@@ -68,6 +69,12 @@
     );
   }
 
+  /** Whether this instance orders the endpoint, as an engine of a zone. */
+  private _isKept(endpoint: Endpoint): boolean {
+    const { listed } = endpoint;
+    return listed.layers.length > 0 && this._structure.mayOrder(listed.availabilityZone);
+  }
+
   private async _tick(): Promise<void> {
     const services = this._structure.keeper.table?.configuration.services ?? [];
     for (const service of services) {
--- a/packages/gateway/src/orders/LostEngines.ts
+++ b/packages/gateway/src/orders/LostEngines.ts
@@ -8,8 +8,10 @@
 import type { EngineOrders } from "./EngineOrders.js";
 
 /** Engines answer questions for their report at once; links take a few milliseconds. */
-const reportTimeoutMs = 400;
+const reportTimeoutMs = 150;
 const askAgainMs = 100;
+/** An engine that is lost is asked this often whether it answers again. */
+const askLostMs = 500;
 /** One question may be lost on its way. */
 const failuresOfLost = 2;
 /** Where more of a zone than this share does not answer, the link to the zone is at fault and not its engines. */
@@ -18,6 +20,7 @@
 interface Probe {
   failures: number;
   isUnderWay: boolean;
+  /** Monotonic time of the next question. */
   nextAtMs: number;
 }
 
@@ -36,7 +39,7 @@
   sift(members: readonly Endpoint[]): Endpoint[] {
     const nowMs = this._nowMs();
     for (const member of members) {
-      if (member.isSuspect(nowMs) || this._probes.has(member.id)) void this._ask(member, nowMs);
+      if (member.isSuspect(nowMs) || this._probes.has(member.id)) void this.check(member);
     }
     const kept = members.filter((member) => !this._isLost(member.id));
     const isZoneReached = kept.length >= members.length * (1 - mostLostShare);
@@ -51,21 +54,30 @@
     return (this._probes.get(id)?.failures ?? 0) >= failuresOfLost;
   }
 
-  private async _ask(member: Endpoint, nowMs: number): Promise<void> {
-    const probe = this._probes.get(member.id) ?? { failures: 0, isUnderWay: false, nextAtMs: nowMs };
+  /** Asks an engine until it answers or counts as lost. */
+  async check(member: Endpoint): Promise<void> {
+    const probe = this._probes.get(member.id) ?? { failures: 0, isUnderWay: false, nextAtMs: 0 };
     this._probes.set(member.id, probe);
-    if (probe.isUnderWay || nowMs < probe.nextAtMs) return;
+    if (probe.isUnderWay || this._nowMs() < probe.nextAtMs) return;
     probe.isUnderWay = true;
+    while (!(await this._answers(member))) {
+      probe.failures += 1;
+      if (probe.failures === failuresOfLost) this._note(member, "engine-lost");
+      if (probe.failures >= failuresOfLost) break;
+      await utils.sleep(askAgainMs);
+    }
+    probe.isUnderWay = false;
+    probe.nextAtMs = this._nowMs() + askLostMs;
+  }
+
+  /** Asks an engine once; what was held against it is forgotten if it answers. */
+  private async _answers(member: Endpoint): Promise<boolean> {
     const target = { id: member.id, address: member.listed.address };
     const report = await this._orders.getReport(target, reportTimeoutMs);
-    probe.isUnderWay = false;
-    probe.nextAtMs = this._nowMs() + askAgainMs;
-    if (report.ok) {
-      if (this._isLost(member.id)) this._note(member, "engine-answers-again");
-      return this.forget(member.id);
-    }
-    probe.failures += 1;
-    if (probe.failures === failuresOfLost) this._note(member, "engine-lost");
+    if (report.err) return false;
+    if (this._isLost(member.id)) this._note(member, "engine-answers-again");
+    this.forget(member.id);
+    return true;
   }
 
   private _note(member: Endpoint, message: string): void {
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -79,7 +79,7 @@
     if (result.err) {
       if (!(result.val instanceof errors.NotReachedError)) return { kind: "unknown", error: result.val.code };
       request.attempts -= 1;
-      this.context.suspect(endpoint.id, result.val.code);
+      this.context.suspicions.noteSilent(endpoint.id, result.val.code);
       return { kind: "not-run", error: result.val.code };
     }
     const fields = this.context.codec.decodeAnswer(result.val.headers);
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
+import type { EndpointSuspicions } from "../discovery/EndpointSuspicions.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { HttpCall } from "../http/HttpCall.js";
 import type { HttpCaller } from "../http/HttpCaller.js";
@@ -19,8 +20,7 @@
   readonly budgets: RetryBudgets;
   readonly log: DecisionLog;
   readonly availabilityZone: string;
-  /** Notes evidence against an endpoint, here and at the peers. */
-  suspect(endpointId: string, reason: string): void;
+  readonly suspicions: Pick<EndpointSuspicions, "noteSilent" | "noteNamed">;
 }
 
 /** A connection that does not stand after this is given up: round trips are below 2 ms, a lost opening packet costs 1 s. */
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -95,7 +95,7 @@
     const target = { id: endpointId, address: endpoint.listed.address };
     const report = await this._orders.getReport(target, reportTimeoutMs);
     if (report.err) {
-      this._context.suspect(endpointId, `no report: ${report.val.code}`);
+      this._context.suspicions.noteSilent(endpointId, `no report: ${report.val.code}`);
       return this._abandon(endpointId);
     }
     endpoint.slowness = getSlowness(report.val);
@@ -187,7 +187,7 @@
 
   private _suspectAddress(address: string, reason: string): void {
     const endpoint = this._context.endpoints.getByAddress(address);
-    if (endpoint !== undefined) this._context.suspect(endpoint.id, reason);
+    if (endpoint !== undefined) void this._context.suspicions.noteNamed(endpoint.id, reason);
   }
 
   private _giveUp(attempt: StreamAttempt, cause: string): void {
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -117,7 +117,7 @@
     this._note(attempt, sent.val.code);
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
-    this.context.suspect(first.id, sent.val.code);
+    this.context.suspicions.noteSilent(first.id, sent.val.code);
     return "not-run";
   }
 
@@ -157,7 +157,7 @@
     const faulty = this.context.endpoints.getByAddress(address);
     const waitedMs = nowMs - attempt.lastSignAtMs;
     if (faulty !== undefined && waitedMs >= stalledRefusalMs)
-      this.context.suspect(faulty.id, `refusal ${answer.status}`);
+      void this.context.suspicions.noteNamed(faulty.id, `refusal ${answer.status}`);
     else if (faulty !== undefined) faulty.refusedUntilMs = nowMs + refusalBackoffMs;
     this._note(attempt, `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`);
     return "not-run";
--- /dev/null
+++ b/packages/gateway/src/tests/discovery/EndpointSuspicionsTests.ts
@@ -0,0 +1,53 @@
+/** What an instance saw itself is told to the peers; what an engine says of another one is checked first. */
+import test from "ava";
+import { EndpointSuspicions } from "../../discovery/EndpointSuspicions.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { createListed } from "../createParts.js";
+import { FakeEngines } from "../FakeEngines.js";
+import { SilentSink } from "../SilentSink.js";
+
+const nowMs = 10_000;
+
+function setUp() {
+  const endpoints = new EndpointTable(() => nowMs);
+  endpoints.setAll(new Map([["a", createListed("a", { layers: [{ start: 0, end: 4 }] })]]));
+  const orders = new FakeEngines();
+  const told: string[] = [];
+  const suspicions = new EndpointSuspicions({
+    endpoints,
+    orders,
+    log: new DecisionLog(new SilentSink(), () => 0),
+    tellPeers: (id) => told.push(id),
+    count: () => undefined,
+    nowMs: () => nowMs,
+  });
+  const isSuspect = (): boolean => endpoints.get("a")?.isSuspect(nowMs) === true;
+  return { endpoints, orders, told, suspicions, isSuspect };
+}
+
+test("an endpoint that did not answer is suspected here and at the peers", (t) => {
+  const { suspicions, told, isSuspect } = setUp();
+  suspicions.noteSilent("a", "not reached");
+  t.true(isSuspect());
+  t.deepEqual(told, ["a"]);
+});
+
+test("an engine that was named by another one and answers is left alone for a moment only", async (t) => {
+  const { suspicions, told, isSuspect, endpoints } = setUp();
+  const checked = suspicions.noteNamed("a", "stalled chain");
+  t.true(isSuspect(), "until it has answered");
+  await checked;
+  t.false(isSuspect());
+  t.is(endpoints.get("a")?.suspicions, 0);
+  t.true((endpoints.get("a")?.refusedUntilMs ?? 0) > nowMs);
+  t.deepEqual(told, []);
+});
+
+test("an engine that was named and does not answer is suspected by all", async (t) => {
+  const { suspicions, told, isSuspect, orders } = setUp();
+  orders.silent.add("a");
+  await suspicions.noteNamed("a", "stalled chain");
+  t.true(isSuspect());
+  t.deepEqual(told, ["a"]);
+});
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -121,7 +121,10 @@
       budgets,
       log,
       availabilityZone: "east",
-      suspect: (id: string) => void this.endpoints.suspect(id),
+      suspicions: {
+        noteSilent: (id: string) => void this.endpoints.suspect(id),
+        noteNamed: async (id: string) => void this.endpoints.suspect(id),
+      },
     };
     const chooser = new ChainChooser();
     const admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -12,43 +12,16 @@
 import { HttpCaller } from "../../http/HttpCaller.js";
 import type { ChainStage, MessageCodec } from "../../http/MessageCodec.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
-import {
-  EngineOrders,
-  OrderRefusedError,
-  type EngineReport,
-  type OrderError,
-} from "../../orders/EngineOrders.js";
+import { OrderRefusedError } from "../../orders/EngineOrders.js";
 import { CallerRequest } from "../../requests/CallerRequest.js";
 import { RetryBudgets } from "../../requests/RetryBudgets.js";
 import { StallMonitor } from "../../requests/StallMonitor.js";
 import { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamProgress } from "../../requests/StreamProgress.js";
 import { createConfiguration, createListed, createRoute, profile } from "../createParts.js";
+import { FakeEngines } from "../FakeEngines.js";
 import { SilentSink } from "../SilentSink.js";
 
-/** An engine "a" whose chain waits for the engine at `stalledAddress`. */
-class ScriptedOrders extends EngineOrders {
-  readonly chains: string[] = [];
-  changeAnswer: results.Result<void, OrderError> = results.Ok(undefined);
-
-  override getReport(): Promise<results.Result<EngineReport, OrderError>> {
-    const stalled = [{ requestId: "r1", address: "b:1" }];
-    const numbers = { running: 1, queued: 0, usedTokenLayers: 0, totalTokenLayers: 0, slowness: 1 };
-    return Promise.resolve(results.Ok({ orderCount: 1, isBusy: false, layers: [], stalled, ...numbers }));
-  }
-  override placeLayers(): Promise<results.Result<void, OrderError>> {
-    return Promise.resolve(results.Ok(undefined));
-  }
-  override changeChain(
-    _target: unknown,
-    _id: string,
-    chain: readonly ChainStage[],
-  ): Promise<results.Result<void, OrderError>> {
-    this.chains.push(chain.map((stage) => stage.endpointId).join(","));
-    return Promise.resolve(this.changeAnswer);
-  }
-}
-
 function createRequest(): CallerRequest {
   const response = new EventEmitter() as http.ServerResponse;
   const fields = { requestId: "r1", promptTokens: 2, maxAnswerTokens: 2 };
@@ -82,7 +55,9 @@
   const keeper = new ConfigurationKeeper();
   const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
   keeper.accept({ ...createConfiguration(1), services });
-  const orders = new ScriptedOrders();
+  const orders = new FakeEngines();
+  // The chain that begins at "a" waits for the engine "b".
+  orders.reports.set("a", { stalled: [{ requestId: "r1", address: "b:1" }] });
   const context = {
     keeper,
     endpoints,
@@ -91,12 +66,12 @@
     budgets: new RetryBudgets({ ratio: 1, slack: 10, windowMs: 10_000 }),
     log: new DecisionLog(new SilentSink(), () => 0),
     availabilityZone: "east",
-    suspect: (id: string) => void endpoints.suspect(id),
+    suspicions: {
+      noteSilent: (id: string) => void endpoints.suspect(id),
+      noteNamed: async (id: string) => void endpoints.suspect(id),
+    },
   };
-  const chooser = new ChainChooser(
-    () => clock.nowMs,
-    () => 0.5,
-  );
+  const chooser = new ChainChooser({ nowMs: () => clock.nowMs, random: () => 0.5 });
   const monitor = new StallMonitor(context, chooser, orders, () => clock.nowMs);
   const stage = (endpointId: string, start: number, end: number): ChainStage => ({
     endpointId,
