--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -41,7 +41,10 @@
     const kind = getKind(endpoint, profile);
     if (kind === undefined) return [];
     const tokens = demand.promptTokens + demand.answerTokens;
-    const capacity = getCapacityTokenLayers(endpoint, profile) * usableRoomShare;
+    const capacity = Math.min(
+      getCapacityTokenLayers(endpoint, profile) * usableRoomShare,
+      endpoint.getSeenFullTokenLayers(nowMs),
+    );
     const load = endpoint.getLoad();
     const fullness = capacity <= 0 ? 1 : load.tokenLayers / capacity;
     const state = { sequences: load.requests + 1, slowness: endpoint.slowness };
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -21,6 +21,7 @@
   refusedUntilMs = 0;
   /** Suspicions in a row without a heartbeat between them. */
   suspicions = 0;
+  private _seenFull: { readonly tokenLayers: number; readonly untilMs: number } | undefined;
   /** Factor by which it is slower than its kind, by its own report; 1 is nominal. */
   slowness = 1;
   private _own: EndpointLoad = noLoad;
@@ -61,6 +62,20 @@
     for (const peer of this._peerLoads.keys()) if (!peers.has(peer)) this._peerLoads.delete(peer);
   }
 
+  /**
+   * Notes that it refused for want of room at the load that it has now: its room is smaller than its layers tell, as while it
+   * changes them. It gets no more than that load until `untilMs`.
+   */
+  noteFull(untilMs: number): void {
+    this._seenFull = { tokenLayers: this.getLoad().tokenLayers, untilMs };
+  }
+
+  /** The load at which it refused of late; infinite where it did not. */
+  getSeenFullTokenLayers(nowMs: number): number {
+    const seen = this._seenFull;
+    return seen === undefined || nowMs >= seen.untilMs ? Number.POSITIVE_INFINITY : seen.tokenLayers;
+  }
+
   isSuspect(nowMs: number): boolean {
     return nowMs < this.suspectUntilMs;
   }
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -123,3 +123,20 @@
   });
   t.notThrows(() => fc.assert(property, { seed: 7, numRuns: 500 }));
 });
+
+test("an engine that refused gets no more than it had then, until something ends or the time is over", (t) => {
+  const clock = { nowMs: 1_000 };
+  const watching = new ChainChooser(() => clock.nowMs);
+  const engine = createEngine("a", 0, 4);
+  const choose = (): string | undefined => describe(watching.choose([engine], profile, demand));
+  engine.addOwn(2, 80);
+  t.is(choose(), "a=0-4");
+  engine.noteFull(clock.nowMs + 500);
+  t.is(choose(), undefined);
+  engine.addOwn(-1, -40);
+  t.is(choose(), "a=0-4", "as much as ended has room");
+  engine.addOwn(1, 40);
+  t.is(choose(), undefined);
+  clock.nowMs += 500;
+  t.is(choose(), "a=0-4");
+});
