feat(gateway): of those that wait, the ones that can be in time go first; who can't be served is refused at once

Change: among equals those go first that can still begin in time, by the first event's time as it was of late; who is put back so far that its patience no longer lasts until its turn is refused then, not at the end of its patience.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -1,4 +1,4 @@
-/** Gives requests chains with room; those that find none wait, the most urgent first. */
+/** Gives requests chains with room; those that find none wait, the most urgent first, and first those that can still be in time. */
 import { utils } from "@shedtiller/common";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
@@ -26,12 +26,17 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly patienceMs: number;
+  /** Monotonic time until which a chain still lets the answer be in time; infinite where it is late or begun already. */
+  readonly inTimeUntilMs: number;
   readonly signal: AbortSignal;
 }
 
 interface Waiter {
   readonly applicant: ChainApplicant;
   readonly done: utils.Deferred<ChainReservation | undefined>;
+  /** Monotonic time at which its patience ends. */
+  readonly giveUpAtMs: number;
+  readonly giveUp: () => void;
 }
 
 /** Queues by priority, then by arrival. */
@@ -55,11 +60,11 @@
 
   /** Reserves a chain, waiting for room; undefined once the patience is over or the caller has left. */
   async acquire(applicant: ChainApplicant): Promise<ChainReservation | undefined> {
-    const isNext = !this._waiters.some((waiter) => waiter.applicant.priority <= applicant.priority);
-    const reservation = isNext ? this._tryReserve(applicant) : undefined;
+    const ahead = this._countAhead(applicant);
+    const reservation = ahead === 0 ? this._tryReserve(applicant) : undefined;
     if (reservation !== undefined) return reservation;
     // A refusal at once lets the caller come back in time; one after a wait in vain does not.
-    if (this._getExpectedWaitMs(applicant) > applicant.patienceMs) return undefined;
+    if ((ahead + 1) * this._releaseIntervalMs > applicant.patienceMs) return undefined;
     return this._wait(applicant);
   }
 
@@ -78,48 +83,50 @@
     this._lookAgain();
   }
 
-  private _getExpectedWaitMs(applicant: ChainApplicant): number {
-    const ahead = this._waiters.filter((waiter) => waiter.applicant.priority <= applicant.priority).length;
-    return (ahead + 1) * this._releaseIntervalMs;
+  /** Those that wait and go before one that comes now. */
+  private _countAhead(applicant: ChainApplicant): number {
+    const nowMs = utils.monotonicMs();
+    return this._waiters.filter((waiter) => compareTurns(waiter.applicant, applicant, nowMs) <= 0).length;
   }
 
   /** Looks for room for those that wait, in their order, until too many have found none. */
   private _lookAgain(): void {
+    const nowMs = utils.monotonicMs();
+    const inOrder = [...this._waiters].sort((a, b) => compareTurns(a.applicant, b.applicant, nowMs));
     let misses = 0;
-    for (const waiter of [...this._waiters]) {
-      if (misses >= mostMisses) return;
-      const reservation = this._tryReserve(waiter.applicant);
-      if (reservation === undefined) {
-        misses += 1;
+    let ahead = 0;
+    for (const waiter of inOrder) {
+      const reservation = misses < mostMisses ? this._tryReserve(waiter.applicant) : undefined;
+      if (reservation !== undefined) {
+        this._remove(waiter);
+        waiter.done.resolve(reservation);
         continue;
       }
-      this._remove(waiter);
-      waiter.done.resolve(reservation);
+      misses += 1;
+      ahead += 1;
+      // Others came that go first, and what is left of the patience no longer lasts until its turn.
+      if (nowMs + ahead * this._releaseIntervalMs > waiter.giveUpAtMs) waiter.giveUp();
     }
   }
 
   private async _wait(applicant: ChainApplicant): Promise<ChainReservation | undefined> {
-    const waiter: Waiter = { applicant, done: new utils.Deferred() };
+    const done = new utils.Deferred<ChainReservation | undefined>();
     const giveUp = (): void => {
       this._remove(waiter);
-      waiter.done.resolve(undefined);
+      done.resolve(undefined);
     };
+    const giveUpAtMs = utils.monotonicMs() + applicant.patienceMs;
+    const waiter: Waiter = { applicant, done, giveUpAtMs, giveUp };
     const timer = setTimeout(giveUp, applicant.patienceMs);
     applicant.signal.addEventListener("abort", giveUp, { once: true });
-    this._insert(waiter);
+    this._waiters.push(waiter);
     this._lookAgainTimer ??= setInterval(() => this._lookAgain(), lookAgainMs);
-    const reservation = await waiter.done.promise;
+    const reservation = await done.promise;
     clearTimeout(timer);
     applicant.signal.removeEventListener("abort", giveUp);
     return reservation;
   }
 
-  private _insert(waiter: Waiter): void {
-    const at = this._waiters.findIndex((other) => other.applicant.priority > waiter.applicant.priority);
-    if (at < 0) this._waiters.push(waiter);
-    else this._waiters.splice(at, 0, waiter);
-  }
-
   private _remove(waiter: Waiter): void {
     const at = this._waiters.indexOf(waiter);
     if (at >= 0) this._waiters.splice(at, 1);
@@ -138,3 +145,12 @@
     return new ChainReservation(this._endpoints, stages, promptTokens + answerTokens);
   }
 }
+
+/**
+ * By priority; among equals those that can still be in time go first, and otherwise those that came first. Where more come than
+ * can be served, an order by arrival alone makes all of them late.
+ */
+function compareTurns(a: ChainApplicant, b: ChainApplicant, nowMs: number): number {
+  const isLate = (applicant: ChainApplicant): number => (nowMs > applicant.inTimeUntilMs ? 1 : 0);
+  return a.priority - b.priority || isLate(a) - isLate(b);
+}
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -14,10 +14,14 @@
 export class StreamAttempt {
   /** Monotonic time of the sending, or of the last event. */
   lastSignAtMs = utils.monotonicMs();
+  /** Monotonic time of the sending. */
+  sentAtMs = this.lastSignAtMs;
   /** Ends the run; the stream may go on elsewhere. */
   readonly abort = new AbortController();
-  /** Whether this run has given an event yet. */
-  hasEvents = false;
+  /** Whether it is being moved to another chain now. */
+  isMoving = false;
+  /** From the sending of this run to its first event. */
+  firstEventMs: number | undefined;
   private readonly _splitter = new EventSplitter();
 
   constructor(
@@ -33,6 +37,17 @@
     return this.reservation.stages[0];
   }
 
+  /** Whether this run has given an event yet. */
+  get hasEvents(): boolean {
+    return this.firstEventMs !== undefined;
+  }
+
+  /** Notes that the run is sent now. */
+  noteSent(): void {
+    this.sentAtMs = utils.monotonicMs();
+    this.lastSignAtMs = this.sentAtMs;
+  }
+
   /** Passes the events of an answer on until it ends. */
   relay(answer: HttpAnswer): Promise<StreamEnd> {
     const done = new utils.Deferred<StreamEnd>();
@@ -61,7 +76,7 @@
     this.lastSignAtMs = utils.monotonicMs();
     const whole = this._splitter.push(bytes);
     if (whole === undefined) return;
-    this.hasEvents = true;
+    this.firstEventMs ??= this.lastSignAtMs - this.sentAtMs;
     this.progress.noteEvents(whole.lastId, this.request.arrivedAtMs);
     if (this.request.write(whole.bytes)) return;
     answer.message.pause();
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -22,14 +22,22 @@
 const resumedPriority = -1;
 /** A refusal later than this came from a stalled chain: engines refuse for want of room at once. */
 const stalledRefusalMs = 1_000;
-/** Streams come free at some ten a second on an engine, so a full one has room again after about this. */
-const refusalBackoffMs = 250;
+/** An engine's room changes with its layers, which takes seconds; after this it is tried with its full room again. */
+const seenFullMs = 2_000;
+
+/** The time until the first event is smoothed over about this many runs. */
+const smoothedFirstEvents = 16;
+/** Before any stream has run: the prompt's time at a chain of medium accelerators. */
+const initialFirstEventMs = 100;
 
 /** What became of one attempt; `again` means that its first engine was gone before the sending. */
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
 
 /** Streams: each run holds room at its chain; a lost run goes on after the last event that the caller has. */
 export class StreamForwarder extends RequestForwarder {
+  /** From the sending to the first event, as it was of late. */
+  private _firstEventMs = initialFirstEventMs;
+
   constructor(
     context: ForwardContext,
     private readonly _admission: ChainAdmission,
@@ -43,7 +51,7 @@
     const timer = setTimeout(() => this._endLate(request), Math.max(0, request.getRemainingMs()));
     await this._tryUntilEnded(request, service, progress);
     clearTimeout(timer);
-    request.details = progress.describe();
+    request.details = progress.describe(request.route);
   }
 
   /** Runs the request at one chain after the other, until it is answered or may not be sent again. */
@@ -72,7 +80,9 @@
     service: string,
     progress: StreamProgress,
   ): Promise<AttemptEnd | undefined> {
+    const askedAtMs = utils.monotonicMs();
     const reservation = await this._acquire(request, service);
+    progress.queuedMs += utils.monotonicMs() - askedAtMs;
     if (reservation === undefined) return request.signal.aborted ? "caller-left" : undefined;
     const attempt = new StreamAttempt(request, service, reservation, progress);
     progress.chain = describeChain(reservation.stages);
@@ -93,16 +103,23 @@
       // A stream that has begun goes first: its caller already waits for the rest.
       priority: request.isHeadSent ? resumedPriority : request.priority,
       patienceMs: Math.max(0, Math.min(longestQueueMs, request.getRemainingMs())),
+      inTimeUntilMs: this._getInTimeUntilMs(request),
       signal: request.signal,
     });
   }
 
+  /** Until when a chain lets the first event come in time; a stream that has begun can't become late by waiting here. */
+  private _getInTimeUntilMs(request: CallerRequest): number {
+    if (request.isHeadSent) return Number.POSITIVE_INFINITY;
+    return request.arrivedAtMs + request.route.targetLatencyMs - this._firstEventMs;
+  }
+
   private async _send(attempt: StreamAttempt): Promise<AttemptEnd> {
     const { request, firstStage } = attempt;
     const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
     if (first === undefined) return "again";
     request.attempts += 1;
-    attempt.lastSignAtMs = utils.monotonicMs();
+    attempt.noteSent();
     const sent = await this.context.caller.send(
       this.createCall(request, first, {
         headTimeoutMs: Math.max(1, request.getRemainingMs()),
@@ -133,6 +150,7 @@
     if (answer.status !== successStatus) return this._passFailure(attempt, answer);
     if (!request.isHeadSent) request.startStream(answer.status, answer.headers);
     const end = await attempt.relay(answer);
+    this._noteFirstEvent(attempt);
     if (end === "caller-left") return "caller-left";
     if (end === "completed") {
       request.finish();
@@ -142,6 +160,11 @@
     return "lost";
   }
 
+  private _noteFirstEvent(attempt: StreamAttempt): void {
+    if (attempt.firstEventMs === undefined) return;
+    this._firstEventMs += (attempt.firstEventMs - this._firstEventMs) / smoothedFirstEvents;
+  }
+
   /**
    * An engine that refuses at once is short of memory or gives the layers up: this instance leaves it alone for a moment.
    * One that refuses after a long wait names an engine that does not answer.
@@ -152,13 +175,15 @@
     faultyAddress: string | undefined,
   ): AttemptEnd {
     answer.message.resume();
+    // What was refused is no load.
+    attempt.reservation.release();
     const nowMs = utils.monotonicMs();
     const address = faultyAddress ?? attempt.firstStage?.address ?? "";
     const faulty = this.context.endpoints.getByAddress(address);
     const waitedMs = nowMs - attempt.lastSignAtMs;
     if (faulty !== undefined && waitedMs >= stalledRefusalMs)
       void this.context.suspicions.noteNamed(faulty.id, `refusal ${answer.status}`);
-    else if (faulty !== undefined) faulty.refusedUntilMs = nowMs + refusalBackoffMs;
+    else faulty?.noteFull(nowMs + seenFullMs);
     this._note(attempt, `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`);
     return "not-run";
   }
--- a/packages/gateway/src/requests/StreamProgress.ts
+++ b/packages/gateway/src/requests/StreamProgress.ts
@@ -1,5 +1,6 @@
 /** How far the answer of a streamed request is, and how evenly it came. */
 import { utils } from "@shedtiller/common";
+import type { Route } from "../configuration/gatewayConfiguration.js";
 import type { LogFields } from "../logs/DecisionLog.js";
 
 /** Counts over all runs of the request. */
@@ -10,6 +11,10 @@
   firstEventMs: number | undefined;
   /** Longest time between two events that were passed on. */
   longestPauseMs = 0;
+  /** Time spent waiting for room, over all runs. */
+  queuedMs = 0;
+  /** How often it was moved to another chain. */
+  moves = 0;
   /** The chain of the last run. */
   chain: readonly string[] = [];
   private _lastEventAtMs: number | undefined;
@@ -19,8 +24,12 @@
   }
 
   /** The line that ends the request, as far as its stream goes. */
-  describe(): LogFields {
+  describe(route: Route): LogFields {
     return {
+      queuedMs: Math.round(this.queuedMs),
+      moves: this.moves,
+      isFirstEventLate: this.firstEventMs !== undefined && this.firstEventMs > route.targetLatencyMs,
+      isPauseLate: this.longestPauseMs > route.targetPauseMs,
       firstEventMs: this.firstEventMs === undefined ? undefined : Math.round(this.firstEventMs),
       longestPauseMs: Math.round(this.longestPauseMs),
       events: this.events,
--- /dev/null
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -0,0 +1,85 @@
+/** Who gets a chain first where there is room for one only, and who is refused at once. */
+import test from "ava";
+import { utils } from "@shedtiller/common";
+import { ChainAdmission, type ChainApplicant } from "../../chains/ChainAdmission.js";
+import { ChainChooser } from "../../chains/ChainChooser.js";
+import type { ChainReservation } from "../../chains/ChainReservation.js";
+import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { createConfiguration, createListed, profile } from "../createParts.js";
+
+const never = new AbortController().signal;
+const longMs = 60_000;
+
+/** One engine that holds one request of 50 tokens beside its layers, and no second one. */
+function setUp() {
+  const endpoints = new EndpointTable();
+  endpoints.setAll(new Map([["a", createListed("a", { layers: [{ start: 0, end: 4 }] })]]));
+  const keeper = new ConfigurationKeeper();
+  const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
+  keeper.accept({ ...createConfiguration(1), services });
+  const admission = new ChainAdmission(keeper, endpoints, new ChainChooser());
+  const served: string[] = [];
+  const acquire = async (name: string, changes: Partial<ChainApplicant> = {}) => {
+    const reservation = await admission.acquire({
+      service: "engines",
+      demand: { promptTokens: 40, answerTokens: 10, availabilityZone: "east" },
+      priority: 1,
+      patienceMs: longMs,
+      inTimeUntilMs: Number.POSITIVE_INFINITY,
+      signal: never,
+      ...changes,
+    });
+    served.push(reservation === undefined ? `${name} refused` : name);
+    return reservation;
+  };
+  const release = (reservation: ChainReservation | undefined): void => {
+    reservation?.release();
+    admission.noteReleased();
+  };
+  return { admission, served, acquire, release };
+}
+
+test("those that can still be in time go before those that are late already", async (t) => {
+  const { served, acquire, release } = setUp();
+  const first = await acquire("first");
+  const late = acquire("late", { inTimeUntilMs: utils.monotonicMs() - 1 });
+  const inTime = acquire("in time");
+  release(first);
+  release(await inTime);
+  release(await late);
+  t.deepEqual(served, ["first", "in time", "late"]);
+});
+
+test("the more urgent go first, late or not", async (t) => {
+  const { served, acquire, release } = setUp();
+  const first = await acquire("first");
+  const usual = acquire("usual");
+  const urgent = acquire("urgent", { priority: 0, inTimeUntilMs: utils.monotonicMs() - 1 });
+  release(first);
+  release(await urgent);
+  release(await usual);
+  t.deepEqual(served, ["first", "urgent", "usual"]);
+});
+
+test("a request whose turn can't come within its patience is refused at once", async (t) => {
+  const { served, acquire, release, admission } = setUp();
+  const first = await acquire("first");
+  await acquire("hurried", { patienceMs: 1 });
+  t.deepEqual(served, ["first", "hurried refused"]);
+  t.is(admission.waiting, 0);
+  release(first);
+});
+
+test("one that others are put before is refused as soon as its turn can't come any more", async (t) => {
+  const { served, acquire, release, admission } = setUp();
+  const first = await acquire("first");
+  const late = acquire("late", { inTimeUntilMs: utils.monotonicMs() - 1, patienceMs: 400 });
+  const others = Array.from({ length: 20 }, (_, index) => acquire(`other ${index}`));
+  t.is(admission.waiting, 21);
+  await late;
+  t.is(served[1], "late refused");
+  release(first);
+  for (const other of others) release(await other);
+  t.is(served.length, 22);
+});
