feat(gateway): streams are moved off engines that leave while those still serve

Change: streams whose chain passes an engine that leaves are moved inside their zone, some at each look, once another holds the layers.

--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -71,7 +71,10 @@
       noteNamed: async (id: string) => void endpoints.suspect(id),
     },
   };
-  const chooser = new ChainChooser({ nowMs: () => clock.nowMs, random: () => 0.5 });
+  const chooser = new ChainChooser(
+    () => clock.nowMs,
+    () => 0.5,
+  );
   const monitor = new StallMonitor(context, chooser, orders, () => clock.nowMs);
   const stage = (endpointId: string, start: number, end: number): ChainStage => ({
     endpointId,
@@ -81,7 +84,7 @@
   });
   const reservation = new ChainReservation(endpoints, [stage("a", 0, 2), stage("b", 2, 4)], 4);
   const attempt = new StreamAttempt(createRequest(), "engines", reservation, new StreamProgress(undefined));
-  attempt.hasEvents = true;
+  attempt.firstEventMs = 50;
   attempt.lastSignAtMs = clock.nowMs - 400;
   monitor.add(attempt);
   return { clock, endpoints, orders, monitor, attempt, reservation };
@@ -130,3 +133,38 @@
   await monitor.check();
   t.true(attempt.abort.signal.aborted);
 });
+
+test("a stream is moved off an engine that leaves while that still serves", async (t) => {
+  const { clock, endpoints, orders, monitor, reservation, attempt } = setUp();
+  attempt.lastSignAtMs = clock.nowMs;
+  const leaving = endpoints.get("b");
+  if (leaving === undefined) return t.fail();
+  endpoints.apply([{ key: "b", value: { ...leaving.listed, isDraining: true } }]);
+  await monitor.check();
+  t.is(orders.chains.length, 1);
+  t.is(reservation.stages[0]?.endpointId, "a");
+  t.not(reservation.stages[1]?.endpointId, "b");
+  t.false(attempt.abort.signal.aborted);
+  await monitor.check();
+  t.is(orders.chains.length, 1, "once is enough");
+});
+
+test("a stream whose first engine leaves stays there until it is cut", async (t) => {
+  const { clock, endpoints, orders, monitor, attempt } = setUp();
+  attempt.lastSignAtMs = clock.nowMs;
+  endpoints.apply([{ key: "a", value: undefined }]);
+  await monitor.check();
+  t.deepEqual(orders.chains, []);
+  t.false(attempt.abort.signal.aborted);
+});
+
+test("a stream does not change zones to get off an engine that leaves", async (t) => {
+  const { clock, endpoints, orders, monitor, attempt } = setUp();
+  attempt.lastSignAtMs = clock.nowMs;
+  for (const id of ["b", "d"]) endpoints.apply([{ key: id, value: undefined }]);
+  const other = endpoints.get("c");
+  if (other === undefined) return t.fail();
+  endpoints.apply([{ key: "c", value: { ...other.listed, availabilityZone: "west" } }]);
+  await monitor.check();
+  t.deepEqual(orders.chains, []);
+});
