feat(placement): layers are arranged for the rate of requests and for speed instead of room

Cause: a token takes as long as all requests of its zone step together, so the rate of a zone is bounded by the sum of step factors of its layers, not by room: 64 ms for four tokens at 50 streams, 110 at 110 (measured), and at that rate the streams of a calm second already fill the room that was made for them. The plan for most room put 24 to 36 of 80 layers on accelerators that are seven times slower than the fastest. Ruled out: processor time, the links between zones, slots of first engines (at most 126 of 134 were taken). Change: an arrangement is rated by the rate of requests that it bears, a little more for speed, and a credit for layers with a second holder; room only counts as far as batches of requests use it. No figure of a deployment is in it: step and request times, memory and layers come from the configuration. A zone that can't be repaired by growth is arranged anew or moved, whichever is better.

--- a/packages/gateway/src/chains/engineModel.ts
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -53,14 +53,3 @@
   const kind = getKind(endpoint, profile);
   return { name: endpoint.id, memoryMb: kind?.memoryMb ?? 0, stepFactor: kind?.stepFactor ?? 1 };
 }
-
-/**
- * Tokens that a zone's engines should hold at once: as many requests as one engine may begin, for each copy of the model that
- * fits beside them. More room than that is never used, since every request begins at an engine with the first layers.
- */
-export function getWantedTokens(engines: readonly Endpoint[], profile: EngineProfile): number {
-  const memoryMb = utils.getSum(engines.map((engine) => getKind(engine, profile)?.memoryMb ?? 0));
-  const tokens = profile.slots * (profile.usualPromptTokens + profile.usualAnswerTokens);
-  const copyMb = profile.layerCount * profile.layerMb + (tokens * profile.kvBytesPerToken) / bytesPerMb;
-  return tokens * Math.max(1, Math.floor(memoryMb / copyMb));
-}
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -1,7 +1,7 @@
 /** Sees to it that each zone holds whole copies of its models: orders layers to engines that hold none. */
 import { utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
-import { getWantedTokens, toCopyEngine, toCopyModel } from "../chains/engineModel.js";
+import { toCopyEngine, toCopyModel } from "../chains/engineModel.js";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EngineProfile, Service } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
@@ -104,7 +104,7 @@
     if (stillMs < (isUnused ? settledForPlanMs : settledForRepairMs)) return [];
     const planner = this._planners.get(pool) ?? new ZonePlanner();
     this._planners.set(pool, planner);
-    return planner.plan(engines, toCopyModel(profile), getWantedTokens(members, profile));
+    return planner.plan(engines, toCopyModel(profile));
   }
 
   private _toZoneEngine(member: Endpoint, profile: EngineProfile, nowMs: number): ZoneEngine {
--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -10,16 +10,16 @@
 } from "./planZoneOrders.js";
 
 /**
- * A zone that serves is rearranged only if that lowers the cost of its arrangement to this share or less. Engines that give
- * layers up take no other order until what passes there has ended, which takes as long as the longest stream.
+ * A zone that serves is rearranged only if that is worth this much, as the logarithm of a factor on the rate of requests. Engines
+ * that give layers up take no other order until what passes there has ended, which takes as long as the longest stream.
  */
-const worthwhileCostShare = 0.85;
-/** An engine that holds nothing gets work if that lowers the cost to this share or less; nothing waits for it. */
-const worthwhileFillShare = 0.99;
+const worthwhileGain = Math.log(1.1);
+/** An engine that holds nothing gets work if that is worth this much; nothing waits for it. */
+const worthwhileFillGain = Math.log(1.005);
 /** A zone is rearranged once its engines have stood as they are for this long; a loss is often followed by a return. */
 const calmMs = 2_000;
-/** While engines of a zone that serves change over, this share of the wanted tokens has to fit at each of them. */
-const changeOverRoomShare = 0.5;
+/** While engines of a zone that serves change over, this many usual requests have to fit at each of them. */
+const changeOverRequests = 40;
 /** A search for a better arrangement lets other work in after this long. */
 const searchSliceMs = 4;
 
@@ -35,15 +35,11 @@
   constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
 
   /** Gives the orders that are due now. */
-  async plan(
-    engines: readonly ZoneEngine[],
-    model: placement.CopyModel,
-    wantedTokens: number,
-  ): Promise<ZoneOrder[]> {
+  async plan(engines: readonly ZoneEngine[], model: placement.CopyModel): Promise<ZoneOrder[]> {
     const isCalm = this._noteSpans(engines);
     const state = JSON.stringify([engines, isCalm]);
     if (state === this._settledState) return [];
-    const target = await this._findTarget(engines, model, wantedTokens, isCalm);
+    const target = await this._findTarget(engines, model, isCalm);
     const orders = target === undefined ? [] : planZoneOrders(engines, target, model);
     if (orders.length === 0) this._settledState = state;
     return orders;
@@ -62,50 +58,49 @@
   private async _findTarget(
     engines: readonly ZoneEngine[],
     model: placement.CopyModel,
-    wantedTokens: number,
     isCalm: boolean,
   ): Promise<Spans | undefined> {
     const held = engines.map(toBalanced);
-    if (held.every(isEmpty))
-      return (await search(getFirstPlan(engines, model), model, { wantedTokens })).spans;
-    const now = new placement.BalanceSearch(held, model, { wantedTokens });
-    if (!now.isWhole) return repair(held, model, wantedTokens);
+    if (held.every(isEmpty)) return (await search(getFirstPlan(engines, model), model)).spans;
+    const now = new placement.BalanceSearch(held, model);
+    if (!now.isWhole) return repair(held, model);
     if (!isZoneWhole(engines, model)) return undefined;
-    const filled = held.some(isEmpty) ? await fill(held, model, wantedTokens) : undefined;
+    const filled = held.some(isEmpty) ? await fill(held, model) : undefined;
     if (filled !== undefined) return filled;
     const isSettled = engines.every((engine) => engine.ordered === undefined);
     if (!isCalm || !isSettled) return undefined;
-    const leastTokensBeside = wantedTokens * changeOverRoomShare;
-    const better = await search(held, model, { wantedTokens, leastTokensBeside });
-    return better.cost <= better.costBefore * worthwhileCostShare ? better.spans : undefined;
+    const leastTokensBeside = changeOverRequests * model.tokensPerRequest;
+    const better = await search(held, model, { leastTokensBeside });
+    return better.cost <= better.costBefore - worthwhileGain ? better.spans : undefined;
   }
 }
 
 /** Closes gaps by growth alone, which waits for nothing that passes; a zone that can't be made whole so starts anew. */
-async function repair(held: Spans, model: placement.CopyModel, wantedTokens: number): Promise<Spans> {
+async function repair(held: Spans, model: placement.CopyModel): Promise<Spans> {
   const leastTokensBeside = placement.getMinTokensBeside(model);
-  const options = { wantedTokens, leastTokensBeside, isGrowthOnly: true, longestShift: 1 };
+  const options = { leastTokensBeside, isGrowthOnly: true, longestShift: 1 };
   const grown = await search(held, model, options, (running) => running.isWhole);
   if (grown.isWhole) return grown.spans;
-  return (await search(held, model, { wantedTokens })).spans;
+  const moved = await search(held, model);
+  const anew = await search(getFirstPlan(held, model), model);
+  return moved.cost <= anew.cost ? moved.spans : anew.spans;
 }
 
 /** Gives engines that hold nothing work, and leaves the others as they are. */
-async function fill(
-  held: Spans,
-  model: placement.CopyModel,
-  wantedTokens: number,
-): Promise<Spans | undefined> {
-  const filled = await search(held, model, { wantedTokens, isFillOnly: true });
-  return filled.cost <= filled.costBefore * worthwhileFillShare ? filled.spans : undefined;
+async function fill(held: Spans, model: placement.CopyModel): Promise<Spans | undefined> {
+  const filled = await search(held, model, { isFillOnly: true });
+  return filled.cost <= filled.costBefore - worthwhileFillGain ? filled.spans : undefined;
 }
 
 function isEmpty(span: placement.BalancedSpan): boolean {
   return span.end === span.start;
 }
 
-/** Whole copies for a zone whose engines hold nothing. */
-function getFirstPlan(engines: readonly ZoneEngine[], model: placement.CopyModel): placement.BalancedSpan[] {
+/** Whole copies for a zone, whatever its engines hold. */
+function getFirstPlan(
+  engines: readonly { readonly engine: placement.CopyEngine }[],
+  model: placement.CopyModel,
+): placement.BalancedSpan[] {
   const spans = placement.planLayerCopies(
     engines.map(({ engine }) => engine),
     model,
@@ -123,7 +118,7 @@
 async function search(
   held: readonly placement.BalancedSpan[],
   model: placement.CopyModel,
-  options: placement.BalanceOptions,
+  options: placement.BalanceOptions = {},
   isEnough: (running: placement.BalanceSearch) => boolean = () => false,
 ): Promise<placement.BalanceSearch> {
   const running = new placement.BalanceSearch(held, model, options);
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -3,8 +3,8 @@
  * neighbours until no single step helps any more (hill climbing). Works on any number of copies.
  */
 import { getSteps, type BalanceStep } from "./balanceSteps.js";
-import { LayerRoom, type BalancedSpan } from "./LayerRoom.js";
 import { getTokensBeside, type CopyModel } from "./planLayerCopies.js";
+import { ZoneArrangement, type BalancedSpan } from "./ZoneArrangement.js";
 
 /** Steps of one search at most; what is left is found by the next one. */
 const mostSteps = 400;
@@ -13,8 +13,6 @@
 
 /** What a search aims at, and what it may do. */
 export interface BalanceOptions {
-  /** Tokens that should fit at each layer at once. */
-  readonly wantedTokens: number;
   /** Whether engines only take on layers and give none up. */
   readonly isGrowthOnly?: boolean;
   /** Whether only engines that held nothing at first may change. */
@@ -29,16 +27,16 @@
 export class BalanceSearch {
   readonly costBefore: number;
   private readonly _spans: BalancedSpan[];
-  private readonly _room: LayerRoom;
+  private _arrangement: ZoneArrangement;
   private _steps = 0;
 
   constructor(
     private readonly _held: readonly BalancedSpan[],
     private readonly _model: CopyModel,
-    private readonly _options: BalanceOptions,
+    private readonly _options: BalanceOptions = {},
   ) {
     this._spans = [..._held];
-    this._room = new LayerRoom(_held, _model, _options.wantedTokens);
+    this._arrangement = new ZoneArrangement(_held, _model);
     this.costBefore = this.cost;
   }
 
@@ -48,12 +46,12 @@
   }
 
   get cost(): number {
-    return this._room.getCost(0, this._model.layerCount);
+    return this._arrangement.getCost();
   }
 
   /** Whether every layer has room for a request. */
   get isWhole(): boolean {
-    return this._room.isWhole();
+    return this._arrangement.isWhole;
   }
 
   /** Takes the step that helps most; tells whether there was one. */
@@ -62,8 +60,9 @@
     const step = this._findBestStep();
     if (step === undefined) return false;
     this._steps += 1;
-    this._replace(this._getBefore(step), getAfter(step));
     for (const { index, span } of step) this._spans[index] = span;
+    // Anew, since sums that are changed back and forth lose precision.
+    this._arrangement = new ZoneArrangement(this._spans, this._model);
     return true;
   }
 
@@ -95,12 +94,9 @@
   private _getGain(step: BalanceStep): number {
     const before = this._getBefore(step);
     const after = getAfter(step);
-    const touched = [...before, ...after].filter((span) => span.end > span.start);
-    const start = Math.min(...touched.map((span) => span.start));
-    const end = Math.max(...touched.map((span) => span.end));
-    const costBefore = this._room.getCost(start, end);
+    const costBefore = this.cost;
     this._replace(before, after);
-    const costAfter = this._room.getCost(start, end);
+    const costAfter = this.cost;
     this._replace(after, before);
     return costBefore - costAfter;
   }
@@ -110,8 +106,8 @@
   }
 
   private _replace(before: readonly BalancedSpan[], after: readonly BalancedSpan[]): void {
-    for (const span of before) this._room.remove(span);
-    for (const span of after) this._room.add(span);
+    for (const span of before) this._arrangement.remove(span);
+    for (const span of after) this._arrangement.add(span);
   }
 }
 
@@ -119,7 +115,7 @@
 export function planBalance(
   held: readonly BalancedSpan[],
   model: CopyModel,
-  options: BalanceOptions,
+  options: BalanceOptions = {},
 ): readonly BalancedSpan[] {
   const search = new BalanceSearch(held, model, options);
   while (search.improve());
--- a/packages/placement/src/balanceSteps.ts
+++ b/packages/placement/src/balanceSteps.ts
@@ -1,5 +1,5 @@
 /** The single steps that change an arrangement of layers: an engine begins, grows or shrinks, or boundaries shift. */
-import type { BalancedSpan } from "./LayerRoom.js";
+import type { BalancedSpan } from "./ZoneArrangement.js";
 import type { CopyEngine, CopyModel } from "./planLayerCopies.js";
 
 /** A boundary is shifted by at most this many layers in one step, where nothing else is said; many steps make a large shift. */
@@ -107,7 +107,7 @@
   return (
     span.start >= 0 &&
     span.end <= model.layerCount &&
-    layers > 0 &&
+    layers >= 0 &&
     layers <= getMostLayers(span.engine, model)
   );
 }
