--- /dev/null
+++ b/packages/cli/src/losses/judgeEnd.ts
@@ -0,0 +1,63 @@
+/** How a request ended, and for one that was not served in time the decision that lost it. */
+import type { LogLine } from "../explain/logLine.js";
+
+/** Ends of requests, from the best to what was never let in. */
+export const endKinds = [
+  "in time",
+  "late: waited for room",
+  "late: slow first event",
+  "late: moved",
+  "late: cut and resumed",
+  "late: pause",
+  "refused: no room",
+  "refused: engines refused",
+  "refused: instance stops",
+  "refused: keys not fresh",
+  "refused: other",
+  "failed: cut and not resumed",
+  "failed: out of time",
+  "failed: caller left",
+  "failed: endpoint's failure",
+] as const;
+export type EndKind = (typeof endKinds)[number];
+
+const refusals: Readonly<Record<string, EndKind>> = {
+  "no-room": "refused: no room",
+  "not-run": "refused: engines refused",
+  stopping: "refused: instance stops",
+  "stale-configuration": "refused: keys not fresh",
+  "no-configuration": "refused: keys not fresh",
+};
+const failures: Readonly<Record<string, EndKind>> = {
+  "outcome-unknown": "failed: cut and not resumed",
+  "out-of-time": "failed: out of time",
+  "caller-left": "failed: caller left",
+  open: "failed: caller left",
+};
+const successPattern = /^status 2\d\d$/;
+const ownStatusPattern = /^status \d+$/;
+
+/** Judges the line that ends a request; undefined for lines that end none. */
+export function judgeEnd(line: LogLine): EndKind | undefined {
+  if (line.message === "request-refused") return refusals[String(line["reason"])] ?? "refused: other";
+  if (line.message !== "request-ended") return undefined;
+  const outcome = String(line["outcome"]);
+  if (outcome === "completed") return judgeStream(line);
+  if (successPattern.test(outcome)) return "in time";
+  if (ownStatusPattern.test(outcome)) return "failed: endpoint's failure";
+  return refusals[outcome] ?? failures[outcome] ?? "refused: other";
+}
+
+/** A stream that came whole: the first thing that went wrong with it. */
+function judgeStream(line: LogLine): EndKind {
+  const attempts = Number(line["attempts"] ?? 1);
+  if (line["isFirstEventLate"] === true) {
+    const waitedMs = Number(line["queuedMs"] ?? 0);
+    return waitedMs * 2 > Number(line["firstEventMs"] ?? 0)
+      ? "late: waited for room"
+      : "late: slow first event";
+  }
+  if (line["isPauseLate"] !== true) return "in time";
+  if (attempts > 1) return "late: cut and resumed";
+  return Number(line["moves"] ?? 0) > 0 ? "late: moved" : "late: pause";
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
 import { runExplain } from "./commands/explain.js";
 import { runKey } from "./commands/key.js";
 import { runConfirm, runPlan, runShow } from "./commands/plans.js";
+import { runLosses, type LossesOptions } from "./commands/losses.js";
 import { runReplay } from "./commands/replay.js";
 import { runStatus } from "./commands/status.js";
 import { runTimeline, type TimelineOptions } from "./commands/timeline.js";
@@ -54,6 +55,11 @@
   )
   .option(...asJson)
   .action((request: string, logs: string[], options: CommonOptions) => runExplain(request, logs, options));
+program
+  .command("losses [...logs]", "Count how requests ended, and what lost those that were not served in time")
+  .option("--span <seconds>", "Seconds of a row (2)")
+  .option(...asJson)
+  .action((logs: string[], options: LossesOptions) => runLosses(logs, options));
 program
   .command("check <file>", "Check a settings file as a whole")
   .option(...asJson)
