fix(gateway): an instance that is no candidate any more withdraws from the election

Ruled out: the store (it answered), the holder (it was told that another leads). Change: who is no candidate any more leaves the group once. The new test fails on the old code (nobody resigned there).

--- a/packages/gateway/src/orders/LeaderSeat.ts
+++ b/packages/gateway/src/orders/LeaderSeat.ts
@@ -20,6 +20,8 @@
 export class LeaderSeat {
   private _untilMs = Number.NEGATIVE_INFINITY;
   private _isHeld = false;
+  /** Whether the store may count this instance among the candidates. */
+  private _isMember = false;
   private readonly _nowMs: () => number;
 
   constructor(
@@ -40,7 +42,7 @@
     await utils.repeat(
       intervalMs,
       signal,
-      () => this._campaignIfDue(),
+      () => this.campaignIfDue(),
       (error) => {
         this._log.error("campaign-failed", { cause: String(error) });
       },
@@ -49,14 +51,25 @@
     this._untilMs = Number.NEGATIVE_INFINITY;
   }
 
-  private async _campaignIfDue(): Promise<void> {
+  /**
+   * Campaigns, or withdraws where this instance is no candidate any more: the store may give the office to any member of the
+   * group, and one that does not look would hold it unused for a whole term.
+   */
+  async campaignIfDue(): Promise<void> {
     if (this.isHeld() || this._options.mayCampaign?.() !== false) await this.campaign();
+    else if (this._isMember) await this._withdraw();
     this._noteChange();
   }
 
+  private async _withdraw(): Promise<void> {
+    this._isMember = false;
+    await this._election.resign();
+  }
+
   /** Campaigns once. A term counts from before the call, since the store may have begun it any time after. */
   async campaign(): Promise<void> {
     const startedAtMs = this._nowMs();
+    this._isMember = true;
     const won = await this._election.campaign();
     if (won.ok) {
       this._untilMs = won.val ? startedAtMs + this._election.termMs - safetyMs : Number.NEGATIVE_INFINITY;
--- a/packages/gateway/src/tests/orders/LeaderSeatTests.ts
+++ b/packages/gateway/src/tests/orders/LeaderSeatTests.ts
@@ -10,22 +10,26 @@
 class ScriptedElection extends LeaderElection {
   override readonly termMs = 3_000;
   answer: results.Result<boolean, StoreError> = results.Ok(true);
+  resigned = 0;
 
   override campaign(): Promise<results.Result<boolean, StoreError>> {
     return Promise.resolve(this.answer);
   }
   override resign(): Promise<void> {
+    this.resigned += 1;
     return Promise.resolve();
   }
 }
 
 function setUp() {
   const clock = { nowMs: 0 };
+  const candidacy = { mayCampaign: true };
   const election = new ScriptedElection();
   const seat = new LeaderSeat(election, new DecisionLog(new SilentSink(), () => clock.nowMs), {
     nowMs: () => clock.nowMs,
+    mayCampaign: () => candidacy.mayCampaign,
   });
-  return { clock, election, seat };
+  return { clock, candidacy, election, seat };
 }
 
 test("a term ends before the store may give it to another, also when the holder stood still", async (t) => {
@@ -57,3 +61,22 @@
   await seat.campaign();
   t.false(seat.isHeld());
 });
+
+test("an instance that is no candidate any more withdraws once, so that it can't be given an office that it does not take", async (t) => {
+  const { candidacy, election, seat } = setUp();
+  election.answer = results.Ok(false);
+  await seat.campaignIfDue();
+  candidacy.mayCampaign = false;
+  await seat.campaignIfDue();
+  await seat.campaignIfDue();
+  t.is(election.resigned, 1);
+});
+
+test("an instance that leads stays in office though it is no candidate any more", async (t) => {
+  const { candidacy, election, seat } = setUp();
+  await seat.campaignIfDue();
+  candidacy.mayCampaign = false;
+  await seat.campaignIfDue();
+  t.true(seat.isHeld());
+  t.is(election.resigned, 0);
+});
