--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -17,8 +17,6 @@
    * moment: each knows the others' load only as it was before.
    */
   readonly isSpread?: boolean | undefined;
-  /** Whether the chain must not change zones on its way. */
-  readonly isInOneZone?: boolean | undefined;
 }
 
 /**
@@ -106,8 +104,6 @@
     return;
   if (isUsed(label, candidate)) return;
   const zone = candidate.endpoint.listed.availabilityZone;
-  const before = label.candidate?.endpoint.listed.availabilityZone;
-  if (demand.isInOneZone === true && before !== undefined && before !== zone) return;
   const entryMs = hopMs * demand.answerTokens + getZoneMs(zone, label, demand);
   for (const to of boundaries) {
     if (from === 0 && demand.firstEnd !== undefined && to !== demand.firstEnd) continue;
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -28,9 +28,6 @@
 /** After this much silence a stream goes on elsewhere, before its caller leaves at two seconds. */
 const giveUpSilenceMs = 1_200;
 
-/** Streams are moved off an engine that leaves over this many looks, since each reads its whole context anew. */
-const looksOfMoving = 8;
-
 /** An engine that refused a moved stream is left alone for as long as two looks take. */
 const refusedChangeBackoffMs = 600;
 /** The first engine does not know the request any more. */
@@ -89,27 +86,7 @@
       nowMs - (this._askedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) >= askAgainMs;
     const due = [...firsts].filter(isDue);
     for (const id of due) this._askedAtMs.set(id, nowMs);
-    await Promise.all([...due.map((id) => this._ask(id)), ...this._moveFromLeaving()]);
-  }
-
-  /**
-   * Moves streams off engines that leave, a few at a time, while those still serve. A stream whose first engine leaves can't be
-   * moved: it goes on elsewhere once it is cut.
-   */
-  private _moveFromLeaving(): Promise<void>[] {
-    const leaving = [...this._attempts].flatMap((attempt) => {
-      const stage = attempt.reservation.stages.slice(1).find((later) => this._isLeaving(later.endpointId));
-      return stage === undefined ? [] : [{ attempt, address: stage.address }];
-    });
-    const count = Math.ceil(leaving.length / looksOfMoving);
-    const movable = leaving.filter(({ attempt }) => attempt.hasEvents && !attempt.isMoving).slice(0, count);
-    return movable.map(({ attempt, address }) => this._move(attempt, address, true));
-  }
-
-  /** Some say that they leave, others only vanish from the list and serve on for as long. */
-  private _isLeaving(endpointId: string): boolean {
-    const endpoint = this._context.endpoints.get(endpointId);
-    return endpoint === undefined || endpoint.listed.isDraining;
+    await Promise.all(due.map((id) => this._ask(id)));
   }
 
   private async _ask(endpointId: string): Promise<void> {
@@ -149,17 +126,7 @@
     await Promise.all(moves);
   }
 
-  private async _move(attempt: StreamAttempt, faultyAddress: string, isInOneZone = false): Promise<void> {
-    if (attempt.isMoving) return;
-    attempt.isMoving = true;
-    try {
-      await this._moveTo(attempt, faultyAddress, isInOneZone);
-    } finally {
-      attempt.isMoving = false;
-    }
-  }
-
-  private async _moveTo(attempt: StreamAttempt, faultyAddress: string, isInOneZone: boolean): Promise<void> {
+  private async _move(attempt: StreamAttempt, faultyAddress: string): Promise<void> {
     const first = attempt.firstStage;
     const profile = this._context.keeper.table?.getEngineProfile(attempt.service);
     if (first === undefined || profile === undefined) return;
@@ -167,7 +134,7 @@
     // The room that the stream holds now is its own, and must not look taken to it.
     const before = attempt.reservation.stages;
     attempt.reservation.move([]);
-    const chain = this._chooseOther(attempt, first, profile, isInOneZone);
+    const chain = this._chooseOther(attempt, first, profile);
     // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
     attempt.reservation.move(chain ?? before);
     // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
@@ -195,7 +162,6 @@
     attempt: StreamAttempt,
     first: ChainStage,
     profile: EngineProfile,
-    isInOneZone: boolean,
   ): ChainStage[] | undefined {
     return this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
       ...expectTokens(attempt.request.fields),
@@ -203,7 +169,6 @@
       firstEndpointId: first.endpointId,
       firstEnd: first.end,
       isSpread: true,
-      isInOneZone,
     });
   }
 
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -18,8 +18,6 @@
   sentAtMs = this.lastSignAtMs;
   /** Ends the run; the stream may go on elsewhere. */
   readonly abort = new AbortController();
-  /** Whether it is being moved to another chain now. */
-  isMoving = false;
   /** From the sending of this run to its first event. */
   firstEventMs: number | undefined;
   private readonly _splitter = new EventSplitter();
--- a/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -8,7 +8,6 @@
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { createConfiguration, createListed, profile } from "../createParts.js";
 
-const never = new AbortController().signal;
 const longMs = 60_000;
 
 /** One engine that holds one request of 50 tokens beside its layers, and no second one. */
@@ -27,7 +26,7 @@
       priority: 1,
       patienceMs: longMs,
       inTimeUntilMs: Number.POSITIVE_INFINITY,
-      signal: never,
+      signal: new AbortController().signal,
       ...changes,
     });
     served.push(reservation === undefined ? `${name} refused` : name);
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -133,38 +133,3 @@
   await monitor.check();
   t.true(attempt.abort.signal.aborted);
 });
-
-test("a stream is moved off an engine that leaves while that still serves", async (t) => {
-  const { clock, endpoints, orders, monitor, reservation, attempt } = setUp();
-  attempt.lastSignAtMs = clock.nowMs;
-  const leaving = endpoints.get("b");
-  if (leaving === undefined) return t.fail();
-  endpoints.apply([{ key: "b", value: { ...leaving.listed, isDraining: true } }]);
-  await monitor.check();
-  t.is(orders.chains.length, 1);
-  t.is(reservation.stages[0]?.endpointId, "a");
-  t.not(reservation.stages[1]?.endpointId, "b");
-  t.false(attempt.abort.signal.aborted);
-  await monitor.check();
-  t.is(orders.chains.length, 1, "once is enough");
-});
-
-test("a stream whose first engine leaves stays there until it is cut", async (t) => {
-  const { clock, endpoints, orders, monitor, attempt } = setUp();
-  attempt.lastSignAtMs = clock.nowMs;
-  endpoints.apply([{ key: "a", value: undefined }]);
-  await monitor.check();
-  t.deepEqual(orders.chains, []);
-  t.false(attempt.abort.signal.aborted);
-});
-
-test("a stream does not change zones to get off an engine that leaves", async (t) => {
-  const { clock, endpoints, orders, monitor, attempt } = setUp();
-  attempt.lastSignAtMs = clock.nowMs;
-  for (const id of ["b", "d"]) endpoints.apply([{ key: id, value: undefined }]);
-  const other = endpoints.get("c");
-  if (other === undefined) return t.fail();
-  endpoints.apply([{ key: "c", value: { ...other.listed, availabilityZone: "west" } }]);
-  await monitor.check();
-  t.deepEqual(orders.chains, []);
-});
