fix(gateway): suspicions of an endpoint are forgotten after a calm time

Cause (open finding, by reading): an entry changes only when more than its heartbeat does, so no heartbeat showed, and the count of suspicions never began anew: after hours a single one took an endpoint out of the choice for 24 s. Change: suspicions older than 48 s count no more. The new test fails on the old code.

--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -13,6 +13,8 @@
 const suspicionMs = 3_000;
 /** Suspicions of an endpoint that stays silent double up to this; a heartbeat ends them. */
 const longestSuspicionMs = 24_000;
+/** Suspicions older than this count no more: twice the longest one, so that a dead endpoint's go on doubling. */
+const forgottenAfterMs = 2 * longestSuspicionMs;
 /** A heartbeat that came this long after the evidence shows that the endpoint lives. */
 const clearedByHeartbeatAfterMs = 1_000;
 
@@ -92,6 +94,8 @@
     const endpoint = this._endpoints.get(id);
     const nowMs = this._nowMs();
     if (endpoint === undefined || endpoint.isSuspect(nowMs)) return false;
+    // Heartbeats that change nothing are not told, so a calm time has to count as well.
+    if (nowMs - endpoint.suspectedAtMs > forgottenAfterMs) endpoint.suspicions = 0;
     endpoint.suspectedAtMs = nowMs;
     endpoint.suspectUntilMs = nowMs + Math.min(longestSuspicionMs, suspicionMs * 2 ** endpoint.suspicions);
     endpoint.suspicions += 1;
--- a/packages/gateway/src/tests/discovery/EndpointTableTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointTableTests.ts
@@ -63,3 +63,15 @@
   clock.nowMs += 3_000;
   t.true(table.get("a")?.isSuspect(clock.nowMs));
 });
+
+test("a suspicion after a calm time begins anew", (t) => {
+  const { clock, table } = setUp(["a"]);
+  for (let count = 0; count < 4; count++) {
+    table.suspect("a");
+    clock.nowMs += 24_000;
+  }
+  clock.nowMs += 60_000;
+  table.suspect("a");
+  clock.nowMs += 3_000;
+  t.false(table.get("a")?.isSuspect(clock.nowMs));
+});
