--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -1,4 +1,4 @@
-/** Sees to it that each zone holds whole copies of its models: orders layers to engines that hold none. */
+/** Sees to it that each zone holds whole copies of its models: orders what a zone's planner finds due. */
 import { utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
 import { toCopyEngine, toCopyModel } from "../chains/engineModel.js";
@@ -45,7 +45,6 @@
   private readonly _retryAtMs = new Map<string, number>();
   private readonly _planners = new Map<string, ZonePlanner>();
   private readonly _addedAtMs = new Map<string, number>();
-
   private readonly _lost: LostEngines;
 
   constructor(private readonly _structure: LayerKeeperStructure) {
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -1,36 +1,18 @@
 /** When a zone gets orders: at once for gaps and empty engines, and for a better balance only when it is calm. */
 import test from "ava";
-import type * as placement from "@shedtiller/placement";
-import type { LayerSpan } from "../../discovery/ListedEndpoint.js";
-import type { ZoneEngine, ZoneOrder } from "../../orders/planZoneOrders.js";
+import type { ZoneEngine } from "../../orders/planZoneOrders.js";
 import { ZonePlanner } from "../../orders/ZonePlanner.js";
-
-/** Eight layers of 10 MB; a request of 10 tokens takes 1 MB a layer. */
-const model: placement.CopyModel = {
-  layerCount: 8,
-  layerMb: 10,
-  kvMbPerTokenLayer: 0.1,
-  tokensPerRequest: 10,
-  answerTokens: 2,
-  stepMs: 1,
-  stepMsPerRequest: 0.01,
-  hopMs: 0.25,
-};
+import * as zoneParts from "./zoneParts.js";
 
 function createMember(name: string, start: number, end: number, memoryMb = 200): ZoneEngine {
-  const listed: LayerSpan | undefined = end > start ? { start, end } : undefined;
-  return { engine: { name, memoryMb, stepFactor: 1 }, listed, ordered: undefined, isFree: true };
-}
-
-function describe(orders: readonly ZoneOrder[]): string {
-  return orders.map(({ name, span: { start, end } }) => `${name}=${start}-${end}`).join(",");
+  return zoneParts.createMember(name, { start, end }, memoryMb);
 }
 
 function setUp() {
   const clock = { nowMs: 10_000 };
   const planner = new ZonePlanner(() => clock.nowMs);
   const plan = async (members: readonly ZoneEngine[]): Promise<string> =>
-    describe(await planner.plan(members, model));
+    zoneParts.describeOrders(await planner.plan(members, zoneParts.smallModel));
   return { clock, plan };
 }
 
--- a/packages/placement/src/tests/BalanceSearchTests.ts
+++ b/packages/placement/src/tests/BalanceSearchTests.ts
@@ -4,6 +4,7 @@
 import { ZoneArrangement, type BalancedSpan } from "../ZoneArrangement.js";
 import { planBalance } from "../BalanceSearch.js";
 import { getTokensBeside, planLayerCopies, type CopyEngine, type CopyModel } from "../planLayerCopies.js";
+import { createFleet } from "./createFleet.js";
 
 const model: CopyModel = {
   layerCount: 80,
@@ -23,15 +24,6 @@
 /** A zone that lost any engine has room for this many usual requests at least. */
 const leastRequests = 25;
 
-function createFleet(counts: readonly number[]): CopyEngine[] {
-  return counts.flatMap((count, kind) =>
-    Array.from({ length: count }, (_, index) => ({
-      name: `${kind}-${index}`,
-      ...(kinds[kind] ?? { memoryMb: 0, stepFactor: 1 }),
-    })),
-  );
-}
-
 function hold(fleet: readonly CopyEngine[]): BalancedSpan[] {
   const planned = planLayerCopies(fleet, model);
   return fleet.map((engine) => {
@@ -57,7 +49,7 @@
   [1, 10, 4],
 ]) {
   test(`a zone of ${counts.join(", ")} engines is whole without any one of them, with room for requests`, (t) => {
-    const balanced = planBalance(hold(createFleet(counts)), model);
+    const balanced = planBalance(hold(createFleet(kinds, counts)), model);
     for (const [index, lost] of balanced.entries()) {
       const held = balanced.filter((_, at) => at !== index);
       const moved = planBalance(held, model);
@@ -69,7 +61,7 @@
 }
 
 test("an empty engine takes the gap that a lost one left", (t) => {
-  const held = hold(createFleet([2, 2, 5]));
+  const held = hold(createFleet(kinds, [2, 2, 5]));
   const [first, ...others] = held;
   if (first === undefined) return t.fail();
   const empty = { engine: { ...first.engine, name: "returned" }, start: 0, end: 0 };
@@ -78,7 +70,7 @@
 });
 
 test("an engine that is empty in a zone that is whole takes work as well", (t) => {
-  const held = hold(createFleet([1, 6, 6]));
+  const held = hold(createFleet(kinds, [1, 6, 6]));
   const empty = { engine: { name: "new", memoryMb: 72_000, stepFactor: 2.4 }, start: 0, end: 0 };
   const after = planBalance([...held, empty], model);
   t.true((after.at(-1)?.end ?? 0) > 0);
@@ -89,7 +81,7 @@
   const lost = fc.uniqueArray(fc.nat({ max: 12 }), { maxLength: 4 });
   const counts = fc.tuple(fc.integer({ min: 1, max: 3 }), fc.nat({ max: 6 }), fc.nat({ max: 6 }));
   const property = fc.property(counts, lost, (fleetCounts, lostIndexes) => {
-    const held = hold(createFleet(fleetCounts)).filter((_, index) => !lostIndexes.includes(index));
+    const held = hold(createFleet(kinds, fleetCounts)).filter((_, index) => !lostIndexes.includes(index));
     const balanced = planBalance(held, model);
     const cost = (spans: readonly BalancedSpan[]): number => new ZoneArrangement(spans, model).getCost();
     const fits = balanced.every(
@@ -108,7 +100,7 @@
     [1, 6, 6],
     [1, 10, 4],
   ]) {
-    const whole = hold(createFleet(counts));
+    const whole = hold(createFleet(kinds, counts));
     for (const lost of whole) {
       // The largest hold so much that their neighbours have no room for it.
       if (lost.engine.memoryMb > 50_000) continue;
@@ -125,7 +117,7 @@
 });
 
 test("what is held while an engine changes over leaves the room that is asked for", (t) => {
-  const held = hold(createFleet([1, 6, 6]));
+  const held = hold(createFleet(kinds, [1, 6, 6]));
   const empty = { engine: { name: "new", memoryMb: 72_000, stepFactor: 2.4 }, start: 0, end: 0 };
   const leastTokensBeside = 100_000;
   const after = planBalance([...held, empty], model, { leastTokensBeside });
--- a/packages/placement/src/tests/planLayerCopiesTests.ts
+++ b/packages/placement/src/tests/planLayerCopiesTests.ts
@@ -1,7 +1,8 @@
 /** Plans hold whole copies, within the memory of each engine, with room for requests. */
 import test from "ava";
 import * as fc from "fast-check";
-import { getTokensBeside, planLayerCopies, type CopyEngine, type CopyModel } from "../planLayerCopies.js";
+import { getTokensBeside, planLayerCopies, type CopyModel } from "../planLayerCopies.js";
+import { createFleet } from "./createFleet.js";
 
 const model: CopyModel = {
   layerCount: 80,
@@ -19,15 +20,6 @@
   { memoryMb: 21_600, stepFactor: 16 },
 ];
 
-function createFleet(counts: readonly number[]): CopyEngine[] {
-  return counts.flatMap((count, kind) =>
-    Array.from({ length: count }, (_, index) => ({
-      name: `${kind}-${index}`,
-      ...(kinds[kind] ?? { memoryMb: 0, stepFactor: 1 }),
-    })),
-  );
-}
-
 function countHolders(spans: readonly { start: number; end: number }[]): number[] {
   return Array.from(
     { length: model.layerCount },
@@ -39,7 +31,7 @@
   const property = fc.property(
     fc.tuple(fc.nat({ max: 4 }), fc.nat({ max: 8 }), fc.nat({ max: 10 })),
     (counts) => {
-      const fleet = createFleet(counts);
+      const fleet = createFleet(kinds, counts);
       const spans = planLayerCopies(fleet, model);
       const holders = new Set(countHolders(spans));
       const hasRoom = spans.every((span) => {
@@ -56,10 +48,10 @@
 });
 
 test("a zone that cannot hold the model with room for requests holds nothing", (t) => {
-  t.deepEqual(planLayerCopies(createFleet([1, 1, 0]), model), []);
+  t.deepEqual(planLayerCopies(createFleet(kinds, [1, 1, 0]), model), []);
 });
 
 test("a zone whose second copy would leave little room has one copy", (t) => {
-  t.is(countHolders(planLayerCopies(createFleet([2, 2, 5]), model))[0], 1);
-  t.is(countHolders(planLayerCopies(createFleet([1, 3, 8]), model))[0], 2);
+  t.is(countHolders(planLayerCopies(createFleet(kinds, [2, 2, 5]), model))[0], 1);
+  t.is(countHolders(planLayerCopies(createFleet(kinds, [1, 3, 8]), model))[0], 2);
 });
