--- a/packages/cli/src/losses/judgeEnd.ts
+++ b/packages/cli/src/losses/judgeEnd.ts
@@ -13,6 +13,7 @@
   "refused: engines refused",
   "refused: instance stops",
   "refused: keys not fresh",
+  "refused: key or route unknown",
   "refused: other",
   "failed: cut and not resumed",
   "failed: out of time",
@@ -27,6 +28,9 @@
   stopping: "refused: instance stops",
   "stale-configuration": "refused: keys not fresh",
   "no-configuration": "refused: keys not fresh",
+  "unknown-key": "refused: key or route unknown",
+  "no-key": "refused: key or route unknown",
+  "no-route": "refused: key or route unknown",
 };
 const failures: Readonly<Record<string, EndKind>> = {
   "outcome-unknown": "failed: cut and not resumed",
--- a/packages/cli/src/tests/lossesTests.ts
+++ b/packages/cli/src/tests/lossesTests.ts
@@ -31,6 +31,7 @@
   t.is(judge({ outcome: "outcome-unknown" }), "failed: cut and not resumed");
   t.is(judge({ outcome: "status 500" }), "failed: endpoint's failure");
   t.is(judge({ reason: "stale-configuration" }, "request-refused"), "refused: keys not fresh");
+  t.is(judge({ reason: "unknown-key" }, "request-refused"), "refused: key or route unknown");
   t.is(judge({}, "endpoint-gone"), undefined);
 });
 
