feat(gateway): empty engines close gaps behind orders that wait, and only engines with a holder as fast leave their layers

Change: empty engines close what is open without such orders; engines leave their layers only where another holder is at least as fast, so that little passes them.

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -68,7 +68,7 @@
     if (held.every(isEmpty)) return (await search(getFirstPlan(engines, model), model)).spans;
     const now = new placement.BalanceSearch(held, model);
     if (!now.isWhole) return repair(held, model);
-    if (!isZoneWhole(engines, model)) return undefined;
+    if (!isZoneWhole(engines, model)) return closeSooner(engines, model);
     const filled = held.some(isEmpty) ? await fill(held, model) : undefined;
     if (filled !== undefined) return filled;
     const isSettled = engines.every((engine) => engine.ordered === undefined);
@@ -98,6 +98,26 @@
   return moved.cost <= anew.cost ? moved.spans : anew.spans;
 }
 
+/**
+ * Closes gaps with engines that hold nothing, where those that were ordered to close them have to give layers up first: these wait
+ * for what passes there, which may take as long as the longest stream. Undefined where no such gap is left.
+ */
+async function closeSooner(
+  engines: readonly ZoneEngine[],
+  model: placement.CopyModel,
+): Promise<Spans | undefined> {
+  const sure = engines.map((member) =>
+    toBalanced(isGivingUpLayers(member) ? { ...member, ordered: undefined } : member),
+  );
+  if (!sure.some(isEmpty) || new placement.BalanceSearch(sure, model).isWhole) return undefined;
+  return (await search(sure, model, { isFillOnly: true }, (running) => running.isWhole)).spans;
+}
+
+function isGivingUpLayers({ listed, ordered }: ZoneEngine): boolean {
+  if (listed === undefined || ordered === undefined) return false;
+  return ordered.start > listed.start || ordered.end < listed.end;
+}
+
 /** Gives engines that hold nothing work, and leaves the others as they are. */
 async function fill(held: Spans, model: placement.CopyModel): Promise<Spans | undefined> {
   const filled = await search(held, model, { isFillOnly: true });
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -63,3 +63,21 @@
   const members = [createMember("a", 0, 3, 45), createMember("b", 5, 8, 45), createMember("c", 5, 8, 60)];
   t.regex(await plan(members), /^c=3-\d$/);
 });
+
+test("an engine that serves layers faster than their other holder does not leave them for a gap", async (t) => {
+  const { plan } = setUp();
+  const fast = createMember("a", 0, 3, 150);
+  const slow = createMember("b", 0, 3, 150);
+  const slower = { ...slow, engine: { ...slow.engine, stepFactor: 2 } };
+  const orders = await plan([fast, slower, createMember("c", 5, 8, 150)]);
+  t.regex(orders, /^b=[03]-5$/);
+});
+
+test("an empty engine closes a gap that another one was ordered to, which gives layers up first", async (t) => {
+  const { plan } = setUp();
+  const waiting = { ...createMember("b", 0, 4), ordered: { start: 4, end: 8 }, isFree: false };
+  const members = [createMember("a", 0, 4), waiting, createMember("c", 0, 0)];
+  t.regex(await plan(members), /^c=[0-4]-8$/);
+  const growing = { ...createMember("b", 4, 6), ordered: { start: 4, end: 8 }, isFree: false };
+  t.is(await plan([createMember("a", 0, 4), growing, createMember("c", 0, 0)]), "");
+});
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -15,7 +15,7 @@
 export interface BalanceOptions {
   /** Whether engines only take on layers and give none up. */
   readonly isGrowthOnly?: boolean;
-  /** Whether engines whose layers all have another holder may leave them for others at once. */
+  /** Whether engines whose layers all have another holder, as fast at least, may leave them for others at once. */
   readonly mayRelocate?: boolean;
   /** Whether only engines that held nothing at first may change. */
   readonly isFillOnly?: boolean;
@@ -138,15 +138,24 @@
   return a.start < b.end && b.start < a.end;
 }
 
-/** Spans, by index, whose layers are all held by others as well. */
+/**
+ * Spans, by index, whose layers are all held by others that are at least as fast: requests take the fastest holder first, so little
+ * passes there that an engine would have to wait for.
+ */
 function findRedundant(spans: readonly BalancedSpan[]): number[] {
-  const holders = new Map<number, number>();
-  for (const { start, end } of spans) {
-    for (let layer = start; layer < end; layer++) holders.set(layer, (holders.get(layer) ?? 0) + 1);
-  }
   return [...spans.keys()].filter((index) => {
-    const { start = 0, end = 0 } = spans[index] ?? {};
-    for (let layer = start; layer < end; layer++) if ((holders.get(layer) ?? 0) < 2) return false;
-    return end > start;
+    const span = spans[index];
+    if (span === undefined || span.end <= span.start) return false;
+    const others = spans.filter(
+      (other) => other !== span && other.engine.stepFactor <= span.engine.stepFactor,
+    );
+    return isCovered(span, others);
   });
 }
+
+function isCovered(span: BalancedSpan, others: readonly BalancedSpan[]): boolean {
+  for (let layer = span.start; layer < span.end; layer++) {
+    if (!others.some((other) => other.start <= layer && layer < other.end)) return false;
+  }
+  return true;
+}
