feat(gateway): only engines that next to no request passes leave their layers for a gap

An engine whose layers others held as well was ordered to a gap at 7.0 s and waited for what passed it until 14 s, with a copy of the zone broken meanwhile. That a holder is as fast says little about what passes.

--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -113,6 +113,7 @@
       engine: toCopyEngine(member, profile),
       listed: member.listed.layers[0],
       ordered: isPending ? pending.span : undefined,
+      passing: member.getLoad().requests,
       isFree: !isPending && nowMs >= (this._retryAtMs.get(member.id) ?? 0),
     };
   }
--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -24,6 +24,8 @@
 const changeOverRequests = 40;
 /** A repair that leaves less room than for this many usual requests is not worth its loads. */
 const leastRepairRequests = 16;
+/** An engine that more requests pass does not leave its layers for a gap: it would wait for the longest of them. */
+const mostPassing = 2;
 /** A search for a better arrangement lets other work in after this long. */
 const searchSliceMs = 4;
 
@@ -41,7 +43,8 @@
   /** Gives the orders that are due now. */
   async plan(engines: readonly ZoneEngine[], model: placement.CopyModel): Promise<ZoneOrder[]> {
     const isCalm = this._noteSpans(engines);
-    const state = JSON.stringify([engines, isCalm]);
+    // Requests come and go all the time, and lead to no order by themselves.
+    const state = JSON.stringify([engines.map((engine) => ({ ...engine, passing: 0 })), isCalm]);
     if (state === this._settledState) return [];
     const target = await this._findTarget(engines, model, isCalm);
     const orders = target === undefined ? [] : planZoneOrders(engines, target, model);
@@ -67,7 +70,7 @@
     const held = engines.map(toBalanced);
     if (held.every(isEmpty)) return (await search(getFirstPlan(engines, model), model)).spans;
     const now = new placement.BalanceSearch(held, model);
-    if (!now.isWhole) return repair(held, model);
+    if (!now.isWhole) return repair(engines, held, model);
     if (!isZoneWhole(engines, model)) return closeSooner(engines, model);
     const filled = held.some(isEmpty) ? await fill(held, model) : undefined;
     if (filled !== undefined) return filled;
@@ -84,11 +87,18 @@
  * Closes gaps by growth alone, which waits for nothing that passes, or else with engines whose layers others hold too. A zone that
  * can't be made whole so starts anew.
  */
-async function repair(held: Spans, model: placement.CopyModel): Promise<Spans> {
+async function repair(
+  engines: readonly ZoneEngine[],
+  held: Spans,
+  model: placement.CopyModel,
+): Promise<Spans> {
+  const unused = new Set(
+    [...engines.keys()].filter((index) => (engines[index]?.passing ?? 0) <= mostPassing),
+  );
   for (const requests of [changeOverRequests, leastRepairRequests]) {
-    for (const mayRelocate of [false, true]) {
+    for (const leavable of [undefined, unused]) {
       const leastTokensBeside = requests * model.tokensPerRequest;
-      const options = { leastTokensBeside, mayRelocate, isGrowthOnly: true, longestShift: 1 };
+      const options = { leastTokensBeside, leavable, isGrowthOnly: true, longestShift: 1 };
       const repaired = await search(held, model, options, (running) => running.isWhole);
       if (repaired.isWhole) return repaired.spans;
     }
--- a/packages/gateway/src/orders/planZoneOrders.ts
+++ b/packages/gateway/src/orders/planZoneOrders.ts
@@ -9,6 +9,8 @@
   readonly listed: LayerSpan | undefined;
   /** Layers that it was ordered to hold and does not list yet. */
   readonly ordered: LayerSpan | undefined;
+  /** Requests that pass it now, as far as this instance knows. */
+  readonly passing: number;
   /** Whether it may get an order now. */
   readonly isFree: boolean;
 }
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -64,12 +64,10 @@
   t.regex(await plan(members), /^c=3-\d$/);
 });
 
-test("an engine that serves layers faster than their other holder does not leave them for a gap", async (t) => {
+test("an engine that requests pass does not leave its layers for a gap, though others hold them too", async (t) => {
   const { plan } = setUp();
-  const fast = createMember("a", 0, 3, 150);
-  const slow = createMember("b", 0, 3, 150);
-  const slower = { ...slow, engine: { ...slow.engine, stepFactor: 2 } };
-  const orders = await plan([fast, slower, createMember("c", 5, 8, 150)]);
+  const used = { ...createMember("a", 0, 3, 150), passing: 9 };
+  const orders = await plan([used, createMember("b", 0, 3, 150), createMember("c", 5, 8, 150)]);
   t.regex(orders, /^b=[03]-5$/);
 });
 
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -15,8 +15,8 @@
 export interface BalanceOptions {
   /** Whether engines only take on layers and give none up. */
   readonly isGrowthOnly?: boolean;
-  /** Whether engines whose layers all have another holder, as fast at least, may leave them for others at once. */
-  readonly mayRelocate?: boolean;
+  /** Spans, by index, that engines may leave for others at once, where all their layers have another holder. */
+  readonly leavable?: ReadonlySet<number>;
   /** Whether only engines that held nothing at first may change. */
   readonly isFillOnly?: boolean;
   /** Layers by which one step shifts a boundary at most. */
@@ -41,7 +41,7 @@
     this._spans = [..._held];
     this._arrangement = new ZoneArrangement(_held, _model);
     this.costBefore = this.cost;
-    this._relocatable = new Set(_options.mayRelocate === true ? findRedundant(_held) : []);
+    this._relocatable = new Set(findRedundant(_held).filter((index) => _options.leavable?.has(index)));
   }
 
   /** The spans as they are now, in the order in which they were given. */
@@ -138,18 +138,15 @@
   return a.start < b.end && b.start < a.end;
 }
 
-/**
- * Spans, by index, whose layers are all held by others that are at least as fast: requests take the fastest holder first, so little
- * passes there that an engine would have to wait for.
- */
+/** Spans, by index, whose layers are all held by others as well. */
 function findRedundant(spans: readonly BalancedSpan[]): number[] {
   return [...spans.keys()].filter((index) => {
     const span = spans[index];
     if (span === undefined || span.end <= span.start) return false;
-    const others = spans.filter(
-      (other) => other !== span && other.engine.stepFactor <= span.engine.stepFactor,
+    return isCovered(
+      span,
+      spans.filter((other) => other !== span),
     );
-    return isCovered(span, others);
   });
 }
 
