--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -20,6 +20,11 @@
 const urgentGain = Math.log(1.5);
 /** A zone is rearranged once its engines have stood as they are for this long; a loss is often followed by a return. */
 const calmMs = 2_000;
+/**
+ * A zone that can't be repaired is arranged anew after this long. Before that the lost engine is often back (3 to 5 s on the users'
+ * days), and an arrangement anew waits for all that passes the zone's engines.
+ */
+const arrangedAnewAfterMs = 4_000;
 /** While engines of a zone that serves change over, this many usual requests have to fit at each of them. */
 const changeOverRequests = 40;
 /** A repair that leaves less room than for this many usual requests is not worth its loads. */
@@ -36,6 +41,8 @@
   private _settledState = "";
   private _lastSpans = "";
   private _calmSinceMs = 0;
+  /** Since when the zone has had layers that no engine holds or is to hold. */
+  private _brokenSinceMs: number | undefined;
 
   /** @param _nowMs - Monotonic clock, replaced in tests. */
   constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
@@ -43,10 +50,15 @@
   /** Gives the orders that are due now. */
   async plan(engines: readonly ZoneEngine[], model: placement.CopyModel): Promise<ZoneOrder[]> {
     const isCalm = this._noteSpans(engines);
+    const isBrokenForLong = this._noteBroken(engines, model);
     // Requests come and go all the time, and lead to no order by themselves.
-    const state = JSON.stringify([engines.map((engine) => ({ ...engine, passing: 0 })), isCalm]);
+    const state = JSON.stringify([
+      engines.map((engine) => ({ ...engine, passing: 0 })),
+      isCalm,
+      isBrokenForLong,
+    ]);
     if (state === this._settledState) return [];
-    const target = await this._findTarget(engines, model, isCalm);
+    const target = await this._findTarget(engines, model, { isCalm, isBrokenForLong });
     const orders = target === undefined ? [] : planZoneOrders(engines, target, model);
     if (orders.length === 0) this._settledState = state;
     return orders;
@@ -61,16 +73,25 @@
     return nowMs - this._calmSinceMs >= calmMs;
   }
 
+  /** Tells whether the zone has been broken for so long that the lost engine may be gone for good. */
+  private _noteBroken(engines: readonly ZoneEngine[], model: placement.CopyModel): boolean {
+    const nowMs = this._nowMs();
+    const isWhole = new placement.BalanceSearch(engines.map(toBalanced), model).isWhole;
+    this._brokenSinceMs = isWhole ? undefined : (this._brokenSinceMs ?? nowMs);
+    return this._brokenSinceMs !== undefined && nowMs - this._brokenSinceMs >= arrangedAnewAfterMs;
+  }
+
   /** The spans that the engines should hold; undefined where they are left as they are. */
   private async _findTarget(
     engines: readonly ZoneEngine[],
     model: placement.CopyModel,
-    isCalm: boolean,
+    { isCalm, isBrokenForLong }: { readonly isCalm: boolean; readonly isBrokenForLong: boolean },
   ): Promise<Spans | undefined> {
     const held = engines.map(toBalanced);
     if (held.every(isEmpty)) return (await search(getFirstPlan(engines, model), model)).spans;
     const now = new placement.BalanceSearch(held, model);
-    if (!now.isWhole) return repair(engines, held, model);
+    if (!now.isWhole)
+      return (await repair(engines, held, model)) ?? (isBrokenForLong ? arrangeAnew(held, model) : undefined);
     if (!isZoneWhole(engines, model)) return closeSooner(engines, model);
     const filled = held.some(isEmpty) ? await fill(held, model) : undefined;
     if (filled !== undefined) return filled;
@@ -84,14 +105,14 @@
 }
 
 /**
- * Closes gaps by growth alone, which waits for nothing that passes, or else with engines whose layers others hold too. A zone that
- * can't be made whole so starts anew.
+ * Closes gaps by growth alone, which waits for nothing that passes, or else with engines whose layers others hold too. Undefined where
+ * neither makes the zone whole.
  */
 async function repair(
   engines: readonly ZoneEngine[],
   held: Spans,
   model: placement.CopyModel,
-): Promise<Spans> {
+): Promise<Spans | undefined> {
   const unused = new Set(
     [...engines.keys()].filter((index) => (engines[index]?.passing ?? 0) <= mostPassing),
   );
@@ -103,6 +124,11 @@
       if (repaired.isWhole) return repaired.spans;
     }
   }
+  return undefined;
+}
+
+/** Arranges a zone anew, from what its engines hold or from nothing, whichever ends better. */
+async function arrangeAnew(held: Spans, model: placement.CopyModel): Promise<Spans> {
   const moved = await search(held, model);
   const anew = await search(getFirstPlan(held, model), model);
   return moved.cost <= anew.cost ? moved.spans : anew.spans;
