refactor(gateway, placement): covered runs, layers given up and whole zones are each judged in one place

isCovered stood in BalanceSearch and in planZoneOrders, what an engine gives up in ZonePlanner and in planZoneOrders, and a whole search was built twice for each look at a zone only to ask whether it is whole. No change of behaviour; 120 tests of gateway and placement pass.

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -3,6 +3,7 @@
 import * as placement from "@shedtiller/placement";
 import {
   getExpectedSpan,
+  isGivingUp,
   isZoneWhole,
   planZoneOrders,
   type ZoneEngine,
@@ -76,8 +77,9 @@
   /** Tells whether the zone has been broken for so long that the lost engine may be gone for good. */
   private _noteBroken(engines: readonly ZoneEngine[], model: placement.CopyModel): boolean {
     const nowMs = this._nowMs();
-    const isWhole = new placement.BalanceSearch(engines.map(toBalanced), model).isWhole;
-    this._brokenSinceMs = isWhole ? undefined : (this._brokenSinceMs ?? nowMs);
+    this._brokenSinceMs = isWhole(engines.map(toBalanced), model)
+      ? undefined
+      : (this._brokenSinceMs ?? nowMs);
     return this._brokenSinceMs !== undefined && nowMs - this._brokenSinceMs >= arrangedAnewAfterMs;
   }
 
@@ -89,8 +91,7 @@
   ): Promise<Spans | undefined> {
     const held = engines.map(toBalanced);
     if (held.every(isEmpty)) return (await search(getFirstPlan(engines, model), model)).spans;
-    const now = new placement.BalanceSearch(held, model);
-    if (!now.isWhole)
+    if (!isWhole(held, model))
       return (await repair(engines, held, model)) ?? (isBrokenForLong ? arrangeAnew(held, model) : undefined);
     if (!isZoneWhole(engines, model)) return closeSooner(engines, model);
     const filled = held.some(isEmpty) ? await fill(held, model) : undefined;
@@ -143,23 +144,23 @@
   model: placement.CopyModel,
 ): Promise<Spans | undefined> {
   const sure = engines.map((member) =>
-    toBalanced(isGivingUpLayers(member) ? { ...member, ordered: undefined } : member),
+    toBalanced(isGivingUp(member, getExpectedSpan(member)) ? { ...member, ordered: undefined } : member),
   );
-  if (!sure.some(isEmpty) || new placement.BalanceSearch(sure, model).isWhole) return undefined;
+  if (!sure.some(isEmpty) || isWhole(sure, model)) return undefined;
   return (await search(sure, model, { isFillOnly: true }, (running) => running.isWhole)).spans;
 }
 
-function isGivingUpLayers({ listed, ordered }: ZoneEngine): boolean {
-  if (listed === undefined || ordered === undefined) return false;
-  return ordered.start > listed.start || ordered.end < listed.end;
-}
-
 /** Gives engines that hold nothing work, and leaves the others as they are. */
 async function fill(held: Spans, model: placement.CopyModel): Promise<Spans | undefined> {
   const filled = await search(held, model, { isFillOnly: true });
   return filled.cost <= filled.costBefore - worthwhileFillGain ? filled.spans : undefined;
 }
 
+/** Whether every layer has room for a request. */
+function isWhole(spans: Spans, model: placement.CopyModel): boolean {
+  return new placement.ZoneArrangement(spans, model).isWhole;
+}
+
 function isEmpty(span: placement.BalancedSpan): boolean {
   return span.end === span.start;
 }
--- a/packages/gateway/src/orders/planZoneOrders.ts
+++ b/packages/gateway/src/orders/planZoneOrders.ts
@@ -34,7 +34,7 @@
 /** Whether chains inside the zone run all layers now. */
 export function isZoneWhole(members: readonly ZoneEngine[], model: placement.CopyModel): boolean {
   const listed = members.flatMap((member) => member.listed ?? []);
-  return isCovered({ start: 0, end: model.layerCount }, listed);
+  return placement.isCovered({ start: 0, end: model.layerCount }, listed);
 }
 
 /**
@@ -62,7 +62,7 @@
     if (!isGivingUp(member, span)) return [order];
     const others = members.filter((other) => other !== member).flatMap((other) => other.listed ?? []);
     const isSafe =
-      !isWhole || (isSettled && getGivenUp(member, span).every((part) => isCovered(part, others)));
+      !isWhole || (isSettled && getGivenUp(member, span).every((part) => placement.isCovered(part, others)));
     return isSafe ? [order] : [];
   });
 }
@@ -86,7 +86,8 @@
   return isWhole ? undefined : wanted;
 }
 
-function isGivingUp(member: ZoneEngine, span: LayerSpan): boolean {
+/** Whether an engine gives up some of the layers that it lists, to hold `span`. */
+export function isGivingUp(member: ZoneEngine, span: LayerSpan): boolean {
   return getGivenUp(member, span).length > 0;
 }
 
@@ -100,14 +101,3 @@
   ];
   return parts.filter((part) => part.end > part.start);
 }
-
-function isCovered(part: LayerSpan, spans: readonly LayerSpan[]): boolean {
-  let layer = part.start;
-  while (layer < part.end) {
-    const at = layer;
-    const holder = spans.find((span) => span.start <= at && at < span.end);
-    if (holder === undefined) return false;
-    layer = holder.end;
-  }
-  return true;
-}
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -3,6 +3,7 @@
  * neighbours until no single step helps any more (hill climbing). Works on any number of copies.
  */
 import { getSteps, type BalanceStep } from "./balanceSteps.js";
+import { isCovered } from "./isCovered.js";
 import { getTokensBeside, type CopyModel } from "./planLayerCopies.js";
 import { ZoneArrangement, type BalancedSpan } from "./ZoneArrangement.js";
 
@@ -149,10 +150,3 @@
     );
   });
 }
-
-function isCovered(span: BalancedSpan, others: readonly BalancedSpan[]): boolean {
-  for (let layer = span.start; layer < span.end; layer++) {
-    if (!others.some((other) => other.start <= layer && layer < other.end)) return false;
-  }
-  return true;
-}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./ZoneArrangement.js";
 export * from "./planLayerCopies.js";
 export * from "./BalanceSearch.js";
+export * from "./isCovered.js";
