test(gateway): the verdict on the zone's reader no longer depends on timers

Cause (listed in KNOWN-RED.txt): the followers of the test paused between reads by real timers of a millisecond, while a tick of the test is twenty turns of the event loop. On a machine that runs turns faster, or timers later, ticks pass without a read, and a proof is older than two ticks. Ruled out: the choice of the reader; it is the same in each run, since names and hash are fixed. Change: a follower takes its pause as an option, and the test gives it a turn of the loop. What the test asserts stays.

--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -34,6 +34,8 @@
   readonly gatherMs?: number;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
+  /** Waits between reads, replaced in tests. Rejects once `signal` aborts. */
+  readonly pause?: (durationMs: number, signal: AbortSignal) => Promise<void>;
 }
 
 /** A read of the store, or what a peer tells of one. */
@@ -48,6 +50,7 @@
 /** One task that follows until its signal aborts. */
 export class FeedFollower<T> {
   private readonly _nowMs: () => number;
+  private readonly _pause: (durationMs: number, signal: AbortSignal) => Promise<void>;
   private readonly _readListeners: ((page: FeedPage<T>, fromOffset: number) => void)[] = [];
   private _offset: number | undefined;
   private _provenAtMs = Number.NEGATIVE_INFINITY;
@@ -68,6 +71,7 @@
     private readonly _options: FollowOptions,
   ) {
     this._nowMs = _options.nowMs ?? utils.monotonicMs;
+    this._pause = _options.pause ?? utils.sleep;
   }
 
   /** Where reading goes on; undefined before the first snapshot. */
@@ -140,7 +144,7 @@
     const error = await this._read();
     if (error !== undefined) this._noteFailed(error);
     else this._failures = 0;
-    await utils.sleep(this._getPauseMs(error, before), signal).catch(() => undefined);
+    await this._pause(this._getPauseMs(error, before), signal).catch(() => undefined);
   }
 
   private _getPauseMs(error: StoreError | undefined, offsetBefore: number | undefined): number {
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -1,6 +1,6 @@
 /** One instance of a zone reads the store; the others know what it knows, and read by themselves once it can't. */
 import test from "ava";
-import { errors, results } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import {
   ChangeFeed,
   type Change,
@@ -51,7 +51,7 @@
   override async getChanges(offset: number): Promise<results.Result<FeedPage<ListedEndpoint>, StoreError>> {
     const { reads, cutOff, changes } = this._store;
     reads.set(this._reader, (reads.get(this._reader) ?? 0) + 1);
-    await new Promise((resolve) => setImmediate(resolve));
+    await utils.yieldToEvents();
     if (cutOff.has(this._reader)) return results.Err(new errors.NotReachedError("store"));
     return results.Ok({ changes: changes.slice(offset), nextOffset: changes.length, isCompacted: false });
   }
@@ -81,7 +81,7 @@
       this._nowMs += tickMs;
       for (const { relay } of this.instances.values()) relay.check();
       // Each turn of the loop answers reads and lets their followers go on.
-      for (let turn = 0; turn < 20; turn++) await new Promise((resolve) => setImmediate(resolve));
+      for (let turn = 0; turn < 20; turn++) await utils.yieldToEvents();
     }
   }
 
@@ -117,7 +117,9 @@
       onRegained: () => void (this.get(name).regained += 1),
     };
     const feed = this.store.createFeed(name);
-    const follower = new FeedFollower(feed, listener, { waitMs: 0, retryMs: 0, gatherMs: 0, nowMs });
+    // A pause is a turn of the loop: timers would tie the verdict to how fast this machine runs the turns of `run`.
+    const options = { waitMs: 0, retryMs: 0, gatherMs: 0, nowMs, pause: utils.yieldToEvents };
+    const follower = new FeedFollower(feed, listener, options);
     const membership = this.network.join({ name, availabilityZone: "east" });
     const relay = new StoreRelay({ membership, log: new DecisionLog(new SilentSink(), nowMs), nowMs });
     relay.add(topic, follower, listedEndpointSchema);
