feat(gateway): chains that change zones leave half of the room to zones that run all layers

A chain across takes room in patches; a zone whose tightest layers are full of them sends its own requests across as well. Within their zones the engines would serve some 70 requests a second, in that state 46, with 60 coming: it ends only when all processes are restarted. Change: the reserve of telephone networks against this (trunk reservation): a chain that changes zones takes at most half of the room of engines whose zone runs all layers by itself. Engines of zones that are not whole give all they have. Test: ChainChooserTests, "leaves half of the room".

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -1,5 +1,6 @@
 /** Chooses the engines that a request passes, by time and by room. */
 import { utils } from "@shedtiller/common";
+import * as placement from "@shedtiller/placement";
 import type { AcceleratorKind, EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
@@ -11,6 +12,13 @@
 /** Room that is nearly full costs this many times more than empty room, so that chains fill evenly. */
 const fullRoomFactor = 4;
 
+/**
+ * Share of an engine's room that chains may take which change zones, where the engine's zone runs all layers by itself. Such a chain
+ * takes room in several zones, and each zone whose room is broken up by them sends more requests across: without a reserve (the trunk
+ * reservation of telephone networks) a short overload becomes a lasting one. Measured: docs/DECISIONS.md, round 19.
+ */
+const crossingRoomShare = 0.5;
+
 /** A spread choice takes costs from half to one and a half of what they are. */
 const spreadRange = 1;
 
@@ -31,11 +39,23 @@
     profile: EngineProfile,
     demand: ChainDemand,
   ): ChainStage[] | undefined {
-    const candidates = endpoints.flatMap((endpoint) => this._toCandidates(endpoint, profile, demand));
-    return coverLayers(candidates, profile.layerCount, demand);
+    const { layerCount } = profile;
+    const wholeZones = getWholeZones(endpoints, layerCount, this._nowMs());
+    const candidates = endpoints.flatMap((endpoint) =>
+      this._toCandidates(endpoint, profile, demand, wholeZones),
+    );
+    return (
+      coverLayers(candidates, layerCount, demand, "one-zone") ??
+      coverLayers(candidates, layerCount, demand, "several-zones")
+    );
   }
 
-  private _toCandidates(endpoint: Endpoint, profile: EngineProfile, demand: ChainDemand): ChainCandidate[] {
+  private _toCandidates(
+    endpoint: Endpoint,
+    profile: EngineProfile,
+    demand: ChainDemand,
+    wholeZones: ReadonlySet<string>,
+  ): ChainCandidate[] {
     const nowMs = this._nowMs();
     if (endpoint.isSuspect(nowMs) || nowMs < endpoint.refusedUntilMs) return [];
     const kind = getKind(endpoint, profile);
@@ -51,11 +71,34 @@
     const spread = demand.isSpread === true ? 1 + spreadRange * (this._random() - 0.5) : 1;
     const crowding = 1 + fullRoomFactor * fullness ** 2;
     const msPerLayer = getMsPerLayer(profile, kind, demand, state) * crowding * spread;
-    const freeLayers = Math.floor((capacity - load.tokenLayers) / Math.max(1, tokens));
-    return endpoint.listed.layers.map(({ start, end }) => ({ endpoint, start, end, msPerLayer, freeLayers }));
+    const countFree = (share: number): number =>
+      Math.floor((capacity * share - load.tokenLayers) / Math.max(1, tokens));
+    const freeLayers = countFree(1);
+    const isZoneWhole = wholeZones.has(endpoint.listed.availabilityZone);
+    const freeLayersAcross = isZoneWhole ? countFree(crossingRoomShare) : freeLayers;
+    return endpoint.listed.layers.map(({ start, end }) => ({
+      endpoint,
+      start,
+      end,
+      msPerLayer,
+      freeLayers,
+      freeLayersAcross,
+    }));
   }
 }
 
+/** Zones whose engines run all layers without those of other zones, whether or not they have room now. */
+function getWholeZones(endpoints: readonly Endpoint[], layerCount: number, nowMs: number): Set<string> {
+  const usable = endpoints.filter((endpoint) => !endpoint.isSuspect(nowMs));
+  const zones = utils.groupBy(usable, (endpoint) => endpoint.listed.availabilityZone);
+  const isWhole = (members: readonly Endpoint[]): boolean =>
+    placement.isCovered(
+      { start: 0, end: layerCount },
+      members.flatMap((member) => member.listed.layers),
+    );
+  return new Set([...zones].flatMap(([zone, members]) => (isWhole(members) ? [zone] : [])));
+}
+
 /** Time that one layer of the whole request takes at an engine, beside what it runs already. */
 function getMsPerLayer(
   profile: EngineProfile,
--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -38,8 +38,13 @@
   readonly msPerLayer: number;
   /** Layers that the request's tokens still fit into. */
   readonly freeLayers: number;
+  /** The same for a chain that changes zones on its way. */
+  readonly freeLayersAcross: number;
 }
 
+/** Whether a chain may change zones on its way. */
+export type ChainReach = "one-zone" | "several-zones";
+
 /** The cheapest way known to run the layers up to a boundary. */
 interface Label {
   readonly costMs: number;
@@ -57,8 +62,9 @@
   candidates: readonly ChainCandidate[],
   layerCount: number,
   demand: ChainDemand,
+  reach: ChainReach,
 ): ChainStage[] | undefined {
-  const labels = labelBoundaries(candidates, layerCount, demand);
+  const labels = labelBoundaries(candidates, layerCount, demand, reach);
   const best = pickCheapest(labels.get(layerCount)?.values() ?? []);
   return best === undefined ? undefined : toStages(best);
 }
@@ -67,6 +73,7 @@
   candidates: readonly ChainCandidate[],
   layerCount: number,
   demand: ChainDemand,
+  reach: ChainReach,
 ): Labels {
   const boundaries = getBoundaries(candidates, layerCount, demand.firstEnd);
   const labels: Labels = new Map([
@@ -74,7 +81,7 @@
   ]);
   for (const from of boundaries) {
     for (const label of labels.get(from)?.values() ?? []) {
-      for (const candidate of candidates) extend(labels, label, candidate, boundaries, demand);
+      for (const candidate of candidates) extend(labels, label, candidate, boundaries, demand, reach);
     }
   }
   return labels;
@@ -97,6 +104,7 @@
   candidate: ChainCandidate,
   boundaries: readonly number[],
   demand: ChainDemand,
+  reach: ChainReach,
 ): void {
   const from = label.boundary;
   if (from < candidate.start || from >= candidate.end || label.stages >= mostStages) return;
@@ -104,10 +112,12 @@
     return;
   if (isUsed(label, candidate)) return;
   const zone = candidate.endpoint.listed.availabilityZone;
+  if (reach === "one-zone" && label.candidate !== undefined && !isInZone(label.candidate, zone)) return;
+  const freeLayers = reach === "one-zone" ? candidate.freeLayers : candidate.freeLayersAcross;
   const entryMs = hopMs * demand.answerTokens + getZoneMs(zone, label, demand);
   for (const to of boundaries) {
     if (from === 0 && demand.firstEnd !== undefined && to !== demand.firstEnd) continue;
-    if (to <= from || to > candidate.end || to - from > candidate.freeLayers) continue;
+    if (to <= from || to > candidate.end || to - from > freeLayers) continue;
     const costMs = label.costMs + entryMs + (to - from) * candidate.msPerLayer;
     const known = labels.get(to) ?? new Map<string, Label>();
     labels.set(to, known);
@@ -118,7 +128,11 @@
 
 function getZoneMs(zone: string, label: Label, demand: ChainDemand): number {
   if (label.candidate === undefined) return zone === demand.availabilityZone ? 0 : otherZoneMs;
-  return zone === label.candidate.endpoint.listed.availabilityZone ? 0 : zoneChangeMs;
+  return isInZone(label.candidate, zone) ? 0 : zoneChangeMs;
+}
+
+function isInZone(candidate: ChainCandidate, zone: string): boolean {
+  return candidate.endpoint.listed.availabilityZone === zone;
 }
 
 function isUsed(label: Label, candidate: ChainCandidate): boolean {
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -75,6 +75,17 @@
   t.is(describe(chooser.choose(engines.slice(0, 2), profile, demand)), "a=0-2,b=2-4");
 });
 
+test("a chain that changes zones leaves half of the room to a zone that runs all layers by itself", (t) => {
+  const start = createEngine("a", 0, 2);
+  const end = createEngine("b", 2, 4, { availabilityZone: "west" });
+  const rest = createEngine("c", 0, 2, { availabilityZone: "west" });
+  rest.addOwn(1, getCapacityTokenLayers(rest, profile));
+  t.is(describe(chooser.choose([start, end, rest], profile, demand)), "a=0-2,b=2-4");
+  end.addOwn(1, getCapacityTokenLayers(end, profile) / 2);
+  t.is(chooser.choose([start, end, rest], profile, demand), undefined);
+  t.is(describe(chooser.choose([start, end], profile, demand)), "a=0-2,b=2-4", "west runs nothing by itself");
+});
+
 test("a moved request keeps its first engine and that engine's part", (t) => {
   const engines = [createEngine("a", 0, 3), createEngine("b", 2, 4), createEngine("c", 0, 4)];
   const moved = chooser.choose(engines, profile, { ...demand, firstEndpointId: "a", firstEnd: 2 });
