feat(gateway): connections to engines rest for as long as those say; evidence is asked for on fresh ones

Change: a rested connection is used for as long as the other side has announced, less a second and 8 s at most; without a word for 0.9 s as before. Questions about an engine that fell silent, and orders, take a connection of their own: one that was kept may have gone silent, which says nothing of the engine.

--- a/packages/gateway/src/http/HttpCaller.ts
+++ b/packages/gateway/src/http/HttpCaller.ts
@@ -3,21 +3,12 @@
 import { results } from "@shedtiller/common";
 import type { CallError, HttpAnswer, HttpCall, WholeAnswer } from "./HttpCall.js";
 import { HttpExchange } from "./HttpExchange.js";
+import { KeptAgent } from "./KeptAgent.js";
 import { readBody } from "./readBody.js";
 
-/** Rested connections per address; more are closed. Endpoints allow hundreds over all callers. */
-const maxFreeSockets = 16;
-/** A rested connection is not used again past this; below the shortest rest seen on endpoints (whole seconds). */
-const maxRestMs = 900;
-
 /** Makes calls over kept or fresh connections. */
 export class HttpCaller {
-  private readonly _kept = new http.Agent({
-    keepAlive: true,
-    maxFreeSockets,
-    timeout: maxRestMs,
-    scheduling: "lifo",
-  });
+  private readonly _kept = new KeptAgent();
   private readonly _fresh = new http.Agent({ keepAlive: false });
 
   /** Sends a request and waits for the head of its answer. */
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import { errors, results } from "@shedtiller/common";
 import type { CallError, HttpAnswer, HttpCall } from "./HttpCall.js";
+import { KeptAgent } from "./KeptAgent.js";
 import { watchEnding } from "./watchEnding.js";
 
 /** One request from its start to the head of its answer. */
@@ -69,6 +70,7 @@
   private _acceptHead(message: http.IncomingMessage): void {
     if (this._isSettled) return void message.destroy();
     const request = this._request;
+    if (this._agent instanceof KeptAgent) this._agent.noteAnswer(message.socket, message.headers);
     const ending = isFramed(message) ? undefined : watchEnding(message);
     message.on("error", () => undefined);
     this._settle(
--- a/packages/gateway/src/orders/EngineOrders.ts
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -45,9 +45,14 @@
 
 /** Sends orders and reads reports. */
 export abstract class EngineOrders {
+  /**
+   * Asks an engine for its report.
+   * @param isFresh - Whether a connection of its own is used. A kept one may have gone silent, which tells nothing of the engine.
+   */
   abstract getReport(
     target: OrderTarget,
     timeoutMs: number,
+    isFresh?: boolean,
   ): Promise<results.Result<EngineReport, OrderError>>;
 
   /**
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -53,7 +53,7 @@
 
   private async _ask(engine: Endpoint): Promise<void> {
     const target = { id: engine.id, address: engine.listed.address };
-    const report = await this._structure.orders.getReport(target, reportTimeoutMs);
+    const report = await this._structure.orders.getReport(target, reportTimeoutMs, false);
     if (report.err) return;
     const slowness = getSlowness(report.val);
     if (Math.abs(slowness - engine.slowness) < toldChange) return;
