--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -64,27 +64,70 @@
   demand: ChainDemand,
   reach: ChainReach,
 ): ChainStage[] | undefined {
-  const labels = labelBoundaries(candidates, layerCount, demand, reach);
-  const best = pickCheapest(labels.get(layerCount)?.values() ?? []);
-  return best === undefined ? undefined : toStages(best);
+  return new ChainSearch(candidates, layerCount, demand, reach).run();
 }
 
-function labelBoundaries(
-  candidates: readonly ChainCandidate[],
-  layerCount: number,
-  demand: ChainDemand,
-  reach: ChainReach,
-): Labels {
-  const boundaries = getBoundaries(candidates, layerCount, demand.firstEnd);
-  const labels: Labels = new Map([
-    [0, new Map([["", { costMs: 0, candidate: undefined, boundary: 0, previous: undefined, stages: 0 }]])],
-  ]);
-  for (const from of boundaries) {
-    for (const label of labels.get(from)?.values() ?? []) {
-      for (const candidate of candidates) extend(labels, label, candidate, boundaries, demand, reach);
+/** One search for the cheapest chain. */
+class ChainSearch {
+  private readonly _boundaries: readonly number[];
+  private readonly _labels: Labels;
+
+  constructor(
+    private readonly _candidates: readonly ChainCandidate[],
+    private readonly _layerCount: number,
+    private readonly _demand: ChainDemand,
+    private readonly _reach: ChainReach,
+  ) {
+    this._boundaries = getBoundaries(_candidates, _layerCount, _demand.firstEnd);
+    const start = { costMs: 0, candidate: undefined, boundary: 0, previous: undefined, stages: 0 };
+    this._labels = new Map([[0, new Map([["", start]])]]);
+  }
+
+  run(): ChainStage[] | undefined {
+    for (const from of this._boundaries) {
+      for (const label of this._labels.get(from)?.values() ?? []) {
+        for (const candidate of this._candidates) {
+          if (this._mayFollow(label, candidate)) this._extend(label, candidate);
+        }
+      }
     }
+    const best = pickCheapest(this._labels.get(this._layerCount)?.values() ?? []);
+    return best === undefined ? undefined : toStages(best);
+  }
+
+  /** Whether the engine holds the next layer and may come next in the chain. */
+  private _mayFollow(label: Label, candidate: ChainCandidate): boolean {
+    const from = label.boundary;
+    if (from < candidate.start || from >= candidate.end || label.stages >= mostStages) return false;
+    const { firstEndpointId } = this._demand;
+    const isFirst = label.candidate === undefined;
+    if (isFirst && firstEndpointId !== undefined && candidate.endpoint.id !== firstEndpointId) return false;
+    if (this._reach === "one-zone" && !isFirst && changesZone(label, candidate)) return false;
+    return !isUsed(label, candidate);
+  }
+
+  /** Labels each boundary that the engine reaches from a label, where no cheaper way there is known. */
+  private _extend(label: Label, candidate: ChainCandidate): void {
+    const from = label.boundary;
+    const zone = candidate.endpoint.listed.availabilityZone;
+    const freeLayers = this._reach === "one-zone" ? candidate.freeLayers : candidate.freeLayersAcross;
+    const entryMs = hopMs * this._demand.answerTokens + this._getZoneMs(label, candidate);
+    const { firstEnd } = this._demand;
+    for (const to of this._boundaries) {
+      if (from === 0 && firstEnd !== undefined && to !== firstEnd) continue;
+      if (to <= from || to > candidate.end || to - from > freeLayers) continue;
+      const costMs = label.costMs + entryMs + (to - from) * candidate.msPerLayer;
+      const known = this._labels.get(to) ?? new Map<string, Label>();
+      this._labels.set(to, known);
+      if ((known.get(zone)?.costMs ?? Number.POSITIVE_INFINITY) <= costMs) continue;
+      known.set(zone, { costMs, candidate, boundary: to, previous: label, stages: label.stages + 1 });
+    }
+  }
+
+  private _getZoneMs(label: Label, candidate: ChainCandidate): number {
+    if (label.candidate !== undefined) return changesZone(label, candidate) ? zoneChangeMs : 0;
+    return candidate.endpoint.listed.availabilityZone === this._demand.availabilityZone ? 0 : otherZoneMs;
   }
-  return labels;
 }
 
 function getBoundaries(
@@ -98,41 +141,10 @@
   return [...boundaries].sort((a, b) => a - b);
 }
 
-function extend(
-  labels: Labels,
-  label: Label,
-  candidate: ChainCandidate,
-  boundaries: readonly number[],
-  demand: ChainDemand,
-  reach: ChainReach,
-): void {
-  const from = label.boundary;
-  if (from < candidate.start || from >= candidate.end || label.stages >= mostStages) return;
-  if (from === 0 && demand.firstEndpointId !== undefined && candidate.endpoint.id !== demand.firstEndpointId)
-    return;
-  if (isUsed(label, candidate)) return;
-  const zone = candidate.endpoint.listed.availabilityZone;
-  if (reach === "one-zone" && label.candidate !== undefined && !isInZone(label.candidate, zone)) return;
-  const freeLayers = reach === "one-zone" ? candidate.freeLayers : candidate.freeLayersAcross;
-  const entryMs = hopMs * demand.answerTokens + getZoneMs(zone, label, demand);
-  for (const to of boundaries) {
-    if (from === 0 && demand.firstEnd !== undefined && to !== demand.firstEnd) continue;
-    if (to <= from || to > candidate.end || to - from > freeLayers) continue;
-    const costMs = label.costMs + entryMs + (to - from) * candidate.msPerLayer;
-    const known = labels.get(to) ?? new Map<string, Label>();
-    labels.set(to, known);
-    if ((known.get(zone)?.costMs ?? Number.POSITIVE_INFINITY) <= costMs) continue;
-    known.set(zone, { costMs, candidate, boundary: to, previous: label, stages: label.stages + 1 });
-  }
-}
-
-function getZoneMs(zone: string, label: Label, demand: ChainDemand): number {
-  if (label.candidate === undefined) return zone === demand.availabilityZone ? 0 : otherZoneMs;
-  return isInZone(label.candidate, zone) ? 0 : zoneChangeMs;
-}
-
-function isInZone(candidate: ChainCandidate, zone: string): boolean {
-  return candidate.endpoint.listed.availabilityZone === zone;
+/** Whether an engine lies in another zone than the last one of a chain. */
+function changesZone(label: Label, candidate: ChainCandidate): boolean {
+  const last = label.candidate?.endpoint.listed.availabilityZone;
+  return last !== undefined && last !== candidate.endpoint.listed.availabilityZone;
 }
 
 function isUsed(label: Label, candidate: ChainCandidate): boolean {
