perf(gateway): a search for a chain looks at engines with room that hold the next layer

Change: engines without room for a layer are left out, only holders of a boundary are looked at there, and where a request found no room those of the same service that need as much or more aren't tried; smaller ones behind them now are. What is chosen is the same (ChainChooserTests unchanged). Test: ChainAdmissionTests, 'a smaller request gets the room'.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -95,14 +95,20 @@
     const inOrder = [...this._waiters].sort((a, b) => compareTurns(a.applicant, b.applicant, nowMs));
     let misses = 0;
     let ahead = 0;
+    /** By service: where so many tokens found no room, as many or more find none either. */
+    const missedTokens = new Map<string, number>();
     for (const waiter of inOrder) {
-      const reservation = misses < mostMisses ? this._tryReserve(waiter.applicant) : undefined;
+      const { service } = waiter.applicant;
+      const tokens = countTokens(waiter.applicant);
+      const isTried = misses < mostMisses && tokens < (missedTokens.get(service) ?? Number.POSITIVE_INFINITY);
+      const reservation = isTried ? this._tryReserve(waiter.applicant) : undefined;
       if (reservation !== undefined) {
         this._remove(waiter);
         waiter.done.resolve(reservation);
         continue;
       }
-      misses += 1;
+      if (isTried) misses += 1;
+      if (isTried) missedTokens.set(service, tokens);
       ahead += 1;
       // Others came that go first, and what is left of the patience no longer lasts until its turn.
       if (nowMs + ahead * this._releaseIntervalMs > waiter.giveUpAtMs) waiter.giveUp();
@@ -146,6 +152,10 @@
   }
 }
 
+function countTokens({ demand }: ChainApplicant): number {
+  return demand.promptTokens + demand.answerTokens;
+}
+
 /**
  * By priority; among equals those that can still be in time go first, and otherwise those that came first. Where more come than
  * can be served, an order by arrival alone makes all of them late.
--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -69,36 +69,41 @@
 
 /** One search for the cheapest chain. */
 class ChainSearch {
+  /** Those with room for at least one layer. */
+  private readonly _candidates: readonly ChainCandidate[];
   private readonly _boundaries: readonly number[];
   private readonly _labels: Labels;
 
   constructor(
-    private readonly _candidates: readonly ChainCandidate[],
+    candidates: readonly ChainCandidate[],
     private readonly _layerCount: number,
     private readonly _demand: ChainDemand,
     private readonly _reach: ChainReach,
   ) {
-    this._boundaries = getBoundaries(_candidates, _layerCount, _demand.firstEnd);
+    this._candidates = candidates.filter((candidate) => this._getFreeLayers(candidate) > 0);
+    this._boundaries = getBoundaries(this._candidates, _layerCount, _demand.firstEnd);
     const start = { costMs: 0, candidate: undefined, boundary: 0, previous: undefined, stages: 0 };
     this._labels = new Map([[0, new Map([["", start]])]]);
   }
 
   run(): ChainStage[] | undefined {
-    for (const from of this._boundaries) {
-      for (const label of this._labels.get(from)?.values() ?? []) {
-        for (const candidate of this._candidates) {
-          if (this._mayFollow(label, candidate)) this._extend(label, candidate);
-        }
-      }
-    }
+    for (const from of this._boundaries) this._extendFrom(from);
     const best = pickCheapest(this._labels.get(this._layerCount)?.values() ?? []);
     return best === undefined ? undefined : toStages(best);
   }
 
-  /** Whether the engine holds the next layer and may come next in the chain. */
+  private _extendFrom(from: number): void {
+    const labels = this._labels.get(from);
+    if (labels === undefined) return;
+    const holders = this._candidates.filter(({ start, end }) => start <= from && from < end);
+    for (const label of labels.values()) {
+      for (const candidate of holders) if (this._mayFollow(label, candidate)) this._extend(label, candidate);
+    }
+  }
+
+  /** Whether an engine that holds the next layer may come next in the chain. */
   private _mayFollow(label: Label, candidate: ChainCandidate): boolean {
-    const from = label.boundary;
-    if (from < candidate.start || from >= candidate.end || label.stages >= mostStages) return false;
+    if (label.stages >= mostStages) return false;
     const { firstEndpointId } = this._demand;
     const isFirst = label.candidate === undefined;
     if (isFirst && firstEndpointId !== undefined && candidate.endpoint.id !== firstEndpointId) return false;
@@ -110,12 +115,14 @@
   private _extend(label: Label, candidate: ChainCandidate): void {
     const from = label.boundary;
     const zone = candidate.endpoint.listed.availabilityZone;
-    const freeLayers = this._reach === "one-zone" ? candidate.freeLayers : candidate.freeLayersAcross;
+    const freeLayers = this._getFreeLayers(candidate);
     const entryMs = hopMs * this._demand.answerTokens + this._getZoneMs(label, candidate);
     const { firstEnd } = this._demand;
+    const last = Math.min(candidate.end, from + freeLayers);
     for (const to of this._boundaries) {
+      if (to <= from) continue;
+      if (to > last) break;
       if (from === 0 && firstEnd !== undefined && to !== firstEnd) continue;
-      if (to <= from || to > candidate.end || to - from > freeLayers) continue;
       const costMs = label.costMs + entryMs + (to - from) * candidate.msPerLayer;
       const known = this._labels.get(to) ?? new Map<string, Label>();
       this._labels.set(to, known);
@@ -124,6 +131,10 @@
     }
   }
 
+  private _getFreeLayers(candidate: ChainCandidate): number {
+    return this._reach === "one-zone" ? candidate.freeLayers : candidate.freeLayersAcross;
+  }
+
   private _getZoneMs(label: Label, candidate: ChainCandidate): number {
     if (label.candidate !== undefined) return changesZone(label, candidate) ? zoneChangeMs : 0;
     return candidate.endpoint.listed.availabilityZone === this._demand.availabilityZone ? 0 : otherZoneMs;
--- a/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -82,3 +82,17 @@
   for (const other of others) release(await other);
   t.is(served.length, 22);
 });
+
+test("a smaller request gets the room that many larger ones before it can't use", async (t) => {
+  const { served, acquire, release } = setUp();
+  const first = await acquire("first");
+  const leaving = new AbortController();
+  const demand = { promptTokens: 4_000, answerTokens: 10, availabilityZone: "east" };
+  const large = Array.from({ length: 5 }, () => acquire("large", { demand, signal: leaving.signal }));
+  const small = acquire("small");
+  release(first);
+  release(await small);
+  t.deepEqual(served, ["first", "small"]);
+  leaving.abort();
+  await Promise.all(large);
+});
