perf(gateway): the list of endpoints is read every 400 ms while it changes

Change: after 400 ms, as long as a read is held while nothing changes, so a proof gets no older than before. The configuration's reads stay as they are.

--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -11,6 +11,11 @@
  */
 const heldReadMs = 400;
 const retryMs = 250;
+/**
+ * While entries change, this pause sets how many reads a zone makes and how often its instances are told. As long as a held read, so
+ * that proofs get no older by it.
+ */
+const gatherMs = 400;
 
 /** One watch an instance. */
 export class EndpointWatch {
@@ -30,7 +35,7 @@
         log.info("endpoint-store-regained", { endpoints: _endpoints.getAll().length });
       },
     };
-    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs });
+    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs, gatherMs });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
       const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -16,8 +16,8 @@
 import type { StreamAttempt } from "./StreamAttempt.js";
 
 /**
- * Half of this is added to the silences below on average. As long as the other ticks of an instance: they fall on the same moments
- * (`utils.repeat`), and an instance at rest spends its time on waking up.
+ * Half of this is added to the silences below on average. The other ticks of an instance have the same length and so fall on the same
+ * moments (`utils.repeat`): an instance at rest spends most of its time on waking up.
  */
 const checkIntervalMs = 200;
 /** Silence before the first event that leads to a question: most first events come within 300 ms on a calm day. */
