refactor(entry): operators' routes are a table, and the zone feed's messages stand by themselves

Eight routes repeated their guard; the feed's file held its wire forms as well. Nothing changes for callers or peers; the tests of configuration, entry and command line pass unchanged.

--- a/packages/entry/src/feeds/ZoneFeed.ts
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -13,8 +13,8 @@
   type EngineReport,
 } from "@shedtiller/routing";
 import got from "got";
-import * as zod from "zod";
 import type { PipelineDemands } from "./PipelineDemands.js";
+import { digestSchema, reportsSchema, type Digest, type Reports } from "./zoneFeedMessages.js";
 
 const reportsTopic = "reports";
 const digestTopic = "digest";
@@ -34,25 +34,6 @@
 /** A report that is older than this many rounds is fetched by each instance itself. */
 const staleRounds = 5;
 
-const demandSchema = zod.tuple([zod.string(), zod.number(), zod.number()]);
-const loadSchema = zod.tuple([zod.string(), zod.number()]);
-const reportsSchema = zod.object({
-  full: zod.array(engineReportSchema),
-  loads: zod.array(loadSchema),
-  /** Absent in rounds that leave them out. */
-  accounts: zod.array(demandSchema).optional(),
-  pipelines: zod.array(loadSchema),
-});
-const digestSchema = reportsSchema.extend({
-  availabilityZone: zod.string(),
-  instanceCount: zod.number().int().positive(),
-  /** Hash of everything in the reports but the loads. */
-  fixedHash: zod.number(),
-});
-
-type Reports = zod.infer<typeof reportsSchema>;
-type Digest = zod.infer<typeof digestSchema>;
-
 /** What the feed works on. */
 export interface ZoneFeedStructure {
   readonly membership: Membership;
--- /dev/null
+++ b/packages/entry/src/feeds/zoneFeedMessages.ts
@@ -0,0 +1,26 @@
+/** What instances tell each other of endpoints and demands. */
+import { engineReportSchema } from "@shedtiller/routing";
+import * as zod from "zod";
+
+/** Name of an account, its requests at once and its tokens a second. */
+const demandSchema = zod.tuple([zod.string(), zod.number(), zod.number()]);
+/** Name of an endpoint or a pipeline, and its load. */
+const loadSchema = zod.tuple([zod.string(), zod.number()]);
+/** Reports on the endpoints of a zone; the loads alone where the rest has not changed. */
+export const reportsSchema = zod.object({
+  full: zod.array(engineReportSchema),
+  loads: zod.array(loadSchema),
+  /** Absent in rounds that leave them out. */
+  accounts: zod.array(demandSchema).optional(),
+  pipelines: zod.array(loadSchema),
+});
+/** What another zone gets: all of a zone together. */
+export const digestSchema = reportsSchema.extend({
+  availabilityZone: zod.string(),
+  instanceCount: zod.number().int().positive(),
+  /** Hash of everything in the reports but the loads. */
+  fixedHash: zod.number(),
+});
+
+export type Reports = zod.infer<typeof reportsSchema>;
+export type Digest = zod.infer<typeof digestSchema>;
--- a/packages/entry/src/http/operatorRoutes.ts
+++ b/packages/entry/src/http/operatorRoutes.ts
@@ -13,7 +13,7 @@
 import type { TimelineGatherer } from "../operators/TimelineGatherer.js";
 import { ApiError, sendJson } from "./apiErrors.js";
 import { requireOperator } from "./authenticate.js";
-import type { Handler, HttpListener } from "./HttpListener.js";
+import type { HttpListener } from "./HttpListener.js";
 import { parseJson } from "./requestGuard.js";
 
 const okStatus = 200;
@@ -36,49 +36,47 @@
   readonly logs: Logs;
 }
 
+type OperatorHandler = (
+  structure: OperatorStructure,
+  request: restify.Request,
+  response: http.ServerResponse,
+) => Promise<void> | void;
+
+/** Method, path and handler of each route. */
+const routes: readonly (readonly ["get" | "post" | "put", string, OperatorHandler])[] = [
+  ["get", "/v1/status", sendStatus],
+  ["get", "/v1/configuration", sendConfiguration],
+  ["get", "/v1/timeline", sendTimeline],
+  ["post", "/v1/plans", createPlan],
+  ["get", "/v1/plans/:plan", sendPlan],
+  ["post", "/v1/plans/:plan/confirm", confirmPlan],
+  ["put", "/v1/log-level", setLogLevel],
+  ["get", "/metrics", sendMetrics],
+];
+
 /** Adds the operators' routes to a listener. */
 export function addOperatorRoutes(listener: HttpListener, structure: OperatorStructure): void {
-  const guarded = (handler: Handler): Handler => {
-    return (request, response) => {
+  for (const [method, path, handle] of routes) {
+    listener[method](path, (request, response) => {
       requireOperator(request, structure.tokenHash);
-      return handler(request, response);
-    };
-  };
-  listener.get(
-    "/v1/status",
-    guarded(async (_request, response) => sendJson(response, okStatus, await structure.status.gather())),
-  );
-  listener.get(
-    "/v1/configuration",
-    guarded((_request, response) => sendConfiguration(structure, response)),
-  );
-  listener.get(
-    "/v1/timeline",
-    guarded((request, response) => sendTimeline(structure, request, response)),
-  );
-  listener.post(
-    "/v1/plans",
-    guarded((request, response) => createPlan(structure, request, response)),
-  );
-  listener.get(
-    "/v1/plans/:plan",
-    guarded((request, response) => sendPlan(structure, request, response)),
-  );
-  listener.post(
-    "/v1/plans/:plan/confirm",
-    guarded((request, response) => confirmPlan(structure, request, response)),
-  );
-  listener.put(
-    "/v1/log-level",
-    guarded((request, response) => setLogLevel(structure, request, response)),
-  );
-  listener.get(
-    "/metrics",
-    guarded((_request, response) => sendMetrics(structure, response)),
-  );
+      return handle(structure, request, response);
+    });
+  }
 }
 
-function sendConfiguration({ fold }: OperatorStructure, response: http.ServerResponse): void {
+async function sendStatus(
+  { status }: OperatorStructure,
+  _request: restify.Request,
+  response: http.ServerResponse,
+): Promise<void> {
+  sendJson(response, okStatus, await status.gather());
+}
+
+function sendConfiguration(
+  { fold }: OperatorStructure,
+  _request: restify.Request,
+  response: http.ServerResponse,
+): void {
   const objects = Object.fromEntries(
     [...fold.getHeldObjects()].map(([key, held]) => [key, { ...held, value: withoutSecrets(held.value) }]),
   );
@@ -162,7 +160,11 @@
   sendJson(response, okStatus, { level: logs.level });
 }
 
-async function sendMetrics({ metrics }: OperatorStructure, response: http.ServerResponse): Promise<void> {
+async function sendMetrics(
+  { metrics }: OperatorStructure,
+  _request: restify.Request,
+  response: http.ServerResponse,
+): Promise<void> {
   response.writeHead(okStatus, { "content-type": metrics.registry.contentType });
   response.end(await metrics.registry.metrics());
 }
