feat(gateway): no request begins at an engine whose slots are taken

Slots were decoded and used nowhere. Change: an engine that as many requests pass as it has slots is no first engine for another one. All that pass count, since instances don't tell each other which begin there. A moved request keeps its first engine. Test: ChainChooserTests, 'whose slots are taken'.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -76,6 +76,8 @@
     const freeLayers = countFree(1);
     const isZoneWhole = wholeZones.has(endpoint.listed.availabilityZone);
     const freeLayersAcross = isZoneWhole ? countFree(crossingRoomShare) : freeLayers;
+    // All that pass count, since those that begin elsewhere and those that begin here are not told apart among the instances.
+    const hasFreeSlot = load.requests < endpoint.listed.slots;
     return endpoint.listed.layers.map(({ start, end }) => ({
       endpoint,
       start,
@@ -83,6 +85,7 @@
       msPerLayer,
       freeLayers,
       freeLayersAcross,
+      hasFreeSlot,
     }));
   }
 }
--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -40,6 +40,8 @@
   readonly freeLayers: number;
   /** The same for a chain that changes zones on its way. */
   readonly freeLayersAcross: number;
+  /** Whether another request may begin here: an engine has slots for those that it gets as the first of their chain. */
+  readonly hasFreeSlot: boolean;
 }
 
 /** Whether a chain may change zones on its way. */
@@ -107,6 +109,8 @@
     const { firstEndpointId } = this._demand;
     const isFirst = label.candidate === undefined;
     if (isFirst && firstEndpointId !== undefined && candidate.endpoint.id !== firstEndpointId) return false;
+    // A request that is moved has its slot at its first engine already.
+    if (isFirst && firstEndpointId === undefined && !candidate.hasFreeSlot) return false;
     if (this._reach === "one-zone" && !isFirst && changesZone(label, candidate)) return false;
     return !isUsed(label, candidate);
   }
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -86,6 +86,18 @@
   t.is(describe(chooser.choose([start, end], profile, demand)), "a=0-2,b=2-4", "west runs nothing by itself");
 });
 
+test("no request begins at an engine whose slots are taken, though it may pass there later", (t) => {
+  const busy = createEngine("a", 0, 4);
+  const other = createEngine("b", 0, 2, { kind: "slow" });
+  busy.addOwn(busy.listed.slots - 1, 0);
+  t.is(describe(chooser.choose([busy, other], profile, demand)), "a=0-4");
+  busy.addOwn(1, 0);
+  t.is(describe(chooser.choose([busy, other], profile, demand)), "b=0-2,a=2-4");
+  t.is(chooser.choose([busy], profile, demand), undefined);
+  const moved = chooser.choose([busy, other], profile, { ...demand, firstEndpointId: "a", firstEnd: 4 });
+  t.is(describe(moved), "a=0-4", "a moved request has its slot already");
+});
+
 test("a moved request keeps its first engine and that engine's part", (t) => {
   const engines = [createEngine("a", 0, 3), createEngine("b", 2, 4), createEngine("c", 0, 4)];
   const moved = chooser.choose(engines, profile, { ...demand, firstEndpointId: "a", firstEnd: 2 });
