gateway: a share of the retry budget may be used up within a moment of its window

Cause: an instance's share of the retry budget was a bucket of at most half of its part of the slack, 1.5 retries of 574 among 195 instances, so the second stream of a burst of refusals was refused to its caller. Ruled out: a central count (a round trip for each retry, and nothing for a zone that is cut off). Change: requests and retries are counted over a sliding window, and a retry is allowed while the window has room for it. Each share is safe alone; one restart of all in a window stays inside the slack, as before.

--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -1,6 +1,6 @@
 /** This instance's share of the retry budget that all instances have together for each service. */
 import { utils } from "@shedtiller/common";
-import { RetryBudget } from "@shedtiller/routing";
+import { WindowedCount } from "@shedtiller/routing";
 
 /** The budget of the whole deployment, from its settings. */
 export interface RetryBudgetOptions {
@@ -13,25 +13,28 @@
 
 /** The share of the ratio in use; the rest covers requests that fall into another window than their retries. */
 const ratioShare = 0.9;
-/**
- * How an instance uses its part of the slack in a window: what it may have saved up, what comes back with time, and what a new
- * process begins with, since the one before it may have used all of its own. One restart of all stays inside the slack.
- */
-const reserveShare = 0.5;
-const refillShare = 0.25;
-const initialShare = 0.2;
+/** The share of its part of the slack that a process uses in a window: one restart of all in a window stays inside the slack. */
+const slackShare = 0.5;
 /** Instances that the slack is shared among until the real number is known; too many is the safe side. */
 const assumedInstances = 100;
 
-interface ServiceBudget {
-  readonly budget: RetryBudget;
-  refilledAtMs: number;
+interface ServiceCounts {
+  readonly requests: WindowedCount;
+  readonly retries: WindowedCount;
 }
 
-/** One bucket a service. Each instance's share is safe alone, so no instance asks another. */
+/**
+ * Counts requests and retries of a sliding window, by service. Each instance's share is safe alone, so no instance asks another.
+ * A share may be used up within a moment: engines refuse in bursts, and a bucket that holds one or two retries, as a part of the slack
+ * among 195 instances is, refuses the third stream of a burst though the window's budget is hardly used.
+ */
 export class RetryBudgets {
-  private readonly _budgets = new Map<string, ServiceBudget>();
-  private _instances = assumedInstances;
+  private readonly _counts = new Map<string, ServiceCounts>();
+  /** Instances among which the slack is shared now. */
+  private _sharers = assumedInstances;
+  /** A smaller number of instances, and the monotonic time from which on it counts. */
+  private _fewer: { readonly count: number; readonly fromMs: number } | undefined;
+  private _hasRetried = false;
 
   /** @param nowMs - Monotonic clock, replaced in tests. */
   constructor(
@@ -39,64 +42,57 @@
     private readonly _nowMs: () => number = utils.monotonicMs,
   ) {}
 
-  /** Takes another budget of the deployment; what is in the buckets stays, within the new reserve. */
+  /** Takes another budget of the deployment. What was counted stays, unless the window has another length. */
   setOptions(options: RetryBudgetOptions): void {
-    const isSameRatio = options.ratio === this._options.ratio;
+    const isSameWindow = options.windowMs === this._options.windowMs;
     this._options = options;
-    if (!isSameRatio) this._budgets.clear();
-    this.setInstances(this._instances);
+    if (!isSameWindow) this._counts.clear();
   }
 
-  /** Takes the number of instances that share the slack. */
+  /** Takes the number of instances that share the slack. Those that left may have used their parts of this window. */
   setInstances(count: number): void {
-    this._instances = Math.max(1, count);
-    for (const { budget } of this._budgets.values()) budget.setReserve(this._getPart() * reserveShare);
+    const sharers = Math.max(1, count);
+    if (sharers >= this._sharers || !this._hasRetried) {
+      this._sharers = sharers;
+      this._fewer = undefined;
+      return;
+    }
+    if (this._fewer?.count !== sharers) {
+      this._fewer = { count: sharers, fromMs: this._nowMs() + this._options.windowMs };
+    }
   }
 
   /** Notes a request to a service: it gives room for its share of a retry. */
   recordRequest(service: string): void {
-    this._get(service).recordRequest();
+    this._get(service).requests.add(this._nowMs());
   }
 
   /** Takes a retry for a service; tells whether there was room for it. */
   tryTake(service: string): boolean {
-    return this._get(service).tryTake();
-  }
-
-  /** This instance's part of the slack. */
-  private _getPart(): number {
-    return this._options.slack / this._instances;
-  }
-
-  /** One retry at least, where that is inside the part: a part of a retry serves nobody. */
-  private _getInitial(): number {
-    const part = this._getPart();
-    const spare = part * (1 - reserveShare - refillShare);
-    return spare >= 1 ? Math.max(1, part * initialShare) : part * initialShare;
-  }
-
-  private _get(service: string): RetryBudget {
     const nowMs = this._nowMs();
-    const known = this._budgets.get(service);
-    if (known === undefined) return this._create(service, nowMs);
-    this._refill(known, nowMs);
-    return known.budget;
+    const { requests, retries } = this._get(service);
+    const { ratio, slack } = this._options;
+    const allowed = ratio * ratioShare * requests.get(nowMs) + (slack / this._getSharers(nowMs)) * slackShare;
+    if (retries.get(nowMs) + 1 > allowed) return false;
+    retries.add(nowMs);
+    this._hasRetried = true;
+    return true;
   }
 
-  /** Gives back what came with the time since the last refill. */
-  private _refill(known: ServiceBudget, nowMs: number): void {
-    const windows = (nowMs - known.refilledAtMs) / this._options.windowMs;
-    known.budget.refill(windows * this._getPart() * refillShare);
-    known.refilledAtMs = nowMs;
+  private _getSharers(nowMs: number): number {
+    if (this._fewer !== undefined && nowMs >= this._fewer.fromMs) {
+      this._sharers = this._fewer.count;
+      this._fewer = undefined;
+    }
+    return this._sharers;
   }
 
-  private _create(service: string, nowMs: number): RetryBudget {
-    const budget = new RetryBudget(
-      this._options.ratio * ratioShare,
-      this._getPart() * reserveShare,
-      this._getInitial(),
-    );
-    this._budgets.set(service, { budget, refilledAtMs: nowMs });
-    return budget;
+  private _get(service: string): ServiceCounts {
+    const known = this._counts.get(service);
+    if (known !== undefined) return known;
+    const { windowMs } = this._options;
+    const counts = { requests: new WindowedCount(windowMs), retries: new WindowedCount(windowMs) };
+    this._counts.set(service, counts);
+    return counts;
   }
 }
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -68,3 +68,26 @@
     t.true(retries <= options.slack + options.ratio * 2 * instances, `${retries} retries`);
   });
 }
+
+test("an instance of a large fleet may use its share of a window within a moment, since engines refuse in bursts", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = new RetryBudgets({ ...options, slack: 574 }, () => clock.nowMs);
+  budgets.setInstances(195);
+  // 1.2 requests a second for one window: a share of 0.18 of 12, and half of 574 / 195.
+  for (; clock.nowMs < options.windowMs; clock.nowMs += 833) budgets.recordRequest("s");
+  t.is(drain(budgets), 3);
+  clock.nowMs += options.windowMs * 1.1;
+  t.is(drain(budgets), 1, "the requests have fallen out of the window, and the retries too");
+});
+
+test("parts of instances that left are shared out only after a window", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = new RetryBudgets(options, () => clock.nowMs);
+  budgets.setInstances(8);
+  t.is(drain(budgets), 12);
+  budgets.setInstances(4);
+  clock.nowMs += options.windowMs * 0.9;
+  t.is(drain(budgets), 0);
+  clock.nowMs += options.windowMs;
+  t.is(drain(budgets), 25);
+});
