gateway: an engine's refusal is told to the instances of the zone, and callers may come back at once

A caller refused that way was sent away for half a second, so whatever it got then was late. Change: the first instance that is refused tells its zone; each then gives the engine no more than the load it knows, for 2 s. Callers refused while nobody waits for room come back after 50 ms instead of 500.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -214,6 +214,7 @@
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
       suspicions: this._createSuspicions(orders),
+      tellFull: (endpointId) => this._peers.exchange.tellFull(endpointId),
     };
   }
 
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -9,6 +9,9 @@
   readonly tokenLayers: number;
 }
 
+/** An engine's room changes with its layers, which takes seconds; after this it is tried with its full room again. */
+const seenFullMs = 2_000;
+
 const noLoad: EndpointLoad = { requests: 0, tokenLayers: 0 };
 
 /** An endpoint with its listed state, our own load on it, and that of the peers as they last told. */
@@ -64,10 +67,14 @@
 
   /**
    * Notes that it refused for want of room at the load that it has now: its room is smaller than its layers tell, as while it
-   * changes them. It gets no more than that load until `untilMs`.
+   * changes them. It gets no more than that load for a while.
+   * @returns Whether that was not known yet.
    */
-  noteFull(untilMs: number): void {
-    this._seenFull = { tokenLayers: this.getLoad().tokenLayers, untilMs };
+  noteFull(nowMs: number): boolean {
+    const { tokenLayers } = this.getLoad();
+    const isNews = tokenLayers < this.getSeenFullTokenLayers(nowMs);
+    this._seenFull = { tokenLayers, untilMs: nowMs + seenFullMs };
+    return isNews;
   }
 
   /** The load at which it refused of late; infinite where it did not. */
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,6 +1,6 @@
 /** What instances tell each other: evidence against endpoints, the configuration and the list of endpoints. */
 import { utils } from "@shedtiller/common";
-import type { Membership, PeerIdentity } from "@shedtiller/membership";
+import type { Member, Membership, PeerIdentity } from "@shedtiller/membership";
 import type * as zod from "zod";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
@@ -13,7 +13,7 @@
   instancesSchema,
   peerTopics,
   slownessSchema,
-  suspectSchema,
+  endpointSchema,
   versionSchema,
 } from "./peerMessages.js";
 import type { RegisteredInstance } from "./PeerRegistry.js";
@@ -35,7 +35,7 @@
 export interface PeerExchangeStructure {
   readonly membership: Pick<
     Membership,
-    "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
+    "self" | "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
   >;
   readonly keeper: ConfigurationKeeper;
   readonly endpoints: EndpointTable;
@@ -60,6 +60,7 @@
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
     membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
+    membership.onNotice(peerTopics.full, (body, from) => this._takeFull(body, from));
     membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
     membership.onNotice(peerTopics.newVersion, (body, from) => void this._takeNewVersion(body, from));
     membership.onRequest(peerTopics.configuration, (body) => this._answerConfiguration(body));
@@ -85,6 +86,14 @@
     this._structure.membership.notifyAll(peerTopics.suspect, { endpointId });
   }
 
+  /** Tells the peers of this zone that an endpoint refused for want of room: most of what it gets comes from them. */
+  tellFull(endpointId: string): void {
+    const { membership } = this._structure;
+    const { availabilityZone } = membership.self;
+    const isOwnZone = (member: Member): boolean => member.availabilityZone === availabilityZone;
+    membership.notifyAll(peerTopics.full, { endpointId }, isOwnZone);
+  }
+
   /** Tells all peers how slow an engine says that it is. */
   tellSlowness(endpointId: string, slowness: number): void {
     this._structure.membership.notifyAll(peerTopics.slowness, { endpointId, slowness });
@@ -96,12 +105,19 @@
   }
 
   private _takeSuspicion(body: unknown, from: PeerIdentity): void {
-    const suspicion = suspectSchema.safeParse(body);
+    const suspicion = endpointSchema.safeParse(body);
     const { endpoints, log } = this._structure;
     if (!suspicion.success) return notePeerMessageInvalid(log, peerTopics.suspect, from);
     endpoints.suspect(suspicion.data.endpointId);
   }
 
+  private _takeFull(body: unknown, from: PeerIdentity): void {
+    const told = endpointSchema.safeParse(body);
+    const { endpoints, log } = this._structure;
+    if (!told.success) return notePeerMessageInvalid(log, peerTopics.full, from);
+    endpoints.get(told.data.endpointId)?.noteFull(utils.monotonicMs());
+  }
+
   private _takeSlowness(body: unknown, from: PeerIdentity): void {
     const told = slownessSchema.safeParse(body);
     const { endpoints, log } = this._structure;
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -12,6 +12,7 @@
   configurationRead: "configuration-read",
   endpointsRead: "endpoints-read",
   suspect: "suspect",
+  full: "full",
   slowness: "slowness",
   newVersion: "new-version",
   configuration: "configuration",
@@ -28,8 +29,8 @@
 /** How slow an engine says that it is. */
 export const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
 
-/** An endpoint that there is evidence against. */
-export const suspectSchema = zod.object({ endpointId: zod.string() });
+/** An endpoint that there is evidence against, or that refused for want of room. */
+export const endpointSchema = zod.object({ endpointId: zod.string() });
 
 /** A version in force: that of the asker, or of the one that tells. */
 export const versionSchema = zod.object({ version: zod.number() });
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -21,6 +21,8 @@
   readonly log: DecisionLog;
   readonly availabilityZone: string;
   readonly suspicions: Pick<EndpointSuspicions, "noteSilent" | "noteNamed">;
+  /** Tells the peers that an endpoint refused for want of room. */
+  readonly tellFull: (endpointId: string) => void;
 }
 
 /** A connection that does not stand after this is given up: round trips are below 2 ms, a lost opening packet costs 1 s. */
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -22,8 +22,12 @@
 const resumedPriority = -1;
 /** A refusal later than this came from a stalled chain: engines refuse for want of room at once. */
 const stalledRefusalMs = 1_000;
-/** An engine's room changes with its layers, which takes seconds; after this it is tried with its full room again. */
-const seenFullMs = 2_000;
+
+/**
+ * When to come back after refusals of engines, with room elsewhere: well past the 5 ms in which the zone's instances learn which engine
+ * is full, and early enough for an answer within a target of 500 ms. After half a second every such answer would be late.
+ */
+const notRunRetryAfterMs = 50;
 
 /** The time until the first event is smoothed over about this many runs. */
 const smoothedFirstEvents = 16;
@@ -166,7 +170,9 @@
   }
 
   /**
-   * An engine that refuses at once is short of memory or gives the layers up: this instance leaves it alone for a moment.
+   * An engine that refuses at once is short of memory or gives the layers up: it gets no more than it has for a moment, from this
+   * instance and from its peers, which would all be refused in turn. Where a zone has too many requests by half, telling saves nine in
+   * ten sends in vain (3 in 100 instead of 24, by the test of many choosers).
    * One that refuses after a long wait names an engine that does not answer.
    */
   private _acceptRefusal(
@@ -183,7 +189,7 @@
     const waitedMs = nowMs - attempt.lastSignAtMs;
     if (faulty !== undefined && waitedMs >= stalledRefusalMs)
       void this.context.suspicions.noteNamed(faulty.id, `refusal ${answer.status}`);
-    else faulty?.noteFull(nowMs + seenFullMs);
+    else if (faulty?.noteFull(nowMs) === true) this.context.tellFull(faulty.id);
     this._note(attempt, `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`);
     return "not-run";
   }
@@ -208,7 +214,7 @@
   ): void {
     if (request.isAnswered) return;
     if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
-    const retryAfterMs = this._admission.getRetryAfterMs();
+    const retryAfterMs = this._getRetryAfterMs(reason);
     const profile = this.context.keeper.table?.getEngineProfile(service);
     const endpoints = this.context.endpoints.getUsable(service);
     this.context.log.warn("stream-refused", {
@@ -221,6 +227,12 @@
     request.refuse(503, reason, retryAfterMs);
   }
 
+  /** Whoever was refused by engines while nobody waits for room here may come back at once: other engines have room. */
+  private _getRetryAfterMs(reason: "no-room" | "not-run" | "outcome-unknown"): number {
+    if (reason === "not-run" && this._admission.waiting === 0) return notRunRetryAfterMs;
+    return this._admission.getRetryAfterMs();
+  }
+
   private _endLate(request: CallerRequest): void {
     if (request.attempts === 0) request.refuse(503, "no-room", this._admission.getRetryAfterMs());
     else request.refuse(504, "out-of-time");
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -154,12 +154,15 @@
   const choose = (): string | undefined => describe(watching.choose([engine], profile, demand));
   engine.addOwn(2, 80);
   t.is(choose(), "a=0-4");
-  engine.noteFull(clock.nowMs + 500);
+  t.true(engine.noteFull(clock.nowMs));
+  t.false(engine.noteFull(clock.nowMs), "known at this load");
   t.is(choose(), undefined);
   engine.addOwn(-1, -40);
   t.is(choose(), "a=0-4", "as much as ended has room");
   engine.addOwn(1, 40);
   t.is(choose(), undefined);
-  clock.nowMs += 500;
+  clock.nowMs += 1_999;
+  t.is(choose(), undefined);
+  clock.nowMs += 1;
   t.is(choose(), "a=0-4");
 });
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -5,18 +5,25 @@
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { PeerExchange } from "../../peers/PeerExchange.js";
-import { createConfiguration } from "../createParts.js";
+import { createConfiguration, createListed } from "../createParts.js";
 import { SilentSink } from "../SilentSink.js";
 import { PeerNetwork } from "./PeerNetwork.js";
 
 const patienceMs = 60_000;
 
-function join(network: PeerNetwork, name: string): { keeper: ConfigurationKeeper; exchange: PeerExchange } {
+interface Joined {
+  readonly keeper: ConfigurationKeeper;
+  readonly endpoints: EndpointTable;
+  readonly exchange: PeerExchange;
+}
+
+function join(network: PeerNetwork, name: string, availabilityZone = "east"): Joined {
   const keeper = new ConfigurationKeeper();
+  const endpoints = new EndpointTable();
   const exchange = new PeerExchange({
-    membership: network.join({ name, availabilityZone: "east" }),
+    membership: network.join({ name, availabilityZone }),
     keeper,
-    endpoints: new EndpointTable(),
+    endpoints,
     log: new DecisionLog(new SilentSink(), utils.monotonicMs),
     getListAgeMs: () => 0,
     getConfigurationBehindMs: () => 0,
@@ -25,7 +32,7 @@
     getInstances: () => [],
     takeInstances: () => undefined,
   });
-  return { keeper, exchange };
+  return { keeper, endpoints, exchange };
 }
 
 test("an instance that the store does not serve asks one of the peers that tell it", async (t) => {
@@ -53,3 +60,15 @@
   t.true(await utils.waitUntil(() => cutOff.keeper.version === 7, patienceMs));
   t.is(network.sent.get("configuration"), 1);
 });
+
+test("an engine that refused is known as full by the instances of the zone, and by no others", (t) => {
+  const network = new PeerNetwork();
+  const teller = join(network, "a");
+  const near = join(network, "b");
+  const far = join(network, "c", "west");
+  for (const { endpoints } of [near, far]) endpoints.setAll(new Map([["e", createListed("e")]]));
+  near.endpoints.get("e")?.addOwn(1, 40);
+  teller.exchange.tellFull("e");
+  t.is(near.endpoints.get("e")?.getSeenFullTokenLayers(utils.monotonicMs()), 40);
+  t.is(far.endpoints.get("e")?.getSeenFullTokenLayers(utils.monotonicMs()), Number.POSITIVE_INFINITY);
+});
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -125,6 +125,7 @@
         noteSilent: (id: string) => void this.endpoints.suspect(id),
         noteNamed: async (id: string) => void this.endpoints.suspect(id),
       },
+      tellFull: () => undefined,
     };
     const chooser = new ChainChooser();
     const admission = new ChainAdmission(this.keeper, this.endpoints, chooser);
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -70,6 +70,7 @@
       noteSilent: (id: string) => void endpoints.suspect(id),
       noteNamed: async (id: string) => void endpoints.suspect(id),
     },
+    tellFull: () => undefined,
   };
   const chooser = new ChainChooser(
     () => clock.nowMs,
