placement: arrangements leave engines room for a burst

Cause: the balance rated an arrangement by speed and by the sum of its room, so it gave medium and small accelerators as many layers as left room for 32 usual requests, while their zone begins some 24 to 48 within the 0.4 s by which loads are old. The first plan, before any balance, left each engine room for 144 to 200. Change: an engine's room counts beyond the requests that its zone begins on old knowledge, worked out from memory and speed alone; what lies within counts by 0.3 at least, so that zones of short requests keep their order.

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -49,7 +49,9 @@
   constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
 
   /** Gives the orders that are due now. */
-  async plan(engines: readonly ZoneEngine[], model: placement.CopyModel): Promise<ZoneOrder[]> {
+  async plan(engines: readonly ZoneEngine[], usualModel: placement.CopyModel): Promise<ZoneOrder[]> {
+    const copyEngines = engines.map(({ engine }) => engine);
+    const model = { ...usualModel, burstRequests: placement.getBurstRequests(copyEngines, usualModel) };
     const isCalm = this._noteSpans(engines);
     const isBrokenForLong = this._noteBroken(engines, model);
     // Requests come and go all the time, and lead to no order by themselves.
--- a/packages/placement/src/ZoneArrangement.ts
+++ b/packages/placement/src/ZoneArrangement.ts
@@ -3,6 +3,7 @@
  * cost of the layers that they touch.
  */
 import { getTokensBeside, type CopyEngine, type CopyModel } from "./planLayerCopies.js";
+import { getTokensBeyondBurst } from "./burst.js";
 
 /** An engine and the layers that it holds; `end` equals `start` where it holds none. */
 export interface BalancedSpan {
@@ -35,13 +36,15 @@
   /** Layers held, each as often as it has a holder. */
   held: number;
   stepFactors: number;
-  /** Of the eighth power of 1 / tokens: a soft minimum. */
+  /** Of the eighth power of 1 / usable tokens: a soft minimum. */
   scarcity: number;
 }
 
 /** One arrangement. */
 export class ZoneArrangement {
   private readonly _tokens: Float64Array;
+  /** The part of the tokens that is left beyond each holder's burst. */
+  private readonly _usable: Float64Array;
   private readonly _shares: Float64Array;
   private readonly _sharedFactors: Float64Array;
   private readonly _holders: Int32Array;
@@ -53,6 +56,7 @@
   ) {
     const { layerCount } = _model;
     this._tokens = new Float64Array(layerCount);
+    this._usable = new Float64Array(layerCount);
     this._shares = new Float64Array(layerCount);
     this._sharedFactors = new Float64Array(layerCount);
     this._holders = new Int32Array(layerCount);
@@ -91,11 +95,13 @@
   private _change(span: BalancedSpan, sign: 1 | -1): void {
     const { engine, start, end } = span;
     const tokens = getTokensBeside(engine, end - start, this._model);
-    const isHolder = tokens >= leastBatchShare * getBatchTokens(this._model);
-    const share = tokens / engine.stepFactor ** preferencePower;
+    const usable = getTokensBeyondBurst(tokens, this._model);
+    const isHolder = usable >= leastBatchShare * getBatchTokens(this._model);
+    const share = usable / engine.stepFactor ** preferencePower;
     for (let layer = start; layer < end; layer++) {
       this._count(layer, -1);
       this._tokens[layer] = (this._tokens[layer] ?? 0) + sign * tokens;
+      this._usable[layer] = (this._usable[layer] ?? 0) + sign * usable;
       this._shares[layer] = (this._shares[layer] ?? 0) + sign * share;
       this._sharedFactors[layer] = (this._sharedFactors[layer] ?? 0) + sign * share * engine.stepFactor;
       if (isHolder) this._holders[layer] = (this._holders[layer] ?? 0) + sign;
@@ -112,7 +118,7 @@
     this._totals.covered += sign;
     if (holders > 1) this._totals.doubled += sign;
     this._totals.stepFactors += (sign * (this._sharedFactors[layer] ?? 0)) / (this._shares[layer] ?? 1);
-    this._totals.scarcity += sign * getEighthPower(1 / tokens);
+    this._totals.scarcity += sign * getEighthPower(1 / (this._usable[layer] ?? 0));
   }
 }
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./planLayerCopies.js";
 export * from "./BalanceSearch.js";
 export * from "./isCovered.js";
+export * from "./burst.js";
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -26,6 +26,8 @@
   readonly stepMsPerRequest: number;
   /** Time that each boundary between engines adds to a token. */
   readonly hopMs: number;
+  /** Room that each engine should have beyond what it serves, in requests (see `getBurstRequests`); 0 where left out. */
+  readonly burstRequests?: number;
 }
 
 /** The layers of one engine, `end` exclusive. */
