placement: a gap is closed by as few loads as it takes

Change: engines that load no more layers than are missing are tried first. Before and after: by test, an engine ordered to load five layers for a gap of two, and two after.

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -109,7 +109,8 @@
 
 /**
  * Closes gaps by growth alone, which waits for nothing that passes, or else with engines whose layers others hold too. Undefined where
- * neither makes the zone whole.
+ * neither makes the zone whole. First with engines that load no more layers than are missing: a zone serves nothing until the last load
+ * is done, and loads take 0.1 to 0.2 s a layer, so 26 layers for a gap of eight cost five seconds instead of one and a half.
  */
 async function repair(
   engines: readonly ZoneEngine[],
@@ -119,17 +120,28 @@
   const unused = new Set(
     [...engines.keys()].filter((index) => (engines[index]?.passing ?? 0) <= mostPassing),
   );
-  for (const requests of [changeOverRequests, leastRepairRequests]) {
-    for (const leavable of [undefined, unused]) {
-      const leastTokensBeside = requests * model.tokensPerRequest;
-      const options = { leastTokensBeside, leavable, isGrowthOnly: true, longestShift: 1 };
-      const repaired = await search(held, model, options, (running) => running.isWhole);
-      if (repaired.isWhole) return repaired.spans;
+  for (const mostLoads of [countMissing(held, model), Number.POSITIVE_INFINITY]) {
+    for (const requests of [changeOverRequests, leastRepairRequests]) {
+      for (const leavable of [undefined, unused]) {
+        const leastTokensBeside = requests * model.tokensPerRequest;
+        const options = { leastTokensBeside, leavable, mostLoads, isGrowthOnly: true, longestShift: 1 };
+        const repaired = await search(held, model, options, (running) => running.isWhole);
+        if (repaired.isWhole) return repaired.spans;
+      }
     }
   }
   return undefined;
 }
 
+/** Layers that no engine holds. */
+function countMissing(held: Spans, model: placement.CopyModel): number {
+  let missing = 0;
+  for (let layer = 0; layer < model.layerCount; layer++) {
+    if (!held.some(({ start, end }) => start <= layer && layer < end)) missing += 1;
+  }
+  return missing;
+}
+
 /** Arranges a zone anew, from what its engines hold or from nothing, whichever ends better. */
 async function arrangeAnew(held: Spans, model: placement.CopyModel): Promise<Spans> {
   const moved = await search(held, model);
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -68,6 +68,18 @@
   t.regex(await plan(members), /^c=3-\d$/);
 });
 
+test("a gap is closed by as few loads as it takes, though a large fast engine could hold more than the gap", async (t) => {
+  const { plan } = setUp();
+  const slow = createMember("c", 5, 8, 70);
+  const members = [
+    createMember("a", 0, 3, 45),
+    createMember("b", 5, 8, 45),
+    { ...slow, engine: { ...slow.engine, stepFactor: 7 } },
+    createMember("d", 5, 8, 200),
+  ];
+  t.regex(await plan(members), /^[cd]=3-[58]$/, "two new layers, not up to five");
+});
+
 test("an engine that requests pass does not leave its layers for a gap, though others hold them too", async (t) => {
   const { plan } = setUp();
   const used = { ...createMember("a", 0, 3, 150), passing: 9 };
--- a/packages/placement/src/BalanceSearch.ts
+++ b/packages/placement/src/BalanceSearch.ts
@@ -22,6 +22,8 @@
   readonly isFillOnly?: boolean;
   /** Layers by which one step shifts a boundary at most. */
   readonly longestShift?: number;
+  /** Layers that an engine loads at most: loads take time, and until the last one is done a gap stays open. */
+  readonly mostLoads?: number;
   /** Tokens that have to fit beside the layers that an engine holds now and those that it gets, while it changes over. */
   readonly leastTokensBeside?: number;
 }
@@ -87,6 +89,7 @@
   private _isAllowed(index: number, span: BalancedSpan): boolean {
     const held = this._held[index];
     if (held === undefined) return true;
+    if (countLoads(held, span) > (this._options.mostLoads ?? Number.POSITIVE_INFINITY)) return false;
     const leastTokens = this._options.leastTokensBeside ?? 0;
     const hasRoom = (layers: number): boolean =>
       getTokensBeside(span.engine, layers, this._model) >= leastTokens;
@@ -135,6 +138,12 @@
   return step.map(({ span }) => span);
 }
 
+/** Layers of a span that its engine does not hold yet. */
+function countLoads(held: BalancedSpan, span: BalancedSpan): number {
+  const common = Math.min(held.end, span.end) - Math.max(held.start, span.start);
+  return span.end - span.start - Math.max(0, common);
+}
+
 function isOverlapping(a: BalancedSpan, b: BalancedSpan): boolean {
   return a.start < b.end && b.start < a.end;
 }
