membership: a link that went silent for good is noticed within five seconds at any size

Cause: silence was noticed after four heartbeats, whose interval grows with the links: 5.7 s at the 51 links of the large fleet, so 23 s (40 s at 90 links). Connections may go silent without a reset; until then a member whose link to its collector is silent knows nobody's load. Ruled out: more bytes for heartbeats (90 bytes to 51 links each second are 4.6 KB a second, above what control may cost an instance). Change: a link that nothing came over for 0.9 s gets a probe of six bytes, and is dropped after 4 s of silence, unless the instance stood still itself.

--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -6,6 +6,7 @@
 import * as ws from "ws";
 import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
+import { LinkWatch, watchIntervalMs } from "./LinkWatch.js";
 import type { Member } from "./Member.js";
 import { acceptPeer, dialPeer } from "./peerHandshake.js";
 import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
@@ -97,7 +98,9 @@
   async run(signal: AbortSignal): Promise<void> {
     const ignore = (): void => undefined;
     const dials = utils.repeat(dialTickMs, signal, () => this._keepLinks(), ignore);
-    await Promise.all([dials, this._sendHeartbeats(signal)]);
+    const watch = new LinkWatch();
+    const looks = utils.repeat(watchIntervalMs, signal, () => watch.check(this._links.values()), ignore);
+    await Promise.all([dials, looks, this._sendHeartbeats(signal)]);
   }
 
   /** Tells all peers that this instance takes no new duties. */
--- a/packages/membership/src/PeerLink.ts
+++ b/packages/membership/src/PeerLink.ts
@@ -43,6 +43,8 @@
     private readonly _events: PeerLinkEvents,
   ) {
     _socket.on("message", (data) => this._accept(data));
+    _socket.on("ping", () => this._noteHeard());
+    _socket.on("pong", () => this._noteHeard());
     _socket.on("close", () => this._close());
     _socket.on("error", () => this._close());
   }
@@ -77,6 +79,11 @@
     if (this.isOpen) this._send({ kind: "notice", topic, body });
   }
 
+  /** Asks for a sign of life: six bytes each way, which the peer answers by itself. */
+  ping(): void {
+    if (this.isOpen) this._socket.ping();
+  }
+
   close(): void {
     this._socket.terminate();
     this._close();
@@ -91,7 +98,7 @@
   private _accept(data: ws.RawData): void {
     const frame = decodePeerFrame(data);
     if (frame.err) return this.close();
-    this.heardAtMs = utils.monotonicMs();
+    this._noteHeard();
     this._events.onTraffic("received", getTopic(frame.val, this._waiting), byteLength(data));
     switch (frame.val.kind) {
       case "request":
@@ -105,6 +112,10 @@
     }
   }
 
+  private _noteHeard(): void {
+    this.heardAtMs = utils.monotonicMs();
+  }
+
   private async _answer(id: number, topic: string, body: unknown): Promise<void> {
     const reply = await this._events.onRequest(this, topic, body).catch(() => undefined);
     if (this.isOpen) this._send({ kind: "reply", id, body: reply });
