gateway: chains avoid engines where prompts have to wait

By the logs of 12,000 streams they depend on one figure: requests in hand against those that an engine reads without a queue, a pass reading at most so many prompt tokens. Up to 1.0 of it 2 in 100 first events come after 600 ms, at 1.4 17, at 1.7 45. Neither the length of the chain nor the rate of starts tells them apart as well. The choice knew room and speed only.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -5,11 +5,14 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import { coverLayers, type ChainCandidate, type ChainDemand } from "./coverLayers.js";
-import { getCapacityTokenLayers, getKind, getStepMs } from "./engineModel.js";
+import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "./engineModel.js";
 
 /** Share of an engine's room that is handed out; the rest covers answers longer than guessed. */
 const usableRoomShare = 0.92;
-/** Room that is nearly full costs this many times more than empty room, so that chains fill evenly. */
+/**
+ * An engine without room left, or with as many requests as let prompts wait, costs this many times more than an empty one, so that
+ * chains fill evenly.
+ */
 const fullRoomFactor = 4;
 
 /**
@@ -66,7 +69,8 @@
       endpoint.getSeenFullTokenLayers(nowMs),
     );
     const load = endpoint.getLoad();
-    const fullness = capacity <= 0 ? 1 : load.tokenLayers / capacity;
+    const tokenFullness = capacity <= 0 ? 1 : load.tokenLayers / capacity;
+    const fullness = Math.max(tokenFullness, load.requests / getUnqueuedRequests(endpoint, profile));
     const state = { sequences: load.requests + 1, slowness: endpoint.slowness };
     const spread = demand.isSpread === true ? 1 + spreadRange * (this._random() - 0.5) : 1;
     const crowding = 1 + fullRoomFactor * fullness ** 2;
--- a/packages/gateway/src/chains/engineModel.ts
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -19,6 +19,18 @@
   return utils.getSum(endpoint.listed.layers.map((span) => span.end - span.start));
 }
 
+/**
+ * Requests in hand at an engine that read its prompts without a queue. A pass reads so many prompt tokens at most, and a stream stays
+ * for as many passes as its answer takes at each engine of its chain; where all engines of a chain are alike, it has as many of them as
+ * an engine's layers go into the model. Measured over 12,000 streams of a fleet of 195 instances: up to 1.0 of this 2 in 100 first
+ * events come after 600 ms, at 1.4 17 and at 1.7 45.
+ */
+export function getUnqueuedRequests(endpoint: Endpoint, profile: EngineProfile): number {
+  const held = Math.max(1, getHeldLayers(endpoint));
+  const passes = (profile.usualAnswerTokens / profile.stepsPerPass) * (profile.layerCount / held);
+  return passes * (profile.promptTokensPerPass / profile.usualPromptTokens);
+}
+
 /** Token-layers that fit beside the layers that an engine holds. */
 export function getCapacityTokenLayers(endpoint: Endpoint, profile: EngineProfile): number {
   const kind = getKind(endpoint, profile);
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -60,6 +60,10 @@
   stepMsPerKiloToken: milliseconds,
   prefillTokensPerSecond: zod.number().positive(),
   /** Time to load all layers. */
+  /** Token steps that each stream gets in a pass over all that waits at an engine. */
+  stepsPerPass: zod.number().positive(),
+  /** Tokens of prompts that one pass reads at most. */
+  promptTokensPerPass: zod.number().positive(),
   loadMs: milliseconds,
   /** Loads that run side by side at full speed. */
   concurrentLoads: zod.number().int().positive(),
--- a/packages/gateway/src/tests/createParts.ts
+++ b/packages/gateway/src/tests/createParts.ts
@@ -21,6 +21,8 @@
   stepMsPerSequence: 0.01,
   stepMsPerKiloToken: 0.01,
   prefillTokensPerSecond: 100_000,
+  stepsPerPass: 1,
+  promptTokensPerPass: 512,
   loadMs: 1_000,
   concurrentLoads: 5,
   usualPromptTokens: 8,
--- a/packages/gateway/src/tests/patterns/ManyChoosers.ts
+++ b/packages/gateway/src/tests/patterns/ManyChoosers.ts
@@ -6,7 +6,14 @@
 import * as placement from "@shedtiller/placement";
 import { ChainChooser } from "../../chains/ChainChooser.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
-import { getCapacityTokenLayers, getKind, getStepMs, hopMs, toCopyModel } from "../../chains/engineModel.js";
+import {
+  getCapacityTokenLayers,
+  getKind,
+  getStepMs,
+  getUnqueuedRequests,
+  hopMs,
+  toCopyModel,
+} from "../../chains/engineModel.js";
 import type { EngineProfile } from "../../configuration/gatewayConfiguration.js";
 import type { EndpointLoad } from "../../discovery/Endpoint.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
@@ -16,6 +23,8 @@
 /** Each instance tells its load this often, and the collector tells the sum as often: what is known is one to two of these old. */
 const tellIntervalMs = 200;
 const tickMs = 5;
+/** From here on 17 in 100 first events are late, by measurement. */
+const crowdedShare = 1.35;
 /** Requests before this moment find a zone that still fills. */
 const warmUpMs = 5_000;
 
@@ -41,6 +50,8 @@
   readonly withoutChain: number;
   /** Starts at the busiest first engine, as a multiple of the mean over engines that hold the first layer. */
   readonly busiestToMean: number;
+  /** Requests that began at a chain where prompts have to wait: an engine has 1.35 times the requests that it reads without a queue. */
+  readonly queued: number;
   /** Mean time of a token, in ms. */
   readonly tokenMs: number;
   /** Mean number of engines in a chain. */
@@ -64,7 +75,7 @@
   /** Load by endpoint as all instances told it last: of all, and of each instance. */
   private _told = new Map<string, EndpointLoad>();
   private _toldOwn: Map<string, EndpointLoad>[] = [];
-  private readonly _counts = { requests: 0, refused: 0, withoutChain: 0, tokenMs: 0, stages: 0 };
+  private readonly _counts = { requests: 0, refused: 0, withoutChain: 0, queued: 0, tokenMs: 0, stages: 0 };
   private readonly _starts = new Map<string, number>();
 
   constructor(private readonly _options: ManyChoosersOptions) {
@@ -161,6 +172,7 @@
     const endsAtMs = this._nowMs + prefillMs + tokenMs * demand.answerTokens;
     this._running.push({ endsAtMs, reservation, truth });
     if (!isCounted) return;
+    if (chain.some(({ endpointId }) => this._isCrowded(endpointId))) this._counts.queued += 1;
     this._counts.tokenMs += tokenMs;
     this._counts.stages += chain.length;
     const [first] = chain;
@@ -168,6 +180,12 @@
       this._starts.set(first.endpointId, (this._starts.get(first.endpointId) ?? 0) + 1);
   }
 
+  private _isCrowded(endpointId: string): boolean {
+    const endpoint = this._truth.get(endpointId);
+    if (endpoint === undefined) return false;
+    return endpoint.own.requests > crowdedShare * getUnqueuedRequests(endpoint, this._options.profile);
+  }
+
   private _getTimes(
     chain: NonNullable<ReturnType<ChainChooser["choose"]>>,
     promptTokens: number,
@@ -189,7 +207,7 @@
   }
 
   private _getResult(): ManyChoosersResult {
-    const { requests, refused, withoutChain, tokenMs, stages } = this._counts;
+    const { requests, refused, withoutChain, queued, tokenMs, stages } = this._counts;
     const firsts = this._truth.getAll().filter((endpoint) => endpoint.listed.layers[0]?.start === 0);
     const started = utils.getSum([...this._starts.values()]);
     const busiest = Math.max(...this._starts.values());
@@ -197,6 +215,7 @@
       requests,
       refused,
       withoutChain,
+      queued,
       busiestToMean: (busiest * firsts.length) / started,
       tokenMs: tokenMs / started,
       chainLength: stages / started,
--- a/packages/gateway/src/tests/patterns/ManyChoosersTests.ts
+++ b/packages/gateway/src/tests/patterns/ManyChoosersTests.ts
@@ -22,6 +22,8 @@
     t.true(result.requests > 900, `${result.requests} requests`);
     t.true(result.refused < result.requests / 100, `${result.refused} refused`);
     t.is(result.withoutChain, 0);
+    // Where prompts wait, 17 in 100 first events and more are late; 15 in 100 requests began there while only room and speed counted.
+    t.true(result.queued < result.requests / 20, `${result.queued} began where prompts wait`);
     // Six tokens an event and an aim of 300 ms for pauses leave 50 ms a token.
     t.true(result.tokenMs < 25, `${result.tokenMs} ms a token`);
   });
--- a/packages/gateway/src/tests/patterns/largeFleet.ts
+++ b/packages/gateway/src/tests/patterns/largeFleet.ts
@@ -12,6 +12,8 @@
   stepMsPerSequence: 0.0084,
   stepMsPerKiloToken: 0.0112,
   prefillTokensPerSecond: 128_000,
+  stepsPerPass: 6,
+  promptTokensPerPass: 512,
   loadMs: 14_000,
   concurrentLoads: 31,
   usualPromptTokens: 740,
