cli: check knows the gateway's settings, and its template

Before: npx shedtiller check platform/settings.ini judged it by the other daemon's schema ([callers]: is not a known name). The daemon's bundle is unchanged.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,7 @@
 /** The operators' command line. */
 import { errors } from "@shedtiller/common";
 import { cac } from "cac";
-import { runCheck } from "./commands/check.js";
+import { runCheck, type CheckOptions } from "./commands/check.js";
 import { exitCodes, printError, type CommonOptions, type ExitCode } from "./commands/CommandContext.js";
 import { runExplain } from "./commands/explain.js";
 import { runKey } from "./commands/key.js";
@@ -62,8 +62,9 @@
   .action((logs: string[], options: LossesOptions) => runLosses(logs, options));
 program
   .command("check <file>", "Check a settings file as a whole")
+  .option("--daemon <name>", "The daemon that it is for: entry or gateway (by its sections)")
   .option(...asJson)
-  .action((file: string, options: CommonOptions) => runCheck(file, options));
+  .action((file: string, options: CheckOptions) => runCheck(file, options));
 program
   .command("key", "Make a key for a client account or the operators")
   .option(...asJson)
