--- a/packages/gateway/src/tests/http/HttpCallerTests.ts
+++ b/packages/gateway/src/tests/http/HttpCallerTests.ts
@@ -121,3 +121,26 @@
   caller.close();
   server.close();
 });
+
+test("a kept connection that went silent for good ends with its call's deadline, and the next call takes another", async (t) => {
+  const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=60\r\n\r\nok";
+  let connections = 0;
+  const { server, address } = await listen((socket) => {
+    connections += 1;
+    // The first connection answers once, and swallows all that comes after that.
+    if (connections === 1) socket.once("data", () => socket.write(answer));
+    else socket.on("data", () => socket.write(answer));
+  });
+  const caller = new HttpCaller();
+  t.true((await caller.fetch(createCall(address, false), maxBytes, generousMs)).ok);
+  const silent = await caller.fetch(
+    { ...createCall(address, false), headTimeoutMs: 50 },
+    maxBytes,
+    generousMs,
+  );
+  t.true(silent.err && silent.val instanceof errors.DeadlineError);
+  t.true((await caller.fetch(createCall(address, false), maxBytes, generousMs)).ok);
+  t.is(connections, 2);
+  caller.close();
+  server.close();
+});
