--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -24,6 +24,8 @@
 export class Relay {
   private readonly _server = net.createServer({ pauseOnConnect: true }, (socket) => this._accept(socket));
   private readonly _sockets = new Set<net.Socket>();
+  /** Sockets that pass nothing any more. */
+  private readonly _silent = new WeakSet<net.Socket>();
   private _port = 0;
 
   /** @param getState - Gives the state of the link now. */
@@ -57,6 +59,11 @@
     for (const socket of this._sockets) utils.resetSocket(socket);
   }
 
+  /** The connections that stand pass nothing from now on, not even their end; new ones work. */
+  silence(): void {
+    for (const socket of this._sockets) this._silent.add(socket);
+  }
+
   private _listen(port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this._server.once("error", reject);
@@ -94,6 +101,7 @@
       if (parcels.length > 0) setTimeout(pump, pumpMs);
     };
     const send = (deliver: () => void): void => {
+      if (this._silent.has(from)) return;
       const state = this._getState();
       if (parcels.length === 0 && !isHeld() && state.delayMs === 0) return deliver();
       parcels.push({ dueMs: performance.now() + state.delayMs, deliver });
