gateway: an endpoint that resets each request is left alone for longer and longer

Ruled out: suspecting it as one that does not answer (3 s and more, told to all: an instance that loses its own connections would take sound engines from everybody). Change: each instance leaves such an endpoint alone for 50 ms after the first loss, 0.5 s after the second, twice as long after each further one, 4 s at most, until it answers. Losses of requests that were under way together count as one.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -62,6 +62,7 @@
   ): ChainCandidate[] {
     const nowMs = this._nowMs();
     if (endpoint.isSuspect(nowMs) || nowMs < endpoint.refusedUntilMs) return [];
+    if (endpoint.resets.isAvoided(nowMs)) return [];
     const kind = getKind(endpoint, profile);
     if (kind === undefined) return [];
     const tokens = demand.promptTokens + demand.answerTokens;
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -1,5 +1,6 @@
 /** What this instance knows of one endpoint. */
 import type { ListedEndpoint } from "./ListedEndpoint.js";
+import { ResetGuard } from "./ResetGuard.js";
 
 /** Load that requests put on an endpoint. */
 export interface EndpointLoad {
@@ -22,6 +23,8 @@
   suspectedAtMs = 0;
   /** Monotonic time until which it gets nothing new from this instance, since it just refused for want of room. */
   refusedUntilMs = 0;
+  /** Connections to it that this instance lost before an answer. */
+  readonly resets = new ResetGuard();
   /** Suspicions in a row without a heartbeat between them. */
   suspicions = 0;
   private _seenFull: { readonly tokenLayers: number; readonly untilMs: number } | undefined;
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -62,12 +62,16 @@
     const isFresh = request.route.kind !== "safe" || request.attempts > 0;
     endpoint.addOwn(1, 0);
     request.attempts += 1;
+    const sentAtMs = utils.monotonicMs();
     const result = await this.context.caller.fetch(
       this.createCall(request, endpoint, { headTimeoutMs: patienceMs, isFresh }),
       maxAnswerBytes,
       Math.max(1, remainingMs),
     );
     endpoint.addOwn(-1, 0);
+    if (result.ok) endpoint.resets.noteAnswered();
+    else if (result.val instanceof errors.ConnectionLostError)
+      endpoint.resets.noteReset(sentAtMs, utils.monotonicMs());
     return this._judge(request, endpoint, result);
   }
 
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -133,9 +133,12 @@
         signal: attempt.abort.signal,
       }),
     );
+    if (sent.ok) first.resets.noteAnswered();
     if (sent.ok) return this._accept(attempt, sent.val);
     if (request.signal.aborted) return "caller-left";
     this._note(attempt, sent.val.code);
+    if (sent.val instanceof errors.ConnectionLostError)
+      first.resets.noteReset(attempt.sentAtMs, utils.monotonicMs());
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
     this.context.suspicions.noteSilent(first.id, sent.val.code);
--- a/packages/gateway/src/requests/pickPlainEndpoint.ts
+++ b/packages/gateway/src/requests/pickPlainEndpoint.ts
@@ -4,7 +4,7 @@
 
 /** Another zone counts as this many more open requests: a round trip of 1.5 ms is little against 60 ms of work. */
 const otherZoneRequests = 2;
-/** A suspect endpoint counts as this many more, so that it is taken only when all are. */
+/** A suspect endpoint, or one that resets requests, counts as this many more, so that it is taken only when all are. */
 const suspectRequests = 1_000;
 
 /** Picks the endpoint with the fewest requests in hand among those not tried yet; ties go to the smaller id. */
@@ -17,7 +17,7 @@
   const cost = (endpoint: Endpoint): number =>
     endpoint.getLoad().requests +
     (endpoint.listed.availabilityZone === context.availabilityZone ? 0 : otherZoneRequests) +
-    (endpoint.isSuspect(nowMs) ? suspectRequests : 0);
+    (endpoint.isSuspect(nowMs) || endpoint.resets.isAvoided(nowMs) ? suspectRequests : 0);
   let best: Endpoint | undefined;
   for (const endpoint of context.endpoints.getUsable(service)) {
     if (tried.has(endpoint.id)) continue;
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -163,3 +163,11 @@
   t.is((await fixture.request("POST", key)).status, 502);
   t.deepEqual(fixture.endpoints.get("endpoint-0")?.own, { requests: 0, tokenLayers: 0 });
 });
+
+test("an endpoint that resets each request does not attract all of them by its low load", async (t) => {
+  const fixture = await setUp(t, { kind: "safe" });
+  const resetting = count(breakOff);
+  await fixture.list([resetting, answer(200, "ran")], {});
+  for (let request = 0; request < 12; request++) t.is((await fixture.request("POST", key)).status, 200);
+  t.true(resetting.requests.length <= 6, `${resetting.requests.length} of 12 began there`);
+});
