--- a/packages/gateway/src/discovery/ResetGuard.ts
+++ b/packages/gateway/src/discovery/ResetGuard.ts
@@ -37,7 +37,7 @@
     this._avoidedUntilMs = nowMs + avoidanceMs;
   }
 
-  /** Whether the endpoint gets nothing new from this instance now, unless nothing else is left. */
+  /** Whether the endpoint gets nothing new from this instance now. */
   isAvoided(nowMs: number): boolean {
     return nowMs < this._avoidedUntilMs;
   }
