gateway: instances that stand in for their reader ask the store less and less often, and tell what they read

While the store turned calls away for eight seconds, all 195 instances stood in for their readers and tried again every 250 ms, each feed by itself, and an answer that one of them got helped nobody else. Change: only a zone's reader keeps that pace; failed reads of a stand-in double their pause up to 2 s. Stand-ins begin in two groups, 0.2 s apart, and tell their zone what they read. Whoever has the duty reads at once where its proof is stale, also just after its start.

--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -9,7 +9,10 @@
 const awayAfterMs = 4_000;
 /** After a page with changes the next read waits, so that changes that come in a row are read together. */
 const gatherIntervalMs = 200;
-/** Failed reads of a follower that was not asked to read double their pause up to this. */
+/**
+ * Failed reads of a follower that does not read for others double their pause up to this. While a store that turns calls away for eight
+ * seconds was asked by all of 195 instances every 250 ms, they made 12,000 calls.
+ */
 const longestRetryMs = 2_000;
 /** The pause doubles this often at most, so that the power stays a small number. */
 const mostRetryDoublings = 8;
@@ -56,6 +59,7 @@
   private _provenAtMs = Number.NEGATIVE_INFINITY;
   private _isLost = false;
   private _isReader = true;
+  private _isStandIn = false;
   /** The next read is answered at once: nothing has been proven for a while, or there is something to catch up with. */
   private _isHurried = true;
   /** Since when something newer is known to exist that was not read yet. */
@@ -94,8 +98,17 @@
     this._readListeners.push(listener);
   }
 
-  /** Sets whether this follower reads the store all the time. */
-  setReader(isReader: boolean): void {
+  /** Whether it reads only since nobody told it anything for too long. */
+  get isStandIn(): boolean {
+    return this._isReader && this._isStandIn;
+  }
+
+  /**
+   * Sets whether this follower reads the store all the time.
+   * @param isStandIn - Whether it does so only until it is told again: its failed reads double their pause.
+   */
+  setReader(isReader: boolean, isStandIn = false): void {
+    this._isStandIn = isStandIn;
     if (isReader === this._isReader) return;
     this._isReader = isReader;
     this._isHurried = true;
@@ -223,7 +236,7 @@
 
   private _getRetryMs(): number {
     const { retryMs } = this._options;
-    if (this._isReader) return retryMs;
+    if (this._isReader && !this._isStandIn) return retryMs;
     return Math.min(longestRetryMs, retryMs * 2 ** Math.min(this._failures - 1, mostRetryDoublings));
   }
 }
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -21,6 +21,12 @@
  */
 const staleMs = 1_400;
 
+/**
+ * Instances that are told nothing stand in for their reader one group after the other, and tell what they read: where the store answers
+ * at least one of the first group, the others need not ask it.
+ */
+const standInGroups = 2;
+
 /**
  * For this long after its start an instance reads nothing beyond its first list, since it does not know its zone yet: links stand
  * within half a second, and what is told within the next. Without it each start makes some six reads, of both feeds, by each instance.
@@ -38,7 +44,7 @@
 /** A feed that is relayed; the type of its values is known to its own closures only. */
 interface RelayedFeed {
   readonly getProofAgeMs: () => number;
-  readonly setReader: (isReader: boolean) => void;
+  readonly setReader: (isReader: boolean, isStandIn: boolean) => void;
 }
 
 /** One relay an instance. */
@@ -47,11 +53,13 @@
   private readonly _duty: ZoneDuty;
   private readonly _feeds: RelayedFeed[] = [];
   private readonly _startedAtMs: number;
+  private readonly _standInDelayMs: number;
 
   constructor(private readonly _structure: StoreRelayStructure) {
     const { membership, log, nowMs } = _structure;
     this._nowMs = nowMs ?? utils.monotonicMs;
     this._startedAtMs = this._nowMs();
+    this._standInDelayMs = (utils.hash32(membership.self.name) % standInGroups) * tickMs;
     this._duty = new ZoneDuty({ name: dutyName, membership, log, nowMs });
   }
 
@@ -67,7 +75,7 @@
     follower.setReader(false);
     this._feeds.push({
       getProofAgeMs: () => follower.getProofAgeMs(),
-      setReader: (isReader) => follower.setReader(isReader),
+      setReader: (isReader, isStandIn) => follower.setReader(isReader, isStandIn),
     });
   }
 
@@ -90,7 +98,9 @@
     if (this.isReader && (this._duty.isAlone || ageMs < staleMs)) this._duty.noteSign();
     this._duty.update();
     const isSettling = this._nowMs() - this._startedAtMs < settlingMs;
-    for (const feed of this._feeds) feed.setReader((this.isReader && !isSettling) || ageMs > staleMs);
+    const isStandIn = !this.isReader && ageMs > staleMs + this._standInDelayMs;
+    const isReading = (this.isReader && (!isSettling || ageMs > staleMs)) || isStandIn;
+    for (const feed of this._feeds) feed.setReader(isReading, isStandIn);
   }
 
   private _tellReads<T, TTold>(
@@ -99,7 +109,7 @@
     relayed: RelayedChanges<T, TTold>,
   ): void {
     follower.onRead((page, fromOffset) => {
-      if (!this.isReader) return;
+      if (!this.isReader && !follower.isStandIn) return;
       const changes = relayed.toTold(page.changes);
       const proofAgeMs = follower.getProofAgeMs();
       this._tell(topic, { fromOffset, nextOffset: page.nextOffset, changes, proofAgeMs });
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -65,3 +65,30 @@
   t.deepEqual(heard, ["snapshot", "snapshot", "1 changes"]);
   t.deepEqual(asked, ["snapshot", "from 10", "snapshot", "from 10"]);
 });
+
+/** Pauses between reads that all fail. */
+async function getPauses(isStandIn: boolean): Promise<number[]> {
+  const stop = new AbortController();
+  const pauses: number[] = [];
+  const lost: Page = results.Err(new errors.ConnectionLostError("store"));
+  const listener = {
+    onSnapshot: () => undefined,
+    onChanges: () => undefined,
+    onLost: () => undefined,
+    onRegained: () => undefined,
+  };
+  const follower = new FeedFollower(new ScriptedFeed([lost, lost, lost, lost, lost], stop), listener, {
+    waitMs: 0,
+    retryMs: 250,
+    pause: async (durationMs) => void pauses.push(durationMs),
+  });
+  follower.setReader(true, isStandIn);
+  await follower.run(stop.signal);
+  // The first pause is that of the snapshot.
+  return pauses.slice(1);
+}
+
+test("a follower that reads for others tries again all the time, and one that stands in less and less often", async (t) => {
+  t.deepEqual(await getPauses(false), [250, 250, 250, 250, 250]);
+  t.deepEqual(await getPauses(true), [250, 500, 1_000, 2_000, 2_000]);
+});
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -199,3 +199,16 @@
   for (const name of names) t.true(zone.get(name).regained >= 1, name);
   zone.stop();
 });
+
+test("an instance that stands in for its reader tells the others, which may not reach the store either", async (t) => {
+  const zone = new Zone();
+  zone.store.changes.push({ key: "x", value: createListed("x") });
+  await zone.run(4);
+  const [reader = ""] = zone.getReaders();
+  const [standIn = "", ...others] = names.filter((name) => name !== reader);
+  for (const name of [reader, ...others]) zone.store.cutOff.add(name);
+  zone.store.changes.push({ key: "x", value: undefined });
+  await zone.run(boundMs / tickMs - 1);
+  for (const name of [standIn, ...others]) t.false(zone.get(name).known.has("x"), name);
+  zone.stop();
+});
