--- a/packages/gateway/src/tests/patterns/ManyChoosers.ts
+++ b/packages/gateway/src/tests/patterns/ManyChoosers.ts
@@ -18,6 +18,7 @@
 import type { EndpointLoad } from "../../discovery/Endpoint.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { subtract } from "../../peers/endpointLoads.js";
 import { createListed } from "../createParts.js";
 
 /** Each instance tells its load this often, and the collector tells the sum as often: what is known is one to two of these old. */
@@ -116,9 +117,7 @@
   /** What was collected one interval before reaches all instances now; what they have now is collected. */
   private _tell(): void {
     for (const [index, view] of this._views.entries()) {
-      const own = this._toldOwn[index];
-      const others = new Map<string, EndpointLoad>();
-      for (const [id, load] of this._told) others.set(id, subtract(load, own?.get(id)));
+      const others = subtract(this._told, this._toldOwn[index] ?? new Map());
       view.setPeerLoads("collected", others);
     }
     this._told = new Map(this._truth.getAll().map((endpoint) => [endpoint.id, endpoint.own]));
@@ -260,11 +259,6 @@
   return table;
 }
 
-function subtract(load: EndpointLoad, part: EndpointLoad | undefined): EndpointLoad {
-  if (part === undefined) return load;
-  return { requests: load.requests - part.requests, tokenLayers: load.tokenLayers - part.tokenLayers };
-}
-
 function partition<T>(items: readonly T[], isFirst: (item: T) => boolean): [T[], T[]] {
   return [items.filter(isFirst), items.filter((item) => !isFirst(item))];
 }
