gateway: logs tell from where a configuration came, and how long peers took to answer

Change: configuration-in-force names its source and how long this instance has been behind; configuration-read has the time of each read with changes; configuration-asked names the peer, both versions and the time. Clocks, waits and chance of the parts can be replaced in tests. No decision changes.

--- a/packages/gateway/src/configuration/ConfigurationKeeper.ts
+++ b/packages/gateway/src/configuration/ConfigurationKeeper.ts
@@ -3,11 +3,14 @@
 import type { GatewayConfiguration } from "./gatewayConfiguration.js";
 import { RouteTable } from "./RouteTable.js";
 
+/** Where a configuration came from: a read of the store, by this instance or told by the one that reads for its zone, or a peer's answer. */
+export type ConfigurationSource = "store" | "peer";
+
 /** Holds the newest configuration seen. Versions never go back within the life of a process. */
 export class ConfigurationKeeper {
   private _table: RouteTable | undefined;
   private _provenAtMs = Number.NEGATIVE_INFINITY;
-  private readonly _listeners: ((table: RouteTable) => void)[] = [];
+  private readonly _listeners: ((table: RouteTable, source: ConfigurationSource) => void)[] = [];
   private readonly _known = new utils.Deferred<void>();
 
   /** @param nowMs - Monotonic clock, replaced in tests. */
@@ -39,16 +42,16 @@
   }
 
   /** Calls `listener` for each version that comes into force. */
-  onChanged(listener: (table: RouteTable) => void): void {
+  onChanged(listener: (table: RouteTable, source: ConfigurationSource) => void): void {
     this._listeners.push(listener);
   }
 
   /** Takes a configuration; tells whether it is newer than the one in force. */
-  accept(configuration: GatewayConfiguration): boolean {
+  accept(configuration: GatewayConfiguration, source: ConfigurationSource = "store"): boolean {
     if (configuration.version <= this.version) return false;
     this._table = new RouteTable(configuration);
     this._known.resolve();
-    for (const listener of this._listeners) listener(this._table);
+    for (const listener of this._listeners) listener(this._table, source);
     return true;
   }
 
--- a/packages/gateway/src/configuration/ConfigurationWatch.ts
+++ b/packages/gateway/src/configuration/ConfigurationWatch.ts
@@ -1,9 +1,10 @@
 /** Follows the operators' configuration in the store. */
 import type { Change, ChangeFeed, StoreError } from "../discovery/ChangeFeed.js";
-import { FeedFollower } from "../discovery/FeedFollower.js";
+import { FeedFollower, type FollowOptions } from "../discovery/FeedFollower.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import type { ConfigurationKeeper } from "./ConfigurationKeeper.js";
+import type { ConfigurationKeeper, ConfigurationSource } from "./ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "./gatewayConfiguration.js";
+import type { RouteTable } from "./RouteTable.js";
 
 /**
  * A held read proves freshness only as of its sending, so a proof may be twice this old. It has to stay well below the
@@ -16,10 +17,12 @@
 export class ConfigurationWatch {
   readonly follower: FeedFollower<GatewayConfiguration>;
 
+  /** @param clock - Monotonic clock and waits, replaced in tests. */
   constructor(
     private readonly _keeper: ConfigurationKeeper,
     feed: ChangeFeed<GatewayConfiguration>,
     private readonly _log: DecisionLog,
+    clock: Pick<FollowOptions, "nowMs" | "pause"> = {},
   ) {
     const listener = {
       onSnapshot: (values: ReadonlyMap<string, GatewayConfiguration>, provenAtMs: number) =>
@@ -32,7 +35,9 @@
       onLost: (error: StoreError) => _log.warn("configuration-store-lost", { cause: error.message }),
       onRegained: () => _log.info("configuration-store-regained", { version: _keeper.version }),
     };
-    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs });
+    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs, ...clock });
+    this.follower.onRead((page) => this._logRead(page.changes.length, page.nextOffset));
+    _keeper.onChanged((table, source) => this._logInForce(table, source));
   }
 
   run(signal: AbortSignal): Promise<void> {
@@ -40,14 +45,24 @@
   }
 
   private _take(configurations: readonly GatewayConfiguration[], provenAtMs: number): void {
-    for (const configuration of configurations) {
-      if (!this._keeper.accept(configuration)) continue;
-      this._log.info("configuration-in-force", {
-        version: configuration.version,
-        routes: configuration.routes.length,
-        accounts: configuration.accounts?.length,
-      });
-    }
+    for (const configuration of configurations) this._keeper.accept(configuration);
     this._keeper.confirm(this._keeper.version, provenAtMs);
   }
+
+  /** A held read without changes is no decision, and takes as long as it is held. */
+  private _logRead(changes: number, nextOffset: number): void {
+    if (changes === 0) return;
+    const tookMs = Math.round(this.follower.getProofAgeMs());
+    this._log.info("configuration-read", { tookMs, nextOffset, version: this._keeper.version });
+  }
+
+  private _logInForce({ configuration }: RouteTable, source: ConfigurationSource): void {
+    this._log.info("configuration-in-force", {
+      version: configuration.version,
+      source,
+      behindMs: Math.round(this.follower.getBehindMs()),
+      routes: configuration.routes.length,
+      accounts: configuration.accounts?.length,
+    });
+  }
 }
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -2,7 +2,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { Change, ChangeFeed, StoreError } from "./ChangeFeed.js";
 import type { EndpointTable } from "./EndpointTable.js";
-import { FeedFollower } from "./FeedFollower.js";
+import { FeedFollower, type FollowOptions } from "./FeedFollower.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
 
 /**
@@ -21,10 +21,12 @@
 export class EndpointWatch {
   readonly follower: FeedFollower<ListedEndpoint>;
 
+  /** @param clock - Monotonic clock and waits, replaced in tests. */
   constructor(
     private readonly _endpoints: EndpointTable,
     feed: ChangeFeed<ListedEndpoint>,
     log: DecisionLog,
+    clock: Pick<FollowOptions, "nowMs" | "pause"> = {},
   ) {
     const listener = {
       onSnapshot: (values: ReadonlyMap<string, ListedEndpoint>) => _endpoints.setAll(values),
@@ -35,7 +37,7 @@
         log.info("endpoint-store-regained", { endpoints: _endpoints.getAll().length });
       },
     };
-    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs, gatherMs });
+    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs, gatherMs, ...clock });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
       const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -57,15 +57,25 @@
   readonly isRegistryReached: () => boolean;
   readonly getInstances: () => readonly RegisteredInstance[];
   readonly takeInstances: (instances: readonly RegisteredInstance[]) => void;
+  /** Monotonic clock, replaced in tests. */
+  readonly nowMs?: () => number;
+  /** Waits, replaced in tests. */
+  readonly pause?: (durationMs: number) => Promise<void>;
+  /** From 0 to 1, replaced in tests. */
+  readonly random?: () => number;
 }
 
 /** One exchange an instance. */
 export class PeerExchange {
   /** Whether a peer is about to be asked for a new version. Versions are large, and many peers tell of one. */
   private _isAsking = false;
+  private readonly _nowMs: () => number;
+  private readonly _pause: (durationMs: number) => Promise<void>;
 
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
+    this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+    this._pause = _structure.pause ?? utils.sleep;
     membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
     membership.onNotice(peerTopics.full, (body, from) => this._takeFull(body, from));
     membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
@@ -81,7 +91,7 @@
     await utils.repeat(
       askIntervalMs,
       signal,
-      () => this._askIfStale(),
+      () => this.askIfStale(),
       (error) => {
         this._structure.log.error("peer-exchange-failed", { cause: String(error) });
       },
@@ -122,7 +132,7 @@
     const told = endpointSchema.safeParse(body);
     const { endpoints, log } = this._structure;
     if (!told.success) return notePeerMessageInvalid(log, peerTopics.full, from);
-    endpoints.get(told.data.endpointId)?.noteFull(utils.monotonicMs());
+    endpoints.get(told.data.endpointId)?.noteFull(this._nowMs());
   }
 
   private _takeSlowness(body: unknown, from: PeerIdentity): void {
@@ -140,7 +150,7 @@
     if (notice.data.version <= keeper.version || this._isAsking) return;
     this._isAsking = true;
     try {
-      await utils.sleep(readFirstMs);
+      await this._pause(readFirstMs);
       if (notice.data.version > keeper.version) await this._askConfiguration(from.name);
     } finally {
       this._isAsking = false;
@@ -157,14 +167,15 @@
     if (instances !== undefined) this._structure.takeInstances(instances);
   }
 
-  private async _askIfStale(): Promise<void> {
+  /** Asks some peers for what is stale here. */
+  async askIfStale(): Promise<void> {
     const { keeper, membership, getListAgeMs, getConfigurationBehindMs } = this._structure;
     const isConfigurationStale =
       keeper.getProofAgeMs() > askConfigurationAfterMs || getConfigurationBehindMs() > askWhenBehindMs;
     const isListStale = getListAgeMs() > askListAfterMs;
     if (!isConfigurationStale && !isListStale) return;
     const linked = membership.getLinked().map((member) => member.name);
-    const asked = pickSome(linked, peersAsked);
+    const asked = pickSome(linked, peersAsked, this._structure.random ?? Math.random);
     await Promise.all(
       asked.flatMap((name) => [
         isConfigurationStale ? this._askConfiguration(name) : undefined,
@@ -185,12 +196,14 @@
 
   /** The peer's proof is as old as it says, counted from before we asked. */
   private async _askConfiguration(name: string): Promise<void> {
-    const { keeper } = this._structure;
-    const askedAtMs = utils.monotonicMs();
+    const { keeper, log } = this._structure;
+    const askedAtMs = this._nowMs();
     const question = { version: keeper.version };
     const answer = await this._ask(name, peerTopics.configuration, question, configurationAnswerSchema);
+    const tookMs = Math.round(this._nowMs() - askedAtMs);
+    log.info("configuration-asked", { peer: name, ...question, answered: answer?.version, tookMs });
     if (answer === undefined) return;
-    if (answer.configuration !== undefined) keeper.accept(answer.configuration);
+    if (answer.configuration !== undefined) keeper.accept(answer.configuration, "peer");
     keeper.confirm(answer.version, askedAtMs - answer.proofAgeMs);
   }
 
@@ -205,7 +218,7 @@
   }
 
   private async _askEndpoints(name: string): Promise<void> {
-    const askedAtMs = utils.monotonicMs();
+    const askedAtMs = this._nowMs();
     const question = { nextOffset: this._structure.getListOffset() };
     const answer = await this._ask(name, peerTopics.endpoints, question, endpointsAnswerSchema);
     if (answer === undefined) return;
@@ -230,11 +243,11 @@
   return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
 }
 
-function pickSome<T>(items: readonly T[], count: number): T[] {
+function pickSome<T>(items: readonly T[], count: number, random: () => number): T[] {
   const left = [...items];
   const picked: T[] = [];
   while (picked.length < count && left.length > 0) {
-    picked.push(...left.splice(Math.floor(Math.random() * left.length), 1));
+    picked.push(...left.splice(Math.floor(random() * left.length), 1));
   }
   return picked;
 }
