test: large configurations that follow each other while instances restart, in simulated time (failing)

Cause of the incident, as reproduced: an instance that is behind asks two peers for the whole configuration each 400 ms and waits 400 ms for each; 0.45 MB twice take 0.52 s of its link of 14 Mbit/s, so each answer comes too late, is thrown away, and delays the next ones and the store's own answer. Change: tests only. A clock, links that share their rate, a store and a network in simulated time, with the real code that reads, tells and asks.

--- /dev/null
+++ b/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
@@ -0,0 +1,176 @@
+/**
+ * A fleet that follows large configurations, in simulated time and without a network: the real code that reads, tells and asks, on links
+ * and processors of the rates that the smallest instances have.
+ */
+import { utils } from "@shedtiller/common";
+import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import { ConfigurationWatch } from "../../configuration/ConfigurationWatch.js";
+import type { GatewayConfiguration } from "../../configuration/gatewayConfiguration.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { EndpointWatch } from "../../discovery/EndpointWatch.js";
+import { listedEndpointSchema, type ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { PeerExchange } from "../../peers/PeerExchange.js";
+import { peerTopics } from "../../peers/peerMessages.js";
+import { ConfigurationChanges, WholeChanges } from "../../peers/RelayedChanges.js";
+import { StoreRelay } from "../../peers/StoreRelay.js";
+import { createConfiguration, createRoute } from "../createParts.js";
+import { SilentSink } from "../SilentSink.js";
+import { FleetNetwork } from "./FleetNetwork.js";
+import { SimulatedClock } from "./SimulatedClock.js";
+import { SimulatedLink } from "./SimulatedLink.js";
+import { QuietFeed, SimulatedStore } from "./SimulatedStore.js";
+
+/** A link of 14 Mbit/s, the smallest of the deployments at hand. */
+const linkBytesPerMs = 1_750;
+/** What the store hands out to all readers together. */
+const storeBytesPerMs = 80_000;
+/** Measured on 0.45 MB: 43 ms to decode and 20 ms to encode at a whole core, of which the smallest instances have 0.324. */
+const decodeBytesPerMs = 3_500;
+const encodeBytesPerMs = 7_000;
+const relayTickMs = 200;
+const askTickMs = 400;
+/** Fewer routes than a large configuration has, each as large as ten, so that simulating them takes seconds. */
+const routeBytes = 2_050;
+
+/** What a fleet is made of. */
+export interface ConfigurationFleetOptions {
+  readonly zones: readonly string[];
+  readonly instancesPerZone: number;
+  readonly seed: number;
+}
+
+/** One instance, from a start to its end. */
+export interface FleetInstance {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly startedAtMs: number;
+  readonly keeper: ConfigurationKeeper;
+  readonly inLink: SimulatedLink;
+  /** When a version or a newer one came into force; infinite where that was not seen. */
+  readonly getInForceAtMs: (version: number) => number;
+}
+
+interface Running extends FleetInstance {
+  readonly stop: AbortController;
+}
+
+/** Instances, their store and their network. */
+export class ConfigurationFleet {
+  readonly clock = new SimulatedClock();
+  readonly store = new SimulatedStore(this.clock, storeBytesPerMs);
+  readonly network = new FleetNetwork(this.clock);
+  /** Zones that don't reach the store. */
+  readonly withoutStore = new Set<string>();
+  private readonly _random: utils.RandomSource;
+  private readonly _instances = new Map<string, Running>();
+
+  constructor(options: ConfigurationFleetOptions) {
+    this._random = new utils.RandomSource(options.seed);
+    for (const zone of options.zones) {
+      for (let index = 1; index <= options.instancesPerZone; index++) this.start(`${zone}-${index}`, zone);
+    }
+  }
+
+  get instances(): readonly FleetInstance[] {
+    return [...this._instances.values()];
+  }
+
+  get(name: string): FleetInstance {
+    const instance = this._instances.get(name);
+    if (instance === undefined) throw new RangeError(`There is no instance ${name}.`);
+    return instance;
+  }
+
+  /** Ends an instance at once. */
+  kill(name: string): void {
+    this._instances.get(name)?.stop.abort();
+    this._instances.delete(name);
+    this.network.leave(name);
+  }
+
+  /** Starts an instance that knows nothing. */
+  start(name: string, availabilityZone: string): void {
+    const { clock } = this;
+    const keeper = new ConfigurationKeeper(clock.nowMs);
+    const inLink = new SimulatedLink(clock, linkBytesPerMs);
+    const processor = new SimulatedLink(clock, 1);
+    const decode = (sizeBytes: number): Promise<void> => processor.pass(sizeBytes / decodeBytesPerMs);
+    const encode = (sizeBytes: number): Promise<void> => processor.pass(sizeBytes / encodeBytesPerMs);
+    const outLink = new SimulatedLink(clock, linkBytesPerMs);
+    const identity = { name, availabilityZone };
+    const membership = this.network.join({ identity, inLink, outLink, encode, decode });
+    const inForce: { version: number; atMs: number }[] = [];
+    keeper.onChanged(({ version }) => void inForce.push({ version, atMs: clock.nowMs() }));
+    const getInForceAtMs = (version: number): number =>
+      inForce.find((seen) => seen.version >= version)?.atMs ?? Number.POSITIVE_INFINITY;
+    const isCutOff = (): boolean => this.withoutStore.has(availabilityZone);
+    const log = new DecisionLog(new SilentSink(), clock.nowMs);
+    const feed = this.store.createFeed({ inLink, decode, isCutOff });
+    const time = { nowMs: clock.nowMs, pause: clock.sleep };
+    const watch = new ConfigurationWatch(keeper, feed, log, time);
+    const endpointFeed = new QuietFeed<ListedEndpoint>(clock, isCutOff);
+    const endpointWatch = new EndpointWatch(new EndpointTable(), endpointFeed, log, time);
+    const relay = new StoreRelay({ membership, log, nowMs: clock.nowMs });
+    relay.add(peerTopics.configurationRead, watch.follower, new ConfigurationChanges(keeper));
+    relay.add(peerTopics.endpointsRead, endpointWatch.follower, new WholeChanges(listedEndpointSchema));
+    const exchange = this._createExchange(membership, keeper, watch, log);
+    keeper.onChanged(({ version }) => {
+      if (relay.isReader) exchange.tellVersion(version);
+    });
+    const stop = new AbortController();
+    void watch.run(stop.signal);
+    void endpointWatch.run(stop.signal);
+    void this._repeat(relayTickMs, stop.signal, () => relay.check());
+    void this._repeat(askTickMs, stop.signal, () => exchange.askIfStale());
+    const startedAtMs = clock.nowMs();
+    this._instances.set(name, { name, availabilityZone, startedAtMs, keeper, inLink, getInForceAtMs, stop });
+  }
+
+  private _createExchange(
+    membership: ReturnType<FleetNetwork["join"]>,
+    keeper: ConfigurationKeeper,
+    watch: ConfigurationWatch,
+    log: DecisionLog,
+  ): PeerExchange {
+    return new PeerExchange({
+      membership,
+      keeper,
+      endpoints: new EndpointTable(),
+      log,
+      getListAgeMs: () => 0,
+      getConfigurationBehindMs: () => watch.follower.getBehindMs(),
+      getListOffset: () => 0,
+      takeList: () => undefined,
+      isRegistryReached: () => true,
+      getInstances: () => [],
+      takeInstances: () => undefined,
+      nowMs: this.clock.nowMs,
+      pause: this.clock.sleep,
+      random: () => this._random.nextUnit(),
+    });
+  }
+
+  private async _repeat(
+    intervalMs: number,
+    signal: AbortSignal,
+    step: () => Promise<void> | void,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      await step();
+      await this.clock.sleep(intervalMs - (this.clock.nowMs() % intervalMs), signal).catch(() => undefined);
+    }
+  }
+}
+
+/** A configuration with a number of routes, and one account whose key follows the version. */
+export function createLargeConfiguration(version: number, routes: number): GatewayConfiguration {
+  while (knownRoutes.length < routes) {
+    const name = `r${knownRoutes.length}`;
+    knownRoutes.push(createRoute({ name, host: name.padEnd(routeBytes, "x") }));
+  }
+  const configuration = createConfiguration(version, knownRoutes.slice(0, routes));
+  return { ...configuration, accounts: [{ name: "farm", apiKeys: [`k${version}`] }] };
+}
+
+const knownRoutes: GatewayConfiguration["routes"] = [];
--- /dev/null
+++ b/packages/gateway/src/tests/patterns/FleetNetwork.ts
@@ -0,0 +1,153 @@
+/** Peer links in simulated time: messages take their time on the sender's and the receiver's link and on the receiver's processor. */
+import { errors, results } from "@shedtiller/common";
+import type {
+  Member,
+  Membership,
+  NoticeHandler,
+  PeerError,
+  PeerIdentity,
+  RequestHandler,
+} from "@shedtiller/membership";
+import type { SimulatedClock } from "./SimulatedClock.js";
+import { transfer, type SimulatedLink } from "./SimulatedLink.js";
+import { getSizeBytes } from "./SimulatedStore.js";
+
+export type FleetMembership = Pick<
+  Membership,
+  "self" | "getDutyCandidates" | "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
+>;
+
+/** What an instance of the network is made of. */
+export interface FleetNode {
+  readonly identity: PeerIdentity;
+  readonly inLink: SimulatedLink;
+  readonly outLink: SimulatedLink;
+  readonly encode: (sizeBytes: number) => Promise<void>;
+  readonly decode: (sizeBytes: number) => Promise<void>;
+}
+
+interface Joined extends FleetNode {
+  readonly notices: Map<string, NoticeHandler>;
+  readonly requests: Map<string, RequestHandler>;
+}
+
+/** Instances of other zones that each one is linked to. */
+const contactsPerZone = 3;
+const delayMs = 1;
+
+/** Links each instance to all of its zone and to a few of each other one. */
+export class FleetNetwork {
+  private readonly _joined = new Map<string, Joined>();
+  /** Messages of one connection arrive in their order. */
+  private readonly _tails = new Map<string, Promise<void>>();
+  /** Zones that are cut off from the others. */
+  readonly cutOff = new Set<string>();
+
+  constructor(private readonly _clock: SimulatedClock) {}
+
+  join(node: FleetNode): FleetMembership {
+    const self = node.identity;
+    const joined: Joined = { ...node, notices: new Map(), requests: new Map() };
+    this._joined.set(self.name, joined);
+    return {
+      self,
+      getDutyCandidates: () => {
+        const inZone = this._getLinked(self).filter(
+          (peer) => peer.availabilityZone === self.availabilityZone,
+        );
+        return [...inZone.map((peer) => peer.name), self.name];
+      },
+      getLinked: () => this._getLinked(self).map(toMember),
+      onLinked: () => undefined,
+      onNotice: (topic, handler) => void joined.notices.set(topic, handler),
+      onRequest: (topic, handler) => void joined.requests.set(topic, handler),
+      notifyAll: (topic, body, wants = () => true) => {
+        for (const peer of this._getLinked(self))
+          if (wants(toMember(peer))) void this._notify(joined, peer, topic, body);
+      },
+      request: (name, topic, body, timeoutMs) => this._request(joined, name, topic, body, timeoutMs),
+    };
+  }
+
+  /** The instance is gone, and its links with it. */
+  leave(name: string): void {
+    this._joined.delete(name);
+  }
+
+  private _getLinked(self: PeerIdentity): PeerIdentity[] {
+    const others = [...this._joined.values()]
+      .map((node) => node.identity)
+      .filter(({ name }) => name !== self.name);
+    const counts = new Map<string, number>();
+    return others.filter(({ availabilityZone }) => {
+      if (availabilityZone === self.availabilityZone) return true;
+      if (this.cutOff.has(availabilityZone) || this.cutOff.has(self.availabilityZone)) return false;
+      const count = (counts.get(availabilityZone) ?? 0) + 1;
+      counts.set(availabilityZone, count);
+      return count <= contactsPerZone;
+    });
+  }
+
+  private async _notify(from: Joined, to: PeerIdentity, topic: string, body: unknown): Promise<void> {
+    const target = this._joined.get(to.name);
+    if (target === undefined) return;
+    await this._send(from, target, body);
+    if (this._isHere(target)) target.notices.get(topic)?.(body, from.identity);
+  }
+
+  private async _request(
+    from: Joined,
+    name: string,
+    topic: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<results.Result<unknown, PeerError>> {
+    const target = this._joined.get(name);
+    if (target === undefined) return results.Err(new errors.ConnectionLostError(name));
+    const late = this._clock
+      .sleep(timeoutMs)
+      .then(() => results.Err(new errors.DeadlineError(`${topic} at ${name}`, timeoutMs)));
+    return Promise.race([this._ask(from, target, topic, body), late]);
+  }
+
+  private async _ask(
+    from: Joined,
+    target: Joined,
+    topic: string,
+    body: unknown,
+  ): Promise<results.Result<unknown, PeerError>> {
+    await this._send(from, target, body);
+    const answer: unknown = await target.requests.get(topic)?.(body, from.identity);
+    // An answer is sent whether or not it is still waited for.
+    await this._send(target, from, answer);
+    return results.Ok(answer);
+  }
+
+  private async _send(from: Joined, to: Joined, body: unknown): Promise<void> {
+    const sizeBytes = getSizeBytes(body);
+    await from.encode(sizeBytes);
+    const pair = `${from.identity.name} ${to.identity.name}`;
+    const sent = (this._tails.get(pair) ?? Promise.resolve()).then(async () => {
+      await this._clock.sleep(delayMs);
+      await transfer(from.outLink, to.inLink, sizeBytes, () => !this._isHere(from) || !this._isHere(to));
+    });
+    this._tails.set(pair, sent);
+    await sent;
+    await to.decode(sizeBytes);
+  }
+
+  private _isHere(node: Joined): boolean {
+    return this._joined.get(node.identity.name) === node;
+  }
+}
+
+function toMember(peer: PeerIdentity): Member {
+  const unknown = {
+    address: "",
+    isLeaving: false,
+    lostSinceMs: undefined,
+    unlinkedSinceMs: 0,
+    heartbeat: {},
+  };
+  return { ...peer, ...unknown };
+}
