gateway: peers give versions, proofs and changes; a whole configuration comes by itself, from one peer at a time

Cause: answers of peers with whole configurations took longer than they were waited for, were thrown away and asked for again, by every instance that was behind, from two peers every 400 ms. The class: a transfer whose time grows with the state, under a wait that does not, repeated without backing off. It is metastable: once the links are full, they stay so after the cause is gone. Ruled out: longer waits alone (a larger configuration is late again), the store's rate, a lost page of a follower (possible by reading: a read that ended beside a told page was dropped even where it held more; such a page is taken now, and what is known to exist is an offset instead of a count of notices). Change: ConfigurationExchange. An answer has the version, the proof and, where the asker's version is remembered, what changed since (ConfigurationHistory, which the zone's reader uses too). A whole configuration is a notice: it is taken whenever it comes, sent by a peer at most each 300 ms, expected from one peer at a time with a patience that doubles. Peers known to have something newer are asked first, and who got it from a peer tells its zone. What a peer gave moves the follower on, so the next told change joins. The simulated network linked contacts one way only and passed questions over missing links; links carry both ways now.

--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -64,8 +64,8 @@
   private _isHurried = true;
   /** Since when something newer is known to exist that was not read yet. */
   private _behindSinceMs: number | undefined;
-  /** How often something newer was told; what is told during a read needs another one. */
-  private _timesTold = 0;
+  /** Up to where changes are known to exist. */
+  private _knownEnd = 0;
   private _failures = 0;
   private _woken = new utils.Deferred<void>();
 
@@ -119,20 +119,26 @@
   takeTold(page: ToldPage<T>, provenAtMs: number): void {
     if (this._offset === undefined || page.nextOffset < this._offset) return;
     const isKnown = page.nextOffset === this._offset;
+    this._knownEnd = Math.max(this._knownEnd, page.nextOffset);
     if (!isKnown && (page.changes === undefined || page.fromOffset !== this._offset)) return this._catchUp();
     this._noteProofGap(provenAtMs);
-    this._offset = page.nextOffset;
+    this._moveTo(page.nextOffset);
     this._accept(isKnown ? [] : (page.changes ?? []), provenAtMs);
   }
 
   /** Takes a whole set that a peer knew to be complete at `provenAtMs`, unless ours is newer. */
   takeSnapshot(values: ReadonlyMap<string, T>, nextOffset: number, provenAtMs: number): void {
     if (provenAtMs <= this._provenAtMs || nextOffset < (this._offset ?? 0)) return;
-    this._offset = nextOffset;
+    this._moveTo(nextOffset);
     this._provenAtMs = provenAtMs;
     this._listener.onSnapshot(values, provenAtMs);
   }
 
+  /** Takes note that what the store has before an offset came from elsewhere. It proves nothing: something newer may exist. */
+  takeAhead(nextOffset: number): void {
+    if (this._offset !== undefined && nextOffset > this._offset) this._moveTo(nextOffset);
+  }
+
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     signal.addEventListener("abort", () => this._woken.resolve(), { once: true });
@@ -162,25 +168,32 @@
 
   private _getPauseMs(error: StoreError | undefined, offsetBefore: number | undefined): number {
     if (error !== undefined) return this._getRetryMs();
-    return this._offset === offsetBefore ? 0 : (this._options.gatherMs ?? gatherIntervalMs);
+    // A store that has not got yet what a peer was given is asked again, but not all the time.
+    const isWaiting = this._offset === offsetBefore && this._behindSinceMs === undefined;
+    return isWaiting ? 0 : (this._options.gatherMs ?? gatherIntervalMs);
   }
 
-  /** Reads once. What is told while the read is under way needs another one. */
   private async _read(): Promise<StoreError | undefined> {
-    const toldBefore = this._timesTold;
     const error =
       this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
     if (error !== undefined) this._behindSinceMs ??= this._isReader ? undefined : this._nowMs();
-    else if (this._timesTold === toldBefore) this._behindSinceMs = undefined;
+    else if (this._offset !== undefined) this._moveTo(this._offset);
     return error;
   }
 
+  /** Goes on from an offset; nothing is left to catch up with once all that is known to exist lies before it. */
+  private _moveTo(nextOffset: number): void {
+    this._offset = nextOffset;
+    this._knownEnd = Math.max(this._knownEnd, nextOffset);
+    if (nextOffset === this._knownEnd) this._behindSinceMs = undefined;
+  }
+
   private async _readSnapshot(): Promise<StoreError | undefined> {
     const askedAtMs = this._nowMs();
     const snapshot = await this._feed.getSnapshot();
     if (snapshot.err) return snapshot.val;
     this._noteAnswered();
-    this._offset = snapshot.val.nextOffset;
+    this._moveTo(snapshot.val.nextOffset);
     this._provenAtMs = askedAtMs;
     this._listener.onSnapshot(snapshot.val.values, askedAtMs);
     return undefined;
@@ -195,8 +208,9 @@
     this._noteAnswered();
     if (page.val.isCompacted) return this._readSnapshot();
     // A peer told the same changes while this read was under way.
-    if (this._offset !== offset) return undefined;
-    this._offset = page.val.nextOffset;
+    if (this._offset !== undefined && this._offset > offset && page.val.nextOffset <= this._offset)
+      return undefined;
+    this._moveTo(page.val.nextOffset);
     this._accept(page.val.changes, askedAtMs);
     for (const listener of this._readListeners) listener(page.val, offset);
     return undefined;
@@ -209,7 +223,6 @@
 
   /** Something newer exists than what was told; it is read from the store at once. */
   private _catchUp(): void {
-    this._timesTold += 1;
     this._behindSinceMs ??= this._nowMs();
     this._isHurried = true;
     this._woken.resolve();
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -1,6 +1,7 @@
 /** The peers' side of an instance: its links to the others, and all that goes over them. */
 import { Membership } from "@shedtiller/membership";
 import { Timeline } from "@shedtiller/timeline";
+import { ConfigurationHistory } from "../configuration/ConfigurationHistory.js";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { ConfigurationWatch } from "../configuration/ConfigurationWatch.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
@@ -36,9 +37,11 @@
   readonly loads: LoadExchange;
   readonly relay: StoreRelay;
   private readonly _directory: PeerDirectory;
+  private readonly _history: ConfigurationHistory;
 
   constructor(private readonly _structure: GatewayPeersStructure) {
-    const { endpoints, log } = _structure;
+    const { keeper, endpoints, log } = _structure;
+    this._history = new ConfigurationHistory(keeper);
     this.membership = this._createMembership();
     this._directory = this._createDirectory();
     this.exchange = this._createExchange();
@@ -89,7 +92,10 @@
       endpoints,
       log,
       getListAgeMs: () => endpointWatch.follower.getProofAgeMs(),
-      getConfigurationBehindMs: () => configurationWatch.follower.getBehindMs(),
+      history: this._history,
+      getBehindMs: () => configurationWatch.follower.getBehindMs(),
+      getOffset: () => configurationWatch.follower.nextOffset,
+      takeAhead: (nextOffset) => configurationWatch.follower.takeAhead(nextOffset),
       getListOffset: () => endpointWatch.follower.nextOffset,
       takeList: (list, nextOffset, provenAtMs) => endpointWatch.takeList(list, nextOffset, provenAtMs),
       isRegistryReached: () => this._directory.isReached,
@@ -99,10 +105,10 @@
   }
 
   private _createRelay(): StoreRelay {
-    const { keeper, configurationWatch, endpointWatch, log } = this._structure;
+    const { configurationWatch, endpointWatch, log } = this._structure;
     const relay = new StoreRelay({ membership: this.membership, log });
     const { configurationRead, endpointsRead } = peerTopics;
-    relay.add(configurationRead, configurationWatch.follower, new ConfigurationChanges(keeper));
+    relay.add(configurationRead, configurationWatch.follower, new ConfigurationChanges(this._history));
     relay.add(endpointsRead, endpointWatch.follower, new WholeChanges(listedEndpointSchema));
     return relay;
   }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -2,13 +2,15 @@
 import { utils } from "@shedtiller/common";
 import type { Member, Membership, PeerIdentity } from "@shedtiller/membership";
 import type * as zod from "zod";
+import type { ConfigurationHistory } from "../configuration/ConfigurationHistory.js";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { ConfigurationExchange } from "./ConfigurationExchange.js";
+import { pickSome } from "./pickSome.js";
 import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
-  configurationAnswerSchema,
   endpointsAnswerSchema,
   instancesSchema,
   listQuestionSchema,
@@ -19,14 +21,8 @@
 } from "./peerMessages.js";
 import type { RegisteredInstance } from "./PeerRegistry.js";
 
-/** Without a younger proof of the configuration an instance asks its peers; a sound proof is up to 3 s old. */
-const askConfigurationAfterMs = 3_200;
-/** The same for the list of endpoints, whose proofs are up to 0.8 s old. */
+/** Without a younger proof of the list of endpoints an instance asks its peers; a sound proof is up to 0.8 s old. */
 const askListAfterMs = 1_500;
-/** Something newer is known, but the store does not give it: peers are asked after this. */
-const askWhenBehindMs = 600;
-/** A peer that tells of a new version is asked for it after this, unless the store has given it meanwhile. */
-const readFirstMs = 700;
 const askIntervalMs = 400;
 const askTimeoutMs = 400;
 /** Peers asked each time. */
@@ -43,8 +39,13 @@
   readonly log: DecisionLog;
   /** How old the newest proof is that the list of endpoints is complete. */
   readonly getListAgeMs: () => number;
+  readonly history: ConfigurationHistory;
   /** For how long a newer configuration has been known to exist that the store did not give. */
-  readonly getConfigurationBehindMs: () => number;
+  readonly getBehindMs: () => number;
+  /** Where the store's history goes on after the configuration in force; undefined before the first read. */
+  readonly getOffset: () => number | undefined;
+  /** Takes note that what the store has before an offset is in force. */
+  readonly takeAhead: (nextOffset: number) => void;
   /** Where the store's list goes on after what this instance has read; undefined before the first read. */
   readonly getListOffset: () => number | undefined;
   /** Takes a list that was complete at `provenAtMs`; undefined where it is the one that this instance has. */
@@ -67,20 +68,27 @@
 
 /** One exchange an instance. */
 export class PeerExchange {
-  /** Whether a peer is about to be asked for a new version. Versions are large, and many peers tell of one. */
-  private _isAsking = false;
+  private readonly _configurations: ConfigurationExchange;
   private readonly _nowMs: () => number;
   private readonly _pause: (durationMs: number) => Promise<void>;
+  private readonly _random: () => number;
 
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
     this._pause = _structure.pause ?? utils.sleep;
+    this._random = _structure.random ?? Math.random;
+    this._configurations = new ConfigurationExchange({
+      ..._structure,
+      tellZone: (version) => membership.notifyAll(peerTopics.newVersion, { version }, this._isOwnZone),
+      nowMs: this._nowMs,
+      pause: this._pause,
+      random: this._random,
+    });
     membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
     membership.onNotice(peerTopics.full, (body, from) => this._takeFull(body, from));
     membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
-    membership.onNotice(peerTopics.newVersion, (body, from) => void this._takeNewVersion(body, from));
-    membership.onRequest(peerTopics.configuration, (body) => this._answerConfiguration(body));
+    membership.onNotice(peerTopics.newVersion, (body, from) => this._takeNewVersion(body, from));
     membership.onRequest(peerTopics.endpoints, (body) => this._answerEndpoints(body));
     membership.onRequest(peerTopics.instances, () => [..._structure.getInstances()]);
     membership.onLinked((peer) => void this._greet(peer));
@@ -105,10 +113,7 @@
 
   /** Tells the peers of this zone that an endpoint refused for want of room: most of what it gets comes from them. */
   tellFull(endpointId: string): void {
-    const { membership } = this._structure;
-    const { availabilityZone } = membership.self;
-    const isOwnZone = (member: Member): boolean => member.availabilityZone === availabilityZone;
-    membership.notifyAll(peerTopics.full, { endpointId }, isOwnZone);
+    this._structure.membership.notifyAll(peerTopics.full, { endpointId }, this._isOwnZone);
   }
 
   /** Tells all peers how slow an engine says that it is. */
@@ -121,6 +126,9 @@
     this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
+  private readonly _isOwnZone = (member: Member): boolean =>
+    member.availabilityZone === this._structure.membership.self.availabilityZone;
+
   private _takeSuspicion(body: unknown, from: PeerIdentity): void {
     const suspicion = endpointSchema.safeParse(body);
     const { endpoints, log } = this._structure;
@@ -143,18 +151,10 @@
     if (endpoint !== undefined) endpoint.slowness = told.data.slowness;
   }
 
-  private async _takeNewVersion(body: unknown, from: PeerIdentity): Promise<void> {
+  private _takeNewVersion(body: unknown, from: PeerIdentity): void {
     const notice = versionSchema.safeParse(body);
-    const { keeper, log } = this._structure;
-    if (!notice.success) return notePeerMessageInvalid(log, peerTopics.newVersion, from);
-    if (notice.data.version <= keeper.version || this._isAsking) return;
-    this._isAsking = true;
-    try {
-      await this._pause(readFirstMs);
-      if (notice.data.version > keeper.version) await this._askConfiguration(from.name);
-    } finally {
-      this._isAsking = false;
-    }
+    if (!notice.success) return notePeerMessageInvalid(this._structure.log, peerTopics.newVersion, from);
+    void this._configurations.takeNewVersion(from.name, notice.data.version);
   }
 
   /**
@@ -169,42 +169,14 @@
 
   /** Asks some peers for what is stale here. */
   async askIfStale(): Promise<void> {
-    const { keeper, membership, getListAgeMs, getConfigurationBehindMs } = this._structure;
-    const isConfigurationStale =
-      keeper.getProofAgeMs() > askConfigurationAfterMs || getConfigurationBehindMs() > askWhenBehindMs;
-    const isListStale = getListAgeMs() > askListAfterMs;
-    if (!isConfigurationStale && !isListStale) return;
+    const { membership, getListAgeMs } = this._structure;
     const linked = membership.getLinked().map((member) => member.name);
-    const asked = pickSome(linked, peersAsked, this._structure.random ?? Math.random);
-    await Promise.all(
-      asked.flatMap((name) => [
-        isConfigurationStale ? this._askConfiguration(name) : undefined,
-        isListStale ? this._askEndpoints(name) : undefined,
-      ]),
-    );
-  }
-
-  private _answerConfiguration(body: unknown): unknown {
-    const question = versionSchema.safeParse(body);
-    const { keeper } = this._structure;
-    const { table } = keeper;
-    if (!question.success || table === undefined) return undefined;
-    const proofAgeMs = getFiniteAgeMs(keeper.getProofAgeMs());
-    if (question.data.version >= table.version) return { version: table.version, proofAgeMs };
-    return { version: table.version, proofAgeMs, configuration: table.configuration };
-  }
-
-  /** The peer's proof is as old as it says, counted from before we asked. */
-  private async _askConfiguration(name: string): Promise<void> {
-    const { keeper, log } = this._structure;
-    const askedAtMs = this._nowMs();
-    const question = { version: keeper.version };
-    const answer = await this._ask(name, peerTopics.configuration, question, configurationAnswerSchema);
-    const tookMs = Math.round(this._nowMs() - askedAtMs);
-    log.info("configuration-asked", { peer: name, ...question, answered: answer?.version, tookMs });
-    if (answer === undefined) return;
-    if (answer.configuration !== undefined) keeper.accept(answer.configuration, "peer");
-    keeper.confirm(answer.version, askedAtMs - answer.proofAgeMs);
+    const asked = pickSome(linked, peersAsked, this._random);
+    const isListStale = getListAgeMs() > askListAfterMs;
+    await Promise.all([
+      this._configurations.askIfStale(asked),
+      ...(isListStale ? asked.map((name) => this._askEndpoints(name)) : []),
+    ]);
   }
 
   private _answerEndpoints(body: unknown): unknown {
@@ -242,12 +214,3 @@
 function getFiniteAgeMs(ageMs: number): number {
   return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
 }
-
-function pickSome<T>(items: readonly T[], count: number, random: () => number): T[] {
-  const left = [...items];
-  const picked: T[] = [];
-  while (picked.length < count && left.length > 0) {
-    picked.push(...left.splice(Math.floor(random() * left.length), 1));
-  }
-  return picked;
-}
--- a/packages/gateway/src/peers/RelayedChanges.ts
+++ b/packages/gateway/src/peers/RelayedChanges.ts
@@ -1,22 +1,10 @@
 /** How the changes of a feed are told to peers. */
 import * as zod from "zod";
-import {
-  applyDelta,
-  configurationDeltaSchema,
-  countParts,
-  getDelta,
-  type ConfigurationDelta,
-} from "../configuration/configurationDelta.js";
-import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import { applyDelta, configurationDeltaSchema } from "../configuration/configurationDelta.js";
+import type { ConfigurationHistory } from "../configuration/ConfigurationHistory.js";
 import type { GatewayConfiguration } from "../configuration/gatewayConfiguration.js";
 import type { Change } from "../discovery/ChangeFeed.js";
 
-/**
- * Changes with more parts than this are read from the store by each instance. A part takes some 300 bytes, so a reader tells forty
- * instances 0.4 MB at most: a quarter of a second of a link of 14 Mbit/s, the smallest of the deployments at hand.
- */
-const mostToldParts = 32;
-
 /** Changes of one feed and their form between instances. */
 export abstract class RelayedChanges<T, TTold> {
   abstract readonly schema: zod.ZodType<TTold>;
@@ -55,33 +43,22 @@
  */
 export class ConfigurationChanges extends RelayedChanges<GatewayConfiguration, ToldConfiguration> {
   readonly schema = toldConfigurationSchema;
-  private _current: GatewayConfiguration | undefined;
-  private _before: GatewayConfiguration | undefined;
 
-  constructor(keeper: ConfigurationKeeper) {
+  constructor(private readonly _history: ConfigurationHistory) {
     super();
-    keeper.onChanged(({ configuration }) => {
-      this._before = this._current;
-      this._current = configuration;
-    });
   }
 
   override toTold(changes: readonly Change<GatewayConfiguration>[]): ToldConfiguration | undefined {
     const [change] = changes;
-    if (changes.length !== 1 || change?.value === undefined) return undefined;
-    const delta = this._getDeltaTo(change.value);
-    if (delta === undefined || countParts(delta) > mostToldParts) return undefined;
-    return { key: change.key, delta };
+    const { newest, previous } = this._history;
+    if (changes.length !== 1 || change?.value !== newest || previous === undefined) return undefined;
+    const delta = this._history.getDeltaFrom(previous.version);
+    return change === undefined || delta === undefined ? undefined : { key: change.key, delta };
   }
 
   override fromTold({ key, delta }: ToldConfiguration): readonly Change<GatewayConfiguration>[] | undefined {
-    const base = this._current;
-    if (base === undefined || base.version !== delta.baseVersion) return undefined;
-    return [{ key, value: applyDelta(base, delta) }];
-  }
-
-  private _getDeltaTo(next: GatewayConfiguration): ConfigurationDelta | undefined {
-    if (this._before === undefined || this._current !== next) return undefined;
-    return getDelta(this._before, next);
+    const { newest } = this._history;
+    if (newest?.version !== delta.baseVersion) return undefined;
+    return [{ key, value: applyDelta(newest, delta) }];
   }
 }
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,5 +1,6 @@
 /** The messages between instances: their topics and forms. */
 import * as zod from "zod";
+import { configurationDeltaSchema } from "../configuration/configurationDelta.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
 import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
 import { registeredInstanceSchema } from "./PeerRegistry.js";
@@ -16,6 +17,7 @@
   slowness: "slowness",
   newVersion: "new-version",
   configuration: "configuration",
+  wholeConfiguration: "whole-configuration",
   endpoints: "endpoints",
   instances: "instances",
 } as const;
@@ -35,13 +37,28 @@
 /** A version in force: that of the asker, or of the one that tells. */
 export const versionSchema = zod.object({ version: zod.number() });
 
+/** What the asker has in force, and whether it wants a whole configuration where changes are not known or too large. */
+export const configurationQuestionSchema = versionSchema.extend({ wantsWhole: zod.boolean() });
+
 /** What the answerer has in force. */
 export const configurationAnswerSchema = zod.object({
   version: zod.number(),
   /** How old the answerer's own proof is that nothing newer exists. */
   proofAgeMs: zod.number().nonnegative(),
-  /** Left out where the asker has it already. */
-  configuration: gatewayConfigurationSchema.optional(),
+  /** Where the store's history goes on after it; undefined before the answerer's first read. */
+  nextOffset: zod.number().optional(),
+  /** What changed since the asker's version, where that is known and little. */
+  delta: configurationDeltaSchema.optional(),
+  /** Whether the answerer sends the whole configuration next. */
+  isWholeComing: zod.boolean(),
+});
+export type ConfigurationAnswer = zod.infer<typeof configurationAnswerSchema>;
+
+/** A whole configuration, sent without waiting for an answer. */
+export const wholeConfigurationSchema = zod.object({
+  configuration: gatewayConfigurationSchema,
+  /** Where the store's history goes on after it; undefined before the sender's first read. */
+  nextOffset: zod.number().optional(),
 });
 
 /** Where the store's list goes on after what the asker has read; undefined before its first read. */
--- a/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
+++ b/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
@@ -3,6 +3,7 @@
  * and processors of the rates that the smallest instances have.
  */
 import { utils } from "@shedtiller/common";
+import { ConfigurationHistory } from "../../configuration/ConfigurationHistory.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import { ConfigurationWatch } from "../../configuration/ConfigurationWatch.js";
 import type { GatewayConfiguration } from "../../configuration/gatewayConfiguration.js";
@@ -93,6 +94,7 @@
   start(name: string, availabilityZone: string): void {
     const { clock } = this;
     const keeper = new ConfigurationKeeper(clock.nowMs);
+    const history = new ConfigurationHistory(keeper);
     const inLink = new SimulatedLink(clock, linkBytesPerMs);
     const processor = new SimulatedLink(clock, 1);
     const decode = (sizeBytes: number): Promise<void> => processor.pass(sizeBytes / decodeBytesPerMs);
@@ -112,9 +114,9 @@
     const endpointFeed = new QuietFeed<ListedEndpoint>(clock, isCutOff);
     const endpointWatch = new EndpointWatch(new EndpointTable(), endpointFeed, log, time);
     const relay = new StoreRelay({ membership, log, nowMs: clock.nowMs });
-    relay.add(peerTopics.configurationRead, watch.follower, new ConfigurationChanges(keeper));
+    relay.add(peerTopics.configurationRead, watch.follower, new ConfigurationChanges(history));
     relay.add(peerTopics.endpointsRead, endpointWatch.follower, new WholeChanges(listedEndpointSchema));
-    const exchange = this._createExchange(membership, keeper, watch, log);
+    const exchange = this._createExchange(membership, keeper, history, watch, log);
     keeper.onChanged(({ version }) => {
       if (relay.isReader) exchange.tellVersion(version);
     });
@@ -130,6 +132,7 @@
   private _createExchange(
     membership: ReturnType<FleetNetwork["join"]>,
     keeper: ConfigurationKeeper,
+    history: ConfigurationHistory,
     watch: ConfigurationWatch,
     log: DecisionLog,
   ): PeerExchange {
@@ -139,7 +142,10 @@
       endpoints: new EndpointTable(),
       log,
       getListAgeMs: () => 0,
-      getConfigurationBehindMs: () => watch.follower.getBehindMs(),
+      history,
+      getBehindMs: () => watch.follower.getBehindMs(),
+      getOffset: () => watch.follower.nextOffset,
+      takeAhead: (nextOffset) => watch.follower.takeAhead(nextOffset),
       getListOffset: () => 0,
       takeList: () => undefined,
       isRegistryReached: () => true,
--- a/packages/gateway/src/tests/patterns/FleetNetwork.ts
+++ b/packages/gateway/src/tests/patterns/FleetNetwork.ts
@@ -1,12 +1,13 @@
 /** Peer links in simulated time: messages take their time on the sender's and the receiver's link and on the receiver's processor. */
 import { errors, results } from "@shedtiller/common";
-import type {
-  Member,
-  Membership,
-  NoticeHandler,
-  PeerError,
-  PeerIdentity,
-  RequestHandler,
+import {
+  pickContacts,
+  type Member,
+  type Membership,
+  type NoticeHandler,
+  type PeerError,
+  type PeerIdentity,
+  type RequestHandler,
 } from "@shedtiller/membership";
 import type { SimulatedClock } from "./SimulatedClock.js";
 import { transfer, type SimulatedLink } from "./SimulatedLink.js";
@@ -31,8 +32,6 @@
   readonly requests: Map<string, RequestHandler>;
 }
 
-/** Instances of other zones that each one is linked to. */
-const contactsPerZone = 3;
 const delayMs = 1;
 
 /** Links each instance to all of its zone and to a few of each other one. */
@@ -40,6 +39,9 @@
   private readonly _joined = new Map<string, Joined>();
   /** Messages of one connection arrive in their order. */
   private readonly _tails = new Map<string, Promise<void>>();
+  /** Known until an instance joins or leaves. */
+  private readonly _linked = new Map<string, PeerIdentity[]>();
+  private readonly _contacts = new Map<string, Set<string>>();
   /** Zones that are cut off from the others. */
   readonly cutOff = new Set<string>();
 
@@ -49,6 +51,7 @@
     const self = node.identity;
     const joined: Joined = { ...node, notices: new Map(), requests: new Map() };
     this._joined.set(self.name, joined);
+    this._forgetLinks();
     return {
       self,
       getDutyCandidates: () => {
@@ -72,20 +75,47 @@
   /** The instance is gone, and its links with it. */
   leave(name: string): void {
     this._joined.delete(name);
+    this._forgetLinks();
   }
 
+  /** A link carries messages both ways, whichever side dialled it. */
   private _getLinked(self: PeerIdentity): PeerIdentity[] {
+    const known = this._linked.get(self.name) ?? this._findLinked(self);
+    this._linked.set(self.name, known);
+    const { availabilityZone } = self;
+    return known.filter((peer) => peer.availabilityZone === availabilityZone || !this._isCut(self, peer));
+  }
+
+  private _findLinked(self: PeerIdentity): PeerIdentity[] {
     const others = [...this._joined.values()]
       .map((node) => node.identity)
       .filter(({ name }) => name !== self.name);
-    const counts = new Map<string, number>();
-    return others.filter(({ availabilityZone }) => {
-      if (availabilityZone === self.availabilityZone) return true;
-      if (this.cutOff.has(availabilityZone) || this.cutOff.has(self.availabilityZone)) return false;
-      const count = (counts.get(availabilityZone) ?? 0) + 1;
-      counts.set(availabilityZone, count);
-      return count <= contactsPerZone;
-    });
+    const contacts = this._getContacts(self);
+    return others.filter(
+      (peer) =>
+        peer.availabilityZone === self.availabilityZone ||
+        contacts.has(peer.name) ||
+        this._getContacts(peer).has(self.name),
+    );
+  }
+
+  private _getContacts(self: PeerIdentity): Set<string> {
+    const known = this._contacts.get(self.name);
+    if (known !== undefined) return known;
+    const others = [...this._joined.values()].map((node) => node.identity);
+    const elsewhere = others.filter((peer) => peer.availabilityZone !== self.availabilityZone);
+    const contacts = pickContacts(self.name, elsewhere.map(toMember));
+    this._contacts.set(self.name, contacts);
+    return contacts;
+  }
+
+  private _isCut(one: PeerIdentity, other: PeerIdentity): boolean {
+    return this.cutOff.has(one.availabilityZone) || this.cutOff.has(other.availabilityZone);
+  }
+
+  private _forgetLinks(): void {
+    this._linked.clear();
+    this._contacts.clear();
   }
 
   private async _notify(from: Joined, to: PeerIdentity, topic: string, body: unknown): Promise<void> {
@@ -103,7 +133,8 @@
     timeoutMs: number,
   ): Promise<results.Result<unknown, PeerError>> {
     const target = this._joined.get(name);
-    if (target === undefined) return results.Err(new errors.ConnectionLostError(name));
+    const isLinked = this._getLinked(from.identity).some((peer) => peer.name === name);
+    if (target === undefined || !isLinked) return results.Err(new errors.ConnectionLostError(name));
     const late = this._clock
       .sleep(timeoutMs)
       .then(() => results.Err(new errors.DeadlineError(`${topic} at ${name}`, timeoutMs)));
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -1,6 +1,7 @@
 /** A new version is told to all, but each takes the large body from one place only. */
 import test from "ava";
 import { utils } from "@shedtiller/common";
+import { ConfigurationHistory } from "../../configuration/ConfigurationHistory.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
@@ -26,7 +27,10 @@
     endpoints,
     log: new DecisionLog(new SilentSink(), utils.monotonicMs),
     getListAgeMs: () => 0,
-    getConfigurationBehindMs: () => 0,
+    history: new ConfigurationHistory(keeper),
+    getBehindMs: () => 0,
+    getOffset: () => 0,
+    takeAhead: () => undefined,
     getListOffset: () => 0,
     takeList: () => undefined,
     isRegistryReached: () => true,
--- a/packages/gateway/src/tests/peers/RelayedChangesTests.ts
+++ b/packages/gateway/src/tests/peers/RelayedChangesTests.ts
@@ -1,5 +1,6 @@
 /** Configurations are told as what changes, and read whole by those that do not have the version before. */
 import test from "ava";
+import { ConfigurationHistory } from "../../configuration/ConfigurationHistory.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "../../configuration/gatewayConfiguration.js";
 import { ConfigurationChanges } from "../../peers/RelayedChanges.js";
@@ -7,7 +8,7 @@
 
 function create(...versions: GatewayConfiguration[]): ConfigurationChanges {
   const keeper = new ConfigurationKeeper(() => 0);
-  const changes = new ConfigurationChanges(keeper);
+  const changes = new ConfigurationChanges(new ConfigurationHistory(keeper));
   for (const version of versions) keeper.accept(version);
   return changes;
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./Membership.js";
 export * from "./TrafficCounter.js";
 export * from "./controlBudget.js";
+export * from "./pickContacts.js";
