gateway: what does not exist is denied only on a proof that is younger than the configuration's deadline

Cause: an instance answered 404 and 401 from whatever version it had, also while it knew that a newer one existed or had heard nothing for seconds. Such an answer is final for the caller, so late news of a configuration became a wrong answer instead of a wait. Ruled out: that faster news is enough. Instances that nothing reaches stay behind, and can't know it but by the age of their proof. Change: DenialProof. Without a proof younger than the deadline less 500 ms, or while something newer is known, a denial waits for news as long as a request waits for the first configuration; then it is 503 with a time to come back, at once where the proof is long overdue. What a peer sends is confirmed by the proof that came with its answer.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from "node:events";
 import { errors, utils } from "@shedtiller/common";
 import { ConfigurationKeeper } from "./configuration/ConfigurationKeeper.js";
+import { DenialProof } from "./configuration/DenialProof.js";
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
@@ -82,7 +83,12 @@
   ) {
     const { callers, retries } = _settings;
     this._budgets = new RetryBudgets(toBudgetOptions(retries));
-    this._configurationWatch = new ConfigurationWatch(this.keeper, platform.configurationFeed, _log);
+    this._configurationWatch = new ConfigurationWatch(
+      this.keeper,
+      platform.configurationFeed,
+      _log,
+      _settings.configuration.deadlineMs,
+    );
     this._endpointWatch = new EndpointWatch(this.endpoints, platform.endpointFeed, _log);
     this._peers = this._createPeers(platform.registry);
     const { relay, exchange } = this._peers;
@@ -188,10 +194,19 @@
       codec,
       log: this._log,
       areKeysFresh: () => this._areKeysFresh(),
+      denials: this._createDenialProof(),
       forward: (request) => this._forward(request),
     });
   }
 
+  private _createDenialProof(): DenialProof {
+    return new DenialProof({
+      keeper: this.keeper,
+      getBehindMs: () => this._configurationWatch.follower.getBehindMs(),
+      getDeadlineMs: () => this._settings.configuration.deadlineMs,
+    });
+  }
+
   private _createPoll(orders: EngineOrders): EnginePoll {
     return new EnginePoll({
       keeper: this.keeper,
--- a/packages/gateway/src/configuration/ConfigurationKeeper.ts
+++ b/packages/gateway/src/configuration/ConfigurationKeeper.ts
@@ -12,6 +12,7 @@
   private _provenAtMs = Number.NEGATIVE_INFINITY;
   private readonly _listeners: ((table: RouteTable, source: ConfigurationSource) => void)[] = [];
   private readonly _known = new utils.Deferred<void>();
+  private _news = new utils.Deferred<void>();
 
   /** @param nowMs - Monotonic clock, replaced in tests. */
   constructor(private readonly _nowMs: () => number = utils.monotonicMs) {}
@@ -33,12 +34,12 @@
   /** Resolves once a configuration is known, or after `patienceMs`. */
   async waitUntilKnown(patienceMs: number): Promise<void> {
     if (this._table !== undefined) return;
-    const patience = new AbortController();
-    await Promise.race([
-      this._known.promise,
-      utils.sleep(patienceMs, patience.signal).catch(() => undefined),
-    ]);
-    patience.abort();
+    await waitFor(this._known.promise, patienceMs);
+  }
+
+  /** Resolves with the next configuration or younger proof, or after `patienceMs`. */
+  waitForNews(patienceMs: number): Promise<void> {
+    return waitFor(this._news.promise, patienceMs);
   }
 
   /** Calls `listener` for each version that comes into force. */
@@ -52,6 +53,7 @@
     this._table = new RouteTable(configuration);
     this._known.resolve();
     for (const listener of this._listeners) listener(this._table, source);
+    this._tellNews();
     return true;
   }
 
@@ -60,6 +62,19 @@
    * @param atMs - Monotonic time before which the question was asked.
    */
   confirm(version: number, atMs: number): void {
-    if (version === this.version) this._provenAtMs = Math.max(this._provenAtMs, atMs);
+    if (version !== this.version || atMs <= this._provenAtMs) return;
+    this._provenAtMs = atMs;
+    this._tellNews();
+  }
+
+  private _tellNews(): void {
+    this._news.resolve();
+    this._news = new utils.Deferred();
   }
 }
+
+async function waitFor(event: Promise<void>, patienceMs: number): Promise<void> {
+  const patience = new AbortController();
+  await Promise.race([event, utils.sleep(patienceMs, patience.signal).catch(() => undefined)]);
+  patience.abort();
+}
--- a/packages/gateway/src/configuration/ConfigurationWatch.ts
+++ b/packages/gateway/src/configuration/ConfigurationWatch.ts
@@ -3,25 +3,25 @@
 import { FeedFollower, type FollowOptions } from "../discovery/FeedFollower.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { ConfigurationKeeper, ConfigurationSource } from "./ConfigurationKeeper.js";
+import { getHeldReadMs } from "./DenialProof.js";
 import type { GatewayConfiguration } from "./gatewayConfiguration.js";
 import type { RouteTable } from "./RouteTable.js";
 
-/**
- * A held read proves freshness only as of its sending, so a proof may be twice this old. It has to stay well below the
- * bound on revoked keys, 5 s on the deployments at hand.
- */
-const heldReadMs = 1_500;
 const retryMs = 250;
 
 /** One watch an instance. */
 export class ConfigurationWatch {
   readonly follower: FeedFollower<GatewayConfiguration>;
 
-  /** @param clock - Monotonic clock and waits, replaced in tests. */
+  /**
+   * @param deadlineMs - Within this of its acknowledgement a configuration has to be in force.
+   * @param clock - Monotonic clock and waits, replaced in tests.
+   */
   constructor(
     private readonly _keeper: ConfigurationKeeper,
     feed: ChangeFeed<GatewayConfiguration>,
     private readonly _log: DecisionLog,
+    deadlineMs: number,
     clock: Pick<FollowOptions, "nowMs" | "pause"> = {},
   ) {
     const listener = {
@@ -35,7 +35,11 @@
       onLost: (error: StoreError) => _log.warn("configuration-store-lost", { cause: error.message }),
       onRegained: () => _log.info("configuration-store-regained", { version: _keeper.version }),
     };
-    this.follower = new FeedFollower(feed, listener, { waitMs: heldReadMs, retryMs, ...clock });
+    this.follower = new FeedFollower(feed, listener, {
+      waitMs: getHeldReadMs(deadlineMs),
+      retryMs,
+      ...clock,
+    });
     this.follower.onRead((page) => this._logRead(page.changes.length, page.nextOffset));
     _keeper.onChanged((table, source) => this._logInForce(table, source));
   }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -40,6 +40,10 @@
     secret: zod.string().min(16),
   }),
   metrics: zod.strictObject({ host: text, port }),
+  configuration: zod.strictObject({
+    /** Within this of its acknowledgement a configuration has to be in force at every instance. */
+    deadlineMs: milliseconds,
+  }),
   keys: zod.strictObject({
     /** Whether keys that were taken away must be refused in time, also by instances that are cut off. */
     isRevocationStrict: flag,
--- a/packages/gateway/src/peers/ConfigurationExchange.ts
+++ b/packages/gateway/src/peers/ConfigurationExchange.ts
@@ -71,6 +71,8 @@
   /** Until when a whole configuration is expected from the peer that was asked for it. */
   private _expectedUntilMs = Number.NEGATIVE_INFINITY;
   private _patienceMs = firstPatienceMs;
+  /** The newest proof that a peer gave. */
+  private _proof = { version: -1, atMs: Number.NEGATIVE_INFINITY };
   private _wholeSentAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly _structure: ConfigurationExchangeStructure) {
@@ -160,8 +162,9 @@
       this._accept(applyDelta(history.newest, delta), answer.nextOffset);
     }
     this._noteTold(name, version);
-    // The peer's proof is as old as it says, counted from before we asked.
-    keeper.confirm(version, askedAtMs - proofAgeMs);
+    // The peer's proof is as old as it says, counted from before we asked. It may be for a configuration that comes next.
+    this._proof = { version, atMs: askedAtMs - proofAgeMs };
+    keeper.confirm(version, this._proof.atMs);
   }
 
   private _expectWhole(isComing: boolean): void {
@@ -216,8 +219,10 @@
   /** Others of the zone are told, since they are likely to lack it too: nobody reads the store for them. */
   private _accept(configuration: GatewayConfiguration, nextOffset: number | undefined): void {
     const { keeper, takeAhead, tellZone } = this._structure;
-    if (!keeper.accept(configuration, "peer")) return;
+    if (configuration.version <= keeper.version) return;
     if (nextOffset !== undefined) takeAhead(nextOffset);
+    keeper.accept(configuration, "peer");
+    keeper.confirm(this._proof.version, this._proof.atMs);
     tellZone(configuration.version);
   }
 }
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -2,11 +2,12 @@
 import * as http from "node:http";
 import { utils } from "@shedtiller/common";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import type { DenialProof } from "../configuration/DenialProof.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import { startListening, stopListening } from "../http/startListening.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { admitCaller, type Admitted, type Refusal } from "./admitCaller.js";
+import { admitCaller, isDenial, unprovenDenial, type Admitted, type Refusal } from "./admitCaller.js";
 import { CallerRequest } from "./CallerRequest.js";
 import { sendRefusal } from "./sendRefusal.js";
 
@@ -36,6 +37,8 @@
   readonly log: DecisionLog;
   /** Whether keys may be taken at their word now. */
   readonly areKeysFresh: () => boolean;
+  /** Whether what the configuration does not have may be denied for good. */
+  readonly denials: Pick<DenialProof, "isProven" | "wait">;
   readonly forward: (request: CallerRequest) => Promise<void>;
   /** How long a request may wait for the first configuration, replaced in tests. */
   readonly startPatienceMs?: number;
@@ -107,7 +110,8 @@
     try {
       await this._structure.keeper.waitUntilKnown(this._getStartPatienceMs(fields));
       if (response.destroyed) return;
-      const admitted = this._admit(message, fields);
+      const admitted = await this._admitProven(message, fields);
+      if (response.destroyed) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
       if (body === undefined)
@@ -124,6 +128,19 @@
     return Math.min(patienceMs, (deadlineMs ?? Number.POSITIVE_INFINITY) * startDeadlineShare);
   }
 
+  /** A denial needs a proof; without one the caller may come back, to an instance that knows more. */
+  private async _admitProven(
+    message: http.IncomingMessage,
+    fields: CallerFields,
+  ): Promise<Admitted | Refusal> {
+    const { denials } = this._structure;
+    const admitted = this._admit(message, fields);
+    if (!isDenial(admitted) || denials.isProven()) return admitted;
+    const isProven = await denials.wait(this._getStartPatienceMs(fields));
+    const again = this._admit(message, fields);
+    return isDenial(again) && !isProven ? unprovenDenial : again;
+  }
+
   private _admit(message: http.IncomingMessage, fields: CallerFields): Admitted | Refusal {
     const { keeper, areKeysFresh } = this._structure;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -5,6 +5,8 @@
 
 /** When to come back to an instance that has no configuration yet, or none that is fresh enough. */
 const notReadyRetryAfterMs = 500;
+/** Callers do not come back after these. */
+const denialStatuses: ReadonlySet<number> = new Set([401, 403, 404]);
 
 /** What a request says of where it goes and whose it is. */
 export interface CallerClaim {
@@ -30,6 +32,18 @@
   readonly retryAfterMs?: number;
 }
 
+/** For callers who were not let in, on a configuration that may be too old to say so. */
+export const unprovenDenial: Refusal = {
+  status: 503,
+  reason: "stale-configuration",
+  retryAfterMs: notReadyRetryAfterMs,
+};
+
+/** Whether a request was not let in for good: what it asks for does not exist, or not for this key. */
+export function isDenial(admitted: Admitted | Refusal): boolean {
+  return "reason" in admitted && denialStatuses.has(admitted.status);
+}
+
 /**
  * Finds the route and the client account of a request, or the reason to refuse it.
  * @param table - The configuration in force; undefined until one is known.
@@ -49,7 +63,7 @@
   const { apiKey } = claim;
   if (apiKey === undefined && route.isAnonymousAllowed) return anonymous;
   if (!areKeysFresh()) {
-    return { status: 503, reason: "stale-configuration", retryAfterMs: notReadyRetryAfterMs };
+    return unprovenDenial;
   }
   if (apiKey === undefined) return { status: 401, reason: "no-key" };
   const account = table.getAccount(apiKey);
--- a/packages/gateway/src/tests/gatewaySettingsTests.ts
+++ b/packages/gateway/src/tests/gatewaySettingsTests.ts
@@ -20,6 +20,8 @@
 [metrics]
 host = 10.0.0.1
 port = 7341
+[configuration]
+deadlineMs = 3000
 [keys]
 isRevocationStrict = true
 revocationBoundMs = 5000
--- a/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
+++ b/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
@@ -29,6 +29,7 @@
 /** Measured on 0.45 MB: 43 ms to decode and 20 ms to encode at a whole core, of which the smallest instances have 0.324. */
 const decodeBytesPerMs = 3_500;
 const encodeBytesPerMs = 7_000;
+const deadlineMs = 3_000;
 const relayTickMs = 200;
 const askTickMs = 400;
 /** Fewer routes than a large configuration has, each as large as ten, so that simulating them takes seconds. */
@@ -110,7 +111,7 @@
     const log = new DecisionLog(new SilentSink(), clock.nowMs);
     const feed = this.store.createFeed({ inLink, decode, isCutOff });
     const time = { nowMs: clock.nowMs, pause: clock.sleep };
-    const watch = new ConfigurationWatch(keeper, feed, log, time);
+    const watch = new ConfigurationWatch(keeper, feed, log, deadlineMs, time);
     const endpointFeed = new QuietFeed<ListedEndpoint>(clock, isCutOff);
     const endpointWatch = new EndpointWatch(new EndpointTable(), endpointFeed, log, time);
     const relay = new StoreRelay({ membership, log, nowMs: clock.nowMs });
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -5,6 +5,7 @@
 import { ChainAdmission } from "../../chains/ChainAdmission.js";
 import { ChainChooser } from "../../chains/ChainChooser.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import { DenialProof } from "../../configuration/DenialProof.js";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
@@ -106,6 +107,8 @@
   readonly keeper = new ConfigurationKeeper();
   readonly endpoints = new EndpointTable();
   areKeysFresh = true;
+  /** For how long a newer configuration has been known to exist. */
+  behindMs = 0;
   private readonly _servers: http.Server[] = [];
   private readonly _caller = new HttpCaller();
   private _listener: CallerListener | undefined;
@@ -156,6 +159,11 @@
       codec,
       log,
       areKeysFresh,
+      denials: new DenialProof({
+        keeper,
+        getBehindMs: () => this.behindMs,
+        getDeadlineMs: () => generousMs,
+      }),
       forward,
       startPatienceMs: generousMs,
     });
@@ -165,7 +173,8 @@
   /** Gives the gateway its configuration. */
   configure(route: Route): void {
     const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
-    this.keeper.accept({ ...createConfiguration(1, [route]), services });
+    this.keeper.accept({ ...createConfiguration(this.keeper.version + 1, [route]), services });
+    this.keeper.confirm(this.keeper.version, utils.monotonicMs());
   }
 
   /** Resolves once a request is in hand. */
@@ -193,9 +202,9 @@
   }
 
   /** Sends a request as a caller. */
-  request(method: string, headers: Record<string, string>): Promise<SeenAnswer> {
+  request(method: string, headers: Record<string, string>, path = "/a/x"): Promise<SeenAnswer> {
     return new Promise((resolve, reject) => {
-      const options = { host: "127.0.0.1", port: this._port, method, path: "/a/x", agent: false };
+      const options = { host: "127.0.0.1", port: this._port, method, path, agent: false };
       const request = http.request(
         { ...options, headers: { host: "notes.example", ...headers } },
         (message) => {
