gateway: a body from the store is read for as long as it goes on coming

Cause: the same as with the peers' answers, elsewhere: a body had 1.5 s from its head, whatever its size. A configuration of the largest size that is allowed (4 MB) takes 2.4 s of a link of 14 Mbit/s, so an instance on such a link would never have read it, and would have filled its link with what it threw away. Ruled out as having it: the list of endpoints between peers (20 to 40 KB, 23 ms), the list of instances (15 KB), reports of engines (each within its caller's time). Tests of the follower for pages that peers tell beside a read.

--- a/packages/gateway/src/http/HttpCaller.ts
+++ b/packages/gateway/src/http/HttpCaller.ts
@@ -19,15 +19,16 @@
     });
   }
 
-  /** Sends a request and reads its whole answer. */
+  /** Sends a request and reads its whole answer, within bounds of its body as `readBody` has them. */
   async fetch(
     call: HttpCall,
     maxBytes: number,
     bodyTimeoutMs: number,
+    bodyStallMs = bodyTimeoutMs,
   ): Promise<results.Result<WholeAnswer, CallError>> {
     const head = await this.send(call);
     if (head.err) return head;
-    const body = await readBody(head.val, call.address, maxBytes, bodyTimeoutMs);
+    const body = await readBody(head.val, call.address, maxBytes, bodyTimeoutMs, bodyStallMs);
     if (body.err) return body;
     return results.Ok({ status: head.val.status, headers: head.val.headers, body: body.val });
   }
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -1,6 +1,6 @@
 /** A follower reads on where it stopped, and begins anew where the history has a gap. */
 import test from "ava";
-import { errors, results } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import { ChangeFeed, type FeedPage, type FeedSnapshot, type StoreError } from "../../discovery/ChangeFeed.js";
 import { FeedFollower } from "../../discovery/FeedFollower.js";
 
@@ -92,3 +92,81 @@
   t.deepEqual(await getPauses(false), [250, 250, 250, 250, 250]);
   t.deepEqual(await getPauses(true), [250, 500, 1_000, 2_000, 2_000]);
 });
+
+/** Answers reads when the test says so. */
+class HeldFeed extends ChangeFeed<string> {
+  private readonly _asked: utils.Deferred<Page>[] = [];
+
+  override getSnapshot(): Promise<results.Result<FeedSnapshot<string>, StoreError>> {
+    return Promise.resolve(results.Ok({ values: new Map(), nextOffset: 10 }));
+  }
+
+  override getChanges(): Promise<Page> {
+    const page = new utils.Deferred<Page>();
+    this._asked.push(page);
+    return page.promise;
+  }
+
+  /** Answers the oldest read; the follower has gone on once this resolves. */
+  async answer(nextOffset: number): Promise<void> {
+    const isAsked = (): boolean => this._asked.length > 0;
+    await utils.waitUntil(isAsked, patienceMs);
+    this._asked.shift()?.resolve(results.Ok({ changes: [change], nextOffset, isCompacted: false }));
+    await utils.yieldToEvents();
+  }
+}
+
+const patienceMs = 60_000;
+
+/** A follower that peers tell, after its first snapshot. */
+async function followTold(
+  stop: AbortController,
+): Promise<{ feed: HeldFeed; follower: FeedFollower<string> }> {
+  const feed = new HeldFeed();
+  const listener = {
+    onSnapshot: () => undefined,
+    onChanges: () => undefined,
+    onLost: () => undefined,
+    onRegained: () => undefined,
+  };
+  const options = { waitMs: 0, retryMs: 0, pause: utils.yieldToEvents };
+  const follower = new FeedFollower(feed, listener, options);
+  follower.setReader(false);
+  void follower.run(stop.signal);
+  await utils.waitUntil(() => follower.nextOffset === 10, patienceMs);
+  return { feed, follower };
+}
+
+test("a read that ends after a told page is taken where it holds more", async (t) => {
+  const stop = new AbortController();
+  const { feed, follower } = await followTold(stop);
+  follower.takeTold({ fromOffset: 11, nextOffset: 12, changes: undefined }, 0);
+  await utils.yieldToEvents();
+  follower.takeTold({ fromOffset: 10, nextOffset: 11, changes: [change] }, 0);
+  t.is(follower.nextOffset, 11);
+  await feed.answer(12);
+  t.is(follower.nextOffset, 12);
+  t.is(follower.getBehindMs(), 0);
+  stop.abort();
+});
+
+test("what is known to exist is read until it has come", async (t) => {
+  const stop = new AbortController();
+  const { feed, follower } = await followTold(stop);
+  follower.takeTold({ fromOffset: 11, nextOffset: 13, changes: undefined }, 0);
+  await feed.answer(11);
+  t.is(follower.nextOffset, 11);
+  await feed.answer(13);
+  t.is(follower.nextOffset, 13);
+  stop.abort();
+});
+
+test("what came from elsewhere is not read again, and the next told page joins on", async (t) => {
+  const stop = new AbortController();
+  const { follower } = await followTold(stop);
+  follower.takeAhead(12);
+  follower.takeTold({ fromOffset: 12, nextOffset: 13, changes: [change] }, 0);
+  t.is(follower.nextOffset, 13);
+  t.is(follower.getBehindMs(), 0);
+  stop.abort();
+});
