--- a/packages/gateway/src/tests/patterns/FleetNetwork.ts
+++ b/packages/gateway/src/tests/patterns/FleetNetwork.ts
@@ -2,13 +2,13 @@
 import { errors, results } from "@shedtiller/common";
 import {
   pickContacts,
-  type Member,
   type Membership,
   type NoticeHandler,
   type PeerError,
   type PeerIdentity,
   type RequestHandler,
 } from "@shedtiller/membership";
+import { toMember } from "../peers/toMember.js";
 import type { SimulatedClock } from "./SimulatedClock.js";
 import { transfer, type SimulatedLink } from "./SimulatedLink.js";
 import { getSizeBytes } from "./SimulatedStore.js";
@@ -171,14 +171,3 @@
     return this._joined.get(node.identity.name) === node;
   }
 }
-
-function toMember(peer: PeerIdentity): Member {
-  const unknown = {
-    address: "",
-    isLeaving: false,
-    lostSinceMs: undefined,
-    unlinkedSinceMs: 0,
-    heartbeat: {},
-  };
-  return { ...peer, ...unknown };
-}
--- a/packages/gateway/src/tests/peers/PeerNetwork.ts
+++ b/packages/gateway/src/tests/peers/PeerNetwork.ts
@@ -1,6 +1,7 @@
 /** Memberships without sockets: notices arrive at once, and tests cut instances off. */
 import { errors, results } from "@shedtiller/common";
-import type { Member, Membership, NoticeHandler, PeerIdentity, RequestHandler } from "@shedtiller/membership";
+import type { Membership, NoticeHandler, PeerIdentity, RequestHandler } from "@shedtiller/membership";
+import { toMember } from "./toMember.js";
 
 type NetworkMember = Pick<
   Membership,
@@ -72,14 +73,3 @@
     this._handlers.get(to)?.get(topic)?.(body, from);
   }
 }
-
-function toMember(peer: PeerIdentity): Member {
-  const unknown = {
-    address: "",
-    isLeaving: false,
-    lostSinceMs: undefined,
-    unlinkedSinceMs: 0,
-    heartbeat: {},
-  };
-  return { ...peer, ...unknown };
-}
