--- a/packages/gateway/src/tests/patterns/FleetNetwork.ts
+++ b/packages/gateway/src/tests/patterns/FleetNetwork.ts
@@ -2,6 +2,7 @@
 import { errors, results } from "@shedtiller/common";
 import {
   pickContacts,
+  type Member,
   type Membership,
   type NoticeHandler,
   type PeerError,
@@ -40,7 +41,7 @@
   /** Messages of one connection arrive in their order. */
   private readonly _tails = new Map<string, Promise<void>>();
   /** Known until an instance joins or leaves. */
-  private readonly _linked = new Map<string, PeerIdentity[]>();
+  private readonly _linked = new Map<string, Member[]>();
   private readonly _contacts = new Map<string, Set<string>>();
   /** Zones that are cut off from the others. */
   readonly cutOff = new Set<string>();
@@ -60,13 +61,13 @@
         );
         return [...inZone.map((peer) => peer.name), self.name];
       },
-      getLinked: () => this._getLinked(self).map(toMember),
+      getLinked: () => this._getLinked(self),
       onLinked: () => undefined,
       onNotice: (topic, handler) => void joined.notices.set(topic, handler),
       onRequest: (topic, handler) => void joined.requests.set(topic, handler),
       notifyAll: (topic, body, wants = () => true) => {
         for (const peer of this._getLinked(self))
-          if (wants(toMember(peer))) void this._notify(joined, peer, topic, body);
+          if (wants(peer)) void this._notify(joined, peer, topic, body);
       },
       request: (name, topic, body, timeoutMs) => this._request(joined, name, topic, body, timeoutMs),
     };
@@ -79,24 +80,25 @@
   }
 
   /** A link carries messages both ways, whichever side dialled it. */
-  private _getLinked(self: PeerIdentity): PeerIdentity[] {
+  private _getLinked(self: PeerIdentity): Member[] {
     const known = this._linked.get(self.name) ?? this._findLinked(self);
     this._linked.set(self.name, known);
     const { availabilityZone } = self;
     return known.filter((peer) => peer.availabilityZone === availabilityZone || !this._isCut(self, peer));
   }
 
-  private _findLinked(self: PeerIdentity): PeerIdentity[] {
+  private _findLinked(self: PeerIdentity): Member[] {
     const others = [...this._joined.values()]
       .map((node) => node.identity)
       .filter(({ name }) => name !== self.name);
     const contacts = this._getContacts(self);
-    return others.filter(
+    const linked = others.filter(
       (peer) =>
         peer.availabilityZone === self.availabilityZone ||
         contacts.has(peer.name) ||
         this._getContacts(peer).has(self.name),
     );
+    return linked.map(toMember);
   }
 
   private _getContacts(self: PeerIdentity): Set<string> {
