--- a/packages/gateway/src/peers/ConfigurationExchange.ts
+++ b/packages/gateway/src/peers/ConfigurationExchange.ts
@@ -12,7 +12,6 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "../configuration/gatewayConfiguration.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { pickSome } from "./pickSome.js";
 import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
   configurationAnswerSchema,
@@ -21,6 +20,7 @@
   wholeConfigurationSchema,
   type ConfigurationAnswer,
 } from "./peerMessages.js";
+import { pickSome } from "./pickSome.js";
 
 /** Without a younger proof of the configuration an instance asks its peers; a sound proof is up to 3 s old. */
 const askWhenProofOlderMs = 3_200;
@@ -30,6 +30,7 @@
 const askWhenToldMs = 700;
 /** An instance that starts leaves the store this time to give it a configuration, before it wants one from a peer. */
 const wholeAfterStartMs = 600;
+/** Answers have a few KB at most, and come within some 5 ms; a peer that takes longer is slow or gone. */
 const answerTimeoutMs = 400;
 /** An instance sends a whole configuration this often at most: 0.45 MB take 0.26 s of a link of 14 Mbit/s. Who has got it serves others. */
 const wholeIntervalMs = 300;
@@ -39,18 +40,22 @@
 const firstPatienceMs = 1_000;
 const longestPatienceMs = 8_000;
 
-/** What the exchange works with. */
-export interface ConfigurationExchangeStructure {
-  readonly membership: Pick<Membership, "getLinked" | "notifyAll" | "onNotice" | "onRequest" | "request">;
+/** The configuration in force here, and how far it is from what the store has. */
+export interface ConfigurationState {
   readonly keeper: ConfigurationKeeper;
   readonly history: ConfigurationHistory;
-  readonly log: DecisionLog;
   /** For how long a newer configuration has been known to exist that the store did not give. */
   readonly getBehindMs: () => number;
-  /** Where the store's history goes on after the configuration in force. */
+  /** Where the store's history goes on after the configuration in force; undefined before the first read. */
   readonly getOffset: () => number | undefined;
   /** Takes note that what the store has before an offset is in force. */
   readonly takeAhead: (nextOffset: number) => void;
+}
+
+/** What the exchange works with. */
+export interface ConfigurationExchangeStructure extends ConfigurationState {
+  readonly membership: Pick<Membership, "getLinked" | "notifyAll" | "onNotice" | "onRequest" | "request">;
+  readonly log: DecisionLog;
   /** Tells the instances of this zone that a version has come into force here. */
   readonly tellZone: (version: number) => void;
   readonly nowMs: () => number;
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -2,13 +2,10 @@
 import { utils } from "@shedtiller/common";
 import type { Member, Membership, PeerIdentity } from "@shedtiller/membership";
 import type * as zod from "zod";
-import type { ConfigurationHistory } from "../configuration/ConfigurationHistory.js";
-import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { ConfigurationExchange } from "./ConfigurationExchange.js";
-import { pickSome } from "./pickSome.js";
+import { ConfigurationExchange, type ConfigurationState } from "./ConfigurationExchange.js";
 import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
   endpointsAnswerSchema,
@@ -20,6 +17,7 @@
   versionSchema,
 } from "./peerMessages.js";
 import type { RegisteredInstance } from "./PeerRegistry.js";
+import { pickSome } from "./pickSome.js";
 
 /** Without a younger proof of the list of endpoints an instance asks its peers; a sound proof is up to 0.8 s old. */
 const askListAfterMs = 1_500;
@@ -29,23 +27,15 @@
 const peersAsked = 2;
 
 /** What the exchange works with. */
-export interface PeerExchangeStructure {
+export interface PeerExchangeStructure extends ConfigurationState {
   readonly membership: Pick<
     Membership,
     "self" | "getLinked" | "notifyAll" | "onLinked" | "onNotice" | "onRequest" | "request"
   >;
-  readonly keeper: ConfigurationKeeper;
   readonly endpoints: EndpointTable;
   readonly log: DecisionLog;
   /** How old the newest proof is that the list of endpoints is complete. */
   readonly getListAgeMs: () => number;
-  readonly history: ConfigurationHistory;
-  /** For how long a newer configuration has been known to exist that the store did not give. */
-  readonly getBehindMs: () => number;
-  /** Where the store's history goes on after the configuration in force; undefined before the first read. */
-  readonly getOffset: () => number | undefined;
-  /** Takes note that what the store has before an offset is in force. */
-  readonly takeAhead: (nextOffset: number) => void;
   /** Where the store's list goes on after what this instance has read; undefined before the first read. */
   readonly getListOffset: () => number | undefined;
   /** Takes a list that was complete at `provenAtMs`; undefined where it is the one that this instance has. */
