--- a/packages/gateway/src/peers/ConfigurationExchange.ts
+++ b/packages/gateway/src/peers/ConfigurationExchange.ts
@@ -12,6 +12,7 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "../configuration/gatewayConfiguration.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { getFiniteAgeMs } from "./getFiniteAgeMs.js";
 import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
   configurationAnswerSchema,
@@ -187,8 +188,7 @@
     const { newest } = history;
     if (!question.success || newest === undefined) return undefined;
     const { version, wantsWhole } = question.data;
-    // An age without a proof is infinite, which JSON does not have.
-    const proofAgeMs = Math.min(keeper.getProofAgeMs(), Number.MAX_SAFE_INTEGER);
+    const proofAgeMs = getFiniteAgeMs(keeper.getProofAgeMs());
     const answer = { version: newest.version, proofAgeMs, nextOffset: getOffset(), isWholeComing: false };
     if (version >= newest.version) return answer;
     const delta = history.getDeltaFrom(version);
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -6,6 +6,7 @@
 import type { ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { ConfigurationExchange, type ConfigurationState } from "./ConfigurationExchange.js";
+import { getFiniteAgeMs } from "./getFiniteAgeMs.js";
 import { notePeerMessageInvalid } from "./notePeerMessageInvalid.js";
 import {
   endpointsAnswerSchema,
@@ -199,8 +200,3 @@
     return answer?.success === true ? answer.data : undefined;
   }
 }
-
-/** An age without a proof is infinite, which JSON does not have. */
-function getFiniteAgeMs(ageMs: number): number {
-  return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
-}
