gateway, platform: an endpoint may start again under its id; entries of another writer name no endpoint

(1) A process may start again under its id and then holds and knows nothing of before; its start (born) stands in all that it says of itself. (2) An entry of the list may come from another writer: a missing state counted as ready, missing slots as one, odd layers were taken, and a change that could not be read left the older entry in force. Ruled out: comparing starts with any clock; they are compared with starts of the same id only. Change: EndpointTable knows the newest start of each id; a newer one makes another Endpoint (no layers, load, room, suspicion, resets), an earlier one changes nothing, in whatever order it comes. LifeCheckedOrders checks reports and tells peers of a restart; peers' words and loads name the life that they are of; streams that passed the process go on elsewhere; rested connections to it are dropped.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -20,6 +20,7 @@
 import { LayerKeeper } from "./orders/LayerKeeper.js";
 import type { LeaderElection } from "./orders/LeaderElection.js";
 import { LeaderSeat } from "./orders/LeaderSeat.js";
+import { LifeCheckedOrders } from "./orders/LifeCheckedOrders.js";
 import { GatewayPeers } from "./peers/GatewayPeers.js";
 import type { PeerRegistry } from "./peers/PeerRegistry.js";
 import { CallerListener } from "./requests/CallerListener.js";
@@ -93,15 +94,21 @@
     this._peers = this._createPeers(platform.registry);
     const { relay, exchange } = this._peers;
     this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => relay.isReader });
-    this._layers = this._createLayers(platform.orders);
-    this._forwarders = new ForwarderSet(this._createContext(platform), platform.orders);
+    const tellRestart = (id: string, bornAtMs: number): void => exchange.tellRestart(id, bornAtMs);
+    const orders = new LifeCheckedOrders(platform.orders, this.endpoints, tellRestart);
+    this._layers = this._createLayers(orders);
+    this._forwarders = new ForwarderSet(this._createContext(platform.codec, orders), orders);
     this._callers = this._createCallers(platform.codec);
     const { host, port } = callers.readiness;
     this._readiness = new ReadinessListener(host, port, () => this._isReady());
-    this._poll = this._createPoll(platform.orders);
+    this._poll = this._createPoll(orders);
     this.keeper.onChanged((table) => {
       if (relay.isReader) exchange.tellVersion(table.version);
     });
+    // A connection to a process that is gone answers nothing, or resets what is sent over it.
+    this.endpoints.onChanged((endpoint, event) => {
+      if (event === "restarted") this._httpCaller.dropRested(endpoint.listed.address);
+    });
     this._addGauges();
   }
 
@@ -219,7 +226,7 @@
     });
   }
 
-  private _createContext({ codec, orders }: GatewayPlatform): ForwardContext {
+  private _createContext(codec: MessageCodec, orders: EngineOrders): ForwardContext {
     return {
       keeper: this.keeper,
       endpoints: this.endpoints,
--- a/packages/gateway/src/discovery/ChangeFeed.ts
+++ b/packages/gateway/src/discovery/ChangeFeed.ts
@@ -1,10 +1,12 @@
 /** A set of keyed values that changes over time, as the platform's store offers it. */
 import { errors, type results } from "@shedtiller/common";
 
-/** One change; `value` is undefined where the key was dropped. */
+/** One change; `value` is undefined where the key was dropped, or where what stands under it now can't be read. */
 export interface Change<T> {
   readonly key: string;
   readonly value: T | undefined;
+  /** Something was written under the key that is no value: what stood there before has been replaced, but not dropped. */
+  readonly isUnreadable?: boolean | undefined;
 }
 
 /** All values at one moment, and where to read on. */
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -13,6 +13,9 @@
 /** An engine's room changes with its layers, which takes seconds; after this it is tried with its full room again. */
 const seenFullMs = 2_000;
 
+/** Stands between the id and the start of a process; ids of the platform are letters, digits and dashes. */
+export const lifeSeparator = "@";
+
 const noLoad: EndpointLoad = { requests: 0, tokenLayers: 0 };
 
 /** An endpoint with its listed state, our own load on it, and that of the peers as they last told. */
@@ -39,6 +42,12 @@
     return this.listed.id;
   }
 
+  /** Names one life of the endpoint's process: what peers tell of an earlier one must not count for this one. */
+  get lifeId(): string {
+    const { id, bornAtMs } = this.listed;
+    return bornAtMs === undefined ? id : `${id}${lifeSeparator}${bornAtMs}`;
+  }
+
   get own(): EndpointLoad {
     return this._own;
   }
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -1,14 +1,21 @@
 /** All endpoints that this instance knows, by the store's list and by evidence of its own and of peers. */
 import { utils } from "@shedtiller/common";
 import type { Change } from "./ChangeFeed.js";
-import { Endpoint, type EndpointLoad } from "./Endpoint.js";
-import type { ListedEndpoint } from "./ListedEndpoint.js";
+import { Endpoint, lifeSeparator, type EndpointLoad } from "./Endpoint.js";
+import type { LayerSpan, ListedEndpoint } from "./ListedEndpoint.js";
 
 /**
  * After the store comes back, endpoints that live may be missing from it for a moment, until their next heartbeat.
  * The platform says about two seconds; one that is missing for longer is gone.
  */
 const returnGraceMs = 2_000;
+/**
+ * An endpoint under whose id something unreadable was written gets nothing new, and counts as gone after this: two heartbeats of a usual
+ * deployment, in which an endpoint that lives has written again.
+ */
+const unreadableGraceMs = 2_400;
+/** Starts of endpoints that are remembered beyond their entries, so that a late word of an earlier life is known as such. */
+const mostRememberedStarts = 4_096;
 /** First suspicion of an endpoint: two heartbeats of a usual deployment, so that a dead one drops out of the list next. */
 const suspicionMs = 3_000;
 /** Suspicions of an endpoint that stays silent double up to this; a heartbeat ends them. */
@@ -18,8 +25,10 @@
 /** A heartbeat that came this long after the evidence shows that the endpoint lives. */
 const clearedByHeartbeatAfterMs = 1_000;
 
-/** What became of an endpoint. */
-export type EndpointEvent = "added" | "draining" | "gone" | "layers" | "suspected" | "cleared";
+/** What became of an endpoint; `restarted` takes the place of `gone` for one whose process is another one under the same id. */
+export type EndpointEvent = "added" | "draining" | "gone" | "restarted" | "layers" | "suspected" | "cleared";
+/** How a word of an endpoint stands to the life of its process that is known. */
+export type LifeOrder = "same" | "newer" | "earlier";
 export type EndpointListener = (endpoint: Endpoint, event: EndpointEvent) => void;
 
 /** Holds the endpoints. An endpoint that drains or is gone gets no new work from that moment on. */
@@ -28,6 +37,8 @@
   private readonly _listeners: EndpointListener[] = [];
   /** Endpoints that the list no longer has, and when they are dropped unless they come back. */
   private readonly _missing = new Map<string, number>();
+  /** Unix milliseconds of the newest start known of each id; the oldest ids first. */
+  private readonly _newestStarts = new Map<string, number>();
   private _graceUntilMs = 0;
   /** Whether the list was read at least once. */
   isKnown = false;
@@ -43,6 +54,12 @@
     return this._endpoints.get(id);
   }
 
+  /** The endpoint of an id, if it is in the life that a peer speaks of. */
+  getLife(lifeId: string): Endpoint | undefined {
+    const endpoint = this._endpoints.get(lifeId.split(lifeSeparator)[0] ?? "");
+    return endpoint?.lifeId === lifeId ? endpoint : undefined;
+  }
+
   getAll(): Endpoint[] {
     return [...this._endpoints.values()];
   }
@@ -75,14 +92,24 @@
   apply(changes: readonly Change<ListedEndpoint>[]): void {
     for (const change of changes) {
       if (change.value !== undefined) this._set(change.value, true);
-      else {
-        const endpoint = this._endpoints.get(change.key);
-        if (endpoint !== undefined) this._miss(endpoint);
-      }
+      else this._unlist(change);
     }
     this.dropMissing();
   }
 
+  /**
+   * Takes word of the start of an endpoint's process.
+   * @param layers - What it holds; nothing is taken for granted of an earlier life.
+   * @returns Whether the word is of the life that is known now, of a newer one or of an earlier one, which changes nothing.
+   */
+  noteStart(id: string, bornAtMs: number | undefined, layers: readonly LayerSpan[]): LifeOrder {
+    const endpoint = this._endpoints.get(id);
+    const order = this._compareLives(id, bornAtMs);
+    if (order === "newer" && endpoint !== undefined)
+      this._restart(endpoint, { ...endpoint.listed, bornAtMs, layers: [...layers], isDraining: false });
+    return order;
+  }
+
   /** Drops what has been missing past its grace. */
   dropMissing(): void {
     const nowMs = this._nowMs();
@@ -112,9 +139,9 @@
     this._notify(endpoint, "cleared");
   }
 
-  /** Takes a peer's load on all endpoints; those not named have none of it. */
+  /** Takes a peer's load on all endpoints, by the ids of their lives; those not named have none of it. */
   setPeerLoads(peer: string, loads: ReadonlyMap<string, EndpointLoad>): void {
-    for (const endpoint of this._endpoints.values()) endpoint.setPeerLoad(peer, loads.get(endpoint.id));
+    for (const endpoint of this._endpoints.values()) endpoint.setPeerLoad(peer, loads.get(endpoint.lifeId));
   }
 
   /** Forgets the load of peers that are no longer reached. */
@@ -123,9 +150,12 @@
   }
 
   private _set(listed: ListedEndpoint, isHeartbeat: boolean): void {
+    const order = this._compareLives(listed.id, listed.bornAtMs);
+    if (order === "earlier") return;
     this._missing.delete(listed.id);
     const known = this._endpoints.get(listed.id);
     if (known === undefined) return this._add(listed);
+    if (order === "newer") return this._restart(known, listed);
     const before = known.listed;
     // A drain is never taken back for the same start of a process.
     known.listed = before.isDraining ? { ...listed, isDraining: true } : listed;
@@ -134,6 +164,47 @@
     if (JSON.stringify(listed.layers) !== JSON.stringify(before.layers)) this._notify(known, "layers");
   }
 
+  /** An endpoint that tells its start always does; a word without one is then not its own. */
+  private _compareLives(id: string, bornAtMs: number | undefined): LifeOrder {
+    const newest = this._newestStarts.get(id);
+    if (newest === undefined) {
+      if (bornAtMs !== undefined) this._rememberStart(id, bornAtMs);
+      return "same";
+    }
+    if (bornAtMs === undefined || bornAtMs < newest) return "earlier";
+    if (bornAtMs === newest) return "same";
+    this._rememberStart(id, bornAtMs);
+    return "newer";
+  }
+
+  private _rememberStart(id: string, bornAtMs: number): void {
+    this._newestStarts.delete(id);
+    this._newestStarts.set(id, bornAtMs);
+    const [oldest] = this._newestStarts.keys();
+    if (this._newestStarts.size > mostRememberedStarts && oldest !== undefined)
+      this._newestStarts.delete(oldest);
+  }
+
+  /**
+   * An endpoint that starts again is another one: what it held, its load, room, suspicions and resets are those of a process that is
+   * gone, and work that passes it is lost.
+   */
+  private _restart(before: Endpoint, listed: ListedEndpoint): void {
+    this._missing.delete(before.id);
+    const endpoint = new Endpoint(listed);
+    this._endpoints.set(listed.id, endpoint);
+    this._notify(before, "restarted");
+    this._notify(endpoint, "added");
+  }
+
+  /** An entry that was dropped is gone, unless the store has just come back; one that can't be read may be written anew. */
+  private _unlist({ key, isUnreadable }: Change<ListedEndpoint>): void {
+    const endpoint = this._endpoints.get(key);
+    if (endpoint === undefined) return;
+    if (isUnreadable !== true) return this._miss(endpoint);
+    if (!this._missing.has(key)) this._missing.set(key, this._nowMs() + unreadableGraceMs);
+  }
+
   private _add(listed: ListedEndpoint): void {
     const endpoint = new Endpoint(listed);
     this._endpoints.set(listed.id, endpoint);
--- a/packages/gateway/src/discovery/ListedEndpoint.ts
+++ b/packages/gateway/src/discovery/ListedEndpoint.ts
@@ -9,7 +9,7 @@
 export type LayerSpan = zod.infer<typeof layerSpanSchema>;
 
 export const listedEndpointSchema = zod.object({
-  /** Unique for each start of the endpoint's process. */
+  /** Names the endpoint; a process that starts again may have the same. */
   id: zod.string().min(1),
   service: zod.string(),
   /** IP and port. */
@@ -23,5 +23,10 @@
   layers: zod.array(layerSpanSchema),
   /** Names of the models held. */
   modelNames: zod.array(zod.string()),
+  /**
+   * Unix milliseconds of the start of its process: an endpoint that starts again under its id holds and knows nothing of before.
+   * Compared with other starts of the same id only. Undefined where endpoints don't tell it.
+   */
+  bornAtMs: zod.number().int().optional(),
 });
 export type ListedEndpoint = zod.infer<typeof listedEndpointSchema>;
--- a/packages/gateway/src/http/HttpCaller.ts
+++ b/packages/gateway/src/http/HttpCaller.ts
@@ -33,6 +33,11 @@
     return results.Ok({ status: head.val.status, headers: head.val.headers, body: body.val });
   }
 
+  /** Ends the connections to an address that rest. */
+  dropRested(address: string): void {
+    this._kept.dropRested(address);
+  }
+
   /** Ends all connections. */
   close(): void {
     this._kept.destroy();
--- a/packages/gateway/src/http/KeptAgent.ts
+++ b/packages/gateway/src/http/KeptAgent.ts
@@ -24,6 +24,15 @@
     else this._announced.add(socket);
   }
 
+  /** Ends the connections to an IP and port that rest. */
+  dropRested(address: string): void {
+    // Node names its lists of sockets by host, port and what else tells them apart, with colons.
+    for (const [name, sockets] of Object.entries(this.freeSockets)) {
+      if (!name.startsWith(`${address}:`)) continue;
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: Duplex): void {
     // Node's method tells whether the connection may be kept, which its types leave out.
     const isKept = super.keepSocketAlive(socket);
--- a/packages/gateway/src/orders/EngineOrders.ts
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -6,6 +6,8 @@
 
 /** What an engine tells of itself; some hundred milliseconds old. */
 export interface EngineReport {
+  /** Unix milliseconds of the start of its process; undefined where engines don't tell it. */
+  readonly bornAtMs?: number | undefined;
   /** Orders that it has begun since its start. */
   readonly orderCount: number;
   /** Whether an order is under way. */
@@ -35,7 +37,16 @@
   }
 }
 
-export type OrderError = CallError | OrderRefusedError | errors.InvalidInputError;
+/** A report of a process that has ended since, or that never was this engine's. */
+export class EarlierLifeError extends errors.ShedtillerError {
+  readonly code = "earlier_life";
+
+  constructor(readonly address: string) {
+    super(`What the engine at ${address} reported is of an earlier start of its process.`);
+  }
+}
+
+export type OrderError = CallError | OrderRefusedError | EarlierLifeError | errors.InvalidInputError;
 
 /** An engine that orders and questions go to. */
 export interface OrderTarget {
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -54,7 +54,8 @@
   private async _ask(engine: Endpoint): Promise<void> {
     const target = { id: engine.id, address: engine.listed.address };
     const report = await this._structure.orders.getReport(target, reportTimeoutMs, false);
-    if (report.err) return;
+    // What a new life reports is of another endpoint than the one that was asked about.
+    if (report.err || this._structure.endpoints.get(engine.id) !== engine) return;
     const slowness = getSlowness(report.val);
     if (Math.abs(slowness - engine.slowness) < toldChange) return;
     engine.slowness = slowness;
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -51,7 +51,8 @@
     this._lost = new LostEngines(_structure.orders, _structure.log);
     _structure.endpoints.onChanged((endpoint, event) => {
       if (event === "added") this._addedAtMs.set(getPool(endpoint), utils.monotonicMs());
-      if (event === "gone") this._forget(endpoint.id);
+      // Orders to the life before are void, whether they were answered or not.
+      if (event === "gone" || event === "restarted") this._forget(endpoint.id);
       if (event === "suspected" && this._isKept(endpoint)) void this._lost.check(endpoint);
       if (event === "layers" && this._isShown(endpoint)) this._pending.delete(endpoint.id);
     });
@@ -133,6 +134,7 @@
     const target = { id: endpoint.id, address: endpoint.listed.address };
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
     if (report.err) return this._note(endpoint, span, report.val.code);
+    if (this._structure.endpoints.get(name) !== endpoint) return this._note(endpoint, span, "started again");
     const hindrance = getHindrance(order, report.val, endpoint, profile);
     if (hindrance !== undefined) return this._note(endpoint, span, hindrance);
     if (!this._structure.mayOrder(endpoint.listed.availabilityZone)) return;
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -155,7 +155,7 @@
 
   private _getOwn(): Loads {
     const endpoints = this._structure.endpoints.getAll().filter((endpoint) => endpoint.own.requests > 0);
-    return new Map(endpoints.map((endpoint) => [endpoint.id, endpoint.own]));
+    return new Map(endpoints.map((endpoint) => [endpoint.lifeId, endpoint.own]));
   }
 
   private _notify(name: string, topic: string, body: unknown): void {
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -13,6 +13,7 @@
   instancesSchema,
   listQuestionSchema,
   peerTopics,
+  restartSchema,
   slownessSchema,
   endpointSchema,
   versionSchema,
@@ -79,6 +80,7 @@
     membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
     membership.onNotice(peerTopics.full, (body, from) => this._takeFull(body, from));
     membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
+    membership.onNotice(peerTopics.restarted, (body, from) => this._takeRestart(body, from));
     membership.onNotice(peerTopics.newVersion, (body, from) => this._takeNewVersion(body, from));
     membership.onRequest(peerTopics.endpoints, (body) => this._answerEndpoints(body));
     membership.onRequest(peerTopics.instances, () => [..._structure.getInstances()]);
@@ -99,17 +101,22 @@
 
   /** Tells all peers of evidence against an endpoint. */
   tellSuspicion(endpointId: string): void {
-    this._structure.membership.notifyAll(peerTopics.suspect, { endpointId });
+    this._tellOf(endpointId, peerTopics.suspect);
   }
 
   /** Tells the peers of this zone that an endpoint refused for want of room: most of what it gets comes from them. */
   tellFull(endpointId: string): void {
-    this._structure.membership.notifyAll(peerTopics.full, { endpointId }, this._isOwnZone);
+    this._tellOf(endpointId, peerTopics.full, {}, this._isOwnZone);
   }
 
   /** Tells all peers how slow an engine says that it is. */
   tellSlowness(endpointId: string, slowness: number): void {
-    this._structure.membership.notifyAll(peerTopics.slowness, { endpointId, slowness });
+    this._tellOf(endpointId, peerTopics.slowness, { slowness });
+  }
+
+  /** Tells all peers that an endpoint's process has started again: the list tells it up to a heartbeat and two reads later. */
+  tellRestart(endpointId: string, bornAtMs: number): void {
+    this._structure.membership.notifyAll(peerTopics.restarted, { endpointId, bornAtMs });
   }
 
   /** Tells all peers that a version has come into force here. */
@@ -117,6 +124,17 @@
     this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
+  private _tellOf(
+    endpointId: string,
+    topic: string,
+    more: object = {},
+    wants?: (member: Member) => boolean,
+  ): void {
+    const { endpoints, membership } = this._structure;
+    const lifeId = endpoints.get(endpointId)?.lifeId ?? endpointId;
+    membership.notifyAll(topic, { lifeId, ...more }, wants);
+  }
+
   private readonly _isOwnZone = (member: Member): boolean =>
     member.availabilityZone === this._structure.membership.self.availabilityZone;
 
@@ -124,24 +142,32 @@
     const suspicion = endpointSchema.safeParse(body);
     const { endpoints, log } = this._structure;
     if (!suspicion.success) return notePeerMessageInvalid(log, peerTopics.suspect, from);
-    endpoints.suspect(suspicion.data.endpointId);
+    const endpoint = endpoints.getLife(suspicion.data.lifeId);
+    if (endpoint !== undefined) endpoints.suspect(endpoint.id);
   }
 
   private _takeFull(body: unknown, from: PeerIdentity): void {
     const told = endpointSchema.safeParse(body);
     const { endpoints, log } = this._structure;
     if (!told.success) return notePeerMessageInvalid(log, peerTopics.full, from);
-    endpoints.get(told.data.endpointId)?.noteFull(this._nowMs());
+    endpoints.getLife(told.data.lifeId)?.noteFull(this._nowMs());
   }
 
   private _takeSlowness(body: unknown, from: PeerIdentity): void {
     const told = slownessSchema.safeParse(body);
     const { endpoints, log } = this._structure;
     if (!told.success) return notePeerMessageInvalid(log, peerTopics.slowness, from);
-    const endpoint = endpoints.get(told.data.endpointId);
+    const endpoint = endpoints.getLife(told.data.lifeId);
     if (endpoint !== undefined) endpoint.slowness = told.data.slowness;
   }
 
+  private _takeRestart(body: unknown, from: PeerIdentity): void {
+    const told = restartSchema.safeParse(body);
+    const { endpoints, log } = this._structure;
+    if (!told.success) return notePeerMessageInvalid(log, peerTopics.restarted, from);
+    endpoints.noteStart(told.data.endpointId, told.data.bornAtMs, []);
+  }
+
   private _takeNewVersion(body: unknown, from: PeerIdentity): void {
     const notice = versionSchema.safeParse(body);
     if (!notice.success) return notePeerMessageInvalid(this._structure.log, peerTopics.newVersion, from);
--- a/packages/gateway/src/peers/RelayedChanges.ts
+++ b/packages/gateway/src/peers/RelayedChanges.ts
@@ -16,21 +16,29 @@
   abstract fromTold(told: TTold): readonly Change<T>[] | undefined;
 }
 
+/** A change in the form that is told. */
+interface ToldChange<T> {
+  readonly key: string;
+  readonly value?: T | undefined;
+  readonly isUnreadable?: boolean | undefined;
+}
+
 /** Told as they are: small values that do not depend on each other. */
-export class WholeChanges<T> extends RelayedChanges<T, { key: string; value?: T | undefined }[]> {
+export class WholeChanges<T> extends RelayedChanges<T, ToldChange<T>[]> {
   readonly schema;
 
   constructor(valueSchema: zod.ZodType<T>) {
     super();
-    this.schema = zod.array(zod.object({ key: zod.string(), value: valueSchema.optional() }));
+    const isUnreadable = zod.boolean().optional();
+    this.schema = zod.array(zod.object({ key: zod.string(), value: valueSchema.optional(), isUnreadable }));
   }
 
-  override toTold(changes: readonly Change<T>[]): { key: string; value?: T | undefined }[] {
-    return changes.map(({ key, value }) => ({ key, value }));
+  override toTold(changes: readonly Change<T>[]): ToldChange<T>[] {
+    return [...changes];
   }
 
-  override fromTold(told: { key: string; value?: T | undefined }[]): readonly Change<T>[] {
-    return told.map(({ key, value }) => ({ key, value }));
+  override fromTold(told: ToldChange<T>[]): readonly Change<T>[] {
+    return told.map(({ key, value, isUnreadable }) => ({ key, value, isUnreadable }));
   }
 }
 
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -15,6 +15,7 @@
   suspect: "suspect",
   full: "full",
   slowness: "slowness",
+  restarted: "restarted",
   newVersion: "new-version",
   configuration: "configuration",
   wholeConfiguration: "whole-configuration",
@@ -22,17 +23,20 @@
   instances: "instances",
 } as const;
 
-/** Requests in hand and reserved token-layers, by endpoint; those without any are left out. */
+/** Requests in hand and reserved token-layers, by the life of the endpoint; those without any are left out. */
 export const loadSchema = zod.record(zod.string(), zod.tuple([zod.number(), zod.number()]));
 
 /** The load that the instances of a zone have together. */
 export const zoneLoadSchema = zod.object({ availabilityZone: zod.string(), load: loadSchema });
 
 /** How slow an engine says that it is. */
-export const slownessSchema = zod.object({ endpointId: zod.string(), slowness: zod.number() });
+export const slownessSchema = zod.object({ lifeId: zod.string(), slowness: zod.number() });
 
-/** An endpoint that there is evidence against, or that refused for want of room. */
-export const endpointSchema = zod.object({ endpointId: zod.string() });
+/** An endpoint, in the life of its process that there is evidence against, or that refused for want of room. */
+export const endpointSchema = zod.object({ lifeId: zod.string() });
+
+/** An endpoint whose process has started again. */
+export const restartSchema = zod.object({ endpointId: zod.string(), bornAtMs: zod.number().int() });
 
 /** A version in force: that of the asker, or of the one that tells. */
 export const versionSchema = zod.object({ version: zod.number() });
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -3,6 +3,7 @@
 import type { ChainChooser } from "../chains/ChainChooser.js";
 import { expectTokens } from "../chains/expectTokens.js";
 import { describeChain } from "../chains/describeChain.js";
+import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import {
@@ -46,7 +47,11 @@
     private readonly _chooser: ChainChooser,
     private readonly _orders: EngineOrders,
     private readonly _nowMs: () => number = utils.monotonicMs,
-  ) {}
+  ) {
+    _context.endpoints.onChanged((endpoint, event) => {
+      if (event === "restarted") void this._leaveLife(endpoint);
+    });
+  }
 
   /** Watches a run from now on. */
   add(attempt: StreamAttempt): void {
@@ -92,6 +97,20 @@
     await Promise.all(due.map((id) => this._ask(id)));
   }
 
+  /**
+   * Whatever passed an engine whose process has started again is lost there. Streams that only pass it are moved, those that began there
+   * go on elsewhere or end, since nothing comes any more.
+   */
+  private async _leaveLife({ id, listed }: Endpoint): Promise<void> {
+    const passing = [...this._attempts].filter(({ reservation }) =>
+      reservation.stages.some((stage) => stage.endpointId === id),
+    );
+    const begun = passing.filter((attempt) => attempt.firstStage?.endpointId === id);
+    for (const attempt of begun) attempt.abort.abort();
+    const others = passing.filter((attempt) => !begun.includes(attempt));
+    await Promise.all(others.map((attempt) => this._move(attempt, listed.address)));
+  }
+
   private async _ask(endpointId: string): Promise<void> {
     const endpoint = this._context.endpoints.get(endpointId);
     if (endpoint === undefined) return this._abandon(endpointId);
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -77,3 +77,21 @@
   t.is(near.endpoints.get("e")?.getSeenFullTokenLayers(utils.monotonicMs()), 40);
   t.is(far.endpoints.get("e")?.getSeenFullTokenLayers(utils.monotonicMs()), Number.POSITIVE_INFINITY);
 });
+
+test("a restart that one instance saw is known to all, and what is told of the life before counts no more", (t) => {
+  const network = new PeerNetwork();
+  const teller = join(network, "a");
+  const behind = join(network, "b");
+  const far = join(network, "c", "west");
+  const listed = createListed("e", { bornAtMs: 1_000, layers: [{ start: 0, end: 4 }] });
+  for (const { endpoints } of [teller, behind, far]) endpoints.setAll(new Map([["e", listed]]));
+  teller.exchange.tellRestart("e", 2_000);
+  for (const { endpoints } of [behind, far]) t.deepEqual(endpoints.get("e")?.listed.layers, []);
+  // The teller itself has not taken note of the restart here, so what it tells is of the life before.
+  teller.exchange.tellSuspicion("e");
+  teller.exchange.tellSlowness("e", 5);
+  teller.exchange.tellFull("e");
+  t.false(behind.endpoints.get("e")?.isSuspect(utils.monotonicMs()));
+  t.is(behind.endpoints.get("e")?.slowness, 1);
+  t.is(behind.endpoints.get("e")?.getSeenFullTokenLayers(utils.monotonicMs()), Number.POSITIVE_INFINITY);
+});
--- a/packages/gateway/src/tests/peers/RelayedChangesTests.ts
+++ b/packages/gateway/src/tests/peers/RelayedChangesTests.ts
@@ -3,8 +3,9 @@
 import { ConfigurationHistory } from "../../configuration/ConfigurationHistory.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import type { GatewayConfiguration } from "../../configuration/gatewayConfiguration.js";
-import { ConfigurationChanges } from "../../peers/RelayedChanges.js";
-import { createConfiguration, createRoute } from "../createParts.js";
+import { listedEndpointSchema } from "../../discovery/ListedEndpoint.js";
+import { ConfigurationChanges, WholeChanges } from "../../peers/RelayedChanges.js";
+import { createConfiguration, createListed, createRoute } from "../createParts.js";
 
 function create(...versions: GatewayConfiguration[]): ConfigurationChanges {
   const keeper = new ConfigurationKeeper(() => 0);
@@ -37,3 +38,14 @@
   const large = createConfiguration(2, many);
   t.is(create(first, large).toTold([{ key: "config", value: large }]), undefined);
 });
+
+test("members hear of entries, drops and entries that can't be read as the reader does", (t) => {
+  const relayed = new WholeChanges(listedEndpointSchema);
+  const changes = [
+    { key: "a", value: createListed("a", { bornAtMs: 7 }), isUnreadable: undefined },
+    { key: "b", value: undefined, isUnreadable: undefined },
+    { key: "c", value: undefined, isUnreadable: true },
+  ];
+  const told = relayed.schema.parse(JSON.parse(JSON.stringify(relayed.toTold(changes))));
+  t.deepEqual(relayed.fromTold(told), changes);
+});
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -134,3 +134,19 @@
   await monitor.check();
   t.true(attempt.abort.signal.aborted);
 });
+
+test("a stream that passed an engine whose process started again goes on elsewhere at once", async (t) => {
+  const { endpoints, orders, attempt, reservation } = setUp();
+  endpoints.noteStart("b", 1_000, [{ start: 2, end: 4 }]);
+  endpoints.noteStart("b", 2_000, []);
+  t.deepEqual(orders.chains, ["a,c"]);
+  t.is(reservation.stages[1]?.endpointId, "c");
+  t.false(attempt.abort.signal.aborted);
+});
+
+test("a stream that began at an engine whose process started again is lost there", (t) => {
+  const { endpoints, attempt } = setUp();
+  endpoints.noteStart("a", 1_000, [{ start: 0, end: 2 }]);
+  endpoints.noteStart("a", 2_000, [{ start: 0, end: 2 }]);
+  t.true(attempt.abort.signal.aborted);
+});
