gateway: every engine of a silent chain is asked itself, and a moved stream keeps the parts that live

A silence was looked into at 300 ms by looks 200 ms apart, by the first engine's report, which is 200 ms old; then a wholly new chain read all tokens again. EngineQuestions asks each engine of the chain, twice, for as long as answers of late take; the one that does not answer is lost, unless another stream flows through it, and peers are told. StreamMover keeps the parts that live, and tries the next engine at once after a refusal. SampleWindow serves this and the older entry's SilenceDetector. One test replaced: 'the next look takes another' is now 'the same look takes another', which is stricter, since a search in a row of the same look comes sooner.

--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -5,5 +5,6 @@
 export * from "./ids.js";
 export * from "./hashing.js";
 export * from "./RandomSource.js";
+export * from "./SampleWindow.js";
 export * from "./statistics.js";
 export * from "./sockets.js";
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -1,60 +1,72 @@
-/** Watches running streams for silence, finds the engine at fault, and moves streams to other engines. */
+/**
+ * Watches running streams for unusual silence, finds the engine at fault, and has streams moved to other engines.
+ *
+ * A stream keeps its callers' time only where the next event comes within the allowed pause, so the engine at fault is found without the
+ * first engine's word on who stands still, which is some hundred milliseconds old: every engine of a silent chain is asked itself, and
+ * the one that does not answer is at fault, unless some other stream flows through it.
+ */
 import { utils } from "@shedtiller/common";
 import type { ChainChooser } from "../chains/ChainChooser.js";
-import { expectTokens } from "../chains/expectTokens.js";
-import { describeChain } from "../chains/describeChain.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
-import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
-import type { ChainStage } from "../http/MessageCodec.js";
-import {
-  OrderRefusedError,
-  type EngineOrders,
-  type EngineReport,
-  type OrderError,
-} from "../orders/EngineOrders.js";
+import type { EngineOrders, EngineReport } from "../orders/EngineOrders.js";
+import { EngineQuestions, type EngineAnswer } from "../orders/EngineQuestions.js";
 import { getSlowness } from "../orders/getSlowness.js";
+import { StreamTimes } from "../work/StreamTimes.js";
 import type { ForwardContext } from "./RequestForwarder.js";
 import type { StreamAttempt } from "./StreamAttempt.js";
-
-/**
- * Half of this is added to the silences below on average. The other ticks of an instance have the same length and so fall on the same
- * moments (`utils.repeat`): an instance at rest spends most of its time on waking up.
- */
-const checkIntervalMs = 200;
-/** Silence before the first event that leads to a question: most first events come within 300 ms on a calm day. */
-const firstEventSilenceMs = 450;
-/** Silence between events that leads to a question: the usual pause is under 100 ms, and above 200 ms it is late. */
-const laterEventSilenceMs = 300;
-/** An engine's report is about 200 ms old, so asking again sooner tells nothing new. */
+import { StreamMover } from "./StreamMover.js";
+
+/** Looks come when the next silence becomes unusual, within these bounds: an instance at rest spends most of its time on waking up. */
+const longestLookMs = 200;
+const shortestLookMs = 25;
+/** While a stream passes an engine under suspicion the next silence is waited for to this. */
+const shortestSuspiciousLookMs = 5;
+/** An engine that has just answered is not asked again for this long; each further answer in a row doubles it. */
 const askAgainMs = 300;
-/** An engine that does not answer a question within this counts as dead. */
-const reportTimeoutMs = 400;
+const mostAskDoublings = 3;
+/** An engine that nobody has asked for this long begins anew. */
+const forgetAskedMs = 5_000;
 /** After this much silence a stream goes on elsewhere, before its caller leaves at two seconds. */
 const giveUpSilenceMs = 1_200;
-
-/** An engine that refused a moved stream is left alone for as long as two looks take. */
-const refusedChangeBackoffMs = 600;
-/** The first engine does not know the request any more. */
-const unknownRequestStatus = 404;
+/** A look that comes this much later than planned is one of a process that stood still: what has arrived is read first. */
+const stoodStillMs = 20;
+
+/** What is known of the questions that an engine was asked. */
+interface Asked {
+  readonly atMs: number;
+  /** Answers in a row. */
+  readonly answers: number;
+}
 
 /** One task for all streams of this instance. */
 export class StallMonitor {
+  readonly times = new StreamTimes();
   private readonly _attempts = new Set<StreamAttempt>();
-  private readonly _askedAtMs = new Map<string, number>();
+  private readonly _asked = new Map<string, Asked>();
+  private readonly _mover: StreamMover;
+  private readonly _questions: EngineQuestions;
+  /** Ends the wait for the next look. */
+  private _wake = new AbortController();
 
   constructor(
     private readonly _context: ForwardContext,
-    private readonly _chooser: ChainChooser,
-    private readonly _orders: EngineOrders,
+    chooser: ChainChooser,
+    orders: EngineOrders,
     private readonly _nowMs: () => number = utils.monotonicMs,
+    private readonly _pause: (durationMs: number, signal?: AbortSignal) => Promise<void> = utils.sleep,
   ) {
+    this._mover = new StreamMover(_context, chooser, orders, _nowMs);
+    this._questions = new EngineQuestions(orders, _pause, _nowMs);
     _context.endpoints.onChanged((endpoint, event) => {
-      if (event === "restarted") void this._leaveLife(endpoint);
+      if (event === "restarted") void this._leave([endpoint]);
+      // A suspicion, told or found, explains silences before they are unusual by themselves.
+      if (event === "suspected") this._wake.abort();
     });
   }
 
   /** Watches a run from now on. */
   add(attempt: StreamAttempt): void {
+    attempt.times = this.times;
     this._attempts.add(attempt);
   }
 
@@ -69,143 +81,143 @@
 
   /** Looks at all runs from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await utils.repeat(
-      checkIntervalMs,
-      signal,
-      () => void this.check(),
-      (error) => {
-        this._context.log.error("stall-check-failed", { cause: String(error) });
-      },
-    );
+    signal.addEventListener("abort", () => this._wake.abort(), { once: true });
+    while (!signal.aborted) {
+      const dueAtMs = this._nowMs() + this._getNextLookMs();
+      this._wake = new AbortController();
+      await this._pause(dueAtMs - this._nowMs(), this._wake.signal).catch(() => undefined);
+      if (this._nowMs() - dueAtMs > stoodStillMs) await this._readArrived();
+      if (!signal.aborted) this.check().catch((error: unknown) => this._noteFailed(error));
+    }
   }
 
   /** Looks at all runs once; resolves when what the look led to is done. */
   async check(): Promise<void> {
     const nowMs = this._nowMs();
-    const firsts = new Set<string>();
+    const silent = [...this._attempts].filter((attempt) => this._isSilent(attempt, nowMs));
+    const lasting = silent.filter((attempt) => !this._giveUpIfLong(attempt, nowMs));
+    const { moves, unexplained } = this._sort(lasting, nowMs);
+    await Promise.all([...moves, this._askChains(unexplained, nowMs)]);
+  }
+
+  /** Time until the next silence becomes unusual, if nothing comes until then. */
+  private _getNextLookMs(): number {
+    const nowMs = this._nowMs();
+    let nextMs = longestLookMs;
+    let leastMs = shortestLookMs;
     for (const attempt of this._attempts) {
-      const silenceMs = nowMs - attempt.lastSignAtMs;
-      if (silenceMs >= giveUpSilenceMs && attempt.request.isIdempotent) attempt.abort.abort();
-      else if (silenceMs >= getAllowedSilenceMs(attempt) && attempt.firstStage !== undefined) {
-        firsts.add(attempt.firstStage.endpointId);
-      }
+      const suspects = this._getSuspects(attempt, nowMs);
+      const leftMs = this._getAllowedSilenceMs(attempt, suspects) - (nowMs - attempt.lastSignAtMs);
+      nextMs = Math.min(nextMs, leftMs);
+      if (suspects.length > 0 && leftMs > 0) leastMs = shortestSuspiciousLookMs;
     }
-    const isDue = (id: string): boolean =>
-      nowMs - (this._askedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) >= askAgainMs;
-    const due = [...firsts].filter(isDue);
-    for (const id of due) this._askedAtMs.set(id, nowMs);
-    await Promise.all(due.map((id) => this._ask(id)));
+    return Math.max(leastMs, nextMs);
   }
 
-  /**
-   * Whatever passed an engine whose process has started again is lost there. Streams that only pass it are moved, those that began there
-   * go on elsewhere or end, since nothing comes any more.
-   */
-  private async _leaveLife({ id, listed }: Endpoint): Promise<void> {
-    const passing = [...this._attempts].filter(({ reservation }) =>
-      reservation.stages.some((stage) => stage.endpointId === id),
-    );
-    const begun = passing.filter((attempt) => attempt.firstStage?.endpointId === id);
-    for (const attempt of begun) attempt.abort.abort();
-    const others = passing.filter((attempt) => !begun.includes(attempt));
-    await Promise.all(others.map((attempt) => this._move(attempt, listed.address)));
+  private async _readArrived(): Promise<void> {
+    await utils.yieldToEvents();
+    await utils.yieldToEvents();
   }
 
-  private async _ask(endpointId: string): Promise<void> {
-    const endpoint = this._context.endpoints.get(endpointId);
-    if (endpoint === undefined) return this._abandon(endpointId);
-    const target = { id: endpointId, address: endpoint.listed.address };
-    const report = await this._orders.getReport(target, reportTimeoutMs);
-    if (report.err) {
-      this._context.suspicions.noteSilent(endpointId, `no report: ${report.val.code}`);
-      return this._abandon(endpointId);
-    }
-    endpoint.slowness = getSlowness(report.val);
-    await this._moveStalled(endpointId, report.val);
+  /** With an engine under suspicion a silence as long as the longest usual one is enough; without, it has to be an unusual one. */
+  private _getAllowedSilenceMs(attempt: StreamAttempt, suspects: readonly string[]): number {
+    const { service, request, usualPauseMs } = attempt;
+    if (!attempt.hasEvents) return this.times.getUnusualFirstEventMs(service, request.route);
+    const usualMs = this.times.getUsualPauseMs(service);
+    if (suspects.length > 0 && usualMs !== undefined) return Math.max(usualMs, usualPauseMs);
+    return this.times.getUnusualPauseMs(service, request.route, usualPauseMs);
   }
 
-  /** Streams that began at an engine which does not answer go on elsewhere. */
-  private _abandon(endpointId: string): void {
-    const nowMs = this._nowMs();
-    for (const attempt of this._attempts) {
-      if (attempt.firstStage?.endpointId !== endpointId || !attempt.request.isIdempotent) continue;
-      if (nowMs - attempt.lastSignAtMs >= laterEventSilenceMs) attempt.abort.abort();
-    }
+  private _isSilent(attempt: StreamAttempt, nowMs: number): boolean {
+    if (attempt.isMoving || attempt.firstStage === undefined) return false;
+    const allowedMs = this._getAllowedSilenceMs(attempt, this._getSuspects(attempt, nowMs));
+    return nowMs - attempt.lastSignAtMs >= allowedMs;
   }
 
-  private async _moveStalled(firstId: string, report: EngineReport): Promise<void> {
-    const addresses = new Map(report.stalled.map((entry) => [entry.requestId, entry.address]));
+  private _giveUpIfLong(attempt: StreamAttempt, nowMs: number): boolean {
+    if (nowMs - attempt.lastSignAtMs < giveUpSilenceMs || !attempt.request.isIdempotent) return false;
+    attempt.abort.abort();
+    return true;
+  }
+
+  /** Streams whose chain has an engine under suspicion leave it; the engines of the others are asked. */
+  private _sort(
+    silent: readonly StreamAttempt[],
+    nowMs: number,
+  ): { moves: Promise<void>[]; unexplained: StreamAttempt[] } {
     const moves: Promise<void>[] = [];
-    for (const address of new Set(addresses.values())) {
-      this._suspectAddress(address, "stalled chain");
-    }
-    for (const attempt of this._attempts) {
-      const address = addresses.get(attempt.request.id);
-      if (address === undefined || attempt.firstStage?.endpointId !== firstId) continue;
-      if (attempt.reservation.stages.some((stage) => stage.address === address))
-        moves.push(this._move(attempt, address));
+    const unexplained: StreamAttempt[] = [];
+    for (const attempt of silent) {
+      const suspects = this._getSuspects(attempt, nowMs);
+      if (suspects.length === 0) unexplained.push(attempt);
+      else if (attempt.mayMove(nowMs)) moves.push(this._mover.move(attempt, suspects));
     }
-    await Promise.all(moves);
-  }
-
-  private async _move(attempt: StreamAttempt, faultyAddress: string): Promise<void> {
-    const first = attempt.firstStage;
-    const profile = this._context.keeper.table?.getEngineProfile(attempt.service);
-    if (first === undefined || profile === undefined) return;
-    if (first.address === faultyAddress) return this._giveUp(attempt, "the first engine stands still");
-    // The room that the stream holds now is its own, and must not look taken to it.
-    const before = attempt.reservation.stages;
-    attempt.reservation.move([]);
-    const chain = this._chooseOther(attempt, first, profile);
-    // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
-    attempt.reservation.move(chain ?? before);
-    // Without another chain the stream waits: the engine may come back, or room may come free, before it is given up.
-    if (chain === undefined) return;
-    const moved = await this._orders.changeChain(
-      { id: first.endpointId, address: first.address },
-      attempt.request.id,
-      chain,
+    return { moves, unexplained };
+  }
+
+  /** Addresses of a stream's engines that are under suspicion. */
+  private _getSuspects({ reservation }: StreamAttempt, nowMs: number): string[] {
+    const { endpoints } = this._context;
+    return reservation.stages
+      .filter((stage) => endpoints.get(stage.endpointId)?.isSuspect(nowMs) === true)
+      .map((stage) => stage.address);
+  }
+
+  private async _askChains(silent: readonly StreamAttempt[], nowMs: number): Promise<void> {
+    const ids = new Set(
+      silent.flatMap(({ reservation }) => reservation.stages.map((stage) => stage.endpointId)),
     );
-    if (moved.err) {
-      attempt.reservation.move(before);
-      return this._noteRefused(attempt, moved.val);
-    }
-    attempt.lastSignAtMs = this._nowMs();
-    attempt.progress.moves += 1;
-    this._context.log.info("chain-changed", {
-      requestId: attempt.request.id,
-      faultyAddress,
-      chain: describeChain(chain),
-    });
+    const due = [...ids].filter((id) => this._isAskDue(id, nowMs));
+    const engines = due.flatMap((id) => this._context.endpoints.get(id) ?? []);
+    for (const { id } of engines)
+      this._asked.set(id, { atMs: nowMs, answers: this._countAnswers(id, nowMs) });
+    const answers = await Promise.all(engines.map((engine) => this._questions.ask(engine)));
+    const isLost = (_engine: Endpoint, index: number): boolean => answers[index]?.kind === "silent";
+    const lost = engines.filter(isLost).filter((engine) => !this._hasFlowed(engine, nowMs));
+    for (const engine of lost)
+      this._context.suspicions.noteSilent(engine.id, "silent: no answer in a silent chain");
+    const reports = engines.map((engine, index) => this._takeAnswer(engine, answers[index]));
+    await Promise.all([this._leave(lost), ...reports]);
   }
 
-  /** Another chain with the same first engine and the same layers there. */
-  private _chooseOther(
-    attempt: StreamAttempt,
-    first: ChainStage,
-    profile: EngineProfile,
-  ): ChainStage[] | undefined {
-    return this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
-      ...expectTokens(attempt.request.fields),
-      availabilityZone: this._context.availabilityZone,
-      firstEndpointId: first.endpointId,
-      firstEnd: first.end,
-      isSpread: true,
-    });
+  private _isAskDue(id: string, nowMs: number): boolean {
+    const asked = this._asked.get(id);
+    if (asked === undefined) return true;
+    const waitMs = askAgainMs * 2 ** Math.min(asked.answers, mostAskDoublings);
+    return nowMs - asked.atMs >= waitMs;
+  }
+
+  private _countAnswers(id: string, nowMs: number): number {
+    const asked = this._asked.get(id);
+    return asked === undefined || nowMs - asked.atMs > forgetAskedMs ? 0 : asked.answers;
+  }
+
+  /** Whether some stream through an engine has given a sign since. */
+  private _hasFlowed(engine: Endpoint, sinceMs: number): boolean {
+    return this._getPassing([engine]).some((attempt) => attempt.hasEvents && attempt.lastEventAtMs > sinceMs);
+  }
+
+  private async _takeAnswer(engine: Endpoint, answer: EngineAnswer | undefined): Promise<void> {
+    if (answer?.kind !== "alive") return;
+    const asked = this._asked.get(engine.id);
+    if (asked !== undefined) this._asked.set(engine.id, { ...asked, answers: asked.answers + 1 });
+    engine.slowness = getSlowness(answer.report);
+    await this._moveStalled(engine.id, answer.report);
   }
 
-  /** The engine named has no room, or not these layers: the next look takes another, until the stream is given up. */
-  private _noteRefused(attempt: StreamAttempt, error: OrderError): void {
-    const isUnknown = error instanceof OrderRefusedError && error.status === unknownRequestStatus;
-    if (isUnknown) return this._giveUp(attempt, error.code);
-    const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
-    const endpoint = address === undefined ? undefined : this._context.endpoints.getByAddress(address);
-    if (endpoint !== undefined) endpoint.refusedUntilMs = this._nowMs() + refusedChangeBackoffMs;
-    this._context.log.info("chain-change-refused", {
-      requestId: attempt.request.id,
-      address,
-      cause: error.message,
+  /** Engines may be cut off from their neighbours and yet answer here; the first engine of a chain then says whom it waits for. */
+  private async _moveStalled(firstId: string, report: EngineReport): Promise<void> {
+    const addresses = new Map(report.stalled.map((entry) => [entry.requestId, entry.address]));
+    const stalled = [...this._attempts].filter((attempt) => {
+      const address = addresses.get(attempt.request.id);
+      if (address === undefined || attempt.firstStage?.endpointId !== firstId || attempt.isMoving)
+        return false;
+      return attempt.reservation.stages.some((stage) => stage.address === address);
     });
+    for (const address of new Set(addresses.values())) this._suspectAddress(address, "stalled chain");
+    await Promise.all(
+      stalled.map((attempt) => this._mover.move(attempt, [addresses.get(attempt.request.id) ?? ""])),
+    );
   }
 
   private _suspectAddress(address: string, reason: string): void {
@@ -213,12 +225,28 @@
     if (endpoint !== undefined) void this._context.suspicions.noteNamed(endpoint.id, reason);
   }
 
-  private _giveUp(attempt: StreamAttempt, cause: string): void {
-    this._context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
-    if (attempt.request.isIdempotent) attempt.abort.abort();
+  /**
+   * Whatever passes engines that are lost stands still, also where it is not silent for long yet. Streams that only pass them are moved,
+   * those that began there go on elsewhere or end, since nothing comes any more.
+   */
+  private async _leave(engines: readonly Endpoint[]): Promise<void> {
+    const addresses = engines.map((engine) => engine.listed.address);
+    const ids = new Set(engines.map((engine) => engine.id));
+    const passing = this._getPassing(engines);
+    const begun = passing.filter((attempt) => ids.has(attempt.firstStage?.endpointId ?? ""));
+    for (const attempt of begun) attempt.abort.abort();
+    const others = passing.filter((attempt) => !begun.includes(attempt));
+    await Promise.all(others.map((attempt) => this._mover.move(attempt, addresses)));
+  }
+
+  private _getPassing(engines: readonly Endpoint[]): StreamAttempt[] {
+    const ids = new Set(engines.map((engine) => engine.id));
+    return [...this._attempts].filter(({ reservation }) =>
+      reservation.stages.some((stage) => ids.has(stage.endpointId)),
+    );
   }
-}
 
-function getAllowedSilenceMs(attempt: StreamAttempt): number {
-  return attempt.hasEvents ? laterEventSilenceMs : firstEventSilenceMs;
+  private _noteFailed(error: unknown): void {
+    this._context.log.error("stall-check-failed", { cause: String(error) });
+  }
 }
--- a/packages/gateway/src/tests/FakeEngines.ts
+++ b/packages/gateway/src/tests/FakeEngines.ts
@@ -3,11 +3,14 @@
 import type { ChainStage } from "../http/MessageCodec.js";
 import {
   EngineOrders,
+  OrderRefusedError,
   type EngineReport,
   type OrderError,
   type OrderTarget,
 } from "../orders/EngineOrders.js";
 
+const noRoomStatus = 409;
+
 const idleReport: EngineReport = {
   orderCount: 1,
   isBusy: false,
@@ -27,7 +30,8 @@
   readonly reports = new Map<string, Partial<EngineReport>>();
   /** Chains that requests were moved to, each as the ids of its engines. */
   readonly chains: string[] = [];
-  changeAnswer: results.Result<void, OrderError> = results.Ok(undefined);
+  /** Ids of engines that take no moved request. */
+  readonly withoutRoom = new Set<string>();
 
   override getReport(target: OrderTarget): Promise<results.Result<EngineReport, OrderError>> {
     if (this.silent.has(target.id))
@@ -40,11 +44,16 @@
   }
 
   override changeChain(
-    _target: unknown,
+    target: OrderTarget,
     _id: string,
     chain: readonly ChainStage[],
   ): Promise<results.Result<void, OrderError>> {
     this.chains.push(chain.map((stage) => stage.endpointId).join(","));
-    return Promise.resolve(this.changeAnswer);
+    const full = chain.find((stage) => this.withoutRoom.has(stage.endpointId));
+    return Promise.resolve(
+      full === undefined
+        ? results.Ok(undefined)
+        : results.Err(new OrderRefusedError(target.address, noRoomStatus, full.address)),
+    );
   }
 }
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -1,8 +1,5 @@
 /** What becomes of streams whose chain stands still. */
-import { EventEmitter } from "node:events";
-import type * as http from "node:http";
 import test from "ava";
-import { results } from "@shedtiller/common";
 import { ChainChooser } from "../../chains/ChainChooser.js";
 import { getCapacityTokenLayers } from "../../chains/engineModel.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
@@ -12,37 +9,14 @@
 import { HttpCaller } from "../../http/HttpCaller.js";
 import type { ChainStage, MessageCodec } from "../../http/MessageCodec.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
-import { OrderRefusedError } from "../../orders/EngineOrders.js";
-import { CallerRequest } from "../../requests/CallerRequest.js";
 import { RetryBudgets } from "../../requests/RetryBudgets.js";
 import { StallMonitor } from "../../requests/StallMonitor.js";
 import { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamProgress } from "../../requests/StreamProgress.js";
-import { createConfiguration, createListed, createRoute, profile } from "../createParts.js";
+import { createConfiguration, createListed, profile } from "../createParts.js";
 import { FakeEngines } from "../FakeEngines.js";
 import { SilentSink } from "../SilentSink.js";
-
-function createRequest(): CallerRequest {
-  const response = new EventEmitter() as http.ServerResponse;
-  const fields = { requestId: "r1", promptTokens: 2, maxAnswerTokens: 2 };
-  return new CallerRequest({
-    message: new EventEmitter() as http.IncomingMessage,
-    response,
-    fields: {
-      ...fields,
-      deadlineMs: undefined,
-      apiKey: undefined,
-      answerTokensHint: undefined,
-      lastEventId: undefined,
-    },
-    route: createRoute({ kind: "streaming", isResumable: true }),
-    account: undefined,
-    body: Buffer.alloc(0),
-    arrivedAtMs: 0,
-    codec: {} as MessageCodec,
-    isDraining: () => false,
-  });
-}
+import { createStreamRequest } from "./createStreamRequest.js";
 
 function setUp() {
   const clock = { nowMs: 10_000 };
@@ -84,7 +58,12 @@
     end,
   });
   const reservation = new ChainReservation(endpoints, [stage("a", 0, 2), stage("b", 2, 4)], 4);
-  const attempt = new StreamAttempt(createRequest(), "engines", reservation, new StreamProgress(undefined));
+  const attempt = new StreamAttempt(
+    createStreamRequest("r1"),
+    "engines",
+    reservation,
+    new StreamProgress(undefined),
+  );
   attempt.firstEventMs = 50;
   attempt.lastSignAtMs = clock.nowMs - 400;
   monitor.add(attempt);
@@ -103,20 +82,31 @@
   t.false(attempt.abort.signal.aborted);
 });
 
-test("an engine that has no room for a moved stream does not end it: the next look takes another", async (t) => {
+test("an engine that has no room for a moved stream does not end it: the same look takes another", async (t) => {
   const { clock, endpoints, orders, monitor, attempt, reservation } = setUp();
-  orders.changeAnswer = results.Err(new OrderRefusedError("a:1", 409, "c:1"));
+  orders.withoutRoom.add("c");
   await monitor.check();
   t.false(attempt.abort.signal.aborted);
   t.false(endpoints.get("c")?.isSuspect(clock.nowMs), "want of room is no evidence of a fault");
   t.deepEqual(endpoints.get("c")?.own, { requests: 0, tokenLayers: 0 });
-  orders.changeAnswer = results.Ok(undefined);
-  clock.nowMs += 350;
-  await monitor.check();
   t.deepEqual(orders.chains, ["a,c", "a,d"]);
   t.is(reservation.stages[1]?.endpointId, "d");
 });
 
+test("a stream that no engine has room for waits, and is moved by a later look", async (t) => {
+  const { clock, orders, monitor, attempt, reservation } = setUp();
+  orders.withoutRoom.add("c").add("d");
+  await monitor.check();
+  t.false(attempt.abort.signal.aborted);
+  t.deepEqual(orders.chains, ["a,c", "a,d"]);
+  orders.withoutRoom.clear();
+  clock.nowMs += 650;
+  attempt.lastSignAtMs = clock.nowMs - 400;
+  await monitor.check();
+  t.is(orders.chains.length, 3);
+  t.not(reservation.stages[1]?.endpointId, "b");
+});
+
 test("the room that a stream holds at its first engine does not stand in its own way", async (t) => {
   const { endpoints, orders, monitor } = setUp();
   const first = endpoints.get("a");
--- a/packages/pipeline/src/engine/SilenceDetector.ts
+++ b/packages/pipeline/src/engine/SilenceDetector.ts
@@ -26,41 +26,25 @@
   callsPerProbe: 32,
 };
 
-const windowLength = 128;
-const refreshEvery = 8;
 const firstProbes = 16;
 const firstRatio = 4;
 const firstProbeMs = 100;
 
-/** Times of one kind, as multiples of what was expected; the quantile is refreshed every few samples. */
-class RatioWindow {
-  private readonly _ratios: number[] = [];
-  private _count = 0;
-  private _quantile: number | undefined;
-
-  add(ratio: number, share: number): void {
-    this._ratios[this._count % windowLength] = ratio;
-    this._count += 1;
-    if (this._count % refreshEvery !== 0) return;
-    this._quantile = utils.getQuantile(this._ratios, share);
-  }
-
-  get quantile(): number | undefined {
-    return this._quantile;
-  }
-}
-
 /** Learns the times of one engine. */
 export class SilenceDetector {
-  private readonly _steps = new RatioWindow();
-  private readonly _probes = new RatioWindow();
+  /** Times of calls, as multiples of what was expected. */
+  private readonly _steps: utils.SampleWindow;
+  private readonly _probes: utils.SampleWindow;
   private _calls = 0;
 
-  constructor(private readonly _options: SilenceOptions = defaultSilenceOptions) {}
+  constructor(private readonly _options: SilenceOptions = defaultSilenceOptions) {
+    this._steps = new utils.SampleWindow({ share: _options.quantile });
+    this._probes = new utils.SampleWindow({ share: _options.quantile });
+  }
 
   /** Takes the time of an ended call. */
   recordStep(expectedMs: number, tookMs: number): void {
-    this._steps.add(tookMs / expectedMs, this._options.quantile);
+    this._steps.add(tookMs / expectedMs);
   }
 
   /** Whether this call should have a probe beside it. */
@@ -73,7 +57,7 @@
 
   /** Takes the time of an answered probe. */
   recordProbe(tookMs: number): void {
-    this._probes.add(tookMs, this._options.quantile);
+    this._probes.add(tookMs);
   }
 
   /** How long a call that should take `expectedMs` may be silent before the engine is asked. */
