gateway: a stream without a way on from its first engine waits again

Cause: the change before let it begin anew elsewhere at once. With zones of one copy each loss sends all streams of a zone to the others. Ruled out: beginning anew only where that leaves other zones half of their room: where that holds, a chain that changes zones has room as well. Conclusion: waiting stays.

--- a/packages/gateway/src/requests/StreamMover.ts
+++ b/packages/gateway/src/requests/StreamMover.ts
@@ -4,7 +4,6 @@
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
 import { expectTokens } from "../chains/expectTokens.js";
 import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
-import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import { OrderRefusedError, type EngineOrders, type OrderError } from "../orders/EngineOrders.js";
 import type { ForwardContext } from "./RequestForwarder.js";
@@ -60,11 +59,9 @@
     const chain = this._chooseOther(attempt, first, profile, before, faultyAddresses);
     // The room counts at once, so that the streams moved with this one are not all sent to the same engine.
     attempt.reservation.move(chain ?? before);
-    if (chain === undefined) {
-      if (this._canBeginAnew(attempt, profile, faultyAddresses))
-        this._giveUp(attempt, "no way on from its first engine");
-      return done;
-    }
+    // Without another chain the stream waits: the engine may come back, the gap be closed, or room come free, before it is given up. With
+    // zones of one copy, waiting earned 0.536 of the worth, and beginning anew elsewhere at once 0.519 (five days each).
+    if (chain === undefined) return done;
     const target = { id: first.endpointId, address: first.address };
     const moved = await this._orders.changeChain(target, attempt.request.id, chain);
     if (moved.err) {
@@ -94,7 +91,9 @@
     before: readonly ChainStage[],
     faultyAddresses: readonly string[],
   ): ChainStage[] | undefined {
-    return this._chooser.choose(this._getSound(attempt.service, faultyAddresses), profile, {
+    const usable = this._context.endpoints.getUsable(attempt.service);
+    const sound = usable.filter((endpoint) => !faultyAddresses.includes(endpoint.listed.address));
+    return this._chooser.choose(sound, profile, {
       ...expectTokens(attempt.request.fields),
       availabilityZone: this._context.availabilityZone,
       firstEndpointId: first.endpointId,
@@ -104,29 +103,6 @@
     });
   }
 
-  /**
-   * Whether another run could begin now. A stream without a way on from its first engine goes on as one at once: where a zone lost the
-   * only holders of some layers, 73 streams waited for 1.2 s and then did the same. Where nothing has room it waits: the engine may come
-   * back, or room may come free, before it is given up.
-   */
-  private _canBeginAnew(
-    attempt: StreamAttempt,
-    profile: EngineProfile,
-    faultyAddresses: readonly string[],
-  ): boolean {
-    const demand = {
-      ...expectTokens(attempt.request.fields),
-      availabilityZone: this._context.availabilityZone,
-    };
-    const sound = this._getSound(attempt.service, faultyAddresses);
-    return this._chooser.choose(sound, profile, demand) !== undefined;
-  }
-
-  private _getSound(service: string, faultyAddresses: readonly string[]): Endpoint[] {
-    const usable = this._context.endpoints.getUsable(service);
-    return usable.filter((endpoint) => !faultyAddresses.includes(endpoint.listed.address));
-  }
-
   /**
    * The engine named has no room, or is not there: the next try takes another, until the stream is given up. One that is to keep a part
    * needs no room, so its refusal tells of a loss.
