--- a/packages/gateway/src/tests/FakeEngines.ts
+++ b/packages/gateway/src/tests/FakeEngines.ts
@@ -11,7 +11,8 @@
 
 const noRoomStatus = 409;
 
-const idleReport: EngineReport = {
+/** What an engine reports that has nothing to say. */
+export const idleReport: EngineReport = {
   orderCount: 1,
   isBusy: false,
   layers: [],
--- a/packages/gateway/src/tests/patterns/SilentChains.ts
+++ b/packages/gateway/src/tests/patterns/SilentChains.ts
@@ -26,6 +26,7 @@
 import { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamProgress } from "../../requests/StreamProgress.js";
 import { createConfiguration, createListed, profile as smallProfile } from "../createParts.js";
+import { idleReport } from "../FakeEngines.js";
 import { createStreamRequest } from "../requests/createStreamRequest.js";
 import { SilentSink } from "../SilentSink.js";
 import { SimulatedClock } from "./SimulatedClock.js";
@@ -324,18 +325,6 @@
   }
 }
 
-const idleReport: EngineReport = {
-  orderCount: 1,
-  isBusy: false,
-  layers: [],
-  running: 1,
-  queued: 0,
-  usedTokenLayers: 0,
-  totalTokenLayers: 0,
-  slowness: 1,
-  stalled: [],
-};
-
 /** Orders whose answers the simulation gives. */
 class SimulatedOrders extends EngineOrders {
   constructor(
