--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -59,7 +59,7 @@
     this._mover = new StreamMover(_context, chooser, orders, _nowMs);
     this._questions = new EngineQuestions(orders, _pause, _nowMs);
     _context.endpoints.onChanged((endpoint, event) => {
-      if (event === "restarted") void this._leave([endpoint]);
+      if (event === "restarted") void this._leave([endpoint], "restarted");
       // A suspicion, told or found, explains silences before they are unusual by themselves.
       if (event === "suspected") this._wake.abort();
     });
@@ -178,7 +178,7 @@
     for (const engine of lost)
       this._context.suspicions.noteSilent(engine.id, "silent: no answer in a silent chain");
     const reports = engines.map((engine, index) => this._takeAnswer(engine, answers[index]));
-    await Promise.all([this._leave(lost), ...reports]);
+    await Promise.all([this._leave(lost, "silent"), ...reports]);
   }
 
   private _isAskDue(id: string, nowMs: number): boolean {
@@ -229,14 +229,16 @@
 
   /**
    * Whatever passes engines that are lost stands still, also where it is not silent for long yet. Streams that only pass them are moved,
-   * those that began there go on elsewhere or end, since nothing comes any more.
+   * those that began there go on elsewhere. One that may not be repeated ends only where it is sure that nothing comes any more.
    */
-  private async _leave(engines: readonly Endpoint[]): Promise<void> {
+  private async _leave(engines: readonly Endpoint[], evidence: "silent" | "restarted"): Promise<void> {
     const addresses = engines.map((engine) => engine.listed.address);
     const ids = new Set(engines.map((engine) => engine.id));
     const passing = this._getPassing(engines);
     const begun = passing.filter((attempt) => ids.has(attempt.firstStage?.endpointId ?? ""));
-    for (const attempt of begun) attempt.abort.abort();
+    for (const attempt of begun) {
+      if (attempt.request.isIdempotent || evidence === "restarted") attempt.abort.abort();
+    }
     const others = passing.filter((attempt) => !begun.includes(attempt));
     await Promise.all(others.map((attempt) => this._mover.move(attempt, addresses)));
   }
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -19,7 +19,7 @@
 import { SilentSink } from "../SilentSink.js";
 import { createStreamRequest } from "./createStreamRequest.js";
 
-function setUp() {
+function setUp(isResumable = true) {
   const clock = { nowMs: 10_000 };
   const endpoints = new EndpointTable(() => clock.nowMs);
   const listed = (id: string, start: number, end: number): [string, ListedEndpoint] => [
@@ -61,7 +61,7 @@
   });
   const reservation = new ChainReservation(endpoints, [stage("a", 0, 2), stage("b", 2, 4)], 4);
   const attempt = new StreamAttempt(
-    createStreamRequest("r1"),
+    createStreamRequest("r1", isResumable),
     "engines",
     reservation,
     new StreamProgress(undefined),
@@ -160,3 +160,21 @@
   t.false(attempt.abort.signal.aborted);
   t.deepEqual(orders.chains, []);
 });
+
+test("a stream that may not be repeated is not ended by its first engine's silence alone, and by its restart it is", async (t) => {
+  const { endpoints, orders, monitor, attempt } = setUp(false);
+  endpoints.noteStart("a", 1_000, [{ start: 0, end: 2 }]);
+  orders.silent.add("a");
+  await monitor.check();
+  t.true(endpoints.get("a")?.isSuspect(10_000));
+  t.false(attempt.abort.signal.aborted);
+  endpoints.noteStart("a", 2_000, []);
+  t.true(attempt.abort.signal.aborted);
+});
+
+test("a stream that may be repeated goes on elsewhere once its first engine gives no answer", async (t) => {
+  const { orders, monitor, attempt } = setUp();
+  orders.silent.add("a");
+  await monitor.check();
+  t.true(attempt.abort.signal.aborted);
+});
--- a/packages/gateway/src/tests/requests/createStreamRequest.ts
+++ b/packages/gateway/src/tests/requests/createStreamRequest.ts
@@ -5,8 +5,8 @@
 import { CallerRequest } from "../../requests/CallerRequest.js";
 import { createRoute } from "../createParts.js";
 
-/** Creates a request for a resumable stream of a few tokens. */
-export function createStreamRequest(requestId: string): CallerRequest {
+/** Creates a request for a stream of a few tokens. */
+export function createStreamRequest(requestId: string, isResumable = true): CallerRequest {
   return new CallerRequest({
     message: new EventEmitter() as http.IncomingMessage,
     response: new EventEmitter() as http.ServerResponse,
@@ -19,7 +19,7 @@
       answerTokensHint: undefined,
       lastEventId: undefined,
     },
-    route: createRoute({ kind: "streaming", isResumable: true }),
+    route: createRoute({ kind: "streaming", isResumable }),
     account: undefined,
     body: Buffer.alloc(0),
     arrivedAtMs: 0,
