common, gateway: one tick an interval, and a look that passes most streams over

Change: a tick that is nearer than 2 ms counts as reached; a look passes streams over whose silence is usual; chains are looked up one by one for the next moment only for a second after a suspicion.

--- a/packages/common/src/utils/tasks.ts
+++ b/packages/common/src/utils/tasks.ts
@@ -40,9 +40,14 @@
   });
 }
 
+/** Timers may end up to this much early; a tick that is nearer than this counts as reached. */
+const timerSlackMs = 2;
+
 /** Time until the next whole multiple of an interval, so that tasks with like intervals wake the process together. */
 export function getTimeToTick(intervalMs: number, nowMs = monotonicMs()): number {
-  return intervalMs - (nowMs % intervalMs);
+  const leftMs = intervalMs - (nowMs % intervalMs);
+  // Without this a timer that ends a part of a millisecond early leads to two ticks in a row: 16 a second instead of 10.
+  return leftMs < timerSlackMs ? leftMs + intervalMs : leftMs;
 }
 
 /**
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -23,6 +23,8 @@
  * twenty that look by turns is hardly later, and its word wakes the others.
  */
 const lookIntervalMs = 100;
+/** For this long after a suspicion streams that pass the engine are looked at one by one; then they have left it, or wait for a way. */
+const recentSuspicionMs = 1_000;
 /** While a stream passes an engine under suspicion its silence is waited for, to this. */
 const shortestSuspiciousLookMs = 5;
 /** An engine that has just answered is not asked again for this long; each further answer in a row doubles it. */
@@ -51,6 +53,7 @@
   private readonly _asked = new Map<string, Asked>();
   private readonly _mover: StreamMover;
   private readonly _questions: EngineQuestions;
+  private _suspectedAtMs = Number.NEGATIVE_INFINITY;
   /** Ends the wait for the next look. */
   private _wake = new AbortController();
 
@@ -66,7 +69,9 @@
     _context.endpoints.onChanged((endpoint, event) => {
       if (event === "restarted") void this._leave([endpoint], "restarted");
       // A suspicion, told or found, explains silences before they are unusual by themselves.
-      if (event === "suspected") this._wake.abort();
+      if (event !== "suspected") return;
+      this._suspectedAtMs = _nowMs();
+      this._wake.abort();
     });
   }
 
@@ -110,6 +115,7 @@
   private _getNextLookMs(): number {
     const nowMs = this._nowMs();
     let nextMs = utils.getTimeToTick(lookIntervalMs, nowMs);
+    if (nowMs - this._suspectedAtMs > recentSuspicionMs) return nextMs;
     for (const attempt of this._attempts) {
       const suspects = this._getSuspects(attempt, nowMs);
       if (suspects.length === 0) continue;
@@ -143,8 +149,10 @@
 
   private _isSilent(attempt: StreamAttempt, nowMs: number): boolean {
     if (attempt.isMoving || attempt.firstStage === undefined) return false;
-    const allowedMs = this._getAllowedSilenceMs(attempt, this._getSuspects(attempt, nowMs));
-    return nowMs - attempt.lastSignAtMs >= allowedMs;
+    const silenceMs = nowMs - attempt.lastSignAtMs;
+    // No silence is unusual below the usual longest one, whatever is suspected: most streams need no closer look.
+    if (attempt.hasEvents && silenceMs < (this.times.getUsualPauseMs(attempt.service) ?? 0)) return false;
+    return silenceMs >= this._getAllowedSilenceMs(attempt, this._getSuspects(attempt, nowMs));
   }
 
   private _giveUpIfLong(attempt: StreamAttempt, nowMs: number): boolean {
