gateway: streams of slow chains are given up before their callers leave, as any other

Ruled out: nothing. Before: the new test fails (a chain 20 times slower would have been looked into after 2 s). After: it passes.

--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -139,7 +139,8 @@
     if (!attempt.hasEvents) return this.times.getUnusualFirstEventMs(service, request.route);
     const usualMs = this.times.getUsualPauseMs(service);
     if (suspects.length > 0 && usualMs !== undefined) return Math.max(usualMs, usualPauseMs);
-    return this.times.getUnusualPauseMs(service, request.route, usualPauseMs) * this._getSlowness(attempt);
+    const unusualMs = this.times.getUnusualPauseMs(service, request.route, usualPauseMs);
+    return Math.min(giveUpSilenceMs, unusualMs * this._getSlowness(attempt));
   }
 
   private _getSlowness({ reservation }: StreamAttempt): number {
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -193,3 +193,13 @@
   await monitor.check();
   t.true(slow.isSuspect(clock.nowMs));
 });
+
+test("a stream of a slow chain is given up before its caller leaves, as any other", async (t) => {
+  const { clock, endpoints, monitor, attempt } = setUp();
+  const slow = endpoints.get("b");
+  if (slow === undefined) return t.fail();
+  slow.slowness = 20;
+  attempt.lastSignAtMs = clock.nowMs - 1_250;
+  await monitor.check();
+  t.true(attempt.abort.signal.aborted);
+});
