--- a/packages/gateway/src/orders/EngineQuestions.ts
+++ b/packages/gateway/src/orders/EngineQuestions.ts
@@ -18,7 +18,7 @@
 const shortestPatienceMs = 30;
 const longestPatienceMs = 150;
 /** Before the first answers: links take a few milliseconds, and small instances some more to handle what comes. */
-const firstPatienceMs = 35;
+const firstPatienceMs = 32;
 /** Where this process woke up later than it meant to by this share of its patience, answers may lie unread. */
 const unclearShare = 0.4;
 /** A question itself runs on for longer, so that a slow answer is measured. */
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -18,15 +18,11 @@
 import { StreamMover } from "./StreamMover.js";
 
 /**
- * Looks come this often, every other one together with the other ticks of an instance: an instance spends most of its time on waking up.
- * Looks at the moment of each next silence cost a fleet of 64 a tenth more processor time on a calm day; with this the first instance of
- * twenty that look by turns is hardly later, and its word wakes the others.
+ * Looks come together with the other ticks of an instance, which spends most of its time on waking up: at each next silence of a stream
+ * they cost a fleet of 64 a tenth more processor time on a calm day. Instances look by turns, so the first of twenty that meets a loss is
+ * some 10 ms later for it, and its word wakes the others.
  */
-const lookIntervalMs = 100;
-/** For this long after a suspicion streams that pass the engine are looked at one by one; then they have left it, or wait for a way. */
-const recentSuspicionMs = 1_000;
-/** While a stream passes an engine under suspicion its silence is waited for, to this. */
-const shortestSuspiciousLookMs = 5;
+const lookIntervalMs = 200;
 /** An engine that has just answered is not asked again for this long; each further answer in a row doubles it. */
 const askAgainMs = 300;
 const mostAskDoublings = 3;
@@ -53,7 +49,8 @@
   private readonly _asked = new Map<string, Asked>();
   private readonly _mover: StreamMover;
   private readonly _questions: EngineQuestions;
-  private _suspectedAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether there is a suspicion that the streams were not looked at again for. */
+  private _isSuspicionNew = false;
   /** Ends the wait for the next look. */
   private _wake = new AbortController();
 
@@ -70,7 +67,7 @@
       if (event === "restarted") void this._leave([endpoint], "restarted");
       // A suspicion, told or found, explains silences before they are unusual by themselves.
       if (event !== "suspected") return;
-      this._suspectedAtMs = _nowMs();
+      this._isSuspicionNew = true;
       this._wake.abort();
     });
   }
@@ -111,18 +108,25 @@
     await Promise.all([...moves, this._askChains(unexplained, nowMs)]);
   }
 
-  /** Time until the next look: the next tick, or the moment at which a stream that passes a suspect is silent for too long. */
+  /**
+   * Time until the next look: the next tick, or, once after a suspicion, the moment at which all streams that pass a suspect would have
+   * been silent for too long.
+   */
   private _getNextLookMs(): number {
     const nowMs = this._nowMs();
-    let nextMs = utils.getTimeToTick(lookIntervalMs, nowMs);
-    if (nowMs - this._suspectedAtMs > recentSuspicionMs) return nextMs;
-    for (const attempt of this._attempts) {
-      const suspects = this._getSuspects(attempt, nowMs);
-      if (suspects.length === 0) continue;
-      const leftMs = this._getAllowedSilenceMs(attempt, suspects) - (nowMs - attempt.lastSignAtMs);
-      if (leftMs > 0) nextMs = Math.min(nextMs, Math.max(shortestSuspiciousLookMs, leftMs));
-    }
-    return nextMs;
+    const tickMs = utils.getTimeToTick(lookIntervalMs, nowMs);
+    if (!this._isSuspicionNew) return tickMs;
+    const lefts = [...this._attempts].map((attempt) => this._getLeftMs(attempt, nowMs));
+    const leftMs = Math.max(0, ...lefts);
+    this._isSuspicionNew = leftMs >= tickMs;
+    return leftMs > 0 ? Math.min(tickMs, leftMs) : tickMs;
+  }
+
+  /** Time until a stream that passes a suspect is silent for too long; 0 for the others. */
+  private _getLeftMs(attempt: StreamAttempt, nowMs: number): number {
+    const suspects = this._getSuspects(attempt, nowMs);
+    if (suspects.length === 0) return 0;
+    return this._getAllowedSilenceMs(attempt, suspects) - (nowMs - attempt.lastSignAtMs);
   }
 
   private async _readArrived(): Promise<void> {
