--- a/packages/gateway/src/orders/EngineQuestions.ts
+++ b/packages/gateway/src/orders/EngineQuestions.ts
@@ -13,12 +13,13 @@
   | { readonly kind: "unclear" };
 
 const usualShare = 0.99;
-/** An answer may take this many times the usual longest time, between these bounds. */
+/**
+ * An answer may take this many times the usual longest time, between these bounds; before the first answers the shorter one holds, since
+ * links take a few milliseconds, and small instances some more to handle what comes.
+ */
 const patienceFactor = 3;
 const shortestPatienceMs = 30;
 const longestPatienceMs = 150;
-/** Before the first answers: links take a few milliseconds, and small instances some more to handle what comes. */
-const firstPatienceMs = 32;
 /** Where this process woke up later than it meant to by this share of its patience, answers may lie unread. */
 const unclearShare = 0.4;
 /** A question itself runs on for longer, so that a slow answer is measured. */
@@ -43,7 +44,7 @@
   /** How long an engine may take to answer before it counts as silent. */
   getPatienceMs(): number {
     const usualMs = this._answerTimes.quantile;
-    if (usualMs === undefined) return firstPatienceMs;
+    if (usualMs === undefined) return shortestPatienceMs;
     return Math.min(longestPatienceMs, Math.max(shortestPatienceMs, usualMs * patienceFactor));
   }
 
