gateway, common: what peers tell of an endpoint is taken by one function

Four notices of peers (suspicion, full, slowness, layers) each parsed, refused and looked up the endpoint's life by code of their own; SampleWindow had a count that nothing reads. Ruled out: the notice of a restart: it names an endpoint and not a life, so it stays apart. Change: PeerExchange._onEndpoint; the count is gone. No behaviour changes.

--- a/packages/common/src/utils/SampleWindow.ts
+++ b/packages/common/src/utils/SampleWindow.ts
@@ -30,11 +30,6 @@
     this._quantile = getQuantile(this._samples, share);
   }
 
-  /** Samples that were taken since the start. */
-  get count(): number {
-    return this._count;
-  }
-
   /** The quantile; undefined before the first samples are in. */
   get quantile(): number | undefined {
     return this._quantile;
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -2,6 +2,7 @@
 import { utils } from "@shedtiller/common";
 import type { Member, Membership, PeerIdentity } from "@shedtiller/membership";
 import type * as zod from "zod";
+import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { LayerSpan, ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
@@ -78,10 +79,7 @@
       pause: this._pause,
       random: this._random,
     });
-    membership.onNotice(peerTopics.suspect, (body, from) => this._takeSuspicion(body, from));
-    membership.onNotice(peerTopics.full, (body, from) => this._takeFull(body, from));
-    membership.onNotice(peerTopics.slowness, (body, from) => this._takeSlowness(body, from));
-    membership.onNotice(peerTopics.layers, (body, from) => this._takeLayers(body, from));
+    this._listenForEndpoints();
     membership.onNotice(peerTopics.restarted, (body, from) => this._takeRestart(body, from));
     membership.onNotice(peerTopics.newVersion, (body, from) => this._takeNewVersion(body, from));
     membership.onRequest(peerTopics.endpoints, (body) => this._answerEndpoints(body));
@@ -145,35 +143,31 @@
   private readonly _isOwnZone = (member: Member): boolean =>
     member.availabilityZone === this._structure.membership.self.availabilityZone;
 
-  private _takeSuspicion(body: unknown, from: PeerIdentity): void {
-    const suspicion = endpointSchema.safeParse(body);
-    const { endpoints, log } = this._structure;
-    if (!suspicion.success) return notePeerMessageInvalid(log, peerTopics.suspect, from);
-    const endpoint = endpoints.getLife(suspicion.data.lifeId);
-    if (endpoint !== undefined) endpoints.suspect(endpoint.id);
-  }
-
-  private _takeFull(body: unknown, from: PeerIdentity): void {
-    const told = endpointSchema.safeParse(body);
-    const { endpoints, log } = this._structure;
-    if (!told.success) return notePeerMessageInvalid(log, peerTopics.full, from);
-    endpoints.getLife(told.data.lifeId)?.noteFull(this._nowMs());
-  }
-
-  private _takeSlowness(body: unknown, from: PeerIdentity): void {
-    const told = slownessSchema.safeParse(body);
-    const { endpoints, log } = this._structure;
-    if (!told.success) return notePeerMessageInvalid(log, peerTopics.slowness, from);
-    const endpoint = endpoints.getLife(told.data.lifeId);
-    if (endpoint !== undefined) endpoint.slowness = told.data.slowness;
+  private _listenForEndpoints(): void {
+    const { endpoints } = this._structure;
+    this._onEndpoint(peerTopics.suspect, endpointSchema, (endpoint) => endpoints.suspect(endpoint.id));
+    this._onEndpoint(peerTopics.full, endpointSchema, (endpoint) => endpoint.noteFull(this._nowMs()));
+    this._onEndpoint(peerTopics.slowness, slownessSchema, (endpoint, { slowness }) => {
+      endpoint.slowness = slowness;
+    });
+    this._onEndpoint(peerTopics.layers, heldLayersSchema, (endpoint, { layers }) =>
+      endpoints.setLayers(endpoint, layers),
+    );
   }
 
-  private _takeLayers(body: unknown, from: PeerIdentity): void {
-    const told = heldLayersSchema.safeParse(body);
-    const { endpoints, log } = this._structure;
-    if (!told.success) return notePeerMessageInvalid(log, peerTopics.layers, from);
-    const endpoint = endpoints.getLife(told.data.lifeId);
-    if (endpoint !== undefined) endpoints.setLayers(endpoint, told.data.layers);
+  /** Takes what peers tell of an endpoint, if it is of the life of its process that is known here. */
+  private _onEndpoint<T extends { lifeId: string }>(
+    topic: string,
+    schema: zod.ZodType<T>,
+    take: (endpoint: Endpoint, told: T) => void,
+  ): void {
+    const { membership, endpoints, log } = this._structure;
+    membership.onNotice(topic, (body, from) => {
+      const told = schema.safeParse(body);
+      if (!told.success) return notePeerMessageInvalid(log, topic, from);
+      const endpoint = endpoints.getLife(told.data.lifeId);
+      if (endpoint !== undefined) take(endpoint, told.data);
+    });
   }
 
   private _takeRestart(body: unknown, from: PeerIdentity): void {
