entry: why an engine that is due gets no order is logged

Cause: a rollout that stood still under load left no line that tells who gives the orders and what holds them back. Four hypotheses (no lease, no report, a version in use, a request without an end) could not be told apart. Change: OrderKeeper logs, for each engine that is to hold something else, why it is not ordered, whenever that changes.

--- a/packages/entry/src/feeds/VersionsInUse.ts
+++ b/packages/entry/src/feeds/VersionsInUse.ts
@@ -66,8 +66,16 @@
 
   /** Whether a version may be in use, here or at one of the named others. One that has not told may use all. */
   mayBeUsed(pipeline: PipelineObject, version: string, names: Iterable<string>): boolean {
-    if (this._getOwnVersions(pipeline).includes(version)) return true;
-    return [...names].some((name) => this._others.get(name)?.get(pipeline.name)?.includes(version) ?? true);
+    return this.getUsers(pipeline, version, names).length > 0;
+  }
+
+  /** Where a version may be in use: here, and at those of the named others that use it or have not told. */
+  getUsers(pipeline: PipelineObject, version: string, names: Iterable<string>): string[] {
+    const isOwn = this._getOwnVersions(pipeline).includes(version);
+    const others = [...names].filter(
+      (name) => this._others.get(name)?.get(pipeline.name)?.includes(version) ?? true,
+    );
+    return isOwn ? ["this instance", ...others] : others;
   }
 
   private _getOwnVersions(pipeline: PipelineObject): string[] {
--- a/packages/entry/src/orders/OrderKeeper.ts
+++ b/packages/entry/src/orders/OrderKeeper.ts
@@ -46,6 +46,8 @@
   private _lastToken: number | undefined;
   /** Since when each version has been held by a whole chain, by model and version. */
   private readonly _wholeSinceMs = new Map<string, number>();
+  /** Why each engine that is to hold something else has got no order yet, as it was last logged. */
+  private readonly _holds = new Map<string, string>();
 
   constructor(private readonly _structure: OrderKeeperStructure) {}
 
@@ -64,14 +66,18 @@
     const { membership, holder, fold, directory } = this._structure;
     this._noteWholeVersions();
     const due = this._findDue();
-    if (due.length === 0 || !membership.ownsDuty("orders")) return;
-    if (!(await holder.keep())) return;
+    if (due.length === 0) return;
+    if (!membership.ownsDuty("orders")) return this._noteHolds(due, "another instance gives the orders");
+    if (!(await holder.keep())) return this._noteHolds(due, "the lease is not ours");
     this._noteToken(holder.getToken());
     // Where no engine can be spared, there is no way to the wanted placement but through a gap.
     const isGapNeeded = due.every((entry) => !keepsChain(fold, directory, entry));
     for (const entry of due) {
       const wanted = getWanted(fold, entry.name);
-      if (wanted === undefined || !this._mayChange(entry, isGapNeeded)) continue;
+      if (wanted === undefined) continue;
+      const hold = this._getHold(entry, isGapNeeded);
+      this._noteHolds([entry], hold);
+      if (hold !== undefined) continue;
       await this._order(entry, wanted);
       return;
     }
@@ -91,23 +97,26 @@
   }
 
   /**
-   * Whether what an engine serves keeps a whole chain without it, or another version is whole and no instance uses this one any more.
-   * An instance that has not heard of the new version begins requests on the old chain, and nothing could go on with those: a notice
-   * by time alone, of 1 s, cut a stream in one of some 50 runs of the tests on a machine with many times more to do than it has cores.
+   * Why the chain that an engine is part of must not be broken up yet: it is the only whole one, or the last one of a version that some
+   * instance still uses. An instance that has not heard of the new version begins requests on the old chain, and nothing could go on with
+   * those: a notice by time alone, of 1 s, cut a stream in one of some 50 runs of the tests on a machine with many times more to do than
+   * it has cores.
    */
-  private _isSpared(entry: EndpointEntry): boolean {
-    const { fold, directory } = this._structure;
+  private _getChainHold(entry: EndpointEntry): string | undefined {
+    const { fold, directory, versions } = this._structure;
     const { report } = entry;
     const pipeline = report === undefined ? undefined : fold.getObject("pipeline", report.model);
-    if (report?.layers === undefined || pipeline === undefined) return true;
+    if (report?.layers === undefined || pipeline === undefined) return undefined;
     const whole = getWholeVersions(directory, pipeline, entry);
-    if (whole.includes(report.version)) return true;
-    if (whole.length === 0) return false;
-    if (!this._structure.versions.mayBeUsed(pipeline, report.version, this._getSources())) return true;
+    if (whole.includes(report.version)) return undefined;
+    if (whole.length === 0) return "no chain is whole without it";
+    const users = versions.getUsers(pipeline, report.version, this._getSources());
+    if (users.length === 0) return undefined;
     const noticeEndMs = utils.monotonicMs() - longestNoticeMs;
     const getSinceMs = (version: string): number =>
       this._wholeSinceMs.get(`${pipeline.name}@${version}`) ?? Number.POSITIVE_INFINITY;
-    return whole.some((version) => getSinceMs(version) <= noticeEndMs);
+    if (whole.some((version) => getSinceMs(version) <= noticeEndMs)) return undefined;
+    return `version ${report.version} may be in use at ${users.join(", ")}`;
   }
 
   /** Who may use the engines beside this instance: the linked instances of the zone, and the other zones. */
@@ -136,19 +145,31 @@
   }
 
   /**
-   * An engine may be changed once no stream runs there, or after a while; and only if the model that it serves now
-   * keeps a whole chain without it, or it holds nothing that is in use.
+   * Why an engine must not be changed yet, or undefined. It may be once no stream runs there, or after a while; and only if the model that
+   * it serves now keeps a whole chain without it, or it holds nothing that is in use.
    */
-  private _mayChange(entry: EndpointEntry, isGapNeeded: boolean): boolean {
+  private _getHold(entry: EndpointEntry, isGapNeeded: boolean): string | undefined {
     const { report } = entry;
-    if (report === undefined) return false;
+    if (report === undefined) return "it has not reported";
     const isChecked = report.checksOrders || utils.monotonicMs() >= this._quietUntilMs;
-    if (!isChecked) return false;
-    if (!isGapNeeded && !this._isSpared(entry)) return false;
-    if (report.layers === undefined || report.activeStreams === 0) return true;
+    if (!isChecked) return "orders of an older lease may still be on their way";
+    const chainHold = isGapNeeded ? undefined : this._getChainHold(entry);
+    if (chainHold !== undefined) return chainHold;
+    if (report.layers === undefined || report.activeStreams === 0) return undefined;
     const sinceMs = this._drainingSinceMs.get(entry.name) ?? utils.monotonicMs();
     this._drainingSinceMs.set(entry.name, sinceMs);
-    return utils.monotonicMs() - sinceMs > drainTimeoutMs;
+    if (utils.monotonicMs() - sinceMs > drainTimeoutMs) return undefined;
+    return "streams run there";
+  }
+
+  /** Logs why engines get no order where that has changed. */
+  private _noteHolds(entries: readonly EndpointEntry[], hold: string | undefined): void {
+    for (const { name } of entries) {
+      if (this._holds.get(name) === hold) continue;
+      if (hold === undefined) this._holds.delete(name);
+      else this._holds.set(name, hold);
+      if (hold !== undefined) this._structure.log.info(`${name} is not ordered yet: ${hold}.`);
+    }
   }
 
   private async _order(entry: EndpointEntry, wanted: WantedHolding): Promise<void> {
