entry, pipeline: the last chain of a version is broken up only on every instance's word, and streams whose version is gone end or go on

Symptom: a stream of a rollout is without an answer for 120 s and then ends cut, and meanwhile the rollout looks as if it had no end. Cause: (1) what an instance told of the versions it uses was taken for what it does now; one that lost sight of the new version began streams on the old chain while its last engines were ordered. (2) instances without a link were not waited for. (3) engines that load counted for nothing, so that a gap was taken for needed while they did. (4) after 30 s the last chain was broken up whatever was told. (5) a stream whose version no engine holds any more looked for a chain until its deadline, and counted as a user of that version. Change: VersionRetirement asks every listed instance just before the last chain goes; its answer binds it for 5 s, longer than the order takes (VersionsInUse.close), and requests that come meanwhile wait for the new version. One that answers nothing is waited for 30 s, one that uses the version for as long as it says so. Engines that load make no gap. A stream whose version is gone goes on with the new one if its caller has no token yet, else ends at once. Requests begin on the pipeline as it is then, not as it was when they came.

--- a/packages/entry/src/ModelQueues.ts
+++ b/packages/entry/src/ModelQueues.ts
@@ -24,6 +24,8 @@
 /** Holds the queues. */
 export class ModelQueues {
   private readonly _queues = new Map<string, Admission>();
+  /** The newest form of each pipeline, by its name: its version changes while its queue stays. */
+  private readonly _pipelines = new Map<string, PipelineObject>();
   private readonly _limits = new Map<string, { streams: number; atMs: number }>();
   private _demands: PipelineDemands | undefined;
   private _getInstanceCount: () => number = () => 1;
@@ -59,6 +61,7 @@
     pipeline: PipelineObject,
     request: AdmissionRequest,
   ): Promise<results.Result<AdmissionPermit, AdmissionRefusedError>> {
+    this._pipelines.set(pipeline.name, pipeline);
     const known = this._queues.get(pipeline.name) ?? this._addQueue(pipeline);
     return known.acquire(request);
   }
@@ -72,7 +75,7 @@
   }
 
   private _addQueue(pipeline: PipelineObject): Admission {
-    const queue = this._createQueue(() => this._getLimit(pipeline));
+    const queue = this._createQueue(() => this._getLimit(this._pipelines.get(pipeline.name) ?? pipeline));
     this._queues.set(pipeline.name, queue);
     return queue;
   }
--- a/packages/entry/src/composeEntry.ts
+++ b/packages/entry/src/composeEntry.ts
@@ -30,6 +30,7 @@
 import { TimelineGatherer } from "./operators/TimelineGatherer.js";
 import { parts } from "./parts.js";
 import { OrderKeeper } from "./orders/OrderKeeper.js";
+import { VersionRetirement } from "./orders/VersionRetirement.js";
 import type { InstanceSecrets } from "./secrets.js";
 import { Tokenizer, WordTokenizer } from "./text/Tokenizer.js";
 
@@ -293,6 +294,17 @@
       });
     })
     .inSingletonScope();
+  container
+    .bind(VersionRetirement)
+    .toDynamicValue((c) => {
+      const fold = c.get(intent.ConfigurationFold);
+      return new VersionRetirement({
+        membership: c.get(membership.Membership),
+        versions: c.get(VersionsInUse),
+        getPipeline: (model) => fold.getObject("pipeline", model),
+      });
+    })
+    .inSingletonScope();
   container
     .bind(OrderKeeper)
     .toDynamicValue((c) => {
@@ -301,6 +313,7 @@
         directory: c.get(routing.EndpointDirectory),
         membership: c.get(membership.Membership),
         versions: c.get(VersionsInUse),
+        retirement: c.get(VersionRetirement),
         holder: c.get(lease.LeaseHolder),
         timeline: c.get(timeline.Timeline),
         log: c.get<Logs>(parts.logs).forPart("orders"),
--- a/packages/entry/src/feeds/VersionsInUse.ts
+++ b/packages/entry/src/feeds/VersionsInUse.ts
@@ -2,24 +2,77 @@
  * Which versions of each pipeline are in use, at this instance and at the others. The last chain of a version may be broken up only
  * where no instance begins requests there or has some under way: nothing else could go on with them.
  */
+import { utils } from "@shedtiller/common";
 import type { EndpointDirectory } from "@shedtiller/routing";
 import type { PipelineObject } from "@shedtiller/intent";
-import { getServedVersion } from "../orders/servedVersions.js";
+import { getServedVersion, getWholeVersions } from "../orders/servedVersions.js";
+
+/**
+ * How long an instance begins nothing on a version after it has said so. The order that relies on it is sent within a second, once all
+ * others have answered or have had the time to, and takes effect within two more or never.
+ */
+const closedMs = 5_000;
+const openAgainPollMs = 20;
 
 /** Versions of one pipeline that an instance begins requests with, or has some under way with. */
 export type VersionUse = [model: string, versions: string[]];
 
+/** A version that a request runs with, and the function that notes its end. */
+export interface VersionEntry {
+  readonly version: string;
+  readonly leave: () => void;
+}
+
+/** Until when a request may wait for a version that it can begin on. */
+export interface BeginOptions {
+  /** Monotonic milliseconds. */
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+}
+
 /** Holds what is in use here, and what was last heard of the others. */
 export class VersionsInUse {
   /** Requests under way, by model and version. */
   private readonly _running = new Map<string, Map<string, number>>();
   private readonly _others = new Map<string, ReadonlyMap<string, readonly string[]>>();
+  /** Monotonic milliseconds until which nothing begins on a version, by model and version. */
+  private readonly _closedUntilMs = new Map<string, Map<string, number>>();
 
   constructor(
     private readonly _directory: EndpointDirectory,
     private readonly _getPipelines: () => readonly PipelineObject[],
   ) {}
 
+  /** The version that a request gets that begins now. */
+  getServed(pipeline: PipelineObject): string {
+    return getServedVersion(this._directory, pipeline, (version) => !this._isClosed(pipeline.name, version));
+  }
+
+  /**
+   * Begins a request on the version that is served now. Where the only whole chains are of a version on which nothing may begin, it waits
+   * until another one is whole or that one is free again, for some seconds at the most: engines of the new version are loading then.
+   */
+  async begin(pipeline: PipelineObject, options: BeginOptions): Promise<VersionEntry> {
+    while (this._hasOnlyClosed(pipeline, getWholeVersions(this._directory, pipeline))) {
+      if (options.signal.aborted || utils.monotonicMs() >= options.deadlineMs) break;
+      await utils.sleep(openAgainPollMs, options.signal).catch(() => undefined);
+    }
+    const version = this.getServed(pipeline);
+    return { version, leave: this.enter(pipeline.name, version) };
+  }
+
+  /**
+   * Says that nothing begins on a version here for five seconds, unless it is in use; tells whether it is not.
+   * @param isGap - No version is whole without the engines in question, so that this one being served is no reason against it.
+   */
+  close(pipeline: PipelineObject, version: string, isGap: boolean): boolean {
+    const isRunning = this._running.get(pipeline.name)?.has(version) ?? false;
+    if (isRunning || (!isGap && this.getServed(pipeline) === version)) return false;
+    const closed = this._closedUntilMs.get(pipeline.name) ?? new Map<string, number>();
+    this._closedUntilMs.set(pipeline.name, closed.set(version, utils.monotonicMs() + closedMs));
+    return true;
+  }
+
   /** Notes a request that begins; the function that comes back notes its end. */
   enter(model: string, version: string): () => void {
     const counts = this._running.get(model) ?? new Map<string, number>();
@@ -80,6 +133,19 @@
 
   private _getOwnVersions(pipeline: PipelineObject): string[] {
     const running = this._running.get(pipeline.name)?.keys() ?? [];
-    return [...new Set([getServedVersion(this._directory, pipeline), ...running])];
+    return [...new Set([this.getServed(pipeline), ...running])];
+  }
+
+  private _isClosed(model: string, version: string): boolean {
+    return utils.monotonicMs() < (this._closedUntilMs.get(model)?.get(version) ?? 0);
+  }
+
+  /** Whether no version can be served but ones on which nothing may begin, or whose chain is being broken up right now. */
+  private _hasOnlyClosed({ name }: PipelineObject, whole: readonly string[]): boolean {
+    const closed = [...(this._closedUntilMs.get(name)?.keys() ?? [])];
+    return (
+      closed.some((version) => this._isClosed(name, version)) &&
+      whole.every((version) => this._isClosed(name, version))
+    );
   }
 }
--- a/packages/entry/src/http/CompletionHandler.ts
+++ b/packages/entry/src/http/CompletionHandler.ts
@@ -13,6 +13,7 @@
   type PipelineAnswer,
   type PipelineContext,
   type PipelineError,
+  type VersionChoice,
 } from "@shedtiller/pipeline";
 import type { InstanceSettings } from "@shedtiller/settings";
 import type { Timeline } from "@shedtiller/timeline";
@@ -20,7 +21,6 @@
 import type * as http from "node:http";
 import type { InstanceMetrics } from "../metrics/InstanceMetrics.js";
 import type { VersionsInUse } from "../feeds/VersionsInUse.js";
-import { getServedVersion } from "../orders/servedVersions.js";
 import type { ModelQueues } from "../ModelQueues.js";
 import type { Tokenizer } from "../text/Tokenizer.js";
 import type { InFlight } from "../InFlight.js";
@@ -68,6 +68,13 @@
   readonly signal: AbortSignal;
 }
 
+/** The version that a request runs with. */
+interface HeldVersion extends VersionChoice {
+  readonly first: string;
+  /** Notes the end of the request. */
+  leave(): void;
+}
+
 type Answered = results.Result<PipelineAnswer, PipelineError | AdmissionRefusedError>;
 
 /** Handles `/v1/chat/completions` and `/v1/completions`. */
@@ -225,17 +232,20 @@
     queue: AdmissionPermit,
     arrivedAtMs: number,
   ): Promise<Answered> {
-    const { pipeline: context, tokenizer, versions } = this._structure;
-    const model = completion.pipeline.name;
-    const version = getServedVersion(context.directory, completion.pipeline);
+    const { pipeline: context, tokenizer } = this._structure;
+    // The version may have changed while the request waited.
+    const pipeline =
+      this._structure.fold.getObject("pipeline", completion.pipeline.name) ?? completion.pipeline;
+    const versions = await this._beginVersion(pipeline, completion);
     const meter = this._createMeter(completion.rank, arrivedAtMs);
     const run = new PipelineRun(
       context,
       {
         requestId: completion.requestId,
-        model,
-        version,
-        layerCount: completion.pipeline.layerCount,
+        model: pipeline.name,
+        version: versions.first,
+        versions,
+        layerCount: pipeline.layerCount,
         promptTokens: completion.promptTokens,
         maxTokens: completion.maxTokens,
         priority: completion.rank,
@@ -243,7 +253,6 @@
       },
       completion.signal,
     );
-    const leaveVersion = versions.enter(model, version);
     let answered = 0;
     try {
       return await run.run((token) => {
@@ -252,12 +261,30 @@
         writer.addToken(tokenizer.decode(token));
       });
     } finally {
-      leaveVersion();
+      versions.leave();
       queue.release();
       account.release(answered === 0 ? 0 : completion.promptTokens.length + answered);
     }
   }
 
+  /** Begins on the version that is served now, and goes over to another where the request may and must. */
+  private async _beginVersion(pipeline: intent.PipelineObject, completion: Completion): Promise<HeldVersion> {
+    const { versions, fold } = this._structure;
+    const begun = await versions.begin(pipeline, completion);
+    let { leave } = begun;
+    return {
+      first: begun.version,
+      leave: () => leave(),
+      isReplaced: (version) => fold.getObject("pipeline", pipeline.name)?.version !== version,
+      changeVersion: () => {
+        const served = versions.getServed(fold.getObject("pipeline", pipeline.name) ?? pipeline);
+        leave();
+        leave = versions.enter(pipeline.name, served);
+        return served;
+      },
+    };
+  }
+
   /** Notes the time to the first token, then the time between tokens. */
   private _createMeter(rank: number, arrivedAtMs: number): () => void {
     const { metrics } = this._structure;
--- a/packages/entry/src/orders/OrderKeeper.ts
+++ b/packages/entry/src/orders/OrderKeeper.ts
@@ -7,6 +7,7 @@
 import type { Timeline } from "@shedtiller/timeline";
 import type { VersionsInUse } from "../feeds/VersionsInUse.js";
 import { getZoneSource } from "../feeds/zoneFeedMessages.js";
+import type { VersionRetirement } from "./VersionRetirement.js";
 import type { PartLog } from "../logs/createLogs.js";
 import { getWholeVersions } from "./servedVersions.js";
 
@@ -14,11 +15,8 @@
 /** Life of an order, after which engines that check it drop it. Shorter than the unusable part of a lease. */
 export const orderLifeMs = 2_000;
 const drainTimeoutMs = 30_000;
-/**
- * An instance that never tells which versions it uses must not stop a rollout: after this the last chain of a version is broken up all
- * the same, as an engine with streams is ordered after a drain of this length.
- */
-const longestNoticeMs = drainTimeoutMs;
+/** An engine that has not reported for this long after an order counts as loading no more. */
+const longestOrderMs = 30_000;
 
 /** What an engine is to hold, by the configuration in force. */
 export interface WantedHolding {
@@ -33,6 +31,7 @@
   readonly directory: EndpointDirectory;
   readonly membership: Membership;
   readonly versions: VersionsInUse;
+  readonly retirement: VersionRetirement;
   readonly holder: LeaseHolder;
   readonly timeline: Timeline;
   readonly log: PartLog;
@@ -44,8 +43,8 @@
   /** Engines that don't check orders get none before an older lease's orders have died out. */
   private _quietUntilMs = 0;
   private _lastToken: number | undefined;
-  /** Since when each version has been held by a whole chain, by model and version. */
-  private readonly _wholeSinceMs = new Map<string, number>();
+  /** When each engine was last ordered. */
+  private readonly _orderedAtMs = new Map<string, number>();
   /** Why each engine that is to hold something else has got no order yet, as it was last logged. */
   private readonly _holds = new Map<string, string>();
 
@@ -64,18 +63,18 @@
 
   private async _tick(): Promise<void> {
     const { membership, holder, fold, directory } = this._structure;
-    this._noteWholeVersions();
     const due = this._findDue();
+    this._forgetSettled();
     if (due.length === 0) return;
     if (!membership.ownsDuty("orders")) return this._noteHolds(due, "another instance gives the orders");
     if (!(await holder.keep())) return this._noteHolds(due, "the lease is not ours");
     this._noteToken(holder.getToken());
-    // Where no engine can be spared, there is no way to the wanted placement but through a gap.
-    const isGapNeeded = due.every((entry) => !keepsChain(fold, directory, entry));
+    // Where no engine can be spared, there is no way to the wanted placement but through a gap; but engines that load may soon make one.
+    const isGapNeeded = !this._isLoading() && due.every((entry) => !keepsChain(fold, directory, entry));
     for (const entry of due) {
       const wanted = getWanted(fold, entry.name);
       if (wanted === undefined) continue;
-      const hold = this._getHold(entry, isGapNeeded);
+      const hold = this._getHold(entry, isGapNeeded) ?? (await this._askToRetire(entry, isGapNeeded));
       this._noteHolds([entry], hold);
       if (hold !== undefined) continue;
       await this._order(entry, wanted);
@@ -83,43 +82,66 @@
     }
   }
 
-  private _noteWholeVersions(): void {
-    const { fold, directory } = this._structure;
-    const whole = fold
-      .getObjects("pipeline")
-      .flatMap((pipeline) =>
-        getWholeVersions(directory, pipeline).map((version) => `${pipeline.name}@${version}`),
-      );
-    for (const key of this._wholeSinceMs.keys()) if (!whole.includes(key)) this._wholeSinceMs.delete(key);
-    for (const key of whole) {
-      if (!this._wholeSinceMs.has(key)) this._wholeSinceMs.set(key, utils.monotonicMs());
+  /** Forgets what was noted of engines that hold what they are to hold: the next order to them is another matter. */
+  private _forgetSettled(): void {
+    const { directory, fold } = this._structure;
+    for (const noted of [this._drainingSinceMs, this._holds]) {
+      for (const name of noted.keys()) {
+        const entry = directory.getEntry(name);
+        const isSettled = entry?.report !== undefined && isAsWanted(entry, getWanted(fold, name));
+        if (entry === undefined || isSettled) noted.delete(name);
+      }
     }
   }
 
+  /** Whether engines of our zone load what they were ordered to hold. */
+  private _isLoading(): boolean {
+    const { directory, membership } = this._structure;
+    const zone = membership.self.availabilityZone;
+    const earliestMs = utils.monotonicMs() - longestOrderMs;
+    return directory.getEntries().some((entry) => {
+      if (entry.availabilityZone !== zone || entry.isLeaving || entry.isUnreachable) return false;
+      if (entry.report !== undefined) return entry.report.state === "loading";
+      return (this._orderedAtMs.get(entry.name) ?? Number.NEGATIVE_INFINITY) >= earliestMs;
+    });
+  }
+
   /**
-   * Why the chain that an engine is part of must not be broken up yet: it is the only whole one, or the last one of a version that some
-   * instance still uses. An instance that has not heard of the new version begins requests on the old chain, and nothing could go on with
-   * those: a notice by time alone, of 1 s, cut a stream in one of some 50 runs of the tests on a machine with many times more to do than
-   * it has cores.
+   * Why the chain that an engine is part of must not be broken up yet, by what was told: it is the only whole one, or the last one of a
+   * version that some instance still uses.
    */
   private _getChainHold(entry: EndpointEntry): string | undefined {
-    const { fold, directory, versions } = this._structure;
+    const { directory, versions } = this._structure;
+    const held = this._getLastHeld(entry);
+    if (held === undefined) return undefined;
+    const { pipeline, version } = held;
+    if (getWholeVersions(directory, pipeline, entry).length === 0) return "no chain is whole without it";
+    const users = versions.getUsers(pipeline, version, this._getSources());
+    return users.length === 0 ? undefined : `version ${version} may be in use at ${users.join(", ")}`;
+  }
+
+  /** The version of which an engine is part of the last whole chain; undefined where there is another. */
+  private _getLastHeld(entry: EndpointEntry): { pipeline: PipelineObject; version: string } | undefined {
+    const { fold, directory } = this._structure;
     const { report } = entry;
     const pipeline = report === undefined ? undefined : fold.getObject("pipeline", report.model);
     if (report?.layers === undefined || pipeline === undefined) return undefined;
-    const whole = getWholeVersions(directory, pipeline, entry);
-    if (whole.includes(report.version)) return undefined;
-    if (whole.length === 0) return "no chain is whole without it";
-    const users = versions.getUsers(pipeline, report.version, this._getSources());
-    if (users.length === 0) return undefined;
-    const noticeEndMs = utils.monotonicMs() - longestNoticeMs;
-    const getSinceMs = (version: string): number =>
-      this._wholeSinceMs.get(`${pipeline.name}@${version}`) ?? Number.POSITIVE_INFINITY;
-    if (whole.some((version) => getSinceMs(version) <= noticeEndMs)) return undefined;
-    return `version ${report.version} may be in use at ${users.join(", ")}`;
-  }
-
-  /** Who may use the engines beside this instance: the linked instances of the zone, and the other zones. */
+    if (getWholeVersions(directory, pipeline, entry).includes(report.version)) return undefined;
+    return { pipeline, version: report.version };
+  }
+
+  /** Asks all instances to begin nothing on a version whose last chain is about to be broken up. */
+  private async _askToRetire(entry: EndpointEntry, isGapNeeded: boolean): Promise<string | undefined> {
+    const held = this._getLastHeld(entry);
+    if (held === undefined) return undefined;
+    const hold = await this._structure.retirement.getHold(held.pipeline, held.version, isGapNeeded);
+    if (hold === undefined || !isGapNeeded) return hold;
+    // Through a gap nobody can be served meanwhile whoever is waited for, so that the streams have a drain's time, and no more.
+    this._noteDraining(entry);
+    return this._hasDrained(entry) ? undefined : hold;
+  }
+
+  /** Who tells what it uses: the linked instances of the zone, and the other zones. */
   private _getSources(): Set<string> {
     const { membership } = this._structure;
     const zone = membership.self.availabilityZone;
@@ -156,10 +178,17 @@
     const chainHold = isGapNeeded ? undefined : this._getChainHold(entry);
     if (chainHold !== undefined) return chainHold;
     if (report.layers === undefined || report.activeStreams === 0) return undefined;
-    const sinceMs = this._drainingSinceMs.get(entry.name) ?? utils.monotonicMs();
-    this._drainingSinceMs.set(entry.name, sinceMs);
-    if (utils.monotonicMs() - sinceMs > drainTimeoutMs) return undefined;
-    return "streams run there";
+    this._noteDraining(entry);
+    return this._hasDrained(entry) ? undefined : "streams run there";
+  }
+
+  private _noteDraining({ name }: EndpointEntry): void {
+    if (!this._drainingSinceMs.has(name)) this._drainingSinceMs.set(name, utils.monotonicMs());
+  }
+
+  private _hasDrained(entry: EndpointEntry): boolean {
+    const sinceMs = this._drainingSinceMs.get(entry.name);
+    return sinceMs !== undefined && utils.monotonicMs() - sinceMs > drainTimeoutMs;
   }
 
   /** Logs why engines get no order where that has changed. */
@@ -182,6 +211,7 @@
       subject: entry.name,
       detail: `${wanted.model}@${wanted.version} [${wanted.layers.join(",")})`,
     });
+    this._orderedAtMs.set(entry.name, utils.monotonicMs());
     const sent = await sendOrder(entry.name, entry.address, order);
     this._drainingSinceMs.delete(entry.name);
     if (sent.err) log.warn(sent.val.message);
--- a/packages/entry/src/orders/servedVersions.ts
+++ b/packages/entry/src/orders/servedVersions.ts
@@ -16,9 +16,16 @@
   });
 }
 
-/** The version to serve: the one in force once a whole chain holds it, until then one that a whole chain holds. */
-export function getServedVersion(directory: EndpointDirectory, pipeline: PipelineObject): string {
+/**
+ * The version to serve: the one in force once a whole chain holds it, until then one that a whole chain holds.
+ * @param isOpen - Whether requests may begin on a version.
+ */
+export function getServedVersion(
+  directory: EndpointDirectory,
+  pipeline: PipelineObject,
+  isOpen: (version: string) => boolean = () => true,
+): string {
   const versions = [pipeline.version, ...directory.getVersions(pipeline.name)];
-  const whole = getWholeVersions(directory, pipeline);
+  const whole = getWholeVersions(directory, pipeline).filter(isOpen);
   return versions.find((version) => whole.includes(version)) ?? pipeline.version;
 }
--- a/packages/entry/src/tests/feeds/VersionsInUseTests.ts
+++ b/packages/entry/src/tests/feeds/VersionsInUseTests.ts
@@ -48,6 +48,8 @@
   };
 }
 
+const openEnd = { deadlineMs: Number.POSITIVE_INFINITY, signal: new AbortController().signal };
+
 function createUses(versions: readonly string[]): VersionsInUse {
   return new VersionsInUse(createDirectory(versions), () => [pipeline]);
 }
@@ -92,3 +94,40 @@
   uses.setOther("e3", []);
   t.deepEqual(uses.getZone(["e2", "e3"]), []);
 });
+
+test("a version on which nothing may begin is served no more, also where the new one is out of sight again", async (t) => {
+  const directory = createDirectory(["1", "2"]);
+  const uses = new VersionsInUse(directory, () => [pipeline]);
+  t.true(uses.close(pipeline, "1", false));
+  directory.setReport({ ...createReport("g2", "2"), state: "loading" }, true);
+  let isBegun = false;
+  const begun = uses.begin(pipeline, openEnd).then((entry) => {
+    isBegun = true;
+    return entry;
+  });
+  await Promise.resolve();
+  t.false(isBegun);
+  directory.setReport(createReport("g2", "2"), true);
+  t.is((await begun).version, "2");
+});
+
+test("a version that is served, or that a request has, is not closed", (t) => {
+  t.false(createUses(["1"]).close(pipeline, "1", false));
+  const uses = createUses(["1", "2"]);
+  const leave = uses.enter("assistant", "1");
+  t.false(uses.close(pipeline, "1", false));
+  t.false(uses.close(pipeline, "1", true));
+  leave();
+  t.true(uses.close(pipeline, "1", false));
+});
+
+test("through a gap a version is closed though it is the one that is served", (t) => {
+  t.true(createUses(["1"]).close(pipeline, "1", true));
+});
+
+test("a request whose caller has gone waits for no version", async (t) => {
+  const uses = createUses(["1"]);
+  t.true(uses.close(pipeline, "1", true));
+  const gone = AbortSignal.abort();
+  t.is((await uses.begin(pipeline, { deadlineMs: Number.POSITIVE_INFINITY, signal: gone })).version, "2");
+});
--- a/packages/pipeline/src/request/PipelineRequest.ts
+++ b/packages/pipeline/src/request/PipelineRequest.ts
@@ -1,11 +1,21 @@
 /** What the pipeline is asked for, and how it can fail. */
 import { errors, type Ran } from "@shedtiller/common";
 
+/** How a request that has lost its version for good goes on. */
+export interface VersionChoice {
+  /** Whether engines are to hold another version of the model now. */
+  isReplaced(version: string): boolean;
+  /** Gives up the version that the request has, and gives the one that it goes on with from its first layer. */
+  changeVersion(): string;
+}
+
 /** One model request, checked and admitted. */
 export interface PipelineRequest {
   readonly requestId: string;
   readonly model: string;
   readonly version: string;
+  /** Absent where versions don't change. */
+  readonly versions?: VersionChoice;
   /** Layers [0, layerCount) make the whole model. */
   readonly layerCount: number;
   readonly promptTokens: readonly number[];
--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -27,6 +27,7 @@
   private _nextAttempt = 1;
   private _replacements = 0;
   private _isWritten = false;
+  private _version: string;
   private readonly _lostEndpoints = new Set<string>();
 
   constructor(
@@ -35,6 +36,7 @@
     private readonly _signal: AbortSignal,
   ) {
     this._tokens = [..._request.promptTokens];
+    this._version = _request.version;
   }
 
   /** Runs to the end, handing each token to `sink`. */
@@ -169,7 +171,7 @@
   private _findReplica(lost: EngineCandidate): EngineCandidate | undefined {
     const { directory, chooser } = this._context;
     const replicas = directory
-      .getEngines(this._request.model, this._request.version)
+      .getEngines(this._request.model, this._version)
       .filter((candidate) => isSameRange(candidate.layers, lost.layers));
     const shifted = replicas.map((candidate) => shiftToZero(candidate));
     const chosen = chooser.choose(shifted, {
@@ -201,13 +203,33 @@
         return results.Ok(undefined);
       }
       if (!this._isWritten) return results.Err(new requests.NoChainError(this._request.model, "no"));
+      if (this._isVersionGone() && !this._changeVersion())
+        return results.Err(new requests.NoChainError(this._request.model, this._ran));
       await utils.sleep(chooseAgainMs, this._signal).catch(() => undefined);
     }
   }
 
+  /**
+   * Whether no chain of the version will come back: engines are to hold another one, and by their last reports they don't make up a chain of
+   * this one, whatever their state. Waiting would keep the caller for the rest of its deadline, two minutes unless it says otherwise.
+   */
+  private _isVersionGone(): boolean {
+    const { model, layerCount, versions } = this._request;
+    if (versions?.isReplaced(this._version) !== true) return false;
+    return !this._context.directory.mayHaveChain(model, this._version, layerCount);
+  }
+
+  /** Goes over to the version that is served now, unless the caller has tokens of the lost one: two versions make no one answer. */
+  private _changeVersion(): boolean {
+    const { versions, promptTokens } = this._request;
+    if (versions === undefined || this._tokens.length > promptTokens.length) return false;
+    this._version = versions.changeVersion();
+    return true;
+  }
+
   /** A chain without engines that were lost or are about to hold something else; where there is none, one with them. */
   private _tryChoose(): EngineCandidate[] | undefined {
-    const all = this._context.directory.getEngines(this._request.model, this._request.version);
+    const all = this._context.directory.getEngines(this._request.model, this._version);
     const staying = all.filter((candidate) => !candidate.entry.isRetiring);
     const { chooser, availabilityZone, getInstanceCount } = this._context;
     const options = {
--- a/packages/routing/src/EndpointDirectory.ts
+++ b/packages/routing/src/EndpointDirectory.ts
@@ -1,6 +1,7 @@
 /** What one instance knows of all endpoints: listed state, reports, and its own evidence, which goes first. */
 import { utils } from "@shedtiller/common";
 import type { ListedInstance } from "@shedtiller/logservice";
+import { getBoundariesThatReach } from "./choosers/ChainChooser.js";
 import type { EngineReport, LayerRange } from "./EngineReport.js";
 import { OutlierGuard } from "./OutlierGuard.js";
 
@@ -96,6 +97,18 @@
     return [...new Set(reports.filter((report) => report.model === model).map((report) => report.version))];
   }
 
+  /** Whether the engines may make up a whole chain of a version again, by their last reports; one without a report may hold any. */
+  mayHaveChain(model: string, version: string, layerCount: number): boolean {
+    const engines = this.getEntries().filter((entry) => entry.role === "engine");
+    if (engines.some((entry) => entry.report === undefined)) return true;
+    const ranges = engines.flatMap(({ report }) =>
+      report?.model === model && report.version === version && report.layers !== undefined
+        ? [{ layers: report.layers }]
+        : [],
+    );
+    return getBoundariesThatReach(ranges, layerCount).has(0);
+  }
+
   /** Engines that may get new work for a model version. */
   getEngines(model: string, version: string): EngineCandidate[] {
     const candidates: EngineCandidate[] = [];
--- a/packages/routing/src/choosers/ChainChooser.ts
+++ b/packages/routing/src/choosers/ChainChooser.ts
@@ -39,7 +39,7 @@
 
 /** The layer boundaries from which a chain can reach the last layer. */
 export function getBoundariesThatReach(
-  candidates: readonly EngineCandidate[],
+  candidates: readonly Pick<EngineCandidate, "layers">[],
   layerCount: number,
 ): Set<number> {
   const reaching = new Set([layerCount]);
--- a/packages/standins/src/tests/recoveryTests.ts
+++ b/packages/standins/src/tests/recoveryTests.ts
@@ -128,3 +128,55 @@
   const cancelled = await run.run((_token, _isEnd) => cut.abort());
   t.true(cancelled.err && cancelled.val.ran === "unknown");
 });
+
+/** Lets both engines of a chain go over to version "2" once the request has `tokens` tokens, and gives how it ended. */
+async function runThroughRollout(
+  tokens: number,
+): Promise<{ seen: number[]; isOk: boolean; version: string }> {
+  const connector = new FakeConnector({ a1: [0, 4], b1: [4, 8] }, [
+    { endpoint: "b1", atCall: tokens + 1, fault: "dies" },
+  ]);
+  const { directory } = connector;
+  const takeReport = directory.setReport.bind(directory);
+  const markUnreachable = directory.markUnreachable.bind(directory);
+  let version = "1";
+  directory.setReport = (report, isDirect) => takeReport({ ...report, version }, isDirect);
+  const goOver = (): void => {
+    version = "2";
+    for (const { report } of directory.getEntries())
+      if (report !== undefined) takeReport({ ...report, version }, true);
+  };
+  directory.markUnreachable = (name) => {
+    goOver();
+    markUnreachable(name);
+  };
+  const request = {
+    requestId: "r",
+    model: "m",
+    version: "1",
+    versions: { isReplaced: (held: string) => held === "1", changeVersion: () => "2" },
+    layerCount: 8,
+    promptTokens: prompt,
+    maxTokens: outputTokens,
+    priority: 1,
+    deadlineMs: utils.monotonicMs() + 120_000,
+  };
+  const seen: number[] = [];
+  const run = new pipeline.PipelineRun(createContext(connector), request, new AbortController().signal);
+  const outcome = await run.run((token) => seen.push(token));
+  return { seen, isOk: outcome.ok, version };
+}
+
+test("a stream whose version is gone before its first token goes on with the new one, whole and right", async (t) => {
+  const { seen, isOk, version } = await runThroughRollout(0);
+  t.is(version, "2");
+  t.true(isOk);
+  t.deepEqual(seen, expected);
+});
+
+test("a stream whose version is gone after some tokens ends at once, and not at its deadline", async (t) => {
+  const { seen, isOk } = await runThroughRollout(3);
+  t.false(isOk);
+  t.deepEqual(seen, expected.slice(0, seen.length));
+  t.true(seen.length > 0);
+});
