entry, pipeline, membership: waits for slow engines grow, and an instance that stood still drops nobody

Symptom: at a load of 52 (44 busy processes, six copies of configurationTests) a fleet of two instances was ready but knew no engine's report for 17 s; a rollout that then began had its first request refused as not run, with four engines alive. Cause: each report had 400 ms, was given up, asked for again and given up. A report that came too late also counted as a lost connection and made the engine unreachable, and so did a handshake of over 1 s. A link was dropped after 1 s of silence by an instance that had not had its turn to read. Ruled out: an election or a lease (none is needed for a report); the configuration (in force 3 to 12 s before). Change: Patience: each wait in vain doubles the next one for that engine, up to 6.4 s (8 s for a handshake), and an answer leaves twice what it took. The first late report is no evidence against an engine, the second is. A heartbeat task that comes 500 ms late drops no link.

--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -4,6 +4,7 @@
 export * from "./KeyedCache.js";
 export * from "./ids.js";
 export * from "./hashing.js";
+export * from "./Patience.js";
 export * from "./RandomSource.js";
 export * from "./SampleWindow.js";
 export * from "./statistics.js";
--- a/packages/entry/src/feeds/ZoneFeed.ts
+++ b/packages/entry/src/feeds/ZoneFeed.ts
@@ -12,7 +12,7 @@
   type EndpointEntry,
   type EngineReport,
 } from "@shedtiller/routing";
-import got from "got";
+import got, { TimeoutError } from "got";
 import type { PipelineDemands } from "./PipelineDemands.js";
 import type { VersionsInUse } from "./VersionsInUse.js";
 import { digestSchema, getZoneSource, reportsSchema, type Digest, type Reports } from "./zoneFeedMessages.js";
@@ -20,7 +20,9 @@
 const reportsTopic = "reports";
 const digestTopic = "digest";
 const leavingTopic = "endpoint-leaving";
+/** A hung engine holds up nothing, so that a slow one may be waited for longer each time. */
 const reportTimeoutMs = 400;
+const longestReportTimeoutMs = 6_400;
 const reportFloorMs = 200;
 const digestFloorMs = 500;
 const reportBytesPerSecond = 1_200;
@@ -49,6 +51,7 @@
 export class ZoneFeed {
   private _round = 0;
   private readonly _fetching = new Set<string>();
+  private readonly _patience = new utils.Patience(reportTimeoutMs, longestReportTimeoutMs);
   private _digestRound = 0;
   private _demandsToldAtMs = 0;
   private readonly _knownFixed = new Map<string, number>();
@@ -128,20 +131,24 @@
 
   private async _fetchReport(entry: EndpointEntry): Promise<void> {
     const { directory } = this._structure;
+    const startMs = utils.monotonicMs();
     try {
       const body: unknown = await got
         .get(`http://${entry.address}/v1/state`, {
           retry: { limit: 0 },
-          timeout: { request: reportTimeoutMs },
+          timeout: { request: this._patience.getMs(entry.address) },
         })
         .json();
+      this._patience.noteAnswer(entry.address, utils.monotonicMs() - startMs);
       const report = engineReportSchema.safeParse(body);
       if (report.success && report.data.name === entry.name) directory.setReport(report.data, true);
       else directory.markUnreachable(entry.name);
     } catch (error) {
-      if (errors.hasCode(classifyHttpError(entry.address, error), "not_reached", "connection_lost")) {
+      // One report that is late shows as well that this instance itself gets little of its core.
+      const isEvidence = !(error instanceof TimeoutError) || this._patience.noteTimeout(entry.address);
+      const failure = classifyHttpError(entry.address, error);
+      if (isEvidence && errors.hasCode(failure, "not_reached", "connection_lost"))
         directory.markUnreachable(entry.name);
-      }
     }
   }
 
--- a/packages/membership/src/LinkWatch.ts
+++ b/packages/membership/src/LinkWatch.ts
@@ -13,7 +13,7 @@
 /** A link is dropped after this: above the 3.5 s for which instances freeze and come back, since each link dialled again costs 1 ms. */
 const longestSilenceMs = 4_000;
 /** A look that comes this much late shows that this instance stood still itself, and proves nothing against its peers. */
-const ownPauseMs = 500;
+export const ownPauseMs = 500;
 
 /** One watch an instance. */
 export class LinkWatch {
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -6,7 +6,7 @@
 import * as ws from "ws";
 import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
-import { LinkWatch, watchIntervalMs } from "./LinkWatch.js";
+import { LinkWatch, ownPauseMs, watchIntervalMs } from "./LinkWatch.js";
 import type { Member } from "./Member.js";
 import { acceptPeer, dialPeer } from "./peerHandshake.js";
 import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
@@ -324,11 +324,15 @@
   }
 
   private async _sendHeartbeats(signal: AbortSignal): Promise<void> {
+    let dueAtMs = utils.monotonicMs();
     while (!signal.aborted) {
+      const hasPaused = utils.monotonicMs() - dueAtMs > ownPauseMs;
       const intervalMs = this._getHeartbeatIntervalMs();
       const fields = [...this._heartbeatFields].map(([field, getValue]) => [field, getValue()]);
       this.notifyAll(heartbeatTopic, Object.fromEntries(fields));
-      this._dropSilent(intervalMs * missedHeartbeats);
+      // After a pause of its own this instance has not read yet what its peers sent meanwhile.
+      if (!hasPaused) this._dropSilent(intervalMs * missedHeartbeats);
+      dueAtMs = utils.monotonicMs() + intervalMs;
       await utils.sleep(intervalMs, signal).catch(() => undefined);
     }
   }
--- a/packages/pipeline/src/engine/WsEngineConnector.ts
+++ b/packages/pipeline/src/engine/WsEngineConnector.ts
@@ -1,5 +1,5 @@
 /** Keeps one WebSocket link for each engine in use. */
-import { errors, results } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import * as ws from "ws";
 import { EngineConnector, type EngineLink } from "./EngineLink.js";
 import { WsEngineLink, type EngineLinkEvents } from "./WsEngineLink.js";
@@ -7,6 +7,7 @@
 /** Path of an engine's work listener. */
 export const enginePath = "/v1/stages";
 const connectTimeoutMs = 1_000;
+const longestConnectTimeoutMs = 8_000;
 const largestFrameBytes = 64 * 1024 * 1024;
 
 type LinkResult = results.Result<EngineLink, errors.NotReachedError>;
@@ -15,6 +16,7 @@
 export class WsEngineConnector extends EngineConnector {
   private readonly _links = new Map<string, WsEngineLink>();
   private readonly _opening = new Map<string, Promise<LinkResult>>();
+  private readonly _patience = new utils.Patience(connectTimeoutMs, longestConnectTimeoutMs);
   private _isClosed = false;
 
   constructor(
@@ -38,13 +40,18 @@
   }
 
   private async _open(endpoint: string, address: string): Promise<LinkResult> {
+    const startMs = utils.monotonicMs();
+    const timeoutMs = this._patience.getMs(address);
     const socket = new ws.WebSocket(`ws://${address}${enginePath}`, {
-      handshakeTimeout: connectTimeoutMs,
+      handshakeTimeout: timeoutMs,
       perMessageDeflate: false,
       maxPayload: largestFrameBytes,
     });
     const failure = await waitForOpen(socket);
     this._opening.delete(address);
+    const tookMs = utils.monotonicMs() - startMs;
+    if (failure === undefined) this._patience.noteAnswer(address, tookMs);
+    else if (tookMs >= timeoutMs) this._patience.noteTimeout(address);
     if (failure !== undefined || this._isClosed) {
       socket.terminate();
       return results.Err(new errors.NotReachedError(address, failure));
