gateway: a stop ends in time also where turns come late

Cause: the end was planned 0.4 s before the grace, by a clock that is only looked at when the process has its turn. Reproduced: a process with a request in hand that gets 40 ms of each 500 ms (SIGSTOP and SIGCONT) is killed, three of three (after 8,005 to 8,019 ms). Ruled out: a drain that fails (it ends the process; no such line); closing of connections (the process exits right after). Change: StopDeadline notes how late turns come while it waits, and keeps two such turns and the 0.4 s for the end, a sixth of the grace at the most.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -29,13 +29,12 @@
 import { ReadinessListener } from "./requests/ReadinessListener.js";
 import type { ForwardContext } from "./requests/RequestForwarder.js";
 import { RetryBudgets, type RetryBudgetOptions } from "./requests/RetryBudgets.js";
+import { StopDeadline } from "./StopDeadline.js";
 
 /** Keys are refused this much before the bound, for the time between the check and the sending. */
 const revocationMarginMs = 500;
 /** After a stop signal the balancer asks twice, a second apart, until it sends no more connections. */
 const balancerNoticeMs = 2_500;
-/** What is left of the grace is kept for the end of the process itself. */
-const stopReserveMs = 400;
 const drainPollMs = 50;
 
 function getChangedSections(before: GatewaySettings, after: GatewaySettings): string[] {
@@ -151,17 +150,15 @@
 
   /** Finishes what is in hand, within the grace, and ends. */
   async drain(): Promise<void> {
-    const startedAtMs = utils.monotonicMs();
+    const deadline = new StopDeadline(this._settings.callers.stopGraceS * utils.msPerSecond);
     this._isDraining = true;
     this._callers.drain();
     this._peers.membership.leave();
     this._log.info("drain-began", { inHand: this._callers.inHand });
-    const endMs = this._settings.callers.stopGraceS * utils.msPerSecond - stopReserveMs;
-    await utils.sleep(Math.min(balancerNoticeMs, endMs));
-    this._callers.refuseLasting(startedAtMs + endMs);
+    await deadline.pause(balancerNoticeMs);
+    this._callers.refuseLasting(deadline.endsAtMs);
     this._callers.closeIdle();
-    const leftMs = endMs - (utils.monotonicMs() - startedAtMs);
-    await utils.waitUntil(() => this._callers.inHand === 0, leftMs, drainPollMs);
+    while (this._callers.inHand > 0 && !deadline.isReached) await deadline.pause(drainPollMs);
     this._log.info("instance-stopped", { inHand: this._callers.inHand });
     this._stop.abort();
     this._callers.close();
