pipeline: one handshake that is late does not make an engine unreachable

Symptom: beside load (46 on 8 cores) a request was refused as not run after 1.2 s, though both engines of its chain lived; one of six copies. Cause: a handshake had 1 s; one that took longer counted as an engine that is not reached, and the last chain was gone with it. Change: the first late handshake is a DeadlineError, which leaves the engine in use, and the next try has twice as long; a second one in a row, or a refused connection, is evidence.

--- a/packages/pipeline/src/engine/EngineLink.ts
+++ b/packages/pipeline/src/engine/EngineLink.ts
@@ -23,8 +23,11 @@
   }
 }
 
-/** Why a call to an engine has no outcome. Only `NotReachedError` and `EngineRefusedError` prove that it did not run. */
-export type EngineError = errors.NotReachedError | errors.ConnectionLostError | EngineRefusedError;
+/** Why there is no link. After a `DeadlineError` the engine may live, and another try waits longer. */
+export type LinkError = errors.NotReachedError | errors.DeadlineError;
+
+/** Why a call to an engine has no outcome. All but `ConnectionLostError` prove that it did not run. */
+export type EngineError = LinkError | errors.ConnectionLostError | EngineRefusedError;
 
 /** A link to one engine. Calls may overlap; replies may come in any order. */
 export abstract class EngineLink {
@@ -52,9 +55,6 @@
 
 /** Gives links to engines, opening them when needed. */
 export abstract class EngineConnector {
-  /** Gives an open link, or the proof that none could be opened. */
-  abstract getLink(
-    endpoint: string,
-    address: string,
-  ): Promise<results.Result<EngineLink, errors.NotReachedError>>;
+  /** Gives an open link, or why none could be opened. */
+  abstract getLink(endpoint: string, address: string): Promise<results.Result<EngineLink, LinkError>>;
 }
--- a/packages/pipeline/src/engine/WsEngineConnector.ts
+++ b/packages/pipeline/src/engine/WsEngineConnector.ts
@@ -1,7 +1,7 @@
 /** Keeps one WebSocket link for each engine in use. */
 import { errors, results, utils } from "@shedtiller/common";
 import * as ws from "ws";
-import { EngineConnector, type EngineLink } from "./EngineLink.js";
+import { EngineConnector, type EngineLink, type LinkError } from "./EngineLink.js";
 import { WsEngineLink, type EngineLinkEvents } from "./WsEngineLink.js";
 
 /** Path of an engine's work listener. */
@@ -10,17 +10,17 @@
 const longestConnectTimeoutMs = 8_000;
 const largestFrameBytes = 64 * 1024 * 1024;
 
-type LinkResult = results.Result<EngineLink, errors.NotReachedError>;
+type LinkResult = results.Result<EngineLink, LinkError>;
 
 /** Opens links when they are first needed, and again after they were lost. */
 export class WsEngineConnector extends EngineConnector {
   private readonly _links = new Map<string, WsEngineLink>();
   private readonly _opening = new Map<string, Promise<LinkResult>>();
-  private readonly _patience = new utils.Patience(connectTimeoutMs, longestConnectTimeoutMs);
   private _isClosed = false;
 
   constructor(
     private readonly _events: Omit<EngineLinkEvents, "onClosed"> & { onLinkLost(endpoint: string): void },
+    private readonly _patience = new utils.Patience(connectTimeoutMs, longestConnectTimeoutMs),
   ) {
     super();
   }
@@ -51,9 +51,11 @@
     this._opening.delete(address);
     const tookMs = utils.monotonicMs() - startMs;
     if (failure === undefined) this._patience.noteAnswer(address, tookMs);
-    else if (tookMs >= timeoutMs) this._patience.noteTimeout(address);
+    const isSlow = failure !== undefined && tookMs >= timeoutMs && !this._patience.noteTimeout(address);
     if (failure !== undefined || this._isClosed) {
       socket.terminate();
+      // One handshake that is late may be this instance's own lack of time; the next one gets twice as long.
+      if (isSlow) return results.Err(new errors.DeadlineError(`A connection to ${endpoint}`, timeoutMs));
       return results.Err(new errors.NotReachedError(address, failure));
     }
     const link = new WsEngineLink(endpoint, socket, {
