--- a/packages/entry/src/tests/feeds/VersionsInUseTests.ts
+++ b/packages/entry/src/tests/feeds/VersionsInUseTests.ts
@@ -1,17 +1,10 @@
 /** Which versions may be in use, by what instances told. */
-import type { PipelineObject } from "@shedtiller/intent";
 import { EndpointDirectory, type EngineReport } from "@shedtiller/routing";
 import test from "ava";
 import { VersionsInUse } from "../../feeds/VersionsInUse.js";
+import { createPipeline } from "../createPipeline.js";
 
-const pipeline: PipelineObject = {
-  kind: "pipeline",
-  name: "assistant",
-  version: "2",
-  layerCount: 8,
-  tokensPerSecond: 0,
-  clientAccounts: [],
-};
+const pipeline = createPipeline();
 
 /** A directory in which one engine holds the whole of each version. */
 function createDirectory(versions: readonly string[]): EndpointDirectory {
--- a/packages/entry/src/tests/orders/VersionRetirementTests.ts
+++ b/packages/entry/src/tests/orders/VersionRetirementTests.ts
@@ -1,18 +1,11 @@
 /** When the last chain of a version may be broken up, by what the other instances answer. */
 import { errors, results } from "@shedtiller/common";
-import type { PipelineObject } from "@shedtiller/intent";
 import type { Member, RequestHandler } from "@shedtiller/membership";
 import test from "ava";
 import { VersionRetirement } from "../../orders/VersionRetirement.js";
+import { createPipeline } from "../createPipeline.js";
 
-const pipeline: PipelineObject = {
-  kind: "pipeline",
-  name: "assistant",
-  version: "2",
-  layerCount: 8,
-  tokensPerSecond: 0,
-  clientAccounts: [],
-};
+const pipeline = createPipeline();
 
 type Answer = { isFree: boolean } | "nothing" | "unreached";
 
