--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -41,7 +41,7 @@
   private readonly _newestStarts = new Map<string, number>();
   private _graceUntilMs = 0;
   private readonly _assumedPeers: AssumedPeers = { count: 0 };
-  private _hasPeerLoads = false;
+  private _mayAssumePeers = true;
   /** Whether the list was read at least once. */
   isKnown = false;
 
@@ -159,13 +159,18 @@
    * requests are refused by engines; with this it is under 1 in 100, at 5 in 100 more time a token (test of many choosers).
    */
   assumePeers(count: number): void {
-    if (!this._hasPeerLoads) this._assumedPeers.count = count;
+    if (this._mayAssumePeers) this._assumedPeers.count = count;
+  }
+
+  /** From now on only what peers tell counts. */
+  endAssumption(): void {
+    this._mayAssumePeers = false;
+    this._assumedPeers.count = 0;
   }
 
   /** Takes a peer's load on all endpoints, by the ids of their lives; those not named have none of it. */
   setPeerLoads(peer: string, loads: ReadonlyMap<string, EndpointLoad>): void {
-    this._hasPeerLoads = true;
-    this._assumedPeers.count = 0;
+    this.endAssumption();
     for (const endpoint of this._endpoints.values()) endpoint.setPeerLoad(peer, loads.get(endpoint.lifeId));
   }
 
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -41,6 +41,7 @@
   readonly relay: StoreRelay;
   private readonly _directory: PeerDirectory;
   private readonly _history: ConfigurationHistory;
+  private _assumptionTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _structure: GatewayPeersStructure) {
     const { keeper, endpoints, log } = _structure;
@@ -94,9 +95,9 @@
   private _assumePeers(): void {
     const zone = this.membership.self.availabilityZone;
     const others = this.membership.getMembers().filter((member) => member.availabilityZone === zone);
-    const timer = setTimeout(() => this._structure.endpoints.assumePeers(0), longestAssumptionMs);
-    timer.unref();
-    this._structure.endpoints.assumePeers(others.length);
+    const { endpoints } = this._structure;
+    endpoints.assumePeers(others.length);
+    this._assumptionTimer ??= setTimeout(() => endpoints.endAssumption(), longestAssumptionMs).unref();
   }
 
   private _createExchange(): PeerExchange {
--- a/packages/gateway/src/tests/discovery/EndpointTableTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointTableTests.ts
@@ -75,3 +75,22 @@
   clock.nowMs += 3_000;
   t.false(table.get("a")?.isSuspect(clock.nowMs));
 });
+
+test("a process that has just started takes its peers to be like itself, until one tells or the time is over", (t) => {
+  const createTable = (): EndpointTable => {
+    const table = new EndpointTable(() => 0);
+    table.setAll(new Map([["e1", createListed("e1")]]));
+    table.get("e1")?.addOwn(2, 50);
+    table.assumePeers(3);
+    return table;
+  };
+  const told = createTable();
+  t.deepEqual(told.get("e1")?.getLoad(), { requests: 8, tokenLayers: 200 });
+  told.setPeerLoads("collected", new Map([["e1", { requests: 1, tokenLayers: 10 }]]));
+  t.deepEqual(told.get("e1")?.getLoad(), { requests: 3, tokenLayers: 60 });
+  const alone = createTable();
+  alone.endAssumption();
+  // The registry of instances is read again later.
+  alone.assumePeers(3);
+  t.deepEqual(alone.get("e1")?.getLoad(), { requests: 2, tokenLayers: 50 });
+});
