--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -202,8 +202,9 @@
         this._takeChain(chain);
         return results.Ok(undefined);
       }
-      if (!this._isWritten) return results.Err(new requests.NoChainError(this._request.model, "no"));
-      if (this._isVersionGone() && !this._changeVersion())
+      const isGone = this._isVersionGone();
+      if (isGone && this._changeVersion()) continue;
+      if (isGone || !this._isWritten)
         return results.Err(new requests.NoChainError(this._request.model, this._ran));
       await utils.sleep(chooseAgainMs, this._signal).catch(() => undefined);
     }
--- a/packages/standins/src/tests/recoveryTests.ts
+++ b/packages/standins/src/tests/recoveryTests.ts
@@ -180,3 +180,25 @@
   t.deepEqual(seen, expected.slice(0, seen.length));
   t.true(seen.length > 0);
 });
+
+test("a request whose version is gone before anything was written begins on the new one", async (t) => {
+  const connector = new FakeConnector({ a1: [0, 4], b1: [4, 8] }, []);
+  const { directory } = connector;
+  for (const { report } of directory.getEntries())
+    if (report !== undefined) directory.setReport({ ...report, version: "2" }, true);
+  const request = {
+    requestId: "r",
+    model: "m",
+    version: "1",
+    versions: { isReplaced: (held: string) => held === "1", changeVersion: () => "2" },
+    layerCount: 8,
+    promptTokens: prompt,
+    maxTokens: outputTokens,
+    priority: 1,
+    deadlineMs: utils.monotonicMs() + 120_000,
+  };
+  const seen: number[] = [];
+  const run = new pipeline.PipelineRun(createContext(connector), request, new AbortController().signal);
+  t.true((await run.run((token) => seen.push(token))).ok);
+  t.deepEqual(seen, expected);
+});
