entry: no search for whole chains at a request while no version is closed; the tests of lost versions share their run

Found by reading the whole change: VersionsInUse.begin looked for the whole versions of a pipeline at each request, also where nothing is closed, which is almost always. It asks for what is closed first now. Three tests of recoveryTests ran their request by a copy of runOne.

--- a/packages/entry/src/feeds/VersionsInUse.ts
+++ b/packages/entry/src/feeds/VersionsInUse.ts
@@ -53,7 +53,7 @@
    * until another one is whole or that one is free again, for some seconds at the most: engines of the new version are loading then.
    */
   async begin(pipeline: PipelineObject, options: BeginOptions): Promise<VersionEntry> {
-    while (this._hasOnlyClosed(pipeline, getWholeVersions(this._directory, pipeline))) {
+    while (this._hasOnlyClosed(pipeline)) {
       if (options.signal.aborted || utils.monotonicMs() >= options.deadlineMs) break;
       await utils.sleep(openAgainPollMs, options.signal).catch(() => undefined);
     }
@@ -141,11 +141,10 @@
   }
 
   /** Whether no version can be served but ones on which nothing may begin, or whose chain is being broken up right now. */
-  private _hasOnlyClosed({ name }: PipelineObject, whole: readonly string[]): boolean {
-    const closed = [...(this._closedUntilMs.get(name)?.keys() ?? [])];
-    return (
-      closed.some((version) => this._isClosed(name, version)) &&
-      whole.every((version) => this._isClosed(name, version))
-    );
+  private _hasOnlyClosed(pipeline: PipelineObject): boolean {
+    const isClosed = (version: string): boolean => this._isClosed(pipeline.name, version);
+    const closed = [...(this._closedUntilMs.get(pipeline.name)?.keys() ?? [])];
+    // Almost always nothing is closed, and chains need not be looked for.
+    return closed.some(isClosed) && getWholeVersions(this._directory, pipeline).every(isClosed);
   }
 }
--- a/packages/standins/src/tests/recoveryTests.ts
+++ b/packages/standins/src/tests/recoveryTests.ts
@@ -26,7 +26,12 @@
   });
 }
 
-async function runOne(connector: FakeConnector, context: pipeline.PipelineContext, requestId: string) {
+async function runOne(
+  connector: FakeConnector,
+  context: pipeline.PipelineContext,
+  requestId: string,
+  changes: Partial<pipeline.PipelineRequest> = {},
+) {
   const seen: number[] = [];
   const request = {
     requestId,
@@ -37,6 +42,7 @@
     maxTokens: outputTokens,
     priority: 1,
     deadlineMs: utils.monotonicMs() + 30_000,
+    ...changes,
   };
   const run = new pipeline.PipelineRun(context, request, new AbortController().signal);
   const outcome = await run.run((token) => seen.push(token));
@@ -129,6 +135,12 @@
   t.true(cancelled.err && cancelled.val.ran === "unknown");
 });
 
+/** A request of version "1" while engines are to hold "2"; its deadline is that of an entry instance. */
+const replacedVersion: Partial<pipeline.PipelineRequest> = {
+  versions: { isReplaced: (held) => held === "1", changeVersion: () => "2" },
+  deadlineMs: utils.monotonicMs() + 120_000,
+};
+
 /** Lets both engines of a chain go over to version "2" once the request has `tokens` tokens, and gives how it ended. */
 async function runThroughRollout(
   tokens: number,
@@ -150,20 +162,7 @@
     goOver();
     markUnreachable(name);
   };
-  const request = {
-    requestId: "r",
-    model: "m",
-    version: "1",
-    versions: { isReplaced: (held: string) => held === "1", changeVersion: () => "2" },
-    layerCount: 8,
-    promptTokens: prompt,
-    maxTokens: outputTokens,
-    priority: 1,
-    deadlineMs: utils.monotonicMs() + 120_000,
-  };
-  const seen: number[] = [];
-  const run = new pipeline.PipelineRun(createContext(connector), request, new AbortController().signal);
-  const outcome = await run.run((token) => seen.push(token));
+  const { outcome, seen } = await runOne(connector, createContext(connector), "r", replacedVersion);
   return { seen, isOk: outcome.ok, version };
 }
 
@@ -186,19 +185,7 @@
   const { directory } = connector;
   for (const { report } of directory.getEntries())
     if (report !== undefined) directory.setReport({ ...report, version: "2" }, true);
-  const request = {
-    requestId: "r",
-    model: "m",
-    version: "1",
-    versions: { isReplaced: (held: string) => held === "1", changeVersion: () => "2" },
-    layerCount: 8,
-    promptTokens: prompt,
-    maxTokens: outputTokens,
-    priority: 1,
-    deadlineMs: utils.monotonicMs() + 120_000,
-  };
-  const seen: number[] = [];
-  const run = new pipeline.PipelineRun(createContext(connector), request, new AbortController().signal);
-  t.true((await run.run((token) => seen.push(token))).ok);
+  const { outcome, seen } = await runOne(connector, createContext(connector), "r", replacedVersion);
+  t.true(outcome.ok);
   t.deepEqual(seen, expected);
 });
