gateway: lines of failed runs name the request, how far the run had come, and since when

Cause: the lines of the incident could not tell which failed runs belong to equal requests, nor whether a run had begun. Change: a digest by method, path with query, account and body, made when it is first asked for; failed runs and sends tell it, and streams tell whether the head and an event came, and how long after the sending the run failed.

--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -4,6 +4,7 @@
 import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import type { LogFields } from "../logs/DecisionLog.js";
+import { digestRequest } from "../crashes/digestRequest.js";
 import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
 
 /** What a request is made of. */
@@ -36,6 +37,7 @@
   /** What the forwarder noted for the line that ends the request. */
   details: LogFields = {};
   private readonly _left = new AbortController();
+  private _digest: string | undefined;
 
   constructor(private readonly _structure: CallerRequestStructure) {
     const { fields, route, account, body, arrivedAtMs } = _structure;
@@ -68,6 +70,13 @@
     return this._structure.message.rawHeaders;
   }
 
+  /** Equal for equal requests. Made when it is first asked for, since most requests never need it. */
+  get digest(): string {
+    const { method, path, body } = this;
+    this._digest ??= digestRequest({ method, path, accountName: this.account?.name, body });
+    return this._digest;
+  }
+
   get priority(): number {
     return this.account?.priority ?? this.route.priority;
   }
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -97,6 +97,7 @@
   private _note(request: CallerRequest, endpoint: Endpoint, outcome: SendOutcome): void {
     this.context.log.warn("request-send-failed", {
       requestId: request.id,
+      digest: request.digest,
       endpointId: endpoint.id,
       outcome: outcome.kind,
       cause: outcome.kind === "answer" ? `status ${outcome.answer.status}` : outcome.error,
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -20,6 +20,8 @@
   readonly abort = new AbortController();
   /** From the sending of this run to its first event. */
   firstEventMs: number | undefined;
+  /** Whether the head of an answer came: the first engine runs it. */
+  hasBegun = false;
   private readonly _splitter = new EventSplitter();
 
   constructor(
@@ -50,6 +52,7 @@
   relay(answer: HttpAnswer): Promise<StreamEnd> {
     const done = new utils.Deferred<StreamEnd>();
     const { message } = answer;
+    this.hasBegun = true;
     const end = (how: StreamEnd): void => {
       done.resolve(this.request.signal.aborted ? "caller-left" : how);
       answer.abort();
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -259,8 +259,12 @@
     const { request, progress, reservation } = attempt;
     this.context.log.warn("stream-run-failed", {
       requestId: request.id,
+      digest: request.digest,
       cause,
       chain: describeChain(reservation.stages),
+      sinceSentMs: Math.round(utils.monotonicMs() - attempt.sentAtMs),
+      hasBegun: attempt.hasBegun,
+      hasEvents: attempt.hasEvents,
       events: progress.events,
       lastEventId: progress.lastEventId,
       attempts: request.attempts,
--- /dev/null
+++ b/packages/gateway/src/tests/crashes/digestRequestTests.ts
@@ -0,0 +1,32 @@
+import test from "ava";
+import { digestRequest, type DigestedRequest } from "../../crashes/digestRequest.js";
+
+const request: DigestedRequest = {
+  method: "POST",
+  path: "/a/x?page=2",
+  accountName: "farm",
+  body: Buffer.from('{"text":"one"}'),
+};
+
+test("requests are the same by method, path with query, account and body, and by nothing else", (t) => {
+  const digest = digestRequest(request);
+  t.is(digestRequest({ ...request, body: Buffer.from('{"text":"one"}') }), digest);
+  const others: readonly Partial<DigestedRequest>[] = [
+    { method: "PUT" },
+    { path: "/a/x?page=3" },
+    { path: "/a/x" },
+    { accountName: "dairy" },
+    { accountName: undefined },
+    { body: Buffer.from('{"text":"two"}') },
+    { body: Buffer.alloc(0) },
+  ];
+  const digests = new Set(others.map((changes) => digestRequest({ ...request, ...changes })));
+  t.is(digests.size, others.length);
+  t.false(digests.has(digest));
+});
+
+test("what belongs to the path and what to the body is told apart", (t) => {
+  const one = digestRequest({ ...request, path: "/a", body: Buffer.from("b") });
+  const other = digestRequest({ ...request, path: "/ab", body: Buffer.alloc(0) });
+  t.not(one, other);
+});
