gateway: requests that crash the endpoints that run them are found, told to all instances, and held back

Cause: what an instance learns of a request ended with it; evidence stayed with endpoints only, so each repeat was a new request, retried up to its attempts, and led to sound engines by the very guards that avoid crashed ones. Why the mend holds: the evidence belongs to the request now, by its digest. An endpoint that ends a connection and then refuses one has crashed; its runs without an event, or within 250 ms of the first one, are suspects. Three crashes in a row without a run that outlives its beginning hold the request back, 20 s first and ten minutes after a trial that crashes again; the look is right before each sending, second send and move. Crashes are told to all zones in two steps, a link that comes to stand brings all that is known, and a hold goes to the store with one call, so that it outlasts a start of all. Ruled out: a threshold of two (innocents that travel with the request are at their beginning twice), a denial with a 4xx (an innocent would be denied), counting by endpoints' resets (an endpoint that cuts connections and takes new ones has not crashed). The values of 250 ms, 20 s and ten minutes were chosen.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -5,6 +5,9 @@
 import { DenialProof } from "./configuration/DenialProof.js";
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
+import { CrashGuard } from "./crashes/CrashGuard.js";
+import type { HeldRequestStore } from "./crashes/HeldRequestStore.js";
+import { probeConnection } from "./crashes/probeConnection.js";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
 import { EndpointSuspicions } from "./discovery/EndpointSuspicions.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
@@ -54,6 +57,7 @@
   readonly registry: PeerRegistry;
   readonly election: LeaderElection;
   readonly orders: EngineOrders;
+  readonly heldRequests: HeldRequestStore;
   readonly codec: MessageCodec;
 }
 
@@ -62,6 +66,7 @@
   readonly keeper = new ConfigurationKeeper();
   readonly endpoints = new EndpointTable();
   readonly metrics = new GatewayMetrics();
+  readonly crashes: CrashGuard;
   private readonly _configurationWatch: ConfigurationWatch;
   private readonly _endpointWatch: EndpointWatch;
   private readonly _peers: GatewayPeers;
@@ -92,6 +97,7 @@
     this._endpointWatch = new EndpointWatch(this.endpoints, platform.endpointFeed, _log);
     this._peers = this._createPeers(platform.registry);
     const { relay, exchange } = this._peers;
+    this.crashes = this._createCrashes(platform.heldRequests);
     this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => relay.isReader });
     const tellRestart = (id: string, bornAtMs: number): void => exchange.tellRestart(id, bornAtMs);
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, tellRestart);
@@ -126,6 +132,7 @@
       ...this._peers.start(signal),
       this._seat.run(signal),
       this._layers.run(signal),
+      this.crashes.run(signal),
       this._poll.run(signal),
       this._forwarders.monitor.run(signal),
     ];
@@ -181,6 +188,20 @@
     });
   }
 
+  private _createCrashes(store: HeldRequestStore): CrashGuard {
+    const { membership, relay } = this._peers;
+    return new CrashGuard({
+      membership,
+      endpoints: this.endpoints,
+      store,
+      log: this._log,
+      probe: probeConnection,
+      isReader: () => relay.isReader,
+      getInstanceNames: () => this._peers.getInstanceNames(),
+      count: (what) => (what === "crash" ? this.metrics.crashes : this.metrics.heldBack).inc(),
+    });
+  }
+
   private _createLayers(orders: EngineOrders): LayerKeeper {
     return new LayerKeeper({
       keeper: this.keeper,
@@ -233,6 +254,7 @@
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
       suspicions: this._createSuspicions(orders),
+      crashes: this.crashes.watch,
       tellFull: (endpointId) => this._peers.exchange.tellFull(endpointId),
     };
   }
@@ -273,6 +295,11 @@
   private _addGauges(): void {
     this.metrics.addGauge("requests_in_hand", "Requests without a final answer", () => this._callers.inHand);
     this.metrics.addGauge("requests_waiting", "Requests that wait for room", () => this._forwarders.waiting);
+    this.metrics.addGauge(
+      "requests_held",
+      "Different requests that are held back since they crash endpoints",
+      () => this.crashes.watch.ledger.heldCount,
+    );
     this.metrics.addGauge("streams", "Streams at chains", () => this._forwarders.monitor.size);
     this.metrics.addGauge("configuration_version", "Version in force", () => this.keeper.version);
     this.metrics.addGauge(
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -12,6 +12,9 @@
   readonly requests: prom.Counter<"kind" | "outcome">;
   readonly duration: prom.Histogram<"kind">;
   readonly suspicions: prom.Counter<"cause">;
+  /** Crashes of endpoints that this instance found. */
+  readonly crashes: prom.Counter;
+  readonly heldBack: prom.Counter;
   private readonly _server = http.createServer((_message, response) => void this._answer(response));
 
   constructor() {
@@ -35,6 +38,16 @@
       labelNames: ["cause"],
       registers,
     });
+    this.crashes = new prom.Counter({
+      name: "shedtiller_gateway_crashes_total",
+      help: "Crashes of endpoints with requests at their beginning, as this instance found them",
+      registers,
+    });
+    this.heldBack = new prom.Counter({
+      name: "shedtiller_gateway_held_back_total",
+      help: "Requests that were refused since equal ones crashed endpoints",
+      registers,
+    });
   }
 
   /** Adds a value that is read at scrape time. */
--- /dev/null
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -0,0 +1,64 @@
+/** Wires the parts that find requests which crash endpoints, tell the peers, and keep what must outlast all instances. */
+import { utils } from "@shedtiller/common";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import { CrashExchange, type CrashExchangeStructure } from "./CrashExchange.js";
+import { nothingTold, type ToldHold } from "./crashMessages.js";
+import { CrashWatch, type CrashWatchStructure } from "./CrashWatch.js";
+import type { HeldRequestStore } from "./HeldRequestStore.js";
+import { HoldKeeper } from "./HoldKeeper.js";
+
+/** What a guard is made of. */
+export interface CrashGuardStructure extends Pick<
+  CrashWatchStructure,
+  "probe" | "count" | "nowMs" | "pause"
+> {
+  readonly membership: CrashExchangeStructure["membership"];
+  readonly endpoints: EndpointTable;
+  readonly store: HeldRequestStore;
+  readonly log: DecisionLog;
+  /** Whether this instance reads the store for its zone. */
+  readonly isReader: () => boolean;
+  /** Names of all instances that are known, this one included, whether or not they are reached. */
+  readonly getInstanceNames: () => readonly string[];
+}
+
+/** One guard an instance. */
+export class CrashGuard {
+  readonly watch: CrashWatch;
+  private readonly _exchange: CrashExchange;
+  private readonly _keeper: HoldKeeper;
+
+  constructor(private readonly _structure: CrashGuardStructure) {
+    const { membership, log, store, isReader } = _structure;
+    this.watch = new CrashWatch({
+      ..._structure,
+      tell: (news) => this._exchange.tell(news),
+      isTrialOurs: (digest) => this._isTrialOurs(digest),
+      keep: (digest, hold) => this._keeper.keep(digest, hold),
+    });
+    this._exchange = new CrashExchange({
+      membership,
+      log,
+      take: (told) => this.watch.take(told),
+      tellAll: () => this.watch.ledger.tellAll(),
+    });
+    this._keeper = new HoldKeeper({ store, log, isReader, take: (holds) => this._takeRead(holds) });
+  }
+
+  run(signal: AbortSignal): Promise<void> {
+    return this._keeper.run(signal);
+  }
+
+  /** The same one of all instances for each request, also where some of them are cut off. */
+  private _isTrialOurs(digest: string): boolean {
+    return (
+      utils.pickOwner(digest, this._structure.getInstanceNames()) === this._structure.membership.self.name
+    );
+  }
+
+  private _takeRead(holds: readonly ToldHold[]): void {
+    const news = this.watch.take({ ...nothingTold, holds: [...holds] });
+    if (news.holds.length > 0) this._exchange.tell(news);
+  }
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./configuration/ConfigurationWatch.js";
 export * from "./configuration/gatewayConfiguration.js";
 export * from "./configuration/RouteTable.js";
+export * from "./crashes/HeldRequestStore.js";
 export * from "./discovery/ChangeFeed.js";
 export * from "./discovery/Endpoint.js";
 export * from "./discovery/EndpointTable.js";
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -53,6 +53,11 @@
     this.relay = this._createRelay();
   }
 
+  /** Names of all instances that are known, this one included. */
+  getInstanceNames(): string[] {
+    return this._directory.getInstances().map((instance) => instance.name);
+  }
+
   /** Starts all tasks, which end once `signal` aborts. */
   start(signal: AbortSignal): Promise<void>[] {
     return [
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -18,7 +18,9 @@
 type SendOutcome =
   | { readonly kind: "answer"; readonly answer: WholeAnswer }
   | { readonly kind: "not-run"; readonly error: string }
-  | { readonly kind: "unknown"; readonly error: string };
+  | { readonly kind: "unknown"; readonly error: string }
+  /** The endpoint ended the connection. */
+  | { readonly kind: "lost"; readonly error: string };
 
 /** Plain requests: safe ones may be sent again, others only if they provably did not run. */
 export class PlainForwarder extends RequestForwarder {
@@ -27,11 +29,17 @@
     let last: WholeAnswer | undefined;
     let hasRun = false;
     for (;;) {
-      const endpoint = pickPlainEndpoint(this.context, service, tried, utils.monotonicMs());
+      if (await this.endIfHeldBack(request, hasRun)) return;
+      const endpoint = this._pick(request, service, tried);
       if (endpoint === undefined) break;
       if (request.getRemainingMs() < minSendMs) break;
       tried.add(endpoint.id);
+      const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
+      this.context.crashes.begin(run);
       const outcome = await this._send(request, endpoint);
+      this.context.crashes.end(run);
+      if (outcome.kind === "answer") this.context.crashes.noteOutlived(request);
+      if (outcome.kind === "lost") void this.context.crashes.noteLost(run, endpoint);
       if (request.signal.aborted) return;
       if (outcome.kind === "answer" && !isWorthAnother(request, outcome.answer.status)) {
         return request.answer(outcome.answer.status, outcome.answer.headers, outcome.answer.body);
@@ -45,6 +53,17 @@
     this._end(request, last, hasRun);
   }
 
+  /** The least loaded endpoint; for a request that may have crashed one, first where no other such request is. */
+  private _pick(request: CallerRequest, service: string, tried: ReadonlySet<string>): Endpoint | undefined {
+    const nowMs = utils.monotonicMs();
+    const shunned = this.context.crashes.getShunned(request);
+    const apart =
+      shunned.length === 0
+        ? undefined
+        : pickPlainEndpoint(this.context, service, new Set([...tried, ...shunned]), nowMs);
+    return apart ?? pickPlainEndpoint(this.context, service, tried, nowMs);
+  }
+
   private _end(request: CallerRequest, last: WholeAnswer | undefined, hasRun: boolean): void {
     if (last !== undefined) return request.answer(last.status, last.headers, last.body);
     if (!hasRun) return request.refuse(503, request.attempts === 0 ? "no-endpoint" : "not-run", retryAfterMs);
@@ -81,6 +100,7 @@
     result: results.Result<WholeAnswer, CallError>,
   ): SendOutcome {
     if (result.err) {
+      if (result.val instanceof errors.ConnectionLostError) return { kind: "lost", error: result.val.code };
       if (!(result.val instanceof errors.NotReachedError)) return { kind: "unknown", error: result.val.code };
       request.attempts -= 1;
       this.context.suspicions.noteSilent(endpoint.id, result.val.code);
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -3,6 +3,7 @@
 import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointSuspicions } from "../discovery/EndpointSuspicions.js";
+import type { CrashWatch } from "../crashes/CrashWatch.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { HttpCall } from "../http/HttpCall.js";
 import type { HttpCaller } from "../http/HttpCaller.js";
@@ -21,6 +22,10 @@
   readonly log: DecisionLog;
   readonly availabilityZone: string;
   readonly suspicions: Pick<EndpointSuspicions, "noteSilent" | "noteNamed" | "noteNotHeld">;
+  readonly crashes: Pick<
+    CrashWatch,
+    "isQuiet" | "begin" | "end" | "noteOutlived" | "noteLost" | "getHeldBackMs" | "waitForTurn" | "getShunned"
+  >;
   /** Tells the peers that an endpoint refused for want of room. */
   readonly tellFull: (endpointId: string) => void;
 }
@@ -68,6 +73,21 @@
     };
   }
 
+  /**
+   * Ends a request that is held back, and tells whether it did. It has crashed several endpoints, and each one takes everybody's requests
+   * with it: whoever asks again gets the same answer at once, and a time to come back that calls nobody back soon.
+   */
+  protected async endIfHeldBack(request: CallerRequest, hasRun: boolean): Promise<boolean> {
+    const { crashes } = this.context;
+    if (crashes.isQuiet) return false;
+    await crashes.waitForTurn(request);
+    const heldBackMs = crashes.getHeldBackMs(request);
+    if (heldBackMs === undefined) return false;
+    if (hasRun || request.isHeadSent) request.refuse(502, "held-back");
+    else request.refuse(503, "held-back", heldBackMs);
+    return true;
+  }
+
   /** Whether the request may be sent once more, within its own attempts and the budget of all instances. */
   protected mayRetry(request: CallerRequest, service: string): boolean {
     if (request.attempts >= request.route.maxAttempts) return false;
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -102,10 +102,12 @@
    * Whatever passed an engine whose process has started again is lost there. Streams that only pass it are moved, those that began there
    * go on elsewhere or end, since nothing comes any more.
    */
-  private async _leaveLife({ id, listed }: Endpoint): Promise<void> {
+  private async _leaveLife(before: Endpoint): Promise<void> {
+    const { id, listed } = before;
     const passing = [...this._attempts].filter(({ reservation }) =>
       reservation.stages.some((stage) => stage.endpointId === id),
     );
+    for (const attempt of passing) void this._context.crashes.noteLost(attempt, before);
     const begun = passing.filter((attempt) => attempt.firstStage?.endpointId === id);
     for (const attempt of begun) attempt.abort.abort();
     const others = passing.filter((attempt) => !begun.includes(attempt));
@@ -154,6 +156,10 @@
     const profile = this._context.keeper.table?.getEngineProfile(attempt.service);
     if (first === undefined || profile === undefined) return;
     if (first.address === faultyAddress) return this._giveUp(attempt, "the first engine stands still");
+    const faulty = findNamedEndpoint(this._context.endpoints, attempt.reservation.stages, faultyAddress);
+    if (faulty !== undefined) void this._context.crashes.noteLost(attempt, faulty);
+    if (this._context.crashes.getHeldBackMs(attempt.request) !== undefined)
+      return this._giveUp(attempt, "its request is held back");
     // The room that the stream holds now is its own, and must not look taken to it.
     const before = attempt.reservation.stages;
     attempt.reservation.move([]);
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -3,6 +3,8 @@
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import type { ChainStage } from "../http/MessageCodec.js";
+import type { WatchedRun } from "../crashes/CrashWatch.js";
+import type { Endpoint } from "../discovery/Endpoint.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { EventSplitter } from "./EventSplitter.js";
 import type { StreamProgress } from "./StreamProgress.js";
@@ -11,7 +13,9 @@
 export type StreamEnd = "completed" | "broken" | "caller-left";
 
 /** One run. Its silence is watched from outside. */
-export class StreamAttempt {
+export class StreamAttempt implements WatchedRun {
+  /** The engine that it was sent to, in the life that it had then. */
+  firstEndpoint: Endpoint | undefined;
   /** Monotonic time of the sending, or of the last event. */
   lastSignAtMs = utils.monotonicMs();
   /** Monotonic time of the sending. */
@@ -37,6 +41,14 @@
     return this.reservation.stages[0];
   }
 
+  get endpointId(): string {
+    return this.firstStage?.endpointId ?? "";
+  }
+
+  get firstEventAtMs(): number | undefined {
+    return this.firstEventMs === undefined ? undefined : this.sentAtMs + this.firstEventMs;
+  }
+
   /** Whether this run has given an event yet. */
   get hasEvents(): boolean {
     return this.firstEventMs !== undefined;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -69,6 +69,7 @@
   ): Promise<void> {
     let hasRun = false;
     while (!request.isAnswered && !request.signal.aborted) {
+      if (await this.endIfHeldBack(request, hasRun)) return;
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
         return this._refuse(request, service, hasRun, "no-room");
@@ -97,6 +98,7 @@
     try {
       return await this._send(attempt);
     } finally {
+      this.context.crashes.end(attempt);
       this._monitor.remove(attempt);
       reservation.release();
       this._admission.noteReleased();
@@ -108,12 +110,13 @@
     service: string,
     { refusedBy }: StreamProgress,
   ): Promise<ChainReservation | undefined> {
+    const avoided = this._getAvoided(request, refusedBy);
     return this._admission.acquire({
       service,
       demand: {
         ...expectTokens(request.fields),
         availabilityZone: this.context.availabilityZone,
-        refusedBy,
+        refusedBy: avoided,
       },
       // A stream that has begun goes first: its caller already waits for the rest.
       priority: request.isHeadSent ? resumedPriority : request.priority,
@@ -123,6 +126,14 @@
     });
   }
 
+  /** A request that may have crashed an engine goes where no other such request is, as far as there is a way. */
+  private _getAvoided(request: CallerRequest, refusedBy: ReadonlySet<string>): ReadonlySet<string> {
+    const { crashes, endpoints } = this.context;
+    if (crashes.isQuiet) return refusedBy;
+    const addresses = crashes.getShunned(request).flatMap((id) => endpoints.get(id)?.listed.address ?? []);
+    return addresses.length === 0 ? refusedBy : new Set([...refusedBy, ...addresses]);
+  }
+
   /** Until when a chain lets the first event come in time; a stream that has begun can't become late by waiting here. */
   private _getInTimeUntilMs(request: CallerRequest): number {
     if (request.isHeadSent) return Number.POSITIVE_INFINITY;
@@ -133,8 +144,12 @@
     const { request, firstStage } = attempt;
     const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
     if (first === undefined) return "again";
+    // It may have waited for room while an equal request crashed engines.
+    if (this.context.crashes.getHeldBackMs(request) !== undefined) return "again";
     request.attempts += 1;
     attempt.noteSent();
+    attempt.firstEndpoint = first;
+    this.context.crashes.begin(attempt);
     const sent = await this.context.caller.send(
       this.createCall(request, first, {
         headTimeoutMs: Math.max(1, request.getRemainingMs()),
@@ -148,8 +163,10 @@
     if (sent.ok) return this._accept(attempt, sent.val);
     if (request.signal.aborted) return "caller-left";
     this._note(attempt, sent.val.code);
-    if (sent.val instanceof errors.ConnectionLostError)
+    if (sent.val instanceof errors.ConnectionLostError) {
       first.resets.noteReset(attempt.sentAtMs, utils.monotonicMs());
+      void this.context.crashes.noteLost(attempt, first);
+    }
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
     this.context.suspicions.noteSilent(first.id, sent.val.code);
@@ -172,9 +189,13 @@
     if (end === "caller-left") return "caller-left";
     if (end === "completed") {
       request.finish();
+      this.context.crashes.noteOutlived(request);
       return "answered";
     }
     this._note(attempt, "stream broken off");
+    // A run that was ended from here says nothing of its engine.
+    if (!attempt.abort.signal.aborted && attempt.firstEndpoint !== undefined)
+      void this.context.crashes.noteLost(attempt, attempt.firstEndpoint);
     return "lost";
   }
 
@@ -219,6 +240,7 @@
     if (body.err || request.isHeadSent) return "lost";
     if (request.isIdempotent && answer.status >= 500 && request.attempts < request.route.maxAttempts)
       return "lost";
+    this.context.crashes.noteOutlived(request);
     request.answer(answer.status, answer.headers, body.val);
     return "answered";
   }
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -12,6 +12,7 @@
   | "body-too-large"
   | "no-endpoint"
   | "no-room"
+  | "held-back"
   | "not-run"
   | "outcome-unknown"
   | "out-of-time";
--- /dev/null
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -0,0 +1,186 @@
+/** What counts as a crash, and what clears a request. */
+import test from "ava";
+import { beginningMs, CrashWatch, type WatchedRun } from "../../crashes/CrashWatch.js";
+import { nothingTold, type ToldCrashes } from "../../crashes/crashMessages.js";
+import type { ProbeResult } from "../../crashes/probeConnection.js";
+import type { Endpoint } from "../../discovery/Endpoint.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { createListed } from "../createParts.js";
+import { SilentSink } from "../SilentSink.js";
+import { SimulatedClock } from "../patterns/SimulatedClock.js";
+
+const ids = ["i-1", "i-2", "i-3", "i-4"];
+
+class Scene {
+  readonly clock = new SimulatedClock();
+  readonly endpoints = new EndpointTable(this.clock.nowMs);
+  readonly told: ToldCrashes[] = [];
+  probeResult: ProbeResult = "refused";
+  probes = 0;
+  isTrialOurs = true;
+  readonly watch = new CrashWatch({
+    endpoints: this.endpoints,
+    log: new DecisionLog(new SilentSink(), this.clock.nowMs),
+    probe: () => {
+      this.probes += 1;
+      return Promise.resolve(this.probeResult);
+    },
+    tell: (news) => this.told.push(news),
+    isTrialOurs: () => this.isTrialOurs,
+    nowMs: this.clock.nowMs,
+    pause: this.clock.sleep,
+  });
+
+  constructor(changes: Partial<ListedEndpoint> = {}) {
+    this.list(changes);
+  }
+
+  list(changes: Partial<ListedEndpoint>, listed: readonly string[] = ids): void {
+    this.endpoints.setAll(new Map(listed.map((id) => [id, createListed(id, changes)])));
+  }
+
+  get(id: string): Endpoint {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint === undefined) throw new RangeError(id);
+    return endpoint;
+  }
+
+  createRun(endpointId: string, changes: Partial<WatchedRun> = {}): WatchedRun {
+    return {
+      request: { id: "r1", digest: "a" },
+      endpointId,
+      hasBegun: true,
+      firstEventAtMs: undefined,
+      ...changes,
+    };
+  }
+
+  /** A run loses its connection at its beginning. */
+  async lose(endpointId: string, changes: Partial<WatchedRun> = {}): Promise<void> {
+    await this.watch.noteLost(this.createRun(endpointId, changes), this.get(endpointId));
+  }
+}
+
+test("a connection that ends is no crash while the endpoint still takes connections", async (t) => {
+  const scene = new Scene();
+  scene.probeResult = "open";
+  for (const id of ids) await scene.lose(id);
+  t.true(scene.watch.isQuiet);
+  t.deepEqual(scene.told, []);
+});
+
+test("an endpoint that refuses connections has crashed: its runs at their beginning count, and peers are told", async (t) => {
+  const scene = new Scene();
+  await scene.lose("i-1");
+  t.is(scene.watch.ledger.getWeight("a"), 1);
+  t.deepEqual(scene.told, [{ ...nothingTold, crashes: [{ lifeId: "i-1", ageMs: 0, suspects: [["a", 1]] }] }]);
+  await scene.lose("i-2");
+  t.is(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  await scene.lose("i-3");
+  t.true((scene.watch.getHeldBackMs({ digest: "a" }) ?? 0) > 0);
+  t.is(scene.watch.getHeldBackMs({ digest: "b" }), undefined);
+});
+
+test("runs that are lost together are told with one probe", async (t) => {
+  const scene = new Scene();
+  const digests = ["a", "b", "c"];
+  await Promise.all(digests.map((digest) => scene.lose("i-1", { request: { id: digest, digest } })));
+  t.is(scene.probes, 1);
+  t.is(scene.told.length, 1);
+});
+
+test("an endpoint that leaves as planned crashes nobody's request", async (t) => {
+  const draining = new Scene({ isDraining: true });
+  for (const id of ids) await draining.lose(id);
+  const gone = new Scene();
+  const endpoints = ids.map((id) => gone.get(id));
+  gone.list({}, []);
+  for (const endpoint of endpoints) await gone.watch.noteLost(gone.createRun(endpoint.id), endpoint);
+  t.is(draining.watch.ledger.getStanding("a"), "unknown");
+  t.is(gone.watch.ledger.getStanding("a"), "unknown");
+});
+
+test("where nothing answers, the list decides: a crash if the entry goes, a cut if it stays", async (t) => {
+  const scene = new Scene();
+  scene.probeResult = "nothing";
+  await scene.lose("i-1");
+  await scene.lose("i-2");
+  t.is(scene.watch.ledger.getWeight("a"), 0);
+  scene.list({}, ["i-2", "i-3", "i-4"]);
+  t.is(scene.watch.ledger.getWeight("a"), 1);
+  await scene.clock.run(60_000);
+  t.is(scene.watch.ledger.getWeight("a"), 1);
+});
+
+test("an endpoint that shows another start of its process has crashed", async (t) => {
+  const scene = new Scene({ bornAtMs: 1 });
+  scene.probeResult = "open";
+  const before = scene.get("i-1");
+  scene.endpoints.noteStart("i-1", 2, []);
+  await scene.watch.noteLost(scene.createRun("i-1"), before);
+  t.is(scene.watch.ledger.getWeight("a"), 1);
+});
+
+test("a run that had outlived its beginning is no suspect, and clears its request", async (t) => {
+  const scene = new Scene();
+  await scene.clock.run(10_000);
+  await scene.lose("i-1");
+  await scene.lose("i-2");
+  await scene.lose("i-3", { firstEventAtMs: scene.clock.nowMs() - beginningMs });
+  t.is(scene.watch.ledger.getWeight("a"), 0);
+  t.is(scene.told.at(-1)?.clearings.length, 1);
+});
+
+test("an equal request that has outlived its beginning here clears what peers tell", async (t) => {
+  const scene = new Scene();
+  await scene.clock.run(10_000);
+  scene.watch.begin(scene.createRun("i-4", { firstEventAtMs: scene.clock.nowMs() - 2 * beginningMs }));
+  const crashes = ["i-1", "i-2", "i-3"].map((lifeId) => ({
+    lifeId,
+    ageMs: 0,
+    suspects: [["a", 1]] as [string, number][],
+  }));
+  scene.watch.take({ ...nothingTold, crashes });
+  t.is(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  t.is(scene.told.at(-1)?.clearings[0]?.digest, "a");
+});
+
+test("a suspect has one run at its beginning at a time", async (t) => {
+  const scene = new Scene();
+  await scene.lose("i-1");
+  const run = scene.createRun("i-2");
+  scene.watch.begin(run);
+  let isOver = false;
+  void scene.watch.waitForTurn({ digest: "a" }).then(() => (isOver = true));
+  await scene.clock.run(100);
+  t.false(isOver);
+  scene.watch.end(run);
+  await scene.clock.run(200);
+  t.true(isOver);
+});
+
+test("suspects keep apart from each other, and nobody else from them", async (t) => {
+  const scene = new Scene();
+  const b = { id: "r2", digest: "b" };
+  await Promise.all([scene.lose("i-1"), scene.lose("i-1", { request: b })]);
+  scene.watch.begin(scene.createRun("i-2"));
+  t.deepEqual(scene.watch.getShunned(b), ["i-2"]);
+  t.deepEqual(scene.watch.getShunned({ digest: "c" }), []);
+});
+
+test("after the hold one instance alone tries the request, once at a time", async (t) => {
+  const scene = new Scene();
+  for (const id of ["i-1", "i-2", "i-3"]) await scene.lose(id);
+  const leftMs = scene.watch.getHeldBackMs({ digest: "a" }) ?? 0;
+  await scene.clock.run(scene.clock.nowMs() + leftMs);
+  scene.isTrialOurs = false;
+  t.not(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  scene.isTrialOurs = true;
+  t.is(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  scene.watch.begin(scene.createRun("i-4"));
+  t.not(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  await scene.lose("i-4");
+  t.true((scene.watch.getHeldBackMs({ digest: "a" }) ?? 0) > leftMs);
+});
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -7,6 +7,8 @@
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import { DenialProof } from "../../configuration/DenialProof.js";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
+import { CrashWatch } from "../../crashes/CrashWatch.js";
+import { probeConnection } from "../../crashes/probeConnection.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { HttpCaller } from "../../http/HttpCaller.js";
@@ -100,7 +102,11 @@
 }
 
 /** Handles one request at an endpoint. */
-export type EndpointHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+export type EndpointHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  crash: () => void,
+) => void;
 
 /** The request path of one gateway. */
 export class GatewayFixture {
@@ -138,6 +144,13 @@
         noteNamed: async (id: string) => void this.endpoints.suspect(id),
         noteNotHeld: () => Promise.resolve(),
       },
+      crashes: new CrashWatch({
+        endpoints: this.endpoints,
+        log,
+        probe: probeConnection,
+        tell: () => undefined,
+        isTrialOurs: () => true,
+      }),
       tellFull: () => undefined,
     };
     const chooser = new ChainChooser();
@@ -237,7 +250,12 @@
   }
 
   private async _serve(handler: EndpointHandler): Promise<number> {
-    const server = http.createServer(handler);
+    const server = http.createServer((request, response) =>
+      handler(request, response, () => {
+        server.close();
+        server.closeAllConnections();
+      }),
+    );
     this._servers.push(server);
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     return (server.address() as net.AddressInfo).port;
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -7,6 +7,7 @@
 import { getCapacityTokenLayers } from "../../chains/engineModel.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
+import { CrashWatch } from "../../crashes/CrashWatch.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { HttpCaller } from "../../http/HttpCaller.js";
@@ -71,6 +72,13 @@
       noteNamed: async (id: string) => void endpoints.suspect(id),
       noteNotHeld: () => Promise.resolve(),
     },
+    crashes: new CrashWatch({
+      endpoints,
+      log: new DecisionLog(new SilentSink(), () => 0),
+      probe: () => Promise.resolve("open"),
+      tell: () => undefined,
+      isTrialOurs: () => true,
+    }),
     tellFull: () => undefined,
   };
   const chooser = new ChainChooser(
--- /dev/null
+++ b/packages/gateway/src/tests/requests/crashingRequestTests.ts
@@ -0,0 +1,37 @@
+/** Requests that crash plain endpoints: each kind is held back after three crashes. */
+import test from "ava";
+import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
+import { createRoute } from "../createParts.js";
+
+const key = { "x-id": "r1", "x-key": "k1" };
+const crashingPath = "/a/crashes";
+const allowedCrashes = 3;
+
+/** Crashes on one path, and answers on all others. */
+function createHandler(crashed: string[]): EndpointHandler {
+  return (request, response, crash) => {
+    if (request.url === crashingPath) {
+      crashed.push(String(request.headers["x-id"]));
+      return crash();
+    }
+    response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+    response.end("whole");
+  };
+}
+
+for (const kind of ["safe", "unsafe"] as const) {
+  test(`of ${kind} requests that crash plain endpoints none is sent after the third crash, and others are served`, async (t) => {
+    const fixture = new GatewayFixture();
+    t.teardown(() => fixture.close());
+    await fixture.start(createRoute({ targets: [{ service: "engines", weight: 1 }], kind, maxAttempts: 2 }));
+    const crashed: string[] = [];
+    const handler = createHandler(crashed);
+    await fixture.list([handler, handler, handler, handler, handler, handler], {});
+    for (let repeat = 0; repeat < 6; repeat++) await fixture.request("POST", key, crashingPath);
+    const refused = await fixture.request("POST", key, crashingPath);
+    t.is(crashed.length, allowedCrashes);
+    t.is(refused.status, 503);
+    t.true(Number(refused.headers["x-retry-after-ms"]) > 5_000);
+    t.is((await fixture.request("POST", key)).status, 200);
+  });
+}
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -25,9 +25,9 @@
 /** Counts the requests that a handler gets. */
 function count(handler: EndpointHandler): EndpointHandler & { requests: http.IncomingMessage[] } {
   const requests: http.IncomingMessage[] = [];
-  const counting = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+  const counting: EndpointHandler = (request, response, crash) => {
     requests.push(request);
-    handler(request, response);
+    handler(request, response, crash);
   };
   return Object.assign(counting, { requests });
 }
