common, gateway: time for which the machine was suspended counts, and nobody is blamed for this instance's own pause

What callers saw: nothing yet; by the users' new rule a machine may be suspended for seconds, and the steady clock does not count them. Cause: all ages, terms and deadlines are measured by that clock, so that on waking a leader would order in a term that is over, keys that were taken away would be honoured, and more time be handed to endpoints than remains. Change: utils.monotonicMs counts it. Proof is the time since the machine's start where that runs like the steady clock; elsewhere a leap of the time of day counts as time that passed. A suspension is then the same as a freeze to all code, and three places blamed others for an instance's own freeze: streams were given up on the first tick after it, the loads of peers were forgotten, the holder of a duty was passed over for 15 s; and proofs that had waited meanwhile were taken to be as young as they said. A suspension beside a jump back of the time of day by as much stays unseen where nothing else tells.

--- /dev/null
+++ b/packages/common/src/tests/ElapsedClockTests.ts
@@ -0,0 +1,159 @@
+/** Machines are suspended, their time of day jumps either way, and some have no clock that tells the two apart. */
+import test from "ava";
+import { utils } from "../index.js";
+
+/** A machine whose steady clock stands while it is suspended. */
+class Machine {
+  private _steadyMs = 5_000;
+  private _wallMs = 1_700_000_000_000;
+  private _uptimeMs = 90_000;
+  /** How fast its time since the start runs; 1 where it can be relied on. */
+  uptimeRate = 1;
+  readonly clock = new utils.ElapsedClock({
+    steadyMs: () => this._steadyMs,
+    wallMs: () => this._wallMs,
+    uptimeMs: () => Math.floor(this._uptimeMs / 10) * 10,
+  });
+
+  /** Time passes, in which the clock is read now and then. */
+  run(durationMs: number, stepMs = 40): void {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+      this._steadyMs += stepMs;
+      this._wallMs += stepMs;
+      this._uptimeMs += stepMs * this.uptimeRate;
+      this.clock.nowMs();
+    }
+  }
+
+  suspend(durationMs: number): void {
+    this._wallMs += durationMs;
+    this._uptimeMs += durationMs;
+  }
+
+  /** The process stands still, and the machine goes on. */
+  freeze(durationMs: number): void {
+    this._steadyMs += durationMs;
+    this._wallMs += durationMs;
+    this._uptimeMs += durationMs * this.uptimeRate;
+  }
+
+  setWall(byMs: number): void {
+    this._wallMs += byMs;
+  }
+
+  /** What the clock counts while something happens. */
+  measure(happen: () => void): number {
+    const beforeMs = this.clock.nowMs();
+    happen();
+    return this.clock.nowMs() - beforeMs;
+  }
+}
+
+test("a suspension counts in full, at the first look after it", (t) => {
+  const machine = new Machine();
+  machine.run(3_000);
+  t.is(
+    machine.measure(() => machine.suspend(6_000)),
+    6_000,
+  );
+  t.is(
+    machine.measure(() => machine.run(3_000)),
+    3_000,
+  );
+});
+
+test("a suspension right after the start counts as well", (t) => {
+  const machine = new Machine();
+  machine.run(80);
+  t.is(
+    machine.measure(() => machine.suspend(6_000)),
+    6_000,
+  );
+});
+
+test("a freeze counts once", (t) => {
+  const machine = new Machine();
+  machine.run(3_000);
+  t.is(
+    machine.measure(() => machine.freeze(6_000)),
+    6_000,
+  );
+});
+
+test("a jump of the time of day is no time that passed, either way", (t) => {
+  const machine = new Machine();
+  machine.run(3_000);
+  for (const byMs of [2_000, -2_000, 3_600_000, -3_600_000]) {
+    t.is(
+      machine.measure(() => machine.setWall(byMs)),
+      0,
+      `${byMs} ms`,
+    );
+    machine.run(500);
+  }
+  t.is(
+    machine.measure(() => machine.run(2_000)),
+    2_000,
+  );
+});
+
+test("a suspension counts also where the time of day is set back during it", (t) => {
+  const machine = new Machine();
+  machine.run(3_000);
+  const elapsedMs = machine.measure(() => {
+    machine.suspend(4_000);
+    machine.setWall(-4_000);
+    machine.run(80);
+  });
+  t.true(Math.abs(elapsedMs - 4_080) <= 20, `${elapsedMs} ms`);
+});
+
+for (const uptimeRate of [0.3, 0.9, 1.8]) {
+  test(`where the time since the start runs at ${uptimeRate} of the steady clock, a leap of the time of day counts, and nothing else`, (t) => {
+    const machine = new Machine();
+    machine.uptimeRate = uptimeRate;
+    machine.run(20_000);
+    t.is(machine.clock.lostMs, 0);
+    t.is(
+      machine.measure(() => machine.suspend(4_000)),
+      4_000,
+    );
+    t.is(
+      machine.measure(() => machine.setWall(-2_000)),
+      0,
+    );
+    t.is(
+      machine.measure(() => machine.run(4_000)),
+      4_000,
+    );
+  });
+}
+
+test("small adjustments of the time of day add up to nothing", (t) => {
+  const machine = new Machine();
+  machine.run(3_000);
+  const elapsedMs = machine.measure(() => {
+    for (let step = 0; step < 100; step++) {
+      machine.setWall(5);
+      machine.run(40);
+    }
+  });
+  t.is(elapsedMs, 4_000);
+});
+
+test("time never goes back", (t) => {
+  const machine = new Machine();
+  let lastMs = machine.clock.nowMs();
+  for (const happen of [
+    () => machine.run(2_000),
+    () => machine.setWall(-50_000),
+    () => machine.suspend(300),
+    () => machine.setWall(50_000),
+    () => machine.freeze(1_000),
+  ]) {
+    happen();
+    const nowMs = machine.clock.nowMs();
+    t.true(nowMs >= lastMs);
+    lastMs = nowMs;
+  }
+});
--- a/packages/common/src/utils/clock.ts
+++ b/packages/common/src/utils/clock.ts
@@ -1,11 +1,13 @@
 /** Clocks. Durations use the monotonic clock; stamps that others see use the wall clock. */
-import { performance } from "node:perf_hooks";
+import { ElapsedClock } from "./ElapsedClock.js";
 
 export const msPerSecond = 1000;
 
-/** Milliseconds of this process's monotonic clock. */
+const elapsed = new ElapsedClock();
+
+/** Milliseconds of this process's monotonic clock; the time for which the machine was suspended counts. */
 export function monotonicMs(): number {
-  return performance.now();
+  return elapsed.nowMs();
 }
 
 /** Milliseconds since the Unix epoch. */
--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -1,4 +1,6 @@
 export * from "./clock.js";
+export * from "./ElapsedClock.js";
+export * from "./PauseWatch.js";
 export * from "./tasks.js";
 export * from "./Deferred.js";
 export * from "./KeyedCache.js";
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -63,16 +63,30 @@
 
   /** Tells from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const pauses = new utils.PauseWatch(tellIntervalMs, this._nowMs);
     await utils.repeat(
       tellIntervalMs,
       signal,
-      () => this.tell(),
+      () => {
+        this.noteOwnPause(pauses.noteTick());
+        this.tell();
+      },
       (error) => {
         this._structure.log.error("load-exchange-failed", { cause: String(error) });
       },
     );
   }
 
+  /** Takes note that this instance stood still: nobody is forgotten for what could not be heard. */
+  noteOwnPause(pauseMs: number): void {
+    if (pauseMs === 0) return;
+    this._duty.noteOwnPause(pauseMs);
+    for (const sources of [this._members, this._otherZones]) {
+      for (const [name, { loads, heardAtMs }] of sources)
+        sources.set(name, { loads, heardAtMs: heardAtMs + pauseMs });
+    }
+  }
+
   /** Tells what is due now. */
   tell(): void {
     this._pickCollector();
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -52,6 +52,7 @@
   private readonly _nowMs: () => number;
   private readonly _duty: ZoneDuty;
   private readonly _feeds: RelayedFeed[] = [];
+  private readonly _pauses: utils.PauseWatch;
   private readonly _startedAtMs: number;
   private readonly _standInDelayMs: number;
 
@@ -59,6 +60,7 @@
     const { membership, log, nowMs } = _structure;
     this._nowMs = nowMs ?? utils.monotonicMs;
     this._startedAtMs = this._nowMs();
+    this._pauses = new utils.PauseWatch(tickMs, this._nowMs);
     this._standInDelayMs = (utils.hash32(membership.self.name) % standInGroups) * tickMs;
     this._duty = new ZoneDuty({ name: dutyName, membership, log, nowMs });
   }
@@ -93,6 +95,7 @@
 
   /** Takes or gives up the duty; without a proof for too long this instance reads by itself, whoever has the duty. */
   check(): void {
+    this._duty.noteOwnPause(this._pauses.noteTick());
     // Any feed's proof shows that the store is reached; the one with the shorter reads is the newer.
     const ageMs = Math.min(...this._feeds.map((feed) => feed.getProofAgeMs()));
     if (this.isReader && (this._duty.isAlone || ageMs < staleMs)) this._duty.noteSign();
@@ -129,7 +132,9 @@
       const { proofAgeMs, fromOffset, nextOffset } = page.data;
       const told = page.data.changes;
       const changes = told === undefined ? undefined : relayed.fromTold(told as TTold);
-      follower.takeTold({ fromOffset, nextOffset, changes }, this._nowMs() - proofAgeMs);
+      // What waited here while this instance stood still is older than it says: a key may have been taken away since.
+      const ageMs = proofAgeMs + this._pauses.getRecentPauseMs();
+      follower.takeTold({ fromOffset, nextOffset, changes }, this._nowMs() - ageMs);
       if (from.name === this._duty.holder && proofAgeMs < staleMs) this._duty.noteSign();
     });
   }
--- a/packages/gateway/src/peers/ZoneDuty.ts
+++ b/packages/gateway/src/peers/ZoneDuty.ts
@@ -50,6 +50,11 @@
     this._signAtMs = this._nowMs();
   }
 
+  /** Takes note that this instance stood still: the holder's signs of that time are not read yet. */
+  noteOwnPause(pauseMs: number): void {
+    this._signAtMs += pauseMs;
+  }
+
   /** Passes over a holder that was silent for too long, and picks anew; tells whether the holder changed. */
   update(): boolean {
     const { name, log } = this._structure;
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -70,16 +70,25 @@
 
   /** Looks at all runs from time to time until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const pauses = new utils.PauseWatch(checkIntervalMs, this._nowMs);
     await utils.repeat(
       checkIntervalMs,
       signal,
-      () => void this.check(),
+      () => {
+        this.noteOwnPause(pauses.noteTick());
+        void this.check();
+      },
       (error) => {
         this._context.log.error("stall-check-failed", { cause: String(error) });
       },
     );
   }
 
+  /** Takes note that this instance stood still: what the streams sent meanwhile is not read yet, and none of them was silent so long. */
+  noteOwnPause(pauseMs: number): void {
+    for (const attempt of this._attempts) attempt.lastSignAtMs += pauseMs;
+  }
+
   /** Looks at all runs once; resolves when what the look led to is done. */
   async check(): Promise<void> {
     const nowMs = this._nowMs();
--- a/packages/gateway/src/tests/peers/LoadExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/LoadExchangeTests.ts
@@ -127,3 +127,23 @@
   t.is(fleet.getCollectors(east).length, 1);
   for (const name of east) t.is(fleet.getRequests(name), east.length + west.length, name);
 });
+
+test("an instance that stood still neither forgets the others' load nor passes its collector over", (t) => {
+  const zone = ["a", "b", "c"];
+  const fleet = new Fleet({ east: zone });
+  for (const name of zone) fleet.get(name).endpoints.get("engine")?.addOwn(2, 10);
+  fleet.run(6);
+  const [collector = ""] = fleet.getCollectors(zone);
+  const sleepers = [collector, zone.find((name) => name !== collector) ?? ""];
+  for (const sleeper of sleepers) {
+    const before = fleet.getRequests(sleeper);
+    for (const name of zone) if (name !== sleeper) fleet.network.silence(name);
+    fleet.run(20, (name) => name === sleeper);
+    for (const name of zone) fleet.network.restore(name);
+    fleet.get(sleeper).exchange.noteOwnPause(20 * 200);
+    fleet.get(sleeper).exchange.tell();
+    t.is(fleet.getRequests(sleeper), before, sleeper);
+    fleet.run(60);
+    t.is(fleet.getCollectors(zone).length, 1);
+  }
+});
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -76,11 +76,11 @@
     for (const name of names) this._add(name);
   }
 
-  /** Lets time pass; after each tick all reads that are under way have been answered. */
-  async run(ticks: number): Promise<void> {
+  /** Lets time pass; `isSkipped` names instances that stand still. After each tick all reads that are under way have been answered. */
+  async run(ticks: number, isSkipped: (name: string) => boolean = () => false): Promise<void> {
     for (let tick = 0; tick < ticks; tick++) {
       this._nowMs += tickMs;
-      for (const { relay } of this.instances.values()) relay.check();
+      for (const [name, { relay }] of this.instances) if (!isSkipped(name)) relay.check();
       // Each turn of the loop answers reads and lets their followers go on.
       for (let turn = 0; turn < 20; turn++) await utils.yieldToEvents();
     }
@@ -212,3 +212,18 @@
   for (const name of [standIn, ...others]) t.false(zone.get(name).known.has("x"), name);
   zone.stop();
 });
+
+test("what waited for an instance that stood still proves nothing newer than before its pause", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  await zone.run(8);
+  const sleeper = names.find((name) => !zone.get(name).relay.isReader) ?? "";
+  const isAsleep = (name: string): boolean => name === sleeper;
+  zone.network.silence(sleeper);
+  await zone.run(30, isAsleep);
+  zone.network.restore(sleeper);
+  await zone.run(1, isAsleep);
+  t.true(zone.get(sleeper).follower.getProofAgeMs() >= 29 * tickMs, "read before its own first tick");
+  await zone.run(4);
+  t.true(zone.get(sleeper).follower.getProofAgeMs() <= 2 * tickMs);
+});
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -159,3 +159,11 @@
   endpoints.noteStart("a", 2_000, [{ start: 0, end: 2 }]);
   t.true(attempt.abort.signal.aborted);
 });
+
+test("no stream is given up for the time for which this instance itself stood still", async (t) => {
+  const { clock, monitor, attempt } = setUp();
+  clock.nowMs += 6_000;
+  monitor.noteOwnPause(6_000);
+  await monitor.check();
+  t.false(attempt.abort.signal.aborted);
+});
--- /dev/null
+++ b/packages/gateway/src/tests/suspensionTests.ts
@@ -0,0 +1,64 @@
+/** On waking from a suspension, during which the steady clock stands, nothing is done under a right that ran out meanwhile. */
+import test from "ava";
+import { results, utils } from "@shedtiller/common";
+import { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
+import { DenialProof } from "../configuration/DenialProof.js";
+import type { StoreError } from "../discovery/ChangeFeed.js";
+import { DecisionLog } from "../logs/DecisionLog.js";
+import { LeaderElection } from "../orders/LeaderElection.js";
+import { LeaderSeat } from "../orders/LeaderSeat.js";
+import { createConfiguration } from "./createParts.js";
+import { SilentSink } from "./SilentSink.js";
+
+const suspendedMs = 6_000;
+const deadlineMs = 2_000;
+
+/** A machine without a clock that proves a suspension, as the worst case. */
+function createMachine() {
+  const machine = { steadyMs: 1_000, wallMs: 1_700_000_000_000 };
+  const clock = new utils.ElapsedClock({
+    steadyMs: () => machine.steadyMs,
+    wallMs: () => machine.wallMs,
+    uptimeMs: () => 0,
+  });
+  const run = (durationMs: number): void => {
+    machine.steadyMs += durationMs;
+    machine.wallMs += durationMs;
+    clock.nowMs();
+  };
+  run(5_000);
+  return { nowMs: () => clock.nowMs(), run, suspend: () => (machine.wallMs += suspendedMs) };
+}
+
+class WonElection extends LeaderElection {
+  override readonly termMs = 3_000;
+  override campaign(): Promise<results.Result<boolean, StoreError>> {
+    return Promise.resolve(results.Ok(true));
+  }
+  override resign(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+test("a leader gives no order after a suspension that its term did not outlast", async (t) => {
+  const { nowMs, run, suspend } = createMachine();
+  const seat = new LeaderSeat(new WonElection(), new DecisionLog(new SilentSink(), nowMs), { nowMs });
+  await seat.campaign();
+  run(100);
+  t.true(seat.isHeld());
+  suspend();
+  t.false(seat.isHeld());
+});
+
+test("neither keys nor denials are taken at their word on a proof from before a suspension", (t) => {
+  const { nowMs, run, suspend } = createMachine();
+  const keeper = new ConfigurationKeeper(nowMs);
+  keeper.accept(createConfiguration(1));
+  keeper.confirm(1, nowMs());
+  const denials = new DenialProof({ keeper, getBehindMs: () => 0, getDeadlineMs: () => deadlineMs, nowMs });
+  run(100);
+  t.true(denials.isProven());
+  suspend();
+  t.false(denials.isProven());
+  t.true(keeper.getProofAgeMs() >= suspendedMs);
+});
