gateway, test: a request that ends well elsewhere is no suspect, and the instances take turns to try one again; the soak plays both new rules

Cause: with few engines every crash finds such a request at its beginning; while no layer is left nothing outlives anything; and the one instance that was to try them again got none of them, since callers stay with one instance. After a hold the instances take turns of 250 ms, in an order that each request has, and whoever tries tells the others. The unit tests of known sound requests and the pattern of all engines ending at once fail without the change.

--- a/packages/gateway/src/crashes/CrashGuard.ts
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -34,7 +34,7 @@
     this.watch = new CrashWatch({
       ..._structure,
       tell: (news) => this._exchange.tell(news),
-      isTrialOurs: (digest) => this._isTrialOurs(digest),
+      getTrialRank: (digest) => this._getTrialRank(digest),
       keep: (digest, hold) => this._keeper.keep(digest, hold),
     });
     this._exchange = new CrashExchange({
@@ -50,11 +50,12 @@
     return this._keeper.run(signal);
   }
 
-  /** The same one of all instances for each request, also where some of them are cut off. */
-  private _isTrialOurs(digest: string): boolean {
-    return (
-      utils.pickOwner(digest, this._structure.getInstanceNames()) === this._structure.membership.self.name
-    );
+  /** The same order of all instances at each of them, also where some are cut off; another order for each request. */
+  private _getTrialRank(digest: string): number {
+    const { getInstanceNames, membership } = this._structure;
+    const getPlace = (name: string): number => utils.hash32(`${digest}\u0000${name}`);
+    const own = getPlace(membership.self.name);
+    return getInstanceNames().filter((name) => getPlace(name) < own).length;
   }
 
   private _takeRead(holds: readonly ToldHold[]): void {
--- a/packages/gateway/src/crashes/CrashLedger.ts
+++ b/packages/gateway/src/crashes/CrashLedger.ts
@@ -9,6 +9,7 @@
   type ToldCrash,
   type ToldCrashes,
   type ToldHold,
+  type ToldTrial,
 } from "./crashMessages.js";
 
 /** A request is held back once its crashes weigh this much. */
@@ -21,10 +22,19 @@
 const crowdMs = 250;
 const crowdedFactor = 0.5;
 
+/**
+ * A request of which a run outlived its beginning shortly before a crash weighs this much there: one that many callers send equal is at
+ * its beginning in most crashes.
+ */
+const knownSoundFactor = 0.25;
+const knownSoundMs = 60_000;
+
 /** The first time a request is held back for a short while: one that was taken for another is tried again soon. */
 const firstHoldMs = 20_000;
 /** After a trial that crashed an endpoint again. */
 const laterHoldMs = 600_000;
+/** A trial that led to nothing, since the request found no room, keeps others back for this long. */
+const trialMs = 3_000;
 /** What nobody has come back to for this long is forgotten. */
 export const memoryMs = 900_000;
 /** Bounds, whatever callers send; the oldest goes first. */
@@ -37,6 +47,8 @@
 }
 
 interface Hold {
+  /** Monotonic time of the newest trial after it. */
+  trialAtMs: number;
   readonly sinceMs: number;
   readonly untilMs: number;
   readonly times: number;
@@ -96,9 +108,16 @@
   /** What the crashes weigh that speak against a request, since a run of it last outlived its beginning. */
   getWeight(digest: string): number {
     let weight = 0;
+    let countedAtMs = Number.NEGATIVE_INFINITY;
     for (const crash of this._crashes.values()) {
       const own = crash.suspects.get(digest);
-      if (own !== undefined) weight += own * (this._isCrowded(crash, digest) ? crowdedFactor : 1);
+      if (own === undefined) continue;
+      const isKnownSound = this._isKnownSound(digest, crash.atMs);
+      // Wherever many engines end at once, one that many callers send is at each of them.
+      if (isKnownSound && Math.abs(crash.atMs - countedAtMs) <= crowdMs) continue;
+      countedAtMs = crash.atMs;
+      weight +=
+        own * (isKnownSound ? knownSoundFactor : 1) * (this._isCrowded(crash, digest) ? crowdedFactor : 1);
     }
     return weight;
   }
@@ -133,10 +152,40 @@
     return { lifeId, ageMs: this._getAgeMs(crash.atMs), suspects: news };
   }
 
+  /** How long ago the hold of a request ended. */
+  getDueMs(digest: string): number {
+    return this._nowMs() - (this._holds.get(digest)?.untilMs ?? this._nowMs());
+  }
+
+  /** Whether a request is being tried somewhere after its hold. */
+  isOnTrial(digest: string): boolean {
+    const hold = this._holds.get(digest);
+    return hold !== undefined && this._nowMs() - hold.trialAtMs < trialMs;
+  }
+
+  /** Notes that a request is tried after its hold; gives what is to be told, if that was news. */
+  noteTrial({ digest, ageMs }: ToldTrial): ToldTrial | undefined {
+    const hold = this._holds.get(digest);
+    const atMs = this._nowMs() - ageMs;
+    if (hold === undefined || atMs < hold.untilMs || this.isOnTrial(digest)) return undefined;
+    hold.trialAtMs = atMs;
+    return { digest, ageMs };
+  }
+
+  /** Remembers that a run of a request outlived its beginning at a time before it came under suspicion. */
+  noteSound(digest: string, atMs: number): ToldClearing | undefined {
+    if (this._isClearedSince(digest, atMs)) return undefined;
+    return this._clear(digest, atMs);
+  }
+
   /** Notes that a run of a request outlived its beginning; gives what is to be told, where anything spoke against the request. */
   noteOutlived(digest: string, atMs: number): ToldClearing | undefined {
     const isNews = this._holds.has(digest) || this._hasSuspect(digest);
-    if (!isNews || this._isClearedSince(digest, atMs)) return undefined;
+    return isNews ? this.noteSound(digest, atMs) : undefined;
+  }
+
+  private _clear(digest: string, atMs: number): ToldClearing {
+    this._clearedAtMs.delete(digest);
     this._clearedAtMs.set(digest, atMs);
     keepNewest(this._clearedAtMs, mostCases);
     for (const crash of this._crashes.values()) if (crash.atMs <= atMs) crash.suspects.delete(digest);
@@ -156,7 +205,7 @@
     const sinceMs = nowMs - ageMs;
     if (this._isClearedSince(digest, sinceMs) || (this._holds.get(digest)?.times ?? 0) >= times)
       return undefined;
-    this._setHold(digest, { sinceMs, untilMs: nowMs + leftMs, times });
+    this._setHold(digest, { sinceMs, untilMs: nowMs + leftMs, times, trialAtMs: Number.NEGATIVE_INFINITY });
     return { digest, ageMs, leftMs, times };
   }
 
@@ -171,6 +220,7 @@
       })),
       clearings: [...this._clearedAtMs].map(([digest, atMs]) => ({ digest, ageMs: this._getAgeMs(atMs) })),
       holds: [...this._holds].map(([digest, hold]) => this._toTold(digest, hold)),
+      trials: [],
     };
   }
 
@@ -179,10 +229,9 @@
     const nowMs = this._nowMs();
     // A hold that is known already is not begun anew by the crashes that led to it.
     return {
-      clearings: told.clearings.flatMap(
-        ({ digest, ageMs }) => this.noteOutlived(digest, nowMs - ageMs) ?? [],
-      ),
+      clearings: told.clearings.flatMap(({ digest, ageMs }) => this.noteSound(digest, nowMs - ageMs) ?? []),
       holds: told.holds.flatMap((hold) => this.noteHold(hold) ?? []),
+      trials: told.trials.flatMap((trial) => this.noteTrial(trial) ?? []),
       crashes: told.crashes.flatMap(
         ({ lifeId, ageMs, suspects }) => this.noteCrash(lifeId, nowMs - ageMs, new Map(suspects)) ?? [],
       ),
@@ -207,7 +256,7 @@
       return;
     const times = (before?.times ?? 0) + 1;
     const untilMs = nowMs + (times === 1 ? firstHoldMs : laterHoldMs);
-    this._setHold(digest, { sinceMs: nowMs, untilMs, times });
+    this._setHold(digest, { sinceMs: nowMs, untilMs, times, trialAtMs: Number.NEGATIVE_INFINITY });
   }
 
   private _setHold(digest: string, hold: Hold): void {
@@ -222,6 +271,11 @@
     for (const listener of this._listeners) listener(digest, undefined);
   }
 
+  private _isKnownSound(digest: string, atMs: number): boolean {
+    const soundAtMs = this._clearedAtMs.get(digest);
+    return soundAtMs !== undefined && atMs - soundAtMs < knownSoundMs;
+  }
+
   private _isCrowded(crash: Crash, digest: string): boolean {
     let others = 0;
     for (const other of this._crashes.values()) {
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -6,8 +6,10 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { CompletedRequests } from "./CompletedRequests.js";
 import { CrashLedger, heldFromWeight } from "./CrashLedger.js";
 import { nothingTold, type ToldCrashes, type ToldHold } from "./crashMessages.js";
+import type { DigestedRequest } from "./digestRequest.js";
 import type { ProbeResult } from "./probeConnection.js";
 
 /** A run that goes on for this long after its first event has outlived its beginning. */
@@ -21,12 +23,17 @@
 /** While another run of a suspect is at its beginning here, the next one waits for what becomes of it, this long at most. */
 const longestTurnMs = 600;
 const turnPollMs = 10;
-/** When a request that is to be tried again by another instance may come back. */
+/**
+ * After a hold one instance after the other may try the request, each this much later: callers stay with one instance, and the first one
+ * may get no such request. Whoever tries tells the others, which takes milliseconds.
+ */
+const trialTurnMs = 250;
+/** When a request may come back that another instance tries now. */
 const trialElsewhereMs = 5_000;
 
 /** One run of a request, as long as it is in hand. */
 export interface WatchedRun {
-  readonly request: { readonly id: string; readonly digest: string };
+  readonly request: { readonly digest: string };
   /** The endpoint that it was sent to. */
   readonly endpointId: string;
   /** Whether the endpoint showed that it runs it. */
@@ -42,8 +49,8 @@
   readonly probe: (address: string, timeoutMs: number) => Promise<ProbeResult>;
   /** Tells the peers. */
   readonly tell: (news: ToldCrashes) => void;
-  /** Whether this instance is the one that tries a request again after its hold. */
-  readonly isTrialOurs: (digest: string) => boolean;
+  /** How many other instances may try a request before this one after its hold. */
+  readonly getTrialRank: (digest: string) => number;
   readonly count?: (what: "crash" | "held-back") => void;
   /** Keeps a hold beyond the end of all instances; undefined drops it. */
   readonly keep?: (digest: string, hold: ToldHold | undefined) => void;
@@ -69,6 +76,7 @@
   private readonly _open = new Map<string, OpenCase>();
   /** Lives of endpoints whose crash this instance found. */
   private readonly _foundHere = new Set<string>();
+  private readonly _completed = new CompletedRequests();
   private readonly _nowMs: () => number;
   private readonly _pause: (durationMs: number) => Promise<void>;
 
@@ -90,6 +98,9 @@
   /** Notes that a run is sent now. */
   begin(run: WatchedRun): void {
     this._runs.add(run);
+    if (this.isQuiet || this.ledger.getStanding(run.request.digest) !== "due-for-trial") return;
+    const trial = this.ledger.noteTrial({ digest: run.request.digest, ageMs: 0 });
+    if (trial !== undefined) this._structure.tell({ ...nothingTold, trials: [trial] });
   }
 
   /** Notes that a run is over. */
@@ -97,7 +108,13 @@
     this._runs.delete(run);
   }
 
-  /** Notes that an endpoint ran a request to an end of its own, or long enough. */
+  /** Notes that an endpoint ran a request to a good end. */
+  noteCompleted(kind: string, request: { readonly digest: string; readonly asked: DigestedRequest }): void {
+    this._completed.add(kind, request.asked, this._nowMs());
+    this.noteOutlived(request);
+  }
+
+  /** Notes that a run of a request outlived its beginning. */
   noteOutlived(request: { readonly digest: string }): void {
     if (this.isQuiet) return;
     const { digest } = request;
@@ -135,8 +152,7 @@
     const { digest } = request;
     const standing = this.ledger.getStanding(digest);
     if (standing === "held") return this._noteHeldBack(this.ledger.getHoldLeftMs(digest));
-    if (standing !== "due-for-trial") return undefined;
-    if (this._structure.isTrialOurs(digest) && !this._isAtBeginning(digest)) return undefined;
+    if (standing !== "due-for-trial" || this._isOurTurn(digest)) return undefined;
     return this._noteHeldBack(trialElsewhereMs);
   }
 
@@ -159,6 +175,7 @@
 
   /** Takes what a peer told; gives what of it was news. */
   take(told: ToldCrashes): ToldCrashes {
+    this._noteSound(told.crashes.flatMap(({ suspects }) => suspects.map(([digest]) => digest)));
     const news = this.ledger.take(told);
     for (const { suspects } of news.crashes) this._clearByOwnRuns(suspects.map(([digest]) => digest));
     return news;
@@ -226,6 +243,7 @@
     if (!isCrashed || open.suspects.size === 0) return;
     const { endpoint, lifeId, suspects } = open;
     this._foundHere.add(lifeId);
+    this._noteSound([...suspects.keys()]);
     const crash = this.ledger.noteCrash(lifeId, open.atMs, suspects);
     if (crash === undefined) return;
     this._structure.count?.("crash");
@@ -258,6 +276,19 @@
     }
   }
 
+  /** Suspects that are equal to requests that ended well here are told to be sound, before they are counted. */
+  private _noteSound(digests: readonly string[]): void {
+    if (digests.length === 0) return;
+    const found = this._completed.find(new Set(digests));
+    const clearings = [...found].flatMap(([digest, atMs]) => this.ledger.noteSound(digest, atMs) ?? []);
+    if (clearings.length > 0) this._structure.tell({ ...nothingTold, clearings });
+  }
+
+  private _isOurTurn(digest: string): boolean {
+    if (this._isAtBeginning(digest) || this.ledger.isOnTrial(digest)) return false;
+    return this.ledger.getDueMs(digest) >= this._structure.getTrialRank(digest) * trialTurnMs;
+  }
+
   private _noteHeldBack(leftMs: number): number {
     this._structure.count?.("held-back");
     return leftMs;
--- a/packages/gateway/src/crashes/crashMessages.ts
+++ b/packages/gateway/src/crashes/crashMessages.ts
@@ -21,6 +21,10 @@
 export const toldClearingSchema = zod.object({ digest, ageMs: age });
 export type ToldClearing = zod.infer<typeof toldClearingSchema>;
 
+/** A request whose hold has ended, and which the sender tries now. */
+export const toldTrialSchema = zod.object({ digest, ageMs: age });
+export type ToldTrial = zod.infer<typeof toldTrialSchema>;
+
 /** A request that is held back. */
 export const toldHoldSchema = zod.object({
   digest,
@@ -35,13 +39,14 @@
   crashes: zod.array(toldCrashSchema).max(mostToldItems),
   clearings: zod.array(toldClearingSchema).max(mostToldItems),
   holds: zod.array(toldHoldSchema).max(mostToldItems),
+  trials: zod.array(toldTrialSchema).max(mostToldItems),
 });
 export type ToldCrashes = zod.infer<typeof toldCrashesSchema>;
 
 /** Nothing to tell. */
-export const nothingTold: ToldCrashes = { crashes: [], clearings: [], holds: [] };
+export const nothingTold: ToldCrashes = { crashes: [], clearings: [], holds: [], trials: [] };
 
 /** Whether there is anything in it. */
-export function isAnythingTold({ crashes, clearings, holds }: ToldCrashes): boolean {
-  return crashes.length + clearings.length + holds.length > 0;
+export function isAnythingTold({ crashes, clearings, holds, trials }: ToldCrashes): boolean {
+  return crashes.length + clearings.length + holds.length + trials.length > 0;
 }
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -4,7 +4,7 @@
 import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import type { LogFields } from "../logs/DecisionLog.js";
-import { digestRequest } from "../crashes/digestRequest.js";
+import { digestRequest, type DigestedRequest } from "../crashes/digestRequest.js";
 import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
 
 /** What a request is made of. */
@@ -72,11 +72,16 @@
 
   /** Equal for equal requests. Made when it is first asked for, since most requests never need it. */
   get digest(): string {
-    const { method, path, body } = this;
-    this._digest ??= digestRequest({ method, path, accountName: this.account?.name, body });
+    this._digest ??= digestRequest(this.asked);
     return this._digest;
   }
 
+  /** What makes it equal to another request. */
+  get asked(): DigestedRequest {
+    const { method, path, body } = this;
+    return { method, path, accountName: this.account?.name, body };
+  }
+
   get priority(): number {
     return this.account?.priority ?? this.route.priority;
   }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -24,7 +24,14 @@
   readonly suspicions: Pick<EndpointSuspicions, "noteSilent" | "noteNamed" | "noteNotHeld">;
   readonly crashes: Pick<
     CrashWatch,
-    "isQuiet" | "begin" | "end" | "noteOutlived" | "noteLost" | "getHeldBackMs" | "waitForTurn" | "getShunned"
+    | "isQuiet"
+    | "begin"
+    | "end"
+    | "noteCompleted"
+    | "noteLost"
+    | "getHeldBackMs"
+    | "waitForTurn"
+    | "getShunned"
   >;
   /** Tells the peers that an endpoint refused for want of room. */
   readonly tellFull: (endpointId: string) => void;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -189,7 +189,7 @@
     if (end === "caller-left") return "caller-left";
     if (end === "completed") {
       request.finish();
-      this.context.crashes.noteOutlived(request);
+      this.context.crashes.noteCompleted(request.route.kind, request);
       return "answered";
     }
     this._note(attempt, "stream broken off");
@@ -240,7 +240,7 @@
     if (body.err || request.isHeadSent) return "lost";
     if (request.isIdempotent && answer.status >= 500 && request.attempts < request.route.maxAttempts)
       return "lost";
-    this.context.crashes.noteOutlived(request);
+    this.context.crashes.noteCompleted(request.route.kind, request);
     request.answer(answer.status, answer.headers, body.val);
     return "answered";
   }
--- a/packages/gateway/src/tests/crashes/CrashWatchTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { beginningMs, CrashWatch, type WatchedRun } from "../../crashes/CrashWatch.js";
 import { nothingTold, type ToldCrashes } from "../../crashes/crashMessages.js";
+import { digestRequest } from "../../crashes/digestRequest.js";
 import type { ProbeResult } from "../../crashes/probeConnection.js";
 import type { Endpoint } from "../../discovery/Endpoint.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
@@ -19,7 +20,7 @@
   readonly told: ToldCrashes[] = [];
   probeResult: ProbeResult = "refused";
   probes = 0;
-  isTrialOurs = true;
+  trialRank = 0;
   readonly watch = new CrashWatch({
     endpoints: this.endpoints,
     log: new DecisionLog(new SilentSink(), this.clock.nowMs),
@@ -28,7 +29,7 @@
       return Promise.resolve(this.probeResult);
     },
     tell: (news) => this.told.push(news),
-    isTrialOurs: () => this.isTrialOurs,
+    getTrialRank: () => this.trialRank,
     nowMs: this.clock.nowMs,
     pause: this.clock.sleep,
   });
@@ -49,7 +50,7 @@
 
   createRun(endpointId: string, changes: Partial<WatchedRun> = {}): WatchedRun {
     return {
-      request: { id: "r1", digest: "a" },
+      request: { digest: "a" },
       endpointId,
       hasBegun: true,
       firstEventAtMs: undefined,
@@ -86,7 +87,7 @@
 test("runs that are lost together are told with one probe", async (t) => {
   const scene = new Scene();
   const digests = ["a", "b", "c"];
-  await Promise.all(digests.map((digest) => scene.lose("i-1", { request: { id: digest, digest } })));
+  await Promise.all(digests.map((digest) => scene.lose("i-1", { request: { digest } })));
   t.is(scene.probes, 1);
   t.is(scene.told.length, 1);
 });
@@ -163,24 +164,55 @@
 
 test("suspects keep apart from each other, and nobody else from them", async (t) => {
   const scene = new Scene();
-  const b = { id: "r2", digest: "b" };
+  const b = { digest: "b" };
   await Promise.all([scene.lose("i-1"), scene.lose("i-1", { request: b })]);
   scene.watch.begin(scene.createRun("i-2"));
   t.deepEqual(scene.watch.getShunned(b), ["i-2"]);
   t.deepEqual(scene.watch.getShunned({ digest: "c" }), []);
 });
 
-test("after the hold one instance alone tries the request, once at a time", async (t) => {
+test("after the hold the instances take turns to try the request, one at a time, and each tells the others", async (t) => {
   const scene = new Scene();
   for (const id of ["i-1", "i-2", "i-3"]) await scene.lose(id);
   const leftMs = scene.watch.getHeldBackMs({ digest: "a" }) ?? 0;
   await scene.clock.run(scene.clock.nowMs() + leftMs);
-  scene.isTrialOurs = false;
+  scene.trialRank = 2;
   t.not(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
-  scene.isTrialOurs = true;
+  await scene.clock.run(scene.clock.nowMs() + 600);
   t.is(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
   scene.watch.begin(scene.createRun("i-4"));
   t.not(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+  t.is(scene.told.at(-1)?.trials[0]?.digest, "a");
   await scene.lose("i-4");
   t.true((scene.watch.getHeldBackMs({ digest: "a" }) ?? 0) > leftMs);
 });
+
+test("a request that is tried elsewhere is not tried here meanwhile", async (t) => {
+  const scene = new Scene();
+  for (const id of ["i-1", "i-2", "i-3"]) await scene.lose(id);
+  await scene.clock.run(scene.clock.nowMs() + (scene.watch.getHeldBackMs({ digest: "a" }) ?? 0));
+  scene.watch.take({ ...nothingTold, trials: [{ digest: "a", ageMs: 0 }] });
+  t.not(scene.watch.getHeldBackMs({ digest: "a" }), undefined);
+});
+
+const asked = { method: "POST", path: "/a/x", accountName: "farm", body: Buffer.from("{}") };
+const soundRequest = { asked, digest: digestRequest(asked) };
+
+test("a request equal to one that ended well of late is not held for crashes that it was at", async (t) => {
+  const scene = new Scene();
+  await scene.clock.run(10_000);
+  scene.watch.noteCompleted("streaming", soundRequest);
+  for (const id of ids) await scene.lose(id, { request: soundRequest });
+  t.is(scene.watch.getHeldBackMs(soundRequest), undefined);
+  t.is(scene.told[0]?.clearings[0]?.digest, soundRequest.digest, "told before the crash is counted");
+});
+
+test("an instance that is told of a crash knows its own sound requests", async (t) => {
+  const scene = new Scene();
+  await scene.clock.run(10_000);
+  scene.watch.noteCompleted("streaming", soundRequest);
+  const suspects: [string, number][] = [[soundRequest.digest, 1]];
+  const crashes = ids.map((lifeId) => ({ lifeId, ageMs: 0, suspects }));
+  scene.watch.take({ ...nothingTold, crashes });
+  t.is(scene.watch.getHeldBackMs(soundRequest), undefined);
+});
--- a/packages/gateway/src/tests/patterns/CrashingFleet.ts
+++ b/packages/gateway/src/tests/patterns/CrashingFleet.ts
@@ -160,7 +160,7 @@
     engine: SimulatedEngine,
   ): Promise<"served" | "lost"> {
     const watched = {
-      request: { id: "", digest: request.digest },
+      request: { digest: request.digest },
       endpointId: engine.endpoint.id,
       hasBegun: false,
       firstEventAtMs: undefined,
@@ -174,7 +174,8 @@
     const end = await run.lost.promise;
     engine.runs.delete(run);
     watch.end(watched);
-    if (end === "served") watch.noteOutlived(request);
+    const asked = { method: "POST", path: request.digest, accountName: undefined, body: Buffer.alloc(0) };
+    if (end === "served") watch.noteCompleted("streaming", { digest: request.digest, asked });
     return end;
   }
 
--- a/packages/gateway/src/tests/patterns/CrashingFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/CrashingFleetTests.ts
@@ -114,3 +114,18 @@
   t.is(getCrashes(fleet).length, allowedCrashes);
   t.true(countLateArrivals(fleet) <= allowedLaterArrivals);
 });
+
+for (const seed of [21, 22, 23]) {
+  test(`where all callers send one of two requests, neither is held back, also if all engines end at once again and again (seed ${seed})`, async (t) => {
+    const clock = new SimulatedClock();
+    const fleet = new CrashingFleet(clock, { instances: 4, engines: 6, seed });
+    for (let sent = 0; sent < 800; sent++) {
+      clock.at(sent * 30, () => void fleet.send({ digest: `sent by all ${sent % 2}`, isCrashing: false }));
+    }
+    for (let atMs = 4_000; atMs < 24_000; atMs += repeatMs) clock.at(atMs, () => void fleet.send(crashing));
+    for (const atMs of [4_500, 9_000, 16_000, 20_200, 24_400]) clock.at(atMs, () => fleet.crashByChance(6));
+    await clock.run(40_000);
+    t.deepEqual([...fleet.held], [crashing.digest]);
+    t.true(countLateArrivals(fleet) <= allowedLaterArrivals, `${countLateArrivals(fleet)} arrivals`);
+  });
+}
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -149,7 +149,7 @@
         log,
         probe: probeConnection,
         tell: () => undefined,
-        isTrialOurs: () => true,
+        getTrialRank: () => 0,
       }),
       tellFull: () => undefined,
     };
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -77,7 +77,7 @@
       log: new DecisionLog(new SilentSink(), () => 0),
       probe: () => Promise.resolve("open"),
       tell: () => undefined,
-      isTrialOurs: () => true,
+      getTrialRank: () => 0,
     }),
     tellFull: () => undefined,
   };
