--- a/packages/gateway/src/tests/crashes/CrashWatchTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -202,6 +202,7 @@
   const scene = new Scene();
   await scene.clock.run(10_000);
   scene.watch.noteCompleted("streaming", soundRequest);
+  await scene.clock.run(12_000);
   for (const id of ids) await scene.lose(id, { request: soundRequest });
   t.is(scene.watch.getHeldBackMs(soundRequest), undefined);
   t.is(scene.told[0]?.clearings[0]?.digest, soundRequest.digest, "told before the crash is counted");
@@ -211,6 +212,7 @@
   const scene = new Scene();
   await scene.clock.run(10_000);
   scene.watch.noteCompleted("streaming", soundRequest);
+  await scene.clock.run(12_000);
   const suspects: [string, number][] = [[soundRequest.digest, 1]];
   const crashes = ids.map((lifeId) => ({ lifeId, ageMs: 0, suspects }));
   scene.watch.take({ ...nothingTold, crashes });
