--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -153,6 +153,7 @@
     this._budgets.setOptions(toBudgetOptions(retries));
     const needsRestart = getChangedSections(this._settings, settings);
     this._log.info("settings-reloaded", { changed, needsRestart });
+    void this.crashes.compareWithStore();
   }
 
   /** Finishes what is in hand, within the grace, and ends. */
--- a/packages/gateway/src/crashes/CrashGuard.ts
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -43,13 +43,25 @@
       take: (told) => this.watch.take(told),
       tellAll: () => this.watch.ledger.tellAll(),
     });
-    this._keeper = new HoldKeeper({ store, log, isReader, take: (holds) => this._takeRead(holds) });
+    this._keeper = new HoldKeeper({
+      store,
+      log,
+      isReader,
+      take: (holds) => this._takeRead(holds),
+      getHeldFor: (durationMs) => this.watch.ledger.getHeldFor(durationMs),
+      release: (digest) => this.watch.release(digest),
+    });
   }
 
   run(signal: AbortSignal): Promise<void> {
     return this._keeper.run(signal);
   }
 
+  /** Lets go what an operator has dropped from the store; resolves once it was read, or could not be. */
+  compareWithStore(): Promise<void> {
+    return this._keeper.compare();
+  }
+
   /** The same order of all instances at each of them, also where some are cut off; another order for each request. */
   private _getTrialRank(digest: string): number {
     const { getInstanceNames, membership } = this._structure;
--- a/packages/gateway/src/crashes/CrashLedger.ts
+++ b/packages/gateway/src/crashes/CrashLedger.ts
@@ -95,6 +95,12 @@
     return this.getWeight(digest) > 0 ? "suspected" : "unknown";
   }
 
+  /** Requests that have been held back, or are to be tried again, for a while. */
+  getHeldFor(durationMs: number): string[] {
+    const untilMs = this._nowMs() - durationMs;
+    return [...this._holds].flatMap(([digest, { sinceMs }]) => (sinceMs <= untilMs ? [digest] : []));
+  }
+
   /** How often a request was held back; 0 where it was not, or was cleared since. */
   getHoldTimes(digest: string): number {
     return this._holds.get(digest)?.times ?? 0;
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -103,6 +103,12 @@
     if (trial !== undefined) this._structure.tell({ ...nothingTold, trials: [trial] });
   }
 
+  /** Lets a request go by an operator's word, here and at all peers. */
+  release(digest: string): void {
+    const cleared = this.ledger.release(digest);
+    if (cleared !== undefined) this._structure.tell({ ...nothingTold, clearings: [cleared] });
+  }
+
   /** Notes that a run is over. */
   end(run: WatchedRun): void {
     this._runs.delete(run);
--- a/packages/gateway/src/crashes/HoldKeeper.ts
+++ b/packages/gateway/src/crashes/HoldKeeper.ts
@@ -10,6 +10,8 @@
 
 /** Soon after a start, and rare enough for a store that is away. */
 const tickMs = 500;
+/** A hold that is not in the store after this was dropped there; a younger one may still be on its way. */
+const keptWithinMs = 10_000;
 /** Holds that wait for the store, at most; the oldest goes first. */
 const mostWaiting = 256;
 
@@ -20,6 +22,10 @@
   /** Whether this instance reads the store for its zone. */
   readonly isReader: () => boolean;
   readonly take: (holds: readonly ToldHold[]) => void;
+  /** Requests that have been held back for this long at least. */
+  readonly getHeldFor: (durationMs: number) => readonly string[];
+  /** Lets a request go that an operator has dropped from the store. */
+  readonly release: (digest: string) => void;
 }
 
 /** One keeper an instance. */
@@ -27,6 +33,8 @@
   /** By digest; undefined is to be dropped. */
   private readonly _waiting = new Map<string, StoredHold | undefined>();
   private _hasRead = false;
+  /** Whether what the store does not have is to be let go. */
+  private _mustCompare = false;
 
   constructor(private readonly _structure: HoldKeeperStructure) {}
 
@@ -53,9 +61,15 @@
     );
   }
 
+  /** Reads the store again, and lets go what an operator has dropped there. */
+  async compare(): Promise<void> {
+    this._mustCompare = true;
+    await this.tick();
+  }
+
   /** Does what is due. */
   async tick(): Promise<void> {
-    if (!this._hasRead && this._structure.isReader()) await this._read();
+    if (this._mustCompare || (!this._hasRead && this._structure.isReader())) await this._read();
     await this.write();
   }
 
@@ -77,6 +91,8 @@
     const read = await store.read();
     if (read.err) return log.warn("holds-unreadable", { cause: read.val.message });
     this._hasRead = true;
+    if (this._mustCompare) this._releaseDropped(new Set(read.val.map(({ digest }) => digest)));
+    this._mustCompare = false;
     const nowMs = utils.wallMs();
     const holds = read.val.map(({ digest, untilUnixMs, times }) => ({
       digest,
@@ -87,4 +103,11 @@
     for (const { digest, leftMs } of holds) if (leftMs < -memoryMs) this.keep(digest, undefined);
     take(holds.filter(({ leftMs }) => leftMs >= -memoryMs));
   }
+
+  private _releaseDropped(kept: ReadonlySet<string>): void {
+    const { getHeldFor, release } = this._structure;
+    for (const digest of getHeldFor(keptWithinMs)) {
+      if (!kept.has(digest) && !this._waiting.has(digest)) release(digest);
+    }
+  }
 }
