entry: an instance that is slow to answer is waited for, by who looks for a plan and by who tells where it is in force

Cause: each instance had one second to answer, one after the other; who had not answered counted as one that does not know, and an instance that is linked and silent for a moment ended the wait for the configuration. Why the mend holds: all are asked at once, for as long as a confirmation may take, and the first that knows ends it; 404 is said only when every linked instance has answered, else 503 with the names (plan_unanswered). A linked instance is waited for within the five seconds that the wait has, and its questions get longer each time (Patience).

--- a/packages/entry/src/operators/PlanDesk.ts
+++ b/packages/entry/src/operators/PlanDesk.ts
@@ -12,7 +12,8 @@
 
 const plansKept = 1_000;
 const planTopic = "plan";
-const requestTimeoutMs = 1_000;
+/** An instance that is busy or far away may take seconds; an operator waits as long for a confirmation. */
+const requestTimeoutMs = 5_000;
 const confirmTimeoutMs = 5_000;
 const inForceTimeoutMs = 5_000;
 const inForcePollMs = 20;
@@ -26,6 +27,22 @@
   }
 }
 
+/** No instance that answered knows the plan, and some did not answer. */
+export class PlanUnansweredError extends errors.ShedtillerError {
+  readonly code = "plan_unanswered";
+
+  constructor(
+    readonly planId: string,
+    readonly silent: readonly string[],
+  ) {
+    super(
+      `No instance that answered knows the plan ${planId}; without an answer: ${silent.join(", ")}. Ask again.`,
+    );
+  }
+}
+
+type PlanError = PlanNotFoundError | PlanUnansweredError;
+
 /** What came of a confirmation. */
 export interface Confirmation {
   readonly outcome: PlanOutcome;
@@ -58,15 +75,20 @@
   }
 
   /** Finds a plan here or at another instance. */
-  async requirePlan(planId: string): Promise<results.Result<Plan, PlanNotFoundError>> {
+  async requirePlan(planId: string): Promise<results.Result<Plan, PlanError>> {
     const own = this._plans.get(planId);
     if (own !== undefined) return results.Ok(own);
     const { membership } = this._structure;
-    for (const member of membership.getMembers()) {
-      const reply = await membership.request(member.name, planTopic, planId, requestTimeoutMs);
-      const plan = reply.ok ? planSchema.safeParse(reply.val) : undefined;
-      if (plan?.success === true) return results.Ok(plan.data);
-    }
+    const silent: string[] = [];
+    const asked = membership.getMembers().map(async ({ name }) => {
+      const reply = await membership.request(name, planTopic, planId, requestTimeoutMs);
+      // One that can't be reached has no say; one that is slow may know the plan.
+      if (reply.err && reply.val.code === "deadline_passed") silent.push(name);
+      return planSchema.parse(reply.ok ? reply.val : undefined);
+    });
+    const found = await Promise.any(asked).catch(() => undefined);
+    if (found !== undefined) return results.Ok(found);
+    if (silent.length > 0) return results.Err(new PlanUnansweredError(planId, silent));
     return results.Err(new PlanNotFoundError(planId));
   }
 
@@ -77,9 +99,8 @@
     const outcome = await this._structure.confirmer.confirm(plan.val, confirmTimeoutMs);
     if (outcome.err) return outcome;
     const missing = await this._waitUntilInForce(outcome.val.offset);
-    const unreached = new Set(
-      (await this._structure.status.gather()).unreached.map((instance) => instance.name),
-    );
+    const status = missing.length === 0 ? undefined : await this._structure.status.gather();
+    const unreached = new Set(status?.unreached.map((instance) => instance.name));
     return results.Ok({
       outcome: outcome.val,
       isInForce: missing.every((name) => unreached.has(name)),
@@ -87,6 +108,11 @@
     });
   }
 
+  /** Whether an instance is linked, so that it may be slow, and is not gone. */
+  private _isLinked(name: string): boolean {
+    return this._structure.membership.getLinked().some((member) => member.name === name);
+  }
+
   private async _waitUntilInForce(offset: number): Promise<string[]> {
     const endMs = utils.monotonicMs() + inForceTimeoutMs;
     for (;;) {
@@ -95,7 +121,8 @@
         .filter((instance) => instance.offset < offset)
         .map((instance) => instance.name);
       const missing = [...behind, ...unreached.map((instance) => instance.name)];
-      if (behind.length === 0 || utils.monotonicMs() >= endMs) return missing;
+      const isWaitedFor = behind.length > 0 || unreached.some(({ name }) => this._isLinked(name));
+      if (!isWaitedFor || utils.monotonicMs() >= endMs) return missing;
       await utils.sleep(inForcePollMs);
     }
   }
--- a/packages/entry/src/operators/StatusGatherer.ts
+++ b/packages/entry/src/operators/StatusGatherer.ts
@@ -5,7 +5,9 @@
 import * as zod from "zod";
 
 const statusTopic = "status";
-const requestTimeoutMs = 1_000;
+const firstTimeoutMs = 1_000;
+/** One that is busy answers late, and is not gone. */
+const longestTimeoutMs = 8_000;
 
 export const instanceStatusSchema = zod.object({
   name: zod.string(),
@@ -47,6 +49,7 @@
 /** Answers for this instance and asks the others. */
 export class StatusGatherer {
   private _offsetSinceMs = utils.wallMs();
+  private readonly _patience = new utils.Patience(firstTimeoutMs, longestTimeoutMs);
 
   constructor(private readonly _sources: StatusSources) {
     _sources.membership.onRequest(statusTopic, () => this.getOwn());
@@ -83,7 +86,11 @@
   }
 
   private async _ask(member: Member): Promise<InstanceStatus | undefined> {
-    const reply = await this._sources.membership.request(member.name, statusTopic, null, requestTimeoutMs);
+    const { name } = member;
+    const askedAtMs = utils.monotonicMs();
+    const reply = await this._sources.membership.request(name, statusTopic, null, this._patience.getMs(name));
+    if (reply.ok) this._patience.noteAnswer(name, utils.monotonicMs() - askedAtMs);
+    else if (reply.val.code === "deadline_passed") this._patience.noteTimeout(name);
     const status = reply.ok ? instanceStatusSchema.safeParse(reply.val) : undefined;
     return status?.success === true ? status.data : undefined;
   }
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -134,6 +134,11 @@
     this._requestHandlers.set(topic, handler);
   }
 
+  /** Who answers the requests of a topic. */
+  getRequestHandler(topic: string): RequestHandler | undefined {
+    return this._requestHandlers.get(topic);
+  }
+
   onNotice(topic: string, handler: NoticeHandler): void {
     this._noticeHandlers.set(topic, handler);
   }
--- a/packages/standins/src/tests/configurationTests.ts
+++ b/packages/standins/src/tests/configurationTests.ts
@@ -50,6 +50,32 @@
   t.true(getOffset(fleet, "e2") >= (changes[0]?.offset ?? Number.POSITIVE_INFINITY));
 });
 
+// Seen beside load: a confirmation answered 404 though an instance knew the plan, and instances were named as missing that had it in force a
+// moment later. Each was given one second to answer, and who had not answered counted as one that knows nothing.
+test("an instance that is slow to answer is waited for, by who looks for a plan and by who tells where it is in force", async (t) => {
+  const fleet = await startFleet(t, createStructure(["e1", "e2"], []));
+  const plan = await new OperatorClient(fleet, "e1").plan({
+    operator: "anna",
+    objects: [createClass("night", 4)],
+  });
+  const slow = fleet.requireInstance("e1").membership;
+  const slowMs = 2_000;
+  let asked = 0;
+  for (const topic of ["plan", "status"]) {
+    const answer = slow.getRequestHandler(topic);
+    slow.onRequest(topic, async (body, from) => {
+      asked += 1;
+      await utils.sleep(slowMs);
+      return answer?.(body, from);
+    });
+  }
+  const confirmed = await new OperatorClient(fleet, "e2").confirm(plan.planId);
+  t.true(asked > 1);
+  t.is(confirmed.status, 200);
+  t.true(confirmed.isInForce);
+  t.deepEqual(confirmed.missing, []);
+});
+
 test("operators who race on one object: the first in the log wins, the other is told by whom; disjoint plans pass", async (t) => {
   const fleet = await startFleet(t, createStructure(["e1", "e2@b"], []));
   const [one, two] = [new OperatorClient(fleet, "e1"), new OperatorClient(fleet, "e2")];
