gateway, cli: a request that is held back says so, and explain shows the crashes that count against it

Cause: a held request's lines named neither its digest nor the crashes, which lie minutes before and at other instances. Change: request-held-back (request, digest, time left); explain follows the digest over all instances up to the request's end; losses count these refusals by themselves. Test: explainTests, a request that is held back.

--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -27,8 +27,13 @@
   const instances = new Set(own.map((line) => line.instance));
   const endpoints = new Set(own.flatMap(getEndpoints));
   const isAboutRoom = own.some((line) => roomReasons.includes(line["reason"] ?? line["outcome"]));
+  const digests = new Set(
+    own.flatMap((line) => (typeof line["digest"] === "string" ? [line["digest"]] : [])),
+  );
   const isCause = (line: LogLine): boolean => {
     if (line.requestId !== undefined) return false;
+    // Crashes count against equal requests for minutes, at all instances.
+    if (typeof line["digest"] === "string" && digests.has(line["digest"])) return getWallMs(line) <= toMs;
     const wallMs = getWallMs(line);
     if (wallMs < fromMs || wallMs > toMs) return false;
     if (getEndpoints(line).some((endpoint) => endpoints.has(endpoint))) return true;
--- a/packages/cli/src/losses/judgeEnd.ts
+++ b/packages/cli/src/losses/judgeEnd.ts
@@ -14,6 +14,7 @@
   "refused: instance stops",
   "refused: keys not fresh",
   "refused: key or route unknown",
+  "refused: crashes endpoints",
   "refused: other",
   "failed: cut and not resumed",
   "failed: out of time",
@@ -25,6 +26,7 @@
 const refusals: Readonly<Record<string, EndKind>> = {
   "no-room": "refused: no room",
   "not-run": "refused: engines refused",
+  "held-back": "refused: crashes endpoints",
   stopping: "refused: instance stops",
   "stale-configuration": "refused: keys not fresh",
   "no-configuration": "refused: keys not fresh",
--- a/packages/cli/src/tests/explainTests.ts
+++ b/packages/cli/src/tests/explainTests.ts
@@ -48,6 +48,21 @@
   t.deepEqual(found, ["configuration-in-force", "endpoint-gone", "endpoint-gone", "stream-refused"]);
 });
 
+test("a request that is held back: the crashes that count against equal ones, minutes before and at other instances", (t) => {
+  const held = [
+    create(1, "a", "crash-counted", { digest: "d1", endpointId: "e1", weight: 1 }),
+    create(2, "b", "crash-counted", { digest: "d1", endpointId: "e2", weight: 1 }),
+    create(2, "b", "crash-counted", { digest: "d2", endpointId: "e2", weight: 1 }),
+    create(3, "b", "request-held", { digest: "d1" }),
+    create(200, "a", "request-held-back", { requestId: "r5", digest: "d1" }),
+    create(201, "b", "request-released", { digest: "d1" }),
+  ];
+  t.deepEqual(
+    explainRequest("r5", held).map((line) => line.message),
+    ["crash-counted", "crash-counted", "request-held", "request-held-back"],
+  );
+});
+
 test("a refusal for a key behind a cut: the lost store", (t) => {
   const cut = [
     create(2, "a", "configuration-store-lost", { cause: "no answer" }),
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -90,6 +90,12 @@
     await crashes.waitForTurn(request);
     const heldBackMs = crashes.getHeldBackMs(request);
     if (heldBackMs === undefined) return false;
+    this.context.log.info("request-held-back", {
+      requestId: request.id,
+      digest: request.digest,
+      hasRun,
+      leftMs: Math.round(heldBackMs),
+    });
     if (hasRun || request.isHeadSent) request.refuse(502, "held-back");
     else request.refuse(503, "held-back", heldBackMs);
     return true;
