intent, logservice: a refusal of the log that comes late is told as one

Cause: an append was waited for two seconds; the log's refusal came later, and a reply that is not waited for leaves the outcome unknown. Why the mend holds: the append is waited for as long as the confirmation has time, while the fold is looked at, so that a lost reply costs nothing; and no append is made for whose reply, by the one before, there is no time left.

--- a/packages/intent/src/Confirmer.ts
+++ b/packages/intent/src/Confirmer.ts
@@ -1,6 +1,6 @@
 /** Confirmation of a plan: one append with the plan's id, resolved to the truth also when its reply is lost. */
 import { errors, results, utils } from "@shedtiller/common";
-import type { LogService } from "@shedtiller/logservice";
+import type { AppendReceipt, LogError, LogService } from "@shedtiller/logservice";
 import type { ConfigurationFold } from "./ConfigurationFold.js";
 import * as records from "./configurationRecords.js";
 import type { Plan } from "./intents.js";
@@ -34,6 +34,8 @@
   constructor(
     private readonly _log: LogService,
     private readonly _fold: ConfigurationFold,
+    /** Monotonic clock, replaced in tests. */
+    private readonly _nowMs: () => number = utils.monotonicMs,
   ) {}
 
   /** Confirms a plan and gives the outcome that every instance will come to. */
@@ -41,25 +43,48 @@
     plan: Plan,
     timeoutMs: number,
   ): Promise<results.Result<records.PlanOutcome, ConfirmationUnknownError | NotConfirmedError>> {
-    const deadlineMs = utils.monotonicMs() + timeoutMs;
+    const deadlineMs = this._nowMs() + timeoutMs;
     let isPossiblyAppended = false;
     let lastFailure: unknown;
-    while (utils.monotonicMs() < deadlineMs) {
-      const known = this._fold.getOutcome(plan.planId);
-      if (known !== undefined) return results.Ok(known);
-      // Appending again is harmless: the fold decides each plan id once.
-      const appended = await this._log.append(records.configurationStream, plan.planId, createRecord(plan));
+    const getLeftMs = (): number => deadlineMs - this._nowMs();
+    const isKnown = (): boolean => this._fold.getOutcome(plan.planId) !== undefined;
+    let answerMs = 0;
+    // A reply that there is no time for would leave it unknown what the log had refused before.
+    while (!isKnown() && getLeftMs() > answerMs) {
+      const askedAtMs = this._nowMs();
+      const appended = await this._append(plan, getLeftMs(), isKnown);
+      if (appended === undefined) break;
+      answerMs = this._nowMs() - askedAtMs;
       if (appended.ok || !isProvenNotAppended(appended.val)) isPossiblyAppended = true;
       if (appended.err) lastFailure = appended.val;
-      const waitMs = appended.ok ? deadlineMs - utils.monotonicMs() : appendAgainMs;
-      const isKnown = (): boolean => this._fold.getOutcome(plan.planId) !== undefined;
-      await utils.waitUntil(isKnown, Math.min(waitMs, deadlineMs - utils.monotonicMs()), pollMs);
+      await utils.waitUntil(
+        isKnown,
+        appended.ok ? getLeftMs() : Math.min(appendAgainMs, getLeftMs()),
+        pollMs,
+      );
     }
     const outcome = this._fold.getOutcome(plan.planId);
     if (outcome !== undefined) return results.Ok(outcome);
     if (isPossiblyAppended) return results.Err(new ConfirmationUnknownError(plan.planId));
     return results.Err(new NotConfirmedError(plan.planId, lastFailure));
   }
+
+  /**
+   * Appends, and waits for the reply as long as there is time: a log that answers late says surely what it did. Appending again is harmless,
+   * since the fold decides each plan id once. Undefined where the outcome came before the reply.
+   */
+  private _append(
+    plan: Plan,
+    timeoutMs: number,
+    isKnown: () => boolean,
+  ): Promise<results.Result<AppendReceipt, LogError> | undefined> {
+    let hasReply = false;
+    const reply = this._log
+      .append(records.configurationStream, plan.planId, createRecord(plan), timeoutMs)
+      .finally(() => (hasReply = true));
+    const known = utils.waitUntil(() => hasReply || isKnown(), timeoutMs, pollMs);
+    return Promise.race([reply, known.then((isOver) => (isOver && !hasReply ? undefined : reply))]);
+  }
 }
 
 function createRecord(plan: Plan): records.ConfirmRecord {
--- a/packages/logservice/src/LogService.ts
+++ b/packages/logservice/src/LogService.ts
@@ -48,11 +48,13 @@
   /**
    * Appends one record.
    * @param id - Unique id of the record, by which a lost reply can be resolved.
+   * @param timeoutMs - How long to wait for the reply; without a reply it is not known whether the append took effect.
    */
   abstract append(
     stream: string,
     id: string,
     payload: unknown,
+    timeoutMs?: number,
   ): Promise<results.Result<AppendReceipt, LogError>>;
 
   /**
--- a/packages/logservice/src/http/HttpLogService.ts
+++ b/packages/logservice/src/http/HttpLogService.ts
@@ -30,13 +30,14 @@
     stream: string,
     id: string,
     payload: unknown,
+    timeoutMs = appendTimeoutMs,
   ): Promise<results.Result<AppendReceipt, LogError>> {
     try {
       const response = await got.post(`http://${this.address}/streams/${stream}/records`, {
         json: { id, payload },
         retry: { limit: 0 },
         throwHttpErrors: false,
-        timeout: { connect: connectTimeoutMs, request: appendTimeoutMs },
+        timeout: { connect: connectTimeoutMs, request: timeoutMs },
       });
       if (response.statusCode !== createdStatus) return results.Err(new LogRefusedError(response.statusCode));
       return results.Ok(receiptSchema.parse(JSON.parse(response.body)));
