--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -33,8 +33,15 @@
 const firstHoldMs = 20_000;
 /** After a trial that crashed an endpoint again. */
 const laterHoldMs = 600_000;
+/** When a request may come back that another instance tries now. */
+export const trialElsewhereMs = 5_000;
 /** A trial that led to nothing, since the request found no room, keeps others back for this long. */
 const trialMs = 3_000;
+/**
+ * After a hold one instance after the other may try the request, each this much later: callers stay with one instance, and the first one
+ * may get no such request. Whoever tries tells the others, which takes milliseconds.
+ */
+const trialTurnMs = 250;
 /** What nobody has come back to for this long is forgotten. */
 export const memoryMs = 900_000;
 /** Bounds, whatever callers send; the oldest goes first. */
@@ -158,22 +165,21 @@
     return { lifeId, ageMs: this._getAgeMs(crash.atMs), suspects: news };
   }
 
-  /** How long ago the hold of a request ended. */
-  getDueMs(digest: string): number {
-    return this._nowMs() - (this._holds.get(digest)?.untilMs ?? this._nowMs());
-  }
-
-  /** Whether a request is being tried somewhere after its hold. */
-  isOnTrial(digest: string): boolean {
+  /**
+   * Whether this instance may try a request after its hold, since it is its turn and nobody else does.
+   * @param rank - How many other instances come first.
+   */
+  mayTry(digest: string, rank: number): boolean {
     const hold = this._holds.get(digest);
-    return hold !== undefined && this._nowMs() - hold.trialAtMs < trialMs;
+    if (hold === undefined || this._isOnTrial(hold)) return false;
+    return this._nowMs() - hold.untilMs >= rank * trialTurnMs;
   }
 
   /** Notes that a request is tried after its hold; gives what is to be told, if that was news. */
   noteTrial({ digest, ageMs }: ToldTrial): ToldTrial | undefined {
     const hold = this._holds.get(digest);
     const atMs = this._nowMs() - ageMs;
-    if (hold === undefined || atMs < hold.untilMs || this.isOnTrial(digest)) return undefined;
+    if (hold === undefined || atMs < hold.untilMs || this._isOnTrial(hold)) return undefined;
     hold.trialAtMs = atMs;
     return { digest, ageMs };
   }
@@ -265,6 +271,10 @@
     this._setHold(digest, { sinceMs: nowMs, untilMs, times, trialAtMs: Number.NEGATIVE_INFINITY });
   }
 
+  private _isOnTrial({ trialAtMs }: Hold): boolean {
+    return this._nowMs() - trialAtMs < trialMs;
+  }
+
   private _setHold(digest: string, hold: Hold): void {
     this._holds.delete(digest);
     this._holds.set(digest, hold);
--- a/packages/entry/src/crashes/RequestCrashes.ts
+++ b/packages/entry/src/crashes/RequestCrashes.ts
@@ -5,6 +5,7 @@
   CrashLedger,
   getTrialRank,
   nothingTold,
+  trialElsewhereMs,
   type CrashExchangeStructure,
   type ProbeResult,
 } from "@shedtiller/crashes";
@@ -13,11 +14,6 @@
 const probeTimeoutMs = 300;
 /** Two words of one engine within this are of one crash: engines are listed under one name through all their lives. */
 const oneCrashMs = 2_000;
-/** After a hold the instances take turns to try the request, each this much later. */
-const trialTurnMs = 250;
-/** When a request may come back that another instance tries now. */
-const trialElsewhereMs = 5_000;
-
 /** What the guard works with. */
 export interface RequestCrashesStructure {
   readonly membership: CrashExchangeStructure["membership"];
@@ -81,9 +77,7 @@
 
   private _isOurTurn(digest: string): boolean {
     const { membership, getInstanceNames } = this._structure;
-    if (this.ledger.isOnTrial(digest)) return false;
-    const rank = getTrialRank(digest, membership.self.name, getInstanceNames());
-    return this.ledger.getDueMs(digest) >= rank * trialTurnMs;
+    return this.ledger.mayTry(digest, getTrialRank(digest, membership.self.name, getInstanceNames()));
   }
 
   /** The crash of this engine that is known from a moment ago, or a new one. */
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -3,14 +3,20 @@
  * beginning makes its request a suspect, if the endpoint turns out to have crashed.
  */
 import { utils } from "@shedtiller/common";
+import {
+  CompletedRequests,
+  CrashLedger,
+  heldFromWeight,
+  trialElsewhereMs,
+  nothingTold,
+  type ToldCrashes,
+  type ToldHold,
+  type DigestedRequest,
+  type ProbeResult,
+} from "@shedtiller/crashes";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { CompletedRequests } from "@shedtiller/crashes";
-import { CrashLedger, heldFromWeight } from "@shedtiller/crashes";
-import { nothingTold, type ToldCrashes, type ToldHold } from "@shedtiller/crashes";
-import type { DigestedRequest } from "@shedtiller/crashes";
-import type { ProbeResult } from "@shedtiller/crashes";
 
 /** A run that goes on for this long after its first event has outlived its beginning. */
 export const beginningMs = 250;
@@ -23,13 +29,6 @@
 /** While another run of a suspect is at its beginning here, the next one waits for what becomes of it, this long at most. */
 const longestTurnMs = 600;
 const turnPollMs = 10;
-/**
- * After a hold one instance after the other may try the request, each this much later: callers stay with one instance, and the first one
- * may get no such request. Whoever tries tells the others, which takes milliseconds.
- */
-const trialTurnMs = 250;
-/** When a request may come back that another instance tries now. */
-const trialElsewhereMs = 5_000;
 
 /** One run of a request, as long as it is in hand. */
 export interface WatchedRun {
@@ -291,8 +290,7 @@
   }
 
   private _isOurTurn(digest: string): boolean {
-    if (this._isAtBeginning(digest) || this.ledger.isOnTrial(digest)) return false;
-    return this.ledger.getDueMs(digest) >= this._structure.getTrialRank(digest) * trialTurnMs;
+    return !this._isAtBeginning(digest) && this.ledger.mayTry(digest, this._structure.getTrialRank(digest));
   }
 
   private _noteHeldBack(leftMs: number): number {
--- a/packages/gateway/src/crashes/HoldKeeper.ts
+++ b/packages/gateway/src/crashes/HoldKeeper.ts
@@ -4,8 +4,7 @@
  */
 import { utils } from "@shedtiller/common";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { memoryMs } from "@shedtiller/crashes";
-import type { ToldHold } from "@shedtiller/crashes";
+import { memoryMs, type ToldHold } from "@shedtiller/crashes";
 import type { HeldRequestStore, StoredHold } from "./HeldRequestStore.js";
 
 /** Soon after a start, and rare enough for a store that is away. */
--- a/packages/gateway/src/tests/crashes/CrashWatchTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -1,9 +1,7 @@
 /** What counts as a crash, and what clears a request. */
 import test from "ava";
 import { beginningMs, CrashWatch, type WatchedRun } from "../../crashes/CrashWatch.js";
-import { nothingTold, type ToldCrashes } from "@shedtiller/crashes";
-import { digestRequest } from "@shedtiller/crashes";
-import type { ProbeResult } from "@shedtiller/crashes";
+import { nothingTold, type ToldCrashes, digestRequest, type ProbeResult } from "@shedtiller/crashes";
 import type { Endpoint } from "../../discovery/Endpoint.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
