--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -102,17 +102,17 @@
     if (trial !== undefined) this._structure.tell({ ...nothingTold, trials: [trial] });
   }
 
+  /** Notes that a run is over. */
+  end(run: WatchedRun): void {
+    this._runs.delete(run);
+  }
+
   /** Lets a request go by an operator's word, here and at all peers. */
   release(digest: string): void {
     const cleared = this.ledger.release(digest);
     if (cleared !== undefined) this._structure.tell({ ...nothingTold, clearings: [cleared] });
   }
 
-  /** Notes that a run is over. */
-  end(run: WatchedRun): void {
-    this._runs.delete(run);
-  }
-
   /** Notes that an endpoint ran a request to a good end. */
   noteCompleted(kind: string, request: { readonly digest: string; readonly asked: DigestedRequest }): void {
     this._completed.add(kind, request.asked, this._nowMs());
@@ -247,6 +247,7 @@
     this._open.delete(open.lifeId);
     if (!isCrashed || open.suspects.size === 0) return;
     const { endpoint, lifeId, suspects } = open;
+    for (const found of this._foundHere) if (!this.ledger.hasCrash(found)) this._foundHere.delete(found);
     this._foundHere.add(lifeId);
     this._noteSound([...suspects.keys()]);
     const crash = this.ledger.noteCrash(lifeId, open.atMs, suspects);
