crashes: the first hold is two seconds, and what is held is tried one request at a time over all instances

From the start on every engine fell, so no request had ended well yet, and the two that all callers send had as much against them as the one at fault: all three were held for the first hold of 20 s. Cause: crashes that take everything say nothing of which; only a run by itself does, and it came 20 s later. Why the mend holds: a hold of 2 s is over within the time of contact after the third crash; then the instances take turns, and while one request is on trial no other is, so that two cannot crash together again. A sound one is let go by its run, the other is held for ten minutes. Tests: 'requests that the same crashes speak against are tried one at a time, within seconds' fails with 20 s. Ruled out: to hold nobody where several are suspects (twenty callers at once would go on).

--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -29,8 +29,11 @@
 const knownSoundFactor = 0.25;
 const knownSoundMs = 60_000;
 
-/** The first time a request is held back for a short while: one that was taken for another is tried again soon. */
-const firstHoldMs = 20_000;
+/**
+ * The first time a request is held back for a moment only: where a request crashes every engine at once, sound ones that came with it have
+ * as much against them, and are known apart by trials, one at a time.
+ */
+const firstHoldMs = 2_000;
 /** After a trial that crashed an endpoint again. */
 const laterHoldMs = 600_000;
 /** When a request may come back that another instance tries now. */
@@ -171,7 +174,9 @@
    */
   mayTry(digest: string, rank: number): boolean {
     const hold = this._holds.get(digest);
-    if (hold === undefined || this._isOnTrial(hold)) return false;
+    if (hold === undefined) return false;
+    // Two requests that are tried at once could crash together again.
+    if ([...this._holds.values()].some((other) => this._isOnTrial(other))) return false;
     return this._nowMs() - hold.untilMs >= rank * trialTurnMs;
   }
 
@@ -179,7 +184,7 @@
   noteTrial({ digest, ageMs }: ToldTrial): ToldTrial | undefined {
     const hold = this._holds.get(digest);
     const atMs = this._nowMs() - ageMs;
-    if (hold === undefined || atMs < hold.untilMs || this._isOnTrial(hold)) return undefined;
+    if (hold === undefined || this._isOnTrial(hold) || this._nowMs() < hold.untilMs) return undefined;
     hold.trialAtMs = atMs;
     return { digest, ageMs };
   }
--- a/packages/gateway/src/tests/crashes/CrashWatchTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -216,3 +216,25 @@
   scene.watch.take({ ...nothingTold, crashes });
   t.is(scene.watch.getHeldBackMs(soundRequest), undefined);
 });
+
+test("requests that the same crashes speak against are tried one at a time, within seconds, and the sound ones are let go", async (t) => {
+  const scene = new Scene();
+  const digests = ["crashing", "sound 1", "sound 2"];
+  for (const id of ["i-1", "i-2", "i-3"]) {
+    await Promise.all(digests.map((digest) => scene.lose(id, { request: { digest } })));
+    await scene.clock.run(scene.clock.nowMs() + 1_000);
+  }
+  const isHeld = (digest: string): boolean => scene.watch.getHeldBackMs({ digest }) !== undefined;
+  t.true(digests.every(isHeld));
+  await scene.clock.run(scene.clock.nowMs() + 3_000);
+  const run = scene.createRun("i-4", { request: { digest: "sound 1" } });
+  t.false(isHeld("sound 1"));
+  scene.watch.begin(run);
+  t.true(digests.every(isHeld), "two that are tried at once could crash together");
+  scene.watch.end(run);
+  scene.watch.noteOutlived(run.request);
+  t.false(isHeld("sound 1"));
+  t.false(isHeld("sound 2"));
+  await scene.lose("i-4", { request: { digest: "crashing" } });
+  t.true((scene.watch.getHeldBackMs({ digest: "crashing" }) ?? 0) > 60_000);
+});
