gateway, platform: all that an answer says of its endpoint is one value, taken and logged in one place

Change: the adapter decodes limit, time to come back, leaving and unknown headers into one statement; requests, streams, reports and orders hand it to `EndpointStatements`. It logs what asks for rest and, once by name, headers that nothing reads, and counts both. No decision changes; limits are kept as before.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -10,6 +10,7 @@
 import { probeConnection } from "@shedtiller/crashes";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
 import { EndpointLimits } from "./discovery/EndpointLimits.js";
+import { EndpointStatements } from "./discovery/EndpointStatements.js";
 import { EndpointSuspicions } from "./discovery/EndpointSuspicions.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
@@ -78,6 +79,7 @@
   private readonly _poll: EnginePoll;
   private readonly _budgets: RetryBudgets;
   private readonly _limits: EndpointLimits;
+  private readonly _statements: EndpointStatements;
   private readonly _demand = new RequestDemand();
   private readonly _forwarders: ForwarderSet;
   private readonly _callers: CallerListener;
@@ -97,6 +99,8 @@
       log: _log,
       count: (service) => this.metrics.namedLimits.inc({ service }),
     });
+    this._statements = this._createStatements();
+    platform.orders.onAnswer((target, answer) => this._statements.noteOrderAnswer(target, answer));
     this._configurationWatch = new ConfigurationWatch(
       this.keeper,
       platform.configurationFeed,
@@ -186,6 +190,15 @@
     this._httpCaller.close();
   }
 
+  private _createStatements(): EndpointStatements {
+    return new EndpointStatements({
+      endpoints: this.endpoints,
+      limits: this._limits,
+      log: this._log,
+      count: (what, service) => this.metrics.statements.inc({ what, service }),
+    });
+  }
+
   private _createPeers(registry: PeerRegistry): GatewayPeers {
     return new GatewayPeers({
       settings: this._settings,
@@ -250,7 +263,6 @@
       keeper: this.keeper,
       endpoints: this.endpoints,
       orders,
-      limits: this._limits,
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
       mayAsk: () => this._peers.loads.isCollector,
@@ -269,7 +281,7 @@
       availabilityZone: this._settings.instance.availabilityZone,
       suspicions: this._createSuspicions(orders),
       crashes: this.crashes.watch,
-      limits: this._limits,
+      statements: this._statements,
       demand: this._demand,
       forecast: this._createForecast(),
       tellFull: (endpointId) => this._peers.exchange.tellFull(endpointId),
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -17,6 +17,8 @@
   readonly heldBack: prom.Counter;
   readonly namedLimits: prom.Counter<"service">;
   readonly permits: prom.Counter<"service">;
+  /** Answers in which endpoints say something of themselves that holds beyond the answer. */
+  readonly statements: prom.Counter<"what" | "service">;
   private readonly _server = http.createServer((_message, response) => void this._answer(response));
 
   constructor() {
@@ -56,6 +58,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.statements = new prom.Counter({
+      name: "shedtiller_gateway_endpoint_statements_total",
+      help: "Answers in which endpoints ask for rest, say that they leave, or have an unknown or unreadable header, by service",
+      labelNames: ["what", "service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -62,6 +62,11 @@
     return bornAtMs === undefined ? id : `${id}${lifeSeparator}${bornAtMs}`;
   }
 
+  /** Where orders and questions to this life of it go. */
+  get orderTarget(): { readonly id: string; readonly address: string; readonly lifeId: string } {
+    return { id: this.id, address: this.listed.address, lifeId: this.lifeId };
+  }
+
   get own(): EndpointLoad {
     return this._own;
   }
--- a/packages/gateway/src/discovery/EndpointLimits.ts
+++ b/packages/gateway/src/discovery/EndpointLimits.ts
@@ -1,6 +1,6 @@
 /** The limits that endpoints name with their answers: which one holds, and since when. */
 import { utils } from "@shedtiller/common";
-import type { StatedLimit } from "../http/MessageCodec.js";
+import type { StatedLimit } from "../http/EndpointStatement.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { Endpoint } from "./Endpoint.js";
 
--- a/packages/gateway/src/discovery/EndpointSuspicions.ts
+++ b/packages/gateway/src/discovery/EndpointSuspicions.ts
@@ -48,8 +48,7 @@
     const { endpoints, orders, tellPeers, log } = this._structure;
     const endpoint = endpoints.get(endpointId);
     if (endpoint === undefined || !this._suspect(endpointId, reason)) return;
-    const target = { id: endpointId, address: endpoint.listed.address };
-    const report = await orders.getReport(target, reportTimeoutMs);
+    const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) return tellPeers(endpointId);
     endpoints.clear(endpointId);
     endpoint.refusedUntilMs = this._nowMs() + namedBackoffMs;
@@ -68,7 +67,7 @@
     this._asked.add(endpoint);
     endpoint.refusedUntilMs = this._nowMs() + layersBackoffMs;
     const { address } = endpoint.listed;
-    const report = await orders.getReport({ id: endpointId, address }, reportTimeoutMs);
+    const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     this._asked.delete(endpoint);
     if (report.err) return this.noteSilent(endpointId, `holds other layers: ${report.val.code}`);
     if (!endpoints.setLayers(endpoint, report.val.layers)) return;
--- /dev/null
+++ b/packages/gateway/src/http/EndpointStatement.ts
@@ -0,0 +1,41 @@
+/** What an endpoint says of itself with an answer, beside the answer. */
+
+/** What an endpoint states of the requests a second that it takes from all instances together. */
+export type StatedLimit =
+  | { readonly kind: "none" }
+  | { readonly kind: "named"; readonly perSecond: number }
+  /** Not a number that a limit can have; `text` is what was sent. */
+  | { readonly kind: "unreadable"; readonly text: string };
+
+/** When an endpoint states that requests may come back. */
+export type StatedReturn =
+  | { readonly kind: "none" }
+  | { readonly kind: "named"; readonly afterMs: number }
+  /** Not a time that can be meant; `text` is what was sent. */
+  | { readonly kind: "unreadable"; readonly text: string };
+
+/** All that an answer says of its endpoint, whatever it answers. */
+export interface EndpointStatement {
+  readonly limit: StatedLimit;
+  readonly comeBack: StatedReturn;
+  /** Whether the endpoint will end soon and takes nothing new. */
+  readonly isLeaving: boolean;
+  /** Names, in lower case, of headers that nothing reads; they may state what this version does not know. */
+  readonly unknownNames: readonly string[];
+}
+
+/** A statement with what is needed to weigh it. */
+export interface StatedAnswer {
+  readonly status: number;
+  readonly stated: EndpointStatement;
+  /** Monotonic time of the request: an answer may have been on its way while another one told something newer. */
+  readonly sentAtMs: number;
+}
+
+/** Says nothing. */
+export const noStatement: EndpointStatement = {
+  limit: { kind: "none" },
+  comeBack: { kind: "none" },
+  isLeaving: false,
+  unknownNames: [],
+};
--- a/packages/gateway/src/http/MessageCodec.ts
+++ b/packages/gateway/src/http/MessageCodec.ts
@@ -1,5 +1,7 @@
 /** What the gateway reads from and writes into HTTP heads. The names on the wire belong to the implementation. */
 
+import type { EndpointStatement } from "./EndpointStatement.js";
+
 /** Raw header lines: name, value, name, value, as Node gives them. */
 export type RawHeaders = readonly string[];
 
@@ -38,13 +40,6 @@
   readonly chain: readonly ChainStage[] | undefined;
 }
 
-/** What an endpoint states of the requests a second that it takes from all instances together. */
-export type StatedLimit =
-  | { readonly kind: "none" }
-  | { readonly kind: "named"; readonly perSecond: number }
-  /** Not a number that a limit can have; `text` is what was sent. */
-  | { readonly kind: "unreadable"; readonly text: string };
-
 /** What an endpoint's head says beyond HTTP itself. */
 export interface AnswerFields {
   readonly requestId: string | undefined;
@@ -53,7 +48,8 @@
   /** The endpoint at fault, where a chain failed elsewhere than at its first stage. */
   readonly faultyAddress: string | undefined;
   readonly isEncoded: boolean;
-  readonly limit: StatedLimit;
+  /** What the endpoint says of itself. */
+  readonly stated: EndpointStatement;
 }
 
 /** Reads and writes heads. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export * from "./GatewayMetrics.js";
 export * from "./gatewaySettings.js";
 export * from "./http/AnswerTooLargeError.js";
+export * from "./http/EndpointStatement.js";
 export * from "./http/HttpCall.js";
 export * from "./http/HttpCaller.js";
 export * from "./http/MessageCodec.js";
--- a/packages/gateway/src/orders/EngineOrders.ts
+++ b/packages/gateway/src/orders/EngineOrders.ts
@@ -2,7 +2,8 @@
 import { errors, type results } from "@shedtiller/common";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { CallError } from "../http/HttpCall.js";
-import type { ChainStage, StatedLimit } from "../http/MessageCodec.js";
+import type { StatedAnswer } from "../http/EndpointStatement.js";
+import type { ChainStage } from "../http/MessageCodec.js";
 
 /** What an engine tells of itself; some hundred milliseconds old. */
 export interface EngineReport {
@@ -21,8 +22,6 @@
   readonly slowness: number;
   /** Requests, begun here, that stand still, each with the address of the engine that they wait for. */
   readonly stalled: readonly { readonly requestId: string; readonly address: string }[];
-  /** Left out, or none: nothing is known of a limit, since reports need not name it. */
-  readonly limit?: StatedLimit | undefined;
 }
 
 /** An engine did not do what it was ordered to. */
@@ -54,10 +53,26 @@
 export interface OrderTarget {
   readonly id: string;
   readonly address: string;
+  /** Names the life of its process that is meant; left out where that makes no difference. */
+  readonly lifeId?: string;
 }
 
+/** Told what an answer to an order or a question states of its engine. */
+export type OrderAnswerListener = (target: OrderTarget, answer: StatedAnswer) => void;
+
 /** Sends orders and reads reports. */
 export abstract class EngineOrders {
+  private readonly _listeners: OrderAnswerListener[] = [];
+
+  /** Calls `listener` with what each answer states of its engine. */
+  onAnswer(listener: OrderAnswerListener): void {
+    this._listeners.push(listener);
+  }
+
+  protected notifyAnswer(target: OrderTarget, answer: StatedAnswer): void {
+    for (const listener of this._listeners) listener(target, answer);
+  }
+
   /**
    * Asks an engine for its report.
    * @param isFresh - Whether a connection of its own is used. A kept one may have gone silent, which tells nothing of the engine.
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -2,7 +2,6 @@
 import { utils } from "@shedtiller/common";
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
-import type { EndpointLimits } from "../discovery/EndpointLimits.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "./EngineOrders.js";
@@ -20,7 +19,6 @@
   readonly keeper: ConfigurationKeeper;
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
-  readonly limits: Pick<EndpointLimits, "noteReport">;
   readonly log: DecisionLog;
   readonly availabilityZone: string;
   /** Whether this instance asks for its zone now. */
@@ -54,12 +52,9 @@
   }
 
   private async _ask(engine: Endpoint): Promise<void> {
-    const target = { id: engine.id, address: engine.listed.address };
-    const sentAtMs = utils.monotonicMs();
-    const report = await this._structure.orders.getReport(target, reportTimeoutMs, false);
+    const report = await this._structure.orders.getReport(engine.orderTarget, reportTimeoutMs, false);
     // What a new life reports is of another endpoint than the one that was asked about.
     if (report.err || this._structure.endpoints.get(engine.id) !== engine) return;
-    this._structure.limits.noteReport(engine, report.val.limit, sentAtMs);
     const slowness = getSlowness(report.val);
     if (Math.abs(slowness - engine.slowness) < toldChange) return;
     engine.slowness = slowness;
--- a/packages/gateway/src/orders/LayerKeeper.ts
+++ b/packages/gateway/src/orders/LayerKeeper.ts
@@ -131,7 +131,7 @@
     const endpoint = this._structure.endpoints.get(name);
     if (endpoint === undefined) return;
     this._retryAtMs.set(name, utils.monotonicMs() + retryMs);
-    const target = { id: endpoint.id, address: endpoint.listed.address };
+    const target = endpoint.orderTarget;
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
     if (report.err) return this._note(endpoint, span, report.val.code);
     if (this._structure.endpoints.get(name) !== endpoint) return this._note(endpoint, span, "started again");
--- a/packages/gateway/src/orders/LostEngines.ts
+++ b/packages/gateway/src/orders/LostEngines.ts
@@ -72,7 +72,7 @@
 
   /** Asks an engine once; what was held against it is forgotten if it answers. */
   private async _answers(member: Endpoint): Promise<boolean> {
-    const target = { id: member.id, address: member.listed.address };
+    const target = member.orderTarget;
     const report = await this._orders.getReport(target, reportTimeoutMs);
     if (report.err) return false;
     if (this._isLost(member.id)) this._note(member, "engine-answers-again");
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -192,8 +192,9 @@
       return { kind: "not-run", error: result.val.code };
     }
     const fields = this.context.codec.decodeAnswer(result.val.headers);
-    this.context.limits.noteAnswer(endpoint, fields.limit, sentAtMs);
-    if (fields.hasNotRun) return { kind: "not-run", error: `status ${result.val.status}` };
+    const { status } = result.val;
+    this.context.statements.noteAnswer(endpoint, { status, stated: fields.stated, sentAtMs });
+    if (fields.hasNotRun) return { kind: "not-run", error: `status ${status}` };
     if (fields.requestId !== request.fields.requestId)
       return { kind: "unknown", error: "answer of another request" };
     if (fields.isEncoded) return { kind: "unknown", error: "encoded body" };
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationKeeper } from "../configuration/ConfigurationKeeper.js";
 import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
-import type { EndpointLimits } from "../discovery/EndpointLimits.js";
+import type { EndpointStatements } from "../discovery/EndpointStatements.js";
 import type { EndpointSuspicions } from "../discovery/EndpointSuspicions.js";
 import type { CrashWatch } from "../crashes/CrashWatch.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
@@ -36,7 +36,7 @@
     | "waitForTurn"
     | "getShunned"
   >;
-  readonly limits: Pick<EndpointLimits, "noteAnswer">;
+  readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
   /** Tells the peers that an endpoint refused for want of room. */
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -126,8 +126,7 @@
   private async _ask(endpointId: string): Promise<void> {
     const endpoint = this._context.endpoints.get(endpointId);
     if (endpoint === undefined) return this._abandon(endpointId);
-    const target = { id: endpointId, address: endpoint.listed.address };
-    const report = await this._orders.getReport(target, reportTimeoutMs);
+    const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
       this._context.suspicions.noteSilent(endpointId, `no report: ${report.val.code}`);
       return this._abandon(endpointId);
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -184,7 +184,11 @@
     const { request } = attempt;
     const fields = this.context.codec.decodeAnswer(answer.headers);
     if (attempt.firstEndpoint !== undefined)
-      this.context.limits.noteAnswer(attempt.firstEndpoint, fields.limit, attempt.sentAtMs);
+      this.context.statements.noteAnswer(attempt.firstEndpoint, {
+        status: answer.status,
+        stated: fields.stated,
+        sentAtMs: attempt.sentAtMs,
+      });
     if (fields.hasNotRun) return this._acceptRefusal(attempt, answer, fields.faultyAddress);
     if (fields.requestId !== request.fields.requestId || fields.isEncoded) {
       answer.abort();
--- a/packages/gateway/src/tests/patterns/LimitedFleet.ts
+++ b/packages/gateway/src/tests/patterns/LimitedFleet.ts
@@ -13,7 +13,7 @@
 import type { Endpoint } from "../../discovery/Endpoint.js";
 import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
-import type { StatedLimit } from "../../http/MessageCodec.js";
+import type { StatedLimit } from "../../http/EndpointStatement.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { LimitNews } from "../../peers/LimitNews.js";
 import { LoadExchange } from "../../peers/LoadExchange.js";
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -9,9 +9,11 @@
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { CrashWatch } from "../../crashes/CrashWatch.js";
 import { probeConnection } from "@shedtiller/crashes";
+import { EndpointStatements } from "../../discovery/EndpointStatements.js";
 import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import { noStatement, type StatedLimit, type StatedReturn } from "../../http/EndpointStatement.js";
 import { HttpCaller } from "../../http/HttpCaller.js";
 import {
   MessageCodec,
@@ -19,7 +21,6 @@
   type CallerFields,
   type EndpointFields,
   type RawHeaders,
-  type StatedLimit,
 } from "../../http/MessageCodec.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
@@ -46,7 +47,11 @@
   return text === undefined ? { kind: "none" } : { kind: "named", perSecond: Number(text) };
 }
 
-/** Headers of these tests: `x-id`, `x-key`, `x-last` and `x-not-run`. */
+function decodeReturn(text: string | undefined): StatedReturn {
+  return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
+}
+
+/** Headers of these tests: `x-id`, `x-key`, `x-last`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
 class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
     return {
@@ -71,7 +76,12 @@
       hasNotRun: lookUp(headers, "x-not-run") !== undefined,
       faultyAddress: undefined,
       isEncoded: false,
-      limit: decodeLimit(lookUp(headers, "x-limit")),
+      stated: {
+        ...noStatement,
+        limit: decodeLimit(lookUp(headers, "x-limit")),
+        comeBack: decodeReturn(lookUp(headers, "x-rest-ms")),
+        isLeaving: lookUp(headers, "x-leaving") !== undefined,
+      },
     };
   }
 
@@ -164,7 +174,11 @@
         getTrialRank: () => 0,
         nowMs: () => this.crashClockMs,
       }),
-      limits: new EndpointLimits({ log }),
+      statements: new EndpointStatements({
+        endpoints: this.endpoints,
+        limits: new EndpointLimits({ log }),
+        log,
+      }),
       ...permits,
       tellFull: () => undefined,
     };
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -8,7 +8,6 @@
 import { ChainReservation } from "../../chains/ChainReservation.js";
 import { ConfigurationKeeper } from "../../configuration/ConfigurationKeeper.js";
 import { CrashWatch } from "../../crashes/CrashWatch.js";
-import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { HttpCaller } from "../../http/HttpCaller.js";
@@ -82,7 +81,7 @@
       getTrialRank: () => 0,
     }),
     ...createPermitParts(endpoints),
-    limits: new EndpointLimits({ log: new DecisionLog(new SilentSink(), () => 0) }),
+    statements: { noteAnswer: () => undefined },
     tellFull: () => undefined,
   };
   const chooser = new ChainChooser(
