gateway: an endpoint that asks an instance for rest gets nothing from it until the rest is over

Symptom: endpoints that turned requests away with 503 and three seconds of rest got three and four more from the same instance in that time, and callers lost attempts there, or came back to it after 0.1 s. Cause: nothing read the time. A refusal was taken for want of room at the load of that moment, so the next request went as soon as a stream ended there; plain requests went to the endpoint at once, since it had the fewest in hand. Change: `EndpointRest` keeps the rest by life and instance. Every send takes its permit right before it, and there is none in a rest; chains leave resting engines out, polls too. Where all rest, a request waits only if it will be in time; else it is refused at once, and comes back after the earliest end. Ruled out: keeping it in the forwarders (second sends, resumed streams and trials each have a way of their own to an endpoint; the permit is the one place that all pass); ending a rest with an answer (it may be to a request sent before); telling peers (another instance may be welcome).

--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -21,7 +21,7 @@
   /^leader-/,
 ];
 /** Outcomes and reasons that are about room. */
-const roomReasons: readonly unknown[] = ["no-room", "limited", "not-run"];
+const roomReasons: readonly unknown[] = ["no-room", "limited", "resting", "not-run"];
 
 /** Gives the lines that explain a request, the earliest first; none where no line names it. */
 export function explainRequest(requestId: string, lines: readonly LogLine[]): LogLine[] {
--- a/packages/cli/src/losses/judgeEnd.ts
+++ b/packages/cli/src/losses/judgeEnd.ts
@@ -11,6 +11,7 @@
   "late: pause",
   "refused: no room",
   "refused: limits of endpoints",
+  "refused: endpoints asked for rest",
   "refused: engines refused",
   "refused: instance stops",
   "refused: keys not fresh",
@@ -27,6 +28,7 @@
 const refusals: Readonly<Record<string, EndKind>> = {
   "no-room": "refused: no room",
   limited: "refused: limits of endpoints",
+  resting: "refused: endpoints asked for rest",
   "not-run": "refused: engines refused",
   "held-back": "refused: crashes endpoints",
   stopping: "refused: instance stops",
--- a/packages/cli/src/tests/lossesTests.ts
+++ b/packages/cli/src/tests/lossesTests.ts
@@ -29,6 +29,7 @@
   t.is(judge({ ...inTime, isPauseLate: true }), "late: pause");
   t.is(judge({ outcome: "no-room" }), "refused: no room");
   t.is(judge({ outcome: "limited" }), "refused: limits of endpoints");
+  t.is(judge({ outcome: "resting" }), "refused: endpoints asked for rest");
   t.is(judge({ outcome: "outcome-unknown" }), "failed: cut and not resumed");
   t.is(judge({ outcome: "status 500" }), "failed: endpoint's failure");
   t.is(judge({ reason: "stale-configuration" }, "request-refused"), "refused: keys not fresh");
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -54,7 +54,7 @@
     private readonly _endpoints: EndpointTable,
     private readonly _chooser: ChainChooser,
     private readonly _demand: RequestDemand,
-    private readonly _forecast: Pick<PermitForecast, "getIntervalMs" | "getWaitMs" | "getRetryAfterMs">,
+    private readonly _forecast: Pick<PermitForecast, "isHeldUp" | "getWaitMs" | "getRetryAfterMs">,
   ) {
     _demand.addQueue((service) => this._getWaiting(service));
     _demand.onPermits((service) => {
@@ -79,7 +79,7 @@
 
   /** When a refused request should come back. */
   getRetryAfterMs(service: string): number {
-    if (this._forecast.getIntervalMs(service) > 0)
+    if (this._forecast.isHeldUp(service))
       return this._forecast.getRetryAfterMs(service, this._getWaiting(service));
     const waitMs = this._waiters.length * this._releaseIntervalMs;
     return Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, waitMs));
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -74,6 +74,8 @@
     const nowMs = this._nowMs();
     if (endpoint.isSuspect(nowMs) || nowMs < endpoint.refusedUntilMs) return [];
     if (endpoint.resets.isAvoided(nowMs)) return [];
+    // A stream that is moved stays with its first engine, which asked for no new ones.
+    if (endpoint.rest.getLeftMs(nowMs) > 0 && endpoint.id !== demand.firstEndpointId) return [];
     if (demand.refusedBy?.has(endpoint.listed.address) === true) return [];
     const kind = getKind(endpoint, profile);
     if (kind === undefined) return [];
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -1,4 +1,5 @@
 /** What this instance knows of one endpoint. */
+import { EndpointRest } from "./EndpointRest.js";
 import { PermitHand } from "./PermitHand.js";
 import { SendPermit } from "./SendPermit.js";
 import type { KnownLimit } from "./EndpointLimits.js";
@@ -44,6 +45,8 @@
   /** The limit that it named last; undefined while it never did. */
   limit: KnownLimit | undefined;
   readonly permits = new PermitHand();
+  /** The rest that it asked this instance for. */
+  readonly rest = new EndpointRest();
   private _own: EndpointLoad = noLoad;
   private readonly _peerLoads = new Map<string, EndpointLoad>();
 
@@ -116,19 +119,32 @@
     return seen === undefined || nowMs >= seen.untilMs ? Number.POSITIVE_INFINITY : seen.tokenLayers;
   }
 
-  /** Whether a request may be sent to it within the limit that it names. */
+  /** Whether a request may be sent to it: within the limit that it names, and not in a rest that it asked for. */
   hasPermit(nowMs: number): boolean {
+    if (!this.rest.mayBegin(nowMs)) return false;
     return this.limit?.perSecond === undefined || this.permits.getCount(nowMs) > 0;
   }
 
-  /** Takes the right to send one request; undefined where its limit leaves none now. */
+  /** Takes the right to send one request; undefined where there is none now. */
   tryTakePermit(nowMs: number): SendPermit | undefined {
-    if (this.limit?.perSecond === undefined) {
-      this.permits.noteFree(nowMs);
-      return new SendPermit(this.permits, undefined);
-    }
-    const expiresAtMs = this.permits.tryTake(nowMs);
-    return expiresAtMs === undefined ? undefined : new SendPermit(this.permits, expiresAtMs);
+    if (!this.hasPermit(nowMs)) return undefined;
+    const isLimited = this.limit?.perSecond !== undefined;
+    const expiresAtMs = isLimited ? this.permits.tryTake(nowMs) : undefined;
+    if (!isLimited) this.permits.noteFree(nowMs);
+    this.rest.noteSent(nowMs);
+    return new SendPermit(this, expiresAtMs);
+  }
+
+  /** Takes back a permit with which nothing was sent. */
+  takeBack(expiresAtMs: number | undefined): void {
+    if (expiresAtMs !== undefined) this.permits.giveBack(expiresAtMs);
+    this.rest.noteNotSent();
+  }
+
+  /** Notes an answer to a request that it took. */
+  noteAnswered(sentAtMs: number): void {
+    this.resets.noteAnswered();
+    this.rest.noteAnswered(sentAtMs);
   }
 
   isSuspect(nowMs: number): boolean {
--- /dev/null
+++ b/packages/gateway/src/discovery/EndpointRest.ts
@@ -0,0 +1,62 @@
+/** The rest that an endpoint has asked this instance for. Other instances may be welcome there, so that none is told. */
+import { ReturnRamp } from "./ReturnRamp.js";
+
+/** One for each life of an endpoint. */
+export class EndpointRest {
+  private _fromMs = 0;
+  private _untilMs = 0;
+  private _isEndNoted = true;
+  private readonly _ramp = new ReturnRamp();
+
+  /** Monotonic time of the end of the last rest. */
+  get untilMs(): number {
+    return this._untilMs;
+  }
+
+  /** Whether all requests since the last rest were few enough, and answered, so that it is used as any other. */
+  get isRecovered(): boolean {
+    return this._ramp.isOver;
+  }
+
+  /**
+   * Notes that it wants nothing until `untilMs`. Each answer binds for its own time, so that a shorter one takes nothing back.
+   * @returns Whether it was not resting yet.
+   */
+  note(untilMs: number, nowMs: number): boolean {
+    const isNew = this.getLeftMs(nowMs) === 0;
+    if (isNew) this._fromMs = nowMs;
+    this._untilMs = Math.max(this._untilMs, untilMs);
+    this._isEndNoted = false;
+    this._ramp.start(this._untilMs);
+    return isNew;
+  }
+
+  /** Time until the rest ends; 0 where there is none. */
+  getLeftMs(nowMs: number): number {
+    return Math.max(0, this._untilMs - nowMs);
+  }
+
+  /** Whether a request may go there now. After a rest few go first. */
+  mayBegin(nowMs: number): boolean {
+    return this.getLeftMs(nowMs) === 0 && !this._ramp.isFull(nowMs);
+  }
+
+  noteSent(nowMs: number): void {
+    this._ramp.noteSent(nowMs);
+  }
+
+  noteNotSent(): void {
+    this._ramp.noteNotSent();
+  }
+
+  noteAnswered(sentAtMs: number): void {
+    this._ramp.noteAnswered(sentAtMs);
+  }
+
+  /** Gives how long the last rest lasted, once after its end. */
+  takeEndedMs(nowMs: number): number | undefined {
+    if (this._isEndNoted || this.getLeftMs(nowMs) > 0) return undefined;
+    this._isEndNoted = true;
+    return this._untilMs - this._fromMs;
+  }
+}
--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -9,6 +9,8 @@
 
 /** Statuses with which an endpoint turns a request away for a time (RFC 9110, section 15.6.4; RFC 6585, section 4). */
 const turnedAwayStatuses: readonly number[] = [429, 503];
+/** An endpoint that is out for longer leaves, or starts again; a longer time is more likely a slip. */
+const longestRestMs = 600_000;
 /** Different unknown headers that are logged; endpoints could send any number of them. */
 const mostLoggedNames = 64;
 
@@ -38,6 +40,7 @@
   /** Takes what the answer to a request states. */
   noteAnswer(endpoint: Endpoint, answer: StatedAnswer): void {
     this._structure.limits.noteAnswer(endpoint, answer.stated.limit, answer.sentAtMs);
+    this._noteRestEnded(endpoint);
     this._noteBeyondLimit(endpoint, answer);
   }
 
@@ -67,13 +70,23 @@
       return;
     }
     this._count("rest", endpoint);
-    this._structure.log.info("endpoint-asks-for-rest", {
+    const nowMs = this._nowMs();
+    const restMs = Math.min(comeBack.afterMs, longestRestMs);
+    if (!endpoint.rest.note(nowMs + restMs, nowMs)) return;
+    this._structure.log.info("endpoint-rest-began", {
       ...describe(endpoint),
       status,
-      restMs: comeBack.afterMs,
+      restMs,
+      namedMs: comeBack.afterMs,
     });
   }
 
+  private _noteRestEnded(endpoint: Endpoint): void {
+    const restMs = endpoint.rest.takeEndedMs(this._nowMs());
+    if (restMs !== undefined)
+      this._structure.log.info("endpoint-rest-ended", { ...describe(endpoint), restMs });
+  }
+
   private _noteLeaving(endpoint: Endpoint): void {
     this._count("leaving", endpoint);
   }
--- a/packages/gateway/src/orders/EnginePoll.ts
+++ b/packages/gateway/src/orders/EnginePoll.ts
@@ -43,12 +43,13 @@
   }
 
   private _getEngines(): Endpoint[] {
+    const nowMs = utils.monotonicMs();
     const services = this._structure.keeper.table?.configuration.services ?? [];
     const names = services.filter((service) => service.engine !== undefined).map((service) => service.name);
     return names
       .flatMap((name) => this._structure.endpoints.getUsable(name))
       .filter((engine) => engine.listed.availabilityZone === this._structure.availabilityZone)
-      .filter((engine) => engine.listed.layers.length > 0);
+      .filter((engine) => engine.listed.layers.length > 0 && engine.rest.getLeftMs(nowMs) === 0);
   }
 
   private async _ask(engine: Endpoint): Promise<void> {
--- a/packages/gateway/src/requests/PermitForecast.ts
+++ b/packages/gateway/src/requests/PermitForecast.ts
@@ -1,5 +1,6 @@
-/** When there will be permits for a service whose endpoints all name limits. */
+/** When a service takes requests again whose endpoints all name limits or have asked for rest. */
 import { utils } from "@shedtiller/common";
+import * as placement from "@shedtiller/placement";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { RequestDemand } from "./RequestDemand.js";
@@ -10,6 +11,9 @@
 const leastSpread = 0.75;
 const spreadRange = 0.5;
 
+/** Requests a second that an endpoint takes which comes back from a rest. */
+const returningPerSecond = 20;
+
 /** What a forecast works with. */
 export interface PermitForecastStructure {
   readonly endpoints: Pick<EndpointTable, "getUsable">;
@@ -32,6 +36,16 @@
     this._random = _structure.random ?? Math.random;
   }
 
+  /** Whether limits or rests keep all endpoints from taking a request now. */
+  isHeldUp(service: string): boolean {
+    return this.getIntervalMs(service) > 0 || this._getRestMs(service) > 0;
+  }
+
+  /** Why requests are refused while the service is held up. */
+  getReason(service: string): "limited" | "resting" {
+    return this._getRestMs(service) > 0 ? "resting" : "limited";
+  }
+
   /** Time between two requests that this instance may begin; 0 while some endpoint of the service takes one now. */
   getIntervalMs(service: string): number {
     const limits = this._getLimits(service);
@@ -47,45 +61,75 @@
    * have the next of all; those behind it take what comes to this instance.
    */
   getWaitMs(service: string, ahead: number): number {
-    if (ahead > 0) return (ahead + 1) * this.getIntervalMs(service);
+    const restMs = this._getRestMs(service);
+    if (ahead > 0) return restMs + (ahead + 1) * this.getIntervalMs(service);
     const limits = this._getLimits(service);
-    return limits === undefined ? 0 : utils.msPerSecond / Math.max(utils.getSum(limits), Number.EPSILON);
+    if (limits === undefined) return restMs;
+    return restMs + utils.msPerSecond / Math.max(utils.getSum(limits), Number.EPSILON);
   }
 
   /** When a request should come back that finds so many others waiting. */
   getRetryAfterMs(service: string, waiting: number): number {
     const expectedMs = (waiting + 1) * this.getIntervalMs(service);
     const boundedMs = Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, expectedMs));
-    return boundedMs * (leastSpread + spreadRange * this._random());
+    return this._getRestMs(service) + boundedMs * (leastSpread + spreadRange * this._random());
   }
 
-  /** The limits that hold a service back, for the line of a refusal: `address=2/s for 1200 ms`. */
+  /** What holds a service up, for the line of a refusal: `address=2/s for 1200 ms`, `address rests for 800 ms`. */
   describe(service: string): string[] {
     const nowMs = this._nowMs();
-    return this._getFirst(service).flatMap(({ listed, limit }) =>
-      limit?.perSecond === undefined
-        ? []
-        : [`${listed.address}=${limit.perSecond}/s for ${Math.round(nowMs - limit.atMs)} ms`],
-    );
+    return this._getCandidates(service).flatMap(({ listed, limit, rest }) => {
+      const restMs = rest.getLeftMs(nowMs);
+      if (restMs > 0) return [`${listed.address} rests for ${Math.round(restMs)} ms`];
+      if (limit?.perSecond === undefined) return [];
+      return [`${listed.address}=${limit.perSecond}/s for ${Math.round(nowMs - limit.atMs)} ms`];
+    });
   }
 
   /** The limits of all endpoints that may begin a request; undefined where one of them takes it now, or there is none. */
   private _getLimits(service: string): number[] | undefined {
     const nowMs = this._nowMs();
-    const first = this._getFirst(service);
+    const first = getFirst(this._getCandidates(service)).filter(({ rest }) => rest.getLeftMs(nowMs) === 0);
     if (first.length === 0 || first.some((endpoint) => endpoint.hasPermit(nowMs))) return undefined;
-    return first.map((endpoint) => endpoint.limit?.perSecond ?? 0);
+    return first.map((endpoint) => endpoint.limit?.perSecond ?? returningPerSecond);
+  }
+
+  /**
+   * Until the first moment at which a request finds all that it needs: one endpoint that does not rest, or engines that hold all layers
+   * together; 0 where rests are not what is in the way.
+   */
+  private _getRestMs(service: string): number {
+    const nowMs = this._nowMs();
+    const candidates = this._getCandidates(service);
+    const awake = candidates.filter(({ rest }) => rest.getLeftMs(nowMs) === 0);
+    if (awake.length === candidates.length || isServable(awake, candidates)) return 0;
+    const resting = candidates
+      .filter((candidate) => !awake.includes(candidate))
+      .sort((a, b) => a.rest.untilMs - b.rest.untilMs);
+    const back = resting.findIndex((_, index) =>
+      isServable([...awake, ...resting.slice(0, index + 1)], candidates),
+    );
+    return resting[back]?.rest.getLeftMs(nowMs) ?? 0;
   }
 
-  /** Endpoints that may be the first of a request: those with the first layers, where there are any with layers. */
-  private _getFirst(service: string): Endpoint[] {
+  private _getCandidates(service: string): Endpoint[] {
     const nowMs = this._nowMs();
-    const usable = this._structure.endpoints
-      .getUsable(service)
-      .filter((endpoint) => !endpoint.isSuspect(nowMs));
-    const engines = usable.filter(({ listed }) => listed.layers.length > 0);
-    return engines.length === 0
-      ? usable
-      : engines.filter(({ listed }) => listed.layers.some(({ start }) => start === 0));
+    return this._structure.endpoints.getUsable(service).filter((endpoint) => !endpoint.isSuspect(nowMs));
   }
 }
+
+/** Endpoints that may be the first of a request: those with the first layers, where there are any with layers. */
+function getFirst(endpoints: readonly Endpoint[]): Endpoint[] {
+  const engines = endpoints.filter(({ listed }) => listed.layers.length > 0);
+  return engines.length === 0
+    ? [...endpoints]
+    : engines.filter(({ listed }) => listed.layers.some(({ start }) => start === 0));
+}
+
+/** Whether `some` of the endpoints run a request: any one, or engines with all layers that `all` hold. */
+function isServable(some: readonly Endpoint[], all: readonly Endpoint[]): boolean {
+  const end = Math.max(0, ...all.flatMap(({ listed }) => listed.layers.map((span) => span.end)));
+  if (end === 0) return some.length > 0;
+  const held = some.flatMap(({ listed }) => listed.layers);
+  return placement.isCovered({ start: 0, end }, held);
+}
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -133,25 +133,27 @@
     hasRun: boolean,
   ): void {
     if (last !== undefined) return request.answer(last.status, last.headers, last.body);
-    if (!hasRun && this.context.forecast.getIntervalMs(service) > 0)
-      return this._refuseLimited(request, service);
+    if (!hasRun && this.context.forecast.isHeldUp(service)) return this._refuseHeldUp(request, service);
     if (!hasRun) return request.refuse(503, request.attempts === 0 ? "no-endpoint" : "not-run", retryAfterMs);
     if (request.getRemainingMs() <= 0) return request.refuse(504, "out-of-time");
     request.refuse(502, "outcome-unknown");
   }
 
-  private _refuseLimited(request: CallerRequest, service: string): void {
+  /** Limits, or rests that were asked for, keep all endpoints from taking it in time. */
+  private _refuseHeldUp(request: CallerRequest, service: string): void {
     const waiting = this._queue.getWaiting(service);
     const retryAfterMs = this.context.forecast.getRetryAfterMs(service, waiting);
+    const reason = this.context.forecast.getReason(service);
     this.context.log.warn("request-limited", {
       requestId: request.id,
       service,
+      reason,
       waiting,
       retryAfterMs: Math.round(retryAfterMs),
       permitsPerSecond: this.context.demand.getPermitsPerSecond(service),
       limits: this.context.forecast.describe(service),
     });
-    request.refuse(503, "limited", retryAfterMs);
+    request.refuse(503, reason, retryAfterMs);
   }
 
   private async _send(request: CallerRequest, endpoint: Endpoint, permit: SendPermit): Promise<SendOutcome> {
@@ -171,9 +173,8 @@
       Math.max(1, remainingMs),
     );
     endpoint.addOwn(-1, 0);
-    if (result.ok) endpoint.resets.noteAnswered();
-    else if (result.val instanceof errors.NotReachedError) permit.giveBack();
-    else if (result.val instanceof errors.ConnectionLostError)
+    if (result.err && result.val instanceof errors.NotReachedError) permit.giveBack();
+    if (result.err && result.val instanceof errors.ConnectionLostError)
       endpoint.resets.noteReset(sentAtMs, utils.monotonicMs());
     return this._judge(request, endpoint, result, sentAtMs);
   }
@@ -195,6 +196,7 @@
     const { status } = result.val;
     this.context.statements.noteAnswer(endpoint, { status, stated: fields.stated, sentAtMs });
     if (fields.hasNotRun) return { kind: "not-run", error: `status ${status}` };
+    endpoint.noteAnswered(sentAtMs);
     if (fields.requestId !== request.fields.requestId)
       return { kind: "unknown", error: "answer of another request" };
     if (fields.isEncoded) return { kind: "unknown", error: "encoded body" };
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -38,7 +38,7 @@
 const initialFirstEventMs = 100;
 
 /** Why a stream was refused that did not run. */
-type StreamRefusal = "no-room" | "limited" | "not-run" | "outcome-unknown";
+type StreamRefusal = "no-room" | "limited" | "resting" | "not-run" | "outcome-unknown";
 
 /** What became of one attempt; `again` means that its first engine was gone before the sending. */
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
@@ -75,8 +75,9 @@
       if (await this.endIfHeldBack(request, hasRun)) return;
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
-        const isLimited = this.context.forecast.getIntervalMs(service) > 0;
-        return this._refuse(request, service, hasRun, isLimited ? "limited" : "no-room");
+        const { forecast } = this.context;
+        const reason = forecast.isHeldUp(service) ? forecast.getReason(service) : "no-room";
+        return this._refuse(request, service, hasRun, reason);
       }
       if (end === "answered" || end === "caller-left") return;
       if (end === "lost") hasRun = true;
@@ -165,7 +166,6 @@
         signal: attempt.abort.signal,
       }),
     );
-    if (sent.ok) first.resets.noteAnswered();
     if (sent.ok) return this._accept(attempt, sent.val);
     if (request.signal.aborted) return "caller-left";
     this._note(attempt, sent.val.code);
@@ -190,6 +190,7 @@
         sentAtMs: attempt.sentAtMs,
       });
     if (fields.hasNotRun) return this._acceptRefusal(attempt, answer, fields.faultyAddress);
+    attempt.firstEndpoint?.noteAnswered(attempt.sentAtMs);
     if (fields.requestId !== request.fields.requestId || fields.isEncoded) {
       answer.abort();
       this._note(attempt, "answer of another request");
@@ -275,7 +276,8 @@
       reason,
       waiting: this._admission.waiting,
       retryAfterMs: Math.round(retryAfterMs),
-      limits: reason === "limited" ? this.context.forecast.describe(service) : undefined,
+      limits:
+        reason === "limited" || reason === "resting" ? this.context.forecast.describe(service) : undefined,
       room: profile === undefined ? undefined : describeRoom(endpoints, profile, utils.monotonicMs()),
     });
     request.refuse(503, reason, retryAfterMs);
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -14,6 +14,8 @@
   | "no-room"
   /** All endpoints that could take it have had what their limits allow. */
   | "limited"
+  /** The endpoints that could take it have asked for rest past its deadline. */
+  | "resting"
   | "held-back"
   | "not-run"
   | "outcome-unknown"
--- a/packages/gateway/src/tests/requests/PermitForecastTests.ts
+++ b/packages/gateway/src/tests/requests/PermitForecastTests.ts
@@ -7,6 +7,26 @@
 
 const service = "records";
 
+/** Ten endpoints of which the first ones rest until those times, and hold those layers. */
+function createResting(
+  untilMs: readonly number[],
+  layers?: readonly (readonly [number, number])[],
+): PermitForecast {
+  const endpoints = new EndpointTable(() => 0);
+  const ids = Array.from({ length: 10 }, (_, index) => `p${index}`);
+  const toSpans = (index: number): { start: number; end: number }[] => {
+    const span = layers?.[index % layers.length];
+    return span === undefined ? [] : [{ start: span[0], end: span[1] }];
+  };
+  endpoints.setAll(
+    new Map(ids.map((id, index) => [id, createListed(id, { service, layers: toSpans(index) })])),
+  );
+  for (const [index, restMs] of untilMs.entries()) endpoints.getAll()[index]?.rest.note(restMs, 0);
+  const demand = new RequestDemand(() => 0);
+  const getInstanceCount = (): number => 8;
+  return new PermitForecast({ endpoints, demand, getInstanceCount, nowMs: () => 0, random: () => 0.5 });
+}
+
 /** Ten endpoints that take four requests a second each from all instances together. */
 function create(instances: number, limited = 10): PermitForecast {
   const endpoints = new EndpointTable(() => 0);
@@ -36,3 +56,24 @@
   t.is(create(200).getRetryAfterMs(service, 10), 4_000);
   t.is(create(8, 9).getRetryAfterMs(service, 0), 200);
 });
+
+test("where all rest the first that waits may begin with the earliest end, and the refused come back after it", (t) => {
+  const all = Array.from({ length: 10 }, (_, index) => 3_000 - 100 * index);
+  t.false(createResting(all.slice(1)).isHeldUp(service));
+  const forecast = createResting(all);
+  t.true(forecast.isHeldUp(service));
+  t.is(forecast.getReason(service), "resting");
+  t.is(forecast.getWaitMs(service, 0), 2_100);
+  t.is(forecast.getRetryAfterMs(service, 0), 2_300);
+});
+
+// Guards against streams that wait for a chain whose only holders of some layers rest past their patience.
+test("where all holders of some layers rest, a chain is due with the first of them", (t) => {
+  const odd = [0, 2_000, 0, 1_500, 0, 2_500, 0, 2_000, 0, 2_000];
+  const spans = [
+    [0, 4],
+    [4, 8],
+  ] as const;
+  t.is(createResting(odd, spans).getWaitMs(service, 0), 1_500);
+  t.is(createResting(odd.slice(0, 8), spans).getWaitMs(service, 0), 0);
+});
--- a/packages/gateway/src/tests/requests/endpointStatementTests.ts
+++ b/packages/gateway/src/tests/requests/endpointStatementTests.ts
@@ -13,7 +13,6 @@
 const askedTimes = 20;
 const layers = [{ start: 0, end: 4 }];
 const streaming: Partial<Route> = { kind: "streaming", isResumable: true };
-const oneAfterTheOther = Array.from({ length: askedTimes });
 
 async function setUp(t: ExecutionContext, changes: Partial<Route>): Promise<GatewayFixture> {
   const fixture = new GatewayFixture();
@@ -45,7 +44,8 @@
 /** Sends requests one after the other; gives the statuses of their answers. */
 async function ask(fixture: GatewayFixture, method = "POST"): Promise<number[]> {
   const statuses: number[] = [];
-  for (const _ of oneAfterTheOther) statuses.push((await fixture.request(method, key)).status);
+  for (let request = 0; request < askedTimes; request++)
+    statuses.push((await fixture.request(method, key)).status);
   return statuses;
 }
 
