gateway: an endpoint that says that it leaves gets nothing new from any instance, whatever its entry says

Symptom: endpoints that say in each answer that they leave went on getting requests for as long as their entries said ready. Cause: nothing read it; only the store's list told of a leaving, which may be away, late or silent about it. Change: the table of endpoints takes an endpoint's own word as it takes a drain (nothing new, layers counted as going, what runs there goes on), keeps it by life beyond the entry, and only a new life ends it. `LeavingNews` tells all instances, and newcomers with the link. Where nothing is left that takes new work, requests are refused at once, and come back when an endpoint may have been listed. Ruled out: a flag of its own beside the list's drain (every place that looks at drains would need it: choice, moves, planner, polls, permits).

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -208,6 +208,7 @@
       configurationWatch: this._configurationWatch,
       endpointWatch: this._endpointWatch,
       limits: this._limits,
+      statements: this._statements,
       demand: this._demand,
       log: this._log,
       onSize: (size) => this._budgets.setInstances(size),
@@ -347,6 +348,16 @@
       "Endpoints that name how many requests a second they take",
       () => this.endpoints.getAll().filter((endpoint) => endpoint.limit?.perSecond !== undefined).length,
     );
+    this.metrics.addGauge(
+      "endpoints_resting",
+      "Endpoints in a rest that they asked this instance for",
+      () => this.endpoints.getAll().filter(({ rest }) => rest.getLeftMs(utils.monotonicMs()) > 0).length,
+    );
+    this.metrics.addGauge(
+      "endpoints_leaving",
+      "Endpoints that leave, by their own word or the list's",
+      () => this.endpoints.getAll().filter(({ listed }) => listed.isDraining).length,
+    );
     this.metrics.addGauge("endpoints", "Endpoints listed", () => this.endpoints.getAll().length);
   }
 }
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -69,6 +69,7 @@
 
   /** Reserves a chain, waiting for room; undefined once the patience is over or the caller has left. */
   async acquire(applicant: ChainApplicant): Promise<ChainReservation | undefined> {
+    if (!this.hasEndpoints(applicant.service)) return undefined;
     const ahead = this._countAhead(applicant);
     const reservation = ahead === 0 ? this._tryReserve(applicant) : undefined;
     if (reservation !== undefined) return reservation;
@@ -77,6 +78,11 @@
     return this._wait(applicant);
   }
 
+  /** Whether any endpoint of the service may get new work; a list that was never read tells nothing. */
+  hasEndpoints(service: string): boolean {
+    return !this._endpoints.isKnown || this._endpoints.getUsable(service).length > 0;
+  }
+
   /** When a refused request should come back. */
   getRetryAfterMs(service: string): number {
     if (this._forecast.isHeldUp(service))
--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -19,7 +19,7 @@
 
 /** What statements work with. */
 export interface EndpointStatementsStructure {
-  readonly endpoints: Pick<EndpointTable, "get" | "getLife">;
+  readonly endpoints: Pick<EndpointTable, "get" | "getLife" | "noteLeaving">;
   readonly limits: Pick<EndpointLimits, "noteAnswer">;
   readonly log: DecisionLog;
   /** Counts answers that say something of their endpoint. */
@@ -32,11 +32,17 @@
 export class EndpointStatements {
   private readonly _nowMs: () => number;
   private readonly _loggedNames = new Set<string>();
+  private readonly _leavingListeners: ((lifeId: string) => void)[] = [];
 
   constructor(private readonly _structure: EndpointStatementsStructure) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
   }
 
+  /** Calls `listener` when an answer was the first to say that an endpoint leaves. */
+  onLeaving(listener: (lifeId: string) => void): void {
+    this._leavingListeners.push(listener);
+  }
+
   /** Takes what the answer to a request states. */
   noteAnswer(endpoint: Endpoint, answer: StatedAnswer): void {
     this._structure.limits.noteAnswer(endpoint, answer.stated.limit, answer.sentAtMs);
@@ -87,8 +93,12 @@
       this._structure.log.info("endpoint-rest-ended", { ...describe(endpoint), restMs });
   }
 
+  /** It gets nothing new from now on; all instances are told, since it answers each of them only once it was asked in vain. */
   private _noteLeaving(endpoint: Endpoint): void {
     this._count("leaving", endpoint);
+    if (!this._structure.endpoints.noteLeaving(endpoint.lifeId)) return;
+    this._structure.log.info("endpoint-leaves", { ...describe(endpoint), source: "answer" });
+    for (const listener of this._leavingListeners) listener(endpoint.lifeId);
   }
 
   /** Logs each name once: an endpoint that states what nothing reads is seen on its first day. */
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -14,8 +14,11 @@
  * deployment, in which an endpoint that lives has written again.
  */
 const unreadableGraceMs = 2_400;
-/** Starts of endpoints that are remembered beyond their entries, so that a late word of an earlier life is known as such. */
-const mostRememberedStarts = 4_096;
+/**
+ * Starts of endpoints, and lives that said that they leave, that are remembered beyond their entries: a late word of an earlier life is
+ * known as such, and an entry that comes back takes no leaving back.
+ */
+const mostRemembered = 4_096;
 /** First suspicion of an endpoint: two heartbeats of a usual deployment, so that a dead one drops out of the list next. */
 const suspicionMs = 3_000;
 /** Suspicions of an endpoint that stays silent double up to this; a heartbeat ends them. */
@@ -39,6 +42,8 @@
   private readonly _missing = new Map<string, number>();
   /** Unix milliseconds of the newest start known of each id; the oldest ids first. */
   private readonly _newestStarts = new Map<string, number>();
+  /** Lives that said themselves that they leave; the oldest first. */
+  private readonly _leavingLives = new Set<string>();
   private _graceUntilMs = 0;
   private readonly _assumedPeers: AssumedPeers = { count: 0 };
   private _mayAssumePeers = true;
@@ -124,6 +129,27 @@
     return order;
   }
 
+  /**
+   * Takes an endpoint's own word that it leaves, also where its entry says otherwise or is not known yet. Only a new life ends it.
+   * @returns Whether that was news.
+   */
+  noteLeaving(lifeId: string): boolean {
+    if (this._leavingLives.has(lifeId)) return false;
+    this._leavingLives.add(lifeId);
+    const [oldest] = this._leavingLives;
+    if (this._leavingLives.size > mostRemembered && oldest !== undefined) this._leavingLives.delete(oldest);
+    const endpoint = this.getLife(lifeId);
+    if (endpoint === undefined || endpoint.listed.isDraining) return endpoint === undefined;
+    endpoint.listed = { ...endpoint.listed, isDraining: true };
+    this._notify(endpoint, "draining");
+    return true;
+  }
+
+  /** Lives of listed endpoints that said themselves that they leave. */
+  getLeavingLives(): string[] {
+    return this.getAll().flatMap(({ lifeId }) => (this._leavingLives.has(lifeId) ? [lifeId] : []));
+  }
+
   /** Drops what has been missing past its grace. */
   dropMissing(): void {
     const nowMs = this._nowMs();
@@ -211,8 +237,7 @@
     this._newestStarts.delete(id);
     this._newestStarts.set(id, bornAtMs);
     const [oldest] = this._newestStarts.keys();
-    if (this._newestStarts.size > mostRememberedStarts && oldest !== undefined)
-      this._newestStarts.delete(oldest);
+    if (this._newestStarts.size > mostRemembered && oldest !== undefined) this._newestStarts.delete(oldest);
   }
 
   /**
@@ -221,7 +246,7 @@
    */
   private _restart(before: Endpoint, listed: ListedEndpoint): void {
     this._missing.delete(before.id);
-    const endpoint = new Endpoint(listed, this._assumedPeers);
+    const endpoint = this._create(listed);
     this._endpoints.set(listed.id, endpoint);
     this._notify(before, "restarted");
     this._notify(endpoint, "added");
@@ -236,11 +261,17 @@
   }
 
   private _add(listed: ListedEndpoint): void {
-    const endpoint = new Endpoint(listed, this._assumedPeers);
+    const endpoint = this._create(listed);
     this._endpoints.set(listed.id, endpoint);
     this._notify(endpoint, "added");
   }
 
+  private _create(listed: ListedEndpoint): Endpoint {
+    const endpoint = new Endpoint(listed, this._assumedPeers);
+    if (this._leavingLives.has(endpoint.lifeId)) endpoint.listed = { ...listed, isDraining: true };
+    return endpoint;
+  }
+
   private _noteHeartbeat(endpoint: Endpoint): void {
     const nowMs = this._nowMs();
     if (nowMs - endpoint.suspectedAtMs < clearedByHeartbeatAfterMs) return;
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -7,10 +7,12 @@
 import type { EndpointLimits } from "../discovery/EndpointLimits.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { EndpointWatch } from "../discovery/EndpointWatch.js";
+import type { EndpointStatements } from "../discovery/EndpointStatements.js";
 import { listedEndpointSchema } from "../discovery/ListedEndpoint.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { RequestDemand } from "../requests/RequestDemand.js";
+import { LeavingNews } from "./LeavingNews.js";
 import { LimitNews } from "./LimitNews.js";
 import { LoadExchange } from "./LoadExchange.js";
 import { PeerDirectory } from "./PeerDirectory.js";
@@ -33,6 +35,7 @@
   readonly configurationWatch: ConfigurationWatch;
   readonly endpointWatch: EndpointWatch;
   readonly limits: EndpointLimits;
+  readonly statements: EndpointStatements;
   readonly demand: RequestDemand;
   readonly log: DecisionLog;
   /** Told the number of instances known, this one included. */
@@ -47,6 +50,7 @@
   readonly relay: StoreRelay;
   readonly permits: PermitExchange;
   readonly limitNews: LimitNews;
+  readonly leavingNews: LeavingNews;
   private readonly _directory: PeerDirectory;
   private readonly _history: ConfigurationHistory;
   private _assumptionTimer: NodeJS.Timeout | undefined;
@@ -60,6 +64,7 @@
     this.loads = new LoadExchange({ membership: this.membership, endpoints, log });
     this.relay = this._createRelay();
     this.limitNews = new LimitNews({ ..._structure, membership: this.membership });
+    this.leavingNews = new LeavingNews({ ..._structure, membership: this.membership });
     this.permits = this._createPermits();
   }
 
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -19,6 +19,7 @@
   layers: "layers",
   limits: "limits",
   permits: "permits",
+  leaving: "leaving",
   newVersion: "new-version",
   configuration: "configuration",
   wholeConfiguration: "whole-configuration",
@@ -47,6 +48,9 @@
 );
 export type ToldLimit = zod.infer<typeof limitsSchema>[number];
 
+/** Lives of endpoints that said that they leave. */
+export const leavingSchema = zod.array(zod.string());
+
 /** How slow an engine says that it is. */
 export const slownessSchema = zod.object({ lifeId: zod.string(), slowness: zod.number() });
 
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -6,7 +6,7 @@
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
 import type { PermitQueue } from "./PermitQueue.js";
-import { RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import { noEndpointRetryAfterMs, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 
 const maxAnswerBytes = 16 * 1024 * 1024;
 /** When to come back after a refusal: about one service time of a plain request. */
@@ -134,7 +134,8 @@
   ): void {
     if (last !== undefined) return request.answer(last.status, last.headers, last.body);
     if (!hasRun && this.context.forecast.isHeldUp(service)) return this._refuseHeldUp(request, service);
-    if (!hasRun) return request.refuse(503, request.attempts === 0 ? "no-endpoint" : "not-run", retryAfterMs);
+    if (!hasRun && request.attempts === 0) return request.refuse(503, "no-endpoint", noEndpointRetryAfterMs);
+    if (!hasRun) return request.refuse(503, "not-run", retryAfterMs);
     if (request.getRemainingMs() <= 0) return request.refuse(504, "out-of-time");
     request.refuse(502, "outcome-unknown");
   }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -46,6 +46,9 @@
 /** A connection that does not stand after this is given up: round trips are below 2 ms, a lost opening packet costs 1 s. */
 const connectTimeoutMs = 400;
 
+/** When to come back while no endpoint takes anything new: others are listed about a heartbeat later. */
+export const noEndpointRetryAfterMs = 1_000;
+
 /** Handles requests of one kind from their acceptance to their answer. */
 export abstract class RequestForwarder {
   constructor(protected readonly context: ForwardContext) {}
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -9,7 +9,7 @@
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import { noEndpointRetryAfterMs, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 import type { StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
 import { StreamProgress } from "./StreamProgress.js";
@@ -38,7 +38,7 @@
 const initialFirstEventMs = 100;
 
 /** Why a stream was refused that did not run. */
-type StreamRefusal = "no-room" | "limited" | "resting" | "not-run" | "outcome-unknown";
+type StreamRefusal = "no-room" | "no-endpoint" | "limited" | "resting" | "not-run" | "outcome-unknown";
 
 /** What became of one attempt; `again` means that its first engine was gone before the sending. */
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
@@ -75,9 +75,7 @@
       if (await this.endIfHeldBack(request, hasRun)) return;
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
-        const { forecast } = this.context;
-        const reason = forecast.isHeldUp(service) ? forecast.getReason(service) : "no-room";
-        return this._refuse(request, service, hasRun, reason);
+        return this._refuse(request, service, hasRun, this._getHindrance(service));
       }
       if (end === "answered" || end === "caller-left") return;
       if (end === "lost") hasRun = true;
@@ -88,6 +86,13 @@
     }
   }
 
+  /** Why there is no chain for a request. */
+  private _getHindrance(service: string): StreamRefusal {
+    const { forecast } = this.context;
+    if (!this._admission.hasEndpoints(service)) return "no-endpoint";
+    return forecast.isHeldUp(service) ? forecast.getReason(service) : "no-room";
+  }
+
   private async _tryOnce(
     request: CallerRequest,
     service: string,
@@ -285,6 +290,7 @@
 
   /** Whoever was refused by engines while nobody waits for room here may come back at once: other engines have room. */
   private _getRetryAfterMs(reason: StreamRefusal, service: string): number {
+    if (reason === "no-endpoint") return noEndpointRetryAfterMs;
     if (reason === "not-run" && this._admission.waiting === 0) return notRunRetryAfterMs;
     return this._admission.getRetryAfterMs(service);
   }
--- a/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
@@ -147,3 +147,32 @@
     ["a", "c"],
   );
 });
+
+// Guards against an entry, still written as ready or written anew, that takes back an endpoint's own word that it leaves.
+test("what an endpoint says of its leaving outlasts its entries, until it starts again", (t) => {
+  const { table, events, list } = setUp();
+  const lifeId = table.get("a")?.lifeId ?? "";
+  t.true(table.noteLeaving(lifeId));
+  t.false(table.noteLeaving(lifeId));
+  list({ bornAtMs: first, layers });
+  t.deepEqual(table.getUsable("engines"), []);
+  table.apply([{ key: "a", value: undefined }]);
+  list({ bornAtMs: first, layers });
+  t.deepEqual(table.getUsable("engines"), []);
+  t.deepEqual(table.getLeavingLives(), [lifeId]);
+  list({ bornAtMs: second });
+  t.is(table.getUsable("engines").length, 1);
+  t.false(table.noteLeaving(lifeId), "a late word of the earlier life");
+  t.is(table.getUsable("engines").length, 1);
+  t.deepEqual(events, ["added", "draining", "gone", "added", "restarted", "added"]);
+});
+
+test("an endpoint that leaves before its entry is known gets nothing once it is", (t) => {
+  const { table } = setUp();
+  t.true(table.noteLeaving("b"));
+  table.apply([{ key: "b", value: createListed("b") }]);
+  t.deepEqual(
+    table.getUsable("engines").map(({ id }) => id),
+    ["a"],
+  );
+});
--- /dev/null
+++ b/packages/gateway/src/tests/peers/LeavingNewsTests.ts
@@ -0,0 +1,43 @@
+/** One instance's word that an endpoint leaves comes to all others, also to those of other zones. */
+import test from "ava";
+import { EndpointStatements } from "../../discovery/EndpointStatements.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { noStatement } from "../../http/EndpointStatement.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { LeavingNews } from "../../peers/LeavingNews.js";
+import { createListed } from "../createParts.js";
+import { SilentSink } from "../SilentSink.js";
+import { PeerNetwork } from "./PeerNetwork.js";
+
+const zones = ["east", "east", "west", "west", "west"];
+
+interface Instance {
+  readonly endpoints: EndpointTable;
+  readonly statements: EndpointStatements;
+}
+
+function createInstance(network: PeerNetwork, name: string, availabilityZone: string): Instance {
+  const log = new DecisionLog(new SilentSink(), () => 0);
+  const endpoints = new EndpointTable(() => 0);
+  endpoints.setAll(new Map([["a", createListed("a")]]));
+  const statements = new EndpointStatements({ endpoints, limits: { noteAnswer: () => undefined }, log });
+  const membership = network.join({ name, availabilityZone });
+  new LeavingNews({ membership, endpoints, statements, log, random: () => 0 });
+  return { endpoints, statements };
+}
+
+// Guards against instances that go on sending to an endpoint since it has told only others that it leaves.
+test("an endpoint that told one instance that it leaves gets nothing new from any", (t) => {
+  const network = new PeerNetwork();
+  const instances = zones.map((zone, index) => createInstance(network, `i${index}`, zone));
+  const [told] = instances;
+  const endpoint = told?.endpoints.get("a");
+  const stated = { ...noStatement, isLeaving: true };
+  if (endpoint !== undefined)
+    for (let answer = 0; answer < 3; answer++)
+      told?.statements.noteAnswer(endpoint, { status: 200, stated, sentAtMs: 0 });
+  t.deepEqual(
+    instances.map(({ endpoints }) => endpoints.getUsable("engines").length),
+    [0, 0, 0, 0, 0],
+  );
+});
--- a/packages/gateway/src/tests/requests/endpointStatementTests.ts
+++ b/packages/gateway/src/tests/requests/endpointStatementTests.ts
@@ -131,3 +131,20 @@
     t.true(served >= callerCount * leastServed, `${served} of ${callerCount} were served`);
   });
 }
+
+for (const [what, route, changes] of [
+  ["plain requests", { kind: "safe" }, {}],
+  ["streams", streaming, { layers }],
+] as const) {
+  // Guards against requests that wait for a service of which nothing takes new work any more.
+  test(`where all endpoints leave ${what} are refused at once`, async (t) => {
+    const fixture = await setUp(t, route);
+    const leaving = count(answer(200, { "x-leaving": "1" }, "id: 1\ndata: a\n\n"));
+    await fixture.list([leaving], changes);
+    t.is((await fixture.request("POST", key)).status, 200);
+    const seen = await fixture.request("POST", key);
+    t.is(seen.status, 503);
+    t.is(seen.body, JSON.stringify({ error: "no-endpoint" }));
+    t.is(leaving.requests.length, 1);
+  });
+}
