claims, routing: the older form keeps rests that plain endpoints ask for, too

Symptom: by reading, then by a test: a plain endpoint that answers 503 with a time to come back got every second call of the older form in that time. Cause: the same as in the gateway: an answer's word of its endpoint was not read. Change: `EndpointRest` and `ReturnRamp` move to `routing`, below both forms; `ServiceCaller` passes over endpoints that rest, and refuses a call at once where all do. Ruled out as the same fault: a quick refuser that draws all calls (this form takes endpoints in turn).

--- a/packages/claims/src/service/ServiceCaller.ts
+++ b/packages/claims/src/service/ServiceCaller.ts
@@ -1,7 +1,12 @@
 /** Calls to plain services, retried only where that is safe. */
-import { errors, results, type Ran } from "@shedtiller/common";
+import { errors, results, utils, type Ran } from "@shedtiller/common";
 import { classifyHttpError } from "@shedtiller/logservice";
-import type { EndpointDirectory, EndpointEntry, RetryBudget } from "@shedtiller/routing";
+import {
+  EndpointRest,
+  type EndpointDirectory,
+  type EndpointEntry,
+  type RetryBudget,
+} from "@shedtiller/routing";
 import got from "got";
 
 /** A call as the caller made it. */
@@ -47,10 +52,16 @@
 }
 
 const connectTimeoutMs = 1_000;
+/** Statuses with which an endpoint turns a call away for a time. */
+const turnedAwayStatuses: readonly number[] = [429, 503];
+/** An endpoint that is out for longer leaves, or starts again; a longer time is more likely a slip. */
+const longestRestMs = 600_000;
 
 /** Calls one endpoint of a service after the other until one answers or it may have run. */
 export class ServiceCaller {
   private _turn = 0;
+  /** Rests that endpoints asked for, by their names; those that are over are dropped. */
+  private readonly _rests = new Map<string, EndpointRest>();
 
   constructor(
     private readonly _directory: EndpointDirectory,
@@ -66,7 +77,10 @@
       if (endpoint === undefined) return results.Err(new ServiceError(call.service, ran));
       if (tried.size > 0 && !this._retries.tryTake()) return results.Err(new ServiceError(call.service, ran));
       tried.add(endpoint.name);
+      const sentAtMs = utils.monotonicMs();
+      this._rests.get(endpoint.name)?.noteSent(sentAtMs);
       const answer = await callEndpoint(endpoint, call);
+      if (answer.ok) this._noteAnswer(endpoint, answer.val, sentAtMs);
       if (answer.ok) return answer;
       this._noteFailure(endpoint, answer.val);
       if (answer.val.code !== "not_reached") ran = "unknown";
@@ -78,24 +92,50 @@
   }
 
   private _pickEndpoint(service: string, tried: ReadonlySet<string>): EndpointEntry | undefined {
-    const open = this._directory.getServiceEndpoints(service).filter((endpoint) => !tried.has(endpoint.name));
+    const nowMs = utils.monotonicMs();
+    const open = this._directory
+      .getServiceEndpoints(service)
+      .filter(({ name }) => !tried.has(name) && this._rests.get(name)?.mayBegin(nowMs) !== false);
     this._turn += 1;
     return open[this._turn % Math.max(1, open.length)];
   }
 
+  /** An endpoint that turns calls away and names a time gets nothing until then, and few calls at first. */
+  private _noteAnswer(
+    { name }: EndpointEntry,
+    { status, retryAfterMs }: HeardAnswer,
+    sentAtMs: number,
+  ): void {
+    const nowMs = utils.monotonicMs();
+    const rest = this._rests.get(name) ?? new EndpointRest();
+    if (!turnedAwayStatuses.includes(status)) {
+      rest.noteAnswered(sentAtMs);
+      if (!rest.isUnproven(nowMs)) this._rests.delete(name);
+      return;
+    }
+    if (retryAfterMs === undefined) return;
+    rest.note(nowMs + Math.min(retryAfterMs, longestRestMs), nowMs);
+    this._rests.set(name, rest);
+  }
+
   private _noteFailure(endpoint: EndpointEntry, error: errors.ShedtillerError): void {
     this._directory.outliers.recordFailure(endpoint.name);
     if (error.code === "not_reached") this._directory.markUnreachable(endpoint.name);
   }
 }
 
+/** An answer, and when the endpoint wants to be asked again, if it names a time. */
+interface HeardAnswer extends ServiceAnswer {
+  readonly retryAfterMs: number | undefined;
+}
+
 type CallError = errors.NotReachedError | errors.ConnectionLostError;
 
 /** Each call has a connection of its own, so that a refused connection proves that nothing was written. */
 async function callEndpoint(
   endpoint: EndpointEntry,
   call: ServiceCall,
-): Promise<results.Result<ServiceAnswer, CallError>> {
+): Promise<results.Result<HeardAnswer, CallError>> {
   try {
     const response = await got(`http://${endpoint.address}${call.path}`, {
       method: call.method,
@@ -113,6 +153,7 @@
       contentType: response.headers["content-type"],
       body: response.rawBody,
       endpoint: endpoint.name,
+      retryAfterMs: readSeconds(response.headers["retry-after"]),
     });
   } catch (error) {
     return results.Err(classifyHttpError(endpoint.address, error));
@@ -125,3 +166,8 @@
   if (call.idempotencyKey !== undefined) headers["idempotency-key"] = call.idempotencyKey;
   return headers;
 }
+
+/** Whole or decimal seconds in ms; undefined for anything else. */
+function readSeconds(text: string | undefined): number | undefined {
+  return text !== undefined && /^\d+(\.\d+)?$/.test(text) ? Number(text) * utils.msPerSecond : undefined;
+}
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -1,5 +1,5 @@
 /** What this instance knows of one endpoint. */
-import { EndpointRest } from "./EndpointRest.js";
+import { EndpointRest } from "@shedtiller/routing";
 import { PermitHand } from "./PermitHand.js";
 import { SendPermit } from "./SendPermit.js";
 import type { KnownLimit } from "./EndpointLimits.js";
--- a/packages/gateway/src/discovery/FailureGuard.ts
+++ b/packages/gateway/src/discovery/FailureGuard.ts
@@ -3,7 +3,7 @@
  * fails at once always has the least load and so attracts all requests: one engine of 190 took 3,751 sends within 6.6 s of an overloaded
  * day, and 3,100 streams ended with them.
  */
-import { ReturnRamp } from "./ReturnRamp.js";
+import { ReturnRamp } from "@shedtiller/routing";
 
 /** After one failure the endpoint is left alone for this long, so that the same request goes elsewhere. */
 const firstAvoidanceMs = 50;
--- a/packages/gateway/src/tests/discovery/EndpointRestTests.ts
+++ b/packages/routing/src/tests/EndpointRestTests.ts
@@ -1,6 +1,6 @@
 /** How long an endpoint rests, and what goes to it first after that. */
 import test from "ava";
-import { EndpointRest } from "../../discovery/EndpointRest.js";
+import { EndpointRest } from "../EndpointRest.js";
 
 test("a rest ends with the latest time that was named, whatever is named or answered meanwhile", (t) => {
   const rest = new EndpointRest();
