gateway: a request that may have crashed an engine does not begin at a zone's last engine with the first layers

Cause: the choice for a suspect request is that of any other: the cheapest chain. Change: a request with something against it begins rather where another engine of the zone holds the first layers, too; one that was at its beginning in two crashes, or is due for its trial, begins only there, and is refused at once where there is none. Ruled out: holding it after two crashes (an innocent is in two more often than the three that are allowed need). Evidence: a stream ended three of three engines with all layers before; it ends two now, and others are served by the third. Tests of crashes pass.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -73,6 +73,8 @@
     const ahead = this._countAhead(applicant);
     const reservation = ahead === 0 ? this._tryReserve(applicant) : undefined;
     if (reservation !== undefined) return reservation;
+    // An engine that another one stands in for comes with a load of layers, which takes seconds.
+    if (applicant.demand.spares === "only") return undefined;
     // A refusal at once lets the caller come back in time; one after a wait in vain does not.
     if (this._getWaitMs(applicant.service, ahead) > applicant.patienceMs) return undefined;
     return this._wait(applicant);
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -43,10 +43,20 @@
     profile: EngineProfile,
     demand: ChainDemand,
   ): ChainStage[] | undefined {
-    const others = this._chooseAmong(endpoints, profile, demand);
+    const others = this._chooseSparing(endpoints, profile, demand);
     const hasRefusals = demand.refusedBy !== undefined && demand.refusedBy.size > 0;
     if (others !== undefined || !hasRefusals) return others;
-    return this._chooseAmong(endpoints, profile, { ...demand, refusedBy: undefined });
+    return this._chooseSparing(endpoints, profile, { ...demand, refusedBy: undefined });
+  }
+
+  private _chooseSparing(
+    endpoints: readonly Endpoint[],
+    profile: EngineProfile,
+    demand: ChainDemand,
+  ): ChainStage[] | undefined {
+    const sparing = this._chooseAmong(endpoints, profile, demand);
+    if (sparing !== undefined || demand.spares !== "rather") return sparing;
+    return this._chooseAmong(endpoints, profile, { ...demand, spares: undefined });
   }
 
   private _chooseAmong(
@@ -56,8 +66,11 @@
   ): ChainStage[] | undefined {
     const { layerCount } = profile;
     const wholeZones = getWholeZones(endpoints, layerCount, this._nowMs());
+    const spared = demand.spares === undefined ? undefined : getLastFirsts(endpoints, this._nowMs());
     const candidates = endpoints.flatMap((endpoint) =>
-      this._toCandidates(endpoint, profile, demand, wholeZones),
+      this._toCandidates(endpoint, profile, demand, wholeZones).map((candidate) =>
+        spared?.has(endpoint) === true ? { ...candidate, mayBegin: false } : candidate,
+      ),
     );
     return (
       coverLayers(candidates, layerCount, demand, "one-zone") ??
@@ -122,6 +135,15 @@
   return new Set([...zones].flatMap(([zone, members]) => (isWhole(members) ? [zone] : [])));
 }
 
+/** Engines that are the only ones of their zones with the first layers. */
+function getLastFirsts(endpoints: readonly Endpoint[], nowMs: number): Set<Endpoint> {
+  const firsts = endpoints.filter(
+    (endpoint) => !endpoint.isSuspect(nowMs) && endpoint.listed.layers.some(({ start }) => start === 0),
+  );
+  const zones = utils.groupBy(firsts, (endpoint) => endpoint.listed.availabilityZone);
+  return new Set([...zones.values()].filter((members) => members.length === 1).flat());
+}
+
 /** Time that one layer of the whole request takes at an engine, beside what it runs already. */
 function getMsPerLayer(
   profile: EngineProfile,
--- a/packages/gateway/src/chains/coverLayers.ts
+++ b/packages/gateway/src/chains/coverLayers.ts
@@ -17,6 +17,11 @@
    * moment: each knows the others' load only as it was before.
    */
   readonly isSpread?: boolean | undefined;
+  /**
+   * For a request that may have crashed an engine: whether it begins only, or rather, where another engine of the zone holds the first
+   * layers, too. A zone that loses its last first engine serves nobody until another one has loaded them.
+   */
+  readonly spares?: "rather" | "only" | undefined;
   /** Addresses of engines that have refused this request: what hindered them is seldom gone within milliseconds. */
   readonly refusedBy?: ReadonlySet<string> | undefined;
 }
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -28,6 +28,8 @@
 const undecidedMs = 6_000;
 /** While another run of a suspect is at its beginning here, the next one waits for what becomes of it, this long at most. */
 const longestTurnMs = 600;
+/** Each crash of an engine makes suspects of all that begin there; who was there twice is hardly there by chance. */
+const highRiskWeight = 2;
 const turnPollMs = 10;
 
 /** One run of a request, as long as it is in hand. */
@@ -41,6 +43,9 @@
   readonly firstEventAtMs: number | undefined;
 }
 
+/** How likely a request is to crash the engine that it begins at. */
+export type CrashRisk = "none" | "some" | "high";
+
 /** What the watch works with. */
 export interface CrashWatchStructure {
   readonly endpoints: Pick<EndpointTable, "get" | "onChanged">;
@@ -180,6 +185,15 @@
     return this._noteHeldBack(trialElsewhereMs);
   }
 
+  /** What there is against a request right before it is sent. */
+  getRisk(request: { readonly digest: string }): CrashRisk {
+    if (this.isQuiet) return "none";
+    const weight = this._getWeight(request.digest);
+    if (weight >= highRiskWeight || this.ledger.getStanding(request.digest) === "due-for-trial")
+      return "high";
+    return weight > 0 ? "some" : "none";
+  }
+
   /** Waits until a request may be judged: a suspect has one run at its beginning at a time here. */
   async waitForTurn(request: { readonly digest: string }): Promise<void> {
     if (this.isQuiet) return;
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -35,6 +35,7 @@
     | "getHeldBackMs"
     | "waitForTurn"
     | "getShunned"
+    | "getRisk"
   >;
   readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,5 +1,6 @@
 /** Forwards streamed requests through chains of engines, and goes on elsewhere when a chain fails. */
 import { errors, utils } from "@shedtiller/common";
+import { trialElsewhereMs } from "@shedtiller/crashes";
 import type { ChainAdmission } from "../chains/ChainAdmission.js";
 import { describeChain } from "../chains/describeChain.js";
 import { describeRoom } from "../chains/describeRoom.js";
@@ -39,8 +40,12 @@
 /** Before any stream has run: the prompt's time at a chain of medium accelerators. */
 const initialFirstEventMs = 100;
 
+/** Which engines a request with that risk begins at. */
+const sparesByRisk = { none: undefined, some: "rather", high: "only" } as const;
+
 /** Why a stream was refused that did not run. */
-type StreamRefusal = "no-room" | "no-endpoint" | "limited" | "resting" | "not-run" | "outcome-unknown";
+type StreamRefusal =
+  "no-room" | "held-back" | "no-endpoint" | "limited" | "resting" | "not-run" | "outcome-unknown";
 
 /** What became of one attempt; `again` means that its first engine was gone before the sending. */
 type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
@@ -77,7 +82,7 @@
       if (await this.endIfHeldBack(request, hasRun)) return;
       const end = await this._tryOnce(request, service, progress);
       if (end === undefined) {
-        return this._refuse(request, service, hasRun, this._getHindrance(service));
+        return this._refuse(request, service, hasRun, this._getHindrance(request, service));
       }
       if (end === "answered" || end === "caller-left") return;
       if (end === "lost") hasRun = true;
@@ -89,8 +94,9 @@
   }
 
   /** Why there is no chain for a request. */
-  private _getHindrance(service: string): StreamRefusal {
-    const { forecast } = this.context;
+  private _getHindrance(request: CallerRequest, service: string): StreamRefusal {
+    const { forecast, crashes } = this.context;
+    if (crashes.getRisk(request) === "high") return "held-back";
     if (!this._admission.hasEndpoints(service)) return "no-endpoint";
     return forecast.isHeldUp(service) ? forecast.getReason(service) : "no-room";
   }
@@ -129,6 +135,7 @@
         ...expectTokens(request.fields),
         availabilityZone: this.context.availabilityZone,
         refusedBy: avoided,
+        spares: sparesByRisk[this.context.crashes.getRisk(request)],
       },
       // A stream that has begun goes first: its caller already waits for the rest.
       priority: request.isHeadSent ? resumedPriority : request.priority,
@@ -298,6 +305,7 @@
   /** Whoever was refused by engines while nobody waits for room here may come back at once: other engines have room. */
   private _getRetryAfterMs(reason: StreamRefusal, service: string): number {
     if (reason === "no-endpoint") return noEndpointRetryAfterMs;
+    if (reason === "held-back") return trialElsewhereMs;
     if (reason === "not-run" && this._admission.waiting === 0) return notRunRetryAfterMs;
     return this._admission.getRetryAfterMs(service);
   }
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -177,3 +177,16 @@
   t.deepEqual(choose(new Set(["near:1"])), ["other"]);
   t.deepEqual(choose(new Set(["near:1", "other:1"])), ["near"], "there is no other way");
 });
+
+// Guards against zones that lose their last first engine to a request that has crashed others.
+test("a request that may have crashed an engine begins where another engine of the zone holds the first layers", (t) => {
+  const alone = createEngine("a", 0, 4);
+  const beside = ["b", "c"].map((id) => createEngine(id, 0, 4, { availabilityZone: "west", kind: "slow" }));
+  const choose = (engines: typeof beside, spares: "rather" | "only" | undefined): string | undefined =>
+    describe(chooser.choose(engines, profile, { ...demand, spares }));
+  t.is(choose([alone, ...beside], undefined), "a=0-4");
+  t.is(choose([alone, ...beside], "only"), "b=0-4");
+  t.is(choose([alone, ...beside], "rather"), "b=0-4");
+  t.is(choose([alone, ...beside.slice(1)], "rather"), "a=0-4");
+  t.is(choose([alone, ...beside.slice(1)], "only"), undefined);
+});
--- a/packages/gateway/src/tests/requests/crashingRequestTests.ts
+++ b/packages/gateway/src/tests/requests/crashingRequestTests.ts
@@ -47,3 +47,26 @@
     t.is((await fixture.request("POST", key)).status, 200);
   });
 }
+
+// Guards against one request's own attempts that end the first engines of one zone after the other.
+test("a stream that has crashed two engines does not begin at the last one with the first layers", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  const streaming = { kind: "streaming", isResumable: true } as const;
+  await fixture.start(
+    createRoute({ targets: [{ service: "engines", weight: 1 }], maxAttempts: 3, ...streaming }),
+  );
+  const crashed: string[] = [];
+  const answer = createHandler([]);
+  const handler: EndpointHandler = (request, response, crash) => {
+    if (request.url !== crashingPath) return answer(request, response, crash);
+    crashed.push(String(request.headers["x-id"]));
+    response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+    response.write(": begun\n\n", () => crash());
+  };
+  await fixture.list([handler, handler, handler], { layers: [{ start: 0, end: 4 }] });
+  for (let repeat = 0; repeat < 3; repeat++) await fixture.request("POST", key, crashingPath);
+  t.is(crashed.length, 2);
+  t.is((await fixture.request("POST", key, crashingPath)).status, 503);
+  t.is((await fixture.request("POST", key)).status, 200);
+});
