gateway: a broken zone looks for a repair again once requests no longer pass the engine that can close its gap

Cause, by reading and by a test: a plan that leads to nothing is remembered by the engines' state without the requests that pass them, but an engine that more than two requests pass does not leave its layers for a gap. As the zone's streams ended, nothing was planned anew until the zone counted as calm, two seconds after the loss. Change: in a broken zone that state holds which engines more than two requests pass. Ruled out: planning at each tick (a search takes tens of ms of the leader at 190 engines).

--- a/packages/gateway/src/orders/ZonePlanner.ts
+++ b/packages/gateway/src/orders/ZonePlanner.ts
@@ -54,9 +54,10 @@
     const model = { ...usualModel, burstRequests: placement.getBurstRequests(copyEngines, usualModel) };
     const isCalm = this._noteSpans(engines);
     const isBrokenForLong = this._noteBroken(engines, model);
-    // Requests come and go all the time, and lead to no order by themselves.
+    // Requests come and go all the time, and lead to no order by themselves; in a broken zone they keep engines from closing a gap.
+    const isBroken = this._brokenSinceMs !== undefined;
     const state = JSON.stringify([
-      engines.map((engine) => ({ ...engine, passing: 0 })),
+      engines.map((engine) => ({ ...engine, passing: isBroken && engine.passing > mostPassing })),
       isCalm,
       isBrokenForLong,
     ]);
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -95,3 +95,15 @@
   const growing = { ...createMember("b", 4, 6), ordered: { start: 4, end: 8 }, isFree: false };
   t.is(await plan([createMember("a", 0, 4), growing, createMember("c", 0, 0)]), "");
 });
+
+// Guards against a broken zone that waits for calm, though the engine that can close its gap has no requests any more.
+test("a gap is closed as soon as what passed the engine that can close it has ended", async (t) => {
+  const { plan } = setUp();
+  const members = (passing: number): ZoneEngine[] => [
+    createMember("a", 0, 3, 45),
+    { ...createMember("b", 5, 8, 45), passing: 9 },
+    { ...createMember("c", 5, 8, 60), passing },
+  ];
+  t.is(await plan(members(9)), "");
+  t.regex(await plan(members(0)), /^c=3-\d$/);
+});
