gateway: who waits is refused as soon as it is known that its turn comes too late

Symptom: where all endpoints are limited, refusals came after 2 to 5 ms in the middle and after the whole deadline (3,001 ms) at the 99th percentile. Cause: the forecast was asked once, when a request began to wait; what came to be known after that (a lower limit, a rest, fewer permits) ended no wait. Change: both queues ask again at each look; plain requests by their place, streams by what holds up even the first one, so that a look at 190 engines costs one forecast a service. Evidence: both new tests waited for their patience before (60 s) and end at once now; 90 and 39 tests of requests, chains, patterns and limits pass.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -125,6 +125,8 @@
     let ahead = 0;
     /** By service: where so many tokens found no room, as many or more find none either. */
     const missedTokens = new Map<string, number>();
+    /** By service: what limits and rests make even the first one wait. */
+    const heldUpMs = new Map<string, number>();
     for (const waiter of inOrder) {
       const { service } = waiter.applicant;
       const tokens = countTokens(waiter.applicant);
@@ -138,8 +140,11 @@
       if (isTried) misses += 1;
       if (isTried) missedTokens.set(service, tokens);
       ahead += 1;
-      // Others came that go first, and what is left of the patience no longer lasts until its turn.
-      if (nowMs + ahead * this._releaseIntervalMs > waiter.giveUpAtMs) waiter.giveUp();
+      const leastMs = heldUpMs.get(service) ?? this._forecast.getWaitMs(service, 0);
+      heldUpMs.set(service, leastMs);
+      // Others came that go first, or more endpoints rest: what is left of the patience no longer lasts until its turn.
+      const waitMs = Math.max(ahead * this._releaseIntervalMs, leastMs);
+      if (nowMs + waitMs > waiter.giveUpAtMs) waiter.giveUp();
     }
   }
 
--- a/packages/gateway/src/requests/PermitQueue.ts
+++ b/packages/gateway/src/requests/PermitQueue.ts
@@ -28,6 +28,9 @@
   readonly turn: number;
   /** Tells whether it has taken what it waits for. */
   readonly tryEnd: () => boolean;
+  /** Monotonic time at which its patience ends. */
+  readonly giveUpAtMs: number;
+  readonly giveUp: () => void;
 }
 
 /** One an instance. */
@@ -66,8 +69,11 @@
   private async _wait<T>(applicant: PermitApplicant<T>, turn: number): Promise<T | undefined> {
     const done = new utils.Deferred<T | undefined>();
     const { service, priority, patienceMs, signal, tryTake, accountName } = applicant;
+    const giveUp = (): void => done.resolve(undefined);
     const waiter: Waiter = {
       service,
+      giveUpAtMs: utils.monotonicMs() + patienceMs,
+      giveUp,
       priority,
       turn,
       accountName,
@@ -77,7 +83,6 @@
         return taken !== undefined;
       },
     };
-    const giveUp = (): void => done.resolve(undefined);
     const timer = setTimeout(giveUp, patienceMs);
     signal.addEventListener("abort", giveUp, { once: true });
     this._add(waiter);
@@ -103,13 +108,21 @@
     this._lookAgainTimer = undefined;
   }
 
-  /** Where the first of a service finds nothing, those behind it don't either. */
+  /** Where the first of a service finds nothing, those behind it don't either, and some may learn that their turn comes too late. */
   private _lookAgain(only?: string): void {
-    const missed = new Set<string>();
+    const nowMs = utils.monotonicMs();
+    /** By service: how many of those looked at go on waiting. */
+    const left = new Map<string, number>();
     for (const waiter of [...this._waiters]) {
-      if (missed.has(waiter.service) || (only !== undefined && waiter.service !== only)) continue;
-      if (waiter.tryEnd()) this._remove(waiter);
-      else missed.add(waiter.service);
+      const { service } = waiter;
+      if (only !== undefined && service !== only) continue;
+      const ahead = left.get(service) ?? 0;
+      if (ahead === 0 && waiter.tryEnd()) {
+        this._remove(waiter);
+        continue;
+      }
+      left.set(service, ahead + 1);
+      if (nowMs + this._forecast.getWaitMs(service, ahead) > waiter.giveUpAtMs) waiter.giveUp();
     }
   }
 
--- a/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -38,7 +38,7 @@
     reservation?.release();
     admission.noteReleased();
   };
-  return { admission, served, acquire, release };
+  return { admission, endpoints, served, acquire, release };
 }
 
 test("those that can still be in time go before those that are late already", async (t) => {
@@ -98,3 +98,14 @@
   leaving.abort();
   await Promise.all(large);
 });
+
+// Guards against streams that wait for a chain while the only engines for it rest past their patience.
+test("who waits is refused as soon as the engines that it needs ask for a longer rest", async (t) => {
+  const { endpoints, acquire, release } = setUp();
+  const first = await acquire("first");
+  const waiting = acquire("waiting");
+  const nowMs = utils.monotonicMs();
+  endpoints.get("a")?.rest.note(nowMs + 2 * longMs, nowMs);
+  release(first);
+  t.is(await waiting, undefined);
+});
--- a/packages/gateway/src/tests/requests/PermitQueueTests.ts
+++ b/packages/gateway/src/tests/requests/PermitQueueTests.ts
@@ -82,3 +82,15 @@
   await scene.give(1);
   t.is(await second, "second");
 });
+
+// Guards against requests that wait until their deadline though it is known that no permit comes before it.
+test("who waits is refused as soon as its turn would come too late", async (t) => {
+  const scene = new Scene();
+  const first = scene.ask("first");
+  const second = scene.ask("second");
+  scene.intervalMs = longMs / 2;
+  await scene.give(0);
+  t.is(await second, undefined);
+  await scene.give(1);
+  t.is(await first, "first");
+});
