gateway: the forecast of who waits for the end of rests counts those ahead, and names rests as the reason

Symptom: by a play of one gateway, 24 plain endpoints that each turn 0.3 away with 3 s of rest, and 60 requests a second: refusals came after 0.8 s in the middle, and said `limited` though no endpoint names a limit. Cause: every request that waited counted on the first endpoint to come back, though two go there at first. Change: of those that wait each two count on the next return; `limited` is said only where a limit is named.

--- a/packages/gateway/src/requests/PermitForecast.ts
+++ b/packages/gateway/src/requests/PermitForecast.ts
@@ -13,6 +13,8 @@
 
 /** Requests a second that an endpoint takes which comes back from a rest. */
 const returningPerSecond = 20;
+/** Requests that go to an endpoint soon after its rest: one, and the next ones after its answer. */
+const requestsPerReturn = 2;
 
 /** What a forecast works with. */
 export interface PermitForecastStructure {
@@ -43,7 +45,8 @@
 
   /** Why requests are refused while the service is held up. */
   getReason(service: string): "limited" | "resting" {
-    return this._getRestMs(service) > 0 ? "resting" : "limited";
+    const isLimited = this._getCandidates(service).some(({ limit }) => limit?.perSecond !== undefined);
+    return isLimited && this._getRestMs(service) === 0 ? "limited" : "resting";
   }
 
   /** Time between two requests that this instance may begin; 0 while some endpoint of the service takes one now. */
@@ -61,7 +64,7 @@
    * have the next of all; those behind it take what comes to this instance.
    */
   getWaitMs(service: string, ahead: number): number {
-    const restMs = this._getRestMs(service);
+    const restMs = this._getRestMs(service, ahead);
     if (ahead > 0) return restMs + (ahead + 1) * this.getIntervalMs(service);
     const limits = this._getLimits(service);
     if (limits === undefined) return restMs;
@@ -72,7 +75,7 @@
   getRetryAfterMs(service: string, waiting: number): number {
     const expectedMs = (waiting + 1) * this.getIntervalMs(service);
     const boundedMs = Math.min(longestRetryAfterMs, Math.max(shortestRetryAfterMs, expectedMs));
-    return this._getRestMs(service) + boundedMs * (leastSpread + spreadRange * this._random());
+    return this._getRestMs(service, waiting) + boundedMs * (leastSpread + spreadRange * this._random());
   }
 
   /** What holds a service up, for the line of a refusal: `address=2/s for 1200 ms`, `address rests for 800 ms`. */
@@ -95,10 +98,10 @@
   }
 
   /**
-   * Until the first moment at which a request finds all that it needs: one endpoint that does not rest, or engines that hold all layers
-   * together; 0 where rests are not what is in the way.
+   * Until the first moment at which a request with so many others ahead finds all that it needs: an endpoint that does not rest and has
+   * not had its first requests yet, or engines that hold all layers together; 0 where rests are not what is in the way.
    */
-  private _getRestMs(service: string): number {
+  private _getRestMs(service: string, ahead = 0): number {
     const nowMs = this._nowMs();
     const candidates = this._getCandidates(service);
     const awake = candidates.filter(({ rest }) => rest.getLeftMs(nowMs) === 0);
@@ -109,7 +112,9 @@
     const back = resting.findIndex((_, index) =>
       isServable([...awake, ...resting.slice(0, index + 1)], candidates),
     );
-    return resting[back]?.rest.getLeftMs(nowMs) ?? 0;
+    if (back < 0) return 0;
+    const returns = Math.floor(ahead / requestsPerReturn);
+    return resting[Math.min(back + returns, resting.length - 1)]?.rest.getLeftMs(nowMs) ?? 0;
   }
 
   private _getCandidates(service: string): Endpoint[] {
--- a/packages/gateway/src/tests/requests/PermitForecastTests.ts
+++ b/packages/gateway/src/tests/requests/PermitForecastTests.ts
@@ -64,6 +64,8 @@
   t.true(forecast.isHeldUp(service));
   t.is(forecast.getReason(service), "resting");
   t.is(forecast.getWaitMs(service, 0), 2_100);
+  t.is(forecast.getWaitMs(service, 5), 2_300, "two go with each return at first");
+  t.is(forecast.getWaitMs(service, 100), 3_000);
   t.is(forecast.getRetryAfterMs(service, 0), 2_300);
 });
 
