--- a/packages/gateway/src/tests/discovery/EndpointLimitsTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointLimitsTests.ts
@@ -2,18 +2,9 @@
 import test, { type ExecutionContext } from "ava";
 import type { Endpoint } from "../../discovery/Endpoint.js";
 import { EndpointLimits } from "../../discovery/EndpointLimits.js";
-import { DecisionLog, LogSink, type LogLevel } from "../../logs/DecisionLog.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
 import { createEngine } from "../createParts.js";
-
-class KeptLines extends LogSink {
-  readonly events: string[] = [];
-  override isBehind(): boolean {
-    return false;
-  }
-  override write(level: LogLevel, event: string): void {
-    this.events.push(`${level} ${event}`);
-  }
-}
+import { KeptLines } from "../KeptLines.js";
 
 class Scene {
   nowMs = 1_000;
--- a/packages/gateway/src/tests/discovery/EndpointStatementsTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointStatementsTests.ts
@@ -4,18 +4,9 @@
 import { EndpointStatements } from "../../discovery/EndpointStatements.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { noStatement, type EndpointStatement } from "../../http/EndpointStatement.js";
-import { DecisionLog, LogSink, type LogLevel } from "../../logs/DecisionLog.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
 import { createListed } from "../createParts.js";
-
-class KeptLines extends LogSink {
-  readonly events: string[] = [];
-  override isBehind(): boolean {
-    return false;
-  }
-  override write(level: LogLevel, event: string): void {
-    this.events.push(`${level} ${event}`);
-  }
-}
+import { KeptLines } from "../KeptLines.js";
 
 class Scene {
   nowMs = 1_000;
--- a/packages/gateway/src/tests/requests/endpointStatementTests.ts
+++ b/packages/gateway/src/tests/requests/endpointStatementTests.ts
@@ -1,45 +1,19 @@
 /** What endpoints say of themselves with their answers, and what reaches them afterwards. */
 import type * as http from "node:http";
 import { utils } from "@shedtiller/common";
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
-import { createRoute } from "../createParts.js";
-import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
+import { answer, count, generousMs, key, setUp } from "./endpointHandlers.js";
+import type { EndpointHandler, GatewayFixture } from "./GatewayFixture.js";
 
-const generousMs = 30_000;
 /** Longer than any test takes, so that the time of a test decides nothing. */
 const restMs = 60_000;
-const key = { "x-id": "r1", "x-key": "k1" };
 const askedTimes = 20;
 const layers = [{ start: 0, end: 4 }];
 const streaming: Partial<Route> = { kind: "streaming", isResumable: true };
 
-async function setUp(t: ExecutionContext, changes: Partial<Route>): Promise<GatewayFixture> {
-  const fixture = new GatewayFixture();
-  t.teardown(() => fixture.close());
-  const times = { timeoutMs: generousMs, targetLatencyMs: generousMs };
-  await fixture.start(createRoute({ ...times, targets: [{ service: "engines", weight: 1 }], ...changes }));
-  return fixture;
-}
-
-function answer(status: number, headers: Record<string, string> = {}, body = ""): EndpointHandler {
-  return (request, response) => {
-    response.writeHead(status, { "x-id": String(request.headers["x-id"]), ...headers }).end(body);
-  };
-}
-
-/** Counts the requests that a handler gets. */
-function count(handler: EndpointHandler): EndpointHandler & { requests: http.IncomingMessage[] } {
-  const requests: http.IncomingMessage[] = [];
-  const counting: EndpointHandler = (request, response, crash) => {
-    requests.push(request);
-    handler(request, response, crash);
-  };
-  return Object.assign(counting, { requests });
-}
-
-const turnAway = answer(503, { "x-not-run": "1", "x-rest-ms": String(restMs) });
-const streamEvents = answer(200, {}, "id: 1\ndata: a\n\n");
+const turnAway = answer(503, "", { "x-not-run": "1", "x-rest-ms": String(restMs) });
+const streamEvents = answer(200, "id: 1\ndata: a\n\n");
 
 /** Sends requests one after the other; gives the statuses of their answers. */
 async function ask(fixture: GatewayFixture, method = "POST"): Promise<number[]> {
@@ -99,7 +73,7 @@
   // Guards against requests that go on reaching an endpoint which says that it leaves while its entry is still as before.
   test(`${what} that says that it leaves gets nothing new, also while its entry says ready`, async (t) => {
     const fixture = await setUp(t, route);
-    const leaving = count(answer(200, { "x-leaving": "1" }, "id: 1\ndata: a\n\n"));
+    const leaving = count(answer(200, "id: 1\ndata: a\n\n", { "x-leaving": "1" }));
     await fixture.list([leaving, streamEvents], changes);
     while (leaving.requests.length === 0) await fixture.request("POST", key);
     t.deepEqual(new Set(await ask(fixture)), new Set([200]));
@@ -113,7 +87,7 @@
 const leastServed = 0.99;
 
 for (const [what, fail] of [
-  ["refuses", answer(503, { "x-not-run": "1" })],
+  ["refuses", answer(503, "", { "x-not-run": "1" })],
   ["resets", (_request, response) => void response.destroy()],
   ["fails", answer(500)],
 ] as [string, EndpointHandler][]) {
@@ -139,7 +113,7 @@
   // Guards against requests that wait for a service of which nothing takes new work any more.
   test(`where all endpoints leave ${what} are refused at once`, async (t) => {
     const fixture = await setUp(t, route);
-    const leaving = count(answer(200, { "x-leaving": "1" }, "id: 1\ndata: a\n\n"));
+    const leaving = count(answer(200, "id: 1\ndata: a\n\n", { "x-leaving": "1" }));
     await fixture.list([leaving], changes);
     t.is((await fixture.request("POST", key)).status, 200);
     const seen = await fixture.request("POST", key);
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -1,37 +1,10 @@
 /** What callers and endpoints see of requests, over real sockets. */
 import type * as http from "node:http";
-import test, { type ExecutionContext } from "ava";
-import type { Route } from "../../configuration/gatewayConfiguration.js";
+import test from "ava";
 import { createRoute } from "../createParts.js";
+import { answer, count, generousMs, key, setUp } from "./endpointHandlers.js";
 import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
 
-const generousMs = 30_000;
-const key = { "x-id": "r1", "x-key": "k1" };
-
-async function setUp(t: ExecutionContext, changes: Partial<Route>): Promise<GatewayFixture> {
-  const fixture = new GatewayFixture();
-  t.teardown(() => fixture.close());
-  const times = { timeoutMs: generousMs, targetLatencyMs: generousMs };
-  await fixture.start(createRoute({ ...times, targets: [{ service: "engines", weight: 1 }], ...changes }));
-  return fixture;
-}
-
-function answer(status: number, body: string, headers: Record<string, string> = {}): EndpointHandler {
-  return (request, response) => {
-    response.writeHead(status, { "x-id": String(request.headers["x-id"]), ...headers }).end(body);
-  };
-}
-
-/** Counts the requests that a handler gets. */
-function count(handler: EndpointHandler): EndpointHandler & { requests: http.IncomingMessage[] } {
-  const requests: http.IncomingMessage[] = [];
-  const counting: EndpointHandler = (request, response, crash) => {
-    requests.push(request);
-    handler(request, response, crash);
-  };
-  return Object.assign(counting, { requests });
-}
-
 const breakOff: EndpointHandler = (_request, response) => response.destroy();
 
 test("a request that may not be repeated is sent once, and its lost answer is no promise", async (t) => {
