gateway: an endpoint that turned out to have crashed counts as gone at once, for choices and for repairs

Symptom: after a crash the engine went on counting as a holder of its layers until the next request met it, or its entry lapsed. Cause: only a connection that never stood was told as a suspicion; the probe that shows a crash was kept for the evidence against requests. Change: the watch on crashes tells of each crash; the instance suspects the endpoint, tells its peers, and whoever gives orders asks for a repair. A suspect request counts no engine as standing in that has failed within the last moment. Ruled out: suspecting each endpoint that ends a connection (resets and leaving ones take new connections).

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -9,6 +9,7 @@
 import type { HeldRequestStore } from "./crashes/HeldRequestStore.js";
 import { probeConnection } from "@shedtiller/crashes";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
+import type { Endpoint } from "./discovery/Endpoint.js";
 import { EndpointLimits } from "./discovery/EndpointLimits.js";
 import { EndpointStatements } from "./discovery/EndpointStatements.js";
 import { EndpointSuspicions } from "./discovery/EndpointSuspicions.js";
@@ -80,6 +81,7 @@
   private readonly _budgets: RetryBudgets;
   private readonly _limits: EndpointLimits;
   private readonly _statements: EndpointStatements;
+  private readonly _suspicions: EndpointSuspicions;
   private readonly _demand = new RequestDemand();
   private readonly _forwarders: ForwarderSet;
   private readonly _callers: CallerListener;
@@ -114,8 +116,9 @@
     this._seat = new LeaderSeat(platform.election, _log, { mayCampaign: () => relay.isReader });
     const tellRestart = (id: string, bornAtMs: number): void => exchange.tellRestart(id, bornAtMs);
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, tellRestart);
+    this._suspicions = this._createSuspicions(orders);
     this._layers = this._createLayers(orders);
-    this._forwarders = new ForwarderSet(this._createContext(platform.codec, orders), orders);
+    this._forwarders = new ForwarderSet(this._createContext(platform.codec), orders);
     this._callers = this._createCallers(platform.codec);
     const { host, port } = callers.readiness;
     this._readiness = new ReadinessListener(host, port, () => this._isReady());
@@ -226,9 +229,16 @@
       isReader: () => relay.isReader,
       getInstanceNames: () => this._peers.getInstanceNames(),
       count: (what) => (what === "crash" ? this.metrics.crashes : this.metrics.heldBack).inc(),
+      onCrash: (endpoint) => this._noteCrash(endpoint),
     });
   }
 
+  /** Nothing new goes there, and whoever gives orders looks for a repair, before the next request meets it. */
+  private _noteCrash(endpoint: Endpoint): void {
+    const isKnown = this.endpoints.get(endpoint.id) === endpoint;
+    if (isKnown) this._suspicions.noteSilent(endpoint.id, "crashed");
+  }
+
   private _createLayers(orders: EngineOrders): LayerKeeper {
     return new LayerKeeper({
       keeper: this.keeper,
@@ -271,7 +281,7 @@
     });
   }
 
-  private _createContext(codec: MessageCodec, orders: EngineOrders): ForwardContext {
+  private _createContext(codec: MessageCodec): ForwardContext {
     return {
       keeper: this.keeper,
       endpoints: this.endpoints,
@@ -280,7 +290,7 @@
       budgets: this._budgets,
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
-      suspicions: this._createSuspicions(orders),
+      suspicions: this._suspicions,
       crashes: this.crashes.watch,
       statements: this._statements,
       demand: this._demand,
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -137,9 +137,11 @@
 
 /** Engines that are the only ones of their zones with the first layers. */
 function getLastFirsts(endpoints: readonly Endpoint[], nowMs: number): Set<Endpoint> {
-  const firsts = endpoints.filter(
-    (endpoint) => !endpoint.isSuspect(nowMs) && endpoint.listed.layers.some(({ start }) => start === 0),
+  // One that has just failed a request may have crashed, and stands in for nobody.
+  const sound = endpoints.filter(
+    (endpoint) => !endpoint.isSuspect(nowMs) && !endpoint.failures.isAvoided(nowMs),
   );
+  const firsts = sound.filter(({ listed }) => listed.layers.some(({ start }) => start === 0));
   const zones = utils.groupBy(firsts, (endpoint) => endpoint.listed.availabilityZone);
   return new Set([...zones.values()].filter((members) => members.length === 1).flat());
 }
--- a/packages/gateway/src/crashes/CrashGuard.ts
+++ b/packages/gateway/src/crashes/CrashGuard.ts
@@ -16,7 +16,7 @@
 /** What a guard is made of. */
 export interface CrashGuardStructure extends Pick<
   CrashWatchStructure,
-  "probe" | "count" | "nowMs" | "pause"
+  "probe" | "count" | "onCrash" | "nowMs" | "pause"
 > {
   readonly membership: CrashExchangeStructure["membership"];
   readonly endpoints: EndpointTable;
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -56,6 +56,8 @@
   /** How many other instances may try a request before this one after its hold. */
   readonly getTrialRank: (digest: string) => number;
   readonly count?: (what: "crash" | "held-back") => void;
+  /** Told of each endpoint that turned out to have crashed. */
+  readonly onCrash?: ((endpoint: Endpoint) => void) | undefined;
   /** Keeps a hold beyond the end of all instances; undefined drops it. */
   readonly keep?: (digest: string, hold: ToldHold | undefined) => void;
   /** Monotonic clock, replaced in tests. */
@@ -311,6 +313,7 @@
     if (this._open.get(open.lifeId) !== open) return;
     this._open.delete(open.lifeId);
     for (const digest of this._getEndedAt(open.lifeId)) open.suspects.set(digest, 1);
+    if (isCrashed) this._structure.onCrash?.(open.endpoint);
     if (!isCrashed || open.suspects.size === 0) return;
     const { endpoint, lifeId, suspects } = open;
     for (const found of this._foundHere) if (!this.ledger.hasCrash(found)) this._foundHere.delete(found);
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -6,7 +6,12 @@
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
 import type { PermitQueue } from "./PermitQueue.js";
-import { noEndpointRetryAfterMs, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import {
+  failureStatus,
+  noEndpointRetryAfterMs,
+  RequestForwarder,
+  type ForwardContext,
+} from "./RequestForwarder.js";
 
 const maxAnswerBytes = 16 * 1024 * 1024;
 /** When to come back after a refusal: about one service time of a plain request. */
@@ -196,7 +201,8 @@
     const fields = this.context.codec.decodeAnswer(result.val.headers);
     const { status } = result.val;
     this.context.statements.noteAnswer(endpoint, { status, stated: fields.stated, sentAtMs });
-    if (fields.hasNotRun || status >= 500) endpoint.failures.noteFailed(sentAtMs, utils.monotonicMs());
+    if (fields.hasNotRun || status >= failureStatus)
+      endpoint.failures.noteFailed(sentAtMs, utils.monotonicMs());
     else endpoint.noteAnswered(sentAtMs);
     if (fields.hasNotRun) return { kind: "not-run", error: `status ${status}` };
     if (fields.requestId !== request.fields.requestId)
@@ -225,5 +231,5 @@
 
 /** A safe request is tried once more after a failure of the endpoint itself. */
 function isWorthAnother(request: CallerRequest, status: number): boolean {
-  return request.isIdempotent && status >= 500;
+  return request.isIdempotent && status >= failureStatus;
 }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -47,6 +47,9 @@
 /** A connection that does not stand after this is given up: round trips are below 2 ms, a lost opening packet costs 1 s. */
 const connectTimeoutMs = 400;
 
+/** From here on an answer is a failure of the endpoint itself. */
+export const failureStatus = 500;
+
 /** When to come back while no endpoint takes anything new: others are listed about a heartbeat later. */
 export const noEndpointRetryAfterMs = 1_000;
 
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -10,7 +10,12 @@
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { noEndpointRetryAfterMs, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import {
+  failureStatus,
+  noEndpointRetryAfterMs,
+  RequestForwarder,
+  type ForwardContext,
+} from "./RequestForwarder.js";
 import type { StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
 import { StreamProgress } from "./StreamProgress.js";
@@ -19,8 +24,6 @@
 const longestQueueMs = 1_500;
 const maxErrorBytes = 1024 * 1024;
 const successStatus = 200;
-/** From here on the engine itself failed. */
-const failureStatus = 500;
 /** The engine named does not hold its part of the chain, or is another one than was meant (RFC 9110, section 15.5.20). */
 const notHeldStatus = 421;
 
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -189,4 +189,6 @@
   t.is(choose([alone, ...beside], "rather"), "b=0-4");
   t.is(choose([alone, ...beside.slice(1)], "rather"), "a=0-4");
   t.is(choose([alone, ...beside.slice(1)], "only"), undefined);
+  beside[0]?.failures.noteFailed(990, 995);
+  t.is(choose(beside, "only"), undefined, "the other one has just failed, and may be gone");
 });
--- a/packages/gateway/src/tests/crashes/CrashWatchTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashWatchTests.ts
@@ -19,6 +19,7 @@
   probeResult: ProbeResult = "refused";
   probes = 0;
   trialRank = 0;
+  readonly crashed: string[] = [];
   readonly watch = new CrashWatch({
     endpoints: this.endpoints,
     log: new DecisionLog(new SilentSink(), this.clock.nowMs),
@@ -27,6 +28,7 @@
       return Promise.resolve(this.probeResult);
     },
     tell: (news) => this.told.push(news),
+    onCrash: ({ id }) => this.crashed.push(id),
     getTrialRank: () => this.trialRank,
     nowMs: this.clock.nowMs,
     pause: this.clock.sleep,
@@ -264,3 +266,14 @@
   }
   t.not(scene.watch.getHeldBackMs(soundRequest), undefined);
 });
+
+// Guards against a crashed endpoint that goes on counting as one of those that hold its layers, until the next request meets it.
+test("an endpoint that turns out to have crashed is told of at once, one that takes connections is not", async (t) => {
+  const scene = new Scene();
+  scene.probeResult = "open";
+  await scene.lose("i-1");
+  t.deepEqual(scene.crashed, []);
+  scene.probeResult = "refused";
+  await scene.lose("i-2");
+  t.deepEqual(scene.crashed, ["i-2"]);
+});
