gateway, routing: chains leave an engine that failed alone for a time only; rests' bounds stand once

Cause, found on reading the change again: first requests one at a time after a failure held back streams, too: a permit is taken for both, and a chain leaves such an engine out at any place, so a zone's only holder of some layers could be missing while one request waited for its head. Change: chains look at the time of avoidance alone, as they did for resets; plain requests at the first answers as well (`isOnProbation`).

--- a/packages/claims/src/service/ServiceCaller.ts
+++ b/packages/claims/src/service/ServiceCaller.ts
@@ -3,6 +3,8 @@
 import { classifyHttpError } from "@shedtiller/logservice";
 import {
   EndpointRest,
+  longestRestMs,
+  turnedAwayStatuses,
   type EndpointDirectory,
   type EndpointEntry,
   type RetryBudget,
@@ -52,10 +54,6 @@
 }
 
 const connectTimeoutMs = 1_000;
-/** Statuses with which an endpoint turns a call away for a time. */
-const turnedAwayStatuses: readonly number[] = [429, 503];
-/** An endpoint that is out for longer leaves, or starts again; a longer time is more likely a slip. */
-const longestRestMs = 600_000;
 
 /** Calls one endpoint of a service after the other until one answers or it may have run. */
 export class ServiceCaller {
--- a/packages/gateway/src/crashes/CrashWatch.ts
+++ b/packages/gateway/src/crashes/CrashWatch.ts
@@ -28,7 +28,7 @@
 const undecidedMs = 6_000;
 /** While another run of a suspect is at its beginning here, the next one waits for what becomes of it, this long at most. */
 const longestTurnMs = 600;
-/** Each crash of an engine makes suspects of all that begin there; who was there twice is hardly there by chance. */
+/** Runs that are lost together are often sent on together, so that two crashes may still be chance; a third one should not cost a zone its service. */
 const highRiskWeight = 2;
 const turnPollMs = 10;
 
--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -1,5 +1,6 @@
 /** The one place that takes what answers say of their endpoints, whatever they answer: requests, streams, reports or orders. */
 import { utils } from "@shedtiller/common";
+import { longestRestMs, turnedAwayStatuses } from "@shedtiller/routing";
 import type { StatedAnswer } from "../http/EndpointStatement.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { OrderTarget } from "../orders/EngineOrders.js";
@@ -7,10 +8,6 @@
 import type { EndpointLimits } from "./EndpointLimits.js";
 import type { EndpointTable } from "./EndpointTable.js";
 
-/** Statuses with which an endpoint turns a request away for a time (RFC 9110, section 15.6.4; RFC 6585, section 4). */
-const turnedAwayStatuses: readonly number[] = [429, 503];
-/** An endpoint that is out for longer leaves, or starts again; a longer time is more likely a slip. */
-const longestRestMs = 600_000;
 /** Different unknown headers that are logged; endpoints could send any number of them. */
 const mostLoggedNames = 64;
 
--- a/packages/gateway/src/requests/pickPlainEndpoint.ts
+++ b/packages/gateway/src/requests/pickPlainEndpoint.ts
@@ -25,7 +25,7 @@
 ): Endpoint | undefined {
   const isShunned = (endpoint: Endpoint): boolean =>
     endpoint.isSuspect(nowMs) ||
-    endpoint.failures.isAvoided(nowMs) ||
+    endpoint.failures.isOnProbation(nowMs) ||
     (!mayProbe && endpoint.isUnproven(nowMs));
   const cost = (endpoint: Endpoint): number =>
     endpoint.getLoad().requests +
--- a/packages/gateway/src/tests/discovery/FailureGuardTests.ts
+++ b/packages/gateway/src/tests/discovery/FailureGuardTests.ts
@@ -40,7 +40,7 @@
   guard.noteFailed(0, 1);
   const sendAll = (nowMs: number): number => {
     let sent = 0;
-    for (; sent < 100 && !guard.isAvoided(nowMs); sent++) guard.noteSent(nowMs);
+    for (; sent < 100 && !guard.isOnProbation(nowMs); sent++) guard.noteSent(nowMs);
     return sent;
   };
   t.is(sendAll(60), 1);
--- a/packages/routing/src/EndpointRest.ts
+++ b/packages/routing/src/EndpointRest.ts
@@ -1,6 +1,10 @@
 /** The rest that an endpoint has asked this instance for. Other instances may be welcome there, so that none is told. */
 import { ReturnRamp } from "./ReturnRamp.js";
 
+/** Statuses with which an endpoint turns a request away for a time (RFC 9110, section 15.6.4; RFC 6585, section 4). */
+export const turnedAwayStatuses: readonly number[] = [429, 503];
+/** An endpoint that is out for longer leaves, or starts again; a longer time is more likely a slip. */
+export const longestRestMs = 600_000;
 /** A request with no second chance tries an endpoint that comes back only if nobody else has done so for this long. */
 const untriedMs = 5_000;
 
