gateway: what a report states of a limit is judged in one place

Cause, found on reading the change again: `EndpointStatements` decided anew what `EndpointLimits.noteReport` decides (an answer to a question that names no limit ends none), and nothing but a test called the latter any more. Change: it calls it; behaviour is the same. The test of leaving hands in real limits in place of a stub.

--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -17,7 +17,7 @@
 /** What statements work with. */
 export interface EndpointStatementsStructure {
   readonly endpoints: Pick<EndpointTable, "get" | "getLife" | "noteLeaving">;
-  readonly limits: Pick<EndpointLimits, "noteAnswer">;
+  readonly limits: Pick<EndpointLimits, "noteAnswer" | "noteReport">;
   readonly log: DecisionLog;
   /** Counts answers that say something of their endpoint. */
   readonly count?: ((what: StatementKind, service: string) => void) | undefined;
@@ -47,14 +47,13 @@
     this._noteBeyondLimit(endpoint, answer);
   }
 
-  /** Takes what the answer to an order or a question states. It need not name a limit, so that one without it ends none. */
+  /** Takes what the answer to an order or a question states. */
   noteOrderAnswer(target: OrderTarget, answer: StatedAnswer): void {
     const { endpoints, limits } = this._structure;
     const endpoint =
       target.lifeId === undefined ? endpoints.get(target.id) : endpoints.getLife(target.lifeId);
     if (endpoint === undefined) return;
-    if (answer.stated.limit.kind !== "none")
-      limits.noteAnswer(endpoint, answer.stated.limit, answer.sentAtMs);
+    limits.noteReport(endpoint, answer.stated.limit, answer.sentAtMs);
     this._noteBeyondLimit(endpoint, answer);
   }
 
--- a/packages/gateway/src/tests/peers/LeavingNewsTests.ts
+++ b/packages/gateway/src/tests/peers/LeavingNewsTests.ts
@@ -1,5 +1,6 @@
 /** One instance's word that an endpoint leaves comes to all others, also to those of other zones. */
 import test from "ava";
+import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointStatements } from "../../discovery/EndpointStatements.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { noStatement } from "../../http/EndpointStatement.js";
@@ -20,7 +21,7 @@
   const log = new DecisionLog(new SilentSink(), () => 0);
   const endpoints = new EndpointTable(() => 0);
   endpoints.setAll(new Map([["a", createListed("a")]]));
-  const statements = new EndpointStatements({ endpoints, limits: { noteAnswer: () => undefined }, log });
+  const statements = new EndpointStatements({ endpoints, limits: new EndpointLimits({ log }), log });
   const membership = network.join({ name, availabilityZone });
   new LeavingNews({ membership, endpoints, statements, log, random: () => 0 });
   return { endpoints, statements };
