peers: draining endpoints have a topic of their own, so that an instance's leave notice arrives

Cause: Membership announces a planned stop under the topic 'leaving', and the gateway announced draining endpoints under the same one. A topic has one handler, so the later one replaced the earlier: peers counted the leave notice as invalid and kept the instance as a candidate for zone roles until its link ended. Ruled out: one handler that tells the bodies apart, since the two notices have different senders and forwarding rules. Change: the topic of draining endpoints is 'draining'. A second handler for a topic is rejected where it is added. A list under 'leaving', as peers of an earlier version send it, is not taken for a leave notice. Before: instanceLeaveTests failed each time. After: it passes, with the 153 other tests of peers, chains, requests and membership.

--- a/packages/gateway/src/peers/DrainingBroadcast.ts
+++ b/packages/gateway/src/peers/DrainingBroadcast.ts
@@ -22,7 +22,7 @@
     const broadcast = new PeerBroadcast<string[]>({
       membership,
       random,
-      topic: peerTopics.leaving,
+      topic: peerTopics.draining,
       schema: drainingSchema,
       onInvalid: (topic, from) => logInvalidPeerMessage(log, topic, from),
       applyUpdate: (lifeIds) => this._accept(lifeIds),
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -19,7 +19,7 @@
   layers: "layers",
   limits: "limits",
   permits: "permits",
-  leaving: "leaving",
+  draining: "draining",
   newVersion: "new-version",
   configuration: "configuration",
   wholeConfiguration: "whole-configuration",
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -75,7 +75,7 @@
     this._server.on("upgrade", (request, socket, head) => {
       this._sockets.handleUpgrade(request, socket, head, (client) => void this._acceptLink(client));
     });
-    this.onNotice(leavingTopic, (_body, from) => this._markLeaving(from.name));
+    this.onNotice(leavingTopic, (body, from) => this._markLeaving(body, from.name));
     this.onNotice(heartbeatTopic, (body, from) => this._storeHeartbeat(body, from));
     this.onRequest(forwardTopic, (body) => this._forward(body));
   }
@@ -144,7 +144,10 @@
     return this._requestHandlers.get(topic);
   }
 
+  /** @throws InvalidInputError if the topic already has a handler, which the second one would replace. */
   onNotice(topic: string, handler: NoticeHandler): void {
+    if (this._noticeHandlers.has(topic))
+      throw new errors.InvalidInputError(`topic ${topic}`, "already has a handler");
     this._noticeHandlers.set(topic, handler);
   }
 
@@ -370,8 +373,9 @@
     }
   }
 
-  private _markLeaving(name: string): void {
+  /** Peers of an earlier version announce draining endpoints under the same topic, with a list as the body. */
+  private _markLeaving(body: unknown, name: string): void {
     const member = this._members.get(name);
-    if (member !== undefined) member.isLeaving = true;
+    if (member !== undefined && body === null) member.isLeaving = true;
   }
 }
