--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -15,10 +15,12 @@
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
 import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
+import { addGauges } from "./addGauges.js";
 import { GatewayMetrics } from "./GatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { HttpClient } from "./http/HttpClient.js";
 import type { MessageCodec } from "./http/MessageCodec.js";
+import { LoadControls } from "./loadcontrol/LoadControls.js";
 import type { DecisionLog } from "./logs/DecisionLog.js";
 import type { EngineOrders } from "./orders/EngineOrders.js";
 import { EnginePoll } from "./orders/EnginePoll.js";
@@ -82,6 +84,7 @@
   private readonly _statements: EndpointStatements;
   private readonly _failureDetector: FailureDetector;
   private readonly _demand = new RequestDemand();
+  private readonly _controls: LoadControls;
   private readonly _forwarders: ForwarderSet;
   private readonly _callerListener: CallerListener;
   private readonly _readinessListener: ReadinessListener;
@@ -117,6 +120,7 @@
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, broadcastRestart);
     this._failureDetector = this._createFailureDetector(orders);
     this._layerReconciler = this._createLayerReconciler(orders);
+    this._controls = this._createControls();
     this._forwarders = new ForwarderSet(this._createForwardContext(platform.codec), orders);
     this._callerListener = this._createCallerListener(platform.codec);
     const { host, port } = callers.readiness;
@@ -130,7 +134,14 @@
       if (event === "restarted") this._httpClient.closeIdleConnections(endpoint.listed.address);
     });
     this._demand.onPermits((service, count) => this.metrics.permits.inc({ service }, count));
-    this._addGauges();
+    addGauges(this.metrics, {
+      activeConfiguration: this.activeConfiguration,
+      endpoints: this.endpoints,
+      crashes: this.crashes.detector,
+      membership: this._peers.membership,
+      callerListener: this._callerListener,
+      forwarders: this._forwarders,
+    });
   }
 
   /** Starts the listeners and all tasks, and resolves once the listeners accept connections. */
@@ -295,10 +306,23 @@
       statements: this._statements,
       demand: this._demand,
       forecast: this._createForecast(),
+      controls: this._controls,
       broadcastFull: (endpointId) => this._peers.exchange.broadcastFull(endpointId),
     };
   }
 
+  private _createControls(): LoadControls {
+    return new LoadControls({
+      settings: this._settings.loadControl,
+      availabilityZone: this._settings.instance.availabilityZone,
+      activeConfiguration: this.activeConfiguration,
+      endpoints: this.endpoints,
+      figures: this._peers.figures,
+      metrics: this.metrics,
+      log: this._log,
+    });
+  }
+
   private _createForecast(): PermitForecast {
     const getInstanceCount = (): number | undefined => this._peers.getInstanceCount();
     return new PermitForecast({ endpoints: this.endpoints, demand: this._demand, getInstanceCount });
@@ -340,48 +364,4 @@
     if (error instanceof errors.CancelledError) return;
     this._log.error("task-failed", { cause: errors.describeError(error) });
   }
-
-  private _addGauges(): void {
-    this.metrics.addGauge(
-      "requests_in_hand",
-      "Requests without a final answer",
-      () => this._callerListener.inFlight,
-    );
-    this.metrics.addGauge("requests_waiting", "Requests that wait for room", () => this._forwarders.waiting);
-    this.metrics.addGauge(
-      "requests_held",
-      "Different requests that are held back since they crash endpoints",
-      () => this.crashes.detector.ledger.quarantinedCount,
-    );
-    this.metrics.addGauge("streams", "Streams at chains", () => this._forwarders.monitor.size);
-    this.metrics.addGauge(
-      "configuration_version",
-      "Version in force",
-      () => this.activeConfiguration.version,
-    );
-    this.metrics.addGauge(
-      "configuration_proof_age_seconds",
-      "Age of the proof that nothing newer exists",
-      () =>
-        Math.min(this.activeConfiguration.getFreshnessAgeMs() / utils.msPerSecond, Number.MAX_SAFE_INTEGER),
-    );
-    this.metrics.addGauge("peers", "Peers linked", () => this._peers.membership.getLinked().length);
-    this.metrics.addGauge(
-      "endpoints_limited",
-      "Endpoints that name how many requests a second they take",
-      () => this.endpoints.getAll().filter((endpoint) => endpoint.limit?.perSecond !== undefined).length,
-    );
-    this.metrics.addGauge(
-      "endpoints_resting",
-      "Endpoints in a rest that they asked this instance for",
-      () =>
-        this.endpoints.getAll().filter(({ backoff }) => backoff.getLeftMs(utils.monotonicMs()) > 0).length,
-    );
-    this.metrics.addGauge(
-      "endpoints_leaving",
-      "Endpoints that leave, by their own word or the list's",
-      () => this.endpoints.getAll().filter(({ listed }) => listed.isDraining).length,
-    );
-    this.metrics.addGauge("endpoints", "Endpoints listed", () => this.endpoints.getAll().length);
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/addGauges.ts
@@ -0,0 +1,70 @@
+/** Gauges of a gateway instance. */
+import { utils } from "@shedtiller/common";
+import type { Membership } from "@shedtiller/membership";
+import type { ActiveConfiguration } from "./configuration/ActiveConfiguration.js";
+import type { CrashDetector } from "./crashes/CrashDetector.js";
+import type { EndpointTable } from "./discovery/EndpointTable.js";
+import type { GatewayMetrics } from "./GatewayMetrics.js";
+import type { CallerListener } from "./requests/CallerListener.js";
+import type { ForwarderSet } from "./requests/ForwarderSet.js";
+
+/** The components that the gauges read. */
+export interface GaugeStructure {
+  readonly activeConfiguration: ActiveConfiguration;
+  readonly endpoints: EndpointTable;
+  readonly crashes: Pick<CrashDetector, "ledger">;
+  readonly membership: Pick<Membership, "getLinked">;
+  readonly callerListener: Pick<CallerListener, "inFlight">;
+  readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
+}
+
+/** Adds the gauges, whose values are read from the components at scrape time. */
+export function addGauges(metrics: GatewayMetrics, structure: GaugeStructure): void {
+  addRequestGauges(metrics, structure);
+  addConfigurationGauges(metrics, structure);
+  addEndpointGauges(metrics, structure);
+}
+
+function addRequestGauges(
+  metrics: GatewayMetrics,
+  { callerListener, forwarders, crashes }: GaugeStructure,
+): void {
+  metrics.addGauge("requests_in_hand", "Requests without a final answer", () => callerListener.inFlight);
+  metrics.addGauge("requests_waiting", "Requests that wait for room", () => forwarders.waiting);
+  metrics.addGauge(
+    "requests_held",
+    "Different requests that are held back since they crash endpoints",
+    () => crashes.ledger.quarantinedCount,
+  );
+  metrics.addGauge("streams", "Streams at chains", () => forwarders.monitor.size);
+}
+
+function addConfigurationGauges(
+  metrics: GatewayMetrics,
+  { activeConfiguration, membership }: GaugeStructure,
+): void {
+  metrics.addGauge("configuration_version", "Version in force", () => activeConfiguration.version);
+  metrics.addGauge("configuration_proof_age_seconds", "Age of the proof that nothing newer exists", () =>
+    Math.min(activeConfiguration.getFreshnessAgeMs() / utils.msPerSecond, Number.MAX_SAFE_INTEGER),
+  );
+  metrics.addGauge("peers", "Peers linked", () => membership.getLinked().length);
+}
+
+function addEndpointGauges(metrics: GatewayMetrics, { endpoints }: GaugeStructure): void {
+  metrics.addGauge(
+    "endpoints_limited",
+    "Endpoints that name how many requests a second they take",
+    () => endpoints.getAll().filter((endpoint) => endpoint.limit?.perSecond !== undefined).length,
+  );
+  metrics.addGauge(
+    "endpoints_resting",
+    "Endpoints in a rest that they asked this instance for",
+    () => endpoints.getAll().filter(({ backoff }) => backoff.getLeftMs(utils.monotonicMs()) > 0).length,
+  );
+  metrics.addGauge(
+    "endpoints_leaving",
+    "Endpoints that leave, by their own word or the list's",
+    () => endpoints.getAll().filter(({ listed }) => listed.isDraining).length,
+  );
+  metrics.addGauge("endpoints", "Endpoints listed", () => endpoints.getAll().length);
+}
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -192,7 +192,8 @@
     const permit = first?.tryAcquirePermit(utils.monotonicMs());
     if (stages === undefined || permit === undefined) return undefined;
     const { promptTokens, answerTokens } = acquisition.demand;
-    return new ChainReservation(this._endpoints, stages, promptTokens + answerTokens, permit);
+    const tokens = promptTokens + answerTokens;
+    return new ChainReservation(this._endpoints, stages, tokens, promptTokens, permit);
   }
 }
 
--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -9,6 +9,7 @@
   /** References the endpoint itself rather than its id: an endpoint that leaves the list and returns is a new object with its own load. */
   readonly endpoint: Endpoint;
   readonly tokenLayers: number;
+  readonly promptTokens: number;
 }
 
 /** Adds the load of a request to each engine of its chain until it is released. */
@@ -21,6 +22,8 @@
     private readonly _endpoints: EndpointTable,
     stages: readonly ChainStage[],
     private readonly _tokens: number,
+    /** Tokens of the prompt that the engines have yet to read; they are among `_tokens`. */
+    private _unreadTokens = 0,
     /** The permit for the send to the first engine. */
     readonly permit?: SendPermit,
   ) {
@@ -39,6 +42,15 @@
     this._loads = stages.flatMap((stage) => this._addLoad(stage) ?? []);
   }
 
+  /** Records that the engines of the chain have read the prompt, since the first event has arrived. */
+  notePromptRead(): void {
+    this._unreadTokens = 0;
+    this._loads = this._loads.map((load) => {
+      load.endpoint.addOwnLoad(0, 0, -load.promptTokens);
+      return { ...load, promptTokens: 0 };
+    });
+  }
+
   release(): void {
     this._removeLoads();
     this._isReleased = true;
@@ -48,12 +60,14 @@
     const endpoint = this._endpoints.get(stage.endpointId);
     if (endpoint === undefined) return undefined;
     const tokenLayers = (stage.end - stage.start) * this._tokens;
-    endpoint.addOwnLoad(1, tokenLayers);
-    return { endpoint, tokenLayers };
+    const promptTokens = this._unreadTokens;
+    endpoint.addOwnLoad(1, tokenLayers, promptTokens);
+    return { endpoint, tokenLayers, promptTokens };
   }
 
   private _removeLoads(): void {
-    for (const { endpoint, tokenLayers } of this._loads) endpoint.addOwnLoad(-1, -tokenLayers);
+    for (const { endpoint, tokenLayers, promptTokens } of this._loads)
+      endpoint.addOwnLoad(-1, -tokenLayers, -promptTokens);
     this._loads = [];
   }
 }
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -11,6 +11,8 @@
   readonly requests: number;
   /** Tokens reserved in the KV cache, each counted once for each layer that the endpoint runs for that token. */
   readonly tokenLayers: number;
+  /** Prompt tokens of requests without a first event, which the endpoint has yet to read. */
+  readonly promptTokens: number;
 }
 
 /**
@@ -27,7 +29,7 @@
   count: number;
 }
 
-const noLoad: EndpointLoad = { requests: 0, tokenLayers: 0 };
+const noLoad: EndpointLoad = { requests: 0, tokenLayers: 0, promptTokens: 0 };
 
 /**
  * One endpoint from the perspective of this instance: its listed state, the load that this instance puts on the endpoint, the last loads
@@ -88,17 +90,20 @@
     const loadFactor = 1 + this._assumedPeers.count;
     let requests = this._ownLoad.requests * loadFactor;
     let tokenLayers = this._ownLoad.tokenLayers * loadFactor;
+    let promptTokens = this._ownLoad.promptTokens * loadFactor;
     for (const load of this._peerLoads.values()) {
       requests += load.requests;
       tokenLayers += load.tokenLayers;
+      promptTokens += load.promptTokens;
     }
-    return { requests, tokenLayers };
+    return { requests, tokenLayers, promptTokens };
   }
 
-  addOwnLoad(requests: number, tokenLayers: number): void {
+  addOwnLoad(requests: number, tokenLayers: number, promptTokens = 0): void {
     this._ownLoad = {
       requests: this._ownLoad.requests + requests,
       tokenLayers: this._ownLoad.tokenLayers + tokenLayers,
+      promptTokens: this._ownLoad.promptTokens + promptTokens,
     };
   }
 
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -25,6 +25,9 @@
     .filter((item) => item !== ""),
 );
 
+/** `auto` switches a feature on where the deployment's configuration calls for it. */
+const mode = zod.enum(["auto", "off"]).default("auto");
+
 export const gatewaySettingsSchema = zod.strictObject({
   instance: zod.strictObject({ name: text, availabilityZone: text }),
   callers: zod.strictObject({
@@ -58,8 +61,28 @@
     /** Length of the window over which retries are counted. */
     budgetWindowS: zod.coerce.number().positive(),
   }),
+  /** Decisions under load that the configuration may call for; `docs/INTERFACES.md` names the condition of each. */
+  loadControl: zod
+    .strictObject({
+      /** Choice of chains by the forecast time to the first event. */
+      firstEventForecast: mode,
+      /** Admission by urgency over all instances. */
+      urgencyLevels: mode,
+      /** Shares of each zone's requests that run in other zones. */
+      zoneFlows: mode,
+      /** Bound on the share of a zone's streams that one engine begins. */
+      firstEngineShare: mode,
+      /** Moves of streams at the first sign of a lost engine, along chains that were computed before. */
+      earlyMoves: mode,
+      /** Fair shares of client accounts in what is admitted. */
+      accountShares: mode,
+      /** Concurrency of plain endpoints over all instances. */
+      endpointConcurrency: mode,
+    })
+    .prefault({}),
   store: zod.strictObject({ address: text, leaseMinimumMs: milliseconds, seeds: addressList.default([]) }),
 });
+export type LoadControlSettings = zod.infer<typeof gatewaySettingsSchema>["loadControl"];
 export type GatewaySettings = zod.infer<typeof gatewaySettingsSchema>;
 
 /** Reads and validates a settings file, and returns all errors together. */
--- /dev/null
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -0,0 +1,32 @@
+/** The decisions under load that the settings and the configuration switch on. */
+import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { GatewayMetrics } from "../GatewayMetrics.js";
+import type { LoadControlSettings } from "../gatewaySettings.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { SharedFigures } from "../peers/SharedFigures.js";
+import type { AdmissionGate } from "./AdmissionGate.js";
+import type { ZoneFlows } from "./ZoneFlows.js";
+
+/** Dependencies of {@link LoadControls}. */
+export interface LoadControlStructure {
+  readonly settings: LoadControlSettings;
+  readonly availabilityZone: string;
+  readonly activeConfiguration: ActiveConfiguration;
+  readonly endpoints: EndpointTable;
+  readonly figures: SharedFigures;
+  readonly metrics: GatewayMetrics;
+  readonly log: DecisionLog;
+}
+
+/** Creates the decisions that are switched on. Each instance has one such object. */
+export class LoadControls {
+  /** The gates that a request passes one after the other. */
+  readonly gates: readonly AdmissionGate[] = [];
+  /** Undefined if all zones have the usual costs. */
+  readonly flows: ZoneFlows | undefined;
+
+  constructor(structure: LoadControlStructure) {
+    structure.log.info("load-control", { ...structure.settings });
+  }
+}
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -21,6 +21,7 @@
 import { PermitExchange } from "./PermitExchange.js";
 import { ConfigurationChangeCodec } from "./ConfigurationChangeCodec.js";
 import { WholeChangeCodec } from "./WholeChangeCodec.js";
+import { SharedFigures } from "./SharedFigures.js";
 import { StoreRelay } from "./StoreRelay.js";
 
 /**
@@ -50,6 +51,8 @@
   readonly membership: Membership;
   readonly exchange: PeerExchange;
   readonly loads: LoadExchange;
+  /** Figures that are summed over all instances together with the loads. */
+  readonly figures = new SharedFigures();
   readonly relay: StoreRelay;
   readonly permits: PermitExchange;
   readonly limitBroadcast: LimitBroadcast;
@@ -64,7 +67,12 @@
     this.membership = this._createMembership();
     this._directory = this._createDirectory();
     this.exchange = this._createExchange();
-    this.loads = new LoadExchange({ membership: this.membership, endpoints, log });
+    this.loads = new LoadExchange({
+      membership: this.membership,
+      endpoints,
+      log,
+      figures: this.figures,
+    });
     this.relay = this._createRelay();
     this.limitBroadcast = new LimitBroadcast({ ..._structure, membership: this.membership });
     this.drainingBroadcast = new DrainingBroadcast({ ..._structure, membership: this.membership });
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -2,9 +2,25 @@
 import type { Membership, PeerIdentity } from "@shedtiller/membership";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import { sumLoads, subtractLoads, toLoads, toLoadMessage, type Loads } from "./endpointLoads.js";
+import {
+  sumLoads,
+  subtractLoads,
+  toLoads,
+  toLoadMessage,
+  type LoadMessage,
+  type Loads,
+} from "./endpointLoads.js";
+import {
+  readDecisions,
+  readFigures,
+  subtractFigures,
+  sumFigures,
+  toFigureEntries,
+  type Figures,
+} from "./figures.js";
 import { logInvalidPeerMessage } from "./logInvalidPeerMessage.js";
 import { loadSchema, peerTopics, zoneLoadSchema } from "./peerMessages.js";
+import { SharedFigures } from "./SharedFigures.js";
 import { ZoneRole } from "./ZoneRole.js";
 
 /** Interval at which changed load is sent. It is short enough because streams last for seconds. */
@@ -18,12 +34,15 @@
 /** The collector of another zone counts as reachable for this long after its last message. */
 const reachableMs = 1_000;
 const roleName = "load-collector";
+const noFigures: Figures = new Map();
 
 /** Dependencies of {@link LoadExchange}. */
 export interface LoadExchangeStructure {
   readonly membership: Pick<Membership, "self" | "getZoneRoleCandidates" | "notifyAll" | "onNotice">;
   readonly endpoints: EndpointTable;
   readonly log: DecisionLog;
+  /** Figures that are summed together with the loads; none if omitted. */
+  readonly figures?: SharedFigures;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
 }
@@ -31,6 +50,7 @@
 /** The load that an instance or a zone has sent. */
 interface Source {
   readonly loads: Loads;
+  readonly figures: Figures;
   readonly receivedAtMs: number;
   /** Time since which the instance has sent this load without a long silence. */
   readonly sinceMs: number;
@@ -49,6 +69,7 @@
   private readonly _otherZones = new Map<string, Source>();
   private readonly _nowMs: () => number;
   private readonly _role: ZoneRole;
+  private readonly _figures: SharedFigures;
   /** Time at which the collector of this zone last changed at this instance, or at which this instance started. */
   private _collectorSinceMs: number;
   private _sentText = "";
@@ -58,6 +79,7 @@
     const { membership, log, nowMs } = _structure;
     this._nowMs = nowMs ?? utils.monotonicMs;
     this._collectorSinceMs = this._nowMs();
+    this._figures = _structure.figures ?? new SharedFigures(this._nowMs);
     this._role = new ZoneRole({ name: roleName, membership, log, nowMs });
     membership.onNotice(peerTopics.load, (body, from) => this._acceptMemberLoad(body, from));
     membership.onNotice(peerTopics.collectedLoad, (body, from) => this._acceptCollected(body, from));
@@ -144,7 +166,10 @@
 
   private _sendOwn(): void {
     const nowMs = this._nowMs();
-    const message = toLoadMessage(this._getOwn());
+    const message = {
+      ...toLoadMessage(this._getOwn()),
+      ...toFigureEntries(this._figures.getOwn(), noFigures),
+    };
     const text = JSON.stringify(message);
     if (text === this._sentText && nowMs - this._sentAtMs < repeatIntervalMs) return;
     this._sentText = text;
@@ -155,23 +180,36 @@
   private _sendSums(): void {
     const zoneLoad = sumLoads([this._getOwn(), ...getLoads(this._members)]);
     const all = sumLoads([zoneLoad, ...getLoads(this._otherZones)]);
+    const zoneFigures = sumFigures([this._figures.getOwn(), ...getFigures(this._members)]);
+    const allFigures = sumFigures([zoneFigures, ...getFigures(this._otherZones)]);
+    const decisions = this._decide(zoneFigures);
+    this._figures.update(subtractFigures(allFigures, this._figures.getOwn()), decisions);
     for (const [name, source] of this._members) {
-      this._notify(name, peerTopics.collectedLoad, toLoadMessage(subtractLoads(all, source.loads)));
+      const others = toLoadMessage(subtractLoads(all, source.loads));
+      const figures = toFigureEntries(subtractFigures(allFigures, source.figures), decisions);
+      this._notify(name, peerTopics.collectedLoad, { ...others, ...figures });
     }
-    this._sendToOtherZones(zoneLoad);
+    this._sendToOtherZones({ ...toLoadMessage(zoneLoad), ...toFigureEntries(zoneFigures, noFigures) });
   }
 
-  private _sendToOtherZones(zoneLoad: Loads): void {
+  private _decide(zoneFigures: Figures): Figures {
+    const ownZone = this._structure.membership.self.availabilityZone;
+    const others = [...this._otherZones].map(([zone, { figures }]) => [zone, figures] as const);
+    const zones = new Map([[ownZone, zoneFigures], ...others]);
+    return this._figures.decide({ ownZone, zones, nowMs: this._nowMs() });
+  }
+
+  private _sendToOtherZones(load: LoadMessage): void {
     const { membership } = this._structure;
     const { availabilityZone, name } = membership.self;
-    const body = { availabilityZone, load: toLoadMessage(zoneLoad), collector: name };
+    const body = { availabilityZone, load, collector: name };
     membership.notifyAll(peerTopics.zoneLoad, body, (member) => member.availabilityZone !== availabilityZone);
   }
 
   private _acceptMemberLoad(body: unknown, from: PeerIdentity): void {
     const load = loadSchema.safeParse(body);
     if (!load.success) return logInvalidPeerMessage(this._structure.log, peerTopics.load, from);
-    this._setSource(this._members, from.name, toLoads(load.data), from.name);
+    this._setSource(this._members, from.name, load.data, from.name);
   }
 
   private _acceptCollected(body: unknown, from: PeerIdentity): void {
@@ -180,6 +218,7 @@
     if (from.name !== this._role.holder) return;
     this._role.noteActivity();
     this._structure.endpoints.setPeerLoads(collectedSource, toLoads(load.data));
+    this._figures.update(readFigures(load.data), readDecisions(load.data));
   }
 
   /**
@@ -191,16 +230,18 @@
     if (!message.success) return logInvalidPeerMessage(this._structure.log, peerTopics.zoneLoad, from);
     const { availabilityZone, load, collector = from.name } = message.data;
     if (availabilityZone === this._structure.membership.self.availabilityZone) return;
-    if (this.isCollector) this._setSource(this._otherZones, availabilityZone, toLoads(load), collector);
+    if (this.isCollector) this._setSource(this._otherZones, availabilityZone, load, collector);
     else if (from.availabilityZone === availabilityZone)
       this._notify(this._role.holder, peerTopics.zoneLoad, message.data);
   }
 
-  private _setSource(sources: Map<string, Source>, key: string, loads: Loads, name: string): void {
+  private _setSource(sources: Map<string, Source>, key: string, message: LoadMessage, name: string): void {
+    const loads = toLoads(message);
+    const figures = readFigures(message);
     const receivedAtMs = this._nowMs();
     const known = sources.get(key);
     const sinceMs = known?.name === name ? known.sinceMs : receivedAtMs;
-    sources.set(key, { loads, receivedAtMs, sinceMs, name });
+    sources.set(key, { loads, figures, receivedAtMs, sinceMs, name });
     if (this.isCollector) this._structure.endpoints.setPeerLoads(key, loads);
   }
 
@@ -214,6 +255,10 @@
   }
 }
 
+function getFigures(sources: ReadonlyMap<string, Source>): Figures[] {
+  return [...sources.values()].map((source) => source.figures);
+}
+
 function getLoads(sources: ReadonlyMap<string, Source>): Loads[] {
   return [...sources.values()].map((source) => source.loads);
 }
--- a/packages/gateway/src/peers/endpointLoads.ts
+++ b/packages/gateway/src/peers/endpointLoads.ts
@@ -1,12 +1,19 @@
 /** Sums, differences and wire format of the loads of endpoints. */
 import type { EndpointLoad } from "../discovery/Endpoint.js";
+import { isEndpointKey } from "./figures.js";
 
 /** Loads by the life id of the endpoint. */
 export type Loads = ReadonlyMap<string, EndpointLoad>;
 
-/** Requests and token-layers by the life id of the endpoint, as sent to peers. */
+/**
+ * Requests and token-layers by the life id of the endpoint, as sent to peers. Unread prompt tokens have keys of their own, since instances
+ * of an earlier version accept only pairs.
+ */
 export type LoadMessage = Record<string, [number, number]>;
 
+/** Suffix of the key for the unread prompt tokens of an endpoint; no life id contains this character. */
+const promptSuffix = "#";
+
 /** Adds up the loads of each endpoint. */
 export function sumLoads(summands: readonly Loads[]): Loads {
   const sum = new Map<string, EndpointLoad>();
@@ -33,20 +40,28 @@
   return {
     requests: first.requests + sign * second.requests,
     tokenLayers: first.tokenLayers + sign * second.tokenLayers,
+    promptTokens: first.promptTokens + sign * second.promptTokens,
   };
 }
 
 /** Converts loads to the wire format, without endpoints that have no request. */
 export function toLoadMessage(loads: Loads): LoadMessage {
   const message: LoadMessage = {};
-  for (const [id, { requests, tokenLayers }] of loads) {
-    if (requests > 0) message[id] = [requests, Math.round(tokenLayers)];
+  for (const [id, { requests, tokenLayers, promptTokens }] of loads) {
+    if (requests <= 0) continue;
+    message[id] = [requests, Math.round(tokenLayers)];
+    if (promptTokens > 0) message[id + promptSuffix] = [promptTokens, 0];
   }
   return message;
 }
 
 /** Converts loads from the wire format. */
 export function toLoads(message: LoadMessage): Loads {
-  const entries = Object.entries(message);
-  return new Map(entries.map(([id, [requests, tokenLayers]]) => [id, { requests, tokenLayers }]));
+  const loads = new Map<string, EndpointLoad>();
+  for (const [id, [requests, tokenLayers]] of Object.entries(message)) {
+    if (!isEndpointKey(id) || id.endsWith(promptSuffix)) continue;
+    const [promptTokens] = message[id + promptSuffix] ?? [0];
+    loads.set(id, { requests, tokenLayers, promptTokens });
+  }
+  return loads;
 }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -9,6 +9,7 @@
 import type { HttpCall } from "../http/HttpCall.js";
 import type { HttpClient } from "../http/HttpClient.js";
 import type { ChainStage, MessageCodec } from "../http/MessageCodec.js";
+import type { LoadControls } from "../loadcontrol/LoadControls.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import type { PermitForecast } from "./PermitForecast.js";
@@ -43,6 +44,7 @@
   readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
+  readonly controls: Pick<LoadControls, "gates" | "flows">;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -89,6 +89,7 @@
     this.lastActivityAtMs = utils.monotonicMs();
     const events = this._splitter.push(bytes);
     if (events === undefined) return;
+    if (this.firstEventMs === undefined) this.reservation.notePromptRead();
     this.firstEventMs ??= this.lastActivityAtMs - this.sentAtMs;
     this.progress.noteEvents(events.lastId, this.request.arrivedAtMs);
     if (this.request.write(events.bytes)) return;
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -12,6 +12,10 @@
   | "body-too-large"
   | "no-endpoint"
   | "no-room"
+  /** More urgent requests need the capacity that is left. */
+  | "less-urgent"
+  /** The client account has more than its fair share of the requests. */
+  | "account-share"
   /** The rate limits of all suitable endpoints are exhausted. */
   | "limited"
   /** The suitable endpoints back off beyond the deadline of the request. */
--- a/packages/gateway/src/tests/chains/ChainChooserTests.ts
+++ b/packages/gateway/src/tests/chains/ChainChooserTests.ts
@@ -42,7 +42,11 @@
 
 test("the load that peers report counts like the instance's own", (t) => {
   const full = createEngine("a", 0, 4);
-  full.setPeerLoad("peer", { requests: 9, tokenLayers: getCapacityTokenLayers(full, profile) });
+  full.setPeerLoad("peer", {
+    requests: 9,
+    tokenLayers: getCapacityTokenLayers(full, profile),
+    promptTokens: 0,
+  });
   t.is(chooser.choose([full], profile, demand), undefined);
   full.retainPeerLoads(new Set());
   t.is(describe(chooser.choose([full], profile, demand)), "a=0-4");
--- a/packages/gateway/src/tests/chains/ChainReservationTests.ts
+++ b/packages/gateway/src/tests/chains/ChainReservationTests.ts
@@ -4,7 +4,7 @@
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { createListed } from "../testData.js";
 
-const noLoad = { requests: 0, tokenLayers: 0 };
+const noLoad = { requests: 0, tokenLayers: 0, promptTokens: 0 };
 
 function setUp() {
   const table = new EndpointTable(() => 0);
@@ -16,7 +16,7 @@
 test("a move after the release reserves no load", (t) => {
   const { table, stage } = setUp();
   const reservation = new ChainReservation(table, [stage("a")], 10);
-  t.deepEqual(table.get("a")?.ownLoad, { requests: 1, tokenLayers: 20 });
+  t.deepEqual(table.get("a")?.ownLoad, { requests: 1, tokenLayers: 20, promptTokens: 0 });
   reservation.release();
   reservation.move([stage("b")]);
   t.deepEqual(table.get("a")?.ownLoad, noLoad);
@@ -28,7 +28,7 @@
   const reservation = new ChainReservation(table, [stage("a")], 10);
   reservation.move([stage("b")]);
   t.deepEqual(table.get("a")?.ownLoad, noLoad);
-  t.deepEqual(table.get("b")?.ownLoad, { requests: 1, tokenLayers: 20 });
+  t.deepEqual(table.get("b")?.ownLoad, { requests: 1, tokenLayers: 20, promptTokens: 0 });
 });
 
 test("a release does not change the load of an engine that has left the list and returned", (t) => {
--- a/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
@@ -29,12 +29,12 @@
   const before = table.get("a");
   before?.addOwnLoad(3, 300);
   before?.noteFull(clock.nowMs);
-  before?.setPeerLoad("collected", { requests: 2, tokenLayers: 20 });
+  before?.setPeerLoad("collected", { requests: 2, tokenLayers: 20, promptTokens: 0 });
   table.suspect("a");
   list({ bornAtMs: second });
   const after = table.get("a");
   t.not(after, before);
-  t.deepEqual(after?.getLoad(), { requests: 0, tokenLayers: 0 });
+  t.deepEqual(after?.getLoad(), { requests: 0, tokenLayers: 0, promptTokens: 0 });
   t.false(after?.isSuspect(clock.nowMs));
   t.is(after?.getObservedCapacityTokenLayers(clock.nowMs), Number.POSITIVE_INFINITY);
   t.deepEqual(after?.listed.layers, []);
@@ -89,9 +89,9 @@
   const life = table.get("a")?.lifeId ?? "";
   t.is(table.getLife(lifeBefore), undefined);
   t.is(table.getLife(life), table.get("a"));
-  table.setPeerLoads("collected", new Map([[lifeBefore, { requests: 5, tokenLayers: 50 }]]));
+  table.setPeerLoads("collected", new Map([[lifeBefore, { requests: 5, tokenLayers: 50, promptTokens: 0 }]]));
   t.is(table.get("a")?.getLoad().requests, 0);
-  table.setPeerLoads("collected", new Map([[life, { requests: 5, tokenLayers: 50 }]]));
+  table.setPeerLoads("collected", new Map([[life, { requests: 5, tokenLayers: 50, promptTokens: 0 }]]));
   t.is(table.get("a")?.getLoad().requests, 5);
 });
 
--- a/packages/gateway/src/tests/discovery/EndpointTableTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointTableTests.ts
@@ -85,12 +85,12 @@
     return table;
   };
   const reported = createTable();
-  t.deepEqual(reported.get("e1")?.getLoad(), { requests: 8, tokenLayers: 200 });
-  reported.setPeerLoads("collected", new Map([["e1", { requests: 1, tokenLayers: 10 }]]));
-  t.deepEqual(reported.get("e1")?.getLoad(), { requests: 3, tokenLayers: 60 });
+  t.deepEqual(reported.get("e1")?.getLoad(), { requests: 8, tokenLayers: 200, promptTokens: 0 });
+  reported.setPeerLoads("collected", new Map([["e1", { requests: 1, tokenLayers: 10, promptTokens: 0 }]]));
+  t.deepEqual(reported.get("e1")?.getLoad(), { requests: 3, tokenLayers: 60, promptTokens: 0 });
   const alone = createTable();
   alone.endAssumption();
   // The registry of instances is read again later.
   alone.assumePeers(3);
-  t.deepEqual(alone.get("e1")?.getLoad(), { requests: 2, tokenLayers: 50 });
+  t.deepEqual(alone.get("e1")?.getLoad(), { requests: 2, tokenLayers: 50, promptTokens: 0 });
 });
--- a/packages/gateway/src/tests/peers/LoadExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/LoadExchangeTests.ts
@@ -3,6 +3,10 @@
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { LoadExchange } from "../../peers/LoadExchange.js";
+import { SharedFigures } from "../../peers/SharedFigures.js";
+import { toLoadMessage, toLoads } from "../../peers/endpointLoads.js";
+import { readDecisions, readFigures, toFigureEntries } from "../../peers/figures.js";
+import { loadSchema } from "../../peers/peerMessages.js";
 import { createListed } from "../testData.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
 import { PeerNetwork } from "./PeerNetwork.js";
@@ -13,6 +17,7 @@
   readonly name: string;
   readonly endpoints: EndpointTable;
   readonly exchange: LoadExchange;
+  readonly figures: SharedFigures;
 }
 
 class Fleet {
@@ -55,10 +60,14 @@
     endpoints.setAll(new Map([["engine", createListed("engine")]]));
     const membership = this.network.join({ name, availabilityZone });
     const log = new DecisionLog(new SilentLogOutput(), nowMs);
+    const figures = new SharedFigures(nowMs);
+    figures.addSource(() => new Map([["test/arrivals", 1]]));
+    figures.addDecider(({ zones }) => new Map([["test/zones", zones.size]]));
     this.instances.push({
       name,
       endpoints,
-      exchange: new LoadExchange({ membership, endpoints, log, nowMs }),
+      exchange: new LoadExchange({ membership, endpoints, log, figures, nowMs }),
+      figures,
     });
   }
 }
@@ -147,3 +156,48 @@
     t.is(fleet.getCollectors(zone).length, 1);
   }
 });
+
+test("figures add up over all instances, and the members of a zone get its collector's decisions", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  for (const { name, figures } of fleet.instances) {
+    t.is(figures.getTotal("test/arrivals"), east.length + west.length, name);
+    t.is(figures.getDecision("test/zones"), 2, name);
+  }
+});
+
+test("the figures of a zone whose collector is silent lapse at the other zone, which decides without them", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  for (const name of west) fleet.network.silence(name);
+  fleet.run(24);
+  for (const name of east) {
+    t.is(fleet.get(name).figures.getTotal("test/arrivals"), east.length, name);
+    t.is(fleet.get(name).figures.getDecision("test/zones"), 1, name);
+  }
+});
+
+test("while the collector is silent a member keeps the last figures, and knows how old they are", (t) => {
+  const fleet = createLoadedFleet();
+  fleet.run(6);
+  const [collector = ""] = fleet.getCollectors(east);
+  const [member = ""] = east.filter((name) => name !== collector);
+  t.true(fleet.get(member).figures.getAgeMs() <= tickMs);
+  fleet.network.silence(collector);
+  fleet.run(3);
+  t.is(fleet.get(member).figures.getTotal("test/arrivals"), east.length + west.length);
+  t.true(fleet.get(member).figures.getAgeMs() >= 2 * tickMs);
+});
+
+// Fails where a message has more than a pair for an endpoint, which instances of an earlier version reject as a whole.
+test("unread prompt tokens arrive under keys that an instance of an earlier version accepts", (t) => {
+  const loads = new Map([["engine@7", { requests: 2, tokenLayers: 30, promptTokens: 900 }]]);
+  const message = {
+    ...toLoadMessage(loads),
+    ...toFigureEntries(new Map([["test/a", 1.5]]), new Map([["test/b", 2]])),
+  };
+  t.true(loadSchema.safeParse(message).success);
+  t.deepEqual(toLoads(message), loads);
+  t.deepEqual(readFigures(message), new Map([["test/a", 1.5]]));
+  t.deepEqual(readDecisions(message), new Map([["test/b", 2]]));
+});
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -181,6 +181,7 @@
         log,
       }),
       ...permits,
+      controls: { gates: [], flows: undefined },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -82,6 +82,7 @@
     }),
     ...createPermitDependencies(endpoints),
     statements: { noteAnswer: () => undefined },
+    controls: { gates: [], flows: undefined },
     broadcastFull: () => undefined,
   };
   const chooser = new ChainChooser(
@@ -121,7 +122,7 @@
   await monitor.check();
   t.false(attempt.abort.signal.aborted);
   t.false(endpoints.get("c")?.isSuspect(clock.nowMs), "lack of capacity is no evidence of a fault");
-  t.deepEqual(endpoints.get("c")?.ownLoad, { requests: 0, tokenLayers: 0 });
+  t.deepEqual(endpoints.get("c")?.ownLoad, { requests: 0, tokenLayers: 0, promptTokens: 0 });
   orders.changeAnswer = results.Ok(undefined);
   clock.nowMs += 350;
   await monitor.check();
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -134,7 +134,7 @@
   const fixture = await setUp(t, { ...stream, maxAttempts: 1 });
   await fixture.list([closeConnection], allLayers);
   t.is((await fixture.request("POST", callerHeaders)).status, 502);
-  t.deepEqual(fixture.endpoints.get("endpoint-0")?.ownLoad, { requests: 0, tokenLayers: 0 });
+  t.deepEqual(fixture.endpoints.get("endpoint-0")?.ownLoad, { requests: 0, tokenLayers: 0, promptTokens: 0 });
 });
 
 test("an endpoint that resets every connection does not attract all requests by its low load", async (t) => {
