gateway: interface of what decisions under load tell operators

Change: PressureSource and its schema, which each decision implements and the operators' view reads; no decision implements it yet. Conclusion: the operators' view can be built beside the decisions.

--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
 /** Dependencies of {@link LoadControls}. */
@@ -25,6 +26,8 @@
   readonly gates: readonly AdmissionGate[] = [];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
+  /** The decisions that operators can look at. */
+  readonly pressureSources: readonly PressureSource[] = [];
 
   constructor(structure: LoadControlStructure) {
     structure.log.info("load-control", { ...structure.settings });
