gateway: streams that many instances send again at once spread over engines with room for all of them

Cause: when an engine is lost, all instances send its streams again within some 100 ms, by loads that do not contain the choices of the others, and all take the cheapest chain. At one engine 64 rejections came within 100 ms. Ruled out: engines that are slow to say that they are full (a rejection reaches the peers within milliseconds); the share of capacity that is left free, since the loads were right before the loss. Change: an instance counts its own restarts of the last 0.4 s and expects as many from each other instance. The choice for a restart leaves room for these, if there is a chain with room, and draws among engines of similar cost. Requests that may have crashed an engine are chosen for as before: a random choice let one reach the last engine of its zone while the others were still under investigation (crashingRequestTests). Before: more than a quarter of 60 restarts rejected; after: less than one in a hundred (RestartingStreamsTests).

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from "node:events";
 import { errors, utils } from "@shedtiller/common";
+import { ConcurrentRestarts } from "./chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "./configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "./configuration/DenialFreshness.js";
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
@@ -306,6 +307,7 @@
       statements: this._statements,
       demand: this._demand,
       forecast: this._createForecast(),
+      restarts: new ConcurrentRestarts(() => this._peers.getInstanceCount()),
       controls: this._controls,
       broadcastFull: (endpointId) => this._peers.exchange.broadcastFull(endpointId),
     };
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -5,7 +5,13 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
-import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "./engineModel.js";
+import {
+  countLoadedLayers,
+  getCapacityTokenLayers,
+  getKind,
+  getStepMs,
+  getUnqueuedRequests,
+} from "./engineModel.js";
 
 /** Share of an engine's capacity that is assigned to requests; the remainder covers answers that are longer than estimated. */
 const usableCapacityShare = 0.92;
@@ -28,6 +34,14 @@
 /** Width of the random factor on the costs of a randomized choice, which lies between 0.5 and 1.5. */
 const randomFactorRange = 1;
 
+/** What all candidates of a choice have in common. */
+interface ChoiceState {
+  /** Zones whose engines can run all layers without other zones. */
+  readonly completeZones: ReadonlySet<string>;
+  /** Tokens at each engine of requests that other instances place at the same moment. */
+  readonly concurrentTokens: number;
+}
+
 /** Computes the cost of each engine for a request, and finds the cheapest chain of engines with free capacity. */
 export class ChainChooser {
   /**
@@ -48,10 +62,21 @@
     profile: EngineProfile,
     demand: ChainDemand,
   ): ChainStage[] | undefined {
-    const chain = this._choosePreferringRedundancy(endpoints, profile, demand);
+    const chain = this._choosePreferringRoom(endpoints, profile, demand);
     const hasRefusals = demand.refusedBy !== undefined && demand.refusedBy.size > 0;
     if (chain !== undefined || !hasRefusals) return chain;
-    return this._choosePreferringRedundancy(endpoints, profile, { ...demand, refusedBy: undefined });
+    return this._choosePreferringRoom(endpoints, profile, { ...demand, refusedBy: undefined });
+  }
+
+  /** Chooses a chain with capacity for the concurrent requests of other instances as well, or one without if there is none. */
+  private _choosePreferringRoom(
+    endpoints: readonly Endpoint[],
+    profile: EngineProfile,
+    demand: ChainDemand,
+  ): ChainStage[] | undefined {
+    const chain = this._choosePreferringRedundancy(endpoints, profile, demand);
+    if (chain !== undefined || (demand.concurrentRequests ?? 0) === 0) return chain;
+    return this._choosePreferringRedundancy(endpoints, profile, { ...demand, concurrentRequests: 0 });
   }
 
   /** Chooses a chain by the demand's `redundantFirstEngine`; if redundancy is only preferred, falls back to a chain without it. */
@@ -74,8 +99,9 @@
     const completeZones = getCompleteZones(endpoints, layerCount, this._nowMs());
     const excluded =
       demand.redundantFirstEngine === undefined ? undefined : getSoleFirstEngines(endpoints, this._nowMs());
+    const concurrentTokens = getConcurrentTokens(endpoints, demand);
     const candidates = endpoints.flatMap((endpoint) =>
-      this._toCandidates(endpoint, profile, demand, completeZones).map((candidate) =>
+      this._toCandidates(endpoint, profile, demand, { completeZones, concurrentTokens }).map((candidate) =>
         excluded?.has(endpoint) === true ? { ...candidate, canBeFirst: false } : candidate,
       ),
     );
@@ -89,7 +115,7 @@
     endpoint: Endpoint,
     profile: EngineProfile,
     demand: ChainDemand,
-    completeZones: ReadonlySet<string>,
+    { completeZones, concurrentTokens }: ChoiceState,
   ): ChainCandidate[] {
     const nowMs = this._nowMs();
     if (endpoint.isSuspect(nowMs) || nowMs < endpoint.avoidedUntilMs) return [];
@@ -105,14 +131,15 @@
       endpoint.getObservedCapacityTokenLayers(nowMs),
     );
     const load = endpoint.getLoad();
-    const tokenUtilization = capacity <= 0 ? 1 : load.tokenLayers / capacity;
+    const usedTokenLayers = load.tokenLayers + concurrentTokens * countLoadedLayers(endpoint);
+    const tokenUtilization = capacity <= 0 ? 1 : usedTokenLayers / capacity;
     const utilization = Math.max(tokenUtilization, load.requests / getUnqueuedRequests(endpoint, profile));
     const state = { sequences: load.requests + 1, slowness: endpoint.slowness };
     const randomFactor = demand.isRandomized === true ? 1 + randomFactorRange * (this._random() - 0.5) : 1;
     const utilizationFactor = 1 + utilizationCostFactor * utilization ** 2;
     const msPerLayer = getMsPerLayer(profile, kind, demand, state) * utilizationFactor * randomFactor;
     const countFree = (share: number): number =>
-      Math.floor((capacity * share - load.tokenLayers) / Math.max(1, tokens));
+      Math.floor((capacity * share - usedTokenLayers) / Math.max(1, tokens));
     const freeLayers = countFree(1);
     const isZoneComplete = completeZones.has(endpoint.listed.availabilityZone);
     const freeLayersCrossZone = isZoneComplete ? countFree(crossZoneCapacityShare) : freeLayers;
@@ -130,6 +157,14 @@
   }
 }
 
+/** Returns the tokens that concurrent requests of other instances put on an engine, if they begin at all first engines alike. */
+function getConcurrentTokens(endpoints: readonly Endpoint[], demand: ChainDemand): number {
+  const { concurrentRequests = 0, promptTokens, answerTokens } = demand;
+  if (concurrentRequests === 0) return 0;
+  const firsts = endpoints.filter(({ listed }) => listed.layers.some(({ start }) => start === 0));
+  return (concurrentRequests * (promptTokens + answerTokens)) / Math.max(1, firsts.length);
+}
+
 /** Returns the zones whose engines can run all layers without other zones, whether or not they have free capacity now. */
 function getCompleteZones(endpoints: readonly Endpoint[], layerCount: number, nowMs: number): Set<string> {
   const usable = endpoints.filter((endpoint) => !endpoint.isSuspect(nowMs));
--- a/packages/gateway/src/chains/findCheapestChain.ts
+++ b/packages/gateway/src/chains/findCheapestChain.ts
@@ -17,6 +17,11 @@
    * the same time, since each instance has received only the earlier load of the others.
    */
   readonly isRandomized?: boolean | undefined;
+  /**
+   * Expected number of requests like this one that other instances place at the same moment, which the known loads do not contain. They
+   * are assumed to begin at all first engines alike.
+   */
+  readonly concurrentRequests?: number | undefined;
   /**
    * Whether the first engine must be redundant, or is preferably so: another engine of its zone has the first layers, too. Set for a
    * request that may have crashed an engine. A zone that loses its last engine with the first layers serves no requests until another
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -1,4 +1,5 @@
 /** The abstract base class of forwarders, and the dependencies and constants that they share. */
+import type { ConcurrentRestarts } from "../chains/ConcurrentRestarts.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { RouteTarget } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
@@ -44,6 +45,8 @@
   readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
+  /** Streams that other instances send again at the same moment as this one. */
+  readonly restarts: ConcurrentRestarts;
   readonly controls: Pick<LoadControls, "gates" | "flows">;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -143,13 +143,19 @@
     { refusedBy }: StreamProgress,
   ): Promise<ChainReservation | undefined> {
     const avoided = this._getAvoidedAddresses(request, refusedBy);
+    const risk = this.context.crashes.getRisk(request);
+    // A request that may have crashed an engine is not spread over others.
+    const isRestart = request.attempts > 0 && risk === "none";
+    if (isRestart) this.context.restarts.note();
     return this._admission.acquire({
       service,
       demand: {
         ...estimateTokens(request.fields),
         availabilityZone: this.context.availabilityZone,
         refusedBy: avoided,
-        redundantFirstEngine: redundancyByRisk[this.context.crashes.getRisk(request)],
+        isRandomized: isRestart,
+        concurrentRequests: isRestart ? this.context.restarts.getPeers() : 0,
+        redundantFirstEngine: redundancyByRisk[risk],
       },
       // A stream that has begun goes first, since its caller already waits for the next event.
       priority: request.isHeadSent ? resumedPriority : request.priority,
--- /dev/null
+++ b/packages/gateway/src/tests/patterns/RestartingStreamsTests.ts
@@ -0,0 +1,115 @@
+/**
+ * Guards against a thundering herd of streams that are sent again: the loss of an engine cuts streams of all instances at the same moment,
+ * and each instance chooses new chains by loads that do not contain the choices of the others.
+ */
+import { utils } from "@shedtiller/common";
+import test from "ava";
+import { ChainChooser } from "../../chains/ChainChooser.js";
+import { ChainReservation } from "../../chains/ChainReservation.js";
+import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
+import { getCapacityTokenLayers } from "../../chains/engineModel.js";
+import { EndpointTable } from "../../discovery/EndpointTable.js";
+import { createListed, profile } from "../testData.js";
+
+const instances = 20;
+const streamsEach = 3;
+const zones = ["east", "west", "north"];
+/** An engine with two of the four layers has room for 17 requests of this size, so that a zone with two chains has room for 34. */
+const demand = { promptTokens: 7, answerTokens: 2, availabilityZone: "east" };
+const tokens = demand.promptTokens + demand.answerTokens;
+
+/** Number of streams for which the fast chain of each zone still has room. */
+const freeAtFastChain = 8;
+
+/** A fast chain that is nearly full and an empty slow one in each zone. */
+function createTable(): EndpointTable {
+  const table = new EndpointTable(() => 0);
+  const listed = zones.flatMap((availabilityZone) =>
+    [0, 1].flatMap((copy) =>
+      [0, 2].map((start) => {
+        const kind = copy === 0 ? "fast" : "slow";
+        const id = `${availabilityZone}-${kind}-${start}`;
+        const layers = [{ start, end: start + 2 }];
+        return createListed(id, { availabilityZone, kind, layers, address: `${id}:1`, slots: 100 });
+      }),
+    ),
+  );
+  table.setAll(new Map(listed.map((each) => [each.id, each])));
+  for (const engine of table.getAll().filter(({ listed: { kind } }) => kind === "fast")) {
+    const free = (freeAtFastChain + 1) * 2 * tokens;
+    const tokenLayers = getCapacityTokenLayers(engine, profile) - free;
+    engine.setPeerLoad("earlier", { requests: 0, tokenLayers, promptTokens: 0 });
+  }
+  return table;
+}
+
+/** Returns how many of the restarted streams an engine rejects since it has no room for them. */
+function countRejected(isHerdKnown: boolean): number {
+  const random = new utils.RandomSource(1);
+  const chooser = new ChainChooser(
+    () => 0,
+    () => random.nextUnit(),
+  );
+  const actual = createTable();
+  let rejected = 0;
+  const views = Array.from({ length: instances }, () => ({
+    table: createTable(),
+    restarts: new ConcurrentRestarts(
+      () => (isHerdKnown ? instances : 1),
+      () => 0,
+    ),
+  }));
+  for (let stream = 0; stream < streamsEach; stream++) {
+    for (const [index, { table, restarts }] of views.entries()) {
+      restarts.note();
+      const concurrentRequests = restarts.getPeers();
+      const chain = chooser.choose(table.getAll(), profile, {
+        ...demand,
+        availabilityZone: zones[index % zones.length] ?? "",
+        isRandomized: isHerdKnown,
+        concurrentRequests,
+      });
+      if (chain === undefined) continue;
+      new ChainReservation(table, chain, tokens);
+      const isFull = chain.some(({ endpointId, start, end }) => {
+        const engine = actual.get(endpointId);
+        if (engine === undefined) return true;
+        return (
+          engine.getLoad().tokenLayers + tokens * (end - start) > getCapacityTokenLayers(engine, profile)
+        );
+      });
+      if (isFull) rejected += 1;
+      else new ChainReservation(actual, chain, tokens);
+    }
+  }
+  return rejected;
+}
+
+test("of streams that all instances send again at the same moment, engines reject less than 1 %", (t) => {
+  const total = instances * streamsEach;
+  const before = countRejected(false);
+  t.true(before > total / 4, `${before} rejected without knowledge of the others`);
+  const rejected = countRejected(true);
+  t.true(rejected < total / 100, `${rejected} of ${total} rejected`);
+});
+
+test("restarts that are further apart than loads are old do not count as concurrent", (t) => {
+  const clock = { nowMs: 0 };
+  const restarts = new ConcurrentRestarts(
+    () => instances,
+    () => clock.nowMs,
+  );
+  restarts.note();
+  t.is(restarts.getPeers(), instances - 1);
+  clock.nowMs = 1_000;
+  t.is(restarts.getPeers(), 0);
+});
+
+test("while no chain has room for the concurrent streams of others, a stream still gets a chain that has room for itself", (t) => {
+  const chooser = new ChainChooser(
+    () => 0,
+    () => 0.5,
+  );
+  const chain = chooser.choose(createTable().getAll(), profile, { ...demand, concurrentRequests: 10_000 });
+  t.is(chain?.length, 2);
+});
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -4,6 +4,7 @@
 import { results, utils } from "@shedtiller/common";
 import { ChainAdmission } from "../../chains/ChainAdmission.js";
 import { ChainChooser } from "../../chains/ChainChooser.js";
+import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "../../configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "../../configuration/DenialFreshness.js";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
@@ -181,6 +182,7 @@
         log,
       }),
       ...permits,
+      restarts: new ConcurrentRestarts(() => 1),
       controls: { gates: [], flows: undefined },
       broadcastFull: () => undefined,
     };
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { results } from "@shedtiller/common";
 import { ChainChooser } from "../../chains/ChainChooser.js";
+import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
 import { getCapacityTokenLayers } from "../../chains/engineModel.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
 import { ActiveConfiguration } from "../../configuration/ActiveConfiguration.js";
@@ -82,6 +83,7 @@
     }),
     ...createPermitDependencies(endpoints),
     statements: { noteAnswer: () => undefined },
+    restarts: new ConcurrentRestarts(() => 1),
     controls: { gates: [], flows: undefined },
     broadcastFull: () => undefined,
   };
