--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -29,6 +29,7 @@
   type EngineReport,
   type OrderError,
 } from "../../orders/EngineOrders.js";
+import type { AdmissionGate } from "../../loadcontrol/AdmissionGate.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
@@ -131,6 +132,8 @@
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
+  /** The gates that streams pass on arrival. */
+  readonly gates: AdmissionGate[] = [];
   areKeysFresh = true;
   /** The clock of quarantines. It advances only when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
@@ -181,7 +184,7 @@
         log,
       }),
       ...permits,
-      controls: { gates: [], flows: undefined },
+      controls: { gates: this.gates, flows: undefined },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
