--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -30,6 +30,7 @@
   type EngineReport,
   type OrderError,
 } from "../../orders/EngineOrders.js";
+import type { AdmissionGate } from "../../loadcontrol/AdmissionGate.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
@@ -132,6 +133,8 @@
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
+  /** The gates that streams pass on arrival. */
+  readonly gates: AdmissionGate[] = [];
   areKeysFresh = true;
   /** The clock of quarantines. It advances only when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
@@ -183,7 +186,7 @@
       }),
       ...permits,
       restarts: new ConcurrentRestarts(() => 1),
-      controls: { gates: [], flows: undefined },
+      controls: { gates: this.gates, flows: undefined },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
