gateway: streams leave lost engines at the first sign, along detours that keep the other engines

Cause: a stream whose engine died waited for 300 ms of silence, a look every 200 ms and the report of its first engine, which is 200 ms old; streams that the report did not name yet waited for the next one. The evidence of other instances moved nothing but after a restart. Every move chose all engines but the first anew, so that each of them read the tokens again.

Change: suspicions carry their evidence (reported by another engine, unanswered, lost). Lost engines (refused connection, another process at the address, crash) are left at once by all streams, also on a peer's word; unanswered ones by streams that are silent for longer than is usual. A first engine that is lost ends the attempt at once, so that the stream is resumed. Silent streams ask up to four engines of their chain that no other stream vouches for; the answer is broadcast as before. A detour replaces the lost engines only; if its engine refuses, the next one is tried at once. With `earlyMoves` off the path of before runs.

Decided otherwise than planned: detours are computed at the move, not ahead: only the gap is searched, so that nothing can be stale and nothing is computed for streams that run. An entry that is gone is no proof of a loss, since engines may serve on; it counts like an unanswered question. A reset is none either, since engines reset connections beyond their limit.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -246,7 +246,7 @@
   /** Reports a crashed endpoint to the failure detector, so that it receives no new requests and the leader replaces its layers. */
   private _noteCrash(endpoint: Endpoint): void {
     const isKnown = this.endpoints.get(endpoint.id) === endpoint;
-    if (isKnown) this._failureDetector.noteUnresponsive(endpoint.id, "crashed");
+    if (isKnown) this._failureDetector.noteUnresponsive(endpoint.id, "crashed", "lost");
   }
 
   private _createLayerReconciler(orders: EngineOrders): LayerReconciler {
@@ -333,7 +333,8 @@
       endpoints: this.endpoints,
       orders,
       log: this._log,
-      broadcastSuspicion: (endpointId) => this._peers.exchange.broadcastSuspicion(endpointId),
+      broadcastSuspicion: (endpointId, evidence) =>
+        this._peers.exchange.broadcastSuspicion(endpointId, evidence),
       broadcastLayers: (endpointId, layers) => this._peers.exchange.broadcastLayers(endpointId, layers),
       count: (cause) => this.metrics.suspicions.inc({ cause }),
     });
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -18,6 +18,10 @@
   readonly permits: prom.Counter<"service">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
+  /** Streams moved or resumed at the first sign of a lost engine. */
+  readonly earlyMoves: prom.Counter<"cause">;
+  /** Questions to engines of silent streams. */
+  readonly engineQuestions: prom.Counter<"result">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -63,6 +67,18 @@
       labelNames: ["what", "service"],
       registers,
     });
+    this.earlyMoves = new prom.Counter({
+      name: "shedtiller_gateway_early_moves_total",
+      help: "Streams moved or resumed at the first sign of a lost engine, by cause",
+      labelNames: ["cause"],
+      registers,
+    });
+    this.engineQuestions = new prom.Counter({
+      name: "shedtiller_gateway_engine_questions_total",
+      help: "Questions to engines of silent streams whether they still work, by result",
+      labelNames: ["result"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -3,6 +3,7 @@
 import { SendPermit } from "./SendPermit.js";
 import type { KnownLimit } from "./EndpointLimits.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
+import type { SuspicionEvidence } from "./SuspicionEvidence.js";
 import { CircuitBreaker } from "./CircuitBreaker.js";
 
 /** The load that requests put on an endpoint. */
@@ -40,6 +41,8 @@
   suspectUntilMs = 0;
   /** Monotonic time of the evidence that led to the suspicion. */
   suspectedAtMs = 0;
+  /** The strongest evidence of the current suspicion. */
+  evidence: SuspicionEvidence = "reported";
   /**
    * Monotonic time until which this instance sends no new requests to the endpoint. Set after the endpoint rejected a moved stream, or was
    * reported as faulty or without the listed layers.
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -2,6 +2,7 @@
 import type { Change } from "./ChangeFeed.js";
 import { Endpoint, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
 import type { LayerSpan, ListedEndpoint } from "./ListedEndpoint.js";
+import { isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
 
 /**
  * Grace period for entries that are missing after the store has recovered: live endpoints may be absent until their next heartbeat, for
@@ -32,8 +33,12 @@
 /** A heartbeat that arrives at least this long after the evidence shows that the endpoint is alive. */
 const minHeartbeatDelayMs = 1_000;
 
-/** A change of an endpoint; `restarted` replaces `gone` if a new process runs under the same id. */
-export type EndpointEvent = "added" | "draining" | "gone" | "restarted" | "layers" | "suspected" | "cleared";
+/**
+ * A change of an endpoint; `restarted` replaces `gone` if a new process runs under the same id, and `confirmed` follows `suspected` if
+ * stronger evidence arrives.
+ */
+export type EndpointEvent =
+  "added" | "draining" | "gone" | "restarted" | "layers" | "suspected" | "confirmed" | "cleared";
 /** How a report on an endpoint relates to the known life of the endpoint's process. */
 export type LifeOrder = "same" | "newer" | "earlier";
 export type EndpointListener = (endpoint: Endpoint, event: EndpointEvent) => void;
@@ -167,12 +172,14 @@
 
   /**
    * Records evidence that an endpoint does not work: the endpoint gets no new work for a while.
-   * @returns Whether the endpoint is known and was not under suspicion yet.
+   * @returns Whether the endpoint is known and was not under suspicion by evidence of this strength yet.
    */
-  suspect(id: string): boolean {
+  suspect(id: string, evidence: SuspicionEvidence = "unanswered"): boolean {
     const endpoint = this._endpoints.get(id);
     const nowMs = this._nowMs();
-    if (endpoint === undefined || endpoint.isSuspect(nowMs)) return false;
+    if (endpoint === undefined) return false;
+    if (endpoint.isSuspect(nowMs)) return this._confirm(endpoint, evidence);
+    endpoint.evidence = evidence;
     // The list does not report heartbeats that change nothing, so a long time without suspicions resets the count as well.
     if (nowMs - endpoint.suspectedAtMs > suspicionMemoryMs) endpoint.suspicions = 0;
     endpoint.suspectedAtMs = nowMs;
@@ -182,6 +189,14 @@
     return true;
   }
 
+  /** Records stronger evidence of a suspicion; returns whether the evidence is stronger. */
+  private _confirm(endpoint: Endpoint, evidence: SuspicionEvidence): boolean {
+    if (!isStronger(evidence, endpoint.evidence)) return false;
+    endpoint.evidence = evidence;
+    this._notify(endpoint, "confirmed");
+    return true;
+  }
+
   /** Withdraws a suspicion that turned out to be wrong. */
   clear(id: string): void {
     const endpoint = this._endpoints.get(id);
--- a/packages/gateway/src/discovery/FailureDetector.ts
+++ b/packages/gateway/src/discovery/FailureDetector.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from "./Endpoint.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import type { LayerSpan } from "./ListedEndpoint.js";
+import { getEvidence, type SuspicionEvidence } from "./SuspicionEvidence.js";
 
 /** Timeout of report requests: engines answer them at once, and links take a few milliseconds. */
 const reportTimeoutMs = 150;
@@ -21,7 +22,7 @@
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
   readonly log: DecisionLog;
-  readonly broadcastSuspicion: (endpointId: string) => void;
+  readonly broadcastSuspicion: (endpointId: string, evidence: SuspicionEvidence) => void;
   /** Reports to the peers which layers an engine has loaded, if the list contains others. */
   readonly broadcastLayers: (endpointId: string, layers: readonly LayerSpan[]) => void;
   /** Counts a suspicion by its cause. */
@@ -44,17 +45,21 @@
   }
 
   /** Records that an endpoint did not answer this instance, or has crashed. */
-  noteUnresponsive(endpointId: string, reason: string): void {
-    if (this._suspect(endpointId, reason)) this._structure.broadcastSuspicion(endpointId);
+  noteUnresponsive(endpointId: string, reason: string, evidence: SuspicionEvidence = "unanswered"): void {
+    if (this._suspect(endpointId, reason, evidence)) this._structure.broadcastSuspicion(endpointId, evidence);
   }
 
   /** Records that another engine reported this engine as faulty; resolves once the engine has been queried. */
   async noteReportedFaulty(endpointId: string, reason: string): Promise<void> {
     const { endpoints, orders, broadcastSuspicion, log } = this._structure;
     const endpoint = endpoints.get(endpointId);
-    if (endpoint === undefined || !this._suspect(endpointId, reason)) return;
+    if (endpoint === undefined || !this._suspect(endpointId, reason, "reported")) return;
     const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
-    if (report.err) return broadcastSuspicion(endpointId);
+    if (report.err) {
+      const evidence = getEvidence(report.val);
+      endpoints.suspect(endpointId, evidence);
+      return broadcastSuspicion(endpointId, evidence);
+    }
     endpoints.clear(endpointId);
     endpoint.avoidedUntilMs = this._nowMs() + reportedBackoffMs;
     log.info("endpoint-answers", { endpointId, address: endpoint.listed.address, reason });
@@ -77,19 +82,22 @@
     const { address } = endpoint.listed;
     const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     this._queried.delete(endpoint);
-    if (report.err) return this.noteUnresponsive(endpointId, `holds other layers: ${report.val.code}`);
+    if (report.err) {
+      const reason = `holds other layers: ${report.val.code}`;
+      return this.noteUnresponsive(endpointId, reason, getEvidence(report.val));
+    }
     if (!endpoints.setLayers(endpoint, report.val.layers)) return;
     endpoint.avoidedUntilMs = 0;
     broadcastLayers(endpointId, report.val.layers);
     log.info("endpoint-holds-other-layers", { endpointId, address });
   }
 
-  private _suspect(endpointId: string, reason: string): boolean {
+  private _suspect(endpointId: string, reason: string, evidence: SuspicionEvidence): boolean {
     const { endpoints, log, count } = this._structure;
     const endpoint = endpoints.get(endpointId);
-    if (!endpoints.suspect(endpointId)) return false;
+    if (!endpoints.suspect(endpointId, evidence)) return false;
     count(reason.split(" ")[0] ?? "");
-    log.warn("endpoint-suspected", { endpointId, address: endpoint?.listed.address, reason });
+    log.warn("endpoint-suspected", { endpointId, address: endpoint?.listed.address, reason, evidence });
     return true;
   }
 }
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -5,6 +5,7 @@
 import type { LoadControlSettings } from "../gatewaySettings.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharedFigures } from "../peers/SharedFigures.js";
+import { EarlyMoves } from "../requests/moves/EarlyMoves.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
 import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
@@ -26,10 +27,40 @@
   readonly gates: readonly AdmissionGate[] = [];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
+  /** Undefined if streams are moved only once they have been silent for long. */
+  readonly earlyMoves: EarlyMoves | undefined;
   /** The decisions that operators can look at. */
-  readonly pressureSources: readonly PressureSource[] = [];
+  readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
     structure.log.info("load-control", { ...structure.settings });
+    this.earlyMoves = createEarlyMoves(structure);
+    this.pressureSources = this.earlyMoves === undefined ? [] : [this.earlyMoves];
   }
 }
+
+function createEarlyMoves({
+  settings,
+  activeConfiguration,
+  metrics,
+  log,
+}: LoadControlStructure): EarlyMoves | undefined {
+  if (settings.earlyMoves === "off") {
+    log.info("early-moves", { isOn: false, reason: "the setting is off" });
+    return undefined;
+  }
+  let isOn: boolean | undefined;
+  const logCondition = (): void => {
+    const services = activeConfiguration.table?.configuration.services ?? [];
+    const hasEngines = services.some((service) => service.engine !== undefined);
+    if (hasEngines === isOn) return;
+    isOn = hasEngines;
+    log.info("early-moves", {
+      isOn,
+      reason: hasEngines ? "a service has an engine profile" : "no service has an engine profile",
+    });
+  };
+  logCondition();
+  activeConfiguration.onChanged(logCondition);
+  return new EarlyMoves(metrics);
+}
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { LayerSpan, ListedEndpoint } from "../discovery/ListedEndpoint.js";
+import type { SuspicionEvidence } from "../discovery/SuspicionEvidence.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { ConfigurationExchange, type ConfigurationState } from "./ConfigurationExchange.js";
 import { getFiniteAgeMs } from "./getFiniteAgeMs.js";
@@ -16,6 +17,7 @@
   peerTopics,
   restartSchema,
   slownessSchema,
+  suspicionSchema,
   endpointNoticeSchema,
   versionSchema,
 } from "./peerMessages.js";
@@ -99,9 +101,9 @@
     );
   }
 
-  /** Broadcasts to all peers that an endpoint is suspected. */
-  broadcastSuspicion(endpointId: string): void {
-    this._notifyAboutEndpoint(endpointId, peerTopics.suspect);
+  /** Broadcasts to all peers that an endpoint is suspected, and by which evidence. */
+  broadcastSuspicion(endpointId: string, evidence: SuspicionEvidence): void {
+    this._notifyAboutEndpoint(endpointId, peerTopics.suspect, { evidence });
   }
 
   /** Broadcasts to this zone that an endpoint rejected a request for lack of capacity. Most of the endpoint's load comes from this zone. */
@@ -145,8 +147,8 @@
 
   private _subscribeToEndpointNotices(): void {
     const { endpoints } = this._structure;
-    this._onEndpointNotice(peerTopics.suspect, endpointNoticeSchema, (endpoint) =>
-      endpoints.suspect(endpoint.id),
+    this._onEndpointNotice(peerTopics.suspect, suspicionSchema, (endpoint, { evidence }) =>
+      endpoints.suspect(endpoint.id, evidence),
     );
     this._onEndpointNotice(peerTopics.full, endpointNoticeSchema, (endpoint) =>
       endpoint.noteFull(this._nowMs()),
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -3,6 +3,7 @@
 import { configurationDeltaSchema } from "../configuration/configurationDelta.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
 import { layerSpanSchema, listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import { evidenceSchema } from "../discovery/SuspicionEvidence.js";
 import { registeredInstanceSchema } from "./PeerRegistry.js";
 
 /** Topics of the messages. */
@@ -54,7 +55,14 @@
 /** The slowness that an engine reports. */
 export const slownessSchema = zod.object({ lifeId: zod.string(), slowness: zod.number() });
 
-/** The life id of an endpoint that is suspected, or that rejected a request for lack of capacity. */
+/** An endpoint that is suspected. */
+export const suspicionSchema = zod.object({
+  lifeId: zod.string(),
+  /** Omitted by instances of earlier versions. */
+  evidence: evidenceSchema.default("unanswered"),
+});
+
+/** The life id of an endpoint that rejected a request for lack of capacity. */
 export const endpointNoticeSchema = zod.object({ lifeId: zod.string() });
 
 /** The layers that an engine reports as loaded, where the list shows others. */
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -1,19 +1,14 @@
 /** Stall detection for running streams. */
 import { utils } from "@shedtiller/common";
 import type { ChainChooser } from "../chains/ChainChooser.js";
-import { estimateTokens } from "../chains/estimateTokens.js";
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
-import { describeChain } from "../chains/describeChain.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
-import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
-import type { ChainStage } from "../http/MessageCodec.js";
-import {
-  OrderRefusedError,
-  type EngineOrders,
-  type EngineReport,
-  type OrderError,
-} from "../orders/EngineOrders.js";
+import { getEvidence } from "../discovery/SuspicionEvidence.js";
+import type { EngineOrders, EngineReport } from "../orders/EngineOrders.js";
 import { getSlowness } from "../orders/getSlowness.js";
+import type { MoveCause } from "./moves/EarlyMoves.js";
+import { EarlyMoveWatch } from "./moves/EarlyMoveWatch.js";
+import { StreamMover } from "./moves/StreamMover.js";
 import type { ForwardContext } from "./RequestForwarder.js";
 import type { StreamAttempt } from "./StreamAttempt.js";
 
@@ -33,11 +28,6 @@
 /** Silence after which a resumable stream continues at another chain; callers abandon a stream that is silent for two seconds. */
 const maxSilenceMs = 1_200;
 
-/** Time for which an engine that rejected a moved stream gets no work from this instance: twice the interval between queries. */
-const refusedChangeBackoffMs = 600;
-/** Status of an engine that has no such request any more. */
-const unknownRequestStatus = 404;
-
 /**
  * Detects stalled streams, queries their first engines for the engine at fault, and moves the streams to other engines. Each instance has
  * one monitor for all of its streams.
@@ -46,13 +36,23 @@
   private readonly _attempts = new Set<StreamAttempt>();
   /** Monotonic time of the last query, by the id of the endpoint. */
   private readonly _queriedAtMs = new Map<string, number>();
+  private readonly _mover: StreamMover;
+  /** Undefined if early moves are switched off. */
+  private readonly _watch: EarlyMoveWatch | undefined;
 
+  /**
+   * @param _nowMs - Monotonic clock, replaced in tests.
+   * @param random - Returns a random number from 0 to 1, replaced in tests.
+   */
   constructor(
     private readonly _context: ForwardContext,
-    private readonly _chooser: ChainChooser,
+    chooser: ChainChooser,
     private readonly _orders: EngineOrders,
     private readonly _nowMs: () => number = utils.monotonicMs,
+    random: () => number = Math.random,
   ) {
+    this._mover = new StreamMover({ context: _context, chooser, orders: _orders, nowMs: _nowMs, random });
+    this._watch = this._createWatch(random);
     _context.endpoints.onChanged((endpoint, event) => {
       if (event === "restarted") void this._handleRestart(endpoint);
     });
@@ -61,6 +61,9 @@
   /** Starts to monitor an attempt. */
   add(attempt: StreamAttempt): void {
     this._attempts.add(attempt);
+    const { earlyMoves } = this._context.controls;
+    if (earlyMoves !== undefined)
+      attempt.onPause = (pauseMs) => earlyMoves.pauses.add(attempt.service, pauseMs);
   }
 
   remove(attempt: StreamAttempt): void {
@@ -81,6 +84,7 @@
       () => {
         this.noteSuspension(pauses.noteTick());
         void this.check();
+        this._scheduleLook(signal, pauses);
       },
       (error) => {
         this._context.log.error("stall-check-failed", { cause: String(error) });
@@ -111,7 +115,33 @@
       nowMs - (this._queriedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) >= reportIntervalMs;
     const dueIds = [...firstEndpointIds].filter(isDue);
     for (const id of dueIds) this._queriedAtMs.set(id, nowMs);
-    await Promise.all(dueIds.map((id) => this._queryEngine(id)));
+    await Promise.all([this._watch?.look(), ...dueIds.map((id) => this._queryEngine(id))]);
+  }
+
+  private _createWatch(random: () => number): EarlyMoveWatch | undefined {
+    const { earlyMoves } = this._context.controls;
+    if (earlyMoves === undefined) return undefined;
+    return new EarlyMoveWatch({
+      context: this._context,
+      earlyMoves,
+      mover: this._mover,
+      orders: this._orders,
+      attempts: this._attempts,
+      firstEventSilenceMs,
+      laterEventSilenceMs,
+      nowMs: this._nowMs,
+      random,
+    });
+  }
+
+  /** Adds a look before the next check if a stream is silent now. */
+  private _scheduleLook(signal: AbortSignal, pauses: utils.PauseDetector): void {
+    const waitMs = this._watch?.getNextLookMs();
+    if (waitMs === undefined || waitMs >= checkIntervalMs) return;
+    const look = (): void => {
+      if (!signal.aborted && pauses.getRecentPauseMs() === 0) void this._watch?.look();
+    };
+    setTimeout(look, waitMs).unref();
   }
 
   /**
@@ -128,7 +158,7 @@
     const begunThere = affected.filter((attempt) => attempt.firstStage?.endpointId === id);
     for (const attempt of begunThere) attempt.abort.abort();
     const others = affected.filter((attempt) => !begunThere.includes(attempt));
-    await Promise.all(others.map((attempt) => this._move(attempt, listed.address)));
+    await Promise.all(others.map((attempt) => this._move(attempt, listed.address, "lost")));
   }
 
   /** Queries a first engine for its stalled requests and moves them, or aborts its silent streams if it does not respond. */
@@ -137,7 +167,11 @@
     if (endpoint === undefined) return this._abortSilentStreams(endpointId);
     const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
-      this._context.failureDetector.noteUnresponsive(endpointId, `no report: ${report.val.code}`);
+      this._context.failureDetector.noteUnresponsive(
+        endpointId,
+        `no report: ${report.val.code}`,
+        getEvidence(report.val),
+      );
       return this._abortSilentStreams(endpointId);
     }
     endpoint.slowness = getSlowness(report.val);
@@ -163,77 +197,13 @@
       const address = addresses.get(attempt.request.id);
       if (address === undefined || attempt.firstStage?.endpointId !== firstId) continue;
       if (attempt.reservation.stages.some((stage) => stage.address === address))
-        moves.push(this._move(attempt, address));
+        moves.push(this._move(attempt, address, "silent"));
     }
     await Promise.all(moves);
   }
 
-  private async _move(attempt: StreamAttempt, faultyAddress: string): Promise<void> {
-    const first = attempt.firstStage;
-    const profile = this._context.activeConfiguration.table?.getEngineProfile(attempt.service);
-    if (first === undefined || profile === undefined) return;
-    if (first.address === faultyAddress) return this._abandon(attempt, "the first engine has stalled");
-    const faulty = findNamedEndpoint(this._context.endpoints, attempt.reservation.stages, faultyAddress);
-    if (faulty !== undefined) void this._context.crashes.noteLost(attempt, faulty);
-    if (this._context.crashes.getQuarantineMs(attempt.request) !== undefined)
-      return this._abandon(attempt, "the request is quarantined");
-    // The stream's own reservation must not count against it in the choice of its new chain.
-    const before = attempt.reservation.stages;
-    attempt.reservation.move([]);
-    const chain = this._chooseReplacement(attempt, first, profile);
-    // The new chain is reserved before the order is sent, so that streams moved at the same time do not all choose the same engine.
-    attempt.reservation.move(chain ?? before);
-    // Without a replacement the stream stays: its engine may recover, or capacity may become free, before the maximum silence.
-    if (chain === undefined) return;
-    const moved = await this._orders.changeChain(
-      { id: first.endpointId, address: first.address },
-      attempt.request.id,
-      chain,
-    );
-    if (moved.err) {
-      attempt.reservation.move(before);
-      return this._handleRefusedMove(attempt, moved.val, chain);
-    }
-    attempt.lastActivityAtMs = this._nowMs();
-    attempt.progress.moves += 1;
-    this._context.log.info("chain-changed", {
-      requestId: attempt.request.id,
-      faultyAddress,
-      chain: describeChain(chain),
-    });
-  }
-
-  /** Chooses a chain with the same first engine and the same layers there. */
-  private _chooseReplacement(
-    attempt: StreamAttempt,
-    first: ChainStage,
-    profile: EngineProfile,
-  ): ChainStage[] | undefined {
-    return this._chooser.choose(this._context.endpoints.getUsable(attempt.service), profile, {
-      ...estimateTokens(attempt.request.fields),
-      availabilityZone: this._context.availabilityZone,
-      firstEndpointId: first.endpointId,
-      firstEnd: first.end,
-      isRandomized: true,
-    });
-  }
-
-  /**
-   * Handles the rejection of a move. Abandons a stream that its first engine has lost. Otherwise the engine named in the rejection
-   * has no capacity or has not loaded the layers, so the next checks choose another one until the stream reaches its maximum silence.
-   */
-  private _handleRefusedMove(attempt: StreamAttempt, error: OrderError, chain: readonly ChainStage[]): void {
-    const isUnknown = error instanceof OrderRefusedError && error.status === unknownRequestStatus;
-    if (isUnknown) return this._abandon(attempt, error.code);
-    const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
-    const endpoint =
-      address === undefined ? undefined : findNamedEndpoint(this._context.endpoints, chain, address);
-    if (endpoint !== undefined) endpoint.avoidedUntilMs = this._nowMs() + refusedChangeBackoffMs;
-    this._context.log.info("chain-change-refused", {
-      requestId: attempt.request.id,
-      address,
-      cause: error.message,
-    });
+  private _move(attempt: StreamAttempt, faultyAddress: string, cause: MoveCause): Promise<void> {
+    return this._mover.move(attempt, { faultyAddresses: [faultyAddress], cause });
   }
 
   private _suspectAddress(address: string): void {
@@ -242,11 +212,6 @@
     if (endpoint !== undefined)
       void this._context.failureDetector.noteReportedFaulty(endpoint.id, "stalled chain");
   }
-
-  private _abandon(attempt: StreamAttempt, cause: string): void {
-    this._context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
-    if (attempt.request.isIdempotent) attempt.abort.abort();
-  }
 }
 
 /** Returns the silence after which the first engine of the attempt is queried. */
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -24,6 +24,14 @@
   readonly abort = new AbortController();
   /** Time from the send of this attempt to its first event. */
   firstEventMs: number | undefined;
+  /** Whether the stream is being moved to another chain. */
+  isMoving = false;
+  /** Monotonic time of the last try to move the stream. */
+  triedMoveAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether the stream was moved since its last event, so that new engines read its tokens. */
+  awaitsRead = false;
+  /** Called with the time between two reads, unless the stream was moved in between. */
+  onPause: ((pauseMs: number) => void) | undefined;
   /** Whether the answer's headers have arrived, so that the first engine executes the request. */
   hasBegun = false;
   private readonly _splitter = new EventSplitter();
@@ -54,6 +62,11 @@
     return this.firstEventMs !== undefined;
   }
 
+  /** Whether the last event has passed all engines of the chain. */
+  get hasPassedChain(): boolean {
+    return this.hasEvents && !this.awaitsRead;
+  }
+
   /** Records that the request is sent now. */
   noteSent(): void {
     this.sentAtMs = utils.monotonicMs();
@@ -86,7 +99,10 @@
 
   private _forward(bytes: Buffer, answer: HttpAnswer): void {
     if (this.abort.signal.aborted) return;
-    this.lastActivityAtMs = utils.monotonicMs();
+    const nowMs = utils.monotonicMs();
+    if (this.hasPassedChain) this.onPause?.(nowMs - this.lastActivityAtMs);
+    this.lastActivityAtMs = nowMs;
+    this.awaitsRead = false;
     const events = this._splitter.push(bytes);
     if (events === undefined) return;
     if (this.firstEventMs === undefined) this.reservation.notePromptRead();
--- /dev/null
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -0,0 +1,221 @@
+/** Moves of running streams to other engines, with the same first engine. */
+import type { ChainChooser } from "../../chains/ChainChooser.js";
+import { describeChain } from "../../chains/describeChain.js";
+import { estimateTokens } from "../../chains/estimateTokens.js";
+import { findNamedEndpoint } from "../../chains/findNamedEndpoint.js";
+import type { EngineProfile } from "../../configuration/gatewayConfiguration.js";
+import type { Endpoint } from "../../discovery/Endpoint.js";
+import { getEvidence } from "../../discovery/SuspicionEvidence.js";
+import type { ChainStage } from "../../http/MessageCodec.js";
+import { OrderRefusedError, type EngineOrders, type OrderError } from "../../orders/EngineOrders.js";
+import type { ForwardContext } from "../RequestForwarder.js";
+import type { StreamAttempt } from "../StreamAttempt.js";
+import type { MoveCause } from "./EarlyMoves.js";
+import { findDetour } from "./findDetour.js";
+import { getDetourCandidates } from "./getDetourCandidates.js";
+
+/** Time for which an engine that rejected a moved stream gets no work from this instance: twice the interval between queries. */
+const refusedChangeBackoffMs = 600;
+/** Status of an engine that has no such request any more. */
+const unknownRequestStatus = 404;
+/** Maximum number of chains that a stream tries one after the other; later checks try again. */
+const maxTries = 3;
+
+/** Result of one try. A stream stays if there is no other chain or it has been given up. */
+type TryResult = "moved" | "refused" | "stays";
+
+/** Dependencies of {@link StreamMover}. */
+export interface StreamMoverStructure {
+  readonly context: ForwardContext;
+  readonly chooser: ChainChooser;
+  readonly orders: EngineOrders;
+  /** Monotonic clock. */
+  readonly nowMs: () => number;
+  /** Returns a random number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** A move of a stream off some engines of its chain. */
+export interface MoveOrder {
+  readonly faultyAddresses: readonly string[];
+  readonly cause: MoveCause;
+  /** Age of the evidence against the engines. */
+  readonly evidenceAgeMs?: number | undefined;
+}
+
+/** Moves streams. Each instance has one mover. */
+export class StreamMover {
+  constructor(private readonly _structure: StreamMoverStructure) {}
+
+  /** Moves a stream, or aborts it if its first engine is at fault, so that it is resumed at another chain. */
+  async move(attempt: StreamAttempt, order: MoveOrder): Promise<void> {
+    const { context } = this._structure;
+    const first = attempt.firstStage;
+    const profile = context.activeConfiguration.table?.getEngineProfile(attempt.service);
+    if (first === undefined || profile === undefined) return;
+    if (order.faultyAddresses.includes(first.address))
+      return this._abandon(attempt, "the first engine is lost", order.cause);
+    if (attempt.isMoving) return;
+    if (order.cause !== "draining") this._noteLost(attempt, order);
+    if (context.crashes.getQuarantineMs(attempt.request) !== undefined)
+      return this._abandon(attempt, "the request is quarantined", order.cause);
+    attempt.isMoving = true;
+    attempt.triedMoveAtMs = this._structure.nowMs();
+    await this._tryChains(attempt, profile, order);
+    attempt.isMoving = false;
+  }
+
+  /** Returns the stages of an attempt whose engines are suspected by more than the word of another engine, or are not listed any more. */
+  getLostStages(attempt: StreamAttempt): ChainStage[] {
+    const { endpoints } = this._structure.context;
+    const nowMs = this._structure.nowMs();
+    return attempt.reservation.stages.filter(({ endpointId }) => {
+      const endpoint = endpoints.get(endpointId);
+      return endpoint === undefined || (endpoint.isSuspect(nowMs) && endpoint.evidence !== "reported");
+    });
+  }
+
+  private _noteLost(attempt: StreamAttempt, { faultyAddresses }: MoveOrder): void {
+    const { endpoints, crashes } = this._structure.context;
+    for (const address of faultyAddresses) {
+      const faulty = findNamedEndpoint(endpoints, attempt.reservation.stages, address);
+      if (faulty !== undefined) void crashes.noteLost(attempt, faulty);
+    }
+  }
+
+  private async _tryChains(attempt: StreamAttempt, profile: EngineProfile, order: MoveOrder): Promise<void> {
+    const isEarly = this._structure.context.controls.earlyMoves !== undefined;
+    const faulty = new Set(order.faultyAddresses);
+    for (let tries = 0; tries < maxTries; tries++) {
+      // Other engines of the chain may have been lost since.
+      if (isEarly) for (const stage of this._getLostLaterStages(attempt)) faulty.add(stage.address);
+      const result = await this._tryMove(attempt, profile, { ...order, faultyAddresses: [...faulty] });
+      if (!isEarly || result === "stays" || attempt.abort.signal.aborted) return;
+      if (result === "moved" && this._getLostLaterStages(attempt).length === 0) return;
+    }
+  }
+
+  /** Returns the lost stages that can be replaced; the first one can't. */
+  private _getLostLaterStages(attempt: StreamAttempt): ChainStage[] {
+    return this.getLostStages(attempt).filter((stage) => stage !== attempt.firstStage);
+  }
+
+  private async _tryMove(
+    attempt: StreamAttempt,
+    profile: EngineProfile,
+    order: MoveOrder,
+  ): Promise<TryResult> {
+    const { nowMs, orders } = this._structure;
+    const first = attempt.firstStage;
+    if (first === undefined) return "stays";
+    const before = attempt.reservation.stages;
+    const chain = this._chooseChain(attempt, profile, order);
+    // The new chain is reserved before the order is sent, so that streams moved at the same time do not all choose the same engine.
+    attempt.reservation.move(chain ?? before);
+    // Without a replacement the stream stays: its engine may recover, or capacity may become free, before the maximum silence.
+    if (chain === undefined) return "stays";
+    const target = { id: first.endpointId, address: first.address };
+    const moved = await orders.changeChain(target, attempt.request.id, chain);
+    if (moved.err) {
+      attempt.reservation.move(before);
+      return this._handleRefusal(attempt, moved.val, chain);
+    }
+    const silenceMs = nowMs() - attempt.lastActivityAtMs;
+    attempt.lastActivityAtMs = nowMs();
+    attempt.awaitsRead = true;
+    attempt.progress.moves += 1;
+    this._logMove(attempt, order, silenceMs);
+    return "moved";
+  }
+
+  /** Chooses a chain with the same first engine and the same layers there; the engines that remain keep their layers if possible. */
+  private _chooseChain(
+    attempt: StreamAttempt,
+    profile: EngineProfile,
+    order: MoveOrder,
+  ): readonly ChainStage[] | undefined {
+    const { context, chooser, nowMs, random } = this._structure;
+    const { stages } = attempt.reservation;
+    const endpoints = context.endpoints.getUsable(attempt.service);
+    const demand = { ...estimateTokens(attempt.request.fields), availabilityZone: context.availabilityZone };
+    const first = attempt.firstStage;
+    const firstZone = first && context.endpoints.get(first.endpointId)?.listed.availabilityZone;
+    const isFaulty = (address: string): boolean => order.faultyAddresses.includes(address);
+    if (context.controls.earlyMoves !== undefined && firstZone !== undefined) {
+      const inZone = { ...demand, availabilityZone: firstZone };
+      const query = { endpoints, profile, demand: inZone, nowMs: nowMs(), random };
+      const candidates = getDetourCandidates(query).filter(
+        ({ endpoint }) => !isFaulty(endpoint.listed.address),
+      );
+      const isLost = (stage: ChainStage): boolean => isFaulty(stage.address);
+      const detour = findDetour({ stages, isLost, candidates, demand: inZone });
+      if (detour !== undefined) return detour;
+    }
+    const sound = endpoints.filter(({ listed }) => !isFaulty(listed.address));
+    // The stream's own reservation must not count against it in the choice of its new chain.
+    attempt.reservation.move([]);
+    return chooser.choose(sound, profile, {
+      ...demand,
+      firstEndpointId: first?.endpointId,
+      firstEnd: first?.end,
+      isRandomized: true,
+    });
+  }
+
+  /**
+   * Handles the rejection of a move. Abandons a stream that its first engine has lost. Otherwise the engine named in the rejection
+   * has no capacity or has not loaded the layers, so another one is chosen until the stream reaches its maximum silence.
+   */
+  private _handleRefusal(attempt: StreamAttempt, error: OrderError, chain: readonly ChainStage[]): TryResult {
+    const { context, nowMs } = this._structure;
+    if (error instanceof OrderRefusedError && error.status === unknownRequestStatus) {
+      this._abandon(attempt, error.code, "lost");
+      return "stays";
+    }
+    const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
+    const endpoint = address === undefined ? undefined : findNamedEndpoint(context.endpoints, chain, address);
+    if (endpoint !== undefined) endpoint.avoidedUntilMs = nowMs() + refusedChangeBackoffMs;
+    context.log.info("chain-change-refused", {
+      requestId: attempt.request.id,
+      address,
+      cause: error.message,
+    });
+    if (!(error instanceof OrderRefusedError)) this._noteUnanswered(attempt, error);
+    return endpoint === undefined ? "stays" : "refused";
+  }
+
+  /** Records that the first engine did not answer an order; it may have taken the order. */
+  private _noteUnanswered(attempt: StreamAttempt, error: OrderError): void {
+    const { context } = this._structure;
+    if (context.controls.earlyMoves === undefined) return;
+    context.failureDetector.noteUnresponsive(attempt.endpointId, `move: ${error.code}`, getEvidence(error));
+  }
+
+  private _abandon(attempt: StreamAttempt, cause: string, sign: MoveCause): void {
+    const { context } = this._structure;
+    context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
+    if (!attempt.request.isIdempotent || attempt.abort.signal.aborted) return;
+    context.controls.earlyMoves?.noteMove(attempt.service, sign);
+    attempt.abort.abort();
+  }
+
+  private _logMove(attempt: StreamAttempt, order: MoveOrder, silenceMs: number): void {
+    const { context } = this._structure;
+    context.controls.earlyMoves?.noteMove(attempt.service, order.cause);
+    context.log.info("chain-changed", {
+      requestId: attempt.request.id,
+      faultyAddress: order.faultyAddresses[0],
+      faultyAddresses: order.faultyAddresses,
+      cause: order.cause,
+      silenceMs: Math.round(silenceMs),
+      evidenceAgeMs: order.evidenceAgeMs === undefined ? undefined : Math.round(order.evidenceAgeMs),
+      chain: describeChain(attempt.reservation.stages),
+    });
+  }
+}
+
+/** Returns the age of the newest evidence against some endpoints; undefined if there is none. */
+export function getEvidenceAgeMs(endpoints: readonly Endpoint[], nowMs: number): number | undefined {
+  if (endpoints.length === 0) return undefined;
+  return nowMs - Math.max(...endpoints.map((endpoint) => endpoint.suspectedAtMs));
+}
--- /dev/null
+++ b/packages/gateway/src/requests/moves/getDetourCandidates.ts
@@ -0,0 +1,61 @@
+/** The engines that may take over layers of a stream, with their costs. */
+import { utils } from "@shedtiller/common";
+import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "../../chains/engineModel.js";
+import type { ChainCandidate, ChainDemand } from "../../chains/findCheapestChain.js";
+import type { EngineProfile } from "../../configuration/gatewayConfiguration.js";
+import type { Endpoint } from "../../discovery/Endpoint.js";
+
+/** Share of an engine's capacity that streams may take; the remainder covers answers that are longer than estimated. */
+const usableCapacityShare = 0.92;
+/** Cost added to an engine whose prompts just begin to queue, as a multiple of the cost of an empty engine. */
+const utilizationCostFactor = 4;
+/** Width of the random factor on costs, which lies between 0.5 and 1.5: instances that move at the same time don't see each other's load. */
+const randomFactorRange = 1;
+
+/** Inputs of {@link getDetourCandidates}. */
+export interface DetourCandidateQuery {
+  readonly endpoints: readonly Endpoint[];
+  readonly profile: EngineProfile;
+  readonly demand: ChainDemand;
+  readonly nowMs: number;
+  /** Returns a random number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** Returns the engines of the demand's zone with free capacity, each with the time that the stream takes there. */
+export function getDetourCandidates(query: DetourCandidateQuery): ChainCandidate[] {
+  const { endpoints, demand, nowMs } = query;
+  return endpoints
+    .filter(({ listed }) => listed.availabilityZone === demand.availabilityZone)
+    .filter((endpoint) => !endpoint.isSuspect(nowMs) && nowMs >= endpoint.avoidedUntilMs)
+    .filter((endpoint) => !endpoint.circuitBreaker.isOpen(nowMs))
+    .flatMap((endpoint) => toCandidates(endpoint, query));
+}
+
+function toCandidates(endpoint: Endpoint, query: DetourCandidateQuery): ChainCandidate[] {
+  const { profile, demand, nowMs, random } = query;
+  const kind = getKind(endpoint, profile);
+  if (kind === undefined) return [];
+  const tokens = Math.max(1, demand.promptTokens + demand.answerTokens);
+  const load = endpoint.getLoad();
+  const capacity = Math.min(
+    getCapacityTokenLayers(endpoint, profile) * usableCapacityShare,
+    endpoint.getObservedCapacityTokenLayers(nowMs),
+  );
+  const utilization = load.requests / getUnqueuedRequests(endpoint, profile);
+  const stepMs = getStepMs(profile, load.requests + 1, tokens) * kind.stepFactor * demand.answerTokens;
+  const readMs = (tokens / profile.prefillTokensPerSecond) * utils.msPerSecond * kind.prefillFactor;
+  const loadFactor = 1 + utilizationCostFactor * utilization ** 2;
+  const randomFactor = 1 + randomFactorRange * (random() - 0.5);
+  const msPerLayer = ((stepMs + readMs) / profile.layerCount) * endpoint.slowness * loadFactor * randomFactor;
+  const freeLayers = Math.floor((capacity - load.tokenLayers) / tokens);
+  return endpoint.listed.layers.map(({ start, end }) => ({
+    endpoint,
+    start,
+    end,
+    msPerLayer,
+    freeLayers,
+    freeLayersCrossZone: freeLayers,
+    canBeFirst: true,
+  }));
+}
--- a/packages/gateway/src/tests/FakeEngines.ts
+++ b/packages/gateway/src/tests/FakeEngines.ts
@@ -2,6 +2,7 @@
 import type { ChainStage } from "../http/MessageCodec.js";
 import {
   EngineOrders,
+  OrderRefusedError,
   type EngineReport,
   type OrderError,
   type OrderTarget,
@@ -23,13 +24,27 @@
 export class FakeEngines extends EngineOrders {
   /** Ids of engines that don't respond. */
   readonly silent = new Set<string>();
+  /** Ids of engines whose processes have ended, so that connections are refused. */
+  readonly refusing = new Set<string>();
+  /** Ids of the engines that were asked for a report. */
+  readonly asked: string[] = [];
+  /** Called when an engine is asked for a report. */
+  onAsked: () => void = () => undefined;
   /** Fields in which reports differ from that of an idle engine, by engine id. */
   readonly reports = new Map<string, Partial<EngineReport>>();
   /** Chains that requests were moved to, each as the ids of its engines. */
   readonly chains: string[] = [];
   changeAnswer: results.Result<void, OrderError> = results.Ok(undefined);
+  /** Ids of engines without capacity for moved requests. */
+  readonly full = new Set<string>();
 
   override getReport(target: OrderTarget): Promise<results.Result<EngineReport, OrderError>> {
+    this.asked.push(target.id);
+    this.onAsked();
+    if (this.refusing.has(target.id)) {
+      const cause = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
+      return Promise.resolve(results.Err(new errors.NotReachedError(target.address, cause)));
+    }
     if (this.silent.has(target.id))
       return Promise.resolve(results.Err(new errors.DeadlineError(target.address, 1)));
     return Promise.resolve(results.Ok({ ...idleReport, ...this.reports.get(target.id) }));
@@ -40,11 +55,14 @@
   }
 
   override changeChain(
-    _target: unknown,
+    target: OrderTarget,
     _id: string,
     chain: readonly ChainStage[],
   ): Promise<results.Result<void, OrderError>> {
     this.chains.push(chain.map((stage) => stage.endpointId).join(","));
+    const full = chain.find((stage) => this.full.has(stage.endpointId));
+    if (full !== undefined)
+      return Promise.resolve(results.Err(new OrderRefusedError(target.address, 409, full.address)));
     return Promise.resolve(this.changeAnswer);
   }
 }
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -88,7 +88,7 @@
   sender.exchange.broadcastRestart("e", 2_000);
   for (const { endpoints } of [behind, far]) t.deepEqual(endpoints.get("e")?.listed.layers, []);
   // The sender itself has not recorded the restart in this test, so its notices are about the previous life.
-  sender.exchange.broadcastSuspicion("e");
+  sender.exchange.broadcastSuspicion("e", "unanswered");
   sender.exchange.broadcastSlowness("e", 5);
   sender.exchange.broadcastFull("e");
   t.false(behind.endpoints.get("e")?.isSuspect(utils.monotonicMs()));
@@ -98,3 +98,14 @@
     Number.POSITIVE_INFINITY,
   );
 });
+
+test("peers learn by which evidence an engine is suspected, and when it becomes stronger", (t) => {
+  const network = new PeerNetwork();
+  const sender = join(network, "a");
+  const far = join(network, "c", "west");
+  for (const { endpoints } of [sender, far]) endpoints.setAll(new Map([["e", createListed("e")]]));
+  sender.exchange.broadcastSuspicion("e", "unanswered");
+  t.is(far.endpoints.get("e")?.evidence, "unanswered");
+  sender.exchange.broadcastSuspicion("e", "lost");
+  t.is(far.endpoints.get("e")?.evidence, "lost");
+});
