--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -47,7 +47,7 @@
   readonly forecast: PermitForecast;
   /** Streams that other instances send again at the same moment as this one. */
   readonly restarts: ConcurrentRestarts;
-  readonly controls: Pick<LoadControls, "gates" | "flows">;
+  readonly controls: Pick<LoadControls, "gates" | "flows"> & Partial<LoadControls>;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
