gateway: no engine begins most of the streams of a zone while others hold the first layers

Cause: where engines differ much in speed, the cheapest chains of all instances begin at the same engine; its loss cuts each of these streams. Ruled out: a price on engines by all instances' counts (0.4 s old, and every instance counts a few streams a second anyway); a detour relative to costs with utilization (bounds shares exactly, but the zone with four fast engines took 44 % longer per token, and a medium zone of the large fleet began 310 streams instead of 24 where prompts queue); detours of 0.1 and 0.15 (no effect in half of the zones), 0.5 (34 % longer). Change: FirstEngineShares counts the own streams by first engine; beyond a fifth, or 1/n of n first engines with capacity, an engine costs a detour of a fifth of the fastest answer. Chains in other zones cost the detour as well. EntryCosts has what depends on where a chain begins. Two to four first engines of unequal speed allow no smaller shares for a few percent; placement has to provide more equal ones.

--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -18,6 +18,8 @@
   readonly permits: prom.Counter<"service">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
+  /** Choices of chains in which an engine had begun more than its share of a zone's streams. */
+  readonly firstEngineBounds: prom.Counter<"service">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -63,6 +65,12 @@
       labelNames: ["what", "service"],
       registers,
     });
+    this.firstEngineBounds = new prom.Counter({
+      name: "shedtiller_gateway_first_engine_bounds_total",
+      help: "Choices of chains in which an engine had begun more than its share of the streams of its zone, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -191,6 +191,7 @@
     const first = stages?.[0] && this._endpoints.get(stages[0].endpointId);
     const permit = first?.tryAcquirePermit(utils.monotonicMs());
     if (stages === undefined || permit === undefined) return undefined;
+    if (first !== undefined) this._chooser.noteStart(first);
     const { promptTokens, answerTokens } = acquisition.demand;
     const tokens = promptTokens + answerTokens;
     return new ChainReservation(this._endpoints, stages, tokens, promptTokens, permit);
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -4,6 +4,7 @@
 import type { AcceleratorKind, EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
+import { createEntryCost, type EntryControls } from "./EntryCosts.js";
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
 import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "./engineModel.js";
 
@@ -33,10 +34,12 @@
   /**
    * @param nowMs - Monotonic clock; replaced in tests.
    * @param random - Returns a random number from 0 to 1; replaced in tests.
+   * @param _controls - The decisions under load that change where chains begin; none if omitted.
    */
   constructor(
     private readonly _nowMs: () => number = utils.monotonicMs,
     private readonly _random: () => number = Math.random,
+    private readonly _controls: EntryControls = {},
   ) {}
 
   /**
@@ -54,6 +57,11 @@
     return this._choosePreferringRedundancy(endpoints, profile, { ...demand, refusedBy: undefined });
   }
 
+  /** Records that a stream begins at an engine. */
+  noteStart(engine: Endpoint): void {
+    this._controls.firstEngines?.noteStart(engine);
+  }
+
   /** Chooses a chain by the demand's `redundantFirstEngine`; if redundancy is only preferred, falls back to a chain without it. */
   private _choosePreferringRedundancy(
     endpoints: readonly Endpoint[],
@@ -79,9 +87,10 @@
         excluded?.has(endpoint) === true ? { ...candidate, canBeFirst: false } : candidate,
       ),
     );
+    const getEntryMs = createEntryCost(candidates, profile, demand, this._controls, this._random);
     return (
-      findCheapestChain(candidates, layerCount, demand, "one-zone") ??
-      findCheapestChain(candidates, layerCount, demand, "several-zones")
+      findCheapestChain(candidates, layerCount, demand, "one-zone", getEntryMs) ??
+      findCheapestChain(candidates, layerCount, demand, "several-zones", getEntryMs)
     );
   }
 
--- a/packages/gateway/src/chains/findCheapestChain.ts
+++ b/packages/gateway/src/chains/findCheapestChain.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import { hopMs } from "./engineModel.js";
+import { getUsualEntryMs, type EntryCost } from "./EntryCosts.js";
 
 /** Requirements of a request for its chain. */
 export interface ChainDemand {
@@ -34,8 +35,6 @@
  * instead of 0.39.
  */
 const zoneChangeMs = 20_000;
-/** Cost of a chain that begins in another zone, to which only the text of the request and its answer is transferred. */
-const otherZoneMs = 200;
 /** Maximum number of stages. The wire format allows 32, but a chain of more than 24 stages loses more time to hops than it gains. */
 const maxStages = 24;
 
@@ -69,14 +68,18 @@
 /** The best label by boundary and by the zone of the last engine. */
 type Labels = Map<number, Map<string, Label>>;
 
-/** Returns the cheapest chain that runs all layers, or undefined if there is none. Uses dynamic programming over the layer boundaries. */
+/**
+ * Returns the cheapest chain that runs all layers, or undefined if there is none. Uses dynamic programming over the layer boundaries.
+ * @param getEntryMs - The cost of the first engine; if omitted, only other zones than that of the request have one.
+ */
 export function findCheapestChain(
   candidates: readonly ChainCandidate[],
   layerCount: number,
   demand: ChainDemand,
   reach: ChainReach,
+  getEntryMs: EntryCost = (engine) => getUsualEntryMs(engine, demand.availabilityZone),
 ): ChainStage[] | undefined {
-  return new ChainSearch(candidates, layerCount, demand, reach).run();
+  return new ChainSearch(candidates, layerCount, demand, reach, getEntryMs).run();
 }
 
 /** Runs one search for the cheapest chain. */
@@ -91,6 +94,7 @@
     private readonly _layerCount: number,
     private readonly _demand: ChainDemand,
     private readonly _reach: ChainReach,
+    private readonly _getEntryMs: EntryCost,
   ) {
     this._candidates = candidates.filter((candidate) => this._getFreeLayers(candidate) > 0);
     this._boundaries = getBoundaries(this._candidates, _layerCount, _demand.firstEnd);
@@ -152,7 +156,7 @@
 
   private _getZoneMs(label: Label, candidate: ChainCandidate): number {
     if (label.candidate !== undefined) return changesZone(label, candidate) ? zoneChangeMs : 0;
-    return candidate.endpoint.listed.availabilityZone === this._demand.availabilityZone ? 0 : otherZoneMs;
+    return this._getEntryMs(candidate.endpoint);
   }
 }
 
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -1,4 +1,5 @@
 /** The decisions under load that the settings and the configuration switch on. */
+import { FirstEngineShares } from "../chains/FirstEngineShares.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { GatewayMetrics } from "../GatewayMetrics.js";
@@ -26,10 +27,23 @@
   readonly gates: readonly AdmissionGate[] = [];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
+  /** Undefined if an engine may begin any share of the streams. */
+  readonly firstEngines: FirstEngineShares | undefined;
   /** The decisions that operators can look at. */
-  readonly pressureSources: readonly PressureSource[] = [];
+  readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
+    this.firstEngines = createFirstEngineShares(structure);
+    this.pressureSources = [this.firstEngines].filter((source) => source !== undefined);
     structure.log.info("load-control", { ...structure.settings });
   }
 }
+
+function createFirstEngineShares({
+  settings,
+  metrics,
+  log,
+}: LoadControlStructure): FirstEngineShares | undefined {
+  if (settings.firstEngineShare === "off") return undefined;
+  return new FirstEngineShares({ log, count: (service) => metrics.firstEngineBounds.inc({ service }) });
+}
--- a/packages/gateway/src/requests/ForwarderSet.ts
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -20,7 +20,7 @@
     private readonly _context: ForwardContext,
     orders: EngineOrders,
   ) {
-    const chooser = new ChainChooser();
+    const chooser = new ChainChooser(undefined, undefined, _context.controls);
     const { activeConfiguration, endpoints, demand, forecast } = _context;
     this._admission = new ChainAdmission(activeConfiguration, endpoints, chooser, demand, forecast);
     this.monitor = new StallMonitor(_context, chooser, orders);
--- a/packages/gateway/src/tests/patterns/ChainChoosingFleet.ts
+++ b/packages/gateway/src/tests/patterns/ChainChoosingFleet.ts
@@ -5,6 +5,7 @@
 import { utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
 import { ChainChooser } from "../../chains/ChainChooser.js";
+import { FirstEngineShares } from "../../chains/FirstEngineShares.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
 import {
   getCapacityTokenLayers,
@@ -42,6 +43,8 @@
   readonly areRefusalsBroadcast: boolean;
   /** Time for which instances have no load but their own, as after a simultaneous start. If set, all requests are counted. */
   readonly withoutReportsMs?: number;
+  /** Whether instances bound the share of the streams that one engine begins. */
+  readonly areFirstEnginesBounded?: boolean;
   /** Number of other instances that each instance assumes to have the same load as itself meanwhile. */
   readonly assumedPeers?: number;
 }
@@ -55,6 +58,8 @@
   readonly withoutChain: number;
   /** Number of requests that began at the busiest first engine, as a multiple of the mean over all engines with the first layer. */
   readonly busiestToMean: number;
+  /** Share of the requests that began at the busiest first engine. */
+  readonly busiestShare: number;
   /** Number of requests at chains where prompts queue, since an engine has 1.35 times its unqueued requests. */
   readonly queued: number;
   /** Mean time of a token, in ms. */
@@ -79,7 +84,8 @@
   private readonly _actual: EndpointTable;
   /** The endpoints with their load as each instance has it. */
   private readonly _views: readonly EndpointTable[];
-  private readonly _chooser: ChainChooser;
+  /** The choosers of the instances, in the order of `_views`. */
+  private readonly _choosers: readonly ChainChooser[];
   private _running: Running[] = [];
   /** The last reported load by endpoint, of all instances together. */
   private _reported = new Map<string, EndpointLoad>();
@@ -94,10 +100,7 @@
     this._actual = createTable(listed, () => this._nowMs);
     this._views = Array.from({ length: _options.instances }, () => createTable(listed, () => this._nowMs));
     for (const view of this._views) view.assumePeers(_options.assumedPeers ?? 0);
-    this._chooser = new ChainChooser(
-      () => this._nowMs,
-      () => this._random.nextUnit(),
-    );
+    this._choosers = this._views.map(() => this._createChooser());
   }
 
   run(): ChainChoosingFleetResult {
@@ -115,6 +118,14 @@
     return this._getResult();
   }
 
+  private _createChooser(): ChainChooser {
+    const nowMs = (): number => this._nowMs;
+    const structure = { log: { info: () => undefined }, count: () => undefined, nowMs };
+    const firstEngines =
+      this._options.areFirstEnginesBounded === true ? new FirstEngineShares(structure) : undefined;
+    return new ChainChooser(nowMs, () => this._random.nextUnit(), { firstEngines });
+  }
+
   private _endDue(): void {
     const [ended, running] = partition(this._running, ({ endsAtMs }) => endsAtMs <= this._nowMs);
     this._running = running;
@@ -138,8 +149,10 @@
 
   private _arrive(): void {
     const { profile } = this._options;
-    const view = this._views[Math.floor(this._random.nextUnit() * this._views.length)];
-    if (view === undefined) return;
+    const index = Math.floor(this._random.nextUnit() * this._views.length);
+    const view = this._views[index];
+    const chooser = this._choosers[index];
+    if (view === undefined || chooser === undefined) return;
     const demand = {
       promptTokens: Math.round(profile.usualPromptTokens * (0.5 + this._random.nextUnit())),
       answerTokens: Math.round(profile.usualAnswerTokens * (0.5 + this._random.nextUnit())),
@@ -147,11 +160,13 @@
     };
     const isCounted = this._options.withoutReportsMs !== undefined || this._nowMs >= warmUpMs;
     if (isCounted) this._counts.requests += 1;
-    const chain = this._chooser.choose(view.getAll(), profile, demand);
+    const chain = chooser.choose(view.getAll(), profile, demand);
     if (chain === undefined) {
       if (isCounted) this._counts.withoutChain += 1;
       return;
     }
+    const first = view.get(chain[0]?.endpointId ?? "");
+    if (first !== undefined) chooser.noteStart(first);
     const tokens = demand.promptTokens + demand.answerTokens;
     const full = chain.find(({ endpointId, start, end }) => {
       const endpoint = this._actual.get(endpointId);
@@ -225,6 +240,7 @@
       refused,
       withoutChain,
       queued,
+      busiestShare: busiest / started,
       busiestToMean: (busiest * firsts.length) / started,
       tokenMs: tokenMs / started,
       chainLength: stages / started,
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -181,7 +181,7 @@
         log,
       }),
       ...permits,
-      controls: { gates: [], flows: undefined },
+      controls: { gates: [], flows: undefined, firstEngines: undefined },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -82,7 +82,7 @@
     }),
     ...createPermitDependencies(endpoints),
     statements: { noteAnswer: () => undefined },
-    controls: { gates: [], flows: undefined },
+    controls: { gates: [], flows: undefined, firstEngines: undefined },
     broadcastFull: () => undefined,
   };
   const chooser = new ChainChooser(
--- /dev/null
+++ b/packages/routing/src/flows/index.ts
@@ -0,0 +1,1 @@
+export * from "./DecayingSum.js";
