--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -22,6 +22,8 @@
   readonly earlyMoves: prom.Counter<"cause">;
   /** Questions to engines of silent streams. */
   readonly engineQuestions: prom.Counter<"result">;
+  /** Choices of chains in which an engine had begun more than its share of a zone's streams. */
+  readonly firstEngineBounds: prom.Counter<"service">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -79,6 +81,12 @@
       labelNames: ["result"],
       registers,
     });
+    this.firstEngineBounds = new prom.Counter({
+      name: "shedtiller_gateway_first_engine_bounds_total",
+      help: "Choices of chains in which an engine had begun more than its share of the streams of its zone, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -1,4 +1,5 @@
 /** The decisions under load that the settings and the configuration switch on. */
+import { FirstEngineShares } from "../chains/FirstEngineShares.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { GatewayMetrics } from "../GatewayMetrics.js";
@@ -29,13 +30,17 @@
   readonly flows: ZoneFlows | undefined;
   /** Undefined if streams are moved only once they have been silent for long. */
   readonly earlyMoves: EarlyMoves | undefined;
+  /** Undefined if an engine may begin any share of the streams. */
+  readonly firstEngines: FirstEngineShares | undefined;
   /** The decisions that operators can look at. */
   readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
     structure.log.info("load-control", { ...structure.settings });
+    this.firstEngines = createFirstEngineShares(structure);
     this.earlyMoves = createEarlyMoves(structure);
-    this.pressureSources = this.earlyMoves === undefined ? [] : [this.earlyMoves];
+    const sources = [this.firstEngines, this.earlyMoves];
+    this.pressureSources = sources.filter((source) => source !== undefined);
   }
 }
 
@@ -64,3 +69,12 @@
   activeConfiguration.onChanged(logCondition);
   return new EarlyMoves(metrics);
 }
+
+function createFirstEngineShares({
+  settings,
+  metrics,
+  log,
+}: LoadControlStructure): FirstEngineShares | undefined {
+  if (settings.firstEngineShare === "off") return undefined;
+  return new FirstEngineShares({ log, count: (service) => metrics.firstEngineBounds.inc({ service }) });
+}
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -154,8 +154,10 @@
     const sound = endpoints.filter(({ listed }) => !isFaulty(listed.address));
     // The stream's own reservation must not count against it in the choice of its new chain.
     attempt.reservation.move([]);
+    context.restarts.note();
     return chooser.choose(sound, profile, {
       ...demand,
+      concurrentRequests: context.restarts.getPeers(),
       firstEndpointId: first?.endpointId,
       firstEnd: first?.end,
       isRandomized: true,
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -2,6 +2,7 @@
 import { EventEmitter } from "node:events";
 import type * as http from "node:http";
 import { utils } from "@shedtiller/common";
+import { ConcurrentRestarts } from "../../../chains/ConcurrentRestarts.js";
 import { ChainChooser } from "../../../chains/ChainChooser.js";
 import { ChainReservation } from "../../../chains/ChainReservation.js";
 import { ActiveConfiguration } from "../../../configuration/ActiveConfiguration.js";
@@ -131,6 +132,7 @@
       }),
       ...createPermitDependencies(endpoints),
       statements: { noteAnswer: () => undefined },
+      restarts: new ConcurrentRestarts(() => 1),
       controls: { gates: [], flows: undefined, earlyMoves: isOn ? this.earlyMoves : undefined },
       broadcastFull: () => undefined,
     };
