gateway: timeouts of calls are judged by what has come, not by the time alone

Cause: after a pause of this process the event loop handles expired timers before it reads I/O. A connection that was established meanwhile counted as not reached, and the endpoint as not reachable; an answer or a part of a body that had arrived counted as late (502 for 200 in forwardingTests where the loop stands for 400 ms). Ruled out: a longer timeout, which only moves the pause at which it happens. Change: IoTimeout reads pending I/O once the timer fires and calls back after that. For connections, a timer that is late by over 50 ms is extended once by the pause, since the connection may have been begun after it. Deadlines of requests are not extended. HttpExchange and readBody use it.

--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -1,5 +1,6 @@
 export * from "./clock.js";
 export * from "./ElapsedClock.js";
+export * from "./IoTimeout.js";
 export * from "./PauseDetector.js";
 export * from "./sample.js";
 export * from "./tasks.js";
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -1,6 +1,6 @@
 /** One HTTP call, from its start to the headers of its answer. */
 import * as http from "node:http";
-import { errors, results } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import type { CallError, HttpAnswer, HttpCall } from "./HttpCall.js";
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
 import { waitForConnectionEnd } from "./waitForConnectionEnd.js";
@@ -10,8 +10,8 @@
   private _isSettled = false;
   private _mayHaveArrived = false;
   private _request: http.ClientRequest | undefined;
-  private _connectTimer: NodeJS.Timeout | undefined;
-  private _headTimer: NodeJS.Timeout | undefined;
+  private _connectTimeout: utils.IoTimeout | undefined;
+  private _headTimeout: utils.IoTimeout | undefined;
   private readonly _onAbort = (): void => this._end(new errors.CancelledError("A call"));
 
   constructor(
@@ -38,10 +38,11 @@
     request.on("response", (message) => this._acceptHead(message));
     request.on("error", (error) => this._fail(error));
     call.signal?.addEventListener("abort", this._onAbort, { once: true });
-    this._connectTimer = setTimeout(() => this._endUnconnected(), call.connectTimeoutMs);
-    this._headTimer = setTimeout(
-      () => this._end(new errors.DeadlineError(`The answer of ${call.address}`, call.headTimeoutMs)),
-      call.headTimeoutMs,
+    this._connectTimeout = new utils.IoTimeout(call.connectTimeoutMs, () => this._endUnconnected(), {
+      isPauseExcluded: true,
+    });
+    this._headTimeout = new utils.IoTimeout(call.headTimeoutMs, () =>
+      this._end(new errors.DeadlineError(`The answer of ${call.address}`, call.headTimeoutMs)),
     );
     request.end(call.body);
   }
@@ -61,7 +62,7 @@
   ): void {
     const onConnected = (): void => {
       this._mayHaveArrived = true;
-      clearTimeout(this._connectTimer);
+      this._connectTimeout?.clear();
     };
     if (isConnecting) socket.once("connect", onConnected);
     else onConnected();
@@ -107,8 +108,8 @@
   private _settle(result: results.Result<HttpAnswer, CallError>): void {
     if (this._isSettled) return;
     this._isSettled = true;
-    clearTimeout(this._connectTimer);
-    clearTimeout(this._headTimer);
+    this._connectTimeout?.clear();
+    this._headTimeout?.clear();
     this._call.signal?.removeEventListener("abort", this._onAbort);
     this._resolve(result);
   }
--- a/packages/gateway/src/http/readBody.ts
+++ b/packages/gateway/src/http/readBody.ts
@@ -25,11 +25,11 @@
   };
   const failTimedOut = (limitMs: number): void =>
     fail(new errors.DeadlineError(`The body of ${address}`, limitMs));
-  const timer = setTimeout(failTimedOut, timeoutMs, timeoutMs);
-  let stallTimer = setTimeout(failTimedOut, stallMs, stallMs);
+  const timeout = new utils.IoTimeout(timeoutMs, () => failTimedOut(timeoutMs));
+  let stall = new utils.IoTimeout(stallMs, () => failTimedOut(stallMs));
   answer.message.on("data", (chunk: Buffer) => {
-    clearTimeout(stallTimer);
-    stallTimer = setTimeout(failTimedOut, stallMs, stallMs);
+    stall.clear();
+    stall = new utils.IoTimeout(stallMs, () => failTimedOut(stallMs));
     sizeBytes += chunk.length;
     chunks.push(chunk);
     if (sizeBytes > maxBytes) fail(new AnswerTooLargeError(address, maxBytes));
@@ -45,7 +45,7 @@
     if (!answer.message.complete) done.resolve(results.Err(new errors.ConnectionLostError(address)));
   });
   return done.promise.finally(() => {
-    clearTimeout(timer);
-    clearTimeout(stallTimer);
+    timeout.clear();
+    stall.clear();
   });
 }
--- a/packages/gateway/src/tests/http/HttpClientTests.ts
+++ b/packages/gateway/src/tests/http/HttpClientTests.ts
@@ -8,6 +8,9 @@
 
 const maxBytes = 1024;
 const generousMs = 30_000;
+const connectTimeoutMs = 400;
+/** A pause of this process that is longer than the timeout of a connection. */
+const pauseMs = 700;
 
 /** Listens on a free port and handles each connection. */
 async function listen(
@@ -35,6 +38,11 @@
   };
 }
 
+/** Blocks the event loop, like a host that has no processor time for this process. */
+function blockEventLoop(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, durationMs);
+}
+
 for (const isFresh of [true, false]) {
   const kind = isFresh ? "new" : "pooled";
   test(`an answer without a stated length is incomplete if its connection is reset (${kind} connection)`, async (t) => {
@@ -144,3 +152,19 @@
   client.close();
   server.close();
 });
+
+test.serial(
+  "a connection that is established while this process pauses for longer than the timeout is used",
+  async (t) => {
+    const { server, address } = await listen((socket) => {
+      socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    });
+    const client = new HttpClient();
+    const sent = client.fetch({ ...createCall(address, true), connectTimeoutMs }, maxBytes, generousMs);
+    blockEventLoop(pauseMs);
+    const answer = await sent;
+    t.is(answer.ok ? answer.val.body.toString() : answer.val.code, "ok");
+    client.close();
+    server.close();
+  },
+);
