pipeline: a refusal that is read late is a refusal, and not a timeout

Cause: WsEngineConnector decided by the time that had passed, and the timer of the handshake fires before I/O is read after a pause of this process, so that a refused connection counted as a single late handshake (DeadlineError for NotReachedError). Ruled out: the time alone with a larger bound, which only moves the pause at which it happens. Change: the handshake has an IoTimeout, which reads pending I/O first and is extended once by a pause; what failed is told by the error. The timeout of the library, which has the same fault, is not used.

--- a/packages/pipeline/src/engine/WsEngineConnector.ts
+++ b/packages/pipeline/src/engine/WsEngineConnector.ts
@@ -46,16 +46,14 @@
     const startMs = utils.monotonicMs();
     const timeoutMs = this._connectTimeouts.getTimeoutMs(address);
     const socket = new ws.WebSocket(`ws://${address}${enginePath}`, {
-      handshakeTimeout: timeoutMs,
       perMessageDeflate: false,
       maxPayload: maxFrameBytes,
     });
-    const failure = await waitForOpen(socket);
+    const failure = await waitForOpen(socket, timeoutMs);
     this._opening.delete(address);
-    const tookMs = utils.monotonicMs() - startMs;
-    if (failure === undefined) this._connectTimeouts.noteAnswer(address, tookMs);
-    const isSlow =
-      failure !== undefined && tookMs >= timeoutMs && !this._connectTimeouts.noteTimeout(address);
+    if (failure === undefined) this._connectTimeouts.noteAnswer(address, utils.monotonicMs() - startMs);
+    const isTimedOut = failure instanceof errors.DeadlineError;
+    const isSlow = isTimedOut && !this._connectTimeouts.noteTimeout(address);
     if (failure !== undefined || this._isClosed) {
       socket.terminate();
       // A single late handshake is no evidence against the engine: this instance may be short of CPU time. The next
@@ -80,14 +78,24 @@
   }
 }
 
-/** Resolves with undefined once the socket is open, or with the error of opening it. */
-function waitForOpen(socket: ws.WebSocket): Promise<Error | undefined> {
+/** Resolves with undefined once the socket is open, or with the error of opening it: a `DeadlineError` if nothing has come in time. */
+function waitForOpen(socket: ws.WebSocket, timeoutMs: number): Promise<Error | undefined> {
   return new Promise((resolve) => {
+    const settle = (failure: Error | undefined): void => {
+      timeout.clear();
+      resolve(failure);
+    };
+    const timeout = new utils.IoTimeout(
+      timeoutMs,
+      () => settle(new errors.DeadlineError(`Opening a connection to ${socket.url}`, timeoutMs)),
+      { isPauseExcluded: true },
+    );
     socket.once("open", () => {
       socket.removeAllListeners();
-      resolve(undefined);
+      settle(undefined);
     });
-    socket.once("error", resolve);
-    socket.once("close", () => resolve(new Error("closed before it was open")));
+    // Stays after the first error, since the end of an attempt in progress is reported as an error as well.
+    socket.on("error", settle);
+    socket.once("close", () => settle(new Error("closed before it was open")));
   });
 }
--- a/packages/pipeline/src/tests/engine/WsEngineConnectorTests.ts
+++ b/packages/pipeline/src/tests/engine/WsEngineConnectorTests.ts
@@ -6,6 +6,8 @@
 
 const initialTimeoutMs = 20;
 const maxTimeoutMs = 40;
+/** A pause of this process that is longer than the longest timeout. */
+const pauseMs = 100;
 
 /** Starts a server that accepts TCP connections and never answers a WebSocket handshake. */
 async function listenSilently(t: ExecutionContext): Promise<string> {
@@ -34,11 +36,32 @@
   t.true(second.err && second.val instanceof errors.NotReachedError);
 });
 
-test("an engine that refuses connections counts as not reached after a single attempt", async (t) => {
+/** Returns an address at which nothing listens. */
+async function getRefusingAddress(): Promise<string> {
   const server = net.createServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as net.AddressInfo;
   await new Promise((resolve) => server.close(resolve));
-  const link = await createConnector().getLink("g1", `127.0.0.1:${port}`);
+  return `127.0.0.1:${port}`;
+}
+
+/** Blocks the event loop, like a host that has no processor time for this process. */
+function blockEventLoop(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, durationMs);
+}
+
+test("an engine that refuses connections counts as not reached after a single attempt", async (t) => {
+  const link = await createConnector().getLink("g1", await getRefusingAddress());
   t.true(link.err && link.val instanceof errors.NotReachedError);
 });
+
+test.serial(
+  "a refusal that is read after a pause of this process counts as one, and not as a timeout",
+  async (t) => {
+    const address = await getRefusingAddress();
+    const opening = createConnector().getLink("g1", address);
+    blockEventLoop(pauseMs);
+    const link = await opening;
+    t.true(link.err && link.val instanceof errors.NotReachedError);
+  },
+);
