gateway, cli: shedtiller pressure shows what is decided under load, by zone

Load: somebody asks at night why refusals rise. Change: PressureView gathers the entries of the decisions (PressureSource). The listener for metrics answers GET /pressure with them, with the collector and the age of the zone's figures; a gauge has the same values with at most 24 subjects for each decision and service; pressure-changed and pressure-ended log values that change by over a fifth, looked at once a second. shedtiller pressure asks gateways, merges their answers by zone, says what is not known since a collector is away or an address does not answer, and prints JSON on demand. losses names refusals as less urgent and by an account's share; explain prints the inputs of a rejection and the changes before it. Ruled out: a collector of views. An instance tells what it would decide by, so that two that differ are seen. A value that can't be read is answered with 500, since a rejected promise would have ended the process. Failures covered by tests: a collector that is away, two collectors at once, a restart of all, an instance that is silent or of an earlier version, a decision that throws, a thousand subjects. Conclusion: shows nothing yet, since no decision is on; each one adds itself by LoadControls.pressureSources.

--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -19,9 +19,17 @@
   /^endpoint-(gone|draining|suspected)$/,
   /^endpoint-limit-/,
   /^leader-/,
+  /^pressure-/,
 ];
 /** Outcomes and reasons of requests that lacked capacity. */
-const capacityReasons: readonly unknown[] = ["no-room", "limited", "resting", "not-run"];
+const capacityReasons: readonly unknown[] = [
+  "no-room",
+  "less-urgent",
+  "account-share",
+  "limited",
+  "resting",
+  "not-run",
+];
 
 /** Returns the lines that explain a request, the earliest first; empty if no line names the request. */
 export function explainRequest(requestId: string, lines: readonly LogLine[]): LogLine[] {
@@ -74,6 +82,10 @@
   return `${timestamp}  ${instance}  ${message}  ${fieldTexts.join(" ")}`.trimEnd();
 }
 
+/** Formats a value as text; the inputs of a decision are an object, whose fields are listed by name. */
 function formatValue(value: unknown): string {
-  return typeof value === "string" ? value : JSON.stringify(value);
+  if (typeof value === "string") return value;
+  if (typeof value !== "object" || value === null || Array.isArray(value)) return JSON.stringify(value);
+  const fields = Object.entries(value).map(([name, field]) => `${name}=${formatValue(field)}`);
+  return `(${fields.join(", ")})`;
 }
--- a/packages/cli/src/losses/classifyEnd.ts
+++ b/packages/cli/src/losses/classifyEnd.ts
@@ -10,6 +10,8 @@
   "late: cut and resumed",
   "late: pause",
   "refused: no room",
+  "refused: less urgent",
+  "refused: account's share",
   "refused: limits of endpoints",
   "refused: endpoints asked for rest",
   "refused: engines refused",
@@ -27,6 +29,8 @@
 
 const endsByRefusal: Readonly<Record<string, EndKind>> = {
   "no-room": "refused: no room",
+  "less-urgent": "refused: less urgent",
+  "account-share": "refused: account's share",
   limited: "refused: limits of endpoints",
   resting: "refused: endpoints asked for rest",
   "not-run": "refused: engines refused",
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { runKey } from "./commands/key.js";
 import { runConfirm, runPlan, runShow } from "./commands/plans.js";
 import { runLosses, type LossesOptions } from "./commands/losses.js";
+import { runPressure } from "./commands/pressure.js";
 import { runReplay } from "./commands/replay.js";
 import { runStatus } from "./commands/status.js";
 import { runTimeline, type TimelineOptions } from "./commands/timeline.js";
@@ -60,6 +61,10 @@
   .option("--span <seconds>", "Seconds that one row covers (2)")
   .option(...asJson)
   .action((logs: string[], options: LossesOptions) => runLosses(logs, options));
+program
+  .command("pressure [...addresses]", "Show the decisions under load by zone, as gateways report them")
+  .option(...asJson)
+  .action((addresses: string[], options: CommonOptions) => runPressure(addresses, options));
 program
   .command("check <file>", "Check a settings file and report all its faults")
   .option(
--- a/packages/cli/src/tests/explainTests.ts
+++ b/packages/cli/src/tests/explainTests.ts
@@ -6,7 +6,7 @@
 import * as url from "node:url";
 import * as util from "node:util";
 import test from "ava";
-import { explainRequest } from "../explain/explainRequest.js";
+import { explainRequest, formatExplained } from "../explain/explainRequest.js";
 import { parseLogLine, type LogLine } from "../explain/logLine.js";
 
 const shedtiller = url.fileURLToPath(new URL("../../bin/shedtiller.js", import.meta.url));
@@ -48,6 +48,28 @@
   t.deepEqual(found, ["configuration-in-force", "endpoint-gone", "endpoint-gone", "stream-refused"]);
 });
 
+test("a request that was rejected for more urgent ones shows the inputs of the decision, and the changes before it", (t) => {
+  const rejectedLines = [
+    createLine(20, "a", "pressure-changed", { decision: "urgencyLevels", service: "s", value: 2, before: 1 }),
+    createLine(20, "b", "pressure-changed", { decision: "urgencyLevels", service: "s", value: 2, before: 1 }),
+    createLine(21, "a", "request-refused", {
+      requestId: "r6",
+      reason: "less-urgent",
+      retryAfterMs: 1_500,
+      inputs: { level: 2, missShare: 0.3, isFull: "yes" },
+    }),
+  ];
+  const found = explainRequest("r6", rejectedLines);
+  t.deepEqual(
+    found.map((line) => line.message),
+    ["pressure-changed", "request-refused"],
+  );
+  t.regex(
+    formatExplained(rejectedLines[2] as LogLine),
+    /reason=less-urgent retryAfterMs=1500 inputs=\(level=2, missShare=0.3, isFull=yes\)$/,
+  );
+});
+
 test("a quarantined request is explained by crashes of equal requests, even minutes earlier and at other instances", (t) => {
   const crashLines = [
     createLine(1, "a", "crash-counted", { digest: "d1", endpointId: "e1", weight: 1 }),
--- a/packages/cli/src/tests/lossesTests.ts
+++ b/packages/cli/src/tests/lossesTests.ts
@@ -28,6 +28,8 @@
   t.is(classify({ ...inTime, isPauseLate: true, attempts: 2 }), "late: cut and resumed");
   t.is(classify({ ...inTime, isPauseLate: true }), "late: pause");
   t.is(classify({ outcome: "no-room" }), "refused: no room");
+  t.is(classify({ outcome: "less-urgent" }), "refused: less urgent");
+  t.is(classify({ reason: "account-share" }, "request-refused"), "refused: account's share");
   t.is(classify({ outcome: "limited" }), "refused: limits of endpoints");
   t.is(classify({ outcome: "resting" }), "refused: endpoints asked for rest");
   t.is(classify({ outcome: "outcome-unknown" }), "failed: cut and not resumed");
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -21,6 +21,7 @@
 import { HttpClient } from "./http/HttpClient.js";
 import type { MessageCodec } from "./http/MessageCodec.js";
 import { LoadControls } from "./loadcontrol/LoadControls.js";
+import { PressureView } from "./loadcontrol/PressureView.js";
 import type { DecisionLog } from "./logs/DecisionLog.js";
 import type { EngineOrders } from "./orders/EngineOrders.js";
 import { EnginePoll } from "./orders/EnginePoll.js";
@@ -85,6 +86,7 @@
   private readonly _failureDetector: FailureDetector;
   private readonly _demand = new RequestDemand();
   private readonly _controls: LoadControls;
+  private readonly _pressure: PressureView;
   private readonly _forwarders: ForwarderSet;
   private readonly _callerListener: CallerListener;
   private readonly _readinessListener: ReadinessListener;
@@ -121,6 +123,7 @@
     this._failureDetector = this._createFailureDetector(orders);
     this._layerReconciler = this._createLayerReconciler(orders);
     this._controls = this._createControls();
+    this._pressure = this._createPressureView();
     this._forwarders = new ForwarderSet(this._createForwardContext(platform.codec), orders);
     this._callerListener = this._createCallerListener(platform.codec);
     const { host, port } = callers.readiness;
@@ -162,6 +165,7 @@
       this.crashes.run(signal),
       this._enginePoll.run(signal),
       this._forwarders.monitor.run(signal),
+      this._pressure.run(signal),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._logTaskFailure(error));
     this._log.info("instance-started", { ...this._settings.instance });
@@ -323,6 +327,18 @@
     });
   }
 
+  private _createPressureView(): PressureView {
+    const view = new PressureView({
+      instance: this._settings.instance,
+      loads: this._peers.loads,
+      figures: this._peers.figures,
+      sources: this._controls.pressureSources,
+      log: this._log,
+    });
+    view.addTo(this.metrics);
+    return view;
+  }
+
   private _createForecast(): PermitForecast {
     const getInstanceCount = (): number | undefined => this._peers.getInstanceCount();
     return new PermitForecast({ endpoints: this.endpoints, demand: this._demand, getInstanceCount });
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -1,10 +1,21 @@
 import * as http from "node:http";
+import type * as net from "node:net";
+import { errors } from "@shedtiller/common";
 import * as prom from "prom-client";
 import { startListening, stopListening } from "./http/startListening.js";
 
 /** Upper bounds of the duration buckets in seconds, from fast plain requests to the longest streams. */
 const durationBuckets = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20];
 
+/** A gauge with one value for each combination of labels. */
+export interface LabelledGauge {
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: readonly string[];
+  /** Returns the values at scrape time; combinations of labels that are not among them disappear. */
+  readonly getValues: () => readonly { readonly labels: Record<string, string>; readonly value: number }[];
+}
+
 /** Collects the metrics of a gateway instance in a registry of its own and serves them as text. Labels have few and bounded values. */
 export class GatewayMetrics {
   readonly registry = new prom.Registry();
@@ -18,7 +29,9 @@
   readonly permits: prom.Counter<"service">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
-  private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
+  /** Pages beside the metrics, by path. */
+  private readonly _pages = new Map<string, () => unknown>();
+  private readonly _server = http.createServer((message, response) => void this._answer(message, response));
 
   constructor() {
     const registers = [this.registry];
@@ -83,18 +96,50 @@
     });
   }
 
+  /** Adds a gauge with labels, whose values are read at scrape time. */
+  addLabelledGauge({ name, help, labelNames, getValues }: LabelledGauge): void {
+    new prom.Gauge({
+      name: `shedtiller_gateway_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { labels, value } of getValues()) this.set(labels, value);
+      },
+    });
+  }
+
+  /** Adds a page that the listener serves as JSON. */
+  addPage(path: string, getContent: () => unknown): void {
+    this._pages.set(path, getContent);
+  }
+
   /** Starts the listener, and resolves once it accepts connections. */
   listen(host: string, port: number): Promise<void> {
     return startListening(this._server, { host, port });
   }
 
+  /** The port of the listener, which the system picks if the given one is 0. */
+  get port(): number {
+    return (this._server.address() as net.AddressInfo).port;
+  }
+
   /** Stops the listener and closes all connections. */
   close(): void {
     stopListening(this._server);
   }
 
-  private async _sendMetrics(response: http.ServerResponse): Promise<void> {
-    const text = await this.registry.metrics();
-    response.writeHead(200, { "Content-Type": this.registry.contentType }).end(text);
+  /** A value that cannot be read is answered with 500: an operator who looks must not end the process. */
+  private async _answer({ url }: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      const getContent = this._pages.get(url ?? "");
+      const isPage = getContent !== undefined;
+      const body = isPage ? JSON.stringify(getContent()) : await this.registry.metrics();
+      const type = isPage ? "application/json" : this.registry.contentType;
+      response.writeHead(200, { "Content-Type": type }).end(body);
+    } catch (error) {
+      response.writeHead(500, { "Content-Type": "text/plain" }).end(errors.describeError(error));
+    }
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,8 @@
 export * from "./http/MessageCodec.js";
 export * from "./http/readBody.js";
 export * from "./http/startListening.js";
+export * from "./loadcontrol/PressureSource.js";
+export * from "./loadcontrol/PressureView.js";
 export * from "./logs/DecisionLog.js";
 export * from "./logs/LogOutput.js";
 export * from "./logs/WinstonLogOutput.js";
