gateway: plain endpoints are chosen by what all instances know of their answers, with hedges and a pace

Dozens of instances send a few requests a second each to three endpoints, so that each alone learns too late which of them is slow, fails or hangs; and loads that are 0.2 to 0.4 s old, longer than a request takes, send all instances to the same endpoint at once.

A pace by the mean time to the answer throttles itself, since that time holds the queue; the lower quartile doesn't.

Answers, failures and times by endpoint travel as figures; endpoints are drawn by weights from record and smoothed load; overdue answers keep new requests away; while all slots are in use each instance sends at the pace of its share, the others wait in order of urgency. Safe requests are hedged after the service's 95th percentile rather than abandoned at a share of the target. Requests that may run once go to an endpoint with the least risk. The load that endpoints state is decoded.

--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -18,6 +18,10 @@
   readonly permits: prom.Counter<"service">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
+  /** Changes of the limits of plain endpoints that are slower or less reliable than their peers. */
+  readonly endpointDecisions: prom.Counter<"service" | "cause">;
+  /** Requests that were sent to a second endpoint while the first one had not answered. */
+  readonly hedges: prom.Counter<"service">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -69,6 +73,18 @@
       labelNames: ["service"],
       registers,
     });
+    this.endpointDecisions = new prom.Counter({
+      name: "shedtiller_gateway_endpoint_decisions_total",
+      help: "Changes of the limits of plain endpoints, by service and cause",
+      labelNames: ["service", "cause"],
+      registers,
+    });
+    this.hedges = new prom.Counter({
+      name: "shedtiller_gateway_hedges_total",
+      help: "Requests that were sent to a second endpoint while the first one had not answered, by service",
+      labelNames: ["service"],
+      registers,
+    });
   }
 
   /** Adds a gauge whose value is read at scrape time. */
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -3,6 +3,7 @@
 import { SendPermit } from "./SendPermit.js";
 import type { KnownLimit } from "./EndpointLimits.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
+import type { StatedLoad } from "../http/EndpointStatement.js";
 import { CircuitBreaker } from "./CircuitBreaker.js";
 
 /** The load that requests put on an endpoint. */
@@ -21,6 +22,9 @@
  */
 const observedCapacityMs = 2_000;
 
+/** Stated requests count for this time, in which a plain endpoint answers several requests; afterwards those known from peers are newer. */
+const statedRequestsMs = 200;
+
 /** Separates the endpoint id from the start time of the process. Ids of the platform consist of letters, digits and dashes. */
 export const lifeSeparator = "@";
 
@@ -59,6 +63,7 @@
   /** The back-off that the endpoint requested from this instance. */
   readonly backoff = new EndpointBackoff();
   private _ownLoad: EndpointLoad = noLoad;
+  private _statedLoad: (StatedLoad & { readonly atMs: number }) | undefined;
   private readonly _peerLoads = new Map<string, EndpointLoad>();
 
   constructor(
@@ -85,6 +90,23 @@
     return this._ownLoad;
   }
 
+  /** The load that the endpoint stated last; undefined as long as it has stated none. */
+  get statedLoad(): StatedLoad | undefined {
+    return this._statedLoad;
+  }
+
+  /** Records the load that the endpoint states in an answer at `atMs`. */
+  noteStatedLoad(load: StatedLoad, atMs: number): void {
+    this._statedLoad = { ...load, atMs };
+  }
+
+  /** Returns the requests that the endpoint stated to have a moment ago, whoever sent them; 0 if it has not. */
+  getStatedRequests(nowMs: number): number {
+    const stated = this._statedLoad;
+    if (stated === undefined || nowMs - stated.atMs > statedRequestsMs) return 0;
+    return stated.running + stated.waiting;
+  }
+
   /** Returns the load that this instance and all peers put on the endpoint, as reported or assumed. */
   getLoad(): EndpointLoad {
     const loadFactor = 1 + this._assumedPeers.count;
--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -45,6 +45,7 @@
   /** Applies the statements of the answer to a request. */
   noteAnswer(endpoint: Endpoint, answer: StatedAnswer): void {
     this._structure.limits.noteAnswer(endpoint, answer.stated.limit, answer.sentAtMs);
+    if (answer.stated.load !== undefined) endpoint.noteStatedLoad(answer.stated.load, this._nowMs());
     this._noteBackoffEnded(endpoint);
     this._noteOtherStatements(endpoint, answer);
   }
--- a/packages/gateway/src/http/EndpointStatement.ts
+++ b/packages/gateway/src/http/EndpointStatement.ts
@@ -14,12 +14,21 @@
   /** An invalid value; `text` is the value as sent. */
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** The load that an endpoint states: requests running and waiting there, from all senders, and the requests that it runs at once. */
+export interface StatedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
 /** The state of an endpoint according to the headers of its answer, independent of the request. */
 export interface EndpointStatement {
   readonly limit: StatedLimit;
   readonly retryAfter: StatedRetryAfter;
   /** Whether the endpoint is about to stop and accepts no new requests. */
   readonly isDraining: boolean;
+  /** Undefined if the endpoint does not state its load. */
+  readonly load?: StatedLoad | undefined;
   /** Names, in lower case, of headers that this version does not interpret; they may contain unsupported statements. */
   readonly unknownHeaderNames: readonly string[];
 }
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
@@ -26,10 +27,16 @@
   readonly gates: readonly AdmissionGate[] = [];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
+  /** Undefined if plain requests go to the endpoint with the fewest requests. */
+  readonly concurrency: EndpointConcurrency | undefined;
   /** The decisions that operators can look at. */
-  readonly pressureSources: readonly PressureSource[] = [];
+  readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
-    structure.log.info("load-control", { ...structure.settings });
+    const { settings, log } = structure;
+    this.concurrency =
+      settings.endpointConcurrency === "auto" ? new EndpointConcurrency(structure) : undefined;
+    this.pressureSources = [this.concurrency].filter((source) => source !== undefined);
+    log.info("load-control", { ...settings });
   }
 }
--- a/packages/gateway/src/requests/PermitQueue.ts
+++ b/packages/gateway/src/requests/PermitQueue.ts
@@ -16,6 +16,8 @@
   readonly accountName: string | undefined;
   readonly maxWaitMs: number;
   readonly signal: AbortSignal;
+  /** Returns the expected wait for another reason than permits behind `ahead` other requests. */
+  readonly getWaitMs?: ((ahead: number) => number) | undefined;
   /** Acquires a permit and returns it with its endpoint, or returns undefined if no permit is available. */
   readonly tryAcquire: () => T | undefined;
 }
@@ -28,6 +30,8 @@
   readonly turn: number;
   /** Tries to acquire a permit; returns whether it has acquired one. */
   readonly tryComplete: () => boolean;
+  /** Returns the expected wait behind `ahead` other requests. */
+  readonly getWaitMs: (ahead: number) => number;
   /** Monotonic time at which the maximum wait ends. */
   readonly timeoutAtMs: number;
   readonly cancel: () => void;
@@ -58,24 +62,38 @@
   /** Acquires a permit when the request's turn comes; returns undefined if the turn would come too late or the caller disconnects. */
   async acquire<T>(acquisition: PermitAcquisition<T>): Promise<T | undefined> {
     const { service, priority, maxWaitMs, tryAcquire } = acquisition;
+    const getWaitMs = this._createForecast(acquisition);
     const turn = this._countWaitingOfAccount(acquisition);
     const ahead = this._waiters.filter(
       (waiter) => waiter.service === service && !isBefore({ priority, turn }, waiter),
     ).length;
     const acquired = ahead === 0 ? tryAcquire() : undefined;
     if (acquired !== undefined) return acquired;
-    const expectedMs = this._forecast.getWaitMs(service, ahead);
-    if (expectedMs > maxWaitMs || this._waiters.length >= maxWaiters) return undefined;
-    return this._wait(acquisition, turn);
+    if (getWaitMs(ahead) > maxWaitMs || this._waiters.length >= maxWaiters) return undefined;
+    return this._wait(acquisition, turn, getWaitMs);
   }
 
-  private async _wait<T>(acquisition: PermitAcquisition<T>, turn: number): Promise<T | undefined> {
+  /** Serves the waiting requests of a service, since one of its endpoints may have room. */
+  serve(service: string): void {
+    if (this._waiters.length > 0) this._serveWaiters(service);
+  }
+
+  private _createForecast({ service, getWaitMs }: PermitAcquisition<unknown>): (ahead: number) => number {
+    return (ahead) => Math.max(this._forecast.getWaitMs(service, ahead), getWaitMs?.(ahead) ?? 0);
+  }
+
+  private async _wait<T>(
+    acquisition: PermitAcquisition<T>,
+    turn: number,
+    getWaitMs: (ahead: number) => number,
+  ): Promise<T | undefined> {
     const done = new utils.Deferred<T | undefined>();
     const { service, priority, maxWaitMs, signal, tryAcquire, accountName } = acquisition;
     const cancel = (): void => done.resolve(undefined);
     const waiter: Waiter = {
       service,
       timeoutAtMs: utils.monotonicMs() + maxWaitMs,
+      getWaitMs,
       cancel,
       priority,
       turn,
@@ -128,7 +146,7 @@
         continue;
       }
       remaining.set(service, ahead + 1);
-      if (nowMs + this._forecast.getWaitMs(service, ahead) > waiter.timeoutAtMs) waiter.cancel();
+      if (nowMs + waiter.getWaitMs(ahead) > waiter.timeoutAtMs) waiter.cancel();
     }
   }
 
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -3,9 +3,12 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { SendPermit } from "../discovery/SendPermit.js";
 import type { CallError, BufferedAnswer } from "../http/HttpCall.js";
+import type { EndpointConcurrency } from "../loadcontrol/EndpointConcurrency.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
 import type { PermitQueue } from "./PermitQueue.js";
+import { hedge } from "./plain/hedge.js";
+import { toSendResult, type SendOutcome } from "./plain/SendOutcome.js";
 import {
   failureStatus,
   noEndpointRetryAfterMs,
@@ -21,14 +24,6 @@
 /** Minimum remaining time for a send: a tenth of the time that a plain request usually takes. */
 const minSendMs = 10;
 
-/** Result of one send. */
-type SendOutcome =
-  | { readonly kind: "answer"; readonly answer: BufferedAnswer }
-  | { readonly kind: "not-run"; readonly error: string }
-  | { readonly kind: "unknown"; readonly error: string }
-  /** The endpoint closed the connection. */
-  | { readonly kind: "lost"; readonly error: string };
-
 /** The endpoint chosen for a send, with the permit for it. */
 interface PlainChoice {
   readonly endpoint: Endpoint;
@@ -45,6 +40,7 @@
   }
 
   async run(request: CallerRequest, service: string): Promise<void> {
+    this._getConcurrency(service)?.records.noteArrival(service);
     const excluded = new Set<string>();
     let lastAnswer: BufferedAnswer | undefined;
     let hasRun = false;
@@ -54,32 +50,100 @@
       const choice = await this._choose(request, service, excluded, lastAnswer === undefined);
       if (request.signal.aborted) return choice?.permit.release();
       if (choice === undefined) break;
-      const { endpoint, permit } = choice;
       if (!this._mayBeSentNow(request)) {
-        permit.release();
+        choice.permit.release();
         continue;
       }
-      excluded.add(endpoint.id);
-      const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
-      this.context.crashes.begin(run);
-      const outcome = await this._send(request, endpoint, permit);
-      this.context.crashes.end(run);
-      if (outcome.kind === "answer")
-        this.context.crashes.noteCompleted(request.route.kind, request, run, endpoint);
-      if (outcome.kind === "lost") void this.context.crashes.noteLost(run, endpoint);
+      const outcome = await this._sendOrHedge(request, service, choice, excluded);
       if (request.signal.aborted) return;
-      if (outcome.kind === "answer" && !isRetryable(request, outcome.answer.status)) {
-        return request.answer(outcome.answer.status, outcome.answer.headers, outcome.answer.body);
-      }
+      const answer = getFinalAnswer(request, outcome);
+      if (answer !== undefined) return request.answer(answer.status, answer.headers, answer.body);
       if (outcome.kind === "answer") lastAnswer = outcome.answer;
       if (outcome.kind !== "not-run") hasRun = true;
-      this._logFailedSend(request, endpoint, outcome);
       const mayRepeat = request.isIdempotent || !hasRun;
       if (!mayRepeat || (request.attempts > 0 && !this.tryWithdrawRetry(request, service))) break;
     }
     this._end(request, service, lastAnswer, hasRun);
   }
 
+  /** Returns the concurrency of the service's endpoints, or undefined while requests go to the endpoint with the fewest requests. */
+  private _getConcurrency(service: string): EndpointConcurrency | undefined {
+    const { concurrency } = this.context.controls;
+    return concurrency?.isInEffect(service) === true ? concurrency : undefined;
+  }
+
+  /**
+   * Sends the request. While the answer to a safe request is late, sends it to another endpoint as well, and returns the first answer that
+   * is no failure.
+   */
+  private _sendOrHedge(
+    request: CallerRequest,
+    service: string,
+    choice: PlainChoice,
+    excluded: Set<string>,
+  ): Promise<SendOutcome> {
+    excluded.add(choice.endpoint.id);
+    const concurrency = this._getConcurrency(service);
+    if (concurrency === undefined || request.route.kind !== "safe" || !hasRetryLeft(request))
+      return this._track(request, choice, concurrency, request.signal);
+    const defaultMs = request.route.targetLatencyMs * resendAfterShare;
+    return hedge({
+      lateAfterMs: concurrency.getHedgeAfterMs(service, defaultMs),
+      signal: request.signal,
+      start: (signal) => this._track(request, choice, concurrency, signal),
+      startSecond: () => {
+        const second = this._chooseSecond(request, service, excluded);
+        if (second === undefined) return undefined;
+        this.context.log.info("request-hedged", { requestId: request.id, endpointId: second.endpoint.id });
+        return (signal) => this._track(request, second, concurrency, signal);
+      },
+      isFinal: (outcome) => getFinalAnswer(request, outcome) !== undefined,
+    });
+  }
+
+  /** Chooses the endpoint of a hedge; undefined if there is none with room or the retry budget is exhausted. */
+  private _chooseSecond(
+    request: CallerRequest,
+    service: string,
+    excluded: Set<string>,
+  ): PlainChoice | undefined {
+    if (!this._mayBeSentNow(request)) return undefined;
+    const second = this._tryAcquire(request, service, excluded);
+    if (second === undefined) return undefined;
+    if (!this.tryWithdrawRetry(request, service)) {
+      second.permit.release();
+      return undefined;
+    }
+    excluded.add(second.endpoint.id);
+    this.context.controls.concurrency?.noteHedge(service);
+    return second;
+  }
+
+  /** Sends the request, and reports its result to the crash detector and to the records of the endpoint. */
+  private async _track(
+    request: CallerRequest,
+    { endpoint, permit }: PlainChoice,
+    concurrency: EndpointConcurrency | undefined,
+    signal: AbortSignal,
+  ): Promise<SendOutcome> {
+    const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
+    const send = concurrency?.begin(endpoint);
+    this.context.crashes.begin(run);
+    const outcome = await this._send(request, endpoint, permit, {
+      signal,
+      isHedged: concurrency !== undefined,
+    });
+    this.context.crashes.end(run);
+    if (send !== undefined) concurrency?.records.end(send, toSendResult(outcome));
+    if (outcome.kind === "answer")
+      this.context.crashes.noteCompleted(request.route.kind, request, run, endpoint);
+    if (outcome.kind === "lost") void this.context.crashes.noteLost(run, endpoint);
+    if (!signal.aborted && getFinalAnswer(request, outcome) === undefined)
+      this._logFailedSend(request, endpoint, outcome);
+    this._queue.serve(endpoint.listed.service);
+    return outcome;
+  }
+
   /**
    * Returns whether the request may still be sent after its wait for a permit. During the wait its deadline may have come too close, or an
    * identical request may have been quarantined.
@@ -96,13 +160,16 @@
     excluded: ReadonlySet<string>,
     mayWait: boolean,
   ): Promise<PlainChoice | undefined> {
+    const concurrency = this._getConcurrency(service);
+    const mayWaitForEndpoint = mayWait && this._lacksEndpoint(service, excluded, concurrency !== undefined);
     return this._queue.acquire({
       service,
       priority: request.priority,
       accountName: request.account?.name,
-      maxWaitMs: mayWait && this._lacksPermits(service, excluded) ? request.getRemainingMs() - minSendMs : 0,
+      maxWaitMs: mayWaitForEndpoint ? request.getRemainingMs() - minSendMs : 0,
       signal: request.signal,
       tryAcquire: () => this._tryAcquire(request, service, excluded),
+      getWaitMs: (ahead) => concurrency?.getExpectedMs(service, ahead) ?? 0,
     });
   }
 
@@ -116,11 +183,11 @@
     return endpoint === undefined || permit === undefined ? undefined : { endpoint, permit };
   }
 
-  /** Returns whether an endpoint that is not excluded has no permit now. */
-  private _lacksPermits(service: string, excluded: ReadonlySet<string>): boolean {
+  /** Returns whether an endpoint that is not excluded has no permit now, or may have no room. */
+  private _lacksEndpoint(service: string, excluded: ReadonlySet<string>, mayBeFull: boolean): boolean {
     const nowMs = utils.monotonicMs();
     const candidates = this.context.endpoints.getUsable(service).filter(({ id }) => !excluded.has(id));
-    return candidates.some((endpoint) => !endpoint.hasPermit(nowMs));
+    return candidates.some((endpoint) => mayBeFull || !endpoint.hasPermit(nowMs));
   }
 
   /**
@@ -135,8 +202,12 @@
     const nowMs = utils.monotonicMs();
     const avoided = this.context.crashes.getAvoidedEndpointIds(request);
     const mayProbe = hasRetryLeft(request);
+    const concurrency = this._getConcurrency(service);
+    const { isIdempotent } = request;
     const pick = (excludedIds: ReadonlySet<string>): Endpoint | undefined =>
-      pickPlainEndpoint(this.context, { service, excluded: excludedIds, mayProbe }, nowMs);
+      concurrency === undefined
+        ? pickPlainEndpoint(this.context, { service, excluded: excludedIds, mayProbe }, nowMs)
+        : concurrency.pick({ service, excluded: excludedIds, mayProbe, isIdempotent });
     const isolated = avoided.length === 0 ? undefined : pick(new Set([...excluded, ...avoided]));
     return isolated ?? pick(excluded);
   }
@@ -150,6 +221,7 @@
     if (lastAnswer !== undefined)
       return request.answer(lastAnswer.status, lastAnswer.headers, lastAnswer.body);
     if (!hasRun && this.context.forecast.isBlocked(service)) return this._refuseBlocked(request, service);
+    if (!hasRun && request.attempts === 0 && this._refuseFull(request, service)) return;
     if (!hasRun && request.attempts === 0) return request.refuse(503, "no-endpoint", noEndpointRetryAfterMs);
     if (!hasRun) return request.refuse(503, "not-run", retryAfterMs);
     if (request.getRemainingMs() <= 0) return request.refuse(504, "out-of-time");
@@ -173,9 +245,33 @@
     request.refuse(503, reason, retryAfterMs);
   }
 
-  private async _send(request: CallerRequest, endpoint: Endpoint, permit: SendPermit): Promise<SendOutcome> {
+  /** Rejects a request that no endpoint can answer in time, since others are ahead of it; returns whether that is the reason. */
+  private _refuseFull(request: CallerRequest, service: string): boolean {
+    const concurrency = this._getConcurrency(service);
+    if (concurrency === undefined) return false;
+    const waiting = this._queue.getWaiting(service);
+    const expectedMs = concurrency.getExpectedMs(service, waiting);
+    this.context.log.warn("request-limited", {
+      requestId: request.id,
+      service,
+      reason: "no-room",
+      waiting,
+      expectedMs: Math.round(expectedMs),
+      remainingMs: Math.round(request.getRemainingMs()),
+    });
+    request.refuse(503, "no-room", Math.max(retryAfterMs, expectedMs));
+    return true;
+  }
+
+  private async _send(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    permit: SendPermit,
+    { signal, isHedged }: { readonly signal: AbortSignal; readonly isHedged: boolean },
+  ): Promise<SendOutcome> {
     const remainingMs = request.getRemainingMs();
-    const mayResend = request.route.kind === "safe" && request.attempts + 1 < request.route.maxAttempts;
+    const mayResend =
+      !isHedged && request.route.kind === "safe" && request.attempts + 1 < request.route.maxAttempts;
     const headTimeoutMs = mayResend
       ? Math.min(remainingMs, request.route.targetLatencyMs * resendAfterShare)
       : remainingMs;
@@ -184,7 +280,7 @@
     request.attempts += 1;
     const sentAtMs = utils.monotonicMs();
     const result = await this.context.httpClient.fetch(
-      this.createCall(request, endpoint, { headTimeoutMs, isFresh }),
+      this.createCall(request, endpoint, { headTimeoutMs, isFresh, signal }),
       maxAnswerBytes,
       Math.max(1, remainingMs),
     );
@@ -242,7 +338,9 @@
   return request.isIdempotent && request.attempts === 0 && request.route.maxAttempts > 1;
 }
 
-/** Returns whether an answer is a failure of the endpoint itself that an idempotent request may retry. */
-function isRetryable(request: CallerRequest, status: number): boolean {
-  return request.isIdempotent && status >= failureStatus;
+/** Returns the answer for the caller; undefined if there is none, or a failure of the endpoint that an idempotent request may retry. */
+function getFinalAnswer(request: CallerRequest, outcome: SendOutcome): BufferedAnswer | undefined {
+  if (outcome.kind !== "answer") return undefined;
+  const { answer } = outcome;
+  return request.isIdempotent && answer.status >= failureStatus ? undefined : answer;
 }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -22,6 +22,7 @@
   type EndpointFields,
   type RawHeaders,
 } from "../../http/MessageCodec.js";
+import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
   EngineOrders,
@@ -132,6 +133,8 @@
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
   areKeysFresh = true;
+  /** Concurrency of plain endpoints; set before the start. */
+  concurrency: EndpointConcurrency | undefined;
   /** The clock of quarantines. It advances only when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
   /** Time since which a newer configuration is known to exist. */
@@ -181,7 +184,7 @@
         log,
       }),
       ...permits,
-      controls: { gates: [], flows: undefined },
+      controls: { gates: [], flows: undefined, concurrency: this.concurrency },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./SlowStart.js";
 export * from "./WindowedCount.js";
 export * from "./choosers/index.js";
+export * from "./concurrency/index.js";
