--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -38,6 +38,10 @@
   /** Pages beside the metrics, by path. */
   private readonly _pages = new Map<string, () => unknown>();
   private readonly _server = http.createServer((message, response) => void this._answer(message, response));
+  /** Changes of the limits of plain endpoints that are slower or less reliable than their peers. */
+  readonly endpointDecisions: prom.Counter<"service" | "cause">;
+  /** Requests that were sent to a second endpoint while the first one had not answered. */
+  readonly hedges: prom.Counter<"service">;
 
   constructor() {
     const registers = [this.registry];
@@ -106,6 +110,18 @@
       labelNames: ["service"],
       registers,
     });
+    this.endpointDecisions = new prom.Counter({
+      name: "shedtiller_gateway_endpoint_decisions_total",
+      help: "Changes of the limits of plain endpoints, by service and cause",
+      labelNames: ["service", "cause"],
+      registers,
+    });
+    this.hedges = new prom.Counter({
+      name: "shedtiller_gateway_hedges_total",
+      help: "Requests that were sent to a second endpoint while the first one had not answered, by service",
+      labelNames: ["service"],
+      registers,
+    });
   }
 
   /** Adds a gauge whose value is read at scrape time. */
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -8,6 +8,7 @@
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import { EarlyMoves } from "../requests/moves/EarlyMoves.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
@@ -32,14 +33,19 @@
   readonly earlyMoves: EarlyMoves | undefined;
   /** Undefined if an engine may begin any share of the streams. */
   readonly firstEngines: FirstEngineShares | undefined;
+  /** Undefined if plain requests go to the endpoint with the fewest requests. */
+  readonly concurrency: EndpointConcurrency | undefined;
   /** The decisions that operators can look at. */
   readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
-    structure.log.info("load-control", { ...structure.settings });
+    const { settings, log } = structure;
+    log.info("load-control", { ...settings });
     this.firstEngines = createFirstEngineShares(structure);
     this.earlyMoves = createEarlyMoves(structure);
-    const sources = [this.firstEngines, this.earlyMoves];
+    this.concurrency =
+      settings.endpointConcurrency === "auto" ? new EndpointConcurrency(structure) : undefined;
+    const sources = [this.firstEngines, this.earlyMoves, this.concurrency];
     this.pressureSources = sources.filter((source) => source !== undefined);
   }
 }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -23,6 +23,7 @@
   type EndpointFields,
   type RawHeaders,
 } from "../../http/MessageCodec.js";
+import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
   EngineOrders,
@@ -136,6 +137,8 @@
   /** The gates that streams pass on arrival. */
   readonly gates: AdmissionGate[] = [];
   areKeysFresh = true;
+  /** Concurrency of plain endpoints; set before the start. */
+  concurrency: EndpointConcurrency | undefined;
   /** The clock of quarantines. It advances only when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
   /** Time since which a newer configuration is known to exist. */
@@ -186,7 +189,7 @@
       }),
       ...permits,
       restarts: new ConcurrentRestarts(() => 1),
-      controls: { gates: this.gates, flows: undefined },
+      controls: { gates: this.gates, flows: undefined, concurrency: this.concurrency },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./WindowedCount.js";
 export * from "./choosers/index.js";
 export * from "./flows/index.js";
+export * from "./concurrency/index.js";
