gateway: streams that outlast a draining engine are moved before it stops; few questions, and an instance that is slow blames itself

Cause: a stream whose later engine drains ran on until the engine stopped, and stood still then.

Change: streams that are expected to outlast a draining engine (setting drainMs) are moved one after the other from 1.5 s to 0.5 s before it stops, with only its layers changing hands; an entry that disappears counts as draining unless most of its zone's do. Two engines are asked at a time instead of four, not before the first event, after a move or in a long silence; without an answer a second question decides, and an instance that gets none from most of those that it asked draws no conclusion. An engine that was to keep its layers and does not have them is replaced and asked. Detours are drawn in proportion to speed, since reading binds after the loss of a busy engine.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -319,6 +319,7 @@
       endpoints: this.endpoints,
       figures: this._peers.figures,
       metrics: this.metrics,
+      drainMs: this._settings.endpoints.drainMs,
       log: this._log,
     });
   }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -61,6 +61,12 @@
     /** Length of the window over which retries are counted. */
     budgetWindowS: zod.coerce.number().positive(),
   }),
+  endpoints: zod
+    .strictObject({
+      /** Time for which an endpoint serves after it has stated that it drains. */
+      drainMs: milliseconds.optional(),
+    })
+    .prefault({}),
   /** Decisions under load that the configuration may call for; `docs/INTERFACES.md` names the condition of each. */
   loadControl: zod
     .strictObject({
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -18,6 +18,8 @@
   readonly endpoints: EndpointTable;
   readonly figures: SharedFigures;
   readonly metrics: GatewayMetrics;
+  /** Time for which a draining endpoint serves; undefined if it is not known. */
+  readonly drainMs?: number | undefined;
   readonly log: DecisionLog;
 }
 
@@ -43,6 +45,7 @@
   settings,
   activeConfiguration,
   metrics,
+  drainMs,
   log,
 }: LoadControlStructure): EarlyMoves | undefined {
   if (settings.earlyMoves === "off") {
@@ -62,5 +65,5 @@
   };
   logCondition();
   activeConfiguration.onChanged(logCondition);
-  return new EarlyMoves(metrics);
+  return new EarlyMoves(metrics, drainMs);
 }
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -6,6 +6,7 @@
 import { getEvidence } from "../discovery/SuspicionEvidence.js";
 import type { EngineOrders, EngineReport } from "../orders/EngineOrders.js";
 import { getSlowness } from "../orders/getSlowness.js";
+import { DrainWatch } from "./moves/DrainWatch.js";
 import type { MoveCause } from "./moves/EarlyMoves.js";
 import { EarlyMoveWatch } from "./moves/EarlyMoveWatch.js";
 import { StreamMover } from "./moves/StreamMover.js";
@@ -39,6 +40,8 @@
   private readonly _mover: StreamMover;
   /** Undefined if early moves are switched off. */
   private readonly _watch: EarlyMoveWatch | undefined;
+  /** Undefined as well if it is not known for how long a draining engine serves. */
+  private readonly _drainWatch: DrainWatch | undefined;
 
   /**
    * @param _nowMs - Monotonic clock, replaced in tests.
@@ -53,6 +56,7 @@
   ) {
     this._mover = new StreamMover({ context: _context, chooser, orders: _orders, nowMs: _nowMs, random });
     this._watch = this._createWatch(random);
+    this._drainWatch = this._createDrainWatch();
     _context.endpoints.onChanged((endpoint, event) => {
       if (event === "restarted") void this._handleRestart(endpoint);
     });
@@ -115,7 +119,11 @@
       nowMs - (this._queriedAtMs.get(id) ?? Number.NEGATIVE_INFINITY) >= reportIntervalMs;
     const dueIds = [...firstEndpointIds].filter(isDue);
     for (const id of dueIds) this._queriedAtMs.set(id, nowMs);
-    await Promise.all([this._watch?.look(), ...dueIds.map((id) => this._queryEngine(id))]);
+    await Promise.all([
+      this._watch?.look(),
+      this._drainWatch?.check(),
+      ...dueIds.map((id) => this._queryEngine(id)),
+    ]);
   }
 
   private _createWatch(random: () => number): EarlyMoveWatch | undefined {
@@ -134,6 +142,19 @@
     });
   }
 
+  private _createDrainWatch(): DrainWatch | undefined {
+    const drainMs = this._context.controls.earlyMoves?.drainMs;
+    if (drainMs === undefined) return undefined;
+    return new DrainWatch({
+      context: this._context,
+      mover: this._mover,
+      attempts: this._attempts,
+      drainMs,
+      checkIntervalMs,
+      nowMs: this._nowMs,
+    });
+  }
+
   /** Adds a look before the next check if a stream is silent now. */
   private _scheduleLook(signal: AbortSignal, pauses: utils.PauseDetector): void {
     const waitMs = this._watch?.getNextLookMs();
--- a/packages/gateway/src/requests/moves/AnswerTimeout.ts
+++ b/packages/gateway/src/requests/moves/AnswerTimeout.ts
@@ -1,9 +1,11 @@
 /** How long this instance waits for the answer to a question. */
 
-/** Initial timeout, for an instance that has just started and answers slowly itself. */
-const maxTimeoutMs = 150;
-/** Smallest timeout: a wake-up of a busy engine and one of this instance, each of which may take tens of milliseconds. */
-const minTimeoutMs = 60;
+/** Timeout before answers have been measured, for an instance that has just started. */
+const initialTimeoutMs = 150;
+/** Smallest timeout: an instance with a share of a core may be suspended for most of a scheduling period of 100 ms. */
+const minTimeoutMs = 100;
+/** Largest timeout; by then the report of the first engine names the engine at fault. */
+const maxTimeoutMs = 500;
 /** Weights of a new answer in the mean and in the deviation, and the deviations added to the mean (RFC 6298, section 2). */
 const meanWeight = 1 / 8;
 const deviationWeight = 1 / 4;
@@ -26,7 +28,7 @@
   }
 
   get timeoutMs(): number {
-    if (this._meanMs === undefined) return maxTimeoutMs;
+    if (this._meanMs === undefined) return initialTimeoutMs;
     const timeoutMs = this._meanMs + deviations * this._deviationMs;
     return Math.min(maxTimeoutMs, Math.max(minTimeoutMs, timeoutMs));
   }
--- a/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
+++ b/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
@@ -1,25 +1,19 @@
 /** Detection of the first signs that engines of running streams are lost. */
 import { utils } from "@shedtiller/common";
 import type { Endpoint } from "../../discovery/Endpoint.js";
-import { getEvidence } from "../../discovery/SuspicionEvidence.js";
 import type { ChainStage } from "../../http/MessageCodec.js";
-import type { EngineOrders, OrderError } from "../../orders/EngineOrders.js";
-import { getSlowness } from "../../orders/getSlowness.js";
+import type { EngineOrders } from "../../orders/EngineOrders.js";
 import type { ForwardContext } from "../RequestForwarder.js";
 import type { StreamAttempt } from "../StreamAttempt.js";
-import { AnswerTimeout } from "./AnswerTimeout.js";
 import type { EarlyMoves } from "./EarlyMoves.js";
-import { pickQuestions, type WatchedStream } from "./pickQuestions.js";
+import { EngineInquiry } from "./EngineInquiry.js";
+import { askedForMs, pickQuestions, type WatchedStream } from "./pickQuestions.js";
 import { getEvidenceAgeMs, type StreamMover } from "./StreamMover.js";
 
 /** Minimum time between two moves of a stream by its silence alone. */
 const moveIntervalMs = 300;
 /** Time to the next look while a silent stream has engines that were not asked yet. */
 const followUpMs = 100;
-/** For this time after a silence has become conspicuous, its engines are asked; later the report of the first engine has the answer. */
-const askedForMs = 300;
-/** A question that took this much longer than its timeout shows that this process was held up, and nothing about the engine. */
-const heldUpMs = 50;
 
 /** Dependencies of {@link EarlyMoveWatch}. */
 export interface EarlyMoveWatchStructure {
@@ -40,16 +34,12 @@
 
 /** Moves streams off engines that are suspected, and asks engines of silent streams whether they still work. */
 export class EarlyMoveWatch {
-  private readonly _timeout = new AnswerTimeout();
-  /** Monotonic time of the last question, by the id of the endpoint. */
-  private readonly _askedAtMs = new Map<string, number>();
-  /** By availability zone: monotonic time at which an engine there last answered a question. */
-  private readonly _zoneAnsweredAtMs = new Map<string, number>();
+  private readonly _inquiry: EngineInquiry;
 
   constructor(private readonly _structure: EarlyMoveWatchStructure) {
+    this._inquiry = new EngineInquiry(_structure);
     const { endpoints } = _structure.context;
     endpoints.onChanged((endpoint, event) => {
-      if (event === "gone" || event === "restarted") this._askedAtMs.delete(endpoint.id);
       if (event === "suspected" || event === "confirmed") void this._handleSuspicion(endpoint);
     });
   }
@@ -58,7 +48,7 @@
   async look(): Promise<void> {
     // Events that arrived while this process was held up are read first.
     await utils.yieldToEvents();
-    const { attempts, nowMs, random } = this._structure;
+    const { attempts, context, nowMs, random } = this._structure;
     const atMs = nowMs();
     const silent = [...attempts].filter(
       (attempt) => this._getSilenceMs(attempt) >= this._getLimitMs(attempt),
@@ -70,16 +60,18 @@
     const ids = pickQuestions({
       nowMs: atMs,
       streams: [...attempts].map((attempt) => this._toWatched(attempt)),
-      askedAtMs: this._askedAtMs,
+      askedAtMs: this._inquiry.askedAtMs,
       isKnown: (id) => this._isLostOrUnknown(id),
       random,
     });
-    await Promise.all([...moves, ...ids.map((id) => this._ask(id))]);
+    const asked = ids.flatMap((id) => context.endpoints.get(id) ?? []);
+    await Promise.all([...moves, this._inquiry.ask(asked)]);
   }
 
   /** Returns the time until a stream that is silent now becomes conspicuous, or its next engines are asked; undefined if none is silent. */
   getNextLookMs(): number | undefined {
     const waits = [...this._structure.attempts].flatMap((attempt) => {
+      if (!attempt.hasPassedChain) return [];
       const limitMs = this._getLimitMs(attempt);
       const silenceMs = this._getSilenceMs(attempt);
       if (silenceMs < limitMs / 2 || silenceMs > limitMs + askedForMs) return [];
@@ -121,59 +113,17 @@
     return this._getSilenceMs(attempt) >= neededMs;
   }
 
-  private async _ask(endpointId: string): Promise<void> {
-    const { context, earlyMoves, orders, nowMs } = this._structure;
-    const endpoint = context.endpoints.get(endpointId);
-    if (endpoint === undefined) return;
-    const askedAtMs = nowMs();
-    this._askedAtMs.set(endpointId, askedAtMs);
-    const { timeoutMs } = this._timeout;
-    const report = await orders.getReport(endpoint.orderTarget, timeoutMs);
-    const tookMs = nowMs() - askedAtMs;
-    if (report.err) return this._handleFailedQuestion(endpoint, report.val, { askedAtMs, tookMs, timeoutMs });
-    earlyMoves.noteQuestion("answered");
-    this._timeout.noteAnswer(tookMs);
-    this._zoneAnsweredAtMs.set(endpoint.listed.availabilityZone, nowMs());
-    endpoint.slowness = getSlowness(report.val);
-  }
-
-  private _handleFailedQuestion(
-    endpoint: Endpoint,
-    error: OrderError,
-    question: { readonly askedAtMs: number; readonly tookMs: number; readonly timeoutMs: number },
-  ): void {
-    const { context, earlyMoves } = this._structure;
-    const evidence = getEvidence(error);
-    const isHeldUp = question.tookMs > question.timeoutMs + heldUpMs;
-    const isInconclusive = isHeldUp || !this._isZoneReached(endpoint, question.askedAtMs);
-    if (evidence !== "lost" && isInconclusive) return earlyMoves.noteQuestion("unknown");
-    earlyMoves.noteQuestion(evidence === "lost" ? "lost" : "unanswered");
-    context.failureDetector.noteUnresponsive(endpoint.id, `silent chain: ${error.code}`, evidence);
-  }
-
-  /**
-   * Returns whether an engine of the same zone has given a sign since. Otherwise this instance may be cut off from the zone, so that the
-   * silence of one engine is no evidence against it.
-   */
-  private _isZoneReached(endpoint: Endpoint, sinceMs: number): boolean {
-    const zone = endpoint.listed.availabilityZone;
-    if ((this._zoneAnsweredAtMs.get(zone) ?? Number.NEGATIVE_INFINITY) >= sinceMs) return true;
-    const { attempts, context } = this._structure;
-    return [...attempts].some((attempt) => {
-      if (attempt.lastActivityAtMs <= sinceMs || !attempt.hasPassedChain) return false;
-      return context.endpoints.get(attempt.endpointId)?.listed.availabilityZone === zone;
-    });
-  }
-
   private _isLostOrUnknown(endpointId: string): boolean {
     const endpoint = this._structure.context.endpoints.get(endpointId);
     return endpoint === undefined || endpoint.isSuspect(this._structure.nowMs());
   }
 
   private _toWatched(attempt: StreamAttempt): WatchedStream {
+    // Before the first event and after a move a silence mostly means that tokens wait to be read; the report of the first engine tells more.
+    const isAskedAbout = attempt.hasPassedChain && !attempt.isMoving;
     return {
       lastEventAtMs: attempt.lastActivityAtMs,
-      limitMs: attempt.isMoving ? Number.POSITIVE_INFINITY : this._getLimitMs(attempt),
+      limitMs: isAskedAbout ? this._getLimitMs(attempt) : Number.POSITIVE_INFINITY,
       hasPassedChain: attempt.hasPassedChain,
       endpointIds: attempt.reservation.stages.map((stage) => stage.endpointId),
     };
--- a/packages/gateway/src/requests/moves/EarlyMoves.ts
+++ b/packages/gateway/src/requests/moves/EarlyMoves.ts
@@ -24,9 +24,13 @@
   readonly pauses = new PauseStatistics();
   private readonly _recent = new Map<string, RecentMoves>();
 
-  /** @param _nowMs - Monotonic clock, replaced in tests. */
+  /**
+   * @param drainMs - Time for which a draining engine serves; undefined if it is not known.
+   * @param _nowMs - Monotonic clock, replaced in tests.
+   */
   constructor(
     private readonly _metrics: Pick<GatewayMetrics, "earlyMoves" | "engineQuestions">,
+    readonly drainMs: number | undefined,
     private readonly _nowMs: () => number = utils.monotonicMs,
   ) {
     super();
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -22,7 +22,10 @@
 const maxTries = 3;
 
 /** Result of one try. A stream stays if there is no other chain or it has been given up. */
-type TryResult = "moved" | "refused" | "stays";
+type TryResult =
+  { readonly kind: "moved" | "stays" } | { readonly kind: "refused"; readonly address: string };
+
+const stays: TryResult = { kind: "stays" };
 
 /** Dependencies of {@link StreamMover}. */
 export interface StreamMoverStructure {
@@ -41,6 +44,8 @@
   readonly cause: MoveCause;
   /** Age of the evidence against the engines. */
   readonly evidenceAgeMs?: number | undefined;
+  /** Time until a draining engine may stop. */
+  readonly stopsInMs?: number;
 }
 
 /** Moves streams. Each instance has one mover. */
@@ -53,6 +58,7 @@
     const first = attempt.firstStage;
     const profile = context.activeConfiguration.table?.getEngineProfile(attempt.service);
     if (first === undefined || profile === undefined) return;
+    attempt.triedMoveAtMs = this._structure.nowMs();
     if (order.faultyAddresses.includes(first.address))
       return this._abandon(attempt, "the first engine is lost", order.cause);
     if (attempt.isMoving) return;
@@ -60,7 +66,6 @@
     if (context.crashes.getQuarantineMs(attempt.request) !== undefined)
       return this._abandon(attempt, "the request is quarantined", order.cause);
     attempt.isMoving = true;
-    attempt.triedMoveAtMs = this._structure.nowMs();
     await this._tryChains(attempt, profile, order);
     attempt.isMoving = false;
   }
@@ -90,8 +95,10 @@
       // Other engines of the chain may have been lost since.
       if (isEarly) for (const stage of this._getLostLaterStages(attempt)) faulty.add(stage.address);
       const result = await this._tryMove(attempt, profile, { ...order, faultyAddresses: [...faulty] });
-      if (!isEarly || result === "stays" || attempt.abort.signal.aborted) return;
-      if (result === "moved" && this._getLostLaterStages(attempt).length === 0) return;
+      if (!isEarly || result.kind === "stays" || attempt.abort.signal.aborted) return;
+      if (result.kind === "moved" && this._getLostLaterStages(attempt).length === 0) return;
+      // An engine of the chain that was to keep its layers does not have them any more.
+      if (result.kind === "refused") faulty.add(result.address);
     }
   }
 
@@ -107,25 +114,25 @@
   ): Promise<TryResult> {
     const { nowMs, orders } = this._structure;
     const first = attempt.firstStage;
-    if (first === undefined) return "stays";
+    if (first === undefined || order.faultyAddresses.includes(first.address)) return stays;
     const before = attempt.reservation.stages;
     const chain = this._chooseChain(attempt, profile, order);
     // The new chain is reserved before the order is sent, so that streams moved at the same time do not all choose the same engine.
     attempt.reservation.move(chain ?? before);
     // Without a replacement the stream stays: its engine may recover, or capacity may become free, before the maximum silence.
-    if (chain === undefined) return "stays";
+    if (chain === undefined) return stays;
     const target = { id: first.endpointId, address: first.address };
     const moved = await orders.changeChain(target, attempt.request.id, chain);
     if (moved.err) {
       attempt.reservation.move(before);
-      return this._handleRefusal(attempt, moved.val, chain);
+      return this._handleRefusal(attempt, moved.val, { before, chain });
     }
     const silenceMs = nowMs() - attempt.lastActivityAtMs;
     attempt.lastActivityAtMs = nowMs();
     attempt.awaitsRead = true;
     attempt.progress.moves += 1;
     this._logMove(attempt, order, silenceMs);
-    return "moved";
+    return { kind: "moved" };
   }
 
   /** Chooses a chain with the same first engine and the same layers there; the engines that remain keep their layers if possible. */
@@ -166,11 +173,15 @@
    * Handles the rejection of a move. Abandons a stream that its first engine has lost. Otherwise the engine named in the rejection
    * has no capacity or has not loaded the layers, so another one is chosen until the stream reaches its maximum silence.
    */
-  private _handleRefusal(attempt: StreamAttempt, error: OrderError, chain: readonly ChainStage[]): TryResult {
+  private _handleRefusal(
+    attempt: StreamAttempt,
+    error: OrderError,
+    { before, chain }: { readonly before: readonly ChainStage[]; readonly chain: readonly ChainStage[] },
+  ): TryResult {
     const { context, nowMs } = this._structure;
     if (error instanceof OrderRefusedError && error.status === unknownRequestStatus) {
       this._abandon(attempt, error.code, "lost");
-      return "stays";
+      return stays;
     }
     const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
     const endpoint = address === undefined ? undefined : findNamedEndpoint(context.endpoints, chain, address);
@@ -181,7 +192,16 @@
       cause: error.message,
     });
     if (!(error instanceof OrderRefusedError)) this._noteUnanswered(attempt, error);
-    return endpoint === undefined ? "stays" : "refused";
+    const wasKept = before.some((stage) => stage.endpointId === endpoint?.id);
+    if (wasKept && endpoint !== undefined) this._noteKeptRefused(endpoint);
+    return address === undefined || endpoint === undefined ? stays : { kind: "refused", address };
+  }
+
+  /** Records that an engine lacks layers of a stream that it was running: it has probably been lost with the others. */
+  private _noteKeptRefused(endpoint: Endpoint): void {
+    const { context } = this._structure;
+    if (context.controls.earlyMoves === undefined) return;
+    void context.failureDetector.noteReportedFaulty(endpoint.id, "layers of a stream are gone");
   }
 
   /** Records that the first engine did not answer an order; it may have taken the order. */
@@ -193,8 +213,9 @@
 
   private _abandon(attempt: StreamAttempt, cause: string, sign: MoveCause): void {
     const { context } = this._structure;
+    if (attempt.abort.signal.aborted) return;
     context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
-    if (!attempt.request.isIdempotent || attempt.abort.signal.aborted) return;
+    if (!attempt.request.isIdempotent) return;
     context.controls.earlyMoves?.noteMove(attempt.service, sign);
     attempt.abort.abort();
   }
@@ -208,6 +229,7 @@
       faultyAddresses: order.faultyAddresses,
       cause: order.cause,
       silenceMs: Math.round(silenceMs),
+      stopsInMs: order.stopsInMs === undefined ? undefined : Math.round(order.stopsInMs),
       evidenceAgeMs: order.evidenceAgeMs === undefined ? undefined : Math.round(order.evidenceAgeMs),
       chain: describeChain(attempt.reservation.stages),
     });
--- a/packages/gateway/src/requests/moves/getDetourCandidates.ts
+++ b/packages/gateway/src/requests/moves/getDetourCandidates.ts
@@ -9,9 +9,6 @@
 const usableCapacityShare = 0.92;
 /** Cost added to an engine whose prompts just begin to queue, as a multiple of the cost of an empty engine. */
 const utilizationCostFactor = 4;
-/** Width of the random factor on costs, which lies between 0.5 and 1.5: instances that move at the same time don't see each other's load. */
-const randomFactorRange = 1;
-
 /** Inputs of {@link getDetourCandidates}. */
 export interface DetourCandidateQuery {
   readonly endpoints: readonly Endpoint[];
@@ -46,7 +43,9 @@
   const stepMs = getStepMs(profile, load.requests + 1, tokens) * kind.stepFactor * demand.answerTokens;
   const readMs = (tokens / profile.prefillTokensPerSecond) * utils.msPerSecond * kind.prefillFactor;
   const loadFactor = 1 + utilizationCostFactor * utilization ** 2;
-  const randomFactor = 1 + randomFactorRange * (random() - 0.5);
+  // The least of several exponentially distributed costs is each engine's with a probability in proportion to its speed. So the streams that
+  // many instances move at the same time are read by all engines with these layers.
+  const randomFactor = -Math.log(1 - random());
   const msPerLayer = ((stepMs + readMs) / profile.layerCount) * endpoint.slowness * loadFactor * randomFactor;
   const freeLayers = Math.floor((capacity - load.tokenLayers) / tokens);
   return endpoint.listed.layers.map(({ start, end }) => ({
--- a/packages/gateway/src/requests/moves/pickQuestions.ts
+++ b/packages/gateway/src/requests/moves/pickQuestions.ts
@@ -30,7 +30,9 @@
  * Maximum number of questions at a time. The instances whose streams use a lost engine ask different ones, and the first result is
  * broadcast.
  */
-const maxQuestions = 4;
+const maxQuestions = 2;
+/** For this time after a silence has become conspicuous, its engines are asked; later the report of the first engine has the answer. */
+export const askedForMs = 300;
 /**
  * An event of another stream vouches for an engine if it arrived after this share of the conspicuous silence. An earlier one may have
  * passed the engine before its loss.
@@ -43,7 +45,10 @@
  */
 export function pickQuestions(query: QuestionQuery): string[] {
   const { nowMs, streams, random } = query;
-  const silent = streams.filter((stream) => nowMs - stream.lastEventAtMs >= stream.limitMs);
+  const silent = streams.filter(({ lastEventAtMs, limitMs }) => {
+    const conspicuousMs = nowMs - lastEventAtMs - limitMs;
+    return conspicuousMs >= 0 && conspicuousMs < askedForMs;
+  });
   if (silent.length === 0) return [];
   const vouchedAtMs = getVouchTimes(streams);
   const weights = new Map<string, number>();
