--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -20,6 +20,8 @@
   readonly endpoints: EndpointTable;
   readonly figures: SharedFigures;
   readonly metrics: GatewayMetrics;
+  /** Time for which a draining endpoint serves; undefined if it is not known. */
+  readonly drainMs?: number | undefined;
   readonly log: DecisionLog;
 }
 
@@ -54,6 +56,7 @@
   settings,
   activeConfiguration,
   metrics,
+  drainMs,
   log,
 }: LoadControlStructure): EarlyMoves | undefined {
   if (settings.earlyMoves === "off") {
@@ -73,7 +76,7 @@
   };
   logCondition();
   activeConfiguration.onChanged(logCondition);
-  return new EarlyMoves(metrics);
+  return new EarlyMoves(metrics, drainMs);
 }
 
 function createFirstEngineShares({
