gateway: flows between zones by demand and capacity instead of a fixed cost of another zone

Cause: a request went to another zone when its own one cost 200 ms more, by loads that are 0.4 s old; no one decided how much of a zone's demand runs where, so that steep waves overload one zone after the other. Ruled out: an average of demand over 1.5 s with shares over 1 s (2.9 s late in a wave of 15 s: utilization up to 1.24, as without flows, and more than half of the overload remains); 0.5 s each (utilization up to 1.10, but noise moved 6 % of the requests at 0.78 of the capacity). Change: instances send the tokens of arriving requests per second as a figure; the collector computes shares by water-filling from demand and capacity, with hysteresis and a slow change; instances draw the zone of each request. getSustainedRate rates a zone's layers.

--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -20,6 +20,8 @@
   readonly statements: prom.Counter<"what" | "service">;
   /** Choices of chains in which an engine had begun more than its share of a zone's streams. */
   readonly firstEngineBounds: prom.Counter<"service">;
+  /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
+  readonly zoneFlowChanges: prom.Counter<"service">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -71,6 +73,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.zoneFlowChanges = new prom.Counter({
+      name: "shedtiller_gateway_zone_flow_changes_total",
+      help: "Changes of the zones to which requests of the own zone go, as decided by this instance, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/chains/EntryCosts.ts
+++ b/packages/gateway/src/chains/EntryCosts.ts
@@ -6,7 +6,7 @@
 import type { ChainCandidate, ChainDemand } from "./findCheapestChain.js";
 
 /** Cost of a chain that begins in another zone, to which only the text of the request and its answer is transferred. */
-const otherZoneMs = 200;
+export const otherZoneMs = 200;
 
 /** Returns the cost of beginning a chain at an engine. */
 export type EntryCost = (engine: Endpoint) => number;
@@ -39,10 +39,23 @@
     firstEngines?.getDetoursMs(candidates, profile, demand.answerTokens) ?? new Map<Endpoint, number>();
   // Another zone must not become cheaper by a detour at home.
   const awayMs = Math.max(0, ...detoursMs.values());
-  const drawn = flows === undefined ? 0 : random();
+  const getZoneMs = createZoneCost(flows, usual, random);
   return (engine) => {
-    const { service, availabilityZone } = engine.listed;
-    const zoneMs = flows?.getZoneMs(service, availabilityZone, drawn) ?? usual(engine);
+    const zoneMs = getZoneMs(engine);
     return zoneMs + (detoursMs.get(engine) ?? 0) + (zoneMs > 0 ? awayMs : 0);
   };
 }
+
+/** Returns the costs of zones, for which one zone is drawn. */
+function createZoneCost(flows: ZoneFlows | undefined, usual: EntryCost, random: () => number): EntryCost {
+  if (flows === undefined) return usual;
+  const drawn = random();
+  const known = new Map<string, number>();
+  return (engine) => {
+    const { service, availabilityZone } = engine.listed;
+    const zoneMs =
+      known.get(availabilityZone) ?? flows.getZoneMs(service, availabilityZone, drawn) ?? usual(engine);
+    known.set(availabilityZone, zoneMs);
+    return zoneMs;
+  };
+}
--- a/packages/gateway/src/configuration/RouteTable.ts
+++ b/packages/gateway/src/configuration/RouteTable.ts
@@ -50,6 +50,14 @@
     return this._services.get(service)?.engine;
   }
 
+  /** Returns the performance profiles of all services whose endpoints are engines, by the name of the service. */
+  getEngineProfiles(): ReadonlyMap<string, EngineProfile> {
+    const { services } = this.configuration;
+    return new Map(
+      services.flatMap(({ name, engine }) => (engine === undefined ? [] : [[name, engine] as const])),
+    );
+  }
+
   /** Returns the client account that an API key belongs to. */
   getAccount(apiKey: string): GatewayAccount | undefined {
     return this._accountsByKey.get(apiKey);
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -8,6 +8,7 @@
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
 import type { PressureSource } from "./PressureSource.js";
+import { SharedZoneFlows } from "./SharedZoneFlows.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
 /** Dependencies of {@link LoadControls}. */
@@ -34,7 +35,9 @@
 
   constructor(structure: LoadControlStructure) {
     this.firstEngines = createFirstEngineShares(structure);
-    this.pressureSources = [this.firstEngines].filter((source) => source !== undefined);
+    const flows = createFlows(structure);
+    this.flows = flows;
+    this.pressureSources = [flows, this.firstEngines].filter((source) => source !== undefined);
     structure.log.info("load-control", { ...structure.settings });
   }
 }
@@ -47,3 +50,16 @@
   if (settings.firstEngineShare === "off") return undefined;
   return new FirstEngineShares({ log, count: (service) => metrics.firstEngineBounds.inc({ service }) });
 }
+
+function createFlows(structure: LoadControlStructure): SharedZoneFlows | undefined {
+  const { settings, availabilityZone, activeConfiguration, endpoints, figures, metrics, log } = structure;
+  if (settings.zoneFlows === "off") return undefined;
+  return new SharedZoneFlows({
+    availabilityZone,
+    endpoints,
+    figures,
+    log,
+    getProfiles: () => activeConfiguration.table?.getEngineProfiles() ?? new Map(),
+    count: (service) => metrics.zoneFlowChanges.inc({ service }),
+  });
+}
--- a/packages/gateway/src/peers/SharedFigures.ts
+++ b/packages/gateway/src/peers/SharedFigures.ts
@@ -56,6 +56,12 @@
     return this._decisions.get(key);
   }
 
+  /** Returns the last decisions whose keys begin with a prefix, by the rest of the key. */
+  getDecisions(prefix: string): Figures {
+    const found = [...this._decisions].filter(([key]) => key.startsWith(prefix));
+    return new Map(found.map(([key, value]) => [key.slice(prefix.length), value]));
+  }
+
   /** Returns the time since the last update by the collector of this zone; infinite before the first one. */
   getAgeMs(): number {
     return this._nowMs() - this._updatedAtMs;
--- a/packages/gateway/src/requests/ForwarderSet.ts
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -1,6 +1,7 @@
 /** The forwarders of an instance, with the queues and the stall monitor that they share. */
 import { ChainAdmission } from "../chains/ChainAdmission.js";
 import { ChainChooser } from "../chains/ChainChooser.js";
+import { estimateTokens } from "../chains/estimateTokens.js";
 import type { EngineOrders } from "../orders/EngineOrders.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { PermitQueue } from "./PermitQueue.js";
@@ -39,7 +40,15 @@
     const service = pickTarget(route.targets, Math.random());
     this._context.budgets.recordRequest(service);
     this._context.demand.noteArrival(service);
+    this._noteDemand(request, service);
     const forwarder = route.kind === "streaming" ? this._streams : this._plain;
     await forwarder.run(request, service);
   }
+
+  /** Records the demand on engines. */
+  private _noteDemand({ route, fields }: CallerRequest, service: string): void {
+    if (route.kind !== "streaming") return;
+    const { promptTokens, answerTokens } = estimateTokens(fields);
+    this._context.controls.flows?.noteArrival(service, promptTokens + answerTokens);
+  }
 }
--- a/packages/gateway/src/tests/peers/PeerNetwork.ts
+++ b/packages/gateway/src/tests/peers/PeerNetwork.ts
@@ -25,6 +25,7 @@
   private readonly _peers: PeerIdentity[] = [];
   private readonly _silent = new Set<string>();
   private readonly _removed = new Set<string>();
+  private readonly _cutZones = new Set<string>();
 
   /** Adds an instance that is linked to all others. */
   join(self: PeerIdentity): NetworkMembership {
@@ -54,7 +55,7 @@
       notifyAll: (topic, body, isRecipient = () => true) => {
         for (const peer of getOthers()) {
           const member = toMember(peer);
-          if (isRecipient(member)) this._deliver(self, peer.name, topic, body);
+          if (!this._isCut(self, peer) && isRecipient(member)) this._deliver(self, peer.name, topic, body);
         }
       },
     };
@@ -70,11 +71,21 @@
     this._silent.delete(name);
   }
 
+  /** Drops all notices between the zone and all others from now on. */
+  cutZone(availabilityZone: string): void {
+    this._cutZones.add(availabilityZone);
+  }
+
   /** Removes the instance and its links. */
   remove(name: string): void {
     this._removed.add(name);
   }
 
+  private _isCut(a: PeerIdentity, b: PeerIdentity): boolean {
+    if (a.availabilityZone === b.availabilityZone) return false;
+    return this._cutZones.has(a.availabilityZone) || this._cutZones.has(b.availabilityZone);
+  }
+
   private _deliver(from: PeerIdentity, to: string, topic: string, body: unknown): void {
     if (this._silent.has(from.name) || this._silent.has(to)) return;
     this.sent.set(topic, (this.sent.get(topic) ?? 0) + 1);
--- a/packages/routing/src/flows/index.ts
+++ b/packages/routing/src/flows/index.ts
@@ -1,1 +1,3 @@
+export * from "./approachShares.js";
+export * from "./computeFlows.js";
 export * from "./DecayingSum.js";
