--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -42,6 +42,8 @@
   readonly endpointDecisions: prom.Counter<"service" | "cause">;
   /** Requests that were sent to a second endpoint while the first one had not answered. */
   readonly hedges: prom.Counter<"service">;
+  /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
+  readonly zoneFlowChanges: prom.Counter<"service">;
 
   constructor() {
     const registers = [this.registry];
@@ -104,6 +106,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.zoneFlowChanges = new prom.Counter({
+      name: "shedtiller_gateway_zone_flow_changes_total",
+      help: "Changes of the zones to which requests of the own zone go, as decided by this instance, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -10,6 +10,7 @@
 import type { AdmissionGate } from "./AdmissionGate.js";
 import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import type { PressureSource } from "./PressureSource.js";
+import { SharedZoneFlows } from "./SharedZoneFlows.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
 /** Dependencies of {@link LoadControls}. */
@@ -44,10 +45,12 @@
     const { settings, log } = structure;
     log.info("load-control", { ...settings });
     this.firstEngines = createFirstEngineShares(structure);
+    const flows = createFlows(structure);
+    this.flows = flows;
     this.earlyMoves = createEarlyMoves(structure);
     this.concurrency =
       settings.endpointConcurrency === "auto" ? new EndpointConcurrency(structure) : undefined;
-    const sources = [this.firstEngines, this.earlyMoves, this.concurrency];
+    const sources = [flows, this.firstEngines, this.earlyMoves, this.concurrency];
     this.pressureSources = sources.filter((source) => source !== undefined);
   }
 }
@@ -87,3 +90,16 @@
   if (settings.firstEngineShare === "off") return undefined;
   return new FirstEngineShares({ log, count: (service) => metrics.firstEngineBounds.inc({ service }) });
 }
+
+function createFlows(structure: LoadControlStructure): SharedZoneFlows | undefined {
+  const { settings, availabilityZone, activeConfiguration, endpoints, figures, metrics, log } = structure;
+  if (settings.zoneFlows === "off") return undefined;
+  return new SharedZoneFlows({
+    availabilityZone,
+    endpoints,
+    figures,
+    log,
+    getProfiles: () => activeConfiguration.table?.getEngineProfiles() ?? new Map(),
+    count: (service) => metrics.zoneFlowChanges.inc({ service }),
+  });
+}
