gateway: silences are asked about only on routes with a target pause

Cause: a route without a target pause is read as one of 0 ms, so that each of its streams would have been conspicuous at all times. Ruled out: a target by default, since the configuration calls for none. Change: such streams cause no questions, and leave engines that did not answer after 300 ms of silence, as before. The new test fails without the change.

--- a/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
+++ b/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
@@ -71,7 +71,7 @@
   /** Returns the time until a stream that is silent now becomes conspicuous, or its next engines are asked; undefined if none is silent. */
   getNextLookMs(): number | undefined {
     const waits = [...this._structure.attempts].flatMap((attempt) => {
-      if (!attempt.hasPassedChain) return [];
+      if (!this._isAskedAbout(attempt)) return [];
       const limitMs = this._getLimitMs(attempt);
       const silenceMs = this._getSilenceMs(attempt);
       if (silenceMs < limitMs / 2 || silenceMs > limitMs + askedForMs) return [];
@@ -119,16 +119,22 @@
   }
 
   private _toWatched(attempt: StreamAttempt): WatchedStream {
-    // Before the first event and after a move a silence mostly means that tokens wait to be read; the report of the first engine tells more.
-    const isAskedAbout = attempt.hasPassedChain && !attempt.isMoving;
     return {
       lastEventAtMs: attempt.lastActivityAtMs,
-      limitMs: isAskedAbout ? this._getLimitMs(attempt) : Number.POSITIVE_INFINITY,
+      limitMs: this._isAskedAbout(attempt) ? this._getLimitMs(attempt) : Number.POSITIVE_INFINITY,
       hasPassedChain: attempt.hasPassedChain,
       endpointIds: attempt.reservation.stages.map((stage) => stage.endpointId),
     };
   }
 
+  /**
+   * Returns whether a silence of a stream leads to questions: only if its route has a target for pauses. Before the first event and after a
+   * move a silence mostly means that tokens wait to be read, and the report of the first engine tells more.
+   */
+  private _isAskedAbout(attempt: StreamAttempt): boolean {
+    return attempt.hasPassedChain && !attempt.isMoving && attempt.request.route.targetPauseMs > 0;
+  }
+
   private _getSilenceMs(attempt: StreamAttempt): number {
     return this._structure.nowMs() - attempt.lastActivityAtMs;
   }
@@ -136,7 +142,8 @@
   private _getLimitMs(attempt: StreamAttempt): number {
     const { earlyMoves, firstEventSilenceMs, laterEventSilenceMs } = this._structure;
     if (!attempt.hasEvents) return firstEventSilenceMs;
-    if (attempt.awaitsRead) return laterEventSilenceMs;
-    return earlyMoves.pauses.getLimitMs(attempt.service, attempt.request.route.targetPauseMs);
+    const { targetPauseMs } = attempt.request.route;
+    if (attempt.awaitsRead || targetPauseMs === 0) return laterEventSilenceMs;
+    return earlyMoves.pauses.getLimitMs(attempt.service, targetPauseMs);
   }
 }
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -6,6 +6,7 @@
 import { ChainReservation } from "../../../chains/ChainReservation.js";
 import { ActiveConfiguration } from "../../../configuration/ActiveConfiguration.js";
 import { CrashDetector } from "../../../crashes/CrashDetector.js";
+import type { Route } from "../../../configuration/gatewayConfiguration.js";
 import { EndpointTable } from "../../../discovery/EndpointTable.js";
 import { FailureDetector } from "../../../discovery/FailureDetector.js";
 import type { SuspicionEvidence } from "../../../discovery/SuspicionEvidence.js";
@@ -36,6 +37,8 @@
 export interface EarlyMoveFixtureOptions {
   readonly isOn?: boolean;
   readonly drainMs?: number;
+  /** Target pause of the route; 0 if it has none. */
+  readonly targetPauseMs?: number;
 }
 
 /**
@@ -51,10 +54,12 @@
   /** Suspicions that were broadcast, as `id evidence`. */
   readonly broadcasts: string[] = [];
   readonly monitor: StallMonitor;
+  private readonly _targetPauseMs: number;
   private readonly _random = new utils.RandomSource(7);
   private readonly _log = new DecisionLog(new SilentLogOutput(), () => 0);
 
-  constructor({ isOn = true, drainMs }: EarlyMoveFixtureOptions = {}) {
+  constructor({ isOn = true, drainMs, targetPauseMs = 250 }: EarlyMoveFixtureOptions = {}) {
+    this._targetPauseMs = targetPauseMs;
     this.earlyMoves = new EarlyMoves(this.metrics, drainMs, () => this.clock.nowMs);
     this.endpoints.setAll(new Map(copies.flatMap((copy) => this._createCopy(copy))));
     const random = (): number => this._random.nextUnit();
@@ -67,7 +72,8 @@
   start(requestId: string, copy = "a", isResumable = true, answerTokens = 2): StreamAttempt {
     const stages = Array.from({ length: chainLength }, (_, index) => toStage(copy, index));
     const reservation = new ChainReservation(this.endpoints, stages, 2 + answerTokens);
-    const request = createRequest(requestId, isResumable, answerTokens);
+    const route = createRoute({ kind: "streaming", isResumable, targetPauseMs: this._targetPauseMs });
+    const request = createRequest(requestId, route, answerTokens);
     const attempt = new StreamAttempt(request, "engines", reservation, new StreamProgress(undefined));
     attempt.firstEventMs = usualPauseMs;
     attempt.lastActivityAtMs = this.clock.nowMs;
@@ -148,7 +154,7 @@
   return { endpointId: `${copy}${index}`, address: `${copy}${index}:1`, start, end: start + layersPerEngine };
 }
 
-function createRequest(requestId: string, isResumable: boolean, answerTokens: number): CallerRequest {
+function createRequest(requestId: string, route: Route, answerTokens: number): CallerRequest {
   return new CallerRequest({
     message: new EventEmitter() as http.IncomingMessage,
     response: new EventEmitter() as http.ServerResponse,
@@ -161,7 +167,7 @@
       answerTokensHint: answerTokens,
       lastEventId: undefined,
     },
-    route: createRoute({ kind: "streaming", isResumable, targetPauseMs: 250 }),
+    route,
     account: undefined,
     body: Buffer.alloc(0),
     arrivedAtMs: 0,
--- a/packages/gateway/src/tests/requests/moves/earlyMoveTests.ts
+++ b/packages/gateway/src/tests/requests/moves/earlyMoveTests.ts
@@ -195,6 +195,20 @@
   t.deepEqual(fixture.orders.asked, ["a0"], "only the first engine, for its report");
 });
 
+test("a route without a target pause causes no questions, and its streams are moved off unanswered engines as late as before", async (t) => {
+  const fixture = new EarlyMoveFixture({ targetPauseMs: 0 });
+  fixture.measurePauses();
+  const stream = fixture.start("r1");
+  fixture.endpoints.suspect("a3", "unanswered");
+  fixture.pass(299);
+  await fixture.monitor.check();
+  t.deepEqual(fixture.orders.asked, []);
+  t.is(stream.progress.moves, 0);
+  fixture.pass(1);
+  await fixture.monitor.check();
+  t.is(stream.progress.moves, 1);
+});
+
 test("an engine that did not answer, but through which a stream has had an event since, is not suspected", async (t) => {
   const fixture = new EarlyMoveFixture();
   fixture.measurePauses();
