--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -208,7 +208,11 @@
   private _noteUnanswered(attempt: StreamAttempt, error: OrderError): void {
     const { context } = this._structure;
     if (context.controls.earlyMoves === undefined) return;
-    context.failureDetector.noteUnresponsive(attempt.endpointId, `move: ${error.code}`, getEvidence(error));
+    context.failureDetector.noteUnresponsive(
+      attempt.endpointId,
+      `move unanswered: ${error.code}`,
+      getEvidence(error),
+    );
   }
 
   private _abandon(attempt: StreamAttempt, cause: string, sign: MoveCause): void {
--- a/packages/gateway/src/tests/requests/moves/findDetourTests.ts
+++ b/packages/gateway/src/tests/requests/moves/findDetourTests.ts
@@ -1,5 +1,6 @@
 /** Detours of chains around lost engines. */
 import test from "ava";
+import { utils } from "@shedtiller/common";
 import type { ChainCandidate } from "../../../chains/findCheapestChain.js";
 import type { ChainStage } from "../../../http/MessageCodec.js";
 import { findDetour } from "../../../requests/moves/findDetour.js";
@@ -49,3 +50,29 @@
   t.is(find(["b"], [toCandidate("x", 4, 7)]), undefined);
   t.is(find(["b"], [{ ...toCandidate("x", 4, 8), freeLayers: 3 }]), undefined);
 });
+
+test("a detour runs every layer once and in order, at engines that have loaded it, and keeps the first stage", (t) => {
+  const random = new utils.RandomSource(11);
+  let found = 0;
+  for (let fleet = 0; fleet < 300; fleet++) {
+    const candidates = Array.from({ length: 12 }, (_, index) => {
+      const start = random.nextInteger(14);
+      return { ...toCandidate(`x${index}`, start, start + 2 + random.nextInteger(6)), canBeFirst: true };
+    });
+    const lost = ["b", "c", "d"].filter(() => random.nextUnit() < 0.5);
+    const isLost = (stage: ChainStage): boolean => lost.includes(stage.endpointId);
+    const detour = findDetour({ stages, isLost, candidates, demand });
+    if (detour === undefined) continue;
+    found += 1;
+    t.deepEqual(detour[0], stages[0]);
+    t.is(detour.at(-1)?.end, 16);
+    detour.slice(1).forEach((stage, index) => t.true(stage.start === detour[index]?.end));
+    t.is(new Set(detour.map((stage) => stage.endpointId)).size, detour.length);
+    for (const { endpointId, start, end } of detour) {
+      const candidate = candidates.find(({ endpoint }) => endpoint.id === endpointId);
+      if (candidate !== undefined) t.true(candidate.start <= start && end <= candidate.end);
+      else t.false(lost.includes(endpointId));
+    }
+  }
+  t.true(found > 100, `${found} detours`);
+});
