gateway: chains are chosen by a forecast of the first event

Cause: prompts queue for prefill at the engines of a chain, and the choice of chains sees streams and memory but no unread prompts. Change: FirstEventForecast forecasts the first event of a chain as the longer one of transit and drain time of its slowest engine, corrected by observed first events. ChainCandidate.queueMs is the cost of prompts in front beyond 0.4 of the target; a chain has that of its slowest engine. The choice among nearly equal queues is random. BeginningStreams compares each stream with its first event, logs the first queue, counts queued streams (shedtiller_gateway_queued_streams_total) and shows them to operators. Moved and resumed streams, and the setting off, keep the usual costs.

--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -18,6 +18,8 @@
   readonly permits: prom.Counter<"service">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
+  /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
+  readonly queuedStreams: prom.Counter<"service">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -63,6 +65,12 @@
       labelNames: ["what", "service"],
       registers,
     });
+    this.queuedStreams = new prom.Counter({
+      name: "shedtiller_gateway_queued_streams_total",
+      help: "Streams whose forecast first event waits for prompts in front, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -1,7 +1,10 @@
 /** Admission control for streamed requests: reserves chains with free capacity, and queues the requests that find none. */
 import { utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
+import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { ChainStage } from "../http/MessageCodec.js";
+import type { BeginningStreams } from "../loadcontrol/BeginningStreams.js";
 import type { PermitForecast } from "../requests/PermitForecast.js";
 import type { RequestDemand } from "../requests/RequestDemand.js";
 import type { ChainChooser } from "./ChainChooser.js";
@@ -21,6 +24,18 @@
 const longestRetryAfterMs = 4_000;
 const shortestRetryAfterMs = 500;
 
+/** What the caller of a stream that has not begun expects. */
+export interface FirstEventTarget {
+  readonly targetLatencyMs: number;
+  /** Monotonic time by which the first event is due. */
+  readonly dueAtMs: number;
+}
+
+/** Decisions under load that take part in the admission; those that are switched off are undefined. */
+export interface AdmissionControls {
+  readonly streams?: BeginningStreams | undefined;
+}
+
 /** A request for a reserved chain. */
 export interface ChainAcquisition {
   readonly service: string;
@@ -30,6 +45,8 @@
   readonly maxWaitMs: number;
   /** Latest monotonic time of a start that meets the target latency; infinite if the stream has begun. */
   readonly latestStartAtMs: number;
+  /** Undefined if the stream has begun. */
+  readonly target?: FirstEventTarget | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -59,6 +76,7 @@
     private readonly _chooser: ChainChooser,
     private readonly _demand: RequestDemand,
     private readonly _forecast: Pick<PermitForecast, "isBlocked" | "getWaitMs" | "getRetryAfterMs">,
+    private readonly _controls: AdmissionControls = {},
   ) {
     _demand.addQueue((service) => this._getWaiting(service));
     _demand.onPermits((service) => {
@@ -193,7 +211,18 @@
     if (stages === undefined || permit === undefined) return undefined;
     const { promptTokens, answerTokens } = acquisition.demand;
     const tokens = promptTokens + answerTokens;
-    return new ChainReservation(this._endpoints, stages, tokens, promptTokens, permit);
+    const onPromptRead = this._noteBegun(acquisition, stages, profile);
+    return new ChainReservation(this._endpoints, stages, tokens, promptTokens, permit, onPromptRead);
+  }
+
+  private _noteBegun(
+    { service, priority, target, demand }: ChainAcquisition,
+    stages: readonly ChainStage[],
+    profile: EngineProfile,
+  ): (() => void) | undefined {
+    if (target === undefined) return undefined;
+    const { promptTokens } = demand;
+    return this._controls.streams?.noteBegun({ service, priority, stages, promptTokens, ...target }, profile);
   }
 }
 
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -4,6 +4,7 @@
 import type { AcceleratorKind, EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
+import type { FirstEventForecast } from "./FirstEventForecast.js";
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
 import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "./engineModel.js";
 
@@ -33,10 +34,12 @@
   /**
    * @param nowMs - Monotonic clock; replaced in tests.
    * @param random - Returns a random number from 0 to 1; replaced in tests.
+   * @param _firstEvents - Forecast of first events; without it, prompts in front have no cost.
    */
   constructor(
     private readonly _nowMs: () => number = utils.monotonicMs,
     private readonly _random: () => number = Math.random,
+    private readonly _firstEvents?: Pick<FirstEventForecast, "getQueueCostMs">,
   ) {}
 
   /**
@@ -118,11 +121,13 @@
     const freeLayersCrossZone = isZoneComplete ? countFree(crossZoneCapacityShare) : freeLayers;
     // Compares all requests at the engine with its slots, since the load that peers report includes requests that begin elsewhere.
     const canBeFirst = load.requests < endpoint.listed.slots && endpoint.hasPermit(nowMs);
+    const queueMs = this._firstEvents?.getQueueCostMs(endpoint, profile, demand) ?? 0;
     return endpoint.listed.layers.map(({ start, end }) => ({
       endpoint,
       start,
       end,
       msPerLayer,
+      queueMs,
       freeLayers,
       freeLayersCrossZone,
       canBeFirst,
--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -17,6 +17,7 @@
   private _stages: readonly ChainStage[] = [];
   private _loads: readonly ReservedLoad[] = [];
   private _isReleased = false;
+  private _hasMoved = false;
 
   constructor(
     private readonly _endpoints: EndpointTable,
@@ -26,8 +27,11 @@
     private _unreadTokens = 0,
     /** The permit for the send to the first engine. */
     readonly permit?: SendPermit,
+    /** Called with the first event if the chain is still the first one. */
+    private readonly _onPromptRead?: () => void,
   ) {
     this.move(stages);
+    this._hasMoved = false;
   }
 
   get stages(): readonly ChainStage[] {
@@ -38,6 +42,7 @@
   move(stages: readonly ChainStage[]): void {
     if (this._isReleased) return;
     this._removeLoads();
+    this._hasMoved = true;
     this._stages = stages;
     this._loads = stages.flatMap((stage) => this._addLoad(stage) ?? []);
   }
@@ -49,6 +54,7 @@
       load.endpoint.addOwnLoad(0, 0, -load.promptTokens);
       return { ...load, promptTokens: 0 };
     });
+    if (!this._hasMoved) this._onPromptRead?.();
   }
 
   release(): void {
--- a/packages/gateway/src/chains/findCheapestChain.ts
+++ b/packages/gateway/src/chains/findCheapestChain.ts
@@ -8,6 +8,8 @@
   readonly promptTokens: number;
   readonly answerTokens: number;
   readonly availabilityZone: string;
+  /** Target latency of the first event; undefined for a stream that has begun. */
+  readonly targetLatencyMs?: number | undefined;
   /** Id of the engine that must be the first of the chain, if set. */
   readonly firstEndpointId?: string | undefined;
   /** The layer at which the first stage must end, if set. */
@@ -46,6 +48,8 @@
   readonly end: number;
   /** Cost of one layer for the whole request. */
   readonly msPerLayer: number;
+  /** Cost of the prompts in front at the engine. A chain has it for the engine with the highest one, which delays all others. */
+  readonly queueMs: number;
   /** Number of layers for which the tokens of the request still fit into memory. */
   readonly freeLayers: number;
   /** Number of these layers that a cross-zone chain may use. */
@@ -60,6 +64,8 @@
 /** The cheapest known partial chain that runs the layers up to a boundary. */
 interface Label {
   readonly costMs: number;
+  /** The highest cost of the prompts in front at an engine; it is a part of `costMs`. */
+  readonly queueMs: number;
   readonly candidate: ChainCandidate | undefined;
   readonly boundary: number;
   readonly previous: Label | undefined;
@@ -94,7 +100,14 @@
   ) {
     this._candidates = candidates.filter((candidate) => this._getFreeLayers(candidate) > 0);
     this._boundaries = getBoundaries(this._candidates, _layerCount, _demand.firstEnd);
-    const start = { costMs: 0, candidate: undefined, boundary: 0, previous: undefined, stages: 0 };
+    const start = {
+      costMs: 0,
+      queueMs: 0,
+      candidate: undefined,
+      boundary: 0,
+      previous: undefined,
+      stages: 0,
+    };
     this._labels = new Map([[0, new Map([["", start]])]]);
   }
 
@@ -131,7 +144,9 @@
     const from = label.boundary;
     const zone = candidate.endpoint.listed.availabilityZone;
     const freeLayers = this._getFreeLayers(candidate);
-    const entryMs = hopMs * this._demand.answerTokens + this._getZoneMs(label, candidate);
+    const queueMs = Math.max(label.queueMs, candidate.queueMs);
+    const entryMs =
+      hopMs * this._demand.answerTokens + this._getZoneMs(label, candidate) + queueMs - label.queueMs;
     const { firstEnd } = this._demand;
     const last = Math.min(candidate.end, from + freeLayers);
     for (const to of this._boundaries) {
@@ -142,7 +157,14 @@
       const known = this._labels.get(to) ?? new Map<string, Label>();
       this._labels.set(to, known);
       if ((known.get(zone)?.costMs ?? Number.POSITIVE_INFINITY) <= costMs) continue;
-      known.set(zone, { costMs, candidate, boundary: to, previous: label, stages: label.stages + 1 });
+      known.set(zone, {
+        costMs,
+        queueMs,
+        candidate,
+        boundary: to,
+        previous: label,
+        stages: label.stages + 1,
+      });
     }
   }
 
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -1,4 +1,5 @@
 /** The decisions under load that the settings and the configuration switch on. */
+import { FirstEventForecast } from "../chains/FirstEventForecast.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { GatewayMetrics } from "../GatewayMetrics.js";
@@ -6,6 +7,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import { BeginningStreams } from "./BeginningStreams.js";
 import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
@@ -26,10 +28,26 @@
   readonly gates: readonly AdmissionGate[] = [];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
+  /** Undefined if chains are chosen without a forecast of first events. */
+  readonly firstEvents: FirstEventForecast | undefined;
+  /** Undefined if streams are not forecast. */
+  readonly streams: BeginningStreams | undefined;
   /** The decisions that operators can look at. */
-  readonly pressureSources: readonly PressureSource[] = [];
+  readonly pressureSources: readonly PressureSource[];
 
   constructor(structure: LoadControlStructure) {
-    structure.log.info("load-control", { ...structure.settings });
+    const { settings, log } = structure;
+    if (settings.firstEventForecast === "auto") {
+      this.firstEvents = new FirstEventForecast();
+      this.streams = createStreams(structure, this.firstEvents);
+    }
+    this.pressureSources = [this.streams].filter((source) => source !== undefined);
+    log.info("load-control", { ...settings });
   }
 }
+
+function createStreams(structure: LoadControlStructure, forecast: FirstEventForecast): BeginningStreams {
+  const { endpoints, log, metrics } = structure;
+  const countQueued = (service: string): void => metrics.queuedStreams.inc({ service });
+  return new BeginningStreams({ endpoints, forecast, log, countQueued });
+}
--- a/packages/gateway/src/requests/ForwarderSet.ts
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -1,4 +1,5 @@
 /** The forwarders of an instance, with the queues and the stall monitor that they share. */
+import { utils } from "@shedtiller/common";
 import { ChainAdmission } from "../chains/ChainAdmission.js";
 import { ChainChooser } from "../chains/ChainChooser.js";
 import type { EngineOrders } from "../orders/EngineOrders.js";
@@ -20,9 +21,9 @@
     private readonly _context: ForwardContext,
     orders: EngineOrders,
   ) {
-    const chooser = new ChainChooser();
-    const { activeConfiguration, endpoints, demand, forecast } = _context;
-    this._admission = new ChainAdmission(activeConfiguration, endpoints, chooser, demand, forecast);
+    const { activeConfiguration, endpoints, demand, forecast, controls } = _context;
+    const chooser = new ChainChooser(utils.monotonicMs, Math.random, controls.firstEvents);
+    this._admission = new ChainAdmission(activeConfiguration, endpoints, chooser, demand, forecast, controls);
     this.monitor = new StallMonitor(_context, chooser, orders);
     this._plain = new PlainForwarder(_context, new PermitQueue(demand, forecast));
     this._streams = new StreamForwarder(_context, this._admission, this.monitor);
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -44,7 +44,8 @@
   readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
-  readonly controls: Pick<LoadControls, "gates" | "flows">;
+  readonly controls: Pick<LoadControls, "gates" | "flows"> &
+    Partial<Pick<LoadControls, "firstEvents" | "streams">>;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,7 +1,7 @@
 /** Forwarder of streamed requests, which run at chains of engines. */
 import { errors, utils } from "@shedtiller/common";
 import { trialElsewhereRetryAfterMs } from "@shedtiller/crashes";
-import type { ChainAdmission } from "../chains/ChainAdmission.js";
+import type { ChainAdmission, FirstEventTarget } from "../chains/ChainAdmission.js";
 import { describeChain } from "../chains/describeChain.js";
 import { describeFreeCapacity } from "../chains/describeFreeCapacity.js";
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
@@ -144,11 +144,13 @@
     { refusedBy }: StreamProgress,
   ): Promise<ChainReservation | undefined> {
     const avoided = this._getAvoidedAddresses(request, refusedBy);
+    const target = getFirstEventTarget(request);
     return this._admission.acquire({
       service,
       demand: {
         ...estimateTokens(request.fields),
         availabilityZone: this.context.availabilityZone,
+        targetLatencyMs: target?.targetLatencyMs,
         refusedBy: avoided,
         redundantFirstEngine: redundancyByRisk[this.context.crashes.getRisk(request)],
       },
@@ -156,6 +158,7 @@
       priority: request.isHeadSent ? resumedPriority : request.priority,
       maxWaitMs: Math.max(0, Math.min(maxQueueMs, request.getRemainingMs())),
       latestStartAtMs: this._getLatestStartAtMs(request),
+      target,
       signal: request.signal,
     });
   }
@@ -365,3 +368,10 @@
     });
   }
 }
+
+/** Returns when the first event is due; undefined for a stream that has begun, here or at another instance. */
+function getFirstEventTarget(request: CallerRequest): FirstEventTarget | undefined {
+  if (request.isHeadSent || request.fields.lastEventId !== undefined) return undefined;
+  const { targetLatencyMs } = request.route;
+  return { targetLatencyMs, dueAtMs: request.arrivedAtMs + targetLatencyMs };
+}
--- a/packages/gateway/src/tests/chains/ChainReservationTests.ts
+++ b/packages/gateway/src/tests/chains/ChainReservationTests.ts
@@ -39,3 +39,15 @@
   reservation.release();
   t.deepEqual(table.get("a")?.ownLoad, noLoad);
 });
+
+test("a first event is reported for the chain that was reserved first, but not after a move", (t) => {
+  const { table, stage } = setUp();
+  let reported = 0;
+  const reserve = () => new ChainReservation(table, [stage("a")], 10, 5, undefined, () => (reported += 1));
+  reserve().notePromptRead();
+  t.is(reported, 1);
+  const moved = reserve();
+  moved.move([stage("b")]);
+  moved.notePromptRead();
+  t.is(reported, 1);
+});
--- a/packages/gateway/src/tests/patterns/ChainChoosingFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/ChainChoosingFleetTests.ts
@@ -93,3 +93,30 @@
     `${withAssumption} rejected instead of ${withoutAssumption}`,
   );
 });
+
+// A model with little memory for each token, so that prompts rather than memory limit the engines.
+const promptBoundProfile = { ...largeProfile, kvBytesPerToken: 393_000 };
+const burstSeeds = [1, 2, 3];
+
+/** Simulates a burst of three times the rated load; returns the number of late first events. */
+function simulateBurst(isForecastOn: boolean): number {
+  const [, zone] = largeZones;
+  const results = burstSeeds.map((seed) =>
+    new ChainChoosingFleet({
+      ...zone,
+      profile: promptBoundProfile,
+      durationMs: 10_000,
+      seed,
+      areRefusalsBroadcast: true,
+      isForecastOn,
+      burst: { fromMs: 5_500, toMs: 9_000, factor: 3 },
+    }).run(),
+  );
+  return utils.getSum(results.map((result) => result.late));
+}
+
+test("prompts that pile up in a burst: fewer first events are late if chains are chosen by the forecast", (t) => {
+  const without = simulateBurst(false);
+  const withForecast = simulateBurst(true);
+  t.true(withForecast < without * 0.8, `${withForecast} late instead of ${without}`);
+});
