--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -44,6 +44,8 @@
   readonly hedges: prom.Counter<"service">;
   /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
   readonly zoneFlowChanges: prom.Counter<"service">;
+  /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
+  readonly queuedStreams: prom.Counter<"service">;
 
   constructor() {
     const registers = [this.registry];
@@ -112,6 +114,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.queuedStreams = new prom.Counter({
+      name: "shedtiller_gateway_queued_streams_total",
+      help: "Streams whose forecast first event waits for prompts in front, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import { createEntryCost, type EntryControls } from "./EntryCosts.js";
+import type { FirstEventForecast } from "./FirstEventForecast.js";
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
 import {
   countLoadedLayers,
@@ -35,6 +36,11 @@
 /** Width of the random factor on the costs of a randomized choice, which lies between 0.5 and 1.5. */
 const randomFactorRange = 1;
 
+/** The decisions under load that change the choice of chains. */
+export interface ChoiceControls extends EntryControls {
+  readonly firstEvents?: Pick<FirstEventForecast, "getQueueCostMs"> | undefined;
+}
+
 /** What all candidates of a choice have in common. */
 interface ChoiceState {
   /** Zones whose engines can run all layers without other zones. */
@@ -48,12 +54,12 @@
   /**
    * @param nowMs - Monotonic clock; replaced in tests.
    * @param random - Returns a random number from 0 to 1; replaced in tests.
-   * @param _controls - The decisions under load that change where chains begin; none if omitted.
+   * @param _controls - The decisions under load that change the choice; none if omitted.
    */
   constructor(
     private readonly _nowMs: () => number = utils.monotonicMs,
     private readonly _random: () => number = Math.random,
-    private readonly _controls: EntryControls = {},
+    private readonly _controls: ChoiceControls = {},
   ) {}
 
   /**
@@ -170,11 +176,13 @@
     const freeLayersCrossZone = isZoneComplete ? countFree(crossZoneCapacityShare) : freeLayers;
     // Compares all requests at the engine with its slots, since the load that peers report includes requests that begin elsewhere.
     const canBeFirst = load.requests < endpoint.listed.slots && endpoint.hasPermit(nowMs);
+    const queueMs = this._controls.firstEvents?.getQueueCostMs(endpoint, profile, demand) ?? 0;
     return endpoint.listed.layers.map(({ start, end }) => ({
       endpoint,
       start,
       end,
       msPerLayer,
+      queueMs,
       freeLayers,
       freeLayersCrossZone,
       canBeFirst,
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -1,5 +1,6 @@
 /** The decisions under load that the settings and the configuration switch on. */
 import { FirstEngineShares } from "../chains/FirstEngineShares.js";
+import { FirstEventForecast } from "../chains/FirstEventForecast.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { GatewayMetrics } from "../GatewayMetrics.js";
@@ -9,6 +10,7 @@
 import { EarlyMoves } from "../requests/moves/EarlyMoves.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
 import { EndpointConcurrency } from "./EndpointConcurrency.js";
+import { BeginningStreams } from "./BeginningStreams.js";
 import type { PressureSource } from "./PressureSource.js";
 import { SharedZoneFlows } from "./SharedZoneFlows.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
@@ -38,6 +40,10 @@
   readonly firstEngines: FirstEngineShares | undefined;
   /** Undefined if plain requests go to the endpoint with the fewest requests. */
   readonly concurrency: EndpointConcurrency | undefined;
+  /** Undefined if chains are chosen without a forecast of first events. */
+  readonly firstEvents: FirstEventForecast | undefined;
+  /** Undefined if streams are not forecast. */
+  readonly streams: BeginningStreams | undefined;
   /** The decisions that operators can look at. */
   readonly pressureSources: readonly PressureSource[];
 
@@ -50,7 +56,11 @@
     this.earlyMoves = createEarlyMoves(structure);
     this.concurrency =
       settings.endpointConcurrency === "auto" ? new EndpointConcurrency(structure) : undefined;
-    const sources = [flows, this.firstEngines, this.earlyMoves, this.concurrency];
+    if (settings.firstEventForecast === "auto") {
+      this.firstEvents = new FirstEventForecast();
+      this.streams = createStreams(structure, this.firstEvents);
+    }
+    const sources = [this.streams, flows, this.firstEngines, this.earlyMoves, this.concurrency];
     this.pressureSources = sources.filter((source) => source !== undefined);
   }
 }
@@ -103,3 +113,9 @@
     count: (service) => metrics.zoneFlowChanges.inc({ service }),
   });
 }
+
+function createStreams(structure: LoadControlStructure, forecast: FirstEventForecast): BeginningStreams {
+  const { endpoints, log, metrics } = structure;
+  const countQueued = (service: string): void => metrics.queuedStreams.inc({ service });
+  return new BeginningStreams({ endpoints, forecast, log, countQueued });
+}
--- a/packages/gateway/src/requests/moves/getDetourCandidates.ts
+++ b/packages/gateway/src/requests/moves/getDetourCandidates.ts
@@ -53,6 +53,7 @@
     start,
     end,
     msPerLayer,
+    queueMs: 0,
     freeLayers,
     freeLayersCrossZone: freeLayers,
     canBeFirst: true,
--- a/packages/gateway/src/tests/requests/moves/findDetourTests.ts
+++ b/packages/gateway/src/tests/requests/moves/findDetourTests.ts
@@ -15,7 +15,16 @@
 
 function toCandidate(id: string, start: number, end: number, msPerLayer = 1): ChainCandidate {
   const endpoint = createEngine(id, start, end);
-  return { endpoint, start, end, msPerLayer, freeLayers: 99, freeLayersCrossZone: 99, canBeFirst: false };
+  return {
+    endpoint,
+    start,
+    end,
+    msPerLayer,
+    queueMs: 0,
+    freeLayers: 99,
+    freeLayersCrossZone: 99,
+    canBeFirst: false,
+  };
 }
 
 function find(lost: readonly string[], candidates: readonly ChainCandidate[]): string[] | undefined {
