gateway: streams pass the admission gates before they wait for capacity

Cause: decisions that reject by account or by urgency need one place where each stream asks them, before it takes part in the choice of chains. Change: StreamForwarder asks the gates in order, and answers the first rejection as not executed, with the gate's time to return and one log line. A stream that resumes after its first events passes. A gate can also tell whether a request comes back after a rejection, and hears of rejections by later decisions; both do nothing by default. Ruled out: asking before each attempt, since a second attempt of the same request would count twice in an account's rate. Conclusion: gates can be built on it.

--- a/packages/gateway/src/loadcontrol/AdmissionGate.ts
+++ b/packages/gateway/src/loadcontrol/AdmissionGate.ts
@@ -25,4 +25,14 @@
 export abstract class AdmissionGate {
   /** Returns the rejection of a request that arrives now, or undefined if it is admitted. */
   abstract getRefusal(query: GateQuery): GateRefusal | undefined;
+
+  /** Returns whether the request comes back after a rejection, and not before its time. Called before {@link getRefusal}. */
+  isReturn(_query: GateQuery): boolean {
+    return false;
+  }
+
+  /** Records that another decision under load rejected the request after this gate admitted it. */
+  noteRefused(_query: GateQuery, _retryAfterMs: number): void {
+    return;
+  }
 }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -10,6 +10,7 @@
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
+import { refuseAtGates } from "./refuseAtGates.js";
 import {
   failureStatus,
   noEndpointRetryAfterMs,
@@ -79,7 +80,7 @@
       () => this._endAtDeadline(request, service),
       Math.max(0, request.getRemainingMs()),
     );
-    await this._runAttempts(request, service, progress);
+    if (!refuseAtGates(this.context, request, service)) await this._runAttempts(request, service, progress);
     clearTimeout(timer);
     request.details = progress.toLogFields(request.route);
   }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -30,6 +30,7 @@
   type EngineReport,
   type OrderError,
 } from "../../orders/EngineOrders.js";
+import type { AdmissionGate } from "../../loadcontrol/AdmissionGate.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
@@ -132,6 +133,8 @@
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
+  /** The gates that streams pass on arrival. */
+  readonly gates: AdmissionGate[] = [];
   areKeysFresh = true;
   /** Concurrency of plain endpoints; set before the start. */
   concurrency: EndpointConcurrency | undefined;
@@ -184,7 +187,7 @@
         log,
       }),
       ...permits,
-      controls: { gates: [], flows: undefined, concurrency: this.concurrency },
+      controls: { gates: this.gates, flows: undefined, concurrency: this.concurrency },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
