gateway: client accounts have fair shares of what is admitted, and callers who return as told are admitted

While a service rejects by urgency, one account that sends ten times its usual takes the capacity of all others, and a caller who comes back as told is one more first attempt.

Max-min shares over accounts from summed counts, by the same share of an account's requests at each instance; a ledger of rejected digests, promised returns within half of what is admitted, times to return spread by the digest and by the returns that are as urgent; returns before their time get the rest of it. Returns at other instances are known by short hashes in the figures.

The level of urgency that rejects is a stand-in here; it has to be seen with the real one.

--- /dev/null
+++ b/packages/admission/src/accounts/index.ts
@@ -0,0 +1,3 @@
+export * from "./fairShares.js";
+export * from "./getReturnTime.js";
+export * from "./ReturnLedger.js";
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -22,6 +22,10 @@
   readonly endpointDecisions: prom.Counter<"service" | "cause">;
   /** Requests that were sent to a second endpoint while the first one had not answered. */
   readonly hedges: prom.Counter<"service">;
+  /** Requests of accounts that ask for more than their fair share, which were rejected. */
+  readonly accountRefusals: prom.Counter<"service">;
+  /** Requests that came back after a rejection: in time or early. */
+  readonly returns: prom.Counter<"service" | "kind">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -85,6 +89,18 @@
       labelNames: ["service"],
       registers,
     });
+    this.accountRefusals = new prom.Counter({
+      name: "shedtiller_gateway_account_refusals_total",
+      help: "Requests rejected since their account asks for more than its fair share, by service",
+      labelNames: ["service"],
+      registers,
+    });
+    this.returns = new prom.Counter({
+      name: "shedtiller_gateway_returns_total",
+      help: "Requests that came back after a rejection, by service and whether they were in time",
+      labelNames: ["service", "kind"],
+      registers,
+    });
   }
 
   /** Adds a gauge whose value is read at scrape time. */
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import { createAccountGates } from "./createAccountGates.js";
 import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import type { PressureSource } from "./PressureSource.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
@@ -24,7 +25,7 @@
 /** Creates the decisions that are switched on. Each instance has one such object. */
 export class LoadControls {
   /** The gates that a request passes one after the other. */
-  readonly gates: readonly AdmissionGate[] = [];
+  readonly gates: readonly AdmissionGate[];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
   /** Undefined if plain requests go to the endpoint with the fewest requests. */
@@ -36,7 +37,11 @@
     const { settings, log } = structure;
     this.concurrency =
       settings.endpointConcurrency === "auto" ? new EndpointConcurrency(structure) : undefined;
-    this.pressureSources = [this.concurrency].filter((source) => source !== undefined);
+    const byAccount = createAccountGates(structure, []);
+    this.gates = byAccount.gates;
+    this.pressureSources = [this.concurrency, ...byAccount.pressureSources].filter(
+      (source) => source !== undefined,
+    );
     log.info("load-control", { ...settings });
   }
 }
