--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -46,6 +46,10 @@
   readonly zoneFlowChanges: prom.Counter<"service">;
   /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
   readonly queuedStreams: prom.Counter<"service">;
+  /** Requests of accounts that ask for more than their fair share, which were rejected. */
+  readonly accountRefusals: prom.Counter<"service">;
+  /** Requests that came back after a rejection: in time or early. */
+  readonly returns: prom.Counter<"service" | "kind">;
 
   constructor() {
     const registers = [this.registry];
@@ -138,6 +142,18 @@
       labelNames: ["service"],
       registers,
     });
+    this.accountRefusals = new prom.Counter({
+      name: "shedtiller_gateway_account_refusals_total",
+      help: "Requests rejected since their account asks for more than its fair share, by service",
+      labelNames: ["service"],
+      registers,
+    });
+    this.returns = new prom.Counter({
+      name: "shedtiller_gateway_returns_total",
+      help: "Requests that came back after a rejection, by service and whether they were in time",
+      labelNames: ["service", "kind"],
+      registers,
+    });
   }
 
   /** Adds a gauge whose value is read at scrape time. */
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -9,6 +9,7 @@
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import { EarlyMoves } from "../requests/moves/EarlyMoves.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
+import { createAccountGates } from "./createAccountGates.js";
 import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import { BeginningStreams } from "./BeginningStreams.js";
 import type { PressureSource } from "./PressureSource.js";
@@ -31,7 +32,7 @@
 /** Creates the decisions that are switched on. Each instance has one such object. */
 export class LoadControls {
   /** The gates that a request passes one after the other. */
-  readonly gates: readonly AdmissionGate[] = [];
+  readonly gates: readonly AdmissionGate[];
   /** Undefined if all zones have the usual costs. */
   readonly flows: ZoneFlows | undefined;
   /** Undefined if streams are moved only once they have been silent for long. */
@@ -60,8 +61,12 @@
       this.firstEvents = new FirstEventForecast();
       this.streams = createStreams(structure, this.firstEvents);
     }
+    const byAccount = createAccountGates(structure, []);
+    this.gates = byAccount.gates;
     const sources = [this.streams, flows, this.firstEngines, this.earlyMoves, this.concurrency];
-    this.pressureSources = sources.filter((source) => source !== undefined);
+    this.pressureSources = [...sources, ...byAccount.pressureSources].filter(
+      (source) => source !== undefined,
+    );
   }
 }
 
