gateway: admission by urgency over all instances of a zone

Cause: when more prompts arrive than can begin in time, all wait for all inside the engines, where priorities have no say. Change: the collector of a zone derives a level for each service from the rates of streams that begin and that miss their targets because of prompts in front (figures `urgency/SERVICE/PRIORITY/...`, decision `levels/SERVICE`; no message more). Requests behind the level, the least urgent first and by slices of accounts that change, wait for an eighth of their target and are rejected as `less-urgent` with a spread time to return. Returns, streams that have begun, and services with one priority pass. Level changes are logged by the collector and counted (shedtiller_gateway_level_changes_total); the operators' view names the priorities that are rejected. Conclusion: it depends on returns being recognised by a gate; until one is, a caller that returns may be rejected again.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./permits/permitMessages.js";
 export * from "./permits/PermitCoordinator.js";
 export * from "./permits/PermitPool.js";
+export * from "./levels/urgencyLevel.js";
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -20,6 +20,8 @@
   readonly statements: prom.Counter<"what" | "service">;
   /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
   readonly queuedStreams: prom.Counter<"service">;
+  /** Changes of the level of admission by urgency that this instance decided as a collector. */
+  readonly levelChanges: prom.Counter<"service" | "direction">;
   private readonly _server = http.createServer((_message, response) => void this._sendMetrics(response));
 
   constructor() {
@@ -71,6 +73,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.levelChanges = new prom.Counter({
+      name: "shedtiller_gateway_level_changes_total",
+      help: "Changes of the level of admission by urgency, by service and direction",
+      labelNames: ["service", "direction"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -5,6 +5,7 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import type { BeginningStreams } from "../loadcontrol/BeginningStreams.js";
+import type { UrgencyLevels } from "../loadcontrol/UrgencyLevels.js";
 import type { PermitForecast } from "../requests/PermitForecast.js";
 import type { RequestDemand } from "../requests/RequestDemand.js";
 import type { ChainChooser } from "./ChainChooser.js";
@@ -29,13 +30,23 @@
   readonly targetLatencyMs: number;
   /** Monotonic time by which the first event is due. */
   readonly dueAtMs: number;
+  readonly accountName: string | undefined;
+  /** Whether the request comes back after a rejection. It passes the level of its service, so that it isn't rejected twice. */
+  readonly isReturn: boolean;
 }
 
 /** Decisions under load that take part in the admission; those that are switched off are undefined. */
 export interface AdmissionControls {
   readonly streams?: BeginningStreams | undefined;
+  readonly levels?: Pick<UrgencyLevels, "isBehind"> | undefined;
 }
 
+/**
+ * Share of its target latency for which a request behind the level of its service waits. The level and the accounts behind it change every
+ * few hundred milliseconds, and a caller that is rejected this early can be served in time by its next attempt.
+ */
+const behindLevelWaitShare = 0.125;
+
 /** A request for a reserved chain. */
 export interface ChainAcquisition {
   readonly service: string;
@@ -92,6 +103,7 @@
   /** Reserves a chain, waiting for capacity; returns undefined after the maximum wait or if the caller has disconnected. */
   async acquire(acquisition: ChainAcquisition): Promise<ChainReservation | undefined> {
     if (!this.hasEndpoints(acquisition.service)) return undefined;
+    if (this.isBehindLevel(acquisition)) return this._waitBehindLevel(acquisition);
     const ahead = this._countAhead(acquisition);
     const reservation = ahead === 0 ? this._tryReserve(acquisition) : undefined;
     if (reservation !== undefined) return reservation;
@@ -102,6 +114,17 @@
     return this._wait(acquisition);
   }
 
+  /** Returns whether a request is behind the level of its service now. */
+  isBehindLevel({
+    service,
+    priority,
+    target,
+  }: Pick<ChainAcquisition, "service" | "priority" | "target">): boolean {
+    const { levels } = this._controls;
+    if (levels === undefined || target === undefined || target.isReturn) return false;
+    return levels.isBehind({ service, priority, accountName: target.accountName });
+  }
+
   /** Returns whether an endpoint of the service accepts new work; true while the list of endpoints has never been read. */
   hasEndpoints(service: string): boolean {
     return !this._endpoints.hasList || this._endpoints.getUsable(service).length > 0;
@@ -136,7 +159,14 @@
   /** Returns the number of waiting requests that go before one that arrives now. */
   private _countAhead(acquisition: ChainAcquisition): number {
     const nowMs = utils.monotonicMs();
-    return this._waiters.filter((waiter) => compareTurns(waiter.acquisition, acquisition, nowMs) <= 0).length;
+    const ahead = this._waiters.filter((waiter) => compareTurns(waiter.acquisition, acquisition, nowMs) <= 0);
+    return ahead.filter((waiter) => !this.isBehindLevel(waiter.acquisition)).length;
+  }
+
+  private _waitBehindLevel(acquisition: ChainAcquisition): Promise<ChainReservation | undefined> {
+    const { maxWaitMs, target } = acquisition;
+    const waitMs = (target?.targetLatencyMs ?? 0) * behindLevelWaitShare;
+    return this._wait({ ...acquisition, maxWaitMs: Math.min(maxWaitMs, waitMs) });
   }
 
   /**
@@ -153,6 +183,7 @@
     /** By service: the wait that rate limits and back-offs impose even on the first request. */
     const minWaitsMs = new Map<string, number>();
     for (const waiter of inOrder) {
+      if (this.isBehindLevel(waiter.acquisition)) continue;
       const { service } = waiter.acquisition;
       const tokens = countTokens(waiter.acquisition);
       const isTried = misses < maxMisses && tokens < (missedTokens.get(service) ?? Number.POSITIVE_INFINITY);
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -8,7 +8,9 @@
 import type { SharedFigures } from "../peers/SharedFigures.js";
 import type { AdmissionGate } from "./AdmissionGate.js";
 import { BeginningStreams } from "./BeginningStreams.js";
+import { getStreamPriorities } from "./getStreamPriorities.js";
 import type { PressureSource } from "./PressureSource.js";
+import { UrgencyLevels } from "./UrgencyLevels.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
 /** Dependencies of {@link LoadControls}. */
@@ -32,6 +34,8 @@
   readonly firstEvents: FirstEventForecast | undefined;
   /** Undefined if streams are not forecast. */
   readonly streams: BeginningStreams | undefined;
+  /** Undefined if nobody is rejected by urgency. */
+  readonly levels: UrgencyLevels | undefined;
   /** The decisions that operators can look at. */
   readonly pressureSources: readonly PressureSource[];
 
@@ -41,7 +45,12 @@
       this.firstEvents = new FirstEventForecast();
       this.streams = createStreams(structure, this.firstEvents);
     }
-    this.pressureSources = [this.streams].filter((source) => source !== undefined);
+    // Without forecasts, nothing tells that prompts are in front.
+    if (settings.urgencyLevels === "auto" && this.streams !== undefined) {
+      this.levels = createLevels(structure);
+      this.streams.addListener(this.levels);
+    }
+    this.pressureSources = [this.streams, this.levels].filter((source) => source !== undefined);
     log.info("load-control", { ...settings });
   }
 }
@@ -51,3 +60,22 @@
   const countQueued = (service: string): void => metrics.queuedStreams.inc({ service });
   return new BeginningStreams({ endpoints, forecast, log, countQueued });
 }
+
+function createLevels(structure: LoadControlStructure): UrgencyLevels {
+  const { activeConfiguration, figures, log, metrics } = structure;
+  let priorities: ReadonlyMap<string, readonly number[]> = new Map();
+  let description = "";
+  activeConfiguration.onChanged((table) => {
+    priorities = getStreamPriorities(table);
+    const present = JSON.stringify([...priorities]);
+    if (present === description) return;
+    description = present;
+    log.info("urgency-levels-apply", { prioritiesByService: present });
+  });
+  return new UrgencyLevels({
+    figures,
+    getPriorities: () => priorities,
+    log,
+    countChange: (service, direction) => metrics.levelChanges.inc({ service, direction }),
+  });
+}
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -45,7 +45,7 @@
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
   readonly controls: Pick<LoadControls, "gates" | "flows"> &
-    Partial<Pick<LoadControls, "firstEvents" | "streams">>;
+    Partial<Pick<LoadControls, "firstEvents" | "streams" | "levels">>;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -10,7 +10,7 @@
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { refuseAtGates } from "./refuseAtGates.js";
+import { isReturn, noteRefusedAfterGates, refuseAtGates } from "./refuseAtGates.js";
 import {
   failureStatus,
   noEndpointRetryAfterMs,
@@ -53,7 +53,14 @@
 
 /** Reason for which the gateway rejects a stream. */
 type StreamRefusal =
-  "no-room" | "held-back" | "no-endpoint" | "limited" | "resting" | "not-run" | "outcome-unknown";
+  | "no-room"
+  | "less-urgent"
+  | "held-back"
+  | "no-endpoint"
+  | "limited"
+  | "resting"
+  | "not-run"
+  | "outcome-unknown";
 
 /**
  * Result of one attempt. `again` means that nothing was sent: while the request waited for capacity, its first engine disappeared or the
@@ -80,6 +87,7 @@
       () => this._endAtDeadline(request, service),
       Math.max(0, request.getRemainingMs()),
     );
+    progress.isReturn = isReturn(this.context, request, service);
     if (!refuseAtGates(this.context, request, service)) await this._runAttempts(request, service, progress);
     clearTimeout(timer);
     request.details = progress.toLogFields(request.route);
@@ -96,7 +104,7 @@
       if (await this.refuseIfQuarantined(request, hasRun)) return;
       const end = await this._runAttempt(request, service, progress);
       if (end === undefined) {
-        return this._refuse(request, service, hasRun, this._getNoChainReason(request, service));
+        return this._refuse(request, service, hasRun, this._getNoChainReason(request, service, progress));
       }
       if (end === "answered" || end === "caller-left") return;
       if (end === "lost") hasRun = true;
@@ -108,8 +116,14 @@
   }
 
   /** Returns the reason for which the request got no chain. */
-  private _getNoChainReason(request: CallerRequest, service: string): StreamRefusal {
+  private _getNoChainReason(
+    request: CallerRequest,
+    service: string,
+    { isReturn }: StreamProgress,
+  ): StreamRefusal {
     const { forecast, crashes } = this.context;
+    const target = getFirstEventTarget(request, isReturn);
+    if (this._admission.isBehindLevel({ service, priority: request.priority, target })) return "less-urgent";
     if (crashes.getRisk(request) === "high") return "held-back";
     if (!this._admission.hasEndpoints(service)) return "no-endpoint";
     return forecast.isBlocked(service) ? forecast.getBlockReason(service) : "no-room";
@@ -141,10 +155,10 @@
   private _acquire(
     request: CallerRequest,
     service: string,
-    { refusedBy }: StreamProgress,
+    { refusedBy, isReturn }: StreamProgress,
   ): Promise<ChainReservation | undefined> {
     const avoided = this._getAvoidedAddresses(request, refusedBy);
-    const target = getFirstEventTarget(request);
+    const target = getFirstEventTarget(request, isReturn);
     return this._admission.acquire({
       service,
       demand: {
@@ -318,7 +332,7 @@
   private _refuse(request: CallerRequest, service: string, hasRun: boolean, reason: StreamRefusal): void {
     if (request.isAnswered) return;
     if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
-    const retryAfterMs = this._getRetryAfterMs(reason, service);
+    const retryAfterMs = this._getRetryAfterMs(reason, request, service);
     const profile = this.context.activeConfiguration.table?.getEngineProfile(service);
     const endpoints = this.context.endpoints.getUsable(service);
     this.context.log.warn("stream-refused", {
@@ -332,6 +346,7 @@
           : undefined,
       room: profile === undefined ? undefined : describeFreeCapacity(endpoints, profile, utils.monotonicMs()),
     });
+    if (reason === "less-urgent") noteRefusedAfterGates(this.context, request, service, retryAfterMs);
     request.refuse(503, reason, retryAfterMs);
   }
 
@@ -339,7 +354,10 @@
    * Returns the Retry-After time of a rejection. The time is short for a request that engines rejected while this instance's queue is
    * empty, since other engines have capacity then.
    */
-  private _getRetryAfterMs(reason: StreamRefusal, service: string): number {
+  private _getRetryAfterMs(reason: StreamRefusal, request: CallerRequest, service: string): number {
+    const { levels } = this.context.controls;
+    if (reason === "less-urgent" && levels !== undefined)
+      return levels.getRetryAfterMs(service, request.priority, request.getRemainingMs());
     if (reason === "no-endpoint") return noEndpointRetryAfterMs;
     if (reason === "held-back") return trialElsewhereRetryAfterMs;
     if (reason === "not-run" && this._admission.waiting === 0) return notRunRetryAfterMs;
@@ -370,8 +388,9 @@
 }
 
 /** Returns when the first event is due; undefined for a stream that has begun, here or at another instance. */
-function getFirstEventTarget(request: CallerRequest): FirstEventTarget | undefined {
+function getFirstEventTarget(request: CallerRequest, isReturn: boolean): FirstEventTarget | undefined {
   if (request.isHeadSent || request.fields.lastEventId !== undefined) return undefined;
   const { targetLatencyMs } = request.route;
-  return { targetLatencyMs, dueAtMs: request.arrivedAtMs + targetLatencyMs };
+  const dueAtMs = request.arrivedAtMs + targetLatencyMs;
+  return { targetLatencyMs, dueAtMs, accountName: request.account?.name, isReturn };
 }
--- a/packages/gateway/src/requests/StreamProgress.ts
+++ b/packages/gateway/src/requests/StreamProgress.ts
@@ -7,6 +7,8 @@
 export class StreamProgress {
   lastEventId: string | undefined;
   events = 0;
+  /** Whether the request comes back after a rejection. */
+  isReturn = false;
   /** Time from the arrival of the request to its first forwarded event. */
   firstEventMs: number | undefined;
   /** Longest time between two forwarded events. */
--- a/packages/gateway/src/requests/refuseAtGates.ts
+++ b/packages/gateway/src/requests/refuseAtGates.ts
@@ -24,8 +24,27 @@
   return false;
 }
 
+/** Returns whether a gate knows the request as one that comes back after a rejection. */
+export function isReturn(
+  { controls }: Pick<ForwardContext, "controls">,
+  request: CallerRequest,
+  service: string,
+): boolean {
+  return controls.gates.some((gate) => gate.isReturn(toGateQuery(request, service)));
+}
+
+/** Tells the gates that a later decision rejected the request. */
+export function noteRefusedAfterGates(
+  { controls }: Pick<ForwardContext, "controls">,
+  request: CallerRequest,
+  service: string,
+  retryAfterMs: number,
+): void {
+  for (const gate of controls.gates) gate.noteRefused(toGateQuery(request, service), retryAfterMs);
+}
+
 /** Returns the properties of a request that decide on its admission. */
-export function toGateQuery(request: CallerRequest, service: string): GateQuery {
+function toGateQuery(request: CallerRequest, service: string): GateQuery {
   return {
     service,
     priority: request.priority,
--- a/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -12,6 +12,15 @@
 const longMs = 60_000;
 
 /** Creates an admission with one engine, whose memory has capacity for one request of 50 tokens beside its layers. */
+/** Level of the tests: the accounts that are behind it. */
+class TestLevels {
+  readonly behind = new Set<string>();
+
+  isBehind({ accountName }: { readonly accountName: string | undefined }): boolean {
+    return accountName !== undefined && this.behind.has(accountName);
+  }
+}
+
 function setUp() {
   const endpoints = new EndpointTable();
   endpoints.setAll(new Map([["a", createListed("a", { layers: [{ start: 0, end: 4 }] })]]));
@@ -19,7 +28,10 @@
   const services = [{ name: "engines", healthPath: "/", maxConnections: 10, engine: profile }];
   activeConfiguration.accept({ ...createConfiguration(1), services });
   const { demand, forecast } = createPermitDependencies(endpoints);
-  const admission = new ChainAdmission(activeConfiguration, endpoints, new ChainChooser(), demand, forecast);
+  const levels = new TestLevels();
+  const admission = new ChainAdmission(activeConfiguration, endpoints, new ChainChooser(), demand, forecast, {
+    levels,
+  });
   const served: string[] = [];
   const acquire = async (name: string, changes: Partial<ChainAcquisition> = {}) => {
     const reservation = await admission.acquire({
@@ -38,7 +50,7 @@
     reservation?.release();
     admission.noteReleased();
   };
-  return { admission, endpoints, served, acquire, release };
+  return { admission, endpoints, served, acquire, release, levels };
 }
 
 test("requests that can still meet their target latency go before late ones", async (t) => {
@@ -109,3 +121,36 @@
   release(first);
   t.is(await waiting, undefined);
 });
+
+function createTarget(accountName: string, isReturn = false) {
+  return { targetLatencyMs: 8 * longMs, dueAtMs: Number.POSITIVE_INFINITY, accountName, isReturn };
+}
+
+test("a request behind the level waits although there is capacity, and is served once the level falls", async (t) => {
+  const { admission, served, acquire, release, levels } = setUp();
+  levels.behind.add("a");
+  const behind = acquire("behind", { target: createTarget("a") });
+  t.is(admission.waiting, 1);
+  const before = await acquire("before", { target: createTarget("b") });
+  t.deepEqual(served, ["before"], "it delays nobody else");
+  levels.behind.clear();
+  release(before);
+  release(await behind);
+  t.deepEqual(served, ["before", "behind"]);
+});
+
+test("a request behind the level is rejected after an eighth of its target latency, early enough for its next attempt", async (t) => {
+  const { admission, served, acquire, levels } = setUp();
+  levels.behind.add("a");
+  await acquire("behind", { target: { ...createTarget("a"), targetLatencyMs: 8 } });
+  t.deepEqual(served, ["behind refused"]);
+  t.is(admission.waiting, 0);
+});
+
+test("requests that return after a rejection and streams that have begun pass the level", async (t) => {
+  const { served, acquire, release, levels } = setUp();
+  levels.behind.add("a");
+  release(await acquire("return", { target: createTarget("a", true) }));
+  release(await acquire("begun", { target: undefined }));
+  t.deepEqual(served, ["return", "begun"]);
+});
