gateway: a stream that was sent before passes the level of urgency

Cause: a request whose first attempt was lost asked the level again, and would have been rejected as if its outcome were unknown. Change: such a request passes, like one that returns. The log line at start says whether levels are on, and why. Only first engines are looked up for corrections of the forecast.

--- a/packages/gateway/src/chains/ChainAdmission.ts
+++ b/packages/gateway/src/chains/ChainAdmission.ts
@@ -31,8 +31,8 @@
   /** Monotonic time by which the first event is due. */
   readonly dueAtMs: number;
   readonly accountName: string | undefined;
-  /** Whether the request comes back after a rejection. It passes the level of its service, so that it isn't rejected twice. */
-  readonly isReturn: boolean;
+  /** Whether the level of its service does not apply, since the request comes back after a rejection or has been sent before. */
+  readonly passesLevel: boolean;
 }
 
 /** Decisions under load that take part in the admission; those that are switched off are undefined. */
@@ -121,7 +121,7 @@
     target,
   }: Pick<ChainAcquisition, "service" | "priority" | "target">): boolean {
     const { levels } = this._controls;
-    if (levels === undefined || target === undefined || target.isReturn) return false;
+    if (levels === undefined || target === undefined || target.passesLevel) return false;
     return levels.isBehind({ service, priority, accountName: target.accountName });
   }
 
--- a/packages/gateway/src/chains/FirstEventForecast.ts
+++ b/packages/gateway/src/chains/FirstEventForecast.ts
@@ -87,10 +87,7 @@
     if (transitMs === undefined || targetLatencyMs === undefined) return 0;
     const usableMs = Math.max(transitMs, targetLatencyMs * usableTargetShare);
     const waitMs = Math.max(0, getDrainMs(endpoint, profile, promptTokens) - usableMs);
-    // An engine whose first events come later than those of others has a queue that the known prompts don't show.
-    const relative = this._getCorrection(endpoint) / this._meanCorrection;
-    const hiddenMs = relative < slowCorrection ? 0 : transitMs * (relative - 1);
-    const queueMs = waitMs + hiddenMs;
+    const queueMs = waitMs + this._getHiddenMs(endpoint, transitMs);
     return queueMs === 0 ? 0 : queueMs * queueWeight * (1 + queueRandomRange * (this._random() - 0.5));
   }
 
@@ -126,6 +123,14 @@
     this._corrections.set(first.lifeId, { factor, atMs: this._nowMs() });
   }
 
+  /** Returns the queue of a first engine that the known prompts don't show: its first events come later than those of others. */
+  private _getHiddenMs(endpoint: Endpoint, transitMs: number): number {
+    const isFirst = endpoint.listed.layers.some(({ start }) => start === 0);
+    if (!isFirst) return 0;
+    const relative = this._getCorrection(endpoint) / this._meanCorrection;
+    return relative < slowCorrection ? 0 : transitMs * (relative - 1);
+  }
+
   private _getCorrection(endpoint: Endpoint): number {
     const known = this._corrections.get(endpoint.lifeId);
     if (known === undefined) return 1;
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -51,7 +51,9 @@
       this.streams.addListener(this.levels);
     }
     this.pressureSources = [this.streams, this.levels].filter((source) => source !== undefined);
-    log.info("load-control", { ...settings });
+    const hasLevels = this.levels !== undefined;
+    const reason = hasLevels ? "by its setting" : "by its setting, or for lack of a forecast";
+    log.info("load-control", { ...settings, urgencyLevels: hasLevels ? "auto" : "off", reason });
   }
 }
 
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -87,7 +87,7 @@
       () => this._endAtDeadline(request, service),
       Math.max(0, request.getRemainingMs()),
     );
-    progress.isReturn = isReturn(this.context, request, service);
+    progress.passesLevel = isReturn(this.context, request, service);
     if (!refuseAtGates(this.context, request, service)) await this._runAttempts(request, service, progress);
     clearTimeout(timer);
     request.details = progress.toLogFields(request.route);
@@ -107,7 +107,7 @@
         return this._refuse(request, service, hasRun, this._getNoChainReason(request, service, progress));
       }
       if (end === "answered" || end === "caller-left") return;
-      if (end === "lost") hasRun = true;
+      if (end === "lost") hasRun = progress.passesLevel = true;
       const mayRepeat = !hasRun || request.isIdempotent;
       const isUnsent = request.attempts === 0;
       if (mayRepeat && (isUnsent || this.tryWithdrawRetry(request, service))) continue;
@@ -119,10 +119,10 @@
   private _getNoChainReason(
     request: CallerRequest,
     service: string,
-    { isReturn }: StreamProgress,
+    { passesLevel }: StreamProgress,
   ): StreamRefusal {
     const { forecast, crashes } = this.context;
-    const target = getFirstEventTarget(request, isReturn);
+    const target = getFirstEventTarget(request, passesLevel);
     if (this._admission.isBehindLevel({ service, priority: request.priority, target })) return "less-urgent";
     if (crashes.getRisk(request) === "high") return "held-back";
     if (!this._admission.hasEndpoints(service)) return "no-endpoint";
@@ -155,10 +155,10 @@
   private _acquire(
     request: CallerRequest,
     service: string,
-    { refusedBy, isReturn }: StreamProgress,
+    { refusedBy, passesLevel }: StreamProgress,
   ): Promise<ChainReservation | undefined> {
     const avoided = this._getAvoidedAddresses(request, refusedBy);
-    const target = getFirstEventTarget(request, isReturn);
+    const target = getFirstEventTarget(request, passesLevel);
     return this._admission.acquire({
       service,
       demand: {
@@ -388,9 +388,9 @@
 }
 
 /** Returns when the first event is due; undefined for a stream that has begun, here or at another instance. */
-function getFirstEventTarget(request: CallerRequest, isReturn: boolean): FirstEventTarget | undefined {
+function getFirstEventTarget(request: CallerRequest, passesLevel: boolean): FirstEventTarget | undefined {
   if (request.isHeadSent || request.fields.lastEventId !== undefined) return undefined;
   const { targetLatencyMs } = request.route;
   const dueAtMs = request.arrivedAtMs + targetLatencyMs;
-  return { targetLatencyMs, dueAtMs, accountName: request.account?.name, isReturn };
+  return { targetLatencyMs, dueAtMs, accountName: request.account?.name, passesLevel };
 }
--- a/packages/gateway/src/requests/StreamProgress.ts
+++ b/packages/gateway/src/requests/StreamProgress.ts
@@ -7,8 +7,11 @@
 export class StreamProgress {
   lastEventId: string | undefined;
   events = 0;
-  /** Whether the request comes back after a rejection. */
-  isReturn = false;
+  /**
+   * Whether the request passes the level of admission by urgency, since it comes back after a rejection or an endpoint may have begun to work
+   * on it.
+   */
+  passesLevel = false;
   /** Time from the arrival of the request to its first forwarded event. */
   firstEventMs: number | undefined;
   /** Longest time between two forwarded events. */
--- a/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
+++ b/packages/gateway/src/tests/chains/ChainAdmissionTests.ts
@@ -122,8 +122,8 @@
   t.is(await waiting, undefined);
 });
 
-function createTarget(accountName: string, isReturn = false) {
-  return { targetLatencyMs: 8 * longMs, dueAtMs: Number.POSITIVE_INFINITY, accountName, isReturn };
+function createTarget(accountName: string, passesLevel = false) {
+  return { targetLatencyMs: 8 * longMs, dueAtMs: Number.POSITIVE_INFINITY, accountName, passesLevel };
 }
 
 test("a request behind the level waits although there is capacity, and is served once the level falls", async (t) => {
