--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./permits/PermitCoordinator.js";
 export * from "./permits/PermitPool.js";
 export * from "./accounts/index.js";
+export * from "./levels/urgencyLevel.js";
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -50,6 +50,8 @@
   readonly accountRefusals: prom.Counter<"service">;
   /** Requests that came back after a rejection: in time or early. */
   readonly returns: prom.Counter<"service" | "kind">;
+  /** Changes of the level of admission by urgency that this instance decided as a collector. */
+  readonly levelChanges: prom.Counter<"service" | "direction">;
 
   constructor() {
     const registers = [this.registry];
@@ -124,6 +126,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.levelChanges = new prom.Counter({
+      name: "shedtiller_gateway_level_changes_total",
+      help: "Changes of the level of admission by urgency, by service and direction",
+      labelNames: ["service", "direction"],
+      registers,
+    });
     this.namedLimits = new prom.Counter({
       name: "shedtiller_gateway_named_limits_total",
       help: "Answers in which endpoints named the requests a second that they take, by service",
--- a/packages/gateway/src/loadcontrol/LoadControls.ts
+++ b/packages/gateway/src/loadcontrol/LoadControls.ts
@@ -12,8 +12,10 @@
 import { createAccountGates } from "./createAccountGates.js";
 import { EndpointConcurrency } from "./EndpointConcurrency.js";
 import { BeginningStreams } from "./BeginningStreams.js";
+import { getStreamPriorities } from "./getStreamPriorities.js";
 import type { PressureSource } from "./PressureSource.js";
 import { SharedZoneFlows } from "./SharedZoneFlows.js";
+import { UrgencyLevels } from "./UrgencyLevels.js";
 import type { ZoneFlows } from "./ZoneFlows.js";
 
 /** Dependencies of {@link LoadControls}. */
@@ -45,6 +47,8 @@
   readonly firstEvents: FirstEventForecast | undefined;
   /** Undefined if streams are not forecast. */
   readonly streams: BeginningStreams | undefined;
+  /** Undefined if nobody is rejected by urgency. */
+  readonly levels: UrgencyLevels | undefined;
   /** The decisions that operators can look at. */
   readonly pressureSources: readonly PressureSource[];
 
@@ -61,12 +65,23 @@
       this.firstEvents = new FirstEventForecast();
       this.streams = createStreams(structure, this.firstEvents);
     }
+    // Without forecasts, nothing tells that prompts are in front.
+    if (settings.urgencyLevels === "auto" && this.streams !== undefined) {
+      this.levels = createLevels(structure);
+      this.streams.addListener(this.levels);
+    }
     const byAccount = createAccountGates(structure, []);
     this.gates = byAccount.gates;
-    const sources = [this.streams, flows, this.firstEngines, this.earlyMoves, this.concurrency];
-    this.pressureSources = [...sources, ...byAccount.pressureSources].filter(
-      (source) => source !== undefined,
-    );
+    const sources = [
+      this.levels,
+      this.streams,
+      flows,
+      this.firstEngines,
+      this.earlyMoves,
+      this.concurrency,
+      ...byAccount.pressureSources,
+    ];
+    this.pressureSources = sources.filter((source) => source !== undefined);
   }
 }
 
@@ -124,3 +139,22 @@
   const countQueued = (service: string): void => metrics.queuedStreams.inc({ service });
   return new BeginningStreams({ endpoints, forecast, log, countQueued });
 }
+
+function createLevels(structure: LoadControlStructure): UrgencyLevels {
+  const { activeConfiguration, figures, log, metrics } = structure;
+  let priorities: ReadonlyMap<string, readonly number[]> = new Map();
+  let description = "";
+  activeConfiguration.onChanged((table) => {
+    priorities = getStreamPriorities(table);
+    const present = JSON.stringify([...priorities]);
+    if (present === description) return;
+    description = present;
+    log.info("urgency-levels-apply", { prioritiesByService: present });
+  });
+  return new UrgencyLevels({
+    figures,
+    getPriorities: () => priorities,
+    log,
+    countChange: (service, direction) => metrics.levelChanges.inc({ service, direction }),
+  });
+}
