--- a/packages/common/src/utils/IoTimeout.ts
+++ b/packages/common/src/utils/IoTimeout.ts
@@ -8,6 +8,8 @@
 export interface IoTimeoutOptions {
   /** Whether to wait once more after a pause of this process, for as long as the pause took, but at most for the timeout. */
   readonly isPauseExcluded?: boolean;
+  /** Monotonic clock, replaced in tests. */
+  readonly nowMs?: () => number;
 }
 
 /**
@@ -19,12 +21,14 @@
   private _timer: NodeJS.Timeout | undefined;
   private _immediate: NodeJS.Immediate | undefined;
   private _mayExtend: boolean;
+  private readonly _nowMs: () => number;
 
   constructor(
     private readonly _timeoutMs: number,
     private readonly _onTimeout: () => void,
-    { isPauseExcluded = false }: IoTimeoutOptions = {},
+    { isPauseExcluded = false, nowMs = monotonicMs }: IoTimeoutOptions = {},
   ) {
+    this._nowMs = nowMs;
     this._mayExtend = isPauseExcluded;
     this._start(_timeoutMs);
   }
@@ -35,9 +39,9 @@
   }
 
   private _start(waitMs: number): void {
-    const dueAtMs = monotonicMs() + waitMs;
+    const dueAtMs = this._nowMs() + waitMs;
     this._timer = setTimeout(() => {
-      const lateMs = monotonicMs() - dueAtMs;
+      const lateMs = this._nowMs() - dueAtMs;
       // Immediates run after the I/O of the same turn of the event loop.
       this._immediate = setImmediate(() => this._expire(lateMs));
     }, waitMs);
