gateway: a connection to a plain endpoint is abandoned while another endpoint can still answer in time

While the concurrency of a service is in effect, a connection has two fifths of the target latency, at least 50 ms. What was not sent goes to another endpoint; the circuit breaker opens, and only a refused connection makes the endpoint suspect, since a short wait is no evidence that it is gone. Success shares are taken against that of the best endpoint. Only the instance that waits logs an overdue answer.

--- a/packages/gateway/src/loadcontrol/EndpointConcurrency.ts
+++ b/packages/gateway/src/loadcontrol/EndpointConcurrency.ts
@@ -250,7 +250,10 @@
   private _noteCause(endpoint: Endpoint | undefined, rating: EndpointRating): void {
     if (endpoint === undefined) return;
     const cause = getCause(rating);
-    if (cause === (this._causes.get(endpoint.lifeId) ?? "none")) return;
+    const before = this._causes.get(endpoint.lifeId) ?? "none";
+    if (cause === before) return;
+    // Each instance notices an overdue answer of any other one, so that only the one that waits for it tells.
+    if (cause === "overdue" && this.records.countOwnOverdue(endpoint) === 0) return;
     if (cause === "none") this._causes.remove(endpoint.lifeId);
     else this._causes.set(endpoint.lifeId, cause);
     const { service, address } = endpoint.listed;
@@ -283,7 +286,7 @@
 
 function describe({ state, serviceMs, peerMs }: EndpointRating): string {
   const { requests, slots, answers, failures, overdue } = state;
-  const load = `${requests} requests at ${slots} slots`;
+  const load = `${Math.round(requests)} requests at ${slots} slots`;
   const record = `${failures} of ${answers} answers failed, ${overdue} overdue`;
   return `${load}, ${record}, ${Math.round(serviceMs)} ms, peers ${Math.round(peerMs)} ms`;
 }
--- a/packages/gateway/src/loadcontrol/EndpointRecords.ts
+++ b/packages/gateway/src/loadcontrol/EndpointRecords.ts
@@ -112,10 +112,15 @@
       answers: this._getTotal(getAnswersKey(lifeId)),
       failures: this._getTotal(getFailuresKey(lifeId)),
       timeMs: this._getTotal(getTimeKey(lifeId)),
-      overdue: this._countOverdue(listed.service, lifeId) + this._getPeers(getOverdueKey(lifeId)),
+      overdue: this.countOwnOverdue({ lifeId, listed }) + this._getPeers(getOverdueKey(lifeId)),
     };
   }
 
+  /** Returns the number of this instance's requests at an endpoint whose answers are overdue. */
+  countOwnOverdue({ lifeId, listed }: Pick<Endpoint, "lifeId" | "listed">): number {
+    return this._countOverdue(listed.service, lifeId);
+  }
+
   /** Returns the time within which nearly all answers of a service arrive; undefined until it is known. */
   getUsualMs(service: string): number | undefined {
     return this._getQuantile(service, usualShare);
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -10,6 +10,7 @@
 import { hedge } from "./plain/hedge.js";
 import { toSendResult, type SendOutcome } from "./plain/SendOutcome.js";
 import {
+  connectTimeoutMs,
   failureStatus,
   noEndpointRetryAfterMs,
   RequestForwarder,
@@ -21,6 +22,13 @@
 const retryAfterMs = 100;
 /** A safe request without an answer after this share of its target latency is abandoned and sent to another endpoint. */
 const resendAfterShare = 0.55;
+/**
+ * Share of the target latency after which an unestablished connection is abandoned for another endpoint. Nothing was sent, so that also a
+ * request that may run only once can still be answered in time there.
+ */
+const connectShare = 0.4;
+/** Minimum time for a connection: many round trips, and pauses of a busy instance. */
+const minConnectMs = 50;
 /** Minimum remaining time for a send: a tenth of the time that a plain request usually takes. */
 const minSendMs = 10;
 
@@ -276,18 +284,22 @@
       ? Math.min(remainingMs, request.route.targetLatencyMs * resendAfterShare)
       : remainingMs;
     const isFresh = request.route.kind !== "safe" || request.attempts > 0;
+    const connectMs = isHedged ? getConnectMs(request) : connectTimeoutMs;
     endpoint.addOwnLoad(1, 0);
     request.attempts += 1;
     const sentAtMs = utils.monotonicMs();
     const result = await this.context.httpClient.fetch(
-      this.createCall(request, endpoint, { headTimeoutMs, isFresh, signal }),
+      this.createCall(request, endpoint, { headTimeoutMs, isFresh, signal, connectTimeoutMs: connectMs }),
       maxAnswerBytes,
       Math.max(1, remainingMs),
     );
     endpoint.addOwnLoad(-1, 0);
     if (result.err && result.val instanceof errors.NotReachedError) permit.release();
-    if (result.err && result.val instanceof errors.ConnectionLostError)
-      endpoint.circuitBreaker.noteFailed(sentAtMs, utils.monotonicMs());
+    const isLost = result.err && result.val instanceof errors.ConnectionLostError;
+    const isAbandoned = result.err && isAbandonedConnection(result.val, sentAtMs, connectMs);
+    if (isLost || isAbandoned) endpoint.circuitBreaker.noteFailed(sentAtMs, utils.monotonicMs());
+    if (result.err && result.val instanceof errors.NotReachedError && !isAbandoned)
+      this.context.failureDetector.noteUnresponsive(endpoint.id, result.val.code);
     return this._classify(request, endpoint, result, sentAtMs);
   }
 
@@ -301,7 +313,6 @@
       if (result.val instanceof errors.ConnectionLostError) return { kind: "lost", error: result.val.code };
       if (!(result.val instanceof errors.NotReachedError)) return { kind: "unknown", error: result.val.code };
       request.attempts -= 1;
-      this.context.failureDetector.noteUnresponsive(endpoint.id, result.val.code);
       return { kind: "not-run", error: result.val.code };
     }
     const fields = this.context.codec.decodeAnswer(result.val.headers);
@@ -344,3 +355,14 @@
   const { answer } = outcome;
   return request.isIdempotent && answer.status >= failureStatus ? undefined : answer;
 }
+
+/** Returns the time to establish a connection, after which a request can still be answered in time by another endpoint. */
+function getConnectMs({ route }: CallerRequest): number {
+  return Math.min(connectTimeoutMs, Math.max(minConnectMs, route.targetLatencyMs * connectShare));
+}
+
+/** Returns whether a connection was abandoned before the usual time, which is no evidence that the endpoint is gone. */
+function isAbandonedConnection(error: CallError, sentAtMs: number, connectMs: number): boolean {
+  const tookMs = utils.monotonicMs() - sentAtMs;
+  return error instanceof errors.NotReachedError && connectMs < connectTimeoutMs && tookMs >= connectMs;
+}
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -53,7 +53,7 @@
  * Maximum time to establish a connection. Round trips take less than 2 ms, and a lost SYN packet is retransmitted only after 1 s, so a
  * longer wait rarely helps.
  */
-const connectTimeoutMs = 400;
+export const connectTimeoutMs = 400;
 
 /** Lowest status that counts as a failure of the endpoint itself. */
 export const failureStatus = 500;
@@ -75,6 +75,8 @@
     options: {
       readonly headTimeoutMs: number;
       readonly isFresh: boolean;
+      /** Maximum time to establish a connection; the usual one by default. */
+      readonly connectTimeoutMs?: number;
       readonly lastEventId?: string | undefined;
       readonly chain?: readonly ChainStage[] | undefined;
       readonly signal?: AbortSignal;
@@ -95,7 +97,7 @@
       headers,
       body: request.body,
       isFresh: options.isFresh,
-      connectTimeoutMs,
+      connectTimeoutMs: options.connectTimeoutMs ?? connectTimeoutMs,
       headTimeoutMs: options.headTimeoutMs,
       signal: options.signal ?? request.signal,
     };
--- a/packages/routing/src/concurrency/EndpointRating.ts
+++ b/packages/routing/src/concurrency/EndpointRating.ts
@@ -25,6 +25,7 @@
   readonly peerMs: number;
   /** By how much the endpoint is slower than its peers, beyond what is tolerated; 1 if it is not. */
   readonly slowness: number;
+  /** Share of answers that are no failures against that of the best endpoint: some requests fail wherever they run. */
   readonly successShare: number;
   /** Probability that a request fails, in doubt higher. */
   readonly risk: number;
@@ -48,11 +49,12 @@
   const bounded = states.map(toBounded);
   const usualMs = getUsualMs(bounded);
   const times = bounded.map((state) => getServiceMs(state, usualMs));
+  const bestShare = Math.max(...bounded.map(getSuccessShare));
   return bounded.map((state, index) => {
     const serviceMs = times[index] ?? usualMs;
     const peerMs = getLowerMedian(times.filter((_, other) => other !== index)) ?? serviceMs;
     const { answers, failures } = state;
-    const successShare = (answers - failures + priorAnswers) / (answers + priorAnswers);
+    const successShare = getSuccessShare(state) / bestShare;
     const slowness = Math.max(1, serviceMs / (slowTolerance * peerMs));
     return {
       state,
@@ -104,6 +106,10 @@
   return Math.max(1, sumMs / (getSuccesses(state) + priorAnswers));
 }
 
+function getSuccessShare({ answers, failures }: EndpointState): number {
+  return (answers - failures + priorAnswers) / (answers + priorAnswers);
+}
+
 function getSuccesses({ answers, failures }: EndpointState): number {
   return answers - failures;
 }
--- a/packages/routing/src/tests/concurrency/chooseEndpointTests.ts
+++ b/packages/routing/src/tests/concurrency/chooseEndpointTests.ts
@@ -64,6 +64,17 @@
   );
 });
 
+test("failures that all endpoints share limit none", (t) => {
+  const states = ["a", "b"].map((id) => createState(id, { failures: 5, timeMs: 750 }));
+  t.deepEqual(
+    rateEndpoints(states).map(({ successShare, usableSlots }) => [successShare, usableSlots]),
+    [
+      [1, 6],
+      [1, 6],
+    ],
+  );
+});
+
 test("slots are in use by the requests of all instances, or by the own share of them", (t) => {
   const ratings = rateEndpoints([createState("a", { requests: 8 }), createState("b", { requests: 3 })]);
   t.false(areSlotsInUse(ratings, 1));
