--- a/packages/gateway/src/loadcontrol/EndpointRecords.ts
+++ b/packages/gateway/src/loadcontrol/EndpointRecords.ts
@@ -18,6 +18,9 @@
 /** A request is overdue after its usual time times this factor: by then it is far more likely that its endpoint hangs. */
 const overdueFactor = 2;
 
+/** Quantiles are computed again after this time: each request needs them several times, and they change slowly. */
+const quantileMs = 50;
+
 const instancesKey = "endpoints/instances";
 const getAnswersKey = (life: string): string => `endpoints/answers/${life}`;
 const getFailuresKey = (life: string): string => `endpoints/failures/${life}`;
@@ -48,10 +51,17 @@
   readonly overdue: number;
 }
 
+/** A quantile of the response times, as last computed. */
+interface Quantile {
+  readonly atMs: number;
+  readonly timeMs: number | undefined;
+}
+
 /** Counts this instance's sends, and adds up the counts of all instances. Each instance has one such object. */
 export class EndpointRecords {
   private readonly _sums = new WindowedSums(recordWindowMs);
   private readonly _sends = new Set<PlainSend>();
+  private readonly _quantiles = new Map<string, Quantile>();
   private _lastInstances = 1;
 
   constructor(
@@ -132,12 +142,19 @@
   }
 
   private _getQuantile(service: string, share: number): number | undefined {
+    const key = `${service} ${share}`;
+    const nowMs = this._nowMs();
+    const known = this._quantiles.get(key);
+    if (known !== undefined && nowMs - known.atMs < quantileMs) return known.timeMs;
     const getCount = (bucket: number): number => this._getTotal(getBucketKey(service, bucket));
-    return getTimeQuantile(getCount, share, minUsualAnswers);
+    const timeMs = getTimeQuantile(getCount, share, minUsualAnswers);
+    this._quantiles.set(key, { atMs: nowMs, timeMs });
+    return timeMs;
   }
 
   private _getTotal(key: string): number {
-    return (this._sums.getSums(this._nowMs()).get(key) ?? 0) + this._getPeers(key);
+    // Differences of sums of different ages may be below zero.
+    return Math.max(0, (this._sums.getSums(this._nowMs()).get(key) ?? 0) + this._getPeers(key));
   }
 
   private _getPeers(key: string): number {
--- a/packages/gateway/src/loadcontrol/ReturningCallers.ts
+++ b/packages/gateway/src/loadcontrol/ReturningCallers.ts
@@ -7,8 +7,8 @@
 import type { AccountRates } from "./AccountRates.js";
 import { AdmissionGate, type GateQuery, type GateRefusal } from "./AdmissionGate.js";
 
-/** Rejected requests that an instance remembers: those of some seconds of a heavy burst. */
-const maxExpected = 2_048;
+/** Rejected requests that an instance remembers: over a hundred a second, for the few seconds of their return. */
+const maxExpected = 512;
 /** Expected returns of an instance that it tells the others, the newest ones. */
 const maxShared = 32;
 /** Digits of a digest in figures: 48 bits, so that two digests of the same few seconds hardly have the same. */
