--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,25 +1,19 @@
 /** Forwarder of streamed requests, which run at chains of engines. */
 import { errors, utils } from "@shedtiller/common";
-import { trialElsewhereRetryAfterMs } from "@shedtiller/crashes";
 import type { ChainAdmission, FirstEventTarget } from "../chains/ChainAdmission.js";
 import { describeChain } from "../chains/describeChain.js";
-import { describeFreeCapacity } from "../chains/describeFreeCapacity.js";
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
 import { estimateTokens } from "../chains/estimateTokens.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { isReturn, noteRefusedAfterGates, refuseAtGates } from "./refuseAtGates.js";
-import {
-  failureStatus,
-  noEndpointRetryAfterMs,
-  RequestForwarder,
-  type ForwardContext,
-} from "./RequestForwarder.js";
+import { isReturn, refuseAtGates } from "./refuseAtGates.js";
+import { failureStatus, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 import type { StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
 import { StreamProgress } from "./StreamProgress.js";
+import { StreamRefusals, type StreamRefusal } from "./StreamRefusals.js";
 
 /** Maximum time in the queue for capacity. Callers abandon a stream that is silent for two seconds. */
 const maxQueueMs = 1_500;
@@ -36,13 +30,6 @@
 /** A rejection after this time results from a stalled chain: engines without capacity reject immediately. */
 const stalledRefusalMs = 1_000;
 
-/**
- * Retry-After of a request that engines rejected while others have capacity. Within 5 ms the instances of the zone are notified of the
- * full engine, so the retry chooses another one, and its answer can still arrive within a latency target of 500 ms. After a Retry-After
- * of 500 ms every answer would be late.
- */
-const notRunRetryAfterMs = 50;
-
 /** Weight of past attempts in the moving average of the time to the first event. */
 const firstEventSmoothing = 16;
 /** Time to the first event before any stream has run: the prefill time at a chain of medium accelerators. */
@@ -51,17 +38,6 @@
 /** By crash risk: whether the first engine must be redundant, so that its zone has the first layers at another engine after a crash. */
 const redundancyByRisk = { none: undefined, some: "preferred", high: "required" } as const;
 
-/** Reason for which the gateway rejects a stream. */
-type StreamRefusal =
-  | "no-room"
-  | "less-urgent"
-  | "held-back"
-  | "no-endpoint"
-  | "limited"
-  | "resting"
-  | "not-run"
-  | "outcome-unknown";
-
 /**
  * Result of one attempt. `again` means that nothing was sent: while the request waited for capacity, its first engine disappeared or the
  * request was quarantined.
@@ -72,6 +48,7 @@
 export class StreamForwarder extends RequestForwarder {
   /** Moving average of the time from the send to the first event. */
   private _meanFirstEventMs = initialFirstEventMs;
+  private readonly _refusals: StreamRefusals;
 
   constructor(
     context: ForwardContext,
@@ -79,6 +56,7 @@
     private readonly _monitor: StallMonitor,
   ) {
     super(context);
+    this._refusals = new StreamRefusals(context, _admission);
   }
 
   async run(request: CallerRequest, service: string): Promise<void> {
@@ -338,36 +316,7 @@
   private _refuse(request: CallerRequest, service: string, hasRun: boolean, reason: StreamRefusal): void {
     if (request.isAnswered) return;
     if (hasRun || request.isHeadSent) return request.refuse(502, "outcome-unknown");
-    const retryAfterMs = this._getRetryAfterMs(reason, request, service);
-    const profile = this.context.activeConfiguration.table?.getEngineProfile(service);
-    const endpoints = this.context.endpoints.getUsable(service);
-    this.context.log.warn("stream-refused", {
-      requestId: request.id,
-      reason,
-      waiting: this._admission.waiting,
-      retryAfterMs: Math.round(retryAfterMs),
-      limits:
-        reason === "limited" || reason === "resting"
-          ? this.context.forecast.describeBlocks(service)
-          : undefined,
-      room: profile === undefined ? undefined : describeFreeCapacity(endpoints, profile, utils.monotonicMs()),
-    });
-    if (reason === "less-urgent") noteRefusedAfterGates(this.context, request, service, retryAfterMs);
-    request.refuse(503, reason, retryAfterMs);
-  }
-
-  /**
-   * Returns the Retry-After time of a rejection. The time is short for a request that engines rejected while this instance's queue is
-   * empty, since other engines have capacity then.
-   */
-  private _getRetryAfterMs(reason: StreamRefusal, request: CallerRequest, service: string): number {
-    const { levels } = this.context.controls;
-    if (reason === "less-urgent" && levels !== undefined)
-      return levels.getRetryAfterMs(service, request.priority, request.getRemainingMs());
-    if (reason === "no-endpoint") return noEndpointRetryAfterMs;
-    if (reason === "held-back") return trialElsewhereRetryAfterMs;
-    if (reason === "not-run" && this._admission.waiting === 0) return notRunRetryAfterMs;
-    return this._admission.getRetryAfterMs(service);
+    this._refusals.refuse(request, service, reason);
   }
 
   private _endAtDeadline(request: CallerRequest, service: string): void {
