--- a/packages/gateway/src/tests/loadcontrol/UrgencyLevelsTests.ts
+++ b/packages/gateway/src/tests/loadcontrol/UrgencyLevelsTests.ts
@@ -90,6 +90,51 @@
   t.is(output.events.filter((event) => event === "info urgency-level-changed").length, 1);
 });
 
+test("two collectors at once continue from the same level, and differ by what each of them has seen", (t) => {
+  const [first, second] = [setUp(), setUp()];
+  const decide = (
+    { figures, clock, setLevel }: ReturnType<typeof setUp>,
+    missed: number,
+  ): number | undefined => {
+    setLevel(3);
+    const key = `urgency/${service}/0`;
+    const own: Figures = new Map([
+      [`${key}/begun`, 20],
+      [`${key}/missed`, missed],
+    ]);
+    const query = { ownZone: "east", zones: new Map([["east", own]]) };
+    figures.decide({ ...query, nowMs: clock.nowMs });
+    clock.nowMs += 1_000;
+    return figures.decide({ ...query, nowMs: clock.nowMs }).get(toLevelKey(service));
+  };
+  t.deepEqual([decide(first, 4), decide(second, 1)], [4, 3]);
+});
+
+test("a zone that is cut off decides by its own figures, and other zones' misses raise no level", (t) => {
+  const { clock, figures } = setUp();
+  const key = `urgency/${service}/0`;
+  const missing: Figures = new Map([
+    [`${key}/begun`, 20],
+    [`${key}/missed`, 20],
+  ]);
+  const decide = (zones: ReadonlyMap<string, Figures>): number | undefined => {
+    figures.decide({ ownZone: "east", zones, nowMs: clock.nowMs });
+    clock.nowMs += 2_000;
+    return figures.decide({ ownZone: "east", zones, nowMs: clock.nowMs }).get(toLevelKey(service));
+  };
+  t.is(decide(new Map([["west", missing]])), 0);
+  t.is(decide(new Map([["east", missing]])), 2);
+});
+
+test("an instance that was suspended, or whose clock jumped ahead, admits everything until the next sums", (t) => {
+  const { clock, levels, setLevel } = setUp();
+  setLevel(12);
+  clock.nowMs += 1e9;
+  t.is(levels.getLevel(service), 0);
+  setLevel(12);
+  t.is(levels.getLevel(service), 12);
+});
+
 test("callers that are rejected return later the less urgent they are, and within a third of the time that they have", (t) => {
   const { levels, setLevel } = setUp(0.5);
   setLevel(6);
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -30,6 +30,7 @@
   type OrderError,
 } from "../../orders/EngineOrders.js";
 import type { AdmissionGate } from "../../loadcontrol/AdmissionGate.js";
+import type { UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
@@ -128,12 +129,21 @@
   crash: () => void,
 ) => void;
 
+/** The decisions under load of a gateway. */
+interface TestControls {
+  readonly gates: readonly AdmissionGate[];
+  readonly flows: undefined;
+  levels?: UrgencyLevels;
+}
+
 /** The request path of one gateway. */
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
   /** The gates that streams pass on arrival. */
   readonly gates: AdmissionGate[] = [];
+  /** The decisions under load; none is on unless a test sets it. */
+  readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
   /** The clock of quarantines. It advances only when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
@@ -184,7 +194,7 @@
         log,
       }),
       ...permits,
-      controls: { gates: this.gates, flows: undefined },
+      controls: this.controls,
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
@@ -194,6 +204,7 @@
       chooser,
       permits.demand,
       permits.forecast,
+      this.controls,
     );
     const plain = new PlainForwarder(context, new PermitQueue(permits.demand, permits.forecast));
     const streams = new StreamForwarder(
--- a/packages/gateway/src/tests/requests/refuseAtGatesTests.ts
+++ b/packages/gateway/src/tests/requests/refuseAtGatesTests.ts
@@ -1,6 +1,10 @@
 /** The decision of the admission gates on streams, as callers observe it over real sockets. */
 import test from "ava";
 import { AdmissionGate, type GateQuery, type GateRefusal } from "../../loadcontrol/AdmissionGate.js";
+import { toLevelKey, UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
+import { DecisionLog } from "../../logs/DecisionLog.js";
+import { SharedFigures } from "../../peers/SharedFigures.js";
+import { SilentLogOutput } from "../SilentLogOutput.js";
 import { answer, callerHeaders, recordRequests, setUp } from "./endpointHandlers.js";
 
 const stream = { kind: "streaming", isResumable: true } as const;
@@ -16,6 +20,24 @@
   }
 }
 
+/** Admits every request, and records the rejections by others. */
+class RecordingGate extends AdmissionGate {
+  readonly retryTimesMs: number[] = [];
+  areReturns = false;
+
+  override getRefusal(): undefined {
+    return undefined;
+  }
+
+  override isReturn(): boolean {
+    return this.areReturns;
+  }
+
+  override noteRefused(_query: GateQuery, retryAfterMs: number): void {
+    this.retryTimesMs.push(retryAfterMs);
+  }
+}
+
 test("a stream that a gate rejects is not executed and has the gate's time to return", async (t) => {
   const fixture = await setUp(t, stream);
   const gate = new ClosedGate();
@@ -32,6 +54,50 @@
   t.is(query?.priority, 2, "the priority of the account precedes that of the route");
 });
 
+/** Rejects every request by urgency. */
+function createClosedLevels(): UrgencyLevels {
+  const figures = new SharedFigures(() => 0);
+  const log = new DecisionLog(new SilentLogOutput(), () => 0);
+  const getPriorities = () => new Map([["engines", [0, 2]]]);
+  // The account "farm" of the requests is in one of the slices that are rejected.
+  const random = () => 0;
+  const nowMs = () => 0;
+  const levels = new UrgencyLevels({
+    figures,
+    getPriorities,
+    log,
+    countChange: () => undefined,
+    nowMs,
+    random,
+  });
+  figures.update(new Map(), new Map([[toLevelKey("engines"), 4]]));
+  return levels;
+}
+
+test("a stream behind the level is not executed, and gates learn of its rejection", async (t) => {
+  const fixture = await setUp(t, { ...stream, targetLatencyMs: 8 });
+  fixture.controls.levels = createClosedLevels();
+  const gate = new RecordingGate();
+  fixture.gates.push(gate);
+  const engine = recordRequests(answer(200, "ran"));
+  await fixture.list([engine], allLayers);
+  const received = await fixture.request("POST", callerHeaders);
+  t.is(received.status, 503);
+  t.is(received.body, JSON.stringify({ error: "less-urgent" }));
+  t.is(engine.requests.length, 0);
+  t.deepEqual(gate.retryTimesMs, [Number(received.headers["x-retry-after-ms"])]);
+});
+
+test("a stream that returns after a rejection passes the level", async (t) => {
+  const fixture = await setUp(t, stream);
+  fixture.controls.levels = createClosedLevels();
+  const gate = new RecordingGate();
+  gate.areReturns = true;
+  fixture.gates.push(gate);
+  await fixture.list([answer(200, "id: 1\ndata: a\n\n")], allLayers);
+  t.is((await fixture.request("POST", callerHeaders)).status, 200);
+});
+
 test("a stream that resumes after its first events passes the gates", async (t) => {
   const fixture = await setUp(t, stream);
   fixture.gates.push(new ClosedGate());
