--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -32,6 +32,7 @@
   type OrderError,
 } from "../../orders/EngineOrders.js";
 import type { AdmissionGate } from "../../loadcontrol/AdmissionGate.js";
+import type { UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
@@ -130,12 +131,21 @@
   crash: () => void,
 ) => void;
 
+/** The decisions under load of a gateway. */
+interface TestControls {
+  readonly gates: readonly AdmissionGate[];
+  readonly flows: undefined;
+  levels?: UrgencyLevels;
+}
+
 /** The request path of one gateway. */
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
   readonly endpoints = new EndpointTable();
   /** The gates that streams pass on arrival. */
   readonly gates: AdmissionGate[] = [];
+  /** The decisions under load; none is on unless a test sets it. */
+  readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
   /** Concurrency of plain endpoints; set before the start. */
   concurrency: EndpointConcurrency | undefined;
@@ -189,7 +199,7 @@
       }),
       ...permits,
       restarts: new ConcurrentRestarts(() => 1),
-      controls: { gates: this.gates, flows: undefined, concurrency: this.concurrency },
+      controls: { ...this.controls, concurrency: this.concurrency },
       broadcastFull: () => undefined,
     };
     const chooser = new ChainChooser();
@@ -199,6 +209,7 @@
       chooser,
       permits.demand,
       permits.forecast,
+      this.controls,
     );
     const plain = new PlainForwarder(context, new PermitQueue(permits.demand, permits.forecast));
     const streams = new StreamForwarder(
