placement: first engines of about the same speed, so that no single loss cuts most of the streams of a zone

Cause: each copy began with its fastest engine, and the fastest of all got most of the zone's streams; two to four first engines of unequal speed leave the bound on their shares little choice. Ruled out: weights by the speed of engines without tolerance (third power: chains of the large fleet 10 % longer, and 8 % less memory in a small zone; first power: up to 28 % more time per token); a weight of 0.05 (the very fast engine becomes the only fast first one again in two zones). Change: the order of a copy's engines is free, so the first plan puts engines of one speed first where the copies' first engines would differ by more than three times; an arrangement costs a tenth of the probability that two streams begin at the same engine. Off with firstEngineShare. Zones whose copies have no engines in common keep unequal first engines.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -255,6 +255,7 @@
       endpoints: this.endpoints,
       orders,
       log: this._log,
+      areFirstEnginesEqualized: this._settings.loadControl.firstEngineShare !== "off",
       mayOrder: () => this._leadership.isLeader(),
     });
   }
--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -37,6 +37,8 @@
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
   readonly log: DecisionLog;
+  /** Whether zones should have several first engines that share the streams. */
+  readonly areFirstEnginesEqualized: boolean;
   /** Whether this instance may send orders to the engines of a zone now. */
   readonly mayOrder: (availabilityZone: string) => boolean;
 }
@@ -113,7 +115,9 @@
     if (settledMs < (isEmptyZone ? settledBeforePlanMs : settledBeforeRepairMs)) return [];
     const planner = this._planners.get(pool) ?? new ZonePlanner();
     this._planners.set(pool, planner);
-    return planner.plan(engines, toCopyModel(profile));
+    const { areFirstEnginesEqualized } = this._structure;
+    const firstEngineWeight = areFirstEnginesEqualized ? placement.usualFirstEngineWeight : undefined;
+    return planner.plan(engines, { ...toCopyModel(profile), firstEngineWeight });
   }
 
   private _toZoneEngine(member: Endpoint, profile: EngineProfile, nowMs: number): ZoneEngine {
--- a/packages/gateway/src/tests/orders/ZonePlannerTests.ts
+++ b/packages/gateway/src/tests/orders/ZonePlannerTests.ts
@@ -1,7 +1,10 @@
 /** Tests when a zone gets orders: at once for gaps and empty engines, and for a better balance only once its engines are stable. */
+import * as placement from "@shedtiller/placement";
 import test from "ava";
+import { toCopyModel } from "../../chains/engineModel.js";
 import type { ZoneEngine } from "../../orders/planZoneOrders.js";
 import { ZonePlanner } from "../../orders/ZonePlanner.js";
+import { unevenZones, type UnevenZone } from "../patterns/unevenFleet.js";
 import * as zoneTestData from "./zoneTestData.js";
 
 function createMember(name: string, start: number, end: number, memoryMb = 200): ZoneEngine {
@@ -107,3 +110,37 @@
   t.is(await plan(members(9)), "");
   t.regex(await plan(members(0)), /^c=3-\d$/);
 });
+
+/** Returns the engines of a zone with the layers of a search that does not weigh first engines. */
+function createServingZone({ profile, engines }: UnevenZone, model: placement.CopyModel): ZoneEngine[] {
+  const fleet = profile.kinds.flatMap(({ name, memoryMb, stepFactor }) =>
+    Array.from({ length: engines[name] ?? 0 }, (_, index) => ({
+      name: `${name}-${index}`,
+      memoryMb,
+      stepFactor,
+    })),
+  );
+  const first = new Map(placement.planLayerCopies(fleet, model).map((span) => [span.name, span]));
+  const burstRequests = placement.getBurstRequests(fleet, model);
+  const spans = placement.planBalance(
+    fleet.map((engine) => ({ engine, start: 0, end: 0, ...first.get(engine.name) })),
+    { ...model, burstRequests },
+  );
+  return spans.map(({ engine, start, end }) => ({
+    ...createMember(engine.name, start, end, engine.memoryMb),
+    engine,
+  }));
+}
+
+for (const zone of unevenZones) {
+  test(`a serving zone with ${zone.name} is not rearranged for the sake of its first engines`, async (t) => {
+    const model = toCopyModel(zone.profile);
+    const members = createServingZone(zone, model);
+    let nowMs = 0;
+    const planner = new ZonePlanner(() => nowMs);
+    const weighted = { ...model, firstEngineWeight: placement.usualFirstEngineWeight };
+    t.deepEqual(await planner.plan(members, weighted), []);
+    nowMs += 10_000;
+    t.deepEqual(await planner.plan(members, weighted), []);
+  });
+}
--- a/packages/gateway/src/tests/patterns/ChainChoosingFleet.ts
+++ b/packages/gateway/src/tests/patterns/ChainChoosingFleet.ts
@@ -45,6 +45,8 @@
   readonly withoutReportsMs?: number;
   /** Whether instances bound the share of the streams that one engine begins. */
   readonly areFirstEnginesBounded?: boolean;
+  /** Whether the placement provides several first engines that are about equal. */
+  readonly areFirstEnginesEqualized?: boolean;
   /** Number of other instances that each instance assumes to have the same load as itself meanwhile. */
   readonly assumedPeers?: number;
 }
@@ -249,8 +251,11 @@
 }
 
 /** Creates the engines of a zone with the layers that the planner assigns to them. */
-function planZone({ profile, engines }: ChainChoosingFleetOptions): ListedEndpoint[] {
-  const model = toCopyModel(profile);
+function planZone(options: ChainChoosingFleetOptions): ListedEndpoint[] {
+  const { profile, engines } = options;
+  const firstEngineWeight =
+    options.areFirstEnginesEqualized === true ? placement.usualFirstEngineWeight : undefined;
+  const model = { ...toCopyModel(profile), firstEngineWeight };
   const members = Object.entries(engines).flatMap(([kind, count]) =>
     Array.from({ length: count }, (_value, index) => {
       const name = `${kind}-${index}`;
--- a/packages/gateway/src/tests/patterns/FirstEngineFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/FirstEngineFleetTests.ts
@@ -16,10 +16,15 @@
   [usualLoad, 1.2],
 ]);
 
-function simulate(zone: UnevenZone, load: number, areFirstEnginesBounded: boolean): ChainChoosingFleetResult {
+function simulate(
+  zone: UnevenZone,
+  load: number,
+  areFirstEnginesBounded: boolean,
+  areFirstEnginesEqualized = false,
+): ChainChoosingFleetResult {
   const requestsPerSecond = zone.requestsPerSecond * load;
   const options = { ...zone, requestsPerSecond, durationMs, seed: 1, areRefusalsBroadcast: true };
-  return new ChainChoosingFleet({ ...options, areFirstEnginesBounded }).run();
+  return new ChainChoosingFleet({ ...options, areFirstEnginesBounded, areFirstEnginesEqualized }).run();
 }
 
 for (const zone of unevenZones) {
@@ -57,3 +62,37 @@
     }
   });
 }
+
+test("a placement with equal first engines lowers the share of the busiest one at about the same time per token", (t) => {
+  let before = 0;
+  let after = 0;
+  for (const zone of unevenZones) {
+    const unequal = simulate(zone, 1, true);
+    const equal = simulate(zone, 1, true, true);
+    before += unequal.busiestShare;
+    after += equal.busiestShare;
+    t.true(
+      equal.tokenMs < unequal.tokenMs * 1.1,
+      `${zone.name}: ${equal.tokenMs} ms, ${unequal.tokenMs} before`,
+    );
+    t.is(equal.withoutChain, 0, zone.name);
+  }
+  t.true(
+    after < before * 0.85,
+    `${after / unevenZones.length} of the streams, ${before / unevenZones.length} before`,
+  );
+});
+
+for (const zone of largeZones) {
+  test(`a placement with equal first engines does not make the chains of a ${zone.name} zone of a large fleet longer`, (t) => {
+    const largeZone = { ...zone, profile: largeProfile };
+    const unequal = simulate(largeZone, 1, true);
+    const equal = simulate(largeZone, 1, true, true);
+    t.true(
+      equal.chainLength < unequal.chainLength * 1.02,
+      `${equal.chainLength}, ${unequal.chainLength} before`,
+    );
+    // Four first engines share the streams before as after.
+    t.true(equal.busiestShare < 0.35, `${equal.busiestShare}, ${unequal.busiestShare} before`);
+  });
+}
--- a/packages/placement/src/ZoneArrangement.ts
+++ b/packages/placement/src/ZoneArrangement.ts
@@ -4,6 +4,7 @@
  */
 import { getKvTokenCapacity, type CopyEngine, type CopyModel } from "./planLayerCopies.js";
 import { getTokensBeyondBurst } from "./burst.js";
+import { getFirstConcentration, preferencePower } from "./equalizeFirstEngines.js";
 
 /** An engine and its layers; `end` is exclusive and equals `start` if the engine has no layers. */
 export interface BalancedSpan {
@@ -24,8 +25,6 @@
  * served 0.03 less of their value on average.
  */
 const redundancyCredit = Math.log(1.25);
-/** If several engines have a layer, requests prefer the fastest: their shares fall with this power of the step factor. */
-const preferencePower = 3;
 /**
  * An engine counts as a replica of its layers if it has KV cache for this share of a usual batch. With less it can't take over the requests
  * of a lost engine.
@@ -56,6 +55,8 @@
   private readonly _shares: Float64Array;
   private readonly _sharedFactors: Float64Array;
   private readonly _replicas: Int32Array;
+  /** The engines with the first layer, and the usable tokens of each. */
+  private readonly _firsts = new Map<CopyEngine, number>();
   private readonly _totals: Totals = { covered: 0, redundant: 0, replicas: 0, stepFactors: 0, scarcity: 0 };
 
   constructor(
@@ -96,9 +97,14 @@
     const stepLoad =
       1 + (requests * layerCount * stepMsPerRequest) / (Math.max(layerCount, replicas) * stepMs);
     const tokenTime = Math.log(stepFactors / covered) + Math.log(stepLoad);
-    return (
-      gaps + (1 + speedWeight) * tokenTime - Math.log(requests) - (redundancyCredit * redundant) / layerCount
-    );
+    const value = Math.log(requests) + (redundancyCredit * redundant) / layerCount;
+    return gaps + (1 + speedWeight) * tokenTime - value + this._getFirstEngineCost();
+  }
+
+  /** Returns the cost of streams that begin at few engines: the loss of a first engine cuts its streams, which can't move. */
+  private _getFirstEngineCost(): number {
+    const { firstEngineWeight = 0 } = this._model;
+    return firstEngineWeight === 0 ? 0 : firstEngineWeight * getFirstConcentration(this._firsts);
   }
 
   private _change(span: BalancedSpan, sign: 1 | -1): void {
@@ -107,6 +113,7 @@
     const usable = getTokensBeyondBurst(tokens, this._model);
     const isReplica = usable >= minBatchShare * getBatchTokens(this._model);
     const share = usable / engine.stepFactor ** preferencePower;
+    if (start === 0 && end > start) this._changeFirst(engine, usable, sign);
     for (let layer = start; layer < end; layer++) {
       this._count(layer, -1);
       this._tokens[layer] = (this._tokens[layer] ?? 0) + sign * tokens;
@@ -118,6 +125,11 @@
     }
   }
 
+  private _changeFirst(engine: CopyEngine, usable: number, sign: 1 | -1): void {
+    if (sign === 1) this._firsts.set(engine, usable);
+    else this._firsts.delete(engine);
+  }
+
   /** Adds a layer to the totals, or subtracts it from them. */
   private _count(layer: number, sign: 1 | -1): void {
     const tokens = this._tokens[layer] ?? 0;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./PlacementEngine.js";
+export * from "./equalizeFirstEngines.js";
 export * from "./getSustainedRate.js";
 export * from "./getThroughput.js";
 export * from "./planPlacement.js";
--- a/packages/placement/src/planLayerCopies.ts
+++ b/packages/placement/src/planLayerCopies.ts
@@ -3,6 +3,7 @@
  * is used for the KV cache, and the engine with the fewest tokens limits the tokens of its chain.
  */
 import { utils } from "@shedtiller/common";
+import { equalizeFirstEngines } from "./equalizeFirstEngines.js";
 
 /** An engine to which layers can be assigned. */
 export interface CopyEngine {
@@ -28,6 +29,11 @@
   readonly hopMs: number;
   /** KV cache headroom of each engine in requests, see {@link getBurstRequests}; 0 if omitted. */
   readonly burstRequests?: number;
+  /**
+   * Weight of the concentration of first engines, as the logarithm of a factor on the rate: a plan may lose so much of the rate for streams
+   * that begin at many engines instead of one. 0 if omitted.
+   */
+  readonly firstEngineWeight?: number | undefined;
 }
 
 /** The layers of an engine, `end` exclusive. */
@@ -79,7 +85,9 @@
     const groups = improve(createGroups(sorted, copies, model), model);
     if (isBetter(groups, best)) best = groups;
   }
-  return (best ?? []).flatMap((group) => spreadLayers(group.engines, model) ?? []);
+  const chains = (best ?? []).map((group) => group.engines);
+  const ordered = model.firstEngineWeight === undefined ? chains : equalizeFirstEngines(chains);
+  return ordered.flatMap((chain) => spreadLayers(chain, model) ?? []);
 }
 
 /** Returns the number of layers that fit on an engine beside the KV cache of `tokens` tokens. */
