gateway: the bound on first engines logs its begin and end only, and old counts say nothing to operators

Cause: in a play of 60 s of 33 instances each change of the number of first engines with capacity was a line: 708 lines. After hours without streams the share of an engine was 0 / 0. Change: a line when a bound begins or ends; forgotten counts have no entry. Before and after: the test of the operators' view fails without the change. 38 tests of chains and those of the flows pass.

--- a/packages/gateway/src/chains/FirstEngineShares.ts
+++ b/packages/gateway/src/chains/FirstEngineShares.ts
@@ -91,7 +91,7 @@
     const nowMs = this._nowMs();
     return [...this._zones.values()].flatMap((starts) => {
       if (starts.bound >= 1) return [];
-      return [...starts.byEngine].flatMap(([subject, own]) => {
+      return [...this._withoutForgotten(starts).byEngine].flatMap(([subject, own]) => {
         const value = own.get(nowMs) / starts.total.get(nowMs);
         if (value <= starts.bound) return [];
         const reason = `begins more than ${starts.bound.toFixed(2)} of the streams that this instance began in the zone`;
@@ -116,8 +116,9 @@
   private _setBound(starts: ZoneStarts, availabilityZone: string, firstEngines: number): void {
     const bound = Math.max(targetShare, 1 / firstEngines);
     starts.boundedAtMs = this._nowMs();
-    if (bound === starts.bound) return;
+    const isUnchanged = bound < 1 === starts.bound < 1;
     starts.bound = bound;
+    if (isUnchanged) return;
     this._structure.log.info("first-engine-bound", {
       service: starts.service,
       availabilityZone,
--- a/packages/gateway/src/tests/patterns/ZoneFlowFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/ZoneFlowFleetTests.ts
@@ -88,6 +88,18 @@
   return fleet;
 }
 
+test("operators see the shares of a zone, and none once they are too old", (t) => {
+  const fleet = createBurst();
+  const { flows } = fleet.instances.find(({ zone }) => zone === "east") ?? {};
+  const entries = flows?.getPressure() ?? [];
+  t.deepEqual(entries.map(({ decision, subject }) => `${decision} ${subject}`).sort(), [
+    "zoneFlows north",
+    "zoneFlows west",
+  ]);
+  fleet.nowMs += 2_001;
+  t.deepEqual(flows?.getPressure(), []);
+});
+
 test("the engines of a lost zone get nothing from the next decision on", (t) => {
   const fleet = createBurst();
   t.true(fleet.getShare("east", "west") > 0);
