--- a/packages/gateway/src/chains/FirstEngineShares.ts
+++ b/packages/gateway/src/chains/FirstEngineShares.ts
@@ -18,7 +18,7 @@
  * requests take for the answer. It bounds how much slower streams become for smaller losses. Since queues don't raise it, engines fill
  * evenly first where they are short of capacity.
  */
-const maxDetourShare = 0.2;
+const maxDetourShare = 0.15;
 /** Holds tens of streams of one instance, which begins a few a second, and forgets engines of before a rearrangement. */
 const windowMs = 10_000;
 /** Engines and zones whose decayed counts are smaller are forgotten. */
