gateway: a safe request keeps its only endpoint until its deadline

Change: a request is abandoned early only if another endpoint is left. Before: 502 after a target of 1 ms with one endpoint that answers after 300 ms.

--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -36,6 +36,8 @@
 interface PlainChoice {
   readonly endpoint: Endpoint;
   readonly permit: SendPermit;
+  /** Whether the request could be sent to another endpoint after this one. */
+  readonly hasAlternative: boolean;
 }
 
 /** Forwards plain requests. Retries safe requests after any failure, other requests only if they were provably not executed. */
@@ -130,17 +132,15 @@
   /** Sends the request, and reports its result to the crash detector and to the records of the endpoint. */
   private async _track(
     request: CallerRequest,
-    { endpoint, permit }: PlainChoice,
+    choice: PlainChoice,
     concurrency: EndpointConcurrency | undefined,
     signal: AbortSignal,
   ): Promise<SendOutcome> {
+    const { endpoint } = choice;
     const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
     const send = concurrency?.begin(endpoint);
     this.context.crashes.begin(run);
-    const outcome = await this._send(request, endpoint, permit, {
-      signal,
-      isHedged: concurrency !== undefined,
-    });
+    const outcome = await this._send(request, choice, { signal, isHedged: concurrency !== undefined });
     this.context.crashes.end(run);
     if (send !== undefined) concurrency?.records.end(send, toSendResult(outcome));
     if (outcome.kind === "answer")
@@ -188,7 +188,10 @@
   ): PlainChoice | undefined {
     const endpoint = this._pick(request, service, excluded);
     const permit = endpoint?.tryAcquirePermit(utils.monotonicMs());
-    return endpoint === undefined || permit === undefined ? undefined : { endpoint, permit };
+    if (endpoint === undefined || permit === undefined) return undefined;
+    const usable = this.context.endpoints.getUsable(service);
+    const hasAlternative = usable.some(({ id }) => id !== endpoint.id && !excluded.has(id));
+    return { endpoint, permit, hasAlternative };
   }
 
   /** Returns whether an endpoint that is not excluded has no permit now, or may have no room. */
@@ -273,13 +276,12 @@
 
   private async _send(
     request: CallerRequest,
-    endpoint: Endpoint,
-    permit: SendPermit,
+    { endpoint, permit, hasAlternative }: PlainChoice,
     { signal, isHedged }: { readonly signal: AbortSignal; readonly isHedged: boolean },
   ): Promise<SendOutcome> {
     const remainingMs = request.getRemainingMs();
-    const mayResend =
-      !isHedged && request.route.kind === "safe" && request.attempts + 1 < request.route.maxAttempts;
+    const isRepeatable = request.route.kind === "safe" && request.attempts + 1 < request.route.maxAttempts;
+    const mayResend = !isHedged && isRepeatable && hasAlternative;
     const headTimeoutMs = mayResend
       ? Math.min(remainingMs, request.route.targetLatencyMs * resendAfterShare)
       : remainingMs;
--- a/packages/gateway/src/tests/requests/forwardingTests.ts
+++ b/packages/gateway/src/tests/requests/forwardingTests.ts
@@ -56,6 +56,17 @@
   t.deepEqual([received.status, received.body], [200, "whole"]);
 });
 
+// Fails where a safe request is abandoned after a share of its target latency although there is no other endpoint to send it to.
+test("a safe request keeps its only endpoint until its deadline", async (t) => {
+  const fixture = await setUp(t, { kind: "safe", targetLatencyMs: 1, timeoutMs: generousMs });
+  const respond = answer(200, "late");
+  const slowMs = 300;
+  const slow: EndpointHandler = (...args) => void setTimeout(() => respond(...args), slowMs);
+  await fixture.list([slow], {});
+  const received = await fixture.request("GET", callerHeaders);
+  t.deepEqual([received.status, received.body], [200, "late"]);
+});
+
 test("the answer to another request is not forwarded", async (t) => {
   const fixture = await setUp(t, { kind: "unsafe" });
   await fixture.list([answer(200, "of another", { "x-id": "r0" })], {});
