gateway: a first engine that refuses connections counts as lost at all instances

Cause: a refused connection to the first engine of a stream was reported as an unanswered question, so that other streams there waited for silence. Change: the report carries the evidence of the failed call.

--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -5,6 +5,7 @@
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
 import { estimateTokens } from "../chains/estimateTokens.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
+import { getEvidence } from "../discovery/SuspicionEvidence.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
@@ -214,7 +215,7 @@
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
     attempt.reservation.permit?.release();
-    this.context.failureDetector.noteUnresponsive(first.id, sent.val.code);
+    this.context.failureDetector.noteUnresponsive(first.id, sent.val.code, getEvidence(sent.val));
     return "not-run";
   }
 
