gateway: the level of urgency falls faster while engines have unused capacity

Change: streams with prompts in front are a figure, too. Ruled out, by trials on the simulated zone: halving the level, a factor of 0.7, and one step at a time.

--- a/packages/admission/src/levels/urgencyLevel.ts
+++ b/packages/admission/src/levels/urgencyLevel.ts
@@ -3,6 +3,8 @@
  * client accounts. Requests behind the level are rejected, the least urgent ones first.
  */
 
+import { utils } from "@shedtiller/common";
+
 /** Number of slices that the client accounts of one priority are divided into. */
 export const slicesPerPriority = 6;
 /** Number of slices of a priority that may be rejected at the same time, so that at least a third of each priority is always admitted. */
@@ -14,6 +16,10 @@
 const steepMissShare = 0.3;
 /** Share below which the level falls. */
 const fallingMissShare = 0.02;
+/** Share of streams with prompts in front below which engines have unused capacity, so that rejections would waste it. */
+const queuedShareInUse = 0.05;
+/** Steps by which the level falls at once meanwhile. */
+const releaseSteps = 2;
 /** The level does not rise while the share of misses falls below this multiple of that at the last step: prompts in front grow fewer. */
 const improvingFactor = 0.8;
 /** Rate of a priority below which the share of its misses says nothing. */
@@ -26,6 +32,8 @@
 /** The streams of one priority in a zone. */
 export interface PriorityFigures {
   readonly begunPerSecond: number;
+  /** Streams with prompts in front that take a considerable part of their target latency. */
+  readonly queuedPerSecond: number;
   /** Streams that missed their targets, or are forecast to, because of the prompts in front of them. */
   readonly missedPerSecond: number;
 }
@@ -64,12 +72,24 @@
 ): UrgencyLevel {
   const missShare = Math.max(0, ...priorities.map(getMissShare));
   const heldMs = nowMs - present.decidedAtMs;
-  const level = getMovedLevel(present, missShare, heldMs);
+  const level = areEnginesFull(priorities)
+    ? getMovedLevel(present, missShare, heldMs)
+    : getReleasedLevel(present, heldMs);
   if (level === undefined) return present;
   const bounded = Math.min(getMaxLevel(priorities.length), Math.max(0, level));
   return { level: bounded, decidedAtMs: nowMs, missShare };
 }
 
+function areEnginesFull(priorities: readonly PriorityFigures[]): boolean {
+  const queued = utils.getSum(priorities.map(({ queuedPerSecond }) => queuedPerSecond));
+  const begun = utils.getSum(priorities.map(({ begunPerSecond }) => begunPerSecond));
+  return queued > begun * queuedShareInUse;
+}
+
+function getReleasedLevel({ level }: UrgencyLevel, heldMs: number): number | undefined {
+  return level > 0 && heldMs >= risingHoldMs ? level - releaseSteps : undefined;
+}
+
 /** Returns the level after a step, or undefined if it is too early to decide. */
 function getMovedLevel(
   { level, missShare: before }: UrgencyLevel,
--- a/packages/admission/src/tests/levels/urgencyLevelTests.ts
+++ b/packages/admission/src/tests/levels/urgencyLevelTests.ts
@@ -11,10 +11,10 @@
 
 const nowMs = 10_000;
 const longAgo = { level: 3, decidedAtMs: 0, missShare: 0 };
-const inTime: PriorityFigures = { begunPerSecond: 50, missedPerSecond: 0 };
+const inTime: PriorityFigures = { begunPerSecond: 50, queuedPerSecond: 50, missedPerSecond: 0 };
 
 function missing(share: number): PriorityFigures {
-  return { begunPerSecond: 50, missedPerSecond: 50 * share };
+  return { begunPerSecond: 50, queuedPerSecond: 50, missedPerSecond: 50 * share };
 }
 
 test("the level rises while more than a tenth of a priority's streams miss their targets, by two steps if it is much more", (t) => {
@@ -41,14 +41,29 @@
   t.is(getNextLevel(stepped, [missing(0.55), inTime], nowMs).level, 5);
 });
 
+test("once hardly any stream has prompts in front, the level falls by two steps, since engines have unused capacity", (t) => {
+  const unqueued = { begunPerSecond: 50, queuedPerSecond: 1, missedPerSecond: 0 };
+  t.is(getNextLevel({ ...longAgo, level: 9 }, [unqueued, unqueued, unqueued], nowMs).level, 7);
+  t.is(getNextLevel({ ...longAgo, level: 1 }, [unqueued], nowMs).level, 0);
+});
+
+test("misses without prompts in front raise no level", (t) => {
+  const lost = { begunPerSecond: 50, queuedPerSecond: 0, missedPerSecond: 40 };
+  t.is(getNextLevel({ ...longAgo, level: 0 }, [lost], nowMs).level, 0);
+});
+
 test("without streams, and with too few to tell, the level falls", (t) => {
   t.is(getNextLevel(longAgo, [], nowMs).level, 0);
-  t.is(getNextLevel(longAgo, [{ begunPerSecond: 1, missedPerSecond: 1 }], nowMs).level, 2);
+  t.is(
+    getNextLevel(longAgo, [{ begunPerSecond: 1, queuedPerSecond: 1, missedPerSecond: 1 }], nowMs).level,
+    2,
+  );
 });
 
 test("the level stays between zero and its maximum, whatever the figures and the clock say", (t) => {
   const figure = fc.record({
     begunPerSecond: fc.double({ min: 0, noNaN: true }),
+    queuedPerSecond: fc.double({ min: 0, noNaN: true }),
     missedPerSecond: fc.double({ min: 0, noNaN: true }),
   });
   const count = fc.integer({ min: 0, max: 100 });
--- a/packages/gateway/src/loadcontrol/BeginningStreams.ts
+++ b/packages/gateway/src/loadcontrol/BeginningStreams.ts
@@ -26,9 +26,10 @@
   readonly dueAtMs: number;
 }
 
-/** Listens to the streams that begin, and to those that miss their targets because of prompts in front. */
+/** Listens to the streams that begin, to those with prompts in front, and to those that miss their targets for them. */
 export interface StreamListener {
   noteBegun(stream: BeginningStream): void;
+  noteQueued(stream: BeginningStream): void;
   noteMissed(stream: BeginningStream): void;
 }
 
@@ -103,7 +104,9 @@
     for (const listener of this._listeners) listener.noteMissed(stream);
   }
 
-  private _noteQueued({ service, stages }: BeginningStream, expected: ChainForecast): void {
+  private _noteQueued(stream: BeginningStream, expected: ChainForecast): void {
+    for (const listener of this._listeners) listener.noteQueued(stream);
+    const { service, stages } = stream;
     const nowMs = this._nowMs();
     const engine = stages[0]?.endpointId ?? "";
     const { queueMs, firstEventMs } = expected;
--- a/packages/gateway/src/loadcontrol/UrgencyLevels.ts
+++ b/packages/gateway/src/loadcontrol/UrgencyLevels.ts
@@ -53,6 +53,7 @@
 
 interface PriorityRates {
   readonly begun: RateMeter;
+  readonly queued: RateMeter;
   readonly missed: RateMeter;
 }
 
@@ -83,6 +84,10 @@
     this._getRates(service, priority).begun.add(1);
   }
 
+  noteQueued({ service, priority }: BeginningStream): void {
+    this._getRates(service, priority).queued.add(1);
+  }
+
   noteMissed({ service, priority }: BeginningStream): void {
     this._getRates(service, priority).missed.add(1);
   }
@@ -154,6 +159,7 @@
     if (known !== undefined) return known;
     const created = {
       begun: new RateMeter(rateTimeConstantMs, this._nowMs),
+      queued: new RateMeter(rateTimeConstantMs, this._nowMs),
       missed: new RateMeter(rateTimeConstantMs, this._nowMs),
     };
     this._rates.set(key, created);
@@ -168,6 +174,7 @@
         if (rates === undefined) continue;
         const key = toRateKey(service, priority);
         setRate(figures, `${key}/begun`, rates.begun);
+        setRate(figures, `${key}/queued`, rates.queued);
         setRate(figures, `${key}/missed`, rates.missed);
       }
     }
@@ -200,9 +207,9 @@
       service,
       from,
       to,
-      missedOfBegunPerSecond: figures.map(
-        ({ missedPerSecond, begunPerSecond }) => `${missedPerSecond.toFixed(1)}/${begunPerSecond.toFixed(1)}`,
-      ),
+      begunPerSecond: figures.map(({ begunPerSecond }) => begunPerSecond.toFixed(1)),
+      queuedPerSecond: figures.map(({ queuedPerSecond }) => queuedPerSecond.toFixed(1)),
+      missedPerSecond: figures.map(({ missedPerSecond }) => missedPerSecond.toFixed(1)),
       ageMs: Math.round(this._structure.figures.getAgeMs()),
     });
   }
@@ -225,6 +232,7 @@
 function readFigures(figures: Figures, key: string): PriorityFigures {
   return {
     begunPerSecond: figures.get(`${key}/begun`) ?? 0,
+    queuedPerSecond: figures.get(`${key}/queued`) ?? 0,
     missedPerSecond: figures.get(`${key}/missed`) ?? 0,
   };
 }
--- a/packages/gateway/src/tests/loadcontrol/BeginningStreamsTests.ts
+++ b/packages/gateway/src/tests/loadcontrol/BeginningStreamsTests.ts
@@ -26,6 +26,7 @@
   });
   streams.addListener({
     noteBegun: () => (counts.begun += 1),
+    noteQueued: () => undefined,
     noteMissed: () => (counts.missed += 1),
   });
   const begin = (): (() => void) => {
--- a/packages/gateway/src/tests/loadcontrol/UrgencyLevelsTests.ts
+++ b/packages/gateway/src/tests/loadcontrol/UrgencyLevelsTests.ts
@@ -73,6 +73,7 @@
   setLevel(5);
   const missing: Figures = new Map([
     [`urgency/${service}/0/begun`, 20],
+    [`urgency/${service}/0/queued`, 20],
     [`urgency/${service}/0/missed`, 4],
   ]);
   const decide = (): number | undefined => {
@@ -100,6 +101,7 @@
     const key = `urgency/${service}/0`;
     const own: Figures = new Map([
       [`${key}/begun`, 20],
+      [`${key}/queued`, 20],
       [`${key}/missed`, missed],
     ]);
     const query = { ownZone: "east", zones: new Map([["east", own]]) };
@@ -111,13 +113,14 @@
 });
 
 test("a zone that is cut off decides by its own figures, and other zones' misses raise no level", (t) => {
-  const { clock, figures } = setUp();
   const key = `urgency/${service}/0`;
   const missing: Figures = new Map([
     [`${key}/begun`, 20],
+    [`${key}/queued`, 20],
     [`${key}/missed`, 20],
   ]);
   const decide = (zones: ReadonlyMap<string, Figures>): number | undefined => {
+    const { clock, figures } = setUp();
     figures.decide({ ownZone: "east", zones, nowMs: clock.nowMs });
     clock.nowMs += 2_000;
     return figures.decide({ ownZone: "east", zones, nowMs: clock.nowMs }).get(toLevelKey(service));
--- a/packages/gateway/src/tests/patterns/UrgencyZone.ts
+++ b/packages/gateway/src/tests/patterns/UrgencyZone.ts
@@ -3,6 +3,7 @@
  * computes from figures of the tick before. Rejected callers return once.
  */
 import { utils } from "@shedtiller/common";
+import { usableTargetShare } from "../../chains/FirstEventForecast.js";
 import { toLevelKey, UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { sumFigures, type Figures } from "../../peers/figures.js";
@@ -136,6 +137,7 @@
     const dueAtMs = this.nowMs + targetLatencyMs;
     const stream = { service, priority, stages: [], promptTokens: 1, targetLatencyMs, dueAtMs };
     levels.noteBegun(stream);
+    if (firstEventMs > targetLatencyMs * usableTargetShare) levels.noteQueued(stream);
     if (firstEventMs > targetLatencyMs) levels.noteMissed(stream);
     else counts.inTime += 1;
   }
