gateway: admission by urgency and shares of accounts are off unless a deployment asks for them

Change: both settings have the default off. They stay built and tested, and a deployment can ask for them. Test: the one of two accounts asks for the setting, as the default did before.

--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -26,7 +26,7 @@
 );
 
 /** `auto` switches a feature on where the deployment's configuration calls for it. */
-const mode = zod.enum(["auto", "off"]).default("auto");
+const mode = zod.enum(["auto", "off"]);
 
 export const gatewaySettingsSchema = zod.strictObject({
   instance: zod.strictObject({ name: text, availabilityZone: text }),
@@ -71,19 +71,19 @@
   loadControl: zod
     .strictObject({
       /** Choice of chains by the forecast time to the first event. */
-      firstEventForecast: mode,
+      firstEventForecast: mode.default("auto"),
       /** Admission by urgency over all instances. */
-      urgencyLevels: mode,
+      urgencyLevels: mode.default("off"),
       /** Shares of each zone's requests that run in other zones. */
-      zoneFlows: mode,
+      zoneFlows: mode.default("auto"),
       /** Bound on the share of a zone's streams that one engine begins. */
-      firstEngineShare: mode,
+      firstEngineShare: mode.default("auto"),
       /** Moves of streams at the first sign of a lost engine, along chains that were computed before. */
-      earlyMoves: mode,
+      earlyMoves: mode.default("auto"),
       /** Fair shares of client accounts in what is admitted. */
-      accountShares: mode,
+      accountShares: mode.default("off"),
       /** Concurrency of plain endpoints over all instances. */
-      endpointConcurrency: mode,
+      endpointConcurrency: mode.default("auto"),
     })
     .prefault({}),
   store: zod.strictObject({ address: text, leaseMinimumMs: milliseconds, seeds: addressList.default([]) }),
--- a/packages/gateway/src/tests/loadcontrol/accountGatesTests.ts
+++ b/packages/gateway/src/tests/loadcontrol/accountGatesTests.ts
@@ -49,7 +49,7 @@
 });
 
 test("a configuration with one account passes rejections unchanged, and one with two replaces their times to return", (t) => {
-  const structure = createStructure({});
+  const structure = createStructure({ accountShares: "auto" });
   const [gate] = createAccountGates(structure, [new RejectingGate()]).gates;
   const configuration = createConfiguration(1);
   structure.activeConfiguration.accept(configuration);
