gateway: the bound on first engines and its placement are off unless a deployment asks for them

Ruled out: nothing further; the large fleets, where it would be in effect as well, were not played with it. Change: the default of firstEngineShare is off. The parts stay built and tested. Conclusion: partial; choice and placement are to be measured apart.

--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -77,7 +77,7 @@
       /** Shares of each zone's requests that run in other zones. */
       zoneFlows: mode.default("auto"),
       /** Bound on the share of a zone's streams that one engine begins. */
-      firstEngineShare: mode.default("auto"),
+      firstEngineShare: mode.default("off"),
       /** Moves of streams at the first sign of a lost engine, along chains that were computed before. */
       earlyMoves: mode.default("auto"),
       /** Fair shares of client accounts in what is admitted. */
