gateway: one model of an engine's usable capacity for choices and detours

Cause: the choice of detours had its own copies of the usable share of an engine's memory, of the cost of its utilization and of the check that an engine gets no new work, all three beside those of the choice of chains. A change of one would have left the other behind.

Ruled out: letting detours call the choice of chains; a detour keeps all other stages and has another cost of reading, so only the model is the same.

Change: `getUsableTokenLayers` and `getUtilizationFactor` in the engine model, `isAvoided` on the endpoint; both choices call them.

Conclusion: behaviour unchanged.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -10,20 +10,13 @@
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
 import {
   countLoadedLayers,
-  getCapacityTokenLayers,
   getKind,
   getStepMs,
   getUnqueuedRequests,
+  getUsableTokenLayers,
+  getUtilizationFactor,
 } from "./engineModel.js";
 
-/** Share of an engine's capacity that is assigned to requests; the remainder covers answers that are longer than estimated. */
-const usableCapacityShare = 0.92;
-/**
- * Cost added to an engine whose capacity is exhausted, or whose requests just begin to queue for prefill, as a multiple of the cost of an
- * empty engine. The cost grows with the square of the utilization, so that chains fill evenly.
- */
-const utilizationCostFactor = 4;
-
 /**
  * Share of an engine's capacity that cross-zone chains may use if the engine's zone can run all layers by itself. A cross-zone chain uses
  * capacity in several zones, and a zone whose capacity is fragmented by such chains sends more requests to other zones. Without a reserve
@@ -149,24 +142,20 @@
     { completeZones }: ChoiceState,
   ): ChainCandidate[] {
     const nowMs = this._nowMs();
-    if (endpoint.isSuspect(nowMs) || nowMs < endpoint.avoidedUntilMs) return [];
-    if (endpoint.circuitBreaker.isOpen(nowMs)) return [];
+    if (endpoint.isAvoided(nowMs)) return [];
     // A moved stream keeps its first engine, whose back-off applies to new requests only.
     if (endpoint.backoff.getLeftMs(nowMs) > 0 && endpoint.id !== demand.firstEndpointId) return [];
     if (demand.refusedBy?.has(endpoint.listed.address) === true) return [];
     const kind = getKind(endpoint, profile);
     if (kind === undefined) return [];
     const tokens = demand.promptTokens + demand.answerTokens;
-    const capacity = Math.min(
-      getCapacityTokenLayers(endpoint, profile) * usableCapacityShare,
-      endpoint.getObservedCapacityTokenLayers(nowMs),
-    );
+    const capacity = getUsableTokenLayers(endpoint, profile, nowMs);
     const load = endpoint.getLoad();
     const tokenUtilization = capacity <= 0 ? 1 : load.tokenLayers / capacity;
     const utilization = Math.max(tokenUtilization, load.requests / getUnqueuedRequests(endpoint, profile));
     const state = { sequences: load.requests + 1, slowness: endpoint.slowness };
     const randomFactor = demand.isRandomized === true ? 1 + randomFactorRange * (this._random() - 0.5) : 1;
-    const utilizationFactor = 1 + utilizationCostFactor * utilization ** 2;
+    const utilizationFactor = getUtilizationFactor(utilization);
     const msPerLayer = getMsPerLayer(profile, kind, demand, state) * utilizationFactor * randomFactor;
     const countFree = (share: number): number =>
       Math.floor((capacity * share - load.tokenLayers) / Math.max(1, tokens));
--- a/packages/gateway/src/chains/engineModel.ts
+++ b/packages/gateway/src/chains/engineModel.ts
@@ -6,6 +6,13 @@
 
 const bytesPerMb = 1e6;
 const tokensPerKiloToken = 1_000;
+/** Share of an engine's capacity that is assigned to requests; the remainder covers answers that are longer than estimated. */
+const usableCapacityShare = 0.92;
+/**
+ * Cost added to an engine whose capacity is exhausted, or whose requests just begin to queue for prefill, as a multiple of the cost of an
+ * empty engine. The cost grows with the square of the utilization, so that chains fill evenly.
+ */
+const utilizationCostFactor = 4;
 /** Delay per token between two stages in a zone: 0.2 ms one way by the platform's specification, plus the wake-up time of the engine. */
 export const hopMs = 0.25;
 
@@ -41,6 +48,19 @@
   return (Math.max(0, freeMb) * bytesPerMb) / (profile.kvBytesPerToken / profile.layerCount);
 }
 
+/** Returns the token-layers that requests may take at an engine: a share of its memory, and no more than it recently rejected. */
+export function getUsableTokenLayers(endpoint: Endpoint, profile: EngineProfile, nowMs: number): number {
+  return Math.min(
+    getCapacityTokenLayers(endpoint, profile) * usableCapacityShare,
+    endpoint.getObservedCapacityTokenLayers(nowMs),
+  );
+}
+
+/** Returns the factor by which utilization raises the cost of an engine; 1 for an empty engine. */
+export function getUtilizationFactor(utilization: number): number {
+  return 1 + utilizationCostFactor * utilization ** 2;
+}
+
 /** Returns the time of one decoding step over all layers at step factor 1, for `sequences` concurrent requests of `contextTokens` each. */
 export function getStepMs(profile: EngineProfile, sequences: number, contextTokens: number): number {
   const contextMs = (profile.stepMsPerKiloToken * sequences * contextTokens) / tokensPerKiloToken;
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -204,4 +204,9 @@
   isSuspect(nowMs: number): boolean {
     return nowMs < this.suspectUntilMs;
   }
+
+  /** Returns whether this instance sends no new work to the endpoint, since it is suspect, was avoided or has failed requests. */
+  isAvoided(nowMs: number): boolean {
+    return this.isSuspect(nowMs) || nowMs < this.avoidedUntilMs || this.circuitBreaker.isOpen(nowMs);
+  }
 }
--- a/packages/gateway/src/requests/moves/getDetourCandidates.ts
+++ b/packages/gateway/src/requests/moves/getDetourCandidates.ts
@@ -1,14 +1,16 @@
 /** The engines that may take over layers of a stream, with their costs. */
 import { utils } from "@shedtiller/common";
-import { getCapacityTokenLayers, getKind, getStepMs, getUnqueuedRequests } from "../../chains/engineModel.js";
+import {
+  getKind,
+  getStepMs,
+  getUnqueuedRequests,
+  getUsableTokenLayers,
+  getUtilizationFactor,
+} from "../../chains/engineModel.js";
 import type { ChainCandidate, ChainDemand } from "../../chains/findCheapestChain.js";
 import type { EngineProfile } from "../../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../../discovery/Endpoint.js";
 
-/** Share of an engine's capacity that streams may take; the remainder covers answers that are longer than estimated. */
-const usableCapacityShare = 0.92;
-/** Cost added to an engine whose prompts just begin to queue, as a multiple of the cost of an empty engine. */
-const utilizationCostFactor = 4;
 /** Inputs of {@link getDetourCandidates}. */
 export interface DetourCandidateQuery {
   readonly endpoints: readonly Endpoint[];
@@ -24,8 +26,7 @@
   const { endpoints, demand, nowMs } = query;
   return endpoints
     .filter(({ listed }) => listed.availabilityZone === demand.availabilityZone)
-    .filter((endpoint) => !endpoint.isSuspect(nowMs) && nowMs >= endpoint.avoidedUntilMs)
-    .filter((endpoint) => !endpoint.circuitBreaker.isOpen(nowMs))
+    .filter((endpoint) => !endpoint.isAvoided(nowMs))
     .flatMap((endpoint) => toCandidates(endpoint, query));
 }
 
@@ -35,14 +36,11 @@
   if (kind === undefined) return [];
   const tokens = Math.max(1, demand.promptTokens + demand.answerTokens);
   const load = endpoint.getLoad();
-  const capacity = Math.min(
-    getCapacityTokenLayers(endpoint, profile) * usableCapacityShare,
-    endpoint.getObservedCapacityTokenLayers(nowMs),
-  );
+  const capacity = getUsableTokenLayers(endpoint, profile, nowMs);
   const utilization = load.requests / getUnqueuedRequests(endpoint, profile);
   const stepMs = getStepMs(profile, load.requests + 1, tokens) * kind.stepFactor * demand.answerTokens;
   const readMs = (tokens / profile.prefillTokensPerSecond) * utils.msPerSecond * kind.prefillFactor;
-  const loadFactor = 1 + utilizationCostFactor * utilization ** 2;
+  const loadFactor = getUtilizationFactor(utilization);
   // The least of several exponentially distributed costs is each engine's with a probability in proportion to its speed. So the streams that
   // many instances move at the same time are read by all engines with these layers.
   const randomFactor = -Math.log(1 - random());
