gateway: one check whether a request should rather go to another endpoint

Cause: the choice by recent answers repeated the check of the choice by the fewest requests, word for word.

Ruled out: one choice for both; they differ in everything else.

Change: `Endpoint.isDoubtful`, called by both.

Conclusion: behaviour unchanged.

--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -205,6 +205,15 @@
     return nowMs < this.suspectUntilMs;
   }
 
+  /**
+   * Returns whether a request should rather go to another endpoint: this one is suspect, blocked by its circuit breaker, or recovers and the
+   * request must not probe it.
+   */
+  isDoubtful(nowMs: number, mayProbe: boolean): boolean {
+    const isBlocked = this.isSuspect(nowMs) || this.circuitBreaker.isBlocked(nowMs);
+    return isBlocked || (!mayProbe && this.isRecovering(nowMs));
+  }
+
   /** Returns whether this instance sends no new work to the endpoint, since it is suspect, was avoided or has failed requests. */
   isAvoided(nowMs: number): boolean {
     return this.isSuspect(nowMs) || nowMs < this.avoidedUntilMs || this.circuitBreaker.isOpen(nowMs);
--- a/packages/gateway/src/loadcontrol/EndpointConcurrency.ts
+++ b/packages/gateway/src/loadcontrol/EndpointConcurrency.ts
@@ -103,11 +103,7 @@
     const usable = this._structure.endpoints.getUsable(query.service);
     const ratings = this._rate(usable);
     const candidates = usable.filter(({ id, backoff }) => !query.excluded.has(id) && backoff.maySend(nowMs));
-    const isDoubtful = (endpoint: Endpoint): boolean =>
-      endpoint.isSuspect(nowMs) ||
-      endpoint.circuitBreaker.isBlocked(nowMs) ||
-      (!query.mayProbe && endpoint.isRecovering(nowMs));
-    const proper = candidates.filter((endpoint) => !isDoubtful(endpoint));
+    const proper = candidates.filter((endpoint) => !endpoint.isDoubtful(nowMs, query.mayProbe));
     const ids = new Set((proper.length > 0 ? proper : candidates).map(({ id }) => id));
     if (!this._isDue(query.service, ratings)) return undefined;
     const chosen = chooseEndpoint(
--- a/packages/gateway/src/requests/pickPlainEndpoint.ts
+++ b/packages/gateway/src/requests/pickPlainEndpoint.ts
@@ -27,15 +27,11 @@
   { service, excluded, mayProbe }: PlainEndpointQuery,
   nowMs: number,
 ): Endpoint | undefined {
-  const isDoubtful = (endpoint: Endpoint): boolean =>
-    endpoint.isSuspect(nowMs) ||
-    endpoint.circuitBreaker.isBlocked(nowMs) ||
-    (!mayProbe && endpoint.isRecovering(nowMs));
   const cost = (endpoint: Endpoint): number =>
     endpoint.getLoad().requests +
     (endpoint.listed.availabilityZone === context.availabilityZone ? 0 : otherZonePenalty) -
     (endpoint.limit?.perSecond === undefined ? 0 : permitBonus) +
-    (isDoubtful(endpoint) ? suspectPenalty : 0);
+    (endpoint.isDoubtful(nowMs, mayProbe) ? suspectPenalty : 0);
   let best: Endpoint | undefined;
   for (const endpoint of context.endpoints.getUsable(service)) {
     if (excluded.has(endpoint.id) || !endpoint.hasPermit(nowMs)) continue;
