gateway: a collector reads its own figures once for each send

Cause: the collector of a zone asked every source of figures twice for each send, once for the sum of the zone and once to subtract its own share. Some sources look through all requests in flight, and between the two readings a clock could move a figure, so that the collector's own share was not taken off exactly.

Ruled out: keeping the figures between sends; they are due to be read anew.

Change: one reading for both.

Conclusion: the sums are the same, save for that difference of two readings.

--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -180,10 +180,11 @@
   private _sendSums(): void {
     const zoneLoad = sumLoads([this._getOwn(), ...getLoads(this._members)]);
     const all = sumLoads([zoneLoad, ...getLoads(this._otherZones)]);
-    const zoneFigures = sumFigures([this._figures.getOwn(), ...getFigures(this._members)]);
+    const ownFigures = this._figures.getOwn();
+    const zoneFigures = sumFigures([ownFigures, ...getFigures(this._members)]);
     const allFigures = sumFigures([zoneFigures, ...getFigures(this._otherZones)]);
     const decisions = this._decide(zoneFigures);
-    this._figures.update(subtractFigures(allFigures, this._figures.getOwn()), decisions);
+    this._figures.update(subtractFigures(allFigures, ownFigures), decisions);
     for (const [name, source] of this._members) {
       const others = toLoadMessage(subtractLoads(all, source.loads));
       const figures = toFigureEntries(subtractFigures(allFigures, source.figures), decisions);
