gateway: the choice of chains passes the complete zones as they are

Cause: an interface for what all candidates have in common was left with a single field after the others had moved.

Ruled out: nothing else reads it.

Change: the set of zones is a parameter of its own again.

Conclusion: behaviour unchanged.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -38,12 +38,6 @@
   readonly firstEvents?: Pick<FirstEventForecast, "getQueueCostMs"> | undefined;
 }
 
-/** What all candidates of a choice have in common. */
-interface ChoiceState {
-  /** Zones whose engines can run all layers without other zones. */
-  readonly completeZones: ReadonlySet<string>;
-}
-
 /** Computes the cost of each engine for a request, and finds the cheapest chain of engines with free capacity. */
 export class ChainChooser {
   /**
@@ -113,7 +107,7 @@
     const excluded =
       demand.redundantFirstEngine === undefined ? undefined : getSoleFirstEngines(endpoints, this._nowMs());
     const candidates = endpoints.flatMap((endpoint) =>
-      this._toCandidates(endpoint, profile, demand, { completeZones }).map((candidate) =>
+      this._toCandidates(endpoint, profile, demand, completeZones).map((candidate) =>
         excluded?.has(endpoint) === true ? { ...candidate, canBeFirst: false } : candidate,
       ),
     );
@@ -135,11 +129,12 @@
     return this._random() * peers < left;
   }
 
+  /** @param completeZones - Zones whose engines can run all layers without other zones. */
   private _toCandidates(
     endpoint: Endpoint,
     profile: EngineProfile,
     demand: ChainDemand,
-    { completeZones }: ChoiceState,
+    completeZones: ReadonlySet<string>,
   ): ChainCandidate[] {
     const nowMs = this._nowMs();
     if (endpoint.isAvoided(nowMs)) return [];
