gateway: one interval between two tries to move a stream

Cause: the moves off draining engines and the early moves each had the same interval under the same name, and both compare it with the same last try.

Ruled out: a setting; nobody has asked for one.

Change: the interval stands beside the mover of streams.

Conclusion: behaviour unchanged.

--- a/packages/gateway/src/requests/moves/DrainWatch.ts
+++ b/packages/gateway/src/requests/moves/DrainWatch.ts
@@ -6,10 +6,7 @@
 import type { StreamAttempt } from "../StreamAttempt.js";
 import { getRemainingMs } from "./getRemainingMs.js";
 import { LeavingEngines, type DueEngine } from "./LeavingEngines.js";
-import type { MoveOrder, StreamMover } from "./StreamMover.js";
-
-/** Minimum time between two tries to move a stream. */
-const moveIntervalMs = 300;
+import { moveIntervalMs, type MoveOrder, type StreamMover } from "./StreamMover.js";
 
 /** Dependencies of {@link DrainWatch}. */
 export interface DrainWatchStructure {
--- a/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
+++ b/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
@@ -8,10 +8,8 @@
 import type { EarlyMoves } from "./EarlyMoves.js";
 import { EngineInquiry } from "./EngineInquiry.js";
 import { askedForMs, pickQuestions, type WatchedStream } from "./pickQuestions.js";
-import { getEvidenceAgeMs, type StreamMover } from "./StreamMover.js";
+import { getEvidenceAgeMs, moveIntervalMs, type StreamMover } from "./StreamMover.js";
 
-/** Minimum time between two moves of a stream by its silence alone. */
-const moveIntervalMs = 300;
 /** Time to the next look while a silent stream has engines that were not asked yet. */
 const followUpMs = 100;
 
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -14,6 +14,8 @@
 import { findDetour } from "./findDetour.js";
 import { getDetourCandidates } from "./getDetourCandidates.js";
 
+/** Minimum time between two tries to move a stream without a report of its engines. */
+export const moveIntervalMs = 300;
 /** Time for which an engine that rejected a moved stream gets no work from this instance: twice the interval between queries. */
 const refusedChangeBackoffMs = 600;
 /** Status of an engine that has no such request any more. */
