gateway: one time after which loads and figures of peers lapse

Cause: figures travel with the loads and were meant to count as long as these, but the time stood in three places, with the comparison in two. A change of one would have let figures outlive their loads.

Ruled out: the same time for the promised returns of callers, which are kept longer on purpose.

Change: the time and the comparison stand with the figures; the exchange of loads takes the time from there.

Conclusion: behaviour unchanged.

--- a/packages/gateway/src/loadcontrol/AccountRates.ts
+++ b/packages/gateway/src/loadcontrol/AccountRates.ts
@@ -7,8 +7,6 @@
 
 /** Time over which requests are counted: long enough for a share of small accounts, short against a burst. */
 export const accountWindowMs = 4_000;
-/** Figures of peers and the decision of the collector no longer count after this time, as long as the loads that travel with them. */
-const figuresLapseMs = 1_800;
 /** Accounts of a service that an instance names; the requests of its other accounts are counted together. */
 const maxNamedAccounts = 64;
 const maxKnownAccounts = 4_096;
@@ -36,9 +34,7 @@
 
   /** Returns whether a service rejects requests by urgency now, by the decision of the collector. */
   isRejecting(service: string): boolean {
-    return (
-      this._figures.getAgeMs() <= figuresLapseMs && (this._figures.getDecision(`levels/${service}`) ?? 0) > 0
-    );
+    return this._figures.isCurrent && (this._figures.getDecision(`levels/${service}`) ?? 0) > 0;
   }
 
   /** Age of the figures of the other instances. */
--- a/packages/gateway/src/loadcontrol/EndpointRecords.ts
+++ b/packages/gateway/src/loadcontrol/EndpointRecords.ts
@@ -7,8 +7,6 @@
 
 /** An endpoint that has failed gets requests as before after this time without any, in which most faults of a process have ended. */
 const recordWindowMs = 8_000;
-/** Figures of peers no longer count after this time, as long as the loads that travel with them. */
-const figuresLapseMs = 1_800;
 /** Share of the answers of a service that arrive within its usual time. */
 const usualShare = 0.95;
 /** Share of the answers that have hardly waited at their endpoint, also while most others do. */
@@ -73,7 +71,7 @@
 
   /** Whether the figures of the other instances are known. */
   get hasPeers(): boolean {
-    return this._figures.getAgeMs() <= figuresLapseMs;
+    return this._figures.isCurrent;
   }
 
   /** Number of instances, including this one; the last known one while the figures of the others are not known. */
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -20,15 +20,13 @@
 } from "./figures.js";
 import { logInvalidPeerMessage } from "./logInvalidPeerMessage.js";
 import { loadSchema, peerTopics, zoneLoadSchema } from "./peerMessages.js";
-import { SharedFigures } from "./SharedFigures.js";
+import { lapseMs, SharedFigures } from "./SharedFigures.js";
 import { ZoneRole } from "./ZoneRole.js";
 
 /** Interval at which changed load is sent. It is short enough because streams last for seconds. */
 const sendIntervalMs = 200;
 /** Unchanged load is sent again after this, so that a new collector receives it. */
 const repeatIntervalMs = 600;
-/** The load of a source that has sent nothing for this long is dropped; two repeats may be lost before. */
-const sourceTimeoutMs = 1_800;
 /** Key of the sum that this instance receives from its collector, among the sources of load. */
 const collectedSource = "collected";
 /** The collector of another zone counts as reachable for this long after its last message. */
@@ -154,7 +152,7 @@
 
   /** Drops silent sources, and the sum of the previous collector once this instance is the collector. */
   private _dropSilent(): void {
-    const oldestMs = this._nowMs() - sourceTimeoutMs;
+    const oldestMs = this._nowMs() - lapseMs;
     for (const sources of [this._members, this._otherZones]) {
       for (const [name, { receivedAtMs }] of sources) if (receivedAtMs < oldestMs) sources.delete(name);
     }
--- a/packages/gateway/src/peers/SharedFigures.ts
+++ b/packages/gateway/src/peers/SharedFigures.ts
@@ -2,6 +2,9 @@
 import { utils } from "@shedtiller/common";
 import type { Figures } from "./figures.js";
 
+/** Loads and figures that were not sent again for this long no longer count; two repeats may be lost before. */
+export const lapseMs = 1_800;
+
 /** Input of a {@link Decider}: the sums of the figures by availability zone, of the own zone and of those that are reachable. */
 export interface ZoneFigures {
   readonly ownZone: string;
@@ -67,6 +70,11 @@
     return this._nowMs() - this._updatedAtMs;
   }
 
+  /** Whether the sums and decisions have arrived lately, so that they count. */
+  get isCurrent(): boolean {
+    return this.getAgeMs() <= lapseMs;
+  }
+
   /** Computes the decisions of the zone; used by the collector. */
   decide(figures: ZoneFigures): Figures {
     return new Map(this._deciders.flatMap((decide) => [...decide(figures)]));
