routing, admission: sums, medians and units from the common package

Cause: the rating of endpoints, the histogram of response times, the flows between zones and the shares of accounts summed with loops of their own, and had a median and a unit of their own, though the common package has them.

Ruled out: the median of the shares of accounts, which takes the upper one of two on purpose; the common quantile takes the lower one.

Change: they call `getSum`, `getQuantile` and `msPerSecond`. The summands are in the same order as before, so that the figures are the same to the last digit.

Conclusion: behaviour unchanged.

--- a/packages/admission/src/accounts/fairShares.ts
+++ b/packages/admission/src/accounts/fairShares.ts
@@ -1,4 +1,5 @@
 /** Max-min fair shares of client accounts in what a service can take. */
+import { utils } from "@shedtiller/common";
 
 /**
  * Least ratio of the share of an account's requests that is admitted to that of all requests. Twice the quarter that each account keeps of
@@ -51,7 +52,7 @@
  */
 export function getFairShares({ byAccount, admitted }: AccountDemands): FairShares {
   const demands = [...byAccount.values()].filter((demand) => demand > 0);
-  const total = demands.reduce((sum, demand) => sum + demand, 0);
+  const total = utils.getSum(demands);
   if (demands.length < 2) return { fairDemand: Number.POSITIVE_INFINITY, limited: new Map() };
   const usualDemand = getMedian(demands) * usualMultiple;
   const fairDemand = Math.max(getFairDemand(demands, admitted * dividedShare), usualDemand);
--- a/packages/admission/src/accounts/getReturnTime.ts
+++ b/packages/admission/src/accounts/getReturnTime.ts
@@ -1,4 +1,5 @@
 /** Times after which rejected callers return. */
+import { utils } from "@shedtiller/common";
 
 /** Least time to return, as a share of the target latency: the time in which the figures of other instances arrive. */
 const leastTargetShare = 0.5;
@@ -12,8 +13,6 @@
 /** Times are spread by this share around the expected ones, so that callers who were rejected together don't return together. */
 const spreadShare = 0.5;
 
-const msPerSecond = 1_000;
-
 /** What is expected when a request is rejected. */
 export interface ReturnForecast {
   readonly targetLatencyMs: number;
@@ -37,7 +36,7 @@
   const leastMs = targetLatencyMs * leastTargetShare;
   const mostMs = targetLatencyMs * maxTargets;
   const perSecond = admittedPerSecond * returnsShare;
-  const expectedMs = leastMs + (returnsAhead / Math.max(perSecond, Number.EPSILON)) * msPerSecond;
+  const expectedMs = leastMs + (returnsAhead / Math.max(perSecond, Number.EPSILON)) * utils.msPerSecond;
   const isPromised = perSecond > 0 && expectedMs <= mostMs;
   const spread = 1 + spreadShare * (position - 0.5);
   const returnMs = Math.min(mostMs, expectedMs) * spread;
--- a/packages/routing/src/concurrency/EndpointRating.ts
+++ b/packages/routing/src/concurrency/EndpointRating.ts
@@ -1,4 +1,5 @@
 /** Rating of the endpoints of a service by their recent answers, and the requests that they can answer together. */
+import { utils } from "@shedtiller/common";
 
 /** What is known of an endpoint. The sums cover the answers that all instances received in the last seconds. */
 export interface EndpointState {
@@ -41,6 +42,7 @@
 const priorFailures = 0.2;
 /** Endpoints that take longer than their peers by up to this factor are as good as these: services have machines of several speeds. */
 const slowTolerance = 1.5;
+const medianShare = 0.5;
 /** Share of slots in use from which on requests queue at the endpoints. */
 const busyShare = 1;
 
@@ -52,7 +54,9 @@
   const bestShare = Math.max(...bounded.map(getSuccessShare));
   return bounded.map((state, index) => {
     const serviceMs = times[index] ?? usualMs;
-    const peerMs = getLowerMedian(times.filter((_, other) => other !== index)) ?? serviceMs;
+    const peerTimes = times.filter((_, other) => other !== index);
+    // Of two peers the faster one counts.
+    const peerMs = peerTimes.length === 0 ? serviceMs : utils.getQuantile(peerTimes, medianShare);
     const { answers, failures } = state;
     const successShare = getSuccessShare(state) / bestShare;
     const slowness = Math.max(1, serviceMs / (slowTolerance * peerMs));
@@ -73,8 +77,8 @@
  * @param ownShare - Share of the slots that belongs to the requests in `ratings`; 1 if those of all instances are known.
  */
 export function areSlotsInUse(ratings: readonly EndpointRating[], ownShare: number): boolean {
-  const slots = ratings.reduce((sum, { usableSlots }) => sum + usableSlots, 0);
-  const requests = ratings.reduce((sum, { state }) => sum + state.requests, 0);
+  const slots = getUsableSlots(ratings);
+  const requests = utils.getSum(ratings.map(({ state }) => state.requests));
   return requests >= slots * busyShare * ownShare;
 }
 
@@ -83,7 +87,7 @@
   ratings: readonly EndpointRating[],
   typicalMs: number | undefined,
 ): number {
-  const slots = ratings.reduce((sum, { usableSlots }) => sum + usableSlots, 0);
+  const slots = getUsableSlots(ratings);
   const serviceMs = typicalMs ?? Math.min(...ratings.map((rating) => rating.serviceMs));
   return slots > 0 ? serviceMs / slots : serviceMs;
 }
@@ -94,10 +98,14 @@
   return unavoided.length > 0 ? unavoided : ratings;
 }
 
+function getUsableSlots(ratings: readonly EndpointRating[]): number {
+  return utils.getSum(ratings.map(({ usableSlots }) => usableSlots));
+}
+
 /** The mean time over all answers of a service. */
 function getUsualMs(states: readonly EndpointState[]): number {
-  const successes = states.reduce((sum, state) => sum + getSuccesses(state), 0);
-  const timeMs = states.reduce((sum, state) => sum + state.timeMs, 0);
+  const successes = utils.getSum(states.map(getSuccesses));
+  const timeMs = utils.getSum(states.map((state) => state.timeMs));
   return successes < 1 ? initialServiceMs : Math.max(1, timeMs / successes);
 }
 
@@ -126,9 +134,3 @@
     overdue: Math.max(0, state.overdue),
   };
 }
-
-/** Returns the lower median, so that of two peers the faster one counts. */
-function getLowerMedian(values: readonly number[]): number | undefined {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) / 2)];
-}
--- a/packages/routing/src/concurrency/TimeHistogram.ts
+++ b/packages/routing/src/concurrency/TimeHistogram.ts
@@ -1,4 +1,5 @@
 /** Buckets of a histogram of response times, whose counts add up over instances. */
+import { utils } from "@shedtiller/common";
 
 /** Upper bound of the first bucket: shorter than any request of a service over a network. */
 const firstBoundMs = 5;
@@ -31,7 +32,7 @@
   minCount: number,
 ): number | undefined {
   const counts = Array.from({ length: bucketCount }, (_, bucket) => getCount(bucket));
-  const total = counts.reduce((sum, count) => sum + count, 0);
+  const total = utils.getSum(counts);
   if (total < minCount) return undefined;
   let rank = share * total;
   const bucket = counts.findIndex((count) => {
--- a/packages/routing/src/concurrency/chooseEndpoint.ts
+++ b/packages/routing/src/concurrency/chooseEndpoint.ts
@@ -1,4 +1,5 @@
 /** Choice of an endpoint by least expected time. */
+import { utils } from "@shedtiller/common";
 import { getUnavoided, type EndpointRating } from "./EndpointRating.js";
 
 /** Exponent of the weights of endpoints by their records: an endpoint that takes twice as long as is tolerated gets a sixteenth. */
@@ -60,7 +61,7 @@
 }
 
 function pickWeighted<T>(items: readonly T[], getWeight: (item: T) => number, random: number): T | undefined {
-  let remaining = random * items.reduce((sum, item) => sum + getWeight(item), 0);
+  let remaining = random * utils.getSum(items.map(getWeight));
   for (const item of items) {
     remaining -= getWeight(item);
     if (remaining < 0) return item;
--- a/packages/routing/src/flows/computeFlows.ts
+++ b/packages/routing/src/flows/computeFlows.ts
@@ -1,4 +1,5 @@
 /** Shares of each zone's requests that run in other zones, from demand and capacity by zone. */
+import { utils } from "@shedtiller/common";
 
 /** Demand and capacity of a zone, in the same unit. */
 export interface ZoneBalance {
@@ -21,8 +22,7 @@
   targetUtilization: number,
 ): ReadonlyMap<string, FlowShares> {
   const balances = [...zones.values()];
-  const sum = (getValue: (zone: ZoneBalance) => number): number =>
-    balances.reduce((total, zone) => total + getValue(zone), 0);
+  const sum = (getValue: (zone: ZoneBalance) => number): number => utils.getSum(balances.map(getValue));
   const evenUtilization =
     sum(({ demand }) => demand) /
     Math.max(
