common: rate meters and decaying sums share one decay

Cause: the flows between zones and the shares of first engines brought a sum that decays with time, which the meter of rates had already, in another package and with its own formula.

Ruled out: using the meter in their place; they compare sums with numbers of streams and take the time as an argument, the meter gives rates and reads the clock itself.

A meter no longer rewrites its sum each time it is read.

A rate may differ from before in its last binary digit, since the decay is computed once over the whole time, not once for each reading.

--- a/packages/admission/src/RateMeter.ts
+++ b/packages/admission/src/RateMeter.ts
@@ -5,8 +5,7 @@
 
 /** Measures a rate as an exponentially decaying sum over a time constant. */
 export class RateMeter {
-  private _sum = 0;
-  private _atMs: number;
+  private readonly _sum: utils.DecayingSum;
   private readonly _startedAtMs: number;
 
   /**
@@ -17,19 +16,17 @@
     readonly timeConstantMs: number,
     private readonly _nowMs: () => number = utils.monotonicMs,
   ) {
-    this._atMs = _nowMs();
-    this._startedAtMs = this._atMs;
+    this._sum = new utils.DecayingSum(timeConstantMs);
+    this._startedAtMs = _nowMs();
   }
 
   add(amount: number): void {
-    this._decay();
-    this._sum += amount;
+    this._sum.add(amount, this._nowMs());
   }
 
   /** Returns the amount per second, assuming no events before the meter was created. Suited to comparing meters of different ages. */
   getPerSecond(): number {
-    this._decay();
-    return (this._sum / this.timeConstantMs) * utils.msPerSecond;
+    return (this._sum.get(this._nowMs()) / this.timeConstantMs) * utils.msPerSecond;
   }
 
   /** Returns the amount per second, corrected for the time before the meter was created. Suited to predictions. */
@@ -37,10 +34,4 @@
     const ageMs = Math.max(minAgeMs, this._nowMs() - this._startedAtMs);
     return this.getPerSecond() / (1 - Math.exp(-ageMs / this.timeConstantMs));
   }
-
-  private _decay(): void {
-    const nowMs = this._nowMs();
-    this._sum *= Math.exp(-(nowMs - this._atMs) / this.timeConstantMs);
-    this._atMs = nowMs;
-  }
 }
--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -6,6 +6,7 @@
 export * from "./tasks.js";
 export * from "./Deferred.js";
 export * from "./BoundedMap.js";
+export * from "./DecayingSum.js";
 export * from "./ids.js";
 export * from "./hashing.js";
 export * from "./AdaptiveTimeout.js";
--- a/packages/gateway/src/chains/FirstEngineShares.ts
+++ b/packages/gateway/src/chains/FirstEngineShares.ts
@@ -4,7 +4,6 @@
  */
 import { utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
-import { DecayingSum } from "@shedtiller/routing";
 import type { EngineProfile } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import { PressureSource, type PressureEntry } from "../loadcontrol/PressureSource.js";
@@ -28,8 +27,8 @@
 /** The streams of one zone that this instance began, and the engines at which it may begin more. */
 interface ZoneStarts {
   readonly service: string;
-  readonly total: DecayingSum;
-  readonly byEngine: Map<string, DecayingSum>;
+  readonly total: utils.DecayingSum;
+  readonly byEngine: Map<string, utils.DecayingSum>;
   /** Share that each engine may begin now; 1 if no other engine can begin streams. */
   bound: number;
   boundedAtMs: number;
@@ -62,7 +61,7 @@
   noteStart(engine: Endpoint): void {
     const nowMs = this._nowMs();
     const starts = this._getStarts(engine);
-    const own = starts.byEngine.get(engine.id) ?? new DecayingSum(windowMs);
+    const own = starts.byEngine.get(engine.id) ?? new utils.DecayingSum(windowMs);
     starts.byEngine.set(engine.id, own);
     own.add(1, nowMs);
     starts.total.add(1, nowMs);
@@ -133,7 +132,7 @@
     const key = `${listed.service}\u0000${listed.availabilityZone}`;
     const known = this._zones.get(key);
     if (known !== undefined) return this._withoutForgotten(known);
-    const total = new DecayingSum(windowMs);
+    const total = new utils.DecayingSum(windowMs);
     const starts = { service: listed.service, total, byEngine: new Map(), bound: 1, boundedAtMs: 0 };
     this._zones.set(key, starts);
     return starts;
--- a/packages/gateway/src/loadcontrol/SharedZoneFlows.ts
+++ b/packages/gateway/src/loadcontrol/SharedZoneFlows.ts
@@ -45,7 +45,7 @@
   private readonly _nowMs: () => number;
   private readonly _capacities: ZoneCapacities;
   /** Tokens of the requests that arrived at this instance, by service. */
-  private readonly _arrivals = new Map<string, routing.DecayingSum>();
+  private readonly _arrivals = new Map<string, utils.DecayingSum>();
   /** The zones to which requests went at the last decision, by service. */
   private readonly _takers = new Map<string, string>();
   private _decidedAtMs = Number.NEGATIVE_INFINITY;
@@ -62,7 +62,7 @@
   }
 
   noteArrival(service: string, tokens: number): void {
-    const arrivals = this._arrivals.get(service) ?? new routing.DecayingSum(demandWindowMs);
+    const arrivals = this._arrivals.get(service) ?? new utils.DecayingSum(demandWindowMs);
     this._arrivals.set(service, arrivals);
     arrivals.add(tokens, this._nowMs());
   }
--- a/packages/routing/src/flows/index.ts
+++ b/packages/routing/src/flows/index.ts
@@ -1,3 +1,2 @@
 export * from "./approachShares.js";
 export * from "./computeFlows.js";
-export * from "./DecayingSum.js";
--- a/packages/routing/src/tests/flowsTests.ts
+++ b/packages/routing/src/tests/flowsTests.ts
@@ -1,7 +1,7 @@
 /** Shares of requests between zones. */
 import test from "ava";
 import * as fc from "fast-check";
-import { approachShares, computeFlows, DecayingSum, type FlowShares } from "../flows/index.js";
+import { approachShares, computeFlows, type FlowShares } from "../flows/index.js";
 
 const targetUtilization = 0.9;
 
@@ -77,11 +77,3 @@
 test("the share of a zone that can't take requests is zero at once", (t) => {
   t.is(approachShares(new Map([["b", 0.5]]), new Map([["b", 0.5]]), new Set(), 200).size, 0);
 });
-
-test("a decaying sum forgets by the time that passed, and ignores a clock that goes back", (t) => {
-  const sum = new DecayingSum(1_000);
-  sum.add(1, 5_000);
-  t.is(sum.get(5_000), 1);
-  t.is(sum.get(4_000), 1);
-  t.true(Math.abs(sum.get(6_000) - 1 / Math.E) < 1e-9);
-});
