gateway: the counters of an instance are created in one place

Ruled out: a table of counters, in which the names of labels would no longer be checked by their types.

Change: a private method creates a counter with checked labels, as gauges are created already.

--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -54,114 +54,97 @@
   readonly levelChanges: prom.Counter<"service" | "direction">;
 
   constructor() {
-    const registers = [this.registry];
-    this.requests = new prom.Counter({
-      name: "shedtiller_gateway_requests_total",
-      help: "Requests ended, by kind and outcome",
-      labelNames: ["kind", "outcome"],
-      registers,
-    });
+    this.requests = this._createCounter("requests_total", "Requests ended, by kind and outcome", [
+      "kind",
+      "outcome",
+    ]);
     this.duration = new prom.Histogram({
       name: "shedtiller_gateway_request_seconds",
       help: "Time from arrival to the end of the answer, by kind",
       labelNames: ["kind"],
       buckets: durationBuckets,
-      registers,
-    });
-    this.suspicions = new prom.Counter({
-      name: "shedtiller_gateway_suspicions_total",
-      help: "Endpoints taken out of the choice for a while, by cause",
-      labelNames: ["cause"],
-      registers,
-    });
-    this.crashes = new prom.Counter({
-      name: "shedtiller_gateway_crashes_total",
-      help: "Crashes of endpoints with requests at their beginning, as this instance found them",
-      registers,
-    });
-    this.quarantinedRequests = new prom.Counter({
-      name: "shedtiller_gateway_held_back_total",
-      help: "Requests that were refused since equal ones crashed endpoints",
-      registers,
-    });
-    this.permits = new prom.Counter({
-      name: "shedtiller_gateway_permits_total",
-      help: "Permits that came for endpoints that name a limit, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.statements = new prom.Counter({
-      name: "shedtiller_gateway_endpoint_statements_total",
-      help: "Answers in which endpoints ask for rest, say that they leave, or have an unknown or unreadable header, by service",
-      labelNames: ["what", "service"],
-      registers,
-    });
-    this.earlyMoves = new prom.Counter({
-      name: "shedtiller_gateway_early_moves_total",
-      help: "Streams moved or resumed at the first sign of a lost engine, by cause",
-      labelNames: ["cause"],
-      registers,
-    });
-    this.engineQuestions = new prom.Counter({
-      name: "shedtiller_gateway_engine_questions_total",
-      help: "Questions to engines of silent streams whether they still work, by result",
-      labelNames: ["result"],
-      registers,
-    });
-    this.firstEngineBounds = new prom.Counter({
-      name: "shedtiller_gateway_first_engine_bounds_total",
-      help: "Choices of chains in which an engine had begun more than its share of the streams of its zone, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.zoneFlowChanges = new prom.Counter({
-      name: "shedtiller_gateway_zone_flow_changes_total",
-      help: "Changes of the zones to which requests of the own zone go, as decided by this instance, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.queuedStreams = new prom.Counter({
-      name: "shedtiller_gateway_queued_streams_total",
-      help: "Streams whose forecast first event waits for prompts in front, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.levelChanges = new prom.Counter({
-      name: "shedtiller_gateway_level_changes_total",
-      help: "Changes of the level of admission by urgency, by service and direction",
-      labelNames: ["service", "direction"],
-      registers,
-    });
-    this.namedLimits = new prom.Counter({
-      name: "shedtiller_gateway_named_limits_total",
-      help: "Answers in which endpoints named the requests a second that they take, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.endpointDecisions = new prom.Counter({
-      name: "shedtiller_gateway_endpoint_decisions_total",
-      help: "Changes of the limits of plain endpoints, by service and cause",
-      labelNames: ["service", "cause"],
-      registers,
-    });
-    this.hedges = new prom.Counter({
-      name: "shedtiller_gateway_hedges_total",
-      help: "Requests that were sent to a second endpoint while the first one had not answered, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.accountRefusals = new prom.Counter({
-      name: "shedtiller_gateway_account_refusals_total",
-      help: "Requests rejected since their account asks for more than its fair share, by service",
-      labelNames: ["service"],
-      registers,
-    });
-    this.returns = new prom.Counter({
-      name: "shedtiller_gateway_returns_total",
-      help: "Requests that came back after a rejection, by service and whether they were in time",
-      labelNames: ["service", "kind"],
-      registers,
+      registers: [this.registry],
     });
+    this.suspicions = this._createCounter(
+      "suspicions_total",
+      "Endpoints taken out of the choice for a while, by cause",
+      ["cause"],
+    );
+    this.crashes = this._createCounter(
+      "crashes_total",
+      "Crashes of endpoints with requests at their beginning, as this instance found them",
+      [],
+    );
+    this.quarantinedRequests = this._createCounter(
+      "held_back_total",
+      "Requests that were refused since equal ones crashed endpoints",
+      [],
+    );
+    this.permits = this._createCounter(
+      "permits_total",
+      "Permits that came for endpoints that name a limit, by service",
+      ["service"],
+    );
+    this.statements = this._createCounter(
+      "endpoint_statements_total",
+      "Answers in which endpoints ask for rest, say that they leave, or have an unknown or unreadable header, by service",
+      ["what", "service"],
+    );
+    this.earlyMoves = this._createCounter(
+      "early_moves_total",
+      "Streams moved or resumed at the first sign of a lost engine, by cause",
+      ["cause"],
+    );
+    this.engineQuestions = this._createCounter(
+      "engine_questions_total",
+      "Questions to engines of silent streams whether they still work, by result",
+      ["result"],
+    );
+    this.firstEngineBounds = this._createCounter(
+      "first_engine_bounds_total",
+      "Choices of chains in which an engine had begun more than its share of the streams of its zone, by service",
+      ["service"],
+    );
+    this.zoneFlowChanges = this._createCounter(
+      "zone_flow_changes_total",
+      "Changes of the zones to which requests of the own zone go, as decided by this instance, by service",
+      ["service"],
+    );
+    this.queuedStreams = this._createCounter(
+      "queued_streams_total",
+      "Streams whose forecast first event waits for prompts in front, by service",
+      ["service"],
+    );
+    this.levelChanges = this._createCounter(
+      "level_changes_total",
+      "Changes of the level of admission by urgency, by service and direction",
+      ["service", "direction"],
+    );
+    this.namedLimits = this._createCounter(
+      "named_limits_total",
+      "Answers in which endpoints named the requests a second that they take, by service",
+      ["service"],
+    );
+    this.endpointDecisions = this._createCounter(
+      "endpoint_decisions_total",
+      "Changes of the limits of plain endpoints, by service and cause",
+      ["service", "cause"],
+    );
+    this.hedges = this._createCounter(
+      "hedges_total",
+      "Requests that were sent to a second endpoint while the first one had not answered, by service",
+      ["service"],
+    );
+    this.accountRefusals = this._createCounter(
+      "account_refusals_total",
+      "Requests rejected since their account asks for more than its fair share, by service",
+      ["service"],
+    );
+    this.returns = this._createCounter(
+      "returns_total",
+      "Requests that came back after a rejection, by service and whether they were in time",
+      ["service", "kind"],
+    );
   }
 
   /** Adds a gauge whose value is read at scrape time. */
@@ -210,6 +193,19 @@
     stopListening(this._server);
   }
 
+  private _createCounter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): prom.Counter<Label> {
+    return new prom.Counter({
+      name: `shedtiller_gateway_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
   /** A value that cannot be read is answered with 500: an operator who looks must not end the process. */
   private async _answer({ url }: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     try {
