gateway: the detour of a moved stream is found in a method of its own

Cause: the choice of a new chain had grown by the whole search for a detour, with its own demand, zone and filter of faulty engines beside those of the choice of chains.

Ruled out: a rule of its own for the detour outside the mover; it needs the stream's reservation and the settings that the mover has.

Change: `_findDetour`; both searches get the same sound engines, which are filtered once.

Random numbers are drawn for sound engines only, no longer for faulty ones that were dropped afterwards.

--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -144,28 +144,18 @@
     profile: EngineProfile,
     order: MoveOrder,
   ): readonly ChainStage[] | undefined {
-    const { context, chooser, nowMs, random } = this._structure;
-    const { stages } = attempt.reservation;
-    const endpoints = context.endpoints.getUsable(attempt.service);
-    const demand = { ...estimateTokens(attempt.request.fields), availabilityZone: context.availabilityZone };
-    const first = attempt.firstStage;
-    const firstZone = first && context.endpoints.get(first.endpointId)?.listed.availabilityZone;
+    const { context, chooser } = this._structure;
     const isFaulty = (address: string): boolean => order.faultyAddresses.includes(address);
-    if (context.controls.earlyMoves !== undefined && firstZone !== undefined) {
-      const inZone = { ...demand, availabilityZone: firstZone };
-      const query = { endpoints, profile, demand: inZone, nowMs: nowMs(), random };
-      const candidates = getDetourCandidates(query).filter(
-        ({ endpoint }) => !isFaulty(endpoint.listed.address),
-      );
-      const isLost = (stage: ChainStage): boolean => isFaulty(stage.address);
-      const detour = findDetour({ stages, isLost, candidates, demand: inZone });
-      if (detour !== undefined) return detour;
-    }
-    const sound = endpoints.filter(({ listed }) => !isFaulty(listed.address));
+    const usable = context.endpoints.getUsable(attempt.service);
+    const sound = usable.filter(({ listed }) => !isFaulty(listed.address));
+    const detour = this._findDetour(attempt, profile, sound, isFaulty);
+    if (detour !== undefined) return detour;
+    const first = attempt.firstStage;
     // The stream's own reservation must not count against it in the choice of its new chain.
     attempt.reservation.move([]);
     return chooser.choose(sound, profile, {
-      ...demand,
+      ...estimateTokens(attempt.request.fields),
+      availabilityZone: context.availabilityZone,
       assumedRestarts: context.restarts.getAssumed(),
       firstEndpointId: first?.endpointId,
       firstEnd: first?.end,
@@ -173,6 +163,23 @@
     });
   }
 
+  /** Finds engines of the first engine's zone for just the lost layers of a stream; undefined if there are none, or moves are not early. */
+  private _findDetour(
+    attempt: StreamAttempt,
+    profile: EngineProfile,
+    endpoints: readonly Endpoint[],
+    isFaulty: (address: string) => boolean,
+  ): readonly ChainStage[] | undefined {
+    const { context, nowMs, random } = this._structure;
+    const first = attempt.firstStage;
+    const availabilityZone = first && context.endpoints.get(first.endpointId)?.listed.availabilityZone;
+    if (context.controls.earlyMoves === undefined || availabilityZone === undefined) return undefined;
+    const demand = { ...estimateTokens(attempt.request.fields), availabilityZone };
+    const candidates = getDetourCandidates({ endpoints, profile, demand, nowMs: nowMs(), random });
+    const isLost = ({ address }: ChainStage): boolean => isFaulty(address);
+    return findDetour({ stages: attempt.reservation.stages, isLost, candidates, demand });
+  }
+
   /**
    * Handles the rejection of a move. Abandons a stream that its first engine has lost. Otherwise the engine named in the rejection
    * has no capacity or has not loaded the layers, so another one is chosen until the stream reaches its maximum silence.
