gateway: logs tell on whose word an endpoint is suspected

Cause: a receiver of a reported suspicion logged neither reporter nor evidence, and nothing showed whether it reached the endpoint itself, so the log could not tell a dead endpoint from a reporter without links. Change: endpoint-suspicion-reported names reporter, evidence and the time since this instance heard the endpoint; stream-refused counts the suspected endpoints. Ruled out: nothing yet; no decision is changed.

--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -54,6 +54,8 @@
   avoidedUntilMs = 0;
   /** Stops requests to the endpoint after requests of this instance failed. */
   readonly circuitBreaker = new CircuitBreaker();
+  /** Monotonic time at which this instance last received an answer or an event of the endpoint. */
+  heardAtMs = Number.NEGATIVE_INFINITY;
   /** Number of consecutive suspicions without a heartbeat between them. */
   suspicions = 0;
   /** The load at which the endpoint last rejected a request for lack of capacity. */
--- a/packages/gateway/src/discovery/EndpointStatements.ts
+++ b/packages/gateway/src/discovery/EndpointStatements.ts
@@ -44,6 +44,7 @@
 
   /** Applies the statements of the answer to a request. */
   noteAnswer(endpoint: Endpoint, answer: StatedAnswer): void {
+    endpoint.heardAtMs = this._nowMs();
     this._structure.limits.noteAnswer(endpoint, answer.stated.limit, answer.sentAtMs);
     if (answer.stated.load !== undefined) endpoint.noteStatedLoad(answer.stated.load, this._nowMs());
     this._noteBackoffEnded(endpoint);
@@ -56,6 +57,7 @@
     const endpoint =
       target.lifeId === undefined ? endpoints.get(target.id) : endpoints.getLife(target.lifeId);
     if (endpoint === undefined) return;
+    endpoint.heardAtMs = this._nowMs();
     limits.noteReport(endpoint, answer.stated.limit, answer.sentAtMs);
     this._noteOtherStatements(endpoint, answer);
   }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -147,8 +147,8 @@
 
   private _subscribeToEndpointNotices(): void {
     const { endpoints } = this._structure;
-    this._onEndpointNotice(peerTopics.suspect, suspicionSchema, (endpoint, { evidence }) =>
-      endpoints.suspect(endpoint.id, evidence),
+    this._onEndpointNotice(peerTopics.suspect, suspicionSchema, (endpoint, { evidence }, from) =>
+      this._noteReportedSuspicion(endpoint, evidence, from),
     );
     this._onEndpointNotice(peerTopics.full, endpointNoticeSchema, (endpoint) =>
       endpoint.noteFull(this._nowMs()),
@@ -165,14 +165,27 @@
   private _onEndpointNotice<T extends { lifeId: string }>(
     topic: string,
     schema: zod.ZodType<T>,
-    handle: (endpoint: Endpoint, message: T) => void,
+    handle: (endpoint: Endpoint, message: T, from: PeerIdentity) => void,
   ): void {
     const { membership, endpoints, log } = this._structure;
     membership.onNotice(topic, (body, from) => {
       const message = schema.safeParse(body);
       if (!message.success) return logInvalidPeerMessage(log, topic, from);
       const endpoint = endpoints.getLife(message.data.lifeId);
-      if (endpoint !== undefined) handle(endpoint, message.data);
+      if (endpoint !== undefined) handle(endpoint, message.data, from);
+    });
+  }
+
+  private _noteReportedSuspicion(endpoint: Endpoint, evidence: SuspicionEvidence, from: PeerIdentity): void {
+    const { endpoints, log } = this._structure;
+    if (!endpoints.suspect(endpoint.id, evidence)) return;
+    const heardMsAgo = this._nowMs() - endpoint.heardAtMs;
+    log.warn("endpoint-suspicion-reported", {
+      endpointId: endpoint.id,
+      address: endpoint.listed.address,
+      evidence,
+      reporter: from.name,
+      heardMsAgo: Number.isFinite(heardMsAgo) ? Math.round(heardMsAgo) : undefined,
     });
   }
 
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -102,6 +102,7 @@
     const nowMs = utils.monotonicMs();
     if (this.hasPassedChain) this.onPause?.(nowMs - this.lastActivityAtMs);
     this.lastActivityAtMs = nowMs;
+    if (this.firstEndpoint !== undefined) this.firstEndpoint.heardAtMs = nowMs;
     this.awaitsRead = false;
     const events = this._splitter.push(bytes);
     if (events === undefined) return;
--- a/packages/gateway/src/requests/StreamRefusals.ts
+++ b/packages/gateway/src/requests/StreamRefusals.ts
@@ -37,6 +37,7 @@
     const retryAfterMs = this._getRetryAfterMs(reason, request, service);
     const profile = this._context.activeConfiguration.table?.getEngineProfile(service);
     const endpoints = this._context.endpoints.getUsable(service);
+    const nowMs = utils.monotonicMs();
     this._context.log.warn("stream-refused", {
       requestId: request.id,
       reason,
@@ -46,7 +47,8 @@
         reason === "limited" || reason === "resting"
           ? this._context.forecast.describeBlocks(service)
           : undefined,
-      room: profile === undefined ? undefined : describeFreeCapacity(endpoints, profile, utils.monotonicMs()),
+      suspected: endpoints.filter((endpoint) => endpoint.isSuspect(nowMs)).length,
+      room: profile === undefined ? undefined : describeFreeCapacity(endpoints, profile, nowMs),
     });
     if (reason === "less-urgent") noteRefusedAfterGates(this._context, request, service, retryAfterMs);
     request.refuse(503, reason, retryAfterMs);
--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -47,10 +47,15 @@
 
   /** Refuses new connections, as the address of a stopped target does, and resets the open ones. */
   refuseConnections(): void {
-    if (this._server.listening) this._server.close();
+    this.stopAccepting();
     this.resetConnections();
   }
 
+  /** Refuses new connections; the open ones go on. */
+  stopAccepting(): void {
+    if (this._server.listening) this._server.close();
+  }
+
   /** Accepts connections again, on the same port. Has no effect after `close`. */
   async acceptConnections(): Promise<void> {
     if (!this._server.listening && !this._isClosed) await this._listen(this._port);
