gateway: what a peer reports about an endpoint is verified before it counts

Symptom: while some instances had lost their links to all endpoints, callers of the others were served 47 of 137 first tries; streams were refused with no-room in all zones. Cause: an instance that cannot connect broadcasts a suspicion, and the receivers recorded it as a fact about the endpoint. The class: the view of one instance counts as the state of what it views. Evidence: the receivers had heard the endpoint 19 to 353 ms before (endpoint-suspicion-reported, heardMsAgo), and the refusals count both first engines as suspected. Ruled out: a lack of capacity after replanning, since no layers were ordered before the first refusals. Change: a suspicion carries the time since the failed attempt began. A receiver that has heard the endpoint since ignores the report. Otherwise the endpoint gets no new work while one question of the receiver itself is on its way, and the answer clears it; streams leave an endpoint that is reported as lost only after that question.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -9,10 +9,9 @@
 import type { QuarantineStore } from "./crashes/QuarantineStore.js";
 import { probeConnection } from "@shedtiller/crashes";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
-import type { Endpoint } from "./discovery/Endpoint.js";
+import { EndpointHealth } from "./discovery/EndpointHealth.js";
 import { EndpointLimits } from "./discovery/EndpointLimits.js";
 import { EndpointStatements } from "./discovery/EndpointStatements.js";
-import { FailureDetector } from "./discovery/FailureDetector.js";
 import { EndpointTable } from "./discovery/EndpointTable.js";
 import { EndpointWatch } from "./discovery/EndpointWatch.js";
 import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
@@ -84,7 +83,7 @@
   private readonly _budgets: RetryBudgets;
   private readonly _limits: EndpointLimits;
   private readonly _statements: EndpointStatements;
-  private readonly _failureDetector: FailureDetector;
+  private readonly _health: EndpointHealth;
   private readonly _demand = new RequestDemand();
   private readonly _controls: LoadControls;
   private readonly _pressure: PressureView;
@@ -121,7 +120,7 @@
     this._leadership = new Leadership(platform.election, _log, { mayCampaign: () => relay.isReader });
     const broadcastRestart = (id: string, bornAtMs: number): void => exchange.broadcastRestart(id, bornAtMs);
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, broadcastRestart);
-    this._failureDetector = this._createFailureDetector(orders);
+    this._health = this._createEndpointHealth(orders);
     this._layerReconciler = this._createLayerReconciler(orders);
     this._controls = this._createControls();
     this._pressure = this._createPressureView();
@@ -167,6 +166,7 @@
       this._enginePoll.run(signal),
       this._forwarders.monitor.run(signal),
       this._pressure.run(signal),
+      this._health.run(signal),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._logTaskFailure(error));
     this._log.info("instance-started", { ...this._settings.instance });
@@ -244,16 +244,10 @@
       isReader: () => relay.isReader,
       getInstanceNames: () => this._peers.getInstanceNames(),
       count: (event) => (event === "crash" ? this.metrics.crashes : this.metrics.quarantinedRequests).inc(),
-      onCrash: (endpoint) => this._noteCrash(endpoint),
+      onCrash: (endpoint) => this._health.noteCrash(endpoint),
     });
   }
 
-  /** Reports a crashed endpoint to the failure detector, so that it receives no new requests and the leader replaces its layers. */
-  private _noteCrash(endpoint: Endpoint): void {
-    const isKnown = this.endpoints.get(endpoint.id) === endpoint;
-    if (isKnown) this._failureDetector.noteUnresponsive(endpoint.id, "crashed", "lost");
-  }
-
   private _createLayerReconciler(orders: EngineOrders): LayerReconciler {
     return new LayerReconciler({
       activeConfiguration: this.activeConfiguration,
@@ -307,7 +301,7 @@
       budgets: this._budgets,
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
-      failureDetector: this._failureDetector,
+      failureDetector: this._health.detector,
       crashes: this.crashes.detector,
       statements: this._statements,
       demand: this._demand,
@@ -348,14 +342,14 @@
     return new PermitForecast({ endpoints: this.endpoints, demand: this._demand, getInstanceCount });
   }
 
-  private _createFailureDetector(orders: EngineOrders): FailureDetector {
-    return new FailureDetector({
+  private _createEndpointHealth(orders: EngineOrders): EndpointHealth {
+    return new EndpointHealth({
+      activeConfiguration: this.activeConfiguration,
       endpoints: this.endpoints,
       orders,
+      exchange: this._peers.exchange,
+      probe: probeConnection,
       log: this._log,
-      broadcastSuspicion: (endpointId, evidence) =>
-        this._peers.exchange.broadcastSuspicion(endpointId, evidence),
-      broadcastLayers: (endpointId, layers) => this._peers.exchange.broadcastLayers(endpointId, layers),
       count: (cause) => this.metrics.suspicions.inc({ cause }),
     });
   }
--- a/packages/gateway/src/discovery/FailureDetector.ts
+++ b/packages/gateway/src/discovery/FailureDetector.ts
@@ -4,7 +4,8 @@
 import type { Endpoint } from "./Endpoint.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import type { LayerSpan } from "./ListedEndpoint.js";
-import { getEvidence, type SuspicionEvidence } from "./SuspicionEvidence.js";
+import type { LivenessCheck } from "./LivenessCheck.js";
+import { getEvidence, isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
 
 /** Timeout of report requests: engines answer them at once, and links take a few milliseconds. */
 const reportTimeoutMs = 150;
@@ -17,12 +18,29 @@
 /** How long an engine gets no new work while its layers are being queried, and after a query without a result. */
 const layersBackoffMs = 300;
 
+/**
+ * An answer that arrived at least this long after the beginning of a peer's failed attempt shows that the endpoint works: it would have
+ * answered the attempt as well, if that had reached it.
+ */
+const answerMarginMs = 50;
+
+/** A suspicion that a peer reports. */
+export interface ReportedSuspicion {
+  readonly evidence: SuspicionEvidence;
+  /** Time since the beginning of the peer's failed attempt. */
+  readonly ageMs: number;
+  /** Name of the peer. */
+  readonly reporter: string;
+}
+
 /** Dependencies of {@link FailureDetector}. */
 export interface FailureDetectorStructure {
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
   readonly log: DecisionLog;
-  readonly broadcastSuspicion: (endpointId: string, evidence: SuspicionEvidence) => void;
+  readonly liveness: Pick<LivenessCheck, "run">;
+  /** Reports a suspicion to the peers, with the time since the beginning of the failed attempt. */
+  readonly broadcastSuspicion: (endpointId: string, evidence: SuspicionEvidence, ageMs: number) => void;
   /** Reports to the peers which layers an engine has loaded, if the list contains others. */
   readonly broadcastLayers: (endpointId: string, layers: readonly LayerSpan[]) => void;
   /** Counts a suspicion by its cause. */
@@ -33,20 +51,60 @@
 
 /**
  * Failure detector for endpoints: broadcasts a suspicion to the peers if this instance has observed the failure itself, and verifies the
- * reports of other engines with the endpoint first.
+ * reports of engines and peers with the endpoint. What one instance observes may be due to its own network path.
  */
 export class FailureDetector {
   private readonly _nowMs: () => number;
   /** Endpoints whose layers are being queried. */
   private readonly _queried = new Set<Endpoint>();
+  /** Endpoints that are being checked because of a peer's report. */
+  private readonly _checked = new Set<Endpoint>();
 
   constructor(private readonly _structure: FailureDetectorStructure) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
   }
 
-  /** Records that an endpoint did not answer this instance, or has crashed. */
-  noteUnresponsive(endpointId: string, reason: string, evidence: SuspicionEvidence = "unanswered"): void {
-    if (this._suspect(endpointId, reason, evidence)) this._structure.broadcastSuspicion(endpointId, evidence);
+  /**
+   * Records that an endpoint did not answer this instance, or has crashed.
+   * @param attemptedAtMs - Monotonic time at which the failed attempt began; by default now.
+   */
+  noteUnresponsive(
+    endpointId: string,
+    reason: string,
+    evidence: SuspicionEvidence = "unanswered",
+    attemptedAtMs = this._nowMs(),
+  ): void {
+    if (!this._suspect(endpointId, reason, evidence)) return;
+    this._structure.broadcastSuspicion(endpointId, evidence, this._nowMs() - attemptedAtMs);
+  }
+
+  /**
+   * Records a suspicion that a peer reports, and resolves once it is verified. The endpoint gets no new work until it has answered this
+   * instance, so that the report of a real failure has an effect at once; streams leave a lost endpoint only after the verification.
+   */
+  async noteReportedByPeer(
+    endpointId: string,
+    { evidence, ageMs, reporter }: ReportedSuspicion,
+  ): Promise<void> {
+    const { endpoints, liveness, log } = this._structure;
+    const endpoint = endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    const nowMs = this._nowMs();
+    if (endpoint.heardAtMs > nowMs - ageMs + answerMarginMs) return;
+    const isNew = endpoints.suspect(endpointId, evidence === "lost" ? "unanswered" : evidence);
+    if (!isNew && !isStronger(evidence, endpoint.evidence)) return;
+    const { address } = endpoint.listed;
+    const heardMsAgo = Math.round(nowMs - endpoint.heardAtMs);
+    log.warn("endpoint-suspicion-reported", { endpointId, address, evidence, reporter, heardMsAgo });
+    if (this._checked.has(endpoint)) return;
+    this._checked.add(endpoint);
+    const ownEvidence = await liveness.run(endpoint);
+    this._checked.delete(endpoint);
+    if (endpoints.get(endpointId) !== endpoint) return;
+    if (ownEvidence !== undefined)
+      return void endpoints.suspect(endpointId, isStronger(evidence, ownEvidence) ? evidence : ownEvidence);
+    endpoints.clear(endpointId);
+    log.info("endpoint-suspicion-refuted", { endpointId, address, evidence, reporter });
   }
 
   /** Records that another engine reported this engine as faulty; resolves once the engine has been queried. */
@@ -54,11 +112,12 @@
     const { endpoints, orders, broadcastSuspicion, log } = this._structure;
     const endpoint = endpoints.get(endpointId);
     if (endpoint === undefined || !this._suspect(endpointId, reason, "reported")) return;
+    const attemptedAtMs = this._nowMs();
     const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
       const evidence = getEvidence(report.val);
       endpoints.suspect(endpointId, evidence);
-      return broadcastSuspicion(endpointId, evidence);
+      return broadcastSuspicion(endpointId, evidence, this._nowMs() - attemptedAtMs);
     }
     endpoints.clear(endpointId);
     endpoint.avoidedUntilMs = this._nowMs() + reportedBackoffMs;
@@ -80,11 +139,12 @@
     this._queried.add(endpoint);
     endpoint.avoidedUntilMs = this._nowMs() + layersBackoffMs;
     const { address } = endpoint.listed;
+    const attemptedAtMs = this._nowMs();
     const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     this._queried.delete(endpoint);
     if (report.err) {
       const reason = `holds other layers: ${report.val.code}`;
-      return this.noteUnresponsive(endpointId, reason, getEvidence(report.val));
+      return this.noteUnresponsive(endpointId, reason, getEvidence(report.val), attemptedAtMs);
     }
     if (!endpoints.setLayers(endpoint, report.val.layers)) return;
     endpoint.avoidedUntilMs = 0;
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -3,6 +3,7 @@
 import type * as zod from "zod";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { ReportedSuspicion } from "../discovery/FailureDetector.js";
 import type { LayerSpan, ListedEndpoint } from "../discovery/ListedEndpoint.js";
 import type { SuspicionEvidence } from "../discovery/SuspicionEvidence.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
@@ -68,6 +69,7 @@
   private readonly _nowMs: () => number;
   private readonly _pause: (durationMs: number) => Promise<void>;
   private readonly _random: () => number;
+  private _suspicionListener: (endpointId: string, suspicion: ReportedSuspicion) => void;
 
   constructor(private readonly _structure: PeerExchangeStructure) {
     const { membership } = _structure;
@@ -81,6 +83,8 @@
       pause: this._pause,
       random: this._random,
     });
+    this._suspicionListener = (endpointId, { evidence }) =>
+      _structure.endpoints.suspect(endpointId, evidence);
     this._subscribeToEndpointNotices();
     membership.onNotice(peerTopics.restarted, (body, from) => this._handleRestart(body, from));
     membership.onNotice(peerTopics.newVersion, (body, from) => this._handleNewVersion(body, from));
@@ -101,9 +105,17 @@
     );
   }
 
-  /** Broadcasts to all peers that an endpoint is suspected, and by which evidence. */
-  broadcastSuspicion(endpointId: string, evidence: SuspicionEvidence): void {
-    this._notifyAboutEndpoint(endpointId, peerTopics.suspect, { evidence });
+  /**
+   * Broadcasts to all peers that an endpoint is suspected, and by which evidence.
+   * @param ageMs - Time since the beginning of the failed attempt.
+   */
+  broadcastSuspicion(endpointId: string, evidence: SuspicionEvidence, ageMs = 0): void {
+    this._notifyAboutEndpoint(endpointId, peerTopics.suspect, { evidence, ageMs });
+  }
+
+  /** Passes the suspicions that peers report to `listener`, which verifies them, instead of recording them. */
+  onSuspicion(listener: (endpointId: string, suspicion: ReportedSuspicion) => void): void {
+    this._suspicionListener = listener;
   }
 
   /** Broadcasts to this zone that an endpoint rejected a request for lack of capacity. Most of the endpoint's load comes from this zone. */
@@ -147,8 +159,8 @@
 
   private _subscribeToEndpointNotices(): void {
     const { endpoints } = this._structure;
-    this._onEndpointNotice(peerTopics.suspect, suspicionSchema, (endpoint, { evidence }, from) =>
-      this._noteReportedSuspicion(endpoint, evidence, from),
+    this._onEndpointNotice(peerTopics.suspect, suspicionSchema, ({ id }, { evidence, ageMs }, from) =>
+      this._suspicionListener(id, { evidence, ageMs, reporter: from.name }),
     );
     this._onEndpointNotice(peerTopics.full, endpointNoticeSchema, (endpoint) =>
       endpoint.noteFull(this._nowMs()),
@@ -176,19 +188,6 @@
     });
   }
 
-  private _noteReportedSuspicion(endpoint: Endpoint, evidence: SuspicionEvidence, from: PeerIdentity): void {
-    const { endpoints, log } = this._structure;
-    if (!endpoints.suspect(endpoint.id, evidence)) return;
-    const heardMsAgo = this._nowMs() - endpoint.heardAtMs;
-    log.warn("endpoint-suspicion-reported", {
-      endpointId: endpoint.id,
-      address: endpoint.listed.address,
-      evidence,
-      reporter: from.name,
-      heardMsAgo: Number.isFinite(heardMsAgo) ? Math.round(heardMsAgo) : undefined,
-    });
-  }
-
   private _handleRestart(body: unknown, from: PeerIdentity): void {
     const message = restartSchema.safeParse(body);
     const { endpoints, log } = this._structure;
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -60,6 +60,8 @@
   lifeId: zod.string(),
   /** Omitted by instances of earlier versions. */
   evidence: evidenceSchema.default("unanswered"),
+  /** Time since the beginning of the failed attempt; omitted by instances of earlier versions. */
+  ageMs: zod.number().nonnegative().default(0),
 });
 
 /** The life id of an endpoint that rejected a request for lack of capacity. */
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -301,7 +301,7 @@
     const isAbandoned = result.err && isAbandonedConnection(result.val, sentAtMs, connectMs);
     if (isLost || isAbandoned) endpoint.circuitBreaker.noteFailed(sentAtMs, utils.monotonicMs());
     if (result.err && result.val instanceof errors.NotReachedError && !isAbandoned)
-      this.context.failureDetector.noteUnresponsive(endpoint.id, result.val.code);
+      this.context.failureDetector.noteUnresponsive(endpoint.id, result.val.code, "unanswered", sentAtMs);
     return this._classify(request, endpoint, result, sentAtMs);
   }
 
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -186,12 +186,14 @@
   private async _queryEngine(endpointId: string): Promise<void> {
     const endpoint = this._context.endpoints.get(endpointId);
     if (endpoint === undefined) return this._abortSilentStreams(endpointId);
+    const queriedAtMs = this._nowMs();
     const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
       this._context.failureDetector.noteUnresponsive(
         endpointId,
         `no report: ${report.val.code}`,
         getEvidence(report.val),
+        queriedAtMs,
       );
       return this._abortSilentStreams(endpointId);
     }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -215,7 +215,12 @@
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
     attempt.reservation.permit?.release();
-    this.context.failureDetector.noteUnresponsive(first.id, sent.val.code, getEvidence(sent.val));
+    this.context.failureDetector.noteUnresponsive(
+      first.id,
+      sent.val.code,
+      getEvidence(sent.val),
+      attempt.sentAtMs,
+    );
     return "not-run";
   }
 
--- a/packages/gateway/src/requests/moves/EngineInquiry.ts
+++ b/packages/gateway/src/requests/moves/EngineInquiry.ts
@@ -75,7 +75,7 @@
     const reason = `silent chain: ${report.val.code}`;
     if (getEvidence(report.val) === "lost") {
       earlyMoves.noteQuestion("lost");
-      context.failureDetector.noteUnresponsive(endpoint.id, reason, "lost");
+      context.failureDetector.noteUnresponsive(endpoint.id, reason, "lost", askedAtMs);
       return undefined;
     }
     const isHeldUp = tookMs > timeoutMs + heldUpMs;
--- a/packages/gateway/src/tests/discovery/FailureDetectorTests.ts
+++ b/packages/gateway/src/tests/discovery/FailureDetectorTests.ts
@@ -1,6 +1,7 @@
 /** Tests that failures observed by this instance are broadcast, and that reports of engines about other engines are verified first. */
 import test from "ava";
 import { FailureDetector } from "../../discovery/FailureDetector.js";
+import { LivenessCheck } from "../../discovery/LivenessCheck.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { createListed } from "../testData.js";
@@ -17,6 +18,7 @@
   const detector = new FailureDetector({
     endpoints,
     orders,
+    liveness: new LivenessCheck({ orders, probe: () => Promise.resolve("open"), isEngine: () => true }),
     log: new DecisionLog(new SilentLogOutput(), () => 0),
     broadcastSuspicion: (id) => sent.push(id),
     broadcastLayers: (id, layers) => sent.push(`${id} holds ${JSON.stringify(layers)}`),
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -10,6 +10,7 @@
 import type { Route } from "../../../configuration/gatewayConfiguration.js";
 import { EndpointTable } from "../../../discovery/EndpointTable.js";
 import { FailureDetector } from "../../../discovery/FailureDetector.js";
+import { LivenessCheck } from "../../../discovery/LivenessCheck.js";
 import type { SuspicionEvidence } from "../../../discovery/SuspicionEvidence.js";
 import { GatewayMetrics } from "../../../GatewayMetrics.js";
 import { HttpClient } from "../../../http/HttpClient.js";
@@ -128,6 +129,7 @@
       failureDetector: new FailureDetector({
         endpoints,
         orders,
+        liveness: new LivenessCheck({ orders, probe: () => Promise.resolve("open"), isEngine: () => true }),
         log,
         broadcastSuspicion: (id: string, evidence: SuspicionEvidence) =>
           this.broadcasts.push(`${id} ${evidence}`),
