gateway: an instance that loses its paths to the endpoints reaches them through peers

Cause: an instance knew no path to an endpoint but its own. Ruled out: being not ready (open connections stay, and the balancer uses all instances where fewer than half are ready); forwarding whole requests (accounting, budgets, permits and configurations of two instances for one request). Change: connections are established as in RFC 8305. If a direct one fails or takes over 50 ms, a peer is asked over the authenticated link to connect, and forwards the bytes of a second connection that a single-use ticket opens. Everything that decides stays at the first instance, so at-most-once, budgets, deadlines, load and quarantine count once, and reports, orders and crash probes take the same way. A peer forwards over direct paths only. A path is lost if direct connections fail while a peer reaches the endpoint; lost paths are tried again every 0.4 to 1.6 s, calls that hang on them and may be repeated are sent again. An instance that reaches no endpoint at all refuses at once, broadcasts no suspicions and gives the leadership away.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -7,7 +7,6 @@
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
 import { RequestQuarantine } from "./crashes/RequestQuarantine.js";
 import type { QuarantineStore } from "./crashes/QuarantineStore.js";
-import { probeConnection } from "@shedtiller/crashes";
 import { ConfigurationWatch } from "./configuration/ConfigurationWatch.js";
 import { EndpointHealth } from "./discovery/EndpointHealth.js";
 import { EndpointLimits } from "./discovery/EndpointLimits.js";
@@ -17,7 +16,7 @@
 import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
 import { addGauges } from "./addGauges.js";
 import { GatewayMetrics } from "./GatewayMetrics.js";
-import type { GatewaySettings } from "./gatewaySettings.js";
+import { getChangedSections, type GatewaySettings } from "./gatewaySettings.js";
 import { HttpClient } from "./http/HttpClient.js";
 import type { MessageCodec } from "./http/MessageCodec.js";
 import { LoadControls } from "./loadcontrol/LoadControls.js";
@@ -35,6 +34,7 @@
 import type { CallerRequest } from "./requests/CallerRequest.js";
 import { ForwarderSet } from "./requests/ForwarderSet.js";
 import { PermitForecast } from "./requests/PermitForecast.js";
+import { Reachability } from "./paths/Reachability.js";
 import { ReadinessListener } from "./requests/ReadinessListener.js";
 import type { ForwardContext } from "./requests/RequestForwarder.js";
 import { RequestDemand } from "./requests/RequestDemand.js";
@@ -47,11 +47,6 @@
 const balancerNoticeMs = 2_500;
 const drainPollMs = 50;
 
-function getChangedSections(before: GatewaySettings, after: GatewaySettings): string[] {
-  const sections = Object.keys(after) as (keyof GatewaySettings)[];
-  return sections.filter((section) => JSON.stringify(before[section]) !== JSON.stringify(after[section]));
-}
-
 function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
   const { budgetRatio, budgetSlack, budgetWindowS } = retries;
   return { ratio: budgetRatio, slack: budgetSlack, windowMs: budgetWindowS * utils.msPerSecond };
@@ -66,6 +61,8 @@
   readonly orders: EngineOrders;
   readonly quarantineStore: QuarantineStore;
   readonly codec: MessageCodec;
+  /** The client with which orders are sent to endpoints. */
+  readonly httpClient: HttpClient;
 }
 
 /** Creates the components of a gateway instance, and runs them from the start to the end of a planned stop. */
@@ -84,6 +81,7 @@
   private readonly _limits: EndpointLimits;
   private readonly _statements: EndpointStatements;
   private readonly _health: EndpointHealth;
+  private readonly _reachability: Reachability;
   private readonly _demand = new RequestDemand();
   private readonly _controls: LoadControls;
   private readonly _pressure: PressureView;
@@ -116,8 +114,13 @@
     this._endpointWatch = new EndpointWatch(this.endpoints, platform.endpointFeed, _log);
     this._peers = this._createPeers(platform.registry);
     const { relay, exchange } = this._peers;
+    this._reachability = this._createReachability(platform.httpClient);
+    const { paths } = this._reachability;
     this.crashes = this._createQuarantine(platform.quarantineStore);
-    this._leadership = new Leadership(platform.election, _log, { mayCampaign: () => relay.isReader });
+    this._leadership = new Leadership(platform.election, _log, {
+      mayCampaign: () => relay.isReader,
+      canLead: () => !paths.isIsolated,
+    });
     const broadcastRestart = (id: string, bornAtMs: number): void => exchange.broadcastRestart(id, bornAtMs);
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, broadcastRestart);
     this._health = this._createEndpointHealth(orders);
@@ -167,6 +170,7 @@
       this._forwarders.monitor.run(signal),
       this._pressure.run(signal),
       this._health.run(signal),
+      this._reachability.run(signal),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._logTaskFailure(error));
     this._log.info("instance-started", { ...this._settings.instance });
@@ -194,17 +198,20 @@
     this._isDraining = true;
     this._callerListener.drain();
     this._peers.membership.leave();
+    this._reachability.server.leave();
     this._log.info("drain-began", { inHand: this._callerListener.inFlight });
     await deadline.pause(balancerNoticeMs);
     this._callerListener.setStopDeadline(deadline.endsAtMs);
     this._callerListener.closeIdle();
-    while (this._callerListener.inFlight > 0 && !deadline.isReached) await deadline.pause(drainPollMs);
+    const getOpenWork = (): number => this._callerListener.inFlight + this._reachability.server.carried;
+    while (getOpenWork() > 0 && !deadline.isReached) await deadline.pause(drainPollMs);
     this._log.info("instance-stopped", { inHand: this._callerListener.inFlight });
     this._stop.abort();
     this._callerListener.close();
     this._readinessListener.close();
     this.metrics.close();
     this._peers.membership.close();
+    this._reachability.server.close();
     this._httpClient.close();
   }
 
@@ -233,6 +240,12 @@
     });
   }
 
+  private _createReachability(orderClient: HttpClient): Reachability {
+    const { membership } = this._peers;
+    const httpClients = [this._httpClient, orderClient];
+    return new Reachability({ membership, endpoints: this.endpoints, log: this._log, httpClients });
+  }
+
   private _createQuarantine(store: QuarantineStore): RequestQuarantine {
     const { membership, relay } = this._peers;
     return new RequestQuarantine({
@@ -240,7 +253,7 @@
       endpoints: this.endpoints,
       store,
       log: this._log,
-      probe: probeConnection,
+      probe: this._reachability.connector.probe,
       isReader: () => relay.isReader,
       getInstanceNames: () => this._peers.getInstanceNames(),
       count: (event) => (event === "crash" ? this.metrics.crashes : this.metrics.quarantinedRequests).inc(),
@@ -255,7 +268,7 @@
       orders,
       log: this._log,
       areFirstEnginesEqualized: this._settings.loadControl.firstEngineShare !== "off",
-      mayOrder: () => this._leadership.isLeader(),
+      mayOrder: () => this._leadership.isLeader() && !this._reachability.paths.isIsolated,
     });
   }
 
@@ -302,6 +315,7 @@
       log: this._log,
       availabilityZone: this._settings.instance.availabilityZone,
       failureDetector: this._health.detector,
+      paths: this._reachability.paths,
       crashes: this.crashes.detector,
       statements: this._statements,
       demand: this._demand,
@@ -348,7 +362,8 @@
       endpoints: this.endpoints,
       orders,
       exchange: this._peers.exchange,
-      probe: probeConnection,
+      paths: this._reachability.paths,
+      probe: this._reachability.connector.probe,
       log: this._log,
       count: (cause) => this.metrics.suspicions.inc({ cause }),
     });
--- a/packages/gateway/src/discovery/EndpointHealth.ts
+++ b/packages/gateway/src/discovery/EndpointHealth.ts
@@ -2,6 +2,7 @@
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "../orders/EngineOrders.js";
+import type { EndpointPaths } from "../paths/EndpointPaths.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { Endpoint } from "./Endpoint.js";
 import type { EndpointTable } from "./EndpointTable.js";
@@ -15,6 +16,7 @@
   readonly endpoints: EndpointTable;
   readonly orders: EngineOrders;
   readonly exchange: Pick<PeerExchange, "broadcastSuspicion" | "broadcastLayers" | "onSuspicion">;
+  readonly paths: Pick<EndpointPaths, "isIsolated" | "onIsolationChanged">;
   readonly probe: (address: string, timeoutMs: number) => Promise<ProbeResult>;
   readonly log: DecisionLog;
   /** Counts a suspicion by its cause. */
@@ -27,18 +29,24 @@
   private readonly _review: SuspicionReview;
 
   constructor(private readonly _structure: EndpointHealthStructure) {
-    const { endpoints, orders, exchange, probe, log, count } = _structure;
+    const { endpoints, orders, exchange, paths, probe, log, count } = _structure;
     const liveness = new LivenessCheck({ orders, probe, isEngine: (endpoint) => this._isEngine(endpoint) });
     this.detector = new FailureDetector({
       endpoints,
       orders,
       liveness,
       log,
-      broadcastSuspicion: (id, evidence, ageMs) => exchange.broadcastSuspicion(id, evidence, ageMs),
+      broadcastSuspicion: (id, evidence, ageMs) => {
+        // What an instance observes that reaches no endpoint tells nothing about any of them.
+        if (!paths.isIsolated) exchange.broadcastSuspicion(id, evidence, ageMs);
+      },
       broadcastLayers: (id, layers) => exchange.broadcastLayers(id, layers),
       count,
     });
     this._review = new SuspicionReview({ endpoints, liveness, log });
+    paths.onIsolationChanged((isIsolated) => {
+      if (!isIsolated) this._review.checkSoon();
+    });
     exchange.onSuspicion((id, suspicion) => void this.detector.noteReportedByPeer(id, suspicion));
   }
 
--- a/packages/gateway/src/discovery/SuspicionReview.ts
+++ b/packages/gateway/src/discovery/SuspicionReview.ts
@@ -48,6 +48,11 @@
     );
   }
 
+  /** Makes the checks of all suspected endpoints due, since what led to the suspicions may have been a fault of this instance. */
+  checkSoon(): void {
+    for (const state of this._states.values()) state.dueAtMs = Math.min(state.dueAtMs, this._nowMs());
+  }
+
   /** Starts the checks that are due; resolves once they are complete. */
   async checkDue(): Promise<void> {
     const nowMs = this._nowMs();
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -102,3 +102,9 @@
   const checked = checkSections(gatewaySettingsSchema, content, file);
   return checked.ok ? results.Ok(checked.val.settings) : checked;
 }
+
+/** Returns the names of the sections in which two settings differ. */
+export function getChangedSections(before: GatewaySettings, after: GatewaySettings): string[] {
+  const sections = Object.keys(after) as (keyof GatewaySettings)[];
+  return sections.filter((section) => JSON.stringify(before[section]) !== JSON.stringify(after[section]));
+}
--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -2,6 +2,8 @@
 import type * as http from "node:http";
 import type { errors } from "@shedtiller/common";
 import type { AnswerTooLargeError } from "./AnswerTooLargeError.js";
+import type { ConnectionPath } from "./Connector.js";
+import type { PathLostError } from "./PathLostError.js";
 
 /** The error of a call without a usable answer. Only `NotReachedError` proves that the server did not receive the request. */
 export type CallError =
@@ -9,6 +11,7 @@
   | errors.ConnectionLostError
   | errors.DeadlineError
   | errors.CancelledError
+  | PathLostError
   | AnswerTooLargeError;
 
 /** An HTTP request with its connection options and time limits. */
@@ -25,6 +28,10 @@
   /** Maximum time from the call until the headers of the answer have arrived. */
   readonly headTimeoutMs: number;
   readonly signal?: AbortSignal | undefined;
+  /** Whether the call may be repeated, so that it ends early if its connection has probably been cut. */
+  readonly isRepeatable?: boolean | undefined;
+  /** Called with the path of the connection before anything is sent; undefined for a direct connection. */
+  readonly onConnected?: ((path: ConnectionPath | undefined) => void) | undefined;
 }
 
 /** The status and headers of an answer whose body has not been read yet. */
--- a/packages/gateway/src/http/HttpClient.ts
+++ b/packages/gateway/src/http/HttpClient.ts
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client for endpoints and the store, whose errors state whether the server may have received the request. */
-import * as http from "node:http";
 import { results } from "@shedtiller/common";
+import type { Connector } from "./Connector.js";
+import { ConnectorAgent } from "./ConnectorAgent.js";
 import type { CallError, HttpAnswer, HttpCall, BufferedAnswer } from "./HttpCall.js";
 import { HttpExchange } from "./HttpExchange.js";
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
@@ -9,12 +10,33 @@
 /** Makes calls over pooled keep-alive connections, or over a new connection if `isFresh` is set. */
 export class HttpClient {
   private readonly _keepAlive = new KeepAliveAgent();
-  private readonly _fresh = new http.Agent({ keepAlive: false });
+  private readonly _fresh = new ConnectorAgent({ keepAlive: false });
+  /** Calls without an answer, by address. */
+  private readonly _waiting = new Map<string, Set<HttpExchange>>();
+  private _connector: Connector | undefined;
+
+  /** Establishes all further connections with `connector`. */
+  useConnector(connector: Connector): void {
+    this._connector = connector;
+    this._keepAlive.useConnector(connector);
+    this._fresh.useConnector(connector);
+    connector.onPathChanged((address, failure) => {
+      this._keepAlive.closeStaleConnections(address);
+      // Connections that were open before new ones are refused go on, or are reset.
+      if (failure === "unanswered")
+        for (const exchange of this._waiting.get(address) ?? []) exchange.endIfSilent();
+    });
+  }
 
   /** Sends a request and waits for the headers of its answer. */
   send(call: HttpCall): Promise<results.Result<HttpAnswer, CallError>> {
     return new Promise((resolve) => {
-      const exchange = new HttpExchange(call, call.isFresh === true ? this._fresh : this._keepAlive, resolve);
+      const agent = call.isFresh === true ? this._fresh : this._keepAlive;
+      const exchange = new HttpExchange(call, agent, this._connector, (result) => {
+        this._removeWaiting(call.address, exchange);
+        resolve(result);
+      });
+      this._addWaiting(call.address, exchange);
       exchange.start();
     });
   }
@@ -43,4 +65,16 @@
     this._keepAlive.destroy();
     this._fresh.destroy();
   }
+
+  private _addWaiting(address: string, exchange: HttpExchange): void {
+    if (this._connector === undefined) return;
+    const waiting = this._waiting.get(address) ?? new Set();
+    this._waiting.set(address, waiting);
+    waiting.add(exchange);
+  }
+
+  private _removeWaiting(address: string, exchange: HttpExchange): void {
+    const waiting = this._waiting.get(address);
+    if (waiting?.delete(exchange) === true && waiting.size === 0) this._waiting.delete(address);
+  }
 }
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -1,10 +1,20 @@
 /** One HTTP call, from its start to the headers of its answer. */
 import * as http from "node:http";
+import type * as net from "node:net";
 import { errors, results, utils } from "@shedtiller/common";
+import type { Connector } from "./Connector.js";
+import type { ConnectorAgent } from "./ConnectorAgent.js";
 import type { CallError, HttpAnswer, HttpCall } from "./HttpCall.js";
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
+import { PathLostError } from "./PathLostError.js";
 import { waitForConnectionEnd } from "./waitForConnectionEnd.js";
 
+/**
+ * Time without an answer after which the path of the connection is checked, and after which a call ends if that path is lost. Most answers
+ * arrive earlier.
+ */
+const silenceMs = 250;
+
 /** Sends one request, and records whether the server may have received it. */
 export class HttpExchange {
   private _isSettled = false;
@@ -12,11 +22,15 @@
   private _request: http.ClientRequest | undefined;
   private _connectTimeout: utils.IoTimeout | undefined;
   private _headTimeout: utils.IoTimeout | undefined;
+  private _silenceTimer: NodeJS.Timeout | undefined;
+  /** Monotonic time at which the request was written to a direct connection; undefined on other connections. */
+  private _sentDirectlyAtMs: number | undefined;
   private readonly _onAbort = (): void => this._end(new errors.CancelledError("A call"));
 
   constructor(
     private readonly _call: HttpCall,
-    private readonly _agent: http.Agent,
+    private readonly _agent: ConnectorAgent,
+    private readonly _connector: Connector | undefined,
     private readonly _resolve: (result: results.Result<HttpAnswer, CallError>) => void,
   ) {}
 
@@ -34,7 +48,7 @@
       headers: this._getFramedHeaders() as unknown as http.OutgoingHttpHeaders,
     });
     this._request = request;
-    request.on("socket", (socket) => this._watchConnection(socket.connecting, socket));
+    request.on("socket", (socket) => this._watchConnection(socket));
     request.on("response", (message) => this._acceptHead(message));
     request.on("error", (error) => this._fail(error));
     call.signal?.addEventListener("abort", this._onAbort, { once: true });
@@ -55,23 +69,37 @@
     return hasBody ? [...framed, "Content-Length", String(body.length)] : framed;
   }
 
+  /** Ends the call if it may be repeated and has waited for its answer on a direct connection for longer than usual. */
+  endIfSilent(): void {
+    const waitedMs = utils.monotonicMs() - (this._sentDirectlyAtMs ?? Number.POSITIVE_INFINITY);
+    if (this._call.isRepeatable === true && waitedMs >= silenceMs)
+      this._end(new PathLostError(this._call.address));
+  }
+
   /** Records when the request is written: once the connection is established, or at once on a pooled connection. */
-  private _watchConnection(
-    isConnecting: boolean,
-    socket: { once(event: "connect", listener: () => void): unknown },
-  ): void {
+  private _watchConnection(socket: net.Socket): void {
     const onConnected = (): void => {
       this._mayHaveArrived = true;
       this._connectTimeout?.clear();
+      this._noteSent(socket);
     };
-    if (isConnecting) socket.once("connect", onConnected);
+    if (socket.connecting) socket.once("connect", onConnected);
     else onConnected();
   }
 
+  private _noteSent(socket: net.Socket): void {
+    const path = this._connector?.getPath(socket);
+    this._call.onConnected?.(path);
+    if (this._isSettled || this._connector === undefined || path !== undefined) return;
+    this._sentDirectlyAtMs = utils.monotonicMs();
+    this._silenceTimer = setTimeout(() => this._connector?.noteSilence(this._call.address), silenceMs);
+  }
+
   private _acceptHead(message: http.IncomingMessage): void {
     if (this._isSettled) return void message.destroy();
     const request = this._request;
-    if (this._agent instanceof KeepAliveAgent) this._agent.noteAnswer(message.socket, message.headers);
+    const { socket } = message;
+    if (this._agent instanceof KeepAliveAgent) this._agent.noteAnswer(socket, message.headers);
     const connectionEnd = isFramed(message) ? undefined : waitForConnectionEnd(message);
     message.on("error", () => undefined);
     this._settle(
@@ -80,18 +108,24 @@
         headers: message.rawHeaders,
         message,
         isWhole: async () =>
-          message.complete && (connectionEnd === undefined || (await connectionEnd) === "closed"),
+          message.complete &&
+          (connectionEnd === undefined ||
+            ((await connectionEnd) === "closed" && (await this._wasClosedByServer(socket)))),
         abort: () => request?.destroy(),
       }),
     );
   }
 
+  private _wasClosedByServer(socket: net.Socket): Promise<boolean> {
+    return this._connector?.wasClosedByServer(socket) ?? Promise.resolve(true);
+  }
+
   private _fail(cause: unknown): void {
     const { address } = this._call;
-    const error = this._mayHaveArrived
-      ? new errors.ConnectionLostError(address, cause)
-      : new errors.NotReachedError(address, cause);
-    this._settle(results.Err(error));
+    if (this._mayHaveArrived)
+      return this._settle(results.Err(new errors.ConnectionLostError(address, cause)));
+    const isNotReached = cause instanceof errors.NotReachedError;
+    this._settle(results.Err(isNotReached ? cause : new errors.NotReachedError(address, cause)));
   }
 
   private _endUnconnected(): void {
@@ -110,6 +144,7 @@
     this._isSettled = true;
     this._connectTimeout?.clear();
     this._headTimeout?.clear();
+    clearTimeout(this._silenceTimer);
     this._call.signal?.removeEventListener("abort", this._onAbort);
     this._resolve(result);
   }
--- a/packages/gateway/src/http/KeepAliveAgent.ts
+++ b/packages/gateway/src/http/KeepAliveAgent.ts
@@ -1,7 +1,8 @@
 /** Connection pool that respects the keep-alive times of servers. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import type { Duplex } from "node:stream";
+import { ConnectorAgent } from "./ConnectorAgent.js";
 
 /** Maximum number of idle connections per address. Endpoints allow hundreds from all clients together. */
 const maxFreeSockets = 16;
@@ -10,11 +11,14 @@
 /** Maximum idle time whatever the server announces, since an idle connection may have died unnoticed. */
 const maxIdleMs = 8_000;
 
+/** Result with which Node's agent closes a connection instead of keeping it. */
+const stale = false as unknown as void;
+
 /**
  * Keeps idle connections for reuse. Node's agent applies the keep-alive time that a server announces, less one second; this agent adds a
  * limit for servers that announce none.
  */
-export class KeepAliveAgent extends http.Agent {
+export class KeepAliveAgent extends ConnectorAgent {
   private readonly _announced = new WeakSet<Duplex>();
 
   constructor() {
@@ -27,19 +31,15 @@
     else this._announced.add(socket);
   }
 
-  /** Closes the idle connections to an address, which consists of IP and port. */
+  /** Closes all idle connections to an address. */
   closeIdleConnections(address: string): void {
-    // The keys of Node's socket lists consist of host, port and further options, separated by colons.
-    for (const [name, sockets] of Object.entries(this.freeSockets)) {
-      if (!name.startsWith(`${address}:`)) continue;
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    for (const socket of this.getIdleSockets(address)) socket.destroy();
   }
 
   override keepSocketAlive(socket: Duplex): void {
     // Node's method returns whether the connection may be kept, which its type declarations omit.
     const isKept = super.keepSocketAlive(socket);
     if (!this._announced.has(socket)) (socket as net.Socket).setTimeout(unannouncedIdleMs);
-    return isKept;
+    return this.connector?.mayReuse(socket) === false ? stale : isKept;
   }
 }
--- a/packages/gateway/src/orders/Leadership.ts
+++ b/packages/gateway/src/orders/Leadership.ts
@@ -11,6 +11,8 @@
 export interface LeadershipOptions {
   /** Whether this instance campaigns while it does not lead. A leader campaigns in any case. */
   readonly mayCampaign?: () => boolean;
+  /** Whether this instance can lead. A leader that can't resigns, so that another instance takes over at once. */
+  readonly canLead?: () => boolean;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
 }
@@ -55,7 +57,9 @@
    * not campaign would occupy the leadership for a whole term without using it.
    */
   async campaignIfDue(): Promise<void> {
-    if (this.isLeader() || this._options.mayCampaign?.() !== false) await this.campaign();
+    const canLead = this._options.canLead?.() !== false;
+    if (!canLead) this._untilMs = Number.NEGATIVE_INFINITY;
+    if (canLead && (this.isLeader() || this._options.mayCampaign?.() !== false)) await this.campaign();
     else if (this._isMember) await this._withdraw();
     this._noteChange();
   }
--- /dev/null
+++ b/packages/gateway/src/paths/Reachability.ts
@@ -0,0 +1,40 @@
+import type { Membership } from "@shedtiller/membership";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { HttpClient } from "../http/HttpClient.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
+import { EndpointPaths } from "./EndpointPaths.js";
+import { PathConnector } from "./PathConnector.js";
+import { PathReview } from "./PathReview.js";
+import { TunnelClient } from "./TunnelClient.js";
+import { TunnelServer } from "./TunnelServer.js";
+
+/** Dependencies of {@link Reachability}. */
+export interface ReachabilityStructure {
+  readonly membership: Membership;
+  readonly endpoints: EndpointTable;
+  readonly log: DecisionLog;
+  /** The clients that connect to endpoints. */
+  readonly httpClients: readonly HttpClient[];
+}
+
+/** Connects the parts that keep endpoints within reach while the network paths of single instances are cut. */
+export class Reachability {
+  readonly paths: EndpointPaths;
+  readonly connector: PathConnector;
+  readonly server: TunnelServer;
+  private readonly _review: PathReview;
+
+  constructor({ membership, endpoints, log, httpClients }: ReachabilityStructure) {
+    this.paths = new EndpointPaths({ endpoints, log });
+    const tunnels = new TunnelClient({ membership });
+    this.connector = new PathConnector({ endpoints, paths: this.paths, tunnels });
+    this.server = new TunnelServer({ membership, endpoints, paths: this.paths, log });
+    this._review = new PathReview({ paths: this.paths, connector: this.connector, log });
+    for (const client of httpClients) client.useConnector(this.connector);
+  }
+
+  /** Reviews the paths until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void> {
+    return this._review.run(signal);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/paths/connectDirectly.ts
@@ -0,0 +1,37 @@
+import * as net from "node:net";
+import { errors, results, utils } from "@shedtiller/common";
+import type { ConnectFailure } from "../http/Connector.js";
+
+/** A failed attempt to connect. */
+export interface FailedConnect {
+  readonly failure: ConnectFailure;
+  readonly error: errors.NotReachedError;
+}
+
+const refusedCode = "ECONNREFUSED";
+
+/** Connects to an address without a peer. */
+export function connectDirectly(
+  address: string,
+  timeoutMs: number,
+  options: Partial<net.TcpNetConnectOpts> = {},
+): Promise<results.Result<net.Socket, FailedConnect>> {
+  const [host = "", port = ""] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = net.connect({ ...options, host, port: Number(port), noDelay: true });
+    const fail = (failure: ConnectFailure, cause?: unknown): void => {
+      timeout.clear();
+      socket.destroy();
+      resolve(results.Err({ failure, error: new errors.NotReachedError(address, cause) }));
+    };
+    const onError = (error: NodeJS.ErrnoException): void =>
+      fail(error.code === refusedCode ? "refused" : "unanswered", error);
+    const timeout = new utils.IoTimeout(timeoutMs, () => fail("unanswered"), { isPauseExcluded: true });
+    socket.once("error", onError);
+    socket.once("connect", () => {
+      timeout.clear();
+      socket.removeListener("error", onError);
+      resolve(results.Ok(socket));
+    });
+  });
+}
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -26,6 +26,9 @@
   wholeConfiguration: "whole-configuration",
   endpoints: "endpoints",
   instances: "instances",
+  tunnelOpen: "tunnel-open",
+  tunnelEnd: "tunnel-end",
+  tunnelsClosing: "tunnels-closing",
 } as const;
 
 /** Requests in flight and reserved token-layers, by the life id of the endpoint. Endpoints without requests are left out. */
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -192,6 +192,7 @@
       outcome,
       attempts: request.attempts,
       tookMs,
+      peer: request.peer,
       ...request.details,
     });
   }
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -34,6 +34,8 @@
   /** Number of sends to endpoints that may have reached the endpoint. */
   attempts = 0;
   outcome = "open";
+  /** Name of the peer that forwarded the last send; undefined if it was sent directly. */
+  peer: string | undefined;
   /** Fields that the forwarder adds to the log line of the request's end. */
   details: LogFields = {};
   private readonly _disconnect = new AbortController();
--- a/packages/gateway/src/requests/ForwarderSet.ts
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -11,6 +11,9 @@
 import { StallMonitor } from "./StallMonitor.js";
 import { StreamForwarder } from "./StreamForwarder.js";
 
+/** Retry-After while this instance reaches no endpoint: another instance may, and lost paths are tried about once a second. */
+const isolatedRetryAfterMs = 1_000;
+
 /** Creates the forwarders and dispatches each request by the kind of its route. Each instance has one such set. */
 export class ForwarderSet {
   readonly monitor: StallMonitor;
@@ -42,6 +45,8 @@
     this._context.budgets.recordRequest(service);
     this._context.demand.noteArrival(service);
     this._noteDemand(request, service);
+    // Nothing is gained by a wait, since no endpoint is within reach.
+    if (this._context.paths.isIsolated) return request.refuse(503, "isolated", isolatedRetryAfterMs);
     const forwarder = route.kind === "streaming" ? this._streams : this._plain;
     await forwarder.run(request, service);
   }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -7,11 +7,13 @@
 import type { FailureDetector } from "../discovery/FailureDetector.js";
 import type { CrashDetector } from "../crashes/CrashDetector.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { ConnectionPath } from "../http/Connector.js";
 import type { HttpCall } from "../http/HttpCall.js";
 import type { HttpClient } from "../http/HttpClient.js";
 import type { ChainStage, MessageCodec } from "../http/MessageCodec.js";
 import type { LoadControls } from "../loadcontrol/LoadControls.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { EndpointPaths } from "../paths/EndpointPaths.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import type { PermitForecast } from "./PermitForecast.js";
 import type { RequestDemand } from "./RequestDemand.js";
@@ -42,6 +44,7 @@
     | "getAvoidedEndpointIds"
     | "getRisk"
   >;
+  readonly paths: Pick<EndpointPaths, "getFailure" | "isIsolated">;
   readonly statements: Pick<EndpointStatements, "noteAnswer">;
   readonly demand: RequestDemand;
   readonly forecast: PermitForecast;
@@ -83,6 +86,7 @@
       readonly lastEventId?: string | undefined;
       readonly chain?: readonly ChainStage[] | undefined;
       readonly signal?: AbortSignal;
+      readonly onConnected?: (path: ConnectionPath | undefined) => void;
     },
   ): HttpCall {
     const headers = this.context.codec.encodeForEndpoint(request.headers, {
@@ -103,6 +107,11 @@
       connectTimeoutMs: options.connectTimeoutMs ?? connectTimeoutMs,
       headTimeoutMs: options.headTimeoutMs,
       signal: options.signal ?? request.signal,
+      isRepeatable: request.isIdempotent,
+      onConnected: (path) => {
+        this._notePath(request, endpoint, path);
+        options.onConnected?.(path);
+      },
     };
   }
 
@@ -128,6 +137,13 @@
     return true;
   }
 
+  private _notePath(request: CallerRequest, endpoint: Endpoint, path: ConnectionPath | undefined): void {
+    request.peer = path?.peer;
+    if (path === undefined) return;
+    const fields = { requestId: request.id, endpointId: endpoint.id, ...path };
+    this.context.log.info("request-sent-through-peer", fields);
+  }
+
   /**
    * Withdraws a retry from the budget of the service if the request has attempts and time left.
    * @returns Whether the request may be sent again.
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -198,14 +198,23 @@
       return this._abortSilentStreams(endpointId);
     }
     endpoint.slowness = getSlowness(report.val);
+    const isPathCut = this._context.paths.getFailure(endpoint.listed.address) === "unanswered";
+    if (isPathCut) this._abortSilentStreams(endpointId, (attempt) => attempt.isDirect);
     await this._moveStalled(endpointId, report.val);
   }
 
-  /** Aborts the silent resumable streams that began at an unresponsive engine, so that they continue at another chain. */
-  private _abortSilentStreams(endpointId: string): void {
+  /**
+   * Aborts the silent resumable streams that began at an unresponsive engine, or at one to which the direct path is lost, so that they
+   * continue over another connection.
+   */
+  private _abortSilentStreams(
+    endpointId: string,
+    isAffected: (attempt: StreamAttempt) => boolean = () => true,
+  ): void {
     const nowMs = this._nowMs();
     for (const attempt of this._attempts) {
       if (attempt.firstStage?.endpointId !== endpointId || !attempt.request.isIdempotent) continue;
+      if (!isAffected(attempt)) continue;
       if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.abort.abort();
     }
   }
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -24,6 +24,8 @@
   readonly abort = new AbortController();
   /** Time from the send of this attempt to its first event. */
   firstEventMs: number | undefined;
+  /** Whether the request was sent over a direct connection. */
+  isDirect = true;
   /** Whether the stream is being moved to another chain. */
   isMoving = false;
   /** Monotonic time of the last try to move the stream. */
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -203,6 +203,9 @@
         lastEventId: attempt.progress.lastEventId,
         chain: attempt.reservation.stages,
         signal: attempt.abort.signal,
+        onConnected: (path) => {
+          attempt.isDirect = path === undefined;
+        },
       }),
     );
     if (sent.ok) return this._handleAnswer(attempt, sent.val);
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -11,6 +11,8 @@
   | "unknown-key"
   | "body-too-large"
   | "no-endpoint"
+  /** This instance reaches no endpoint, neither directly nor through a peer. */
+  | "isolated"
   | "no-room"
   /** More urgent requests need the capacity that is left. */
   | "less-urgent"
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -16,6 +16,7 @@
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { emptyStatement, type StatedLimit, type StatedRetryAfter } from "../../http/EndpointStatement.js";
 import { HttpClient } from "../../http/HttpClient.js";
+import { EndpointPaths } from "../../paths/EndpointPaths.js";
 import {
   MessageCodec,
   type AnswerFields,
@@ -175,6 +176,7 @@
       activeConfiguration: this.activeConfiguration,
       endpoints: this.endpoints,
       httpClient: this._httpClient,
+      paths: new EndpointPaths({ endpoints: this.endpoints, log }),
       codec,
       budgets,
       log,
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -12,6 +12,7 @@
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { HttpClient } from "../../http/HttpClient.js";
+import { EndpointPaths } from "../../paths/EndpointPaths.js";
 import type { ChainStage, MessageCodec } from "../../http/MessageCodec.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { OrderRefusedError } from "../../orders/EngineOrders.js";
@@ -65,6 +66,7 @@
     activeConfiguration,
     endpoints,
     httpClient: new HttpClient(),
+    paths: new EndpointPaths({ endpoints, log: new DecisionLog(new SilentLogOutput(), () => 0) }),
     codec: {} as MessageCodec,
     budgets: new RetryBudgets({ ratio: 1, slack: 10, windowMs: 10_000 }),
     log: new DecisionLog(new SilentLogOutput(), () => 0),
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -14,6 +14,7 @@
 import type { SuspicionEvidence } from "../../../discovery/SuspicionEvidence.js";
 import { GatewayMetrics } from "../../../GatewayMetrics.js";
 import { HttpClient } from "../../../http/HttpClient.js";
+import { EndpointPaths } from "../../../paths/EndpointPaths.js";
 import type { ChainStage, MessageCodec } from "../../../http/MessageCodec.js";
 import { DecisionLog } from "../../../logs/DecisionLog.js";
 import { CallerRequest } from "../../../requests/CallerRequest.js";
@@ -122,6 +123,7 @@
       activeConfiguration,
       endpoints,
       httpClient: new HttpClient(),
+      paths: new EndpointPaths({ endpoints, log }),
       codec: {} as MessageCodec,
       budgets: new RetryBudgets({ ratio: 1, slack: 10, windowMs: 10_000 }),
       log,
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -1,5 +1,6 @@
 /** Membership of the entry instances: the links between them, and which of them are alive according to these links. */
 import * as http from "node:http";
+import type { Duplex } from "node:stream";
 import { errors, results, utils } from "@shedtiller/common";
 import type { ListedInstance } from "@shedtiller/logservice";
 import type { Timeline } from "@shedtiller/timeline";
@@ -35,6 +36,8 @@
 
 /** Handles a request from a peer and returns the body of the reply. */
 export type RequestHandler = (body: unknown, from: PeerIdentity) => Promise<unknown> | unknown;
+/** Handles a connection to the peer listener that changes to another protocol than that of the links. */
+export type UpgradeHandler = (request: http.IncomingMessage, socket: Duplex, head: Buffer) => void;
 /** Handles a one-way notice from a peer. */
 export type NoticeHandler = (body: unknown, from: PeerIdentity) => void;
 
@@ -58,6 +61,7 @@
   private _contacts: Set<string> | undefined;
   private readonly _requestHandlers = new Map<string, RequestHandler>();
   private readonly _noticeHandlers = new Map<string, NoticeHandler>();
+  private readonly _upgradeHandlers = new Map<string, UpgradeHandler>();
   private readonly _heartbeatFields = new Map<string, () => unknown>();
   private readonly _linkedListeners: ((peer: PeerIdentity) => void)[] = [];
   private readonly _server = http.createServer((_request, response) => response.writeHead(404).end());
@@ -73,6 +77,8 @@
   constructor(private readonly _structure: MembershipStructure) {
     this.self = _structure.self;
     this._server.on("upgrade", (request, socket, head) => {
+      const handleUpgrade = this._upgradeHandlers.get(request.url ?? "");
+      if (handleUpgrade !== undefined) return handleUpgrade(request, socket, head);
       this._sockets.handleUpgrade(request, socket, head, (client) => void this._acceptLink(client));
     });
     this.onNotice(leavingTopic, (body, from) => this._markLeaving(body, from.name));
@@ -151,6 +157,11 @@
     this._noticeHandlers.set(topic, handler);
   }
 
+  /** Passes the connections to a path of the peer listener to `handler`, which has to authenticate them. */
+  onUpgrade(path: string, handler: UpgradeHandler): void {
+    this._upgradeHandlers.set(path, handler);
+  }
+
   /** Calls `listener` whenever a link to a peer is established. */
   onLinked(listener: (peer: PeerIdentity) => void): void {
     this._linkedListeners.push(listener);
