gateway: peers are asked for a path whether or not the registry names their address

Symptom: with seven of eight instances cut (silent), two of the seven stayed isolated for 8 s: 238 of 327 first tries served, the others 46 of 46. Cause: an instance knows the address of a peer that dialled it only from the registry, which it reads once a minute, so it did not ask the only peer with a path (outcomes of five peers instead of seven in endpoint-not-reached-by-peers). Isolated and cut-off peers also answered only after a try of 200 ms. Change: the reply names the address of the peer listener; peers that are isolated or cut off answer at once; up to eight are asked.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -203,8 +203,8 @@
     await deadline.pause(balancerNoticeMs);
     this._callerListener.setStopDeadline(deadline.endsAtMs);
     this._callerListener.closeIdle();
-    const getOpenWork = (): number => this._callerListener.inFlight + this._reachability.server.carried;
-    while (getOpenWork() > 0 && !deadline.isReached) await deadline.pause(drainPollMs);
+    while (this._callerListener.inFlight + this._reachability.server.carried > 0 && !deadline.isReached)
+      await deadline.pause(drainPollMs);
     this._log.info("instance-stopped", { inHand: this._callerListener.inFlight });
     this._stop.abort();
     this._callerListener.close();
@@ -241,9 +241,13 @@
   }
 
   private _createReachability(orderClient: HttpClient): Reachability {
-    const { membership } = this._peers;
-    const httpClients = [this._httpClient, orderClient];
-    return new Reachability({ membership, endpoints: this.endpoints, log: this._log, httpClients });
+    return new Reachability({
+      membership: this._peers.membership,
+      listen: this._settings.peers,
+      endpoints: this.endpoints,
+      log: this._log,
+      httpClients: [this._httpClient, orderClient],
+    });
   }
 
   private _createQuarantine(store: QuarantineStore): RequestQuarantine {
--- a/packages/gateway/src/paths/PathConnector.ts
+++ b/packages/gateway/src/paths/PathConnector.ts
@@ -4,6 +4,7 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import { Connector, type Connection, type ConnectionPath, type PathListener } from "../http/Connector.js";
 import { connectDirectly, type FailedConnect } from "./connectDirectly.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EndpointPaths } from "./EndpointPaths.js";
 import type { TunnelClient } from "./TunnelClient.js";
 
@@ -35,6 +36,7 @@
   readonly endpoints: Pick<EndpointTable, "getByAddress">;
   readonly paths: EndpointPaths;
   readonly tunnels: Tunnels;
+  readonly log: DecisionLog;
   readonly connect?: typeof connectDirectly;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
@@ -207,6 +209,7 @@
     const opened = await this._structure.tunnels.open(address);
     if (opened.err) {
       this._unreachedUntilMs.set(address, this._nowMs() + unreachedMs);
+      this._structure.log.info("endpoint-not-reached-by-peers", { address, outcomes: opened.val });
       return undefined;
     }
     this._unreachedUntilMs.delete(address);
--- a/packages/gateway/src/paths/Reachability.ts
+++ b/packages/gateway/src/paths/Reachability.ts
@@ -11,6 +11,8 @@
 /** Dependencies of {@link Reachability}. */
 export interface ReachabilityStructure {
   readonly membership: Membership;
+  /** Where this instance listens for peers. */
+  readonly listen: { readonly host: string; readonly port: number };
   readonly endpoints: EndpointTable;
   readonly log: DecisionLog;
   /** The clients that connect to endpoints. */
@@ -24,11 +26,12 @@
   readonly server: TunnelServer;
   private readonly _review: PathReview;
 
-  constructor({ membership, endpoints, log, httpClients }: ReachabilityStructure) {
+  constructor({ membership, listen, endpoints, log, httpClients }: ReachabilityStructure) {
     this.paths = new EndpointPaths({ endpoints, log });
     const tunnels = new TunnelClient({ membership });
-    this.connector = new PathConnector({ endpoints, paths: this.paths, tunnels });
-    this.server = new TunnelServer({ membership, endpoints, paths: this.paths, log });
+    this.connector = new PathConnector({ endpoints, paths: this.paths, tunnels, log });
+    const peerAddress = `${listen.host}:${listen.port}`;
+    this.server = new TunnelServer({ membership, peerAddress, endpoints, paths: this.paths, log });
     this._review = new PathReview({ paths: this.paths, connector: this.connector, log });
     for (const client of httpClients) client.useConnector(this.connector);
   }
--- a/packages/gateway/src/paths/TunnelClient.ts
+++ b/packages/gateway/src/paths/TunnelClient.ts
@@ -26,7 +26,7 @@
 /** Number of unproven peers that are asked at the same time, since a peer without a path of its own answers late. */
 const askedTogether = 2;
 /** Maximum number of peers that are asked for one connection. */
-const maxAsked = 6;
+const maxAsked = 8;
 
 /** Why no tunnel could be opened: the outcomes of the peers that were asked. */
 export type TunnelFailure = readonly (TunnelOutcome | "no-reply")[];
@@ -101,7 +101,7 @@
     const nowMs = this._nowMs();
     const linked = this._structure.membership
       .getLinked()
-      .filter((peer) => peer.address !== "" && !peer.isLeaving && !this._leaving.has(peer.name));
+      .filter((peer) => !peer.isLeaving && !this._leaving.has(peer.name));
     const candidates = utils.sample(
       linked.filter(({ name }) => !asked.has(name)),
       linked.length,
@@ -156,7 +156,9 @@
   ): Promise<Connection | undefined> {
     const reply = await this._ask(peer, address);
     const state = this._getState(peer.name);
-    const socket = reply?.ticket === undefined ? undefined : await claimTunnel(peer.address, reply.ticket);
+    const { ticket, peerAddress } = reply ?? {};
+    const isOpen = ticket !== undefined && peerAddress !== undefined;
+    const socket = isOpen ? await claimTunnel(peerAddress, ticket) : undefined;
     if (reply !== undefined) state.carried = reply.carried;
     if (socket === undefined) {
       outcomes.push(reply === undefined || reply.outcome === "open" ? "no-reply" : reply.outcome);
@@ -166,7 +168,7 @@
     }
     state.avoidedUntilMs = 0;
     state.provenUntilMs = this._nowMs() + provenMs;
-    return { socket, path: { peer: peer.name, tunnelId: reply?.ticket ?? "" } };
+    return { socket, path: { peer: peer.name, tunnelId: ticket ?? "" } };
   }
 
   private async _ask(peer: Member, address: string): Promise<TunnelReply | undefined> {
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -35,7 +35,9 @@
 export interface TunnelServerStructure {
   readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll">;
   readonly endpoints: Pick<EndpointTable, "getByAddress">;
-  readonly paths: Pick<EndpointPaths, "isLost" | "noteDirect">;
+  readonly paths: Pick<EndpointPaths, "shouldUsePeer" | "isIsolated" | "noteDirect">;
+  /** Address of the own peer listener. */
+  readonly peerAddress: string;
   readonly log: DecisionLog;
 }
 
@@ -89,7 +91,7 @@
     const refuse = (outcome: TunnelReply["outcome"]): TunnelReply => ({ outcome, carried: this._carried });
     if (this._isLeaving) return refuse("leaving");
     if (endpoints.getByAddress(address) === undefined) return refuse("unknown");
-    if (paths.isLost(address)) return refuse("no-path");
+    if (paths.isIsolated || paths.shouldUsePeer(address)) return refuse("no-path");
     if (this._carried >= maxCarried) return refuse("full");
     this._carried += 1;
     const connected = await connectDirectly(address, connectTimeoutMs);
@@ -98,7 +100,9 @@
       return refuse(connected.val.failure);
     }
     paths.noteDirect(address);
-    return { outcome: "open", ticket: this._add(connected.val, peer, address), carried: this._carried };
+    const ticket = this._add(connected.val, peer, address);
+    const { peerAddress } = this._structure;
+    return { outcome: "open", ticket, peerAddress, carried: this._carried };
   }
 
   private _add(endpointSocket: net.Socket, peer: string, address: string): string {
--- a/packages/gateway/src/paths/tunnelMessages.ts
+++ b/packages/gateway/src/paths/tunnelMessages.ts
@@ -31,6 +31,8 @@
   outcome: tunnelOutcomeSchema,
   /** Authorizes one connection to the peer listener; present if the tunnel is open. */
   ticket: zod.string().optional(),
+  /** Address of the peer listener; present if the tunnel is open. A linked peer's address is not always known from the registry. */
+  peerAddress: zod.string().optional(),
   /** Number of connections that the peer forwards. */
   carried: zod.number(),
 });
--- a/packages/gateway/src/tests/paths/PathFixture.ts
+++ b/packages/gateway/src/tests/paths/PathFixture.ts
@@ -41,6 +41,7 @@
       endpoints: this.endpoints,
       paths: this.paths,
       tunnels: this._createTunnels(),
+      log: this.log,
       connect: (address) => this._connect(address),
       nowMs: () => this.clock.nowMs,
     });
