--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -115,11 +115,10 @@
     this._peers = this._createPeers(platform.registry);
     const { relay, exchange } = this._peers;
     this._reachability = this._createReachability(platform.httpClient);
-    const { paths } = this._reachability;
     this.crashes = this._createQuarantine(platform.quarantineStore);
     this._leadership = new Leadership(platform.election, _log, {
       mayCampaign: () => relay.isReader,
-      canLead: () => !paths.isIsolated,
+      canLead: () => !this._reachability.paths.isIsolated,
     });
     const broadcastRestart = (id: string, bornAtMs: number): void => exchange.broadcastRestart(id, bornAtMs);
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, broadcastRestart);
@@ -129,8 +128,8 @@
     this._pressure = this._createPressureView();
     this._forwarders = new ForwarderSet(this._createForwardContext(platform.codec), orders);
     this._callerListener = this._createCallerListener(platform.codec);
-    const { host, port } = callers.readiness;
-    this._readinessListener = new ReadinessListener(host, port, () => this._isReady());
+    const { readiness } = callers;
+    this._readinessListener = new ReadinessListener(readiness.host, readiness.port, () => this._isReady());
     this._enginePoll = this._createEnginePoll(orders);
     this.activeConfiguration.onChanged((table) => {
       if (relay.isReader) exchange.broadcastVersion(table.version);
@@ -389,9 +388,9 @@
   }
 
   private _isReady(): boolean {
-    if (this._isDraining || this.activeConfiguration.table === undefined || !this.endpoints.hasList)
-      return false;
-    return !this.activeConfiguration.table.hasAccounts || this._areKeysFresh();
+    const { table } = this.activeConfiguration;
+    if (this._isDraining || table === undefined || !this.endpoints.hasList) return false;
+    return !table.hasAccounts || this._areKeysFresh();
   }
 
   private _logTaskFailure(error: unknown): void {
