--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -47,13 +47,8 @@
 
   /** Refuses new connections, as the address of a stopped target does, and resets the open ones. */
   refuseConnections(): void {
-    this.stopAccepting();
-    this.resetConnections();
-  }
-
-  /** Refuses new connections; the open ones go on. */
-  stopAccepting(): void {
     if (this._server.listening) this._server.close();
+    this.resetConnections();
   }
 
   /** Accepts connections again, on the same port. Has no effect after `close`. */
