--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -43,8 +43,11 @@
   const digests = new Set(
     own.flatMap((line) => (typeof line["digest"] === "string" ? [line["digest"]] : [])),
   );
+  const tunnelIds = new Set(own.flatMap(({ tunnelId }) => (tunnelId === undefined ? [] : [tunnelId])));
   const isCause = (line: LogLine): boolean => {
     if (line.requestId !== undefined) return false;
+    // The peer that forwarded the request knows only the tunnel, which ends later than the request if it was kept for others.
+    if (line["tunnelId"] !== undefined) return tunnelIds.has(line["tunnelId"]);
     // Crashes count against equal requests for minutes and at all instances, so earlier lines of any instance are causes.
     if (typeof line["digest"] === "string" && digests.has(line["digest"])) return getWallMs(line) <= toMs;
     const wallMs = getWallMs(line);
--- a/packages/cli/src/tests/explainTests.ts
+++ b/packages/cli/src/tests/explainTests.ts
@@ -42,6 +42,26 @@
   ]);
 });
 
+test("a request that a peer forwarded is explained by the peer's line on the tunnel, and not by other tunnels to the endpoint", (t) => {
+  const address = "10.0.0.4:80";
+  const found = explainRequest("r4", [
+    createLine(19, "a", "instance-cut-off", { lostPaths: 2, listed: 36 }),
+    createLine(20, "a", "request-sent-through-peer", {
+      requestId: "r4",
+      endpointId: "e4",
+      peer: "b",
+      tunnelId: "t1",
+    }),
+    createLine(21, "a", "request-ended", { requestId: "r4", outcome: "completed", tookMs: 900, peer: "b" }),
+    createLine(25, "b", "tunnel-ended", { tunnelId: "t1", peer: "a", address, end: "closed" }),
+    createLine(20.5, "b", "tunnel-ended", { tunnelId: "t2", peer: "c", address, end: "closed" }),
+  ]);
+  t.deepEqual(
+    found.map((line) => `${line.instance} ${line.message}`),
+    ["a instance-cut-off", "a request-sent-through-peer", "a request-ended", "b tunnel-ended"],
+  );
+});
+
 test("a request that lacked capacity is also explained by endpoints that were lost before the request", (t) => {
   const refused = createLine(23, "a", "stream-refused", { requestId: "r3", reason: "no-room" });
   const found = explainRequest("r3", [...lines, refused]).map((line) => line.message);
--- a/packages/cli/src/tests/lossesTests.ts
+++ b/packages/cli/src/tests/lossesTests.ts
@@ -32,6 +32,7 @@
   t.is(classify({ reason: "account-share" }, "request-refused"), "refused: account's share");
   t.is(classify({ outcome: "limited" }), "refused: limits of endpoints");
   t.is(classify({ outcome: "resting" }), "refused: endpoints asked for rest");
+  t.is(classify({ outcome: "isolated" }), "refused: no endpoint in reach");
   t.is(classify({ outcome: "outcome-unknown" }), "failed: cut and not resumed");
   t.is(classify({ outcome: "status 500" }), "failed: endpoint's failure");
   t.is(classify({ reason: "stale-configuration" }, "request-refused"), "refused: keys not fresh");
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -134,10 +134,6 @@
     this.activeConfiguration.onChanged((table) => {
       if (relay.isReader) exchange.broadcastVersion(table.version);
     });
-    // A connection to a process that has ended never responds, or resets the requests that are sent over it.
-    this.endpoints.onChanged((endpoint, event) => {
-      if (event === "restarted") this._httpClient.closeIdleConnections(endpoint.listed.address);
-    });
     this._demand.onPermits((service, count) => this.metrics.permits.inc({ service }, count));
     addGauges(this.metrics, {
       activeConfiguration: this.activeConfiguration,
@@ -146,6 +142,7 @@
       membership: this._peers.membership,
       callerListener: this._callerListener,
       forwarders: this._forwarders,
+      reachability: this._reachability,
     });
   }
 
--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -6,6 +6,7 @@
 import type { EndpointTable } from "./discovery/EndpointTable.js";
 import type { GatewayMetrics } from "./GatewayMetrics.js";
 import type { CallerListener } from "./requests/CallerListener.js";
+import type { Reachability } from "./paths/Reachability.js";
 import type { ForwarderSet } from "./requests/ForwarderSet.js";
 
 /** The components that the gauges read. */
@@ -16,6 +17,7 @@
   readonly membership: Pick<Membership, "getLinked">;
   readonly callerListener: Pick<CallerListener, "inFlight">;
   readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
+  readonly reachability: Pick<Reachability, "paths" | "server">;
 }
 
 /** Adds the gauges, whose values are read from the components at scrape time. */
@@ -23,6 +25,7 @@
   addRequestGauges(metrics, structure);
   addConfigurationGauges(metrics, structure);
   addEndpointGauges(metrics, structure);
+  addPathGauges(metrics, structure);
 }
 
 function addRequestGauges(
@@ -68,3 +71,16 @@
   );
   metrics.addGauge("endpoints", "Endpoints listed", () => endpoints.getAll().length);
 }
+
+function addPathGauges(metrics: GatewayMetrics, { reachability }: GaugeStructure): void {
+  const { paths, server } = reachability;
+  metrics.addGauge(
+    "endpoint_paths_lost",
+    "Endpoints that only peers reach",
+    () => paths.lostAddresses.length,
+  );
+  metrics.addGauge("isolated", "1 while this instance reaches no endpoint at all", () =>
+    Number(paths.isIsolated),
+  );
+  metrics.addGauge("tunnels_carried", "Connections that are forwarded for peers", () => server.carried);
+}
--- a/packages/gateway/src/paths/Reachability.ts
+++ b/packages/gateway/src/paths/Reachability.ts
@@ -34,6 +34,11 @@
     this.server = new TunnelServer({ membership, peerAddress, endpoints, paths: this.paths, log });
     this._review = new PathReview({ paths: this.paths, connector: this.connector, log });
     for (const client of httpClients) client.useConnector(this.connector);
+    // A connection to a process that has ended never responds, or resets the requests that are sent over it.
+    endpoints.onChanged((endpoint, event) => {
+      if (event !== "restarted") return;
+      for (const client of httpClients) client.closeIdleConnections(endpoint.listed.address);
+    });
   }
 
   /** Reviews the paths until `signal` aborts. */
