orders: engines that an isolated leader could not ask are not lost

Found by reading: an instance that reaches no endpoint probes suspected engines, and each probe fails. Change: the probes are forgotten when the isolation begins and ends. The leader of an isolated instance resigns; that has a test now. Tests: LostEngineDetectorTests, LeadershipTests.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -124,6 +124,7 @@
     const orders = new LifeCheckedOrders(platform.orders, this.endpoints, broadcastRestart);
     this._health = this._createEndpointHealth(orders);
     this._layerReconciler = this._createLayerReconciler(orders);
+    this._reachability.paths.onIsolationChanged(() => this._layerReconciler.forgetLostEngines());
     this._controls = this._createControls();
     this._pressure = this._createPressureView();
     this._forwarders = new ForwarderSet(this._createForwardContext(platform.codec), orders);
--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -69,6 +69,11 @@
     });
   }
 
+  /** Forgets which engines are lost, since this instance reached none of them for a while. */
+  forgetLostEngines(): void {
+    this._lostEngines.reset();
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     await utils.repeat(
       tickMs,
--- a/packages/gateway/src/orders/LostEngineDetector.ts
+++ b/packages/gateway/src/orders/LostEngineDetector.ts
@@ -45,6 +45,11 @@
     return isZoneReached ? remaining : [...members];
   }
 
+  /** Forgets all probes, since this instance reached no engine while they ran. */
+  reset(): void {
+    this._probes.clear();
+  }
+
   removeProbe(id: string): void {
     this._probes.delete(id);
   }
--- a/packages/gateway/src/tests/orders/LeadershipTests.ts
+++ b/packages/gateway/src/tests/orders/LeadershipTests.ts
@@ -23,11 +23,12 @@
 
 function setUp() {
   const clock = { nowMs: 0 };
-  const candidacy = { mayCampaign: true };
+  const candidacy = { mayCampaign: true, canLead: true };
   const election = new ScriptedElection();
   const leadership = new Leadership(election, new DecisionLog(new SilentLogOutput(), () => clock.nowMs), {
     nowMs: () => clock.nowMs,
     mayCampaign: () => candidacy.mayCampaign,
+    canLead: () => candidacy.canLead,
   });
   return { clock, candidacy, election, leadership };
 }
@@ -80,3 +81,17 @@
   t.true(leadership.isLeader());
   t.is(election.resigned, 0);
 });
+
+// Guards against a leader whose orders reach no engine while another instance could give them.
+test("a leader that reaches no engine resigns at once, and campaigns again once it reaches one", async (t) => {
+  const { candidacy, election, leadership } = setUp();
+  await leadership.campaignIfDue();
+  t.true(leadership.isLeader());
+  candidacy.canLead = false;
+  await leadership.campaignIfDue();
+  t.false(leadership.isLeader());
+  t.is(election.resigned, 1);
+  candidacy.canLead = true;
+  await leadership.campaignIfDue();
+  t.true(leadership.isLeader());
+});
--- a/packages/gateway/src/tests/orders/LostEngineDetectorTests.ts
+++ b/packages/gateway/src/tests/orders/LostEngineDetectorTests.ts
@@ -42,3 +42,12 @@
   await Promise.all(members.map((member) => detector.check(member)));
   t.deepEqual(getRemaining(), ["a", "b", "c"]);
 });
+
+// Guards against a leader that rearranges zones after it has reached no endpoint for a while.
+test("an engine is not lost by the probes of an instance that reached no engine at that time", async (t) => {
+  const { orders, detector, first, getRemaining } = setUp();
+  orders.silent.add("a");
+  await detector.check(first);
+  detector.reset();
+  t.deepEqual(getRemaining(), ["a", "b", "c"]);
+});
