gateway: an instance that has lost only some paths returns to the others, and calls sent right before a cut end as well

Found by reading. The path of a call without an answer is not checked if the endpoint was heard within 200 ms, so that slow first events cost no connections. Tests: PathConnectorTests.

--- a/packages/gateway/src/http/Connector.ts
+++ b/packages/gateway/src/http/Connector.ts
@@ -36,8 +36,11 @@
   /** Returns whether a connection that is not in use may serve another request. */
   abstract mayReuse(socket: object): boolean;
 
-  /** Records that a call on a direct connection gets no answer for longer than usual. */
-  abstract noteSilence(address: string): void;
+  /**
+   * Records that a call on a direct connection gets no answer for longer than usual.
+   * @returns Whether the direct path is known to be cut, so that no answer will come.
+   */
+  abstract noteSilence(address: string): boolean;
 
   /**
    * Returns whether the server closed a connection, rather than resetting it. A tunnel also ends if its peer is killed, which looks like a
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -69,11 +69,14 @@
     return hasBody ? [...framed, "Content-Length", String(body.length)] : framed;
   }
 
-  /** Ends the call if it may be repeated and has waited for its answer on a direct connection for longer than usual. */
+  /** Ends the call, whose path is cut, if it has waited for its answer on a direct connection for longer than usual. */
   endIfSilent(): void {
     const waitedMs = utils.monotonicMs() - (this._sentDirectlyAtMs ?? Number.POSITIVE_INFINITY);
-    if (this._call.isRepeatable === true && waitedMs >= silenceMs)
-      this._end(new PathLostError(this._call.address));
+    if (waitedMs >= silenceMs) this._endIfRepeatable();
+  }
+
+  private _endIfRepeatable(): void {
+    if (this._call.isRepeatable === true) this._end(new PathLostError(this._call.address));
   }
 
   /** Records when the request is written: once the connection is established, or at once on a pooled connection. */
@@ -92,7 +95,11 @@
     this._call.onConnected?.(path);
     if (this._isSettled || this._connector === undefined || path !== undefined) return;
     this._sentDirectlyAtMs = utils.monotonicMs();
-    this._silenceTimer = setTimeout(() => this._connector?.noteSilence(this._call.address), silenceMs);
+    this._silenceTimer = setTimeout(() => this._noteSilence(), silenceMs);
+  }
+
+  private _noteSilence(): void {
+    if (this._connector?.noteSilence(this._call.address) === true) this._endIfRepeatable();
   }
 
   private _acceptHead(message: http.IncomingMessage): void {
--- a/packages/gateway/src/paths/PathConnector.ts
+++ b/packages/gateway/src/paths/PathConnector.ts
@@ -20,6 +20,10 @@
 /** Minimum time between two checks of the direct path to an endpoint that gives no answers. */
 const silenceCheckIntervalMs = 1_000;
 const maxSilenceChecks = 4;
+/** The direct path to an endpoint is not checked within this time after the endpoint was heard. */
+const heardMs = 200;
+/** Maximum number of addresses that are remembered; more than a fleet has endpoints. */
+const maxAddresses = 4_096;
 
 /** Opens connections through peers. */
 export type Tunnels = Pick<TunnelClient, "open" | "wasClosedByServer" | "isLeaving" | "onPeerLeaving">;
@@ -49,8 +53,9 @@
 export class PathConnector extends Connector {
   private readonly _connections = new WeakMap<object, EndpointConnection>();
   /** By address: monotonic time until which peers are not asked. */
-  private readonly _unreachedUntilMs = new Map<string, number>();
-  private readonly _checkedAtMs = new Map<string, number>();
+  private readonly _unreachedUntilMs = new utils.BoundedMap<number>(maxAddresses);
+  /** By address: monotonic time of the last check. */
+  private readonly _checkedAtMs = new utils.BoundedMap<number>(maxAddresses);
   private readonly _connectDirectly: typeof connectDirectly;
   private readonly _nowMs: () => number;
   private _silenceChecks = 0;
@@ -107,13 +112,20 @@
     });
   }
 
-  /** Checks the direct path to an endpoint, unless that was done a short time ago. */
-  override noteSilence(address: string): void {
+  /** Checks the direct path to an endpoint, unless that was done or the endpoint was heard a short time ago. */
+  override noteSilence(address: string): boolean {
     const { endpoints, paths } = this._structure;
+    if (paths.isLost(address)) return paths.getFailure(address) === "unanswered";
+    const endpoint = endpoints.getByAddress(address);
+    if (endpoint !== undefined) this._checkPath(address, endpoint.heardAtMs);
+    return false;
+  }
+
+  private _checkPath(address: string, heardAtMs: number): void {
     const nowMs = this._nowMs();
     const checkedMsAgo = nowMs - (this._checkedAtMs.get(address) ?? Number.NEGATIVE_INFINITY);
     if (checkedMsAgo < silenceCheckIntervalMs || this._silenceChecks >= maxSilenceChecks) return;
-    if (paths.shouldUsePeer(address) || endpoints.getByAddress(address) === undefined) return;
+    if (nowMs - heardAtMs < heardMs) return;
     this._checkedAtMs.set(address, nowMs);
     this._silenceChecks += 1;
     void this.connect(address).then((connected) => {
@@ -212,7 +224,7 @@
       this._structure.log.info("endpoint-not-reached-by-peers", { address, outcomes: opened.val });
       return undefined;
     }
-    this._unreachedUntilMs.delete(address);
+    this._unreachedUntilMs.remove(address);
     this._structure.paths.noteReachedThroughPeer();
     return opened.val;
   }
--- a/packages/gateway/src/paths/PathReview.ts
+++ b/packages/gateway/src/paths/PathReview.ts
@@ -34,6 +34,7 @@
   private readonly _nowMs: () => number;
   private readonly _random: () => number;
   private _running = 0;
+  private _otherDueAtMs = 0;
   private _isSampling = false;
 
   constructor(private readonly _structure: PathReviewStructure) {
@@ -53,7 +54,18 @@
 
   /** Starts the tries that are due; resolves once they are complete. */
   async review(): Promise<void> {
-    await Promise.all([this._tryLostPaths(), this._sampleEndpoints()]);
+    await Promise.all([this._tryLostPaths(), this._tryOtherPath(), this._sampleEndpoints()]);
+  }
+
+  /** Tries a path that is not lost while this instance counts as cut off, since only some paths may be lost. */
+  private async _tryOtherPath(): Promise<void> {
+    const { paths, connector } = this._structure;
+    const nowMs = this._nowMs();
+    if (!paths.isCutOff || nowMs < this._otherDueAtMs) return;
+    this._otherDueAtMs = nowMs + firstIntervalMs;
+    const others = paths.listedAddresses.filter((address) => !paths.isLost(address));
+    const [address] = utils.sample(others, 1, this._random);
+    if (address !== undefined) await connector.tryDirectPath(address);
   }
 
   private async _tryLostPaths(): Promise<void> {
--- a/packages/gateway/src/tests/paths/PathConnectorTests.ts
+++ b/packages/gateway/src/tests/paths/PathConnectorTests.ts
@@ -1,5 +1,6 @@
 /** Tests which path a connection to an endpoint takes, and what an instance concludes about its own network paths. */
 import test from "ava";
+import { utils } from "@shedtiller/common";
 import type { ConnectFailure } from "../../http/Connector.js";
 import { PathFixture } from "./PathFixture.js";
 
@@ -99,3 +100,31 @@
   await fixture.reviewFor(400);
   t.false(fixture.paths.isIsolated);
 });
+
+test("an instance that has lost only some paths uses the others again, even if no request tries them", async (t) => {
+  const fixture = new PathFixture(addresses);
+  for (const address of ["e1:1", "e2:1"]) {
+    fixture.failures.set(address, "refused");
+    await fixture.connect(address);
+  }
+  t.true(fixture.paths.isCutOff);
+  await fixture.reviewFor(400);
+  t.false(fixture.paths.isCutOff);
+  t.true(fixture.paths.isLost("e1:1"));
+  t.is(await fixture.connect("e3:1"), "direct");
+});
+
+test("a call without an answer has its path checked, unless the endpoint was heard a moment ago", async (t) => {
+  const fixture = new PathFixture(addresses);
+  cutAll(fixture, "unanswered");
+  const endpoint = fixture.endpoints.getByAddress("e1:1");
+  if (endpoint !== undefined) endpoint.heardAtMs = fixture.clock.nowMs;
+  t.false(fixture.connector.noteSilence("e1:1"));
+  t.deepEqual(fixture.direct, []);
+  fixture.clock.nowMs += 1_000;
+  t.false(fixture.connector.noteSilence("e1:1"), "not known yet");
+  t.false(fixture.connector.noteSilence("e1:1"));
+  while (!fixture.paths.isLost("e1:1")) await utils.yieldToEvents();
+  t.deepEqual(fixture.direct, ["e1:1"], "one check for both calls");
+  t.true(fixture.connector.noteSilence("e1:1"), "no answer will come");
+});
