gateway: few peers are asked about an endpoint that refuses them as well

Found by reading: a refused connection costs a peer one round trip, so that up to 24 peers connected to the address of an endpoint that had really died, for each connection of each instance. Change: four refusals end the asking.

--- a/packages/gateway/src/paths/TunnelClient.ts
+++ b/packages/gateway/src/paths/TunnelClient.ts
@@ -29,6 +29,8 @@
 const askedTogether = 2;
 /** Maximum number of peers that are asked for one connection; those that have no path either answer within a round trip. */
 const maxAsked = 24;
+/** Refused connections of peers after which no further peers are asked, since the endpoint's process has probably ended. */
+const maxRefused = 4;
 /** Time after which no further peers are asked, since the connection is needed within 400 ms. */
 const askingTimeoutMs = 400;
 
@@ -93,6 +95,7 @@
       for (const { name } of peers) asked.add(name);
       const opened = await this._openFirst(peers, address, outcomes);
       if (opened !== undefined) return results.Ok(opened);
+      if (outcomes.filter((outcome) => outcome === "refused").length >= maxRefused) break;
     }
     return results.Err(outcomes);
   }
--- a/packages/gateway/src/tests/patterns/TunnelFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/TunnelFleetTests.ts
@@ -98,6 +98,29 @@
   });
 }
 
+test("few peers are asked about an endpoint whose process has ended", async (t) => {
+  const random = new utils.RandomSource(7);
+  const peers = Array.from({ length: instancesPerZone }, (_, index) =>
+    toMember({ name: `east-${index}`, availabilityZone: "east" }),
+  );
+  let asked = 0;
+  const client = new TunnelClient({
+    membership: {
+      self: { name: "east-self", availabilityZone: "east" },
+      getLinked: () => peers,
+      onLinked: () => undefined,
+      onNotice: () => undefined,
+      request: () => {
+        asked += 1;
+        return Promise.resolve(results.Ok({ outcome: "refused", carried: 0 }));
+      },
+    },
+    random: () => random.nextUnit(),
+  });
+  t.true((await client.open("10.0.0.1:80")).err);
+  t.is(asked, 4);
+});
+
 test("a zone of 65 instances that are all cut is served by most instances of the other zones, within the maximum of each", async (t) => {
   const { failed, opened, asked, helpers } = await openAll((zone) => zone === "east");
   t.is(failed, 0);
