gateway: forwarded connections end when their requester has no link

Found by reading: an instance that loses power closes nothing, so that the peer kept its connections to endpoints, which went on working for nobody and took up the peer's maximum. Change: every 2 s a peer closes the connections of instances that had no link at two looks in a row. Test: TunnelTests.

--- a/packages/gateway/src/paths/Reachability.ts
+++ b/packages/gateway/src/paths/Reachability.ts
@@ -1,3 +1,4 @@
+import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { HttpClient } from "../http/HttpClient.js";
@@ -8,6 +9,9 @@
 import { TunnelClient } from "./TunnelClient.js";
 import { TunnelServer } from "./TunnelServer.js";
 
+/** Interval at which connections of peers without a link are looked for; a link that ends is redialled within a second. */
+const orphanCheckMs = 2_000;
+
 /** Dependencies of {@link Reachability}. */
 export interface ReachabilityStructure {
   readonly membership: Membership;
@@ -26,7 +30,8 @@
   readonly server: TunnelServer;
   private readonly _review: PathReview;
 
-  constructor({ membership, listen, endpoints, log, httpClients }: ReachabilityStructure) {
+  constructor(private readonly _structure: ReachabilityStructure) {
+    const { membership, listen, endpoints, log, httpClients } = _structure;
     this.paths = new EndpointPaths({ endpoints, log });
     const tunnels = new TunnelClient({ membership });
     this.connector = new PathConnector({ endpoints, paths: this.paths, tunnels, log });
@@ -41,8 +46,11 @@
     });
   }
 
-  /** Reviews the paths until `signal` aborts. */
-  run(signal: AbortSignal): Promise<void> {
-    return this._review.run(signal);
+  /** Reviews the paths and the forwarded connections until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const logFailure = (error: unknown): void =>
+      this._structure.log.error("tunnel-review-failed", { cause: String(error) });
+    const orphans = utils.repeat(orphanCheckMs, signal, () => this.server.closeOrphans(), logFailure);
+    await Promise.all([this._review.run(signal), orphans]);
   }
 }
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -33,7 +33,7 @@
 
 /** Dependencies of {@link TunnelServer}. */
 export interface TunnelServerStructure {
-  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll">;
+  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll" | "getLinked">;
   readonly endpoints: Pick<EndpointTable, "getByAddress">;
   readonly paths: Pick<EndpointPaths, "shouldUsePeer" | "isIsolated" | "noteDirect">;
   /** Address of the own peer listener. */
@@ -58,6 +58,8 @@
   /** Open tunnels and tunnels that ended a short time ago, by ticket. */
   private readonly _tunnels = new Map<string, Tunnel>();
   private readonly _unclaimed = new Set<string>();
+  /** Peers with tunnels that had no link at the last look, which may have been replaced at that moment. */
+  private _unlinkedPeers: ReadonlySet<string> = new Set();
   private _carried = 0;
   private _isLeaving = false;
 
@@ -79,6 +81,21 @@
     this._structure.membership.notifyAll(peerTopics.tunnelsClosing, null);
   }
 
+  /**
+   * Closes the connections of peers that have had no link since the last call. A peer that loses power closes nothing, and the endpoint
+   * would go on working for it.
+   */
+  closeOrphans(): void {
+    const linked = new Set(this._structure.membership.getLinked().map(({ name }) => name));
+    const unlinked = new Set<string>();
+    for (const { peer, endpointSocket } of this._tunnels.values()) {
+      if (linked.has(peer)) continue;
+      unlinked.add(peer);
+      if (this._unlinkedPeers.has(peer)) endpointSocket.destroy();
+    }
+    this._unlinkedPeers = unlinked;
+  }
+
   /** Closes all forwarded connections. */
   close(): void {
     for (const { endpointSocket } of this._tunnels.values()) endpointSocket.destroy();
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -25,6 +25,8 @@
   /** Address of the endpoint. */
   readonly address: string;
   readonly peerPort: number;
+  /** Whether the peer has a link to the instance. */
+  readonly linkState: { isLinked: boolean };
   /** Connections at the endpoint. */
   readonly accepted: net.Socket[];
   /** Ends the process of the peer: its connections close, and it answers nothing any more. */
@@ -59,11 +61,13 @@
   );
   const peerPort = await listen(listener);
   const self = { name: "front-1", availabilityZone: "east" };
+  const linkState = { isLinked: true };
   const server = new TunnelServer({
     membership: {
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
       onUpgrade: (path, handler) => void upgradeHandlers.set(path, handler),
       notifyAll: () => undefined,
+      getLinked: () => (linkState.isLinked ? [toMember(self)] : []),
     },
     peerAddress: `${host}:${peerPort}`,
     endpoints,
@@ -94,7 +98,7 @@
     listener.close();
     endpoint.close();
   });
-  return { client, server, paths, address, peerPort, accepted, killPeer };
+  return { client, server, paths, address, peerPort, accepted, linkState, killPeer };
 }
 
 async function open(pair: TunnelPair): Promise<Connection> {
@@ -188,3 +192,21 @@
   });
   t.is(status, 404);
 });
+
+// Guards against endpoints that go on working for an instance that has lost power.
+test("a tunnel ends once its requester has had no link for a while", async (t) => {
+  const pair = await createPair(t);
+  await open(pair);
+  const [endpointSocket] = pair.accepted as [net.Socket];
+  endpointSocket.resume();
+  const isClosed = new Promise((resolve) => endpointSocket.once("close", resolve));
+  pair.linkState.isLinked = false;
+  pair.server.closeOrphans();
+  pair.linkState.isLinked = true;
+  pair.server.closeOrphans();
+  t.is(pair.server.carried, 1, "a link that is replaced ends nothing");
+  pair.linkState.isLinked = false;
+  pair.server.closeOrphans();
+  pair.server.closeOrphans();
+  await isClosed;
+});
