crashes: a refused connection counts even if peers don't reply in time

Ruled out: clearings of the digest, since the weight against it rises by each late count. Change: the probe asks peers and the endpoint at the same time; without an answer of a peer the own refusal decides, unless the own path is lost or this instance may be isolated. Tests: PathConnectorTests.

--- a/packages/gateway/src/paths/PathConnector.ts
+++ b/packages/gateway/src/paths/PathConnector.ts
@@ -141,16 +141,26 @@
 
   /**
    * Checks whether a process listens at an address, as seen by this instance or by a peer. An endpoint that only refuses this instance has
-   * not crashed.
+   * not crashed. A refusal counts even if peers don't reply in time, unless the own path is in doubt.
    */
   readonly probe = async (address: string, timeoutMs: number): Promise<ProbeResult> => {
-    const connected = await Promise.race([
-      this.connect(address),
-      utils.sleep(timeoutMs).then(() => undefined),
+    const { paths, tunnels } = this._structure;
+    const refusals = new Set<"own" | "peer">();
+    const direct = this._connectAndNote(address, {}).then((connected) => {
+      if (connected.err && connected.val.failure === "refused") refusals.add("own");
+      return closeProbe(connected.ok ? connected.val : undefined);
+    });
+    const tunnel = tunnels.open(address).then((opened) => {
+      if (opened.err && opened.val.includes("refused")) refusals.add("peer");
+      return closeProbe(opened.ok ? opened.val.socket : undefined);
+    });
+    const isOpen = await Promise.race([
+      getFirstTrue([direct, tunnel]),
+      utils.sleep(timeoutMs).then(() => false),
     ]);
-    if (connected?.ok === true) connected.val.socket.destroy();
-    if (connected?.ok === true) return "open";
-    return connected !== undefined && isRefusal(connected.val) ? "refused" : "nothing";
+    if (isOpen) return "open";
+    const isOwnPathDoubtful = paths.shouldUsePeer(address) || paths.mayBeIsolated;
+    return refusals.has("peer") || (refusals.has("own") && !isOwnPathDoubtful) ? "refused" : "nothing";
   };
 
   /** Tries the direct path to an endpoint, and returns whether it works. */
@@ -248,6 +258,16 @@
   return results.Ok({ socket: connected.val, path: undefined });
 }
 
-function isRefusal({ cause }: errors.NotReachedError): boolean {
-  return cause instanceof Error && "code" in cause && cause.code === "ECONNREFUSED";
+/** Closes a connection that was established to show that it can be, and returns whether there is one. */
+function closeProbe(socket: net.Socket | undefined): boolean {
+  socket?.destroy();
+  return socket !== undefined;
+}
+
+/** Resolves with true as soon as one of the promises does, and with false once none has. */
+function getFirstTrue(promises: readonly Promise<boolean>[]): Promise<boolean> {
+  return new Promise((resolve) => {
+    for (const promise of promises) void promise.then((isTrue) => isTrue && resolve(true));
+    void Promise.all(promises).then(() => resolve(false));
+  });
 }
--- a/packages/gateway/src/tests/paths/PathFixture.ts
+++ b/packages/gateway/src/tests/paths/PathFixture.ts
@@ -27,6 +27,8 @@
   });
   /** How direct connections of this instance fail, by address. */
   readonly failures = new Map<string, ConnectFailure>();
+  /** Whether peers reply to requests for connections. */
+  arePeersSilent = false;
   /** Addresses that the peers do not reach. */
   readonly unreachedByPeers = new Set<string>();
   /** Addresses of the direct connections and of the tunnels that were tried. */
@@ -87,6 +89,7 @@
     return {
       open: async (address): Promise<results.Result<Connection, TunnelFailure>> => {
         this.tunnels.push(address);
+        if (this.arePeersSilent) return new Promise(() => undefined);
         if (this.unreachedByPeers.has(address)) return results.Err(["refused"]);
         return results.Ok({ socket: new net.Socket(), path: { peer: "front-2", tunnelId: "t1" } });
       },
