gateway: a connection that is reset before a request uses it does not end the process

Cause: connections are established ahead of the request now, and between the two nobody listened for errors; Node's agent used to listen from the first moment. Change: direct connections, tunnels and accepted tunnel connections have a listener from their beginning; a reset ends just the connection. Test: TunnelTests, which ends with the same uncaught exception before the change.

--- a/packages/gateway/src/paths/TunnelClient.ts
+++ b/packages/gateway/src/paths/TunnelClient.ts
@@ -225,6 +225,8 @@
     request.once("response", fail);
     request.once("upgrade", (_response, socket, head) => {
       timeout.clear();
+      // The connection may be reset before a request uses it.
+      socket.on("error", () => undefined);
       socket.setNoDelay(true);
       if (head.length > 0) socket.unshift(head);
       resolve(socket);
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -127,7 +127,6 @@
     const end = waitForSocketEnd(endpointSocket);
     this._tunnels.set(ticket, { ticket, peer, address, endpointSocket, end });
     this._unclaimed.add(ticket);
-    endpointSocket.on("error", () => undefined);
     endpointSocket.once("close", () => {
       this._carried -= 1;
       this._unclaimed.delete(ticket);
@@ -140,6 +139,7 @@
   }
 
   private _accept(request: http.IncomingMessage, socket: Duplex, head: Buffer): void {
+    socket.on("error", () => undefined);
     const ticket = String(request.headers[ticketHeader]);
     const tunnel = this._unclaimed.delete(ticket) ? this._tunnels.get(ticket) : undefined;
     if (tunnel === undefined) return void socket.end("HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n");
@@ -154,7 +154,6 @@
   private _forward({ ticket, peer, address, endpointSocket, end }: Tunnel, peerSocket: net.Socket): void {
     const startedAtMs = utils.monotonicMs();
     peerSocket.setNoDelay(true);
-    peerSocket.on("error", () => undefined);
     endpointSocket.pipe(peerSocket);
     peerSocket.pipe(endpointSocket, { end: false });
     // An HTTP client that closes its side waits for nothing any more.
--- a/packages/gateway/src/paths/connectDirectly.ts
+++ b/packages/gateway/src/paths/connectDirectly.ts
@@ -10,7 +10,7 @@
 
 const refusedCode = "ECONNREFUSED";
 
-/** Connects to an address without a peer. */
+/** Connects to an address without a peer. An error of the connection before anybody uses it has no effect but its end. */
 export function connectDirectly(
   address: string,
   timeoutMs: number,
@@ -27,10 +27,9 @@
     const onError = (error: NodeJS.ErrnoException): void =>
       fail(error.code === refusedCode ? "refused" : "unanswered", error);
     const timeout = new utils.IoTimeout(timeoutMs, () => fail("unanswered"), { isPauseExcluded: true });
-    socket.once("error", onError);
+    socket.on("error", onError);
     socket.once("connect", () => {
       timeout.clear();
-      socket.removeListener("error", onError);
       resolve(results.Ok(socket));
     });
   });
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -7,6 +7,7 @@
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { Connection } from "../../http/Connector.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
+import { connectDirectly } from "../../paths/connectDirectly.js";
 import { EndpointPaths } from "../../paths/EndpointPaths.js";
 import { TunnelClient, type TunnelFailure } from "../../paths/TunnelClient.js";
 import { TunnelServer } from "../../paths/TunnelServer.js";
@@ -210,3 +211,18 @@
   pair.server.closeOrphans();
   await isClosed;
 });
+
+// Guards against the end of the process by a reset of a connection that no request uses at that moment.
+test("a connection that is reset before it is used ends nothing but itself", async (t) => {
+  const pair = await createPair(t);
+  const tunnel = await pair.client.open(pair.address);
+  const direct = await connectDirectly(pair.address, maxWaitMs);
+  if (tunnel.err || direct.err) return t.fail();
+  const sockets = [tunnel.val.socket, direct.val];
+  const areClosed = sockets.map((socket) => new Promise((resolve) => socket.once("close", resolve)));
+  for (const socket of sockets) socket.resume();
+  t.true(await utils.waitUntil(() => pair.accepted.length === 2, maxWaitMs));
+  for (const endpointSocket of pair.accepted) endpointSocket.resetAndDestroy();
+  await Promise.all(areClosed);
+  t.true(sockets.every((socket) => socket.destroyed));
+});
