soak: paths refuse connections while their endpoint does, and none is added after the end

Causes, both in the soak: the relay of a gateway's path accepted a connection to an endpoint that refuses it, and reset it afterwards; an endpoint that started during the end got paths that nobody closed. Change: a path refuses while its endpoint does, as before there were paths, and none stays open after the end. Test: GatewayPathsTests.

--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -26,6 +26,7 @@
   private readonly _sockets = new Set<net.Socket>();
   /** Sockets whose data is discarded. */
   private readonly _silencedSockets = new WeakSet<net.Socket>();
+  private readonly _acceptingListeners: ((isAccepting: boolean) => void)[] = [];
   private _port = 0;
   private _isClosed = false;
 
@@ -49,11 +50,19 @@
   refuseConnections(): void {
     if (this._server.listening) this._server.close();
     this.resetConnections();
+    for (const listener of this._acceptingListeners) listener(false);
+  }
+
+  /** Calls `listener` when the relay begins to refuse connections, and when it accepts them again. */
+  onAccepting(listener: (isAccepting: boolean) => void): void {
+    this._acceptingListeners.push(listener);
   }
 
   /** Accepts connections again, on the same port. Has no effect after `close`. */
   async acceptConnections(): Promise<void> {
-    if (!this._server.listening && !this._isClosed) await this._listen(this._port);
+    if (this._server.listening || this._isClosed) return;
+    await this._listen(this._port);
+    for (const listener of this._acceptingListeners) listener(true);
   }
 
   /** Refuses connections permanently. */
