--- a/packages/gateway/src/discovery/FailureDetector.ts
+++ b/packages/gateway/src/discovery/FailureDetector.ts
@@ -109,13 +109,12 @@
 
   /** Records that another engine reported this engine as faulty; resolves once the engine has been queried. */
   async noteReportedFaulty(endpointId: string, reason: string): Promise<void> {
-    const { endpoints, orders, broadcastSuspicion, log } = this._structure;
+    const { endpoints, liveness, broadcastSuspicion, log } = this._structure;
     const endpoint = endpoints.get(endpointId);
     if (endpoint === undefined || !this._suspect(endpointId, reason, "reported")) return;
     const attemptedAtMs = this._nowMs();
-    const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
-    if (report.err) {
-      const evidence = getEvidence(report.val);
+    const evidence = await liveness.run(endpoint);
+    if (evidence !== undefined) {
       endpoints.suspect(endpointId, evidence);
       return broadcastSuspicion(endpointId, evidence, this._nowMs() - attemptedAtMs);
     }
--- a/packages/gateway/src/discovery/SuspicionEvidence.ts
+++ b/packages/gateway/src/discovery/SuspicionEvidence.ts
@@ -1,6 +1,7 @@
 /** How certain it is that a suspected endpoint no longer works. */
 import { errors } from "@shedtiller/common";
 import * as zod from "zod";
+import { isRefused } from "../http/isRefused.js";
 import { OrderRefusedError, type OrderError } from "../orders/EngineOrders.js";
 
 /**
@@ -14,8 +15,6 @@
 const ranks: Readonly<Record<SuspicionEvidence, number>> = { reported: 0, unanswered: 1, lost: 2 };
 /** Status of a process that is not the one that the call was meant for (RFC 9110, section 15.5.20). */
 const misdirectedStatus = 421;
-/** Error code of a connection that a running machine refuses, since no process listens at the port. */
-const refusedCode = "ECONNREFUSED";
 
 /** Returns whether `evidence` is stronger than `other`. */
 export function isStronger(evidence: SuspicionEvidence, other: SuspicionEvidence): boolean {
@@ -29,7 +28,5 @@
 export function getEvidence(error: OrderError): SuspicionEvidence {
   if (error instanceof OrderRefusedError) return error.status === misdirectedStatus ? "lost" : "unanswered";
   if (!(error instanceof errors.NotReachedError)) return "unanswered";
-  const cause: unknown = error.cause;
-  const isRefused = cause instanceof Error && "code" in cause && cause.code === refusedCode;
-  return isRefused ? "lost" : "unanswered";
+  return isRefused(error.cause) ? "lost" : "unanswered";
 }
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -107,7 +107,7 @@
     const request = this._request;
     const { socket } = message;
     if (this._agent instanceof KeepAliveAgent) this._agent.noteAnswer(socket, message.headers);
-    const connectionEnd = isFramed(message) ? undefined : waitForConnectionEnd(message);
+    const connectionEnd = isFramed(message) ? undefined : waitForConnectionEnd(socket);
     message.on("error", () => undefined);
     this._settle(
       results.Ok({
--- a/packages/gateway/src/paths/EndpointPaths.ts
+++ b/packages/gateway/src/paths/EndpointPaths.ts
@@ -92,7 +92,7 @@
   /** Records that a direct connection was established. */
   noteDirect(address: string): void {
     this._directAtMs = this._nowMs();
-    this._noteReached();
+    this.noteReached();
     if (this._lost.delete(address)) {
       this._structure.log.info("endpoint-path-regained", this._describe(address));
       this._notify(address, undefined);
@@ -102,7 +102,7 @@
 
   /** Records that a peer reached an endpoint, to which direct connections fail. */
   noteLost(address: string, failure: ConnectFailure, peer: string): void {
-    this._noteReached();
+    this.noteReached();
     if (this._lost.has(address) || this._structure.endpoints.getByAddress(address) === undefined) return;
     this._lost.set(address, { failure, sinceMs: this._nowMs() });
     this._structure.log.warn("endpoint-path-lost", { ...this._describe(address), failure, peer });
@@ -130,11 +130,7 @@
   }
 
   /** Records that a connection to an endpoint was established, directly or through a peer. */
-  noteReachedThroughPeer(): void {
-    this._noteReached();
-  }
-
-  private _noteReached(): void {
+  noteReached(): void {
     this._reachedAtMs = this._nowMs();
     this._unreachable.clear();
     if (this._isIsolated) this._setIsolated(false);
--- a/packages/gateway/src/paths/PathConnector.ts
+++ b/packages/gateway/src/paths/PathConnector.ts
@@ -235,7 +235,7 @@
       return undefined;
     }
     this._unreachedUntilMs.remove(address);
-    this._structure.paths.noteReachedThroughPeer();
+    this._structure.paths.noteReached();
     return opened.val;
   }
 }
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -5,7 +5,7 @@
 import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
-import { waitForSocketEnd } from "../http/waitForConnectionEnd.js";
+import { waitForConnectionEnd } from "../http/waitForConnectionEnd.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { peerTopics } from "../peers/peerMessages.js";
 import { connectDirectly } from "./connectDirectly.js";
@@ -124,7 +124,7 @@
 
   private _add(endpointSocket: net.Socket, peer: string, address: string): string {
     const ticket = crypto.randomUUID();
-    const end = waitForSocketEnd(endpointSocket);
+    const end = waitForConnectionEnd(endpointSocket);
     this._tunnels.set(ticket, { ticket, peer, address, endpointSocket, end });
     this._unclaimed.add(ticket);
     endpointSocket.once("close", () => {
--- a/packages/gateway/src/paths/connectDirectly.ts
+++ b/packages/gateway/src/paths/connectDirectly.ts
@@ -1,6 +1,7 @@
 import * as net from "node:net";
 import { errors, results, utils } from "@shedtiller/common";
 import type { ConnectFailure } from "../http/Connector.js";
+import { isRefused } from "../http/isRefused.js";
 
 /** A failed attempt to connect. */
 export interface FailedConnect {
@@ -8,8 +9,6 @@
   readonly error: errors.NotReachedError;
 }
 
-const refusedCode = "ECONNREFUSED";
-
 /** Connects to an address without a peer. An error of the connection before anybody uses it has no effect but its end. */
 export function connectDirectly(
   address: string,
@@ -24,8 +23,7 @@
       socket.destroy();
       resolve(results.Err({ failure, error: new errors.NotReachedError(address, cause) }));
     };
-    const onError = (error: NodeJS.ErrnoException): void =>
-      fail(error.code === refusedCode ? "refused" : "unanswered", error);
+    const onError = (error: Error): void => fail(isRefused(error) ? "refused" : "unanswered", error);
     const timeout = new utils.IoTimeout(timeoutMs, () => fail("unanswered"), { isPauseExcluded: true });
     socket.on("error", onError);
     socket.once("connect", () => {
