gateway: failed runs of streams name the parts of their prompts

Cause: no line named the parts of a prompt, so that nothing could tell whether the runs of several crashes had a part in common. Ruled out: telling it from the digests, which differ in all of a request.

--- a/packages/gateway/src/http/MessageCodec.ts
+++ b/packages/gateway/src/http/MessageCodec.ts
@@ -16,6 +16,8 @@
   readonly maxAnswerTokens: number | undefined;
   /** The caller's estimate of the number of tokens in the answer: correct in the median, often far off. */
   readonly answerTokensHint: number | undefined;
+  /** Ids of the parts of the prompt in order. Requests may share parts, except for the last one. */
+  readonly promptPartIds: readonly string[];
   /** Id of the last event that the caller has received; the stream resumes after it. */
   readonly lastEventId: string | undefined;
 }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -338,6 +338,7 @@
     this.context.log.warn("stream-run-failed", {
       requestId: request.id,
       digest: request.digest,
+      promptPartIds: request.fields.promptPartIds,
       cause,
       chain: describeChain(reservation.stages),
       sinceSentMs: Math.round(utils.monotonicMs() - attempt.sentAtMs),
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -56,7 +56,7 @@
   return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
 }
 
-/** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
+/** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
 class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
     return {
@@ -66,6 +66,7 @@
       promptTokens: 2,
       maxAnswerTokens: 2,
       answerTokensHint: undefined,
+      promptPartIds: lookUp(headers, "x-parts")?.split(",") ?? [],
       lastEventId: lookUp(headers, "x-last"),
     };
   }
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -37,6 +37,7 @@
       deadlineMs: undefined,
       apiKey: undefined,
       answerTokensHint: undefined,
+      promptPartIds: [],
       lastEventId: undefined,
     },
     route: createRoute({ kind: "streaming", isResumable: true }),
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -171,6 +171,7 @@
       deadlineMs: undefined,
       apiKey: undefined,
       answerTokensHint: answerTokens,
+      promptPartIds: [],
       lastEventId: undefined,
     },
     route,
