tests: one part of a prompt crashes engine after engine, failing

Cause: crashes count against whole requests only; requests that share just one part are unknown to every instance, each time. Ruled out: evidence lost on the way: no report is dropped here, and the weights of all digests stay below the quarantine's.

--- a/packages/gateway/src/tests/patterns/CrashingFleet.ts
+++ b/packages/gateway/src/tests/patterns/CrashingFleet.ts
@@ -39,6 +39,8 @@
 /** A request that callers may repeat. */
 export interface SentRequest {
   readonly digest: string;
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly parts?: readonly string[];
   readonly isCrashing: boolean;
   /** Maximum time from its beginning after which a crashing run completes successfully, which may be before its engine crashes. */
   readonly endsWithinMs?: number;
@@ -80,6 +82,8 @@
 
 /** Simulates a fleet of instances and its engines. */
 export class CrashingFleet {
+  /** Times at which requests crashed engines. */
+  readonly allCrashesAtMs: number[] = [];
   /** By digest of the request: the times at which it crashed engines. */
   readonly crashesAtMs = new Map<string, number[]>();
   /** Times at which engines received crashing requests. */
@@ -196,6 +200,7 @@
       await this._clock.sleep(minCrashMs + this._random.nextUnit() * (maxCrashMs - minCrashMs));
       if (request.endsWithinMs === undefined && isOver()) return;
       if (!engine.isUp) return;
+      this.allCrashesAtMs.push(this._clock.nowMs());
       const times = this.crashesAtMs.get(request.digest) ?? [];
       this.crashesAtMs.set(request.digest, [...times, this._clock.nowMs()]);
       return this._crash(engine);
