gateway: runs that were aborted because their engine is lost are suspects of its crash

What callers saw: requests that crash engines were sent on: 6 runs of a request later than 3 s after its third crash (11 in all). Cause: an instance aborts its runs at an engine whose loss a peer reports, mostly before the connection ends here; an aborted run was not taken for evidence. So a crash that becomes known fast had few suspects, or none. Ruled out: lost reports; a path that was cut (the engine refused all peers). Change: an aborted run counts as well unless its caller has left; the probe of the engine decides as before whether the engine crashed. While an endpoint gives no answer at all, its suspects wait for the probe only, not for the end of the investigation. Figures: the new test fails on the code before (weight 0) and passes now.

--- a/packages/gateway/src/crashes/CrashDetector.ts
+++ b/packages/gateway/src/crashes/CrashDetector.ts
@@ -166,7 +166,7 @@
 
   /**
    * Records that an endpoint closed the connection of a run; resolves once it is known whether the endpoint crashed.
-   * @param endpoint - The endpoint that closed the connection, which may be another one of the chain than the first.
+   * @param endpoint - The endpoint that closed the connection, which may be a later one of the chain.
    */
   async noteLost(run: TrackedRun, endpoint: Endpoint): Promise<void> {
     if (this._hasSurvived(run)) return this.noteSurvived(run.request, this._getSurvivedAtMs(run));
@@ -220,9 +220,11 @@
     return added;
   }
 
-  /** Returns whether an endpoint that ran the trait is under investigation; its crash may be the one that quarantines the trait. */
+  /** Returns whether an endpoint that ran the trait is being probed; its crash may be the one that quarantines the trait. */
   private _isUndecided(trait: string): boolean {
-    return [...this._investigations.values()].some((investigation) => investigation.suspects.has(trait));
+    return [...this._investigations.values()].some(
+      ({ isProbing, suspects }) => isProbing && suspects.has(trait),
+    );
   }
 
   /** Returns the runs that are in their initial phase, or completed too recently to clear their requests. */
@@ -261,6 +263,7 @@
       lifeId,
       atMs: this._nowMs(),
       suspects: new Map(),
+      isProbing: true,
       decided: probed.then((result) => this._decide(investigation, result)),
     };
     this._investigations.set(lifeId, investigation);
@@ -268,6 +271,7 @@
   }
 
   private _decide(investigation: Investigation, result: ProbeResult): void {
+    investigation.isProbing = false;
     const isCrashed = result === "refused" || this.ledger.hasCrash(investigation.lifeId);
     if (isCrashed) return this._close(investigation, true);
     if (result === "open") return this._close(investigation, false);
--- a/packages/gateway/src/crashes/Investigation.ts
+++ b/packages/gateway/src/crashes/Investigation.ts
@@ -9,6 +9,8 @@
   readonly atMs: number;
   /** Traits, each with the weight of the evidence. */
   readonly suspects: Map<string, number>;
+  /** Whether the probe of the endpoint has got no answer yet. */
+  isProbing: boolean;
   readonly decided: Promise<void>;
 }
 
--- a/packages/gateway/src/crashes/SuspectCaution.ts
+++ b/packages/gateway/src/crashes/SuspectCaution.ts
@@ -30,7 +30,7 @@
   readonly getStartingRuns: () => Iterable<TrackedRun>;
   /** Returns the weight of the evidence against a trait, including that of endpoints under investigation. */
   readonly getWeight: (trait: string) => number;
-  /** Returns whether an endpoint that ran the trait is under investigation. */
+  /** Returns whether an endpoint that ran the trait is being probed. */
   readonly isUndecided: (trait: string) => boolean;
   readonly isKnownHarmless: (trait: string) => boolean;
   readonly nowMs: () => number;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -212,10 +212,10 @@
     if (sent.ok) return this._handleAnswer(attempt, sent.val);
     if (request.signal.aborted) return "caller-left";
     this._logFailedRun(attempt, sent.val.code);
-    if (sent.val instanceof errors.ConnectionLostError) {
+    if (sent.val instanceof errors.ConnectionLostError)
       first.circuitBreaker.noteFailed(attempt.sentAtMs, utils.monotonicMs());
+    if (sent.val instanceof errors.ConnectionLostError || attempt.abort.signal.aborted)
       void this.context.crashes.noteLost(attempt, first);
-    }
     if (!(sent.val instanceof errors.NotReachedError)) return "lost";
     request.attempts -= 1;
     attempt.reservation.permit?.release();
@@ -256,8 +256,8 @@
       return "answered";
     }
     this._logFailedRun(attempt, "stream broken off");
-    // An attempt that this instance aborted itself is no evidence of a crash.
-    if (!attempt.abort.signal.aborted && attempt.firstEndpoint !== undefined)
+    // An attempt that this instance aborted may have lost its engine as well: peers report a loss before its connection ends here.
+    if (attempt.firstEndpoint !== undefined)
       void this.context.crashes.noteLost(attempt, attempt.firstEndpoint);
     return "lost";
   }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -40,6 +40,7 @@
 import { PlainForwarder } from "../../requests/PlainForwarder.js";
 import { RetryBudgets } from "../../requests/RetryBudgets.js";
 import { StallMonitor } from "../../requests/StallMonitor.js";
+import type { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamForwarder } from "../../requests/StreamForwarder.js";
 import { createConfiguration, createListed, profile } from "../testData.js";
 import { createPermitDependencies } from "../createPermitDependencies.js";
@@ -143,6 +144,16 @@
   levels?: UrgencyLevels;
 }
 
+/** A monitor that records the attempts that it monitors. */
+class RecordingMonitor extends StallMonitor {
+  readonly attempts: StreamAttempt[] = [];
+
+  override add(attempt: StreamAttempt): void {
+    super.add(attempt);
+    this.attempts.push(attempt);
+  }
+}
+
 /** The request path of one gateway. */
 export class GatewayFixture {
   readonly activeConfiguration = new ActiveConfiguration();
@@ -156,6 +167,8 @@
   concurrency: EndpointConcurrency | undefined;
   /** The clock of quarantines. It advances only with crashes and when a test sets it, so that the speed of a test does not affect its result. */
   crashClockMs = 0;
+  crashes: CrashDetector | undefined;
+  monitor: RecordingMonitor | undefined;
   /** Time since which a newer configuration is known to exist. */
   behindMs = 0;
   private readonly _servers: http.Server[] = [];
@@ -176,6 +189,14 @@
     budgets.setInstanceCount(1);
     const codec = new TestCodec();
     const permits = createPermitDependencies(this.endpoints);
+    this.crashes = new CrashDetector({
+      endpoints: this.endpoints,
+      log,
+      probe: (address, timeoutMs) => this._probe(address, timeoutMs),
+      broadcast: () => undefined,
+      getTrialRank: () => 0,
+      nowMs: () => this.crashClockMs,
+    });
     const context = {
       activeConfiguration: this.activeConfiguration,
       endpoints: this.endpoints,
@@ -190,14 +211,7 @@
         noteReportedFaulty: async (id: string) => void this.endpoints.suspect(id),
         noteLayersMissing: () => Promise.resolve(),
       },
-      crashes: new CrashDetector({
-        endpoints: this.endpoints,
-        log,
-        probe: (address, timeoutMs) => this._probe(address, timeoutMs),
-        broadcast: () => undefined,
-        getTrialRank: () => 0,
-        nowMs: () => this.crashClockMs,
-      }),
+      crashes: this.crashes,
       statements: new EndpointStatements({
         endpoints: this.endpoints,
         limits: new EndpointLimits({ log }),
@@ -218,11 +232,8 @@
       this.controls,
     );
     const plain = new PlainForwarder(context, new PermitQueue(permits.demand, permits.forecast));
-    const streams = new StreamForwarder(
-      context,
-      admission,
-      new StallMonitor(context, chooser, new RejectingOrders()),
-    );
+    this.monitor = new RecordingMonitor(context, chooser, new RejectingOrders());
+    const streams = new StreamForwarder(context, admission, this.monitor);
     const forward = (request: CallerRequest): Promise<void> => {
       const service = route.targets[0]?.service ?? "";
       budgets.recordRequest(service);
--- a/packages/gateway/src/tests/requests/crashingRequestTests.ts
+++ b/packages/gateway/src/tests/requests/crashingRequestTests.ts
@@ -1,5 +1,6 @@
 /** Quarantine of requests that crash their endpoints: each such request is rejected after three crashes. */
 import test from "ava";
+import { utils } from "@shedtiller/common";
 import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
 import { createRoute } from "../testData.js";
 
@@ -70,3 +71,49 @@
   t.is((await fixture.request("POST", callerHeaders, crashingPath)).status, 503);
   t.is((await fixture.request("POST", callerHeaders)).status, 200);
 });
+
+// Guards against crashes without suspects: a peer may report the loss of an engine, so that the run there is aborted, before its connection ends.
+test("a stream that is aborted because its engine is lost counts as a suspect of the crash", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  const streaming = { kind: "streaming", isResumable: true } as const;
+  await fixture.start(
+    createRoute({ targets: [{ service: "engines", weight: 1 }], maxAttempts: 2, ...streaming }),
+  );
+  let runs = 0;
+  const handler: EndpointHandler = (request, response, crash) => {
+    response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+    if (runs++ > 0) return void response.end("id: 1\ndata: a\n\n");
+    response.write(": begun\n\n", () => {
+      fixture.monitor?.attempts[0]?.abort.abort();
+      crash();
+    });
+  };
+  await fixture.list([handler, handler], { layers: [{ start: 0, end: 4 }] });
+  t.is((await fixture.request("POST", { ...callerHeaders, "x-parts": "part,own" })).status, 200);
+  const getWeight = (): number | undefined => fixture.crashes?.ledger.getWeight("part:part");
+  t.true(await utils.waitUntil(() => (getWeight() ?? 0) > 0, 10_000));
+});
+
+// Guards against sound requests that wait for a second engine with the first layers for good, since no run of theirs can clear them.
+test("a stream whose last two engines crashed begins at the last engine with the first layers some seconds later", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  const streaming = { kind: "streaming", isResumable: true } as const;
+  await fixture.start(
+    createRoute({ targets: [{ service: "engines", weight: 1 }], maxAttempts: 3, ...streaming }),
+  );
+  let crashes = 0;
+  const handler: EndpointHandler = (request, response, crash) => {
+    response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+    if (crashes === 2) return void response.end("id: 1\ndata: a\n\n");
+    crashes += 1;
+    response.write(": begun\n\n", () => crash());
+  };
+  await fixture.list([handler, handler, handler], { layers: [{ start: 0, end: 4 }] });
+  for (let repeat = 0; repeat < 2; repeat++) await fixture.request("POST", callerHeaders);
+  t.is(crashes, 2);
+  t.is((await fixture.request("POST", callerHeaders)).status, 503);
+  fixture.crashClockMs += 6_000;
+  t.is((await fixture.request("POST", callerHeaders)).status, 200);
+});
