gateway: an overloaded instance closes new connections unread while a peer has room

What callers would see: while most new connections go to one instance, its requests wait for seconds and time out, though others are idle. Cause: an instance accepts every connection; an overloaded one falls behind with reading, and nothing leads its callers elsewhere. Ruled out: the delay of the event loop as the measure: it stayed under 60 ms in the collapse, since a process accepts one connection in each turn and the rest waits in the kernel. Budgets, permits and credit: requests were lost before any of them was asked. Change: ConnectionGate, by the utilization of the event loop, which instances tell each other with their heartbeats. Tests run without load.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -30,6 +30,7 @@
 import { LifeCheckedOrders } from "./orders/LifeCheckedOrders.js";
 import { GatewayPeers } from "./peers/GatewayPeers.js";
 import type { PeerRegistry } from "./peers/PeerRegistry.js";
+import { ConnectionGate } from "./requests/ConnectionGate.js";
 import { CallerListener } from "./requests/CallerListener.js";
 import type { CallerRequest } from "./requests/CallerRequest.js";
 import { ForwarderSet } from "./requests/ForwarderSet.js";
@@ -38,7 +39,7 @@
 import { ReadinessListener } from "./requests/ReadinessListener.js";
 import type { ForwardContext } from "./requests/RequestForwarder.js";
 import { RequestDemand } from "./requests/RequestDemand.js";
-import { RetryBudgets, type RetryBudgetOptions } from "./requests/RetryBudgets.js";
+import { RetryBudgets, toBudgetOptions } from "./requests/RetryBudgets.js";
 import { StopDeadline } from "./StopDeadline.js";
 
 /** Margin before the revocation bound at which keys are rejected, for the time between the check and the sending of the request. */
@@ -47,11 +48,6 @@
 const balancerNoticeMs = 2_500;
 const drainPollMs = 50;
 
-function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
-  const { budgetRatio, budgetSlack, budgetWindowS } = retries;
-  return { ratio: budgetRatio, slack: budgetSlack, windowMs: budgetWindowS * utils.msPerSecond };
-}
-
 /** Implementations that the platform provides for the abstract classes of this package. */
 export interface GatewayPlatform {
   readonly configurationFeed: ChangeFeed<GatewayConfiguration>;
@@ -87,6 +83,7 @@
   private readonly _pressure: PressureView;
   private readonly _forwarders: ForwarderSet;
   private readonly _callerListener: CallerListener;
+  private readonly _connectionGate: ConnectionGate;
   private readonly _readinessListener: ReadinessListener;
   private readonly _httpClient = new HttpClient();
   private readonly _stop = new AbortController();
@@ -128,6 +125,7 @@
     this._controls = this._createControls();
     this._pressure = this._createPressureView();
     this._forwarders = new ForwarderSet(this._createForwardContext(platform.codec), orders);
+    this._connectionGate = new ConnectionGate({ membership: this._peers.membership, log: _log });
     this._callerListener = this._createCallerListener(platform.codec);
     const { readiness } = callers;
     this._readinessListener = new ReadinessListener(readiness.host, readiness.port, () => this._isReady());
@@ -168,6 +166,7 @@
       this._pressure.run(signal),
       this._health.run(signal),
       this._reachability.run(signal),
+      this._connectionGate.run(signal, this._callerListener),
     ];
     for (const task of tasks) task.catch((error: unknown) => this._logTaskFailure(error));
     this._log.info("instance-started", { ...this._settings.instance });
@@ -282,6 +281,7 @@
       areKeysFresh: () => this._areKeysFresh(),
       denialFreshness: this._createDenialFreshness(),
       forward: (request) => this._forward(request),
+      onDropped: () => this.metrics.droppedConnections.inc(),
     });
   }
 
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -15,6 +15,7 @@
   type Refusal,
 } from "./admitCaller.js";
 import { CallerRequest } from "./CallerRequest.js";
+import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { sendRefusal } from "./sendRefusal.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
@@ -46,14 +47,20 @@
   /** Whether the configuration is recent enough to reject unknown routes and keys permanently. */
   readonly denialFreshness: Pick<DenialFreshness, "isFresh" | "waitUntilFresh">;
   readonly forward: (request: CallerRequest) => Promise<void>;
+  /** Called for each connection that is closed unread because of the limit on new ones. */
+  readonly onDropped?: () => void;
   /** Maximum time that a request waits for the first configuration; replaced in tests. */
   readonly startupTimeoutMs?: number;
 }
 
 /** Accepts the requests of callers and answers or rejects each of them. Each instance has one such listener. */
-export class CallerListener {
+export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
   private _inFlight = 0;
+  private _accepted = 0;
+  private _dropped = 0;
+  private _acceptLimit: number | undefined;
+  private _acceptedSinceLimit = 0;
   private _isDraining = false;
   private _stopAtMs = Number.POSITIVE_INFINITY;
 
@@ -64,6 +71,8 @@
         void this._handle(message, response);
       },
     );
+    this._server.on("connection", () => this._noteConnection());
+    this._server.on("drop", () => this._noteDrop());
     this._server.on("clientError", (_error, socket) => socket.destroy());
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
@@ -73,6 +82,24 @@
     return this._inFlight;
   }
 
+  /**
+   * Limits how many connections are accepted until the next call. Further ones are closed unread, and answers end their connections.
+   * @param limit - Number of connections, or undefined for no limit.
+   */
+  setAcceptLimit(limit: number | undefined): void {
+    this._acceptLimit = limit;
+    this._acceptedSinceLimit = 0;
+    this._applyAcceptLimit();
+  }
+
+  /** Returns how many connections were accepted and closed unread since the last call. */
+  takeConnectionCounts(): ConnectionCounts {
+    const counts = { accepted: this._accepted, dropped: this._dropped };
+    this._accepted = 0;
+    this._dropped = 0;
+    return counts;
+  }
+
   /** Starts to listen; resolves once the port is open. */
   listen(): Promise<void> {
     const { host, port } = this._structure;
@@ -102,6 +129,23 @@
     stopListening(this._server);
   }
 
+  private _noteConnection(): void {
+    this._accepted += 1;
+    this._acceptedSinceLimit += 1;
+    this._applyAcceptLimit();
+  }
+
+  private _noteDrop(): void {
+    this._dropped += 1;
+    this._structure.onDropped?.();
+  }
+
+  private _applyAcceptLimit(): void {
+    const isReached = this._acceptLimit !== undefined && this._acceptedSinceLimit >= this._acceptLimit;
+    // Node closes a connection unread if there are this many open ones; it takes 0 for no limit.
+    this._server.maxConnections = isReached ? 1 : Number.MAX_SAFE_INTEGER;
+  }
+
   private _applyLimits(limits: CallerLimits): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
     this._server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
@@ -171,7 +215,7 @@
   ): Promise<void> {
     const { codec, forward, log } = this._structure;
     const { route, account } = admitted;
-    const isDraining = (): boolean => this._isDraining;
+    const isDraining = (): boolean => this._isDraining || this._acceptLimit !== undefined;
     const request = new CallerRequest({
       message,
       response,
@@ -210,7 +254,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._isDraining,
+      this._isDraining || this._acceptLimit !== undefined,
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -1,6 +1,7 @@
 /** This instance's share of the retry budgets, which the deployment has per service for all instances together. */
 import { utils } from "@shedtiller/common";
 import { WindowedCount } from "@shedtiller/routing";
+import type { GatewaySettings } from "../gatewaySettings.js";
 
 /** The retry budget of the whole deployment, from its settings. */
 export interface RetryBudgetOptions {
@@ -21,6 +22,12 @@
 /** Number of instances assumed to share the slack until the real number is known. A number that is too high is safe. */
 const assumedInstances = 100;
 
+/** Returns the budget of the settings. */
+export function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
+  const { budgetRatio, budgetSlack, budgetWindowS } = retries;
+  return { ratio: budgetRatio, slack: budgetSlack, windowMs: budgetWindowS * utils.msPerSecond };
+}
+
 interface ServiceCounts {
   readonly requests: WindowedCount;
   readonly retries: WindowedCount;
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -289,15 +289,25 @@
     this.endpoints.setAll(listed);
   }
 
+  /** Limits new connections as in an overload. */
+  setAcceptLimit(limit: number | undefined): void {
+    this._listener?.setAcceptLimit(limit);
+  }
+
   /** Announces that the process stops after `remainingMs`. */
   stopAfter(remainingMs: number): void {
     this._listener?.setStopDeadline(utils.monotonicMs() + remainingMs);
   }
 
   /** Sends a request as a caller. */
-  request(method: string, headers: Record<string, string>, path = "/a/x"): Promise<ReceivedAnswer> {
+  request(
+    method: string,
+    headers: Record<string, string>,
+    path = "/a/x",
+    agent?: http.Agent,
+  ): Promise<ReceivedAnswer> {
     return new Promise((resolve, reject) => {
-      const options = { host: "127.0.0.1", port: this._port, method, path, agent: false };
+      const options = { host: "127.0.0.1", port: this._port, method, path, agent: agent ?? false };
       const request = http.request(
         { ...options, headers: { host: "notes.example", ...headers } },
         (message) => {
