membership: a peer that has restarted after a planned stop does not count as leaving

What callers saw: an instance without paths to the endpoints refused its callers as isolated, although a restarted peer reached all endpoints. Cause: a peer that announced that it leaves kept that mark after its restart, for as long as its entry stayed in the list; it was asked for no connection, and got no role of its zone at the others. Ruled out: a missing link; a registry entry of the earlier life. Change: a new link ends the mark, and an instance that still leaves says so over each new link.

--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -301,6 +301,9 @@
     const member = this._members.get(name) ?? this._addMember({ name, availabilityZone, address: "" });
     if (member.lostSinceMs !== undefined) this._structure.timeline.add("member-seen", { subject: name });
     member.lostSinceMs = undefined;
+    // The peer may have restarted since it announced that it leaves; if it has not, it says so again.
+    member.isLeaving = false;
+    if (this._isLeaving) link.notify(leavingTopic, null);
     for (const listener of this._linkedListeners) listener(link.peer);
   }
 
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -63,6 +63,33 @@
   peers.close();
 });
 
+// Guards against an instance that peers take for leaving after its planned restart, so that they ask it for nothing any more.
+test("a peer that has restarted after a planned stop does not count as leaving", async (t) => {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  peers.setListedOnAll();
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1, waitMs));
+  b.leave();
+  t.true(await utils.waitUntil(() => a.getMember("b")?.isLeaving === true, waitMs));
+  peers.kill("b");
+  t.true(await utils.waitUntil(() => a.getLinked().length === 0, waitMs));
+  const restarted = await peers.add("b", "x");
+  restarted.setListed([{ ...a.self, role: "entry", address: `127.0.0.1:${a.port}`, state: "live" }]);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1, waitMs));
+  t.false(a.getMember("b")?.isLeaving);
+  peers.close();
+});
+
+test("an instance that leaves says so to a peer whose link is established later", async (t) => {
+  const peers = new Peers();
+  const a = await peers.add("a", "x");
+  a.leave();
+  const b = await peers.add("b", "x");
+  peers.setListedOnAll();
+  t.true(await utils.waitUntil(() => b.getMember("a")?.isLeaving === true, waitMs));
+  peers.close();
+});
+
 test("a peer without the shared secret gets no link", async (t) => {
   const peers = new Peers();
   const [a, unauthenticated] = [await peers.add("a", "x"), await peers.add("b", "x", "another secret")];
