entry: messages that chats share are traits as well; replicas are tried only after a crash has settled

What callers saw: in the older form one message that chats share, such as the system's, could crash every engine; only whole prompts were counted. With crashes within 100 ms taken for one event, its immediate tries at one replica after the other were never held at all. Ruled out: a change of the rule: an event is defined by one constant now, and who sends suspects waits for it, there and in the gateway. Change: chats give an id to each message; the quarantine of the entry takes traits and keeps what survived; a run waits 100 ms after a crash.

--- a/packages/crashes/src/CrashEvidence.ts
+++ b/packages/crashes/src/CrashEvidence.ts
@@ -8,8 +8,11 @@
 const coincidenceMs = 250;
 const coincidenceFactor = 0.5;
 
-/** Crashes within this time count as one: endpoints that lose their power together crash all runs that they have in common. */
-const sameEventMs = 100;
+/**
+ * Crashes within this time count as one: endpoints that lose their power together crash all runs that they have in common. A suspect is not
+ * sent to another endpoint before this time has passed.
+ */
+export const sameEventMs = 100;
 /**
  * Crashes of a trait that was harmless shortly before count as one within a longer time, and less: it is present at most crashes if many
  * requests have it, and is only suspicious if none of these survives anywhere between the crashes.
@@ -161,7 +164,7 @@
     let eventWeight = 0;
     let eventAtMs = Number.NEGATIVE_INFINITY;
     for (const crash of against) {
-      if (crash.atMs - eventAtMs > eventMs) {
+      if (crash.atMs - eventAtMs >= eventMs) {
         weight += eventWeight;
         eventWeight = 0;
         eventAtMs = crash.atMs;
--- a/packages/entry/src/crashes/PeerCrashQuarantine.ts
+++ b/packages/entry/src/crashes/PeerCrashQuarantine.ts
@@ -5,9 +5,12 @@
   CrashLedger,
   getTrialRank,
   noCrashReports,
+  sameEventMs,
+  SurvivedTraits,
   trialElsewhereRetryAfterMs,
   type CrashReportBroadcastStructure,
   type ProbeResult,
+  type RequestTraits,
 } from "@shedtiller/crashes";
 import { CrashQuarantine, type LostEngine } from "@shedtiller/pipeline";
 
@@ -26,12 +29,15 @@
   readonly warn: (message: string) => void;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
+  /** Waits, replaced in tests. */
+  readonly pause?: (durationMs: number) => Promise<void>;
 }
 
 /** Quarantines requests that crash engines, based on the crash reports of this instance and its peers. */
 export class PeerCrashQuarantine extends CrashQuarantine {
   readonly ledger: CrashLedger;
   private readonly _reportBroadcast: CrashReportBroadcast;
+  private readonly _survived = new SurvivedTraits();
   private readonly _nowMs: () => number;
 
   constructor(private readonly _structure: PeerCrashQuarantineStructure) {
@@ -39,9 +45,9 @@
     const { membership, warn } = _structure;
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
     this.ledger = new CrashLedger(this._nowMs);
-    this.ledger.onQuarantineChanged((digest, quarantine) =>
+    this.ledger.onQuarantineChanged((trait, quarantine) =>
       warn(
-        `Request ${digest} is ${quarantine === undefined ? "released from quarantine" : `quarantined for ${Math.round(quarantine.leftMs)} ms`}.`,
+        `Requests with the trait ${trait} are ${quarantine === undefined ? "released from quarantine" : `quarantined for ${Math.round(quarantine.leftMs)} ms`}.`,
       ),
     );
     this._reportBroadcast = new CrashReportBroadcast({
@@ -53,39 +59,48 @@
     });
   }
 
-  override getQuarantineMs(digest: string): number | undefined {
+  override getQuarantineMs(traits: RequestTraits): number | undefined {
     if (this.ledger.isEmpty) return undefined;
-    const status = this.ledger.getStatus(digest);
-    if (status === "held") return this.ledger.getQuarantineLeftMs(digest);
-    if (status !== "due-for-trial") return undefined;
-    if (!this._mayRunTrial(digest)) return trialElsewhereRetryAfterMs;
-    const trial = this.ledger.noteTrial({ digest, ageMs: 0 });
-    if (trial !== undefined) this._reportBroadcast.broadcast({ ...noCrashReports, trials: [trial] });
+    const quarantined = this.ledger.getQuarantined(traits);
+    if (quarantined.length === 0) return undefined;
+    const leftMs = this.ledger.getDueAtMs(quarantined) - this._nowMs();
+    if (leftMs > 0) return leftMs;
+    if (!this._mayRunTrial(quarantined)) return trialElsewhereRetryAfterMs;
+    const trials = quarantined.flatMap((trait) => this.ledger.noteTrial({ digest: trait, ageMs: 0 }) ?? []);
+    if (trials.length > 0) this._reportBroadcast.broadcast({ ...noCrashReports, trials });
     return undefined;
   }
 
   /**
    * Records a crash of the lost engine if it refuses connections while its machine is live. An engine that accepts them has
-   * only closed its connection.
+   * only closed its connection. Crashes that follow at once would count as one, so the run waits before it goes on.
    */
-  override async noteLost(digest: string, { name, address }: LostEngine): Promise<void> {
+  override async noteLost(traits: RequestTraits, { name, address }: LostEngine): Promise<void> {
     if ((await this._structure.probe(address, probeTimeoutMs)) !== "refused") return;
     const atMs = this._nowMs();
-    const crashes = this.ledger.noteCrash(this._getCrashId(name), atMs, new Map([[digest, 1]]));
+    for (const trait of traits) {
+      const survivedAtMs = this._survived.get(trait);
+      if (survivedAtMs !== undefined) this.ledger.noteHarmless(trait, survivedAtMs);
+    }
+    const suspects = new Map(traits.map((trait) => [trait, 1]));
+    const crashes = this.ledger.noteCrash(this._getCrashId(name), atMs, suspects);
     if (crashes.length === 0) return;
-    this._structure.warn(`The engine ${name} crashed at the beginning of request ${digest}.`);
+    this._structure.warn(`The engine ${name} crashed at the beginning of request ${traits[0] ?? ""}.`);
     this._reportBroadcast.broadcast({ ...noCrashReports, crashes });
+    await (this._structure.pause ?? utils.sleep)(sameEventMs);
   }
 
-  override noteSurvived(digest: string): void {
+  override noteSurvived(traits: RequestTraits): void {
+    this._survived.add(traits, this._nowMs());
     if (this.ledger.isEmpty) return;
-    const cleared = this.ledger.noteSurvived(digest, this._nowMs());
-    if (cleared !== undefined) this._reportBroadcast.broadcast({ ...noCrashReports, clearings: [cleared] });
+    const clearings = traits.flatMap((trait) => this.ledger.noteSurvived(trait, this._nowMs()) ?? []);
+    if (clearings.length > 0) this._reportBroadcast.broadcast({ ...noCrashReports, clearings });
   }
 
-  private _mayRunTrial(digest: string): boolean {
+  private _mayRunTrial(quarantined: RequestTraits): boolean {
     const { membership, getInstanceNames } = this._structure;
-    return this.ledger.mayTry([digest], getTrialRank(digest, membership.self.name, getInstanceNames()));
+    const rank = getTrialRank(quarantined[0] ?? "", membership.self.name, getInstanceNames());
+    return this.ledger.mayTry(quarantined, rank);
   }
 
   /** Returns the id of the crash of this engine in the previous window if there was one, else that of the current window. */
--- a/packages/entry/src/http/CompletionHandler.ts
+++ b/packages/entry/src/http/CompletionHandler.ts
@@ -1,5 +1,5 @@
 /** Handling of model requests, from the caller's body to the answer. */
-import { digestRequest } from "@shedtiller/crashes";
+import { digestRequest, getPartTraits, type RequestTraits } from "@shedtiller/crashes";
 import { errors, results, utils } from "@shedtiller/common";
 import {
   AdmissionRefusedError,
@@ -28,7 +28,13 @@
 import { AnswerWriter, type CompletionFormat } from "./AnswerWriter.js";
 import { ApiError, requestIdHeader, sendError, toApiError } from "./apiErrors.js";
 import { requireAccount, type AccountDirectory } from "./authenticate.js";
-import { chatBodySchema, getChatPrompt, getMaxTokens, textBodySchema } from "./completionSchemas.js";
+import {
+  chatBodySchema,
+  getChatPrompt,
+  getMaxTokens,
+  getMessageIds,
+  textBodySchema,
+} from "./completionSchemas.js";
 import * as callerRequest from "./callerRequest.js";
 import type { StoredAnswer } from "./StoredAnswer.js";
 
@@ -61,6 +67,8 @@
   readonly rank: number;
   readonly floorShare: number;
   readonly promptTokens: readonly number[];
+  /** Ids of the messages of a chat in order, which other requests may share except for the last one. */
+  readonly promptPartIds: readonly string[];
   readonly maxTokens: number;
   readonly deadlineMs: number;
   /** Key under which the request runs at most once; undefined if the request is repeatable or has no key. */
@@ -126,6 +134,7 @@
       rank: priority?.rank ?? lowestRank,
       floorShare: priority?.floorShare ?? 0,
       promptTokens: this._structure.tokenizer.encode(prompt),
+      promptPartIds: "messages" in body ? getMessageIds(chatBodySchema.parse(body)) : [],
       maxTokens: getMaxTokens(body),
       deadlineMs: callerRequest.getDeadlineMs(request, this._structure.settings.limits.requestTimeoutMs),
       idempotencyKey: isRepeatable ? undefined : key,
@@ -249,12 +258,7 @@
       context,
       {
         requestId: completion.requestId,
-        digest: digestRequest({
-          method: "POST",
-          path: pipeline.name,
-          accountName: completion.account.name,
-          body: Buffer.from(completion.promptTokens.join(",")),
-        }),
+        traits: getTraits(completion, pipeline),
         model: pipeline.name,
         version: requestVersion.initialVersion,
         versions: requestVersion,
@@ -326,3 +330,14 @@
     super("The idempotency key was used for a call of another kind.");
   }
 }
+
+/** Returns the properties by which a request may crash the engines that run it. */
+function getTraits(completion: Completion, pipeline: intent.PipelineObject): RequestTraits {
+  const digest = digestRequest({
+    method: "POST",
+    path: pipeline.name,
+    accountName: completion.account.name,
+    body: Buffer.from(completion.promptTokens.join(",")),
+  });
+  return [digest, ...getPartTraits(completion.promptPartIds)];
+}
--- a/packages/entry/src/http/completionSchemas.ts
+++ b/packages/entry/src/http/completionSchemas.ts
@@ -1,4 +1,5 @@
 /** Bodies of model requests. Unknown fields are accepted, since OpenAI's clients send many. */
+import { digestText } from "@shedtiller/crashes";
 import * as zod from "zod";
 
 const maxAnswerTokens = 32_768;
@@ -34,6 +35,11 @@
   return body.messages.map((message) => `${message.role}: ${getText(message.content)}`).join("\n");
 }
 
+/** Returns an id of each message of a chat, which is the same for identical messages. */
+export function getMessageIds(body: ChatBody): string[] {
+  return body.messages.map((message) => digestText(`${message.role}: ${getText(message.content)}`));
+}
+
 function getText(content: ChatBody["messages"][number]["content"]): string {
   return typeof content === "string" ? content : content.map((part) => part.text).join("");
 }
--- a/packages/gateway/src/crashes/SuspectCaution.ts
+++ b/packages/gateway/src/crashes/SuspectCaution.ts
@@ -1,5 +1,5 @@
 /** How suspected requests are sent: with which risk, one after the other, and apart from other suspects. */
-import { quarantineWeight, type CrashLedger, type RequestTraits } from "@shedtiller/crashes";
+import { quarantineWeight, sameEventMs, type CrashLedger, type RequestTraits } from "@shedtiller/crashes";
 import type { SuspectRequest, TrackedRun } from "./TrackedRun.js";
 
 /**
@@ -7,8 +7,6 @@
  */
 const maxTurnWaitMs = 600;
 const turnPollIntervalMs = 10;
-/** Time after a crash in which further crashes of the same cause become known, so that its suspects are not sent to another endpoint. */
-const settlingMs = 100;
 /**
  * Weight from which a request counts as a high risk. Requests that fail together are often retried together, so that two crashes may still
  * be coincidence; a third one should not cost a zone its service.
@@ -101,7 +99,7 @@
   }
 
   private _isSettling(trait: string): boolean {
-    return this._getNewestCrashAgeMs(trait) < settlingMs;
+    return this._getNewestCrashAgeMs(trait) < sameEventMs;
   }
 
   private _isRecent(trait: string): boolean {
--- a/packages/pipeline/src/request/CrashQuarantine.ts
+++ b/packages/pipeline/src/request/CrashQuarantine.ts
@@ -7,14 +7,17 @@
   readonly address: string;
 }
 
-/** Decides which requests are quarantined. Requests are identified by a digest, since a retry has another request id. */
+/**
+ * Decides which requests are quarantined. Requests are identified by traits that they may share with others, since a retry has another
+ * request id.
+ */
 export abstract class CrashQuarantine {
   /** Returns how long a request is still quarantined; undefined if it may run. */
-  abstract getQuarantineMs(digest: string): number | undefined;
-  /** Records that an engine closed its connection before a run had a token; resolves once it is decided whether the engine crashed. */
-  abstract noteLost(digest: string, engine: LostEngine): Promise<void>;
+  abstract getQuarantineMs(traits: readonly string[]): number | undefined;
+  /** Records that an engine closed its connection before a run had a token; resolves once the run may go on at another engine. */
+  abstract noteLost(traits: readonly string[], engine: LostEngine): Promise<void>;
   /** Records that a run has produced its first token, and so has not crashed its engines. */
-  abstract noteSurvived(digest: string): void;
+  abstract noteSurvived(traits: readonly string[]): void;
 }
 
 /** Quarantines no requests. */
--- a/packages/pipeline/src/request/PipelineRequest.ts
+++ b/packages/pipeline/src/request/PipelineRequest.ts
@@ -12,8 +12,8 @@
 /** A validated and admitted model request. */
 export interface PipelineRequest {
   readonly requestId: string;
-  /** Hash that equal requests have in common; absent for requests that are never quarantined. */
-  readonly digest?: string;
+  /** Properties that other requests may share and that may crash engines; absent for requests that are never quarantined. */
+  readonly traits?: readonly string[];
   readonly model: string;
   readonly version: string;
   /** Switch to another version; absent if versions don't change. */
--- a/packages/pipeline/src/request/PipelineRun.ts
+++ b/packages/pipeline/src/request/PipelineRun.ts
@@ -68,8 +68,8 @@
       if (next.err) return next;
       const isRecorded = answer.length % tokensPerEvent === 0 || this._replacements > replacementsBefore;
       const token = next.val.token ?? 0;
-      if (answer.length === 0 && this._request.digest !== undefined)
-        this._context.crashes.noteSurvived(this._request.digest);
+      if (answer.length === 0 && this._request.traits !== undefined)
+        this._context.crashes.noteSurvived(this._request.traits);
       isEnd = next.val.isEnd === true;
       this._tokens.push(token);
       answer.push(token);
@@ -173,15 +173,15 @@
 
   /** Reports an engine that closed its connection before the first token, since the request may have crashed it. */
   private async _reportEngineLoss({ candidate }: Stage, cause: StageError): Promise<void> {
-    const { digest, promptTokens } = this._request;
+    const { traits, promptTokens } = this._request;
     const hasTokens = this._tokens.length > promptTokens.length;
-    if (digest === undefined || hasTokens || cause.code !== "connection_lost") return;
-    await this._context.crashes.noteLost(digest, candidate.entry);
+    if (traits === undefined || hasTokens || cause.code !== "connection_lost") return;
+    await this._context.crashes.noteLost(traits, candidate.entry);
   }
 
   private _getQuarantineError(): requests.RequestQuarantinedError | undefined {
-    const { digest } = this._request;
-    const leftMs = digest === undefined ? undefined : this._context.crashes.getQuarantineMs(digest);
+    const { traits } = this._request;
+    const leftMs = traits === undefined ? undefined : this._context.crashes.getQuarantineMs(traits);
     return leftMs === undefined ? undefined : new requests.RequestQuarantinedError(this._ran, leftMs);
   }
 
--- a/packages/standins/src/tests/crashingRequestTests.ts
+++ b/packages/standins/src/tests/crashingRequestTests.ts
@@ -35,7 +35,7 @@
   connector: FakeConnector,
   crashes: PeerCrashQuarantine,
   requestId: string,
-  digest: string,
+  ...traits: readonly string[]
 ): Promise<string> {
   const random = new utils.RandomSource(3);
   const context = new pipeline.PipelineContext({
@@ -49,7 +49,7 @@
   });
   const request = {
     requestId,
-    digest,
+    traits,
     model: "m",
     version: "1",
     layerCount: 8,
@@ -89,8 +89,8 @@
 test("an engine that closes a connection and still accepts new ones does not count as crashed", async (t) => {
   const connector = new FakeConnector(ranges, []);
   const crashes = createQuarantine(connector);
-  for (const name of names) await crashes.noteLost("harmless", { name, address: name });
-  t.is(crashes.getQuarantineMs("harmless"), undefined);
+  for (const name of names) await crashes.noteLost(["harmless"], { name, address: name });
+  t.is(crashes.getQuarantineMs(["harmless"]), undefined);
 });
 
 test("a run that produced a token clears the crash reports of its request", async (t) => {
@@ -102,3 +102,27 @@
   for (const id of ["r1", "r2", "r3"]) t.is(await run(connector, crashes, id, "harmless"), "answered");
   t.is(crashes.ledger.getWeight("harmless"), 0);
 });
+
+// Guards against chats that share one message, such as the system's, which crashes each engine that begins to run it.
+test("chats that share only a message that crashes engines crash four at most, and others with the same first message run", async (t) => {
+  const calls = Array.from({ length: 40 }, (_, call) => call + 1);
+  const faults = names.flatMap((endpoint) =>
+    calls.map((atCall) => ({ endpoint, atCall, fault: "dies" as const })),
+  );
+  const connector = new FakeConnector(ranges, faults);
+  const faultless = new FakeConnector(ranges, []);
+  const breakEndpoint = connector.breakEndpoint.bind(connector);
+  let crashCount = 0;
+  connector.breakEndpoint = (endpoint, isCrash) => {
+    crashCount += 1;
+    breakEndpoint(endpoint, isCrash);
+  };
+  const crashes = createQuarantine(connector);
+  t.is(await run(faultless, crashes, "s", "sound", "part:system"), "answered");
+  for (let chat = 0; chat < 5; chat++) {
+    await run(connector, crashes, `r${chat}`, `chat-${chat}`, "part:system", "part:crashing");
+    t.is(await run(faultless, crashes, `s${chat}`, `sound-${chat}`, "part:system"), "answered");
+  }
+  t.is(await run(connector, crashes, "r9", "chat-9", "part:crashing"), "held_back");
+  t.true(crashCount <= maxCrashes, `${crashCount} crashes`);
+});
