--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -31,6 +31,8 @@
  * Time for which requests with several quarantined traits wait for requests with only one of them, whose trial tells which trait it is.
  */
 const jointTrialDelayMs = 3_000;
+/** Factor by which the time until the next trial of a sole trait grows with each trial that did not tell which trait it was. */
+const unclearTrialFactor = 4;
 /** Crashes, clearings and quarantines that are older than this are forgotten. */
 export const crashRetentionMs = 900_000;
 /** Bound on the memory, whatever callers send; the oldest quarantines are dropped first. */
@@ -313,7 +315,7 @@
     if (quarantine === undefined) return Number.NEGATIVE_INFINITY;
     const { sinceMs, untilMs, times, isConvicted } = quarantine;
     if (isConvicted) return untilMs;
-    if (isSole) return Math.min(untilMs, sinceMs + firstQuarantineMs);
+    if (isSole) return Math.min(untilMs, sinceMs + firstQuarantineMs * unclearTrialFactor ** (times - 1));
     return times === 1 ? untilMs + jointTrialDelayMs : untilMs;
   }
 
