crashes: a trait whose trial failed beside a part that is convicted later is tried again

What callers saw: requests that all callers of an account send were refused for minutes though they crash nothing. Cause: the part at fault ran at the engine where the sound request was tried; the crash convicted the sound one, and nothing reviewed that once the part was convicted itself. Change: a conviction reviews the other quarantines: convicted ones whose latest crash the trait explains are tried again, or released if too little is left against them. Figures: the new test of the ledger fails without the review (held for ten minutes).

--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -275,17 +275,33 @@
   private _noteFailedTrial(trait: string, isSole: boolean): void {
     const before = this._quarantines.get(trait);
     if (before === undefined) return;
-    const explicable = [...this._quarantines.keys()].filter(
-      (other) => !this._convicted.has(other) && this.getWeight(other) >= quarantineWeight,
-    );
+    const isConvicted = isSole || before.isConvicted;
+    const explicable = isConvicted ? this._getExplicable(trait) : [];
     const nowMs = this._nowMs();
-    this._setQuarantine(trait, {
-      sinceMs: nowMs,
-      untilMs: nowMs + laterQuarantineMs,
-      times: before.times + 1,
-      isConvicted: isSole || before.isConvicted,
+    const untilMs = nowMs + laterQuarantineMs;
+    this._setQuarantine(trait, { sinceMs: nowMs, untilMs, times: before.times + 1, isConvicted });
+    for (const other of explicable) this._reconsider(other);
+  }
+
+  /**
+   * Returns the quarantined traits whose evidence a convicted trait may explain: those that no trial has convicted, and those whose trial
+   * crashed an endpoint at which the convicted trait was running as well.
+   */
+  private _getExplicable(convicted: string): string[] {
+    return [...this._quarantines.keys()].filter((other) => {
+      if (other === convicted) return false;
+      if (this._convicted.has(other))
+        return this.evidence.getNewestCrash(other)?.suspects.has(convicted) === true;
+      return this.getWeight(other) >= quarantineWeight;
     });
-    for (const other of explicable) if (this.getWeight(other) < quarantineWeight) this._release(other);
+  }
+
+  /** Releases a trait if too little evidence against it is left, or else has it tried again if a trial had convicted it. */
+  private _reconsider(trait: string): void {
+    const wasConvicted = this._convicted.delete(trait);
+    this.evidence.invalidate();
+    if (this.getWeight(trait) < quarantineWeight) return this._release(trait);
+    if (wasConvicted) this._quarantineFirst(trait);
   }
 
   /**
@@ -300,13 +316,13 @@
     const parts = candidates.filter(isPartTrait);
     const unknownParts = unknown.filter(isPartTrait);
     const chosen = [unknownParts, unknown, parts, candidates].find((some) => some.length > 0) ?? [];
-    for (const trait of chosen.filter((each) => !this._quarantines.has(each)))
-      this._setQuarantine(trait, {
-        sinceMs: nowMs,
-        untilMs: nowMs + firstQuarantineMs,
-        times: 1,
-        isConvicted: false,
-      });
+    for (const trait of chosen) if (!this._quarantines.has(trait)) this._quarantineFirst(trait);
+  }
+
+  private _quarantineFirst(trait: string): void {
+    const sinceMs = this._nowMs();
+    const untilMs = sinceMs + firstQuarantineMs;
+    this._setQuarantine(trait, { sinceMs, untilMs, times: 1, isConvicted: false });
   }
 
   /** Returns the time from which a trait may be tried, alone or together with other quarantined traits. */
--- a/packages/crashes/src/tests/CrashLedgerTests.ts
+++ b/packages/crashes/src/tests/CrashLedgerTests.ts
@@ -219,6 +219,24 @@
   t.true(ledger.getQuarantineLeftMs("crashing") > 60_000);
 });
 
+// Guards against sound requests that are held for good, since the part at fault was running where they were tried.
+test("a trait is released if its trial crashed an endpoint beside a trait that is convicted later", (t) => {
+  const { clock, ledger, crash } = create();
+  for (let count = 0; count < 3; count++) crash("sound", `other-${count}`);
+  clock.nowMs += ledger.getQuarantineLeftMs("sound");
+  crash("sound", "crashing");
+  t.true(ledger.getQuarantineLeftMs("sound") > 60_000);
+  for (let count = 0; count < 3; count++) crash("crashing");
+  clock.nowMs += ledger.getQuarantineLeftMs("crashing");
+  crash("crashing");
+  t.true(ledger.getQuarantineLeftMs("crashing") > 60_000);
+  t.is(ledger.getRequestStatus(["sound"]), "held", "three crashes are left against it");
+  clock.nowMs += 2_000;
+  t.true(ledger.mayTry(["sound"], 0), "it is tried again");
+  ledger.noteSurvived("sound", clock.nowMs);
+  t.is(ledger.getStatus("sound"), "unknown");
+});
+
 // Guards against endless trials whose crashes have two quarantined traits each time.
 test("trials that do not tell which trait it was become rarer", (t) => {
   const { clock, ledger, crash } = create();
