gateway: a failure that a stream's engine answers does not clear the request

What callers would see: a part that crashes engines counts from nothing again whenever an engine fails one of its requests before it writes. Cause: a final answer of any status counted as a completed run; the engine crashes when it begins to write an answer, which a failure is not. Evidence: the new test fails on the code before (weight 0 after the failure) and passes now. Ruled out: nothing else. Change: only streams that end as complete clear their request.

--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -318,7 +318,6 @@
       request.attempts < request.route.maxAttempts
     )
       return "lost";
-    this._noteCompleted(attempt);
     request.answer(answer.status, answer.headers, body.val);
     return "answered";
   }
--- a/packages/gateway/src/tests/requests/crashingRequestTests.ts
+++ b/packages/gateway/src/tests/requests/crashingRequestTests.ts
@@ -1,6 +1,7 @@
 /** Quarantine of requests that crash their endpoints: each such request is rejected after three crashes. */
 import test from "ava";
 import { utils } from "@shedtiller/common";
+import { initialPhaseMs } from "../../crashes/CrashDetector.js";
 import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
 import { createRoute } from "../testData.js";
 
@@ -117,3 +118,25 @@
   fixture.crashClockMs += 6_000;
   t.is((await fixture.request("POST", callerHeaders)).status, 200);
 });
+
+// Guards against engines that answer some requests with a failure before they begin to write, and so clear the part that crashes them.
+test("an answer that is a failure does not clear a stream's request", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  const streaming = { kind: "streaming", isResumable: false } as const;
+  await fixture.start(createRoute({ targets: [{ service: "engines", weight: 1 }], ...streaming }));
+  let runs = 0;
+  const handler: EndpointHandler = (request, response, crash) => {
+    const headers = { "x-id": String(request.headers["x-id"]) };
+    if (runs++ > 0) return void response.writeHead(500, headers).end();
+    response.writeHead(200, headers);
+    response.write(": begun\n\n", () => crash());
+  };
+  await fixture.list([handler, handler], { layers: [{ start: 0, end: 4 }] });
+  const headers = { ...callerHeaders, "x-parts": "part,own" };
+  await fixture.request("POST", headers);
+  const getWeight = (): number => fixture.crashes?.ledger.getWeight("part:part") ?? 0;
+  t.true(await utils.waitUntil(() => getWeight() === 1, 10_000));
+  t.is((await fixture.request("POST", headers)).status, 500);
+  t.false(await utils.waitUntil(() => getWeight() !== 1, 2 * initialPhaseMs));
+});
