--- a/packages/crashes/src/CrashEvidence.ts
+++ b/packages/crashes/src/CrashEvidence.ts
@@ -23,7 +23,7 @@
 export const knownHarmlessMs = 60_000;
 
 /** Maximum number of suspects that are kept for one crash. */
-export const maxSuspectsPerCrash = 192;
+const maxSuspectsPerCrash = 192;
 /** Bounds on the memory, whatever callers send; the oldest entries are dropped first. */
 const maxCrashes = 256;
 const maxSurvivals = 1_024;
@@ -76,7 +76,7 @@
 
   /** Returns the weight of the crashes that count against a trait since a run with it last survived its initial phase. */
   getWeight(trait: string): number {
-    if (!this._crashesByTrait.has(trait)) return 0;
+    if (!this.isSuspect(trait)) return 0;
     const known = this._weights.get(trait);
     if (known !== undefined) return known;
     const weight = this._computeWeight(trait);
@@ -84,10 +84,17 @@
     return weight;
   }
 
+  /** Returns whether a trait is a suspect of at least one crash. */
+  isSuspect(trait: string): boolean {
+    return this._crashesByTrait.has(trait);
+  }
+
   /** Returns the latest crash that counts against a trait. */
   getNewestCrash(trait: string): Crash | undefined {
-    const crashes = [...(this._crashesByTrait.get(trait) ?? [])];
-    return crashes.sort((one, other) => other.atMs - one.atMs)[0];
+    let newest: Crash | undefined;
+    for (const crash of this._crashesByTrait.get(trait) ?? [])
+      if (newest === undefined || crash.atMs > newest.atMs) newest = crash;
+    return newest;
   }
 
   /** Returns whether a run with the trait had survived its initial phase shortly before a time. */
@@ -191,7 +198,7 @@
   private _sort(suspects: ReadonlyMap<string, number>, atMs: number): [string, number][] {
     if (suspects.size <= 1) return [...suspects];
     const getRank = ([trait, weight]: [string, number]): number =>
-      (this._crashesByTrait.has(trait) ? 8 : 0) +
+      (this.isSuspect(trait) ? 8 : 0) +
       4 * weight +
       (this.isKnownHarmless(trait, atMs) ? 0 : 2) +
       (isPartTrait(trait) ? 1 : 0);
--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -182,6 +182,11 @@
     return { digest: trait, ageMs };
   }
 
+  /** Records the start of a trial by this instance; returns the trials to report. */
+  startTrial(quarantined: RequestTraits): TrialMessage[] {
+    return quarantined.flatMap((trait) => this.noteTrial({ digest: trait, ageMs: 0 }) ?? []);
+  }
+
   /**
    * Records that a run with a trait had survived its initial phase at the given time, which may precede the suspicion.
    * @returns The clearing, if it was new.
@@ -203,7 +208,7 @@
    * @returns The clearing, if there was evidence against the trait.
    */
   noteSurvived(trait: string, atMs: number): ClearingMessage | undefined {
-    const isSuspected = this._quarantines.has(trait) || this.evidence.getNewestCrash(trait) !== undefined;
+    const isSuspected = this._quarantines.has(trait) || this.evidence.isSuspect(trait);
     return isSuspected ? this.noteHarmless(trait, atMs) : undefined;
   }
 
--- a/packages/entry/src/crashes/PeerCrashQuarantine.ts
+++ b/packages/entry/src/crashes/PeerCrashQuarantine.ts
@@ -66,7 +66,7 @@
     const leftMs = this.ledger.getDueAtMs(quarantined) - this._nowMs();
     if (leftMs > 0) return leftMs;
     if (!this._mayRunTrial(quarantined)) return trialElsewhereRetryAfterMs;
-    const trials = quarantined.flatMap((trait) => this.ledger.noteTrial({ digest: trait, ageMs: 0 }) ?? []);
+    const trials = this.ledger.startTrial(quarantined);
     if (trials.length > 0) this._reportBroadcast.broadcast({ ...noCrashReports, trials });
     return undefined;
   }
--- a/packages/entry/src/http/CompletionHandler.ts
+++ b/packages/entry/src/http/CompletionHandler.ts
@@ -123,8 +123,8 @@
     const body = checked.data;
     const pipeline = this._requirePipeline(body.model, account);
     const priority = this._structure.configuration.getObject("class", account.priorityClass);
-    const prompt =
-      "messages" in body ? getChatPrompt(chatBodySchema.parse(body)) : textBodySchema.parse(body).prompt;
+    const chat = "messages" in body ? chatBodySchema.parse(body) : undefined;
+    const prompt = chat === undefined ? textBodySchema.parse(body).prompt : getChatPrompt(chat);
     const isRepeatable = request.header("shedtiller-repeatable") !== "no";
     const key = callerRequest.getIdempotencyKey(request);
     return {
@@ -134,7 +134,7 @@
       rank: priority?.rank ?? lowestRank,
       floorShare: priority?.floorShare ?? 0,
       promptTokens: this._structure.tokenizer.encode(prompt),
-      promptPartIds: "messages" in body ? getMessageIds(chatBodySchema.parse(body)) : [],
+      promptPartIds: chat === undefined ? [] : getMessageIds(chat),
       maxTokens: getMaxTokens(body),
       deadlineMs: callerRequest.getDeadlineMs(request, this._structure.settings.limits.requestTimeoutMs),
       idempotencyKey: isRepeatable ? undefined : key,
--- a/packages/gateway/src/crashes/CrashDetector.ts
+++ b/packages/gateway/src/crashes/CrashDetector.ts
@@ -71,7 +71,7 @@
   private readonly _investigations = new Map<string, Investigation>();
   /** Lives of endpoints whose crash this instance detected itself. */
   private readonly _detectedHere = new Set<string>();
-  /** Quarantines that this instance stored. */
+  /** Quarantines that this instance stored, and removes from the store when they are released. */
   private readonly _persistedHere = new Set<string>();
   private readonly _completedRuns = new Set<CompletedRun>();
   private readonly _survivals: SurvivalRecord;
@@ -113,7 +113,7 @@
     this._runs.add(run);
     if (this.isQuiet || this.ledger.getRequestStatus(run.request.traits) !== "due-for-trial") return;
     const quarantined = this.ledger.getQuarantined(run.request.traits);
-    const trials = quarantined.flatMap((trait) => this.ledger.noteTrial({ digest: trait, ageMs: 0 }) ?? []);
+    const trials = this.ledger.startTrial(quarantined);
     if (trials.length === 0) return;
     this._structure.log.info("request-tried", { traits: quarantined, endpointId: run.endpointId });
     this._structure.broadcast({ ...noCrashReports, trials });
@@ -373,10 +373,10 @@
 
   /** Clears a trait of crashes before the given time; returns the clearing if there was evidence against the trait. */
   private _clear(trait: string, atMs: number): ClearingMessage | undefined {
-    const wasQuarantined = this.ledger.getQuarantineCount(trait) > 0;
+    const isStoredElsewhere = this.ledger.getQuarantineCount(trait) > 0 && !this._persistedHere.has(trait);
     const cleared = this.ledger.noteSurvived(trait, atMs);
-    const isReleased = wasQuarantined && this.ledger.getQuarantineCount(trait) === 0;
-    if (isReleased) this._structure.persist?.(trait, undefined);
+    if (isStoredElsewhere && this.ledger.getQuarantineCount(trait) === 0)
+      this._structure.persist?.(trait, undefined);
     return cleared;
   }
 
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -129,6 +129,11 @@
     stopListening(this._server);
   }
 
+  /** Whether answers end their connections, so that callers reach another instance with their next requests. */
+  private get _endsConnections(): boolean {
+    return this._isDraining || this._acceptLimit !== undefined;
+  }
+
   private _noteConnection(): void {
     this._accepted += 1;
     this._acceptedSinceLimit += 1;
@@ -215,7 +220,7 @@
   ): Promise<void> {
     const { codec, forward, log } = this._structure;
     const { route, account } = admitted;
-    const isDraining = (): boolean => this._isDraining || this._acceptLimit !== undefined;
+    const isDraining = (): boolean => this._endsConnections;
     const request = new CallerRequest({
       message,
       response,
@@ -254,7 +259,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._isDraining || this._acceptLimit !== undefined,
+      this._endsConnections,
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
--- a/packages/gateway/src/requests/ConnectionGate.ts
+++ b/packages/gateway/src/requests/ConnectionGate.ts
@@ -63,8 +63,7 @@
 
   constructor(private readonly _structure: ConnectionGateStructure) {
     this._takeUtilization = _structure.takeUtilization ?? createUtilizationMeter();
-    const round = (value: number): number => Math.round(value * 100) / 100;
-    _structure.membership.addHeartbeatField(heartbeatField, () => round(this._utilization));
+    _structure.membership.addHeartbeatField(heartbeatField, () => this._getRoundedUtilization());
   }
 
   /** Updates the limit periodically until `signal` aborts. */
@@ -112,8 +111,11 @@
 
   private _log({ accepted, dropped }: ConnectionCounts): void {
     const message = this._limit === undefined ? "connections-unlimited" : "connections-limited";
-    const utilization = Math.round(this._utilization * 100) / 100;
-    this._structure.log.warn(message, { utilization, accepted, dropped });
+    this._structure.log.warn(message, { utilization: this._getRoundedUtilization(), accepted, dropped });
+  }
+
+  private _getRoundedUtilization(): number {
+    return Math.round(this._utilization * 100) / 100;
   }
 }
 
--- a/packages/standins/src/tests/crashingRequestTests.ts
+++ b/packages/standins/src/tests/crashingRequestTests.ts
@@ -64,7 +64,8 @@
   return outcome.ok ? "answered" : outcome.val.code;
 }
 
-test("a request that crashes each engine is quarantined after at most four crashes, and other requests run", async (t) => {
+/** Creates a connector whose engines crash at each of many calls, and counts the crashes. */
+function createCrashingConnector(): { connector: FakeConnector; getCrashCount: () => number } {
   const calls = Array.from({ length: 40 }, (_, call) => call + 1);
   const faults = names.flatMap((endpoint) =>
     calls.map((atCall) => ({ endpoint, atCall, fault: "dies" as const })),
@@ -76,11 +77,16 @@
     crashCount += 1;
     breakEndpoint(endpoint, isCrash);
   };
+  return { connector, getCrashCount: () => crashCount };
+}
+
+test("a request that crashes each engine is quarantined after at most four crashes, and other requests run", async (t) => {
+  const { connector, getCrashCount } = createCrashingConnector();
   const crashes = createQuarantine(connector);
   t.is(await run(connector, crashes, "r1", "crashing"), "held_back");
   for (let repeat = 2; repeat <= 5; repeat++)
     t.is(await run(connector, crashes, `r${repeat}`, "crashing"), "held_back");
-  t.true(crashCount <= maxCrashes, `${crashCount} crashes`);
+  t.true(getCrashCount() <= maxCrashes, `${getCrashCount()} crashes`);
   // A request with another digest is not affected.
   const faultless = new FakeConnector(ranges, []);
   t.is(await run(faultless, crashes, "r9", "harmless"), "answered");
@@ -105,18 +111,8 @@
 
 // Guards against chats that share one message, such as the system's, which crashes each engine that begins to run it.
 test("chats that share only a message that crashes engines crash four at most, and others with the same first message run", async (t) => {
-  const calls = Array.from({ length: 40 }, (_, call) => call + 1);
-  const faults = names.flatMap((endpoint) =>
-    calls.map((atCall) => ({ endpoint, atCall, fault: "dies" as const })),
-  );
-  const connector = new FakeConnector(ranges, faults);
+  const { connector, getCrashCount } = createCrashingConnector();
   const faultless = new FakeConnector(ranges, []);
-  const breakEndpoint = connector.breakEndpoint.bind(connector);
-  let crashCount = 0;
-  connector.breakEndpoint = (endpoint, isCrash) => {
-    crashCount += 1;
-    breakEndpoint(endpoint, isCrash);
-  };
   const crashes = createQuarantine(connector);
   t.is(await run(faultless, crashes, "s", "sound", "part:system"), "answered");
   for (let chat = 0; chat < 5; chat++) {
@@ -124,5 +120,5 @@
     t.is(await run(faultless, crashes, `s${chat}`, `sound-${chat}`, "part:system"), "answered");
   }
   t.is(await run(connector, crashes, "r9", "chat-9", "part:crashing"), "held_back");
-  t.true(crashCount <= maxCrashes, `${crashCount} crashes`);
+  t.true(getCrashCount() <= maxCrashes, `${getCrashCount()} crashes`);
 });
