--- a/review/lib/Store.mjs
+++ b/review/lib/Store.mjs
@@ -3,8 +3,13 @@
 import { host, nowMs, sleep } from "./common.mjs";
 
 const answerMs = 4;
+/** Size of the records in the answer to a read whose query has no `max_kb`. */
+const defaultReadKb = 1_024;
 
 export class Store {
+  /** Whether the store turns the instances away, while it serves the operators and the endpoints. */
+  turnsInstancesAway = false;
+
   constructor() {
     this._topics = new Map();
     this._groups = new Map();
@@ -52,6 +57,7 @@
     const body = Buffer.concat(chunks);
     const url = new URL(request.url, "http://store");
     await sleep(answerMs);
+    if (this.turnsInstancesAway) return void response.writeHead(503).end();
     const calls = {
       "/shedtiller/log-append": () => this._handleAppend(url, body, response),
       "/shedtiller/log-read": () => this._handleRead(url, response),
@@ -79,7 +85,8 @@
     if (topic.records.length <= from && waitMs > 0) await this._waitForRecord(topic, from, waitMs);
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(topic.records.length), 0);
-    const records = topic.records.slice(from).flatMap((record) => {
+    const limitBytes = Number(url.searchParams.get("max_kb") ?? defaultReadKb) * 1_024;
+    const records = takeRecords(topic.records, from, limitBytes).flatMap((record) => {
       const length = Buffer.alloc(4);
       length.writeUInt32BE(record.length);
       return [length, record];
@@ -138,6 +145,15 @@
   }
 }
 
+/** Returns the records from an offset on, at least one and as many as the limit allows. */
+function takeRecords(records, from, limitBytes) {
+  let end = from;
+  let sizeBytes = 0;
+  while (end < records.length && (end === from || sizeBytes + records[end].length <= limitBytes))
+    sizeBytes += records[end++].length;
+  return records.slice(from, end);
+}
+
 export function sendJson(response, body, status = 200) {
   response.writeHead(status, { "Content-Type": "application/json" }).end(JSON.stringify(body));
 }
