--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,64 +1,123 @@
 /**
- * Planned stop of an instance while callers with slow links still receive large answers.
+ * Callers that leave while an engine has just crashed.
  *
- * The answers have left the endpoint whole, and the instance has all of their bytes in memory. The links of the callers carry 14 Mbit/s.
- * One instance gets SIGTERM half a second after its requests were sent.
+ * An engine crashes while it reads the prompt of a stream, and the stream goes on at another engine. Meanwhile more callers ask the same
+ * instance for streams with the same beginning of their prompts, and leave after a few milliseconds. Their requests have not reached an
+ * engine by then. Half of them use a route whose streams may not be resumed, so that they may run only once.
  */
-import * as net from "node:net";
+import * as http from "node:http";
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
-import { createFolder, host, isTroubled, nowMs, runCase, sleep } from "../lib/common.mjs";
-import { apiKey, callerHost, createConfiguration, createRoute } from "../lib/configuration.mjs";
-import { Endpoint } from "../lib/Endpoint.mjs";
+import { createFolder, host, isTroubled, nowMs, runCase, sleep, waitUntil } from "../lib/common.mjs";
+import { apiKey, callerHost, createConfiguration, createRoute, engineKind } from "../lib/configuration.mjs";
+import { Engine } from "../lib/Endpoint.mjs";
 import { Gateway } from "../lib/Gateway.mjs";
-import { SlowLink } from "../lib/SlowLink.mjs";
 import { Store } from "../lib/Store.mjs";
 
 const limitMs = 100_000;
-const callers = 6;
-const answerBytes = 12 * 1024 * 1024;
-const workMs = 60;
-/** A link of 14 Mbit/s. */
-const linkBytesPerSecond = 1_750_000;
-const stopAfterMs = 500;
+const leavers = 12;
+/** Time after which these callers leave. */
+const stayMs = 30;
+const events = 40;
+const eventIntervalMs = 50;
+/** Time that the engines take to read the common prompt. */
+const readMs = 1_000;
 const deadlineMs = 20_000;
+/** A request may reach an endpoint up to this long after its caller has left. */
+const allowedMs = 500;
+/** "More than a few requests". */
+const allowedRequests = 3;
 const folder = path.dirname(fileURLToPath(import.meta.url));
+const prompt = JSON.stringify({ prompt: "outage notice for the east loop" });
 
-/** Sends a request over a slow link, and resolves with what arrived once the connection has ended. */
-function call(id, port, record) {
+/** By request id: when the caller left, and when the request reached an engine and its run ended there. */
+const leftAtMs = new Map();
+const arrivals = new Map();
+let crashing;
+
+async function runStream(record, request, response, engine) {
+  const requestId = request.headers["request-id"];
+  const atMs = nowMs();
+  arrivals.set(requestId, { atMs, endedAtMs: undefined });
+  const left = leftAtMs.get(requestId);
+  const since = left === undefined ? "" : `, ${Math.round(atMs - left)} ms after its caller left`;
+  record.add(`${engine.id}: runs ${requestId}${since}`);
+  if (crashing === requestId) {
+    crashing = undefined;
+    await sleep(20);
+    record.add(`${engine.id}: crashes`);
+    engine.stop();
+    return;
+  }
+  const noteEnd = (how) => {
+    if (arrivals.get(requestId).endedAtMs !== undefined) return;
+    arrivals.get(requestId).endedAtMs = nowMs();
+    record.add(`${engine.id}: ${how} ${requestId}`);
+  };
+  response.once("close", () => {
+    if (!response.writableFinished) noteEnd("drops, since its connection was closed,");
+  });
+  response.writeHead(200, {
+    "Request-Id": requestId,
+    "Response-Stamp": engine.id,
+    "Content-Type": "text/event-stream",
+  });
+  response.flushHeaders();
+  await sleep(request.headers["prefix-hash"].startsWith("5c1e07a2") ? readMs : 0);
+  for (let event = Number(request.headers["last-event-id"] ?? 0) + 1; event <= events; event++) {
+    if (response.destroyed) return;
+    response.write(`id: ${event}\ndata: token ${event}\n\n`);
+    await sleep(eventIntervalMs);
+  }
+  response.end();
+  noteEnd("has ended");
+}
+
+/** Sends a stream and resolves once it is over; the caller leaves after `leaveMs` if that is given. */
+function call(
+  id,
+  port,
+  record,
+  { body = prompt, urlPath = "/a/notice", parts = "5c1e07a2:40,91bd3f06:720", leaveMs } = {},
+) {
   return new Promise((resolve) => {
-    const sentAtMs = nowMs();
-    const socket = net.connect(port, host);
-    const state = { id, status: undefined, expectedBytes: undefined, bodyBytes: 0 };
-    let head = Buffer.alloc(0);
-    const end = (how) => {
-      const tookMs = Math.round(nowMs() - sentAtMs);
-      record.add(
-        `caller: ${id} ends (${how}) after ${tookMs} ms: status ${state.status}, ${state.bodyBytes} of ${state.expectedBytes} bytes of the body`,
-      );
-      socket.destroy();
-      resolve({ ...state, isWhole: state.bodyBytes === state.expectedBytes });
-    };
-    socket.on("data", (bytes) => {
-      if (state.status !== undefined) state.bodyBytes += bytes.length;
-      else {
-        head = Buffer.concat([head, bytes]);
-        const at = head.indexOf("\r\n\r\n");
-        if (at < 0) return;
-        const text = head.toString("latin1", 0, at);
-        state.status = Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
-        state.expectedBytes = Number(/^content-length: (\d+)$/im.exec(text)?.[1]);
-        state.bodyBytes = head.length - at - 4;
-      }
-      if (state.bodyBytes === state.expectedBytes) end("whole answer");
-    });
-    socket.once("end", () => end("the connection was closed"));
-    socket.once("error", (error) => end(`the connection broke: ${error.code}`));
-    record.add(`caller: ${id} sent`);
-    socket.write(
-      `GET /records/${id} HTTP/1.1\r\nHost: ${callerHost}\r\nRequest-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\n` +
-        `Authorization: Bearer ${apiKey}\r\n\r\n`,
+    const request = http.request(
+      {
+        host,
+        port,
+        method: "POST",
+        path: urlPath,
+        agent: false,
+        headers: {
+          Host: callerHost,
+          "Request-Id": id,
+          "Deadline-Ms": String(deadlineMs),
+          Authorization: `Bearer ${apiKey}`,
+          Model: "m0",
+          "Token-Usage": "760,120",
+          "Prefix-Hash": parts,
+          "Content-Length": String(body.length),
+        },
+      },
+      (answer) => {
+        answer.resume();
+        answer.on("error", () => undefined);
+        answer.on("close", () => {
+          const isWhole = answer.complete && answer.statusCode === 200;
+          record.add(`caller: ${id} gets ${answer.statusCode}, ${answer.complete ? "whole" : "not whole"}`);
+          resolve(isWhole);
+        });
+      },
     );
+    request.on("error", () => resolve(false));
+    request.end(body);
+    record.add(`caller: ${id} sent`);
+    if (leaveMs === undefined) return;
+    setTimeout(() => {
+      leftAtMs.set(id, nowMs());
+      record.add(`caller: ${id} closes its connection`);
+      request.destroy();
+    }, leaveMs);
   });
 }
 
@@ -66,28 +125,20 @@
   const store = new Store();
   await store.listen();
   addCleanup(() => store.close());
-  const route = createRoute({
-    name: "records",
-    "path-prefix": "/records/",
-    kind: "safe",
-    service: "ops-api",
-    "target-latency-ms": 300,
-  });
-  store.write("keyed.op", "config", createConfiguration(1, [route]));
-  const body = Buffer.alloc(answerBytes, "x");
-  const answer = async (request, response, _body, { id }) => {
-    const requestId = request.headers["request-id"];
-    record.add(`${id}: runs ${requestId}`);
-    await sleep(workMs);
-    response.writeHead(200, { "Request-Id": requestId, "Response-Stamp": id, "Content-Length": body.length });
-    response.end(body, () => record.add(`${id}: has handed over the whole answer to ${requestId}`));
-  };
-  for (const id of ["i-records-1", "i-records-2"]) {
-    const endpoint = new Endpoint({ id, service: "ops-api", availabilityZone: "zone-a", store, answer });
-    await endpoint.start();
-    addCleanup(() => endpoint.stop());
+  const stream = { kind: "streaming", service: "assist-llm", "session-affinity": true, gap_aim_ms: 200 };
+  const draft = createRoute({ ...stream, name: "draft", "path-prefix": "/a/", "stream-resume": true });
+  const send = createRoute({ ...stream, name: "send", "path-prefix": "/b/", "stream-resume": false });
+  store.write("keyed.op", "config", createConfiguration(1, [draft, send]));
+  const answer = (request, response, _body, engine) => runStream(record, request, response, engine);
+  for (const id of ["i-llm-1", "i-llm-2", "i-llm-3", "i-llm-4"]) {
+    const engine = new Engine({
+      ...{ id, service: "assist-llm", availabilityZone: "zone-a", store, answer },
+      ...{ kind: engineKind, slots: 134, loadMsPerLayer: 20 },
+    });
+    await engine.start();
+    addCleanup(() => engine.stop());
   }
-  const temporary = createFolder();
+  const temporary = createFolder(addCleanup);
   const gateways = [];
   for (const name of ["front-1", "front-2"]) {
     const gateway = new Gateway(name, "zone-a", store, temporary, record);
@@ -95,18 +146,35 @@
     await gateway.start();
     gateways.push(gateway);
   }
-  const [stopped] = gateways;
-  const link = new SlowLink(stopped.port, linkBytesPerSecond);
-  await link.listen();
-  addCleanup(() => link.close());
-  await sleep(1_000);
-  const calls = Array.from({ length: callers }, (_, index) => call(`c${index + 1}`, link.port, record));
-  await sleep(stopAfterMs);
-  if (isTroubled) stopped.signal("SIGTERM");
-  const answers = await Promise.all(calls);
-  const lost = answers.filter(({ isWhole }) => !isWhole);
+  const { port } = gateways[0];
+  let isServed = false;
+  for (let tries = 0; !isServed; tries++) {
+    if (tries > 30) throw new Error("no stream was served");
+    await sleep(500);
+    isServed = await call(`w${tries}`, port, record, { body: "{}", parts: `aa:40,${tries + 10}:10` });
+  }
+  crashing = isTroubled ? "first" : undefined;
+  const first = call("first", port, record);
+  await waitUntil("the first request runs", () => arrivals.has("first") && crashing === undefined, 5_000);
+  await sleep(150);
+  const calls = Array.from({ length: leavers }, (_, index) =>
+    call(`leaver-${index + 1}${index % 2 === 0 ? "" : "-once"}`, port, record, {
+      leaveMs: stayMs,
+      urlPath: index % 2 === 0 ? "/a/notice" : "/b/notice",
+      parts: `5c1e07a2:40,91bd${index + 10}:720`,
+    }),
+  );
+  await Promise.all([first, ...calls]);
+  await sleep(3_000);
+  const late = [...leftAtMs].filter(([id, atMs]) => (arrivals.get(id)?.atMs ?? 0) > atMs + allowedMs);
+  const workedOn = late.filter(([id]) => {
+    const { atMs, endedAtMs } = arrivals.get(id);
+    return (endedAtMs ?? Number.POSITIVE_INFINITY) > atMs + allowedMs;
+  });
   return {
-    isHeld: lost.length === 0,
-    text: `LOST: ${lost.length} of ${answers.length} requests lost their connection without a complete answer`,
+    isHeld: late.length <= allowedRequests,
+    text:
+      `GONE: ${late.length} of ${leftAtMs.size} requests reached an endpoint over ${allowedMs} ms after their caller had left; ` +
+      `at ${workedOn.length} of them the endpoint was still at work another ${allowedMs} ms later`,
   };
 });
--- a/review/lib/common.mjs
+++ b/review/lib/common.mjs
@@ -38,8 +38,11 @@
   return port;
 }
 
-export function createFolder() {
-  return fs.mkdtempSync(path.join(os.tmpdir(), "shedtiller-review-"));
+/** Creates a temporary folder, which is removed at the end of the case. */
+export function createFolder(addCleanup) {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "shedtiller-review-"));
+  addCleanup(() => fs.rmSync(folder, { recursive: true, force: true }));
+  return folder;
 }
 
 /** Writes what was sent, answered and run, one line each, with the seconds since the start of the case. */
