--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -123,7 +123,6 @@
 
 await runCase(folder, limitMs, async (record, addCleanup) => {
   const store = new Store();
-  await store.listen();
   addCleanup(() => store.close());
   const stream = { kind: "streaming", service: "assist-llm", "session-affinity": true, gap_aim_ms: 200 };
   const draft = createRoute({ ...stream, name: "draft", "path-prefix": "/a/", "stream-resume": true });
--- a/review/lib/Gateway.mjs
+++ b/review/lib/Gateway.mjs
@@ -54,6 +54,7 @@
   }
 
   async start() {
+    this.storeAccess ??= await this._store.open();
     this.port = await getFreePort();
     this._readyPort = await getFreePort();
     const fields = {
@@ -64,7 +65,7 @@
       "listen.ready": `${host}:${this._readyPort}`,
       "internal-ports.0": await getFreePort(),
       "internal-ports.1": await getFreePort(),
-      "platform.address": this._store.address,
+      "platform.address": this.storeAccess.address,
       "platform.ttl_min_ms": 1_000,
     };
     for (const [bound, value] of Object.entries(bounds)) fields[`bounds.${bound}`] = value;
--- a/review/lib/Store.mjs
+++ b/review/lib/Store.mjs
@@ -7,29 +7,33 @@
 const defaultReadKb = 1_024;
 
 export class Store {
-  /** Whether the store turns the instances away, while it serves the operators and the endpoints. */
-  turnsInstancesAway = false;
-
   constructor() {
     this._topics = new Map();
     this._groups = new Map();
     this._waiting = new Set();
-    this._server = http.createServer((request, response) => {
-      this._handle(request, response).catch(() => response.destroy());
-    });
-  }
-
-  get address() {
-    return `${host}:${this._server.address().port}`;
+    this._servers = [];
   }
 
-  listen() {
-    return new Promise((resolve) => this._server.listen(0, host, resolve));
+  /**
+   * Opens the store to one instance. Its access can be changed: `served`, `busy` (each call is answered with 503) or `cut` (no call is
+   * answered). The operators and the endpoints are served in any case.
+   */
+  async open() {
+    const access = { state: "served", address: "" };
+    const server = http.createServer((request, response) => {
+      this._handle(request, response, access).catch(() => response.destroy());
+    });
+    await new Promise((resolve) => server.listen(0, host, resolve));
+    access.address = `${host}:${server.address().port}`;
+    this._servers.push(server);
+    return access;
   }
 
   close() {
-    this._server.close();
-    this._server.closeAllConnections();
+    for (const server of this._servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   /** Writes the value of a key, as the operators and the endpoints do; undefined removes the key. */
@@ -51,16 +55,17 @@
     for (const wake of this._waiting) wake();
   }
 
-  async _handle(request, response) {
+  async _handle(request, response, access) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks);
     const url = new URL(request.url, "http://store");
     await sleep(answerMs);
-    if (this.turnsInstancesAway) return void response.writeHead(503).end();
+    if (access.state === "cut") return;
+    if (access.state === "busy") return void response.writeHead(503).end();
     const calls = {
       "/shedtiller/log-append": () => this._handleAppend(url, body, response),
-      "/shedtiller/log-read": () => this._handleRead(url, response),
+      "/shedtiller/log-read": () => this._handleRead(url, response, access),
       "/shedtiller/log-newest": () => this._handleNewest(url, response),
       "/shedtiller/log-join": () => this._handleJoin(JSON.parse(body), response),
       "/shedtiller/log-leave": () => this._handleLeave(JSON.parse(body), response),
@@ -78,11 +83,12 @@
     sendJson(response, { offset: end - 1, end });
   }
 
-  async _handleRead(url, response) {
+  async _handleRead(url, response, access) {
     const topic = this._getTopic(url.searchParams.get("topic"));
     const from = Number(url.searchParams.get("from"));
     const waitMs = Number(url.searchParams.get("wait-ms") ?? 0);
     if (topic.records.length <= from && waitMs > 0) await this._waitForRecord(topic, from, waitMs);
+    if (access.state === "cut") return;
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(topic.records.length), 0);
     const limitBytes = Number(url.searchParams.get("max_kb") ?? defaultReadKb) * 1_024;
