--- a/review/lib/Endpoint.mjs
+++ b/review/lib/Endpoint.mjs
@@ -31,6 +31,12 @@
     this._heartbeat = setInterval(() => this.writeEntry(), heartbeatMs);
   }
 
+  /** Leaves without a notice: its entry goes, and it serves on. */
+  leave() {
+    clearInterval(this._heartbeat);
+    this._store.write("keyed.servers", this.id, undefined);
+  }
+
   /** Ends like a killed process: its connections end, its port refuses new ones, and it writes no more heartbeats. */
   stop() {
     clearInterval(this._heartbeat);
