--- a/review/lib/Endpoint.mjs
+++ b/review/lib/Endpoint.mjs
@@ -15,6 +15,7 @@
     this._slots = slots;
     this._answer = answer;
     this._sequence = 0;
+    this._isLeaving = false;
     this._server = http.createServer((request, response) => {
       this._handle(request, response).catch(() => response.destroy());
     });
@@ -33,6 +34,7 @@
 
   /** Leaves without a notice: its entry goes, and it serves on. */
   leave() {
+    this._isLeaving = true;
     clearInterval(this._heartbeat);
     this._store.write("keyed.servers", this.id, undefined);
   }
@@ -68,7 +70,9 @@
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== this.id)
       return void response.writeHead(421, { "Instance-Id": this.id, "Not-Executed": "1" }).end();
-    if (request.url === "/healthz") return void response.writeHead(200, { "Instance-Id": this.id }).end();
+    if (this._isLeaving) response.shouldKeepAlive = false;
+    if (request.url === "/healthz")
+      return void response.writeHead(this._isLeaving ? 503 : 200, { "Instance-Id": this.id }).end();
     await this.handle(request, response, Buffer.concat(chunks));
   }
 
--- a/review/lib/common.mjs
+++ b/review/lib/common.mjs
@@ -73,6 +73,12 @@
     process.exit(code);
   };
   setTimeout(() => void finish(exitCodes.notRun, "the case took too long"), limitMs).unref();
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"])
+    process.once(signal, () => void finish(exitCodes.notRun, `the case was ended by ${signal}`));
+  process.once(
+    "uncaughtException",
+    (error) => void finish(exitCodes.notRun, `the case broke off: ${error.stack}`),
+  );
   try {
     const { isHeld, text } = await play(record, (cleanup) => cleanups.push(cleanup));
     await finish(isHeld ? exitCodes.held : exitCodes.broken, text);
