--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -11,7 +11,7 @@
 import { EarlyMoveWatch } from "./moves/EarlyMoveWatch.js";
 import { StreamMover } from "./moves/StreamMover.js";
 import type { ForwardContext } from "./RequestForwarder.js";
-import type { StreamAttempt } from "./StreamAttempt.js";
+import type { GiveUpCause, StreamAttempt } from "./StreamAttempt.js";
 
 /**
  * On average, half of this interval is added to the silence limits below. The other periodic tasks of an instance have the same interval,
@@ -110,7 +110,7 @@
     const firstEndpointIds = new Set<string>();
     for (const attempt of this._attempts) {
       const silenceMs = nowMs - attempt.lastActivityAtMs;
-      if (silenceMs >= maxSilenceMs && attempt.request.isIdempotent) attempt.abort.abort();
+      if (silenceMs >= maxSilenceMs && attempt.request.isIdempotent) attempt.giveUp("silent");
       else if (silenceMs >= getAllowedSilenceMs(attempt) && attempt.firstStage !== undefined) {
         firstEndpointIds.add(attempt.firstStage.endpointId);
       }
@@ -177,7 +177,7 @@
     );
     for (const attempt of affected) void this._context.crashes.noteLost(attempt, before);
     const begunThere = affected.filter((attempt) => attempt.firstStage?.endpointId === id);
-    for (const attempt of begunThere) attempt.abort.abort();
+    for (const attempt of begunThere) attempt.giveUp("engine-restarted");
     const others = affected.filter((attempt) => !begunThere.includes(attempt));
     await Promise.all(others.map((attempt) => this._move(attempt, listed.address, "lost")));
   }
@@ -185,7 +185,7 @@
   /** Queries a first engine for its stalled requests and moves them, or aborts its silent streams if it does not respond. */
   private async _queryEngine(endpointId: string): Promise<void> {
     const endpoint = this._context.endpoints.get(endpointId);
-    if (endpoint === undefined) return this._abortSilentStreams(endpointId);
+    if (endpoint === undefined) return this._abortSilentStreams(endpointId, "engine-unanswered");
     const queriedAtMs = this._nowMs();
     const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
@@ -195,11 +195,11 @@
         getEvidence(report.val),
         queriedAtMs,
       );
-      return this._abortSilentStreams(endpointId);
+      return this._abortSilentStreams(endpointId, "engine-unanswered");
     }
     endpoint.slowness = getSlowness(report.val);
     const isPathCut = this._context.paths.getFailure(endpoint.listed.address) === "unanswered";
-    if (isPathCut) this._abortSilentStreams(endpointId, (attempt) => attempt.isDirect);
+    if (isPathCut) this._abortSilentStreams(endpointId, "path-cut", (attempt) => attempt.isDirect);
     await this._moveStalled(endpointId, report.val);
   }
 
@@ -209,13 +209,14 @@
    */
   private _abortSilentStreams(
     endpointId: string,
+    cause: GiveUpCause,
     isAffected: (attempt: StreamAttempt) => boolean = () => true,
   ): void {
     const nowMs = this._nowMs();
     for (const attempt of this._attempts) {
       if (attempt.firstStage?.endpointId !== endpointId || !attempt.request.isIdempotent) continue;
       if (!isAffected(attempt)) continue;
-      if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.abort.abort();
+      if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.giveUp(cause);
     }
   }
 
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -12,6 +12,19 @@
 /** How the stream of an attempt ended. */
 export type StreamEnd = "completed" | "broken" | "caller-left";
 
+/**
+ * Why this instance gave up a run: the stream was silent for the maximum time, its first engine did not answer a question, the direct path to
+ * that engine is cut, the engine is suspected or has restarted, it does not know the request, or the request is quarantined.
+ */
+export type GiveUpCause =
+  | "silent"
+  | "engine-unanswered"
+  | "path-cut"
+  | "engine-suspected"
+  | "engine-restarted"
+  | "request-unknown"
+  | "quarantined";
+
 /** Forwards the complete events of one attempt and reports how it ended. The `StallMonitor` detects stalls and ends attempts. */
 export class StreamAttempt implements TrackedRun {
   /** The endpoint that the request was sent to, as the object of the process life at that time. */
@@ -22,6 +35,8 @@
   sentAtMs = this.lastActivityAtMs;
   /** Ends the attempt; the stream may continue at another chain. */
   readonly abort = new AbortController();
+  /** Why this instance gave up the run; undefined if it did not. */
+  givenUpFor: GiveUpCause | undefined;
   /** Time from the send of this attempt to its first event. */
   firstEventMs: number | undefined;
   /** Whether the request was sent over a direct connection. */
@@ -77,6 +92,13 @@
     this.lastActivityAtMs = this.sentAtMs;
   }
 
+  /** Ends the run on the decision of this instance; the stream may continue at another chain. */
+  giveUp(cause: GiveUpCause): void {
+    if (this.abort.signal.aborted) return;
+    this.givenUpFor = cause;
+    this.abort.abort();
+  }
+
   /** Forwards the events of an answer until it ends. */
   relay(answer: HttpAnswer): Promise<StreamEnd> {
     const done = new utils.Deferred<StreamEnd>();
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -90,6 +90,7 @@
       const mayRepeat = !hasRun || request.isIdempotent;
       const isUnsent = request.attempts === 0;
       if (mayRepeat && (isUnsent || this.tryWithdrawRetry(request, service))) continue;
+      this._logUnresumed(request, mayRepeat);
       this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
   }
@@ -333,6 +334,24 @@
     else request.refuse(504, "out-of-time");
   }
 
+  /** Returns how long ago the first engine of a run gave a sign, by any stream or question; undefined if it never did. */
+  private _getHeardMsAgo({ firstEndpoint }: StreamAttempt): number | undefined {
+    const agoMs = utils.monotonicMs() - (firstEndpoint?.heardAtMs ?? Number.NEGATIVE_INFINITY);
+    return Number.isFinite(agoMs) ? Math.round(agoMs) : undefined;
+  }
+
+  /** Logs what prevented another attempt; the answer of a stream that has begun is incomplete then. */
+  private _logUnresumed(request: CallerRequest, mayRepeat: boolean): void {
+    const hasAttempt = request.attempts < request.route.maxAttempts;
+    const hasTime = request.getRemainingMs() > 0;
+    this.context.log.warn("stream-not-resumed", {
+      requestId: request.id,
+      reason: !mayRepeat ? "runs-once" : !hasAttempt ? "no-attempt" : hasTime ? "no-retry-budget" : "no-time",
+      isHeadSent: request.isHeadSent,
+      attempts: request.attempts,
+    });
+  }
+
   private _logFailedRun(attempt: StreamAttempt, cause: string): void {
     const { request, progress, reservation } = attempt;
     this.context.log.warn("stream-run-failed", {
@@ -340,6 +359,10 @@
       digest: request.digest,
       promptPartIds: request.fields.promptPartIds,
       cause,
+      givenUpFor: attempt.givenUpFor,
+      silenceMs: Math.round(utils.monotonicMs() - attempt.lastActivityAtMs),
+      engineHeardMsAgo: this._getHeardMsAgo(attempt),
+      suspected: attempt.firstEndpoint?.isSuspect(utils.monotonicMs()),
       chain: describeChain(reservation.stages),
       sinceSentMs: Math.round(utils.monotonicMs() - attempt.sentAtMs),
       hasBegun: attempt.hasBegun,
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -9,7 +9,7 @@
 import type { ChainStage } from "../../http/MessageCodec.js";
 import { OrderRefusedError, type EngineOrders, type OrderError } from "../../orders/EngineOrders.js";
 import type { ForwardContext } from "../RequestForwarder.js";
-import type { StreamAttempt } from "../StreamAttempt.js";
+import type { GiveUpCause, StreamAttempt } from "../StreamAttempt.js";
 import type { MoveCause } from "./EarlyMoves.js";
 import { findDetour } from "./findDetour.js";
 import { getDetourCandidates } from "./getDetourCandidates.js";
@@ -62,11 +62,11 @@
     if (first === undefined || profile === undefined) return;
     attempt.triedMoveAtMs = this._structure.nowMs();
     if (order.faultyAddresses.includes(first.address))
-      return this._abandon(attempt, "the first engine is lost", order.cause);
+      return this._abandon(attempt, "engine-suspected", order.cause);
     if (attempt.isMoving) return;
     if (order.cause !== "draining") this._noteLost(attempt, order);
     if (context.crashes.getQuarantineMs(attempt.request) !== undefined)
-      return this._abandon(attempt, "the request is quarantined", order.cause);
+      return this._abandon(attempt, "quarantined", order.cause);
     attempt.isMoving = true;
     await this._tryChains(attempt, profile, order);
     attempt.isMoving = false;
@@ -191,7 +191,7 @@
   ): TryResult {
     const { context, nowMs } = this._structure;
     if (error instanceof OrderRefusedError && error.status === unknownRequestStatus) {
-      this._abandon(attempt, error.code, "lost");
+      this._abandon(attempt, "request-unknown", "lost");
       return stays;
     }
     const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
@@ -226,13 +226,13 @@
     );
   }
 
-  private _abandon(attempt: StreamAttempt, cause: string, sign: MoveCause): void {
+  private _abandon(attempt: StreamAttempt, cause: GiveUpCause, sign: MoveCause): void {
     const { context } = this._structure;
     if (attempt.abort.signal.aborted) return;
     context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
     if (!attempt.request.isIdempotent) return;
     context.controls.earlyMoves?.noteMove(attempt.service, sign);
-    attempt.abort.abort();
+    attempt.giveUp(cause);
   }
 
   private _logMove(attempt: StreamAttempt, order: MoveOrder, silenceMs: number): void {
