gateway: runs of silent engines are no longer given up; a successor starts first

Cause: a doubt was treated as a loss. StallMonitor and StreamMover aborted a resumable stream because of its silence (1.2 s), an unanswered question, a suspicion or a cut path. Only then did StreamForwarder look for an attempt, a retry from the budget and a chain with room; without one of them it closed the caller's connection.

Change: a doubt only marks the run. The run continues while a successor is reserved, paid for and sent; the first one that produces an event goes on alone, and the other is ended (StreamRuns). If there is no successor the run is kept; the doubt is renewed, and tried again. Runs that the instance still ends by itself are those of a process that has restarted. If none of the streams of an instance has events, one successor at a time is tried (SuccessorGate), so that the retry budget is not spent on what all streams have in common. The load of the run in doubt does not count against its successor. A path that is lost before the first event leads to a successor as well, and not to the end of the call. A quarantined request whose chain has lost an engine stays where it is, and no other engine gets it.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -323,6 +323,7 @@
       forecast: this._createForecast(),
       restarts: new ConcurrentRestarts(() => this._peers.getInstanceCount()),
       controls: this._controls,
+      countDoubt: (cause, result) => this.metrics.streamDoubts.inc({ cause, result }),
       broadcastFull: (endpointId) => this._peers.exchange.broadcastFull(endpointId),
     };
   }
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -52,6 +52,8 @@
   readonly accountRefusals: prom.Counter<"service">;
   /** Requests that came back after a rejection: in time or early. */
   readonly returns: prom.Counter<"service" | "kind">;
+  /** Runs of streams in doubt, by the cause of the doubt and what became of them. */
+  readonly streamDoubts: prom.Counter<"cause" | "result">;
   /** Changes of the level of admission by urgency that this instance decided as a collector. */
   readonly levelChanges: prom.Counter<"service" | "direction">;
 
@@ -97,6 +99,11 @@
       "Streams moved or resumed at the first sign of a lost engine, by cause",
       ["cause"],
     );
+    this.streamDoubts = this._createCounter(
+      "stream_doubts_total",
+      "Runs of streams in doubt, by the cause of the doubt and whether the run was replaced, recovered or ended",
+      ["cause", "result"],
+    );
     this.engineQuestions = this._createCounter(
       "engine_questions_total",
       "Questions to engines of silent streams whether they still work, by result",
--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -57,6 +57,16 @@
     if (!this._hasMoved) this._onPromptRead?.();
   }
 
+  /** Calls `action` without the load of this reservation, so that it does not count against the chain that is to replace it. */
+  callWithoutLoad<T>(action: () => T): T {
+    for (const load of this._loads) addLoad(load, -1);
+    try {
+      return action();
+    } finally {
+      for (const load of this._loads) addLoad(load, 1);
+    }
+  }
+
   release(): void {
     this._removeLoads();
     this._isReleased = true;
@@ -72,8 +82,12 @@
   }
 
   private _removeLoads(): void {
-    for (const { endpoint, tokenLayers, promptTokens } of this._loads)
-      endpoint.addOwnLoad(-1, -tokenLayers, -promptTokens);
+    for (const load of this._loads) addLoad(load, -1);
     this._loads = [];
   }
 }
+
+/** Adds a load to its endpoint, or removes it. */
+function addLoad({ endpoint, tokenLayers, promptTokens }: ReservedLoad, sign: 1 | -1): void {
+  endpoint.addOwnLoad(sign, sign * tokenLayers, sign * promptTokens);
+}
--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -30,6 +30,8 @@
   readonly signal?: AbortSignal | undefined;
   /** Whether the call may be repeated, so that it ends early if its connection has probably been cut. */
   readonly isRepeatable?: boolean | undefined;
+  /** Called in place of such an early end, for a call that is only given up once a repetition has been answered. */
+  readonly onPathLost?: (() => void) | undefined;
   /** Called with the path of the connection before anything is sent; undefined for a direct connection. */
   readonly onConnected?: ((path: ConnectionPath | undefined) => void) | undefined;
 }
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -76,7 +76,9 @@
   }
 
   private _endIfRepeatable(): void {
-    if (this._call.isRepeatable === true) this._end(new PathLostError(this._call.address));
+    const { address, isRepeatable, onPathLost } = this._call;
+    if (onPathLost !== undefined) return this._isSettled ? undefined : onPathLost();
+    if (isRepeatable === true) this._end(new PathLostError(address));
   }
 
   /** Records when the request is written: once the connection is established, or at once on a pooled connection. */
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -18,6 +18,7 @@
 import type { PermitForecast } from "./PermitForecast.js";
 import type { RequestDemand } from "./RequestDemand.js";
 import type { RetryBudgets } from "./RetryBudgets.js";
+import type { StreamRunLogStructure } from "./StreamRunLog.js";
 
 /** Dependencies of every {@link RequestForwarder}. */
 export interface ForwardContext {
@@ -53,6 +54,8 @@
   /** Streams that other instances send again at the same moment as this one. */
   readonly restarts: ConcurrentRestarts;
   readonly controls: Pick<LoadControls, "gates" | "flows"> & Partial<LoadControls>;
+  /** Counts how doubts about runs of streams ended. */
+  readonly countDoubt?: StreamRunLogStructure["countDoubt"];
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
@@ -69,6 +72,9 @@
 /** Retry-After while no endpoint accepts new requests: replacements are listed about one heartbeat interval later. */
 export const noEndpointRetryAfterMs = 1_000;
 
+/** What prevents another send of a request. */
+export type RetryObstacle = "no-attempt" | "no-time" | "no-retry-budget";
+
 /** Handles requests of one kind from their admission to their answer. */
 export abstract class RequestForwarder {
   constructor(protected readonly context: ForwardContext) {}
@@ -89,6 +95,7 @@
       readonly chain?: readonly ChainStage[] | undefined;
       readonly signal?: AbortSignal;
       readonly onConnected?: (path: ConnectionPath | undefined) => void;
+      readonly onPathLost?: () => void;
     },
   ): HttpCall {
     const headers = this.context.codec.encodeForEndpoint(request.headers, {
@@ -110,6 +117,7 @@
       headTimeoutMs: options.headTimeoutMs,
       signal: options.signal ?? request.signal,
       isRepeatable: request.isIdempotent,
+      onPathLost: options.onPathLost,
       onConnected: (path) => {
         this._notePath(request, endpoint, path);
         options.onConnected?.(path);
@@ -156,6 +164,13 @@
     if (request.getRemainingMs() <= 0 || request.signal.aborted) return false;
     return this.context.budgets.tryWithdraw(service);
   }
+
+  /** Returns what prevents a retry of the request now; undefined if nothing does. */
+  protected getRetryObstacle(request: CallerRequest, service: string): RetryObstacle | undefined {
+    if (request.attempts >= request.route.maxAttempts) return "no-attempt";
+    if (request.getRemainingMs() <= 0) return "no-time";
+    return this.context.budgets.canWithdraw(service) ? undefined : "no-retry-budget";
+  }
 }
 
 /**
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -84,15 +84,20 @@
 
   /** Withdraws a retry for a service from the budget; returns false if the budget is exhausted. */
   tryWithdraw(service: string): boolean {
+    if (!this.canWithdraw(service)) return false;
+    this._get(service).retries.add(this._nowMs());
+    this._hasRetried = true;
+    return true;
+  }
+
+  /** Returns whether the budget of a service allows a retry now. */
+  canWithdraw(service: string): boolean {
     const nowMs = this._nowMs();
     const { requests, retries } = this._get(service);
     const { ratio, slack } = this._options;
     const allowed =
       ratio * ratioShare * requests.get(nowMs) + (slack / this._getInstanceCount(nowMs)) * slackShare;
-    if (retries.get(nowMs) + 1 > allowed) return false;
-    retries.add(nowMs);
-    this._hasRetried = true;
-    return true;
+    return retries.get(nowMs) + 1 <= allowed;
   }
 
   private _getInstanceCount(nowMs: number): number {
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -11,7 +11,8 @@
 import { EarlyMoveWatch } from "./moves/EarlyMoveWatch.js";
 import { StreamMover } from "./moves/StreamMover.js";
 import type { ForwardContext } from "./RequestForwarder.js";
-import type { GiveUpCause, StreamAttempt } from "./StreamAttempt.js";
+import type { DoubtCause, StreamAttempt } from "./StreamAttempt.js";
+import { SuccessorGate } from "./SuccessorGate.js";
 
 /**
  * On average, half of this interval is added to the silence limits below. The other periodic tasks of an instance have the same interval,
@@ -26,15 +27,16 @@
 const reportIntervalMs = 300;
 /** Timeout of a query; an engine that does not report within this time counts as unresponsive. */
 const reportTimeoutMs = 400;
-/** Silence after which a resumable stream continues at another chain; callers abandon a stream that is silent for two seconds. */
+/** Silence after which a resumable stream may have a successor; callers abandon a stream that is silent for two seconds. */
 const maxSilenceMs = 1_200;
 
 /**
- * Detects stalled streams, queries their first engines for the engine at fault, and moves the streams to other engines. Each instance has
- * one monitor for all of its streams.
+ * Detects stalled streams, queries their first engines for the engine at fault, and moves the streams to other engines. Where that does not
+ * help, it marks their runs as doubtful, so that successors start. Each instance has one monitor for all of its streams.
  */
 export class StallMonitor {
   private readonly _attempts = new Set<StreamAttempt>();
+  private readonly _successorGate = new SuccessorGate(this._attempts);
   /** Monotonic time of the last query, by the id of the endpoint. */
   private readonly _queriedAtMs = new Map<string, number>();
   private readonly _mover: StreamMover;
@@ -62,6 +64,11 @@
     });
   }
 
+  /** Lets the runs in doubt try again to start successors. */
+  renewDoubts(): void {
+    for (const attempt of this._attempts) if (attempt.doubt !== undefined) attempt.noteDoubt(attempt.doubt);
+  }
+
   /** Starts to monitor an attempt. */
   add(attempt: StreamAttempt): void {
     this._attempts.add(attempt);
@@ -72,6 +79,12 @@
 
   remove(attempt: StreamAttempt): void {
     this._attempts.delete(attempt);
+    this._successorGate.noteEnd(attempt);
+  }
+
+  /** Decides whether runs in doubt may have successors now. */
+  get successorGate(): SuccessorGate {
+    return this._successorGate;
   }
 
   /** Number of running streams. */
@@ -110,8 +123,8 @@
     const firstEndpointIds = new Set<string>();
     for (const attempt of this._attempts) {
       const silenceMs = nowMs - attempt.lastActivityAtMs;
-      if (silenceMs >= maxSilenceMs && attempt.request.isIdempotent) attempt.giveUp("silent");
-      else if (silenceMs >= getAllowedSilenceMs(attempt) && attempt.firstStage !== undefined) {
+      if (silenceMs >= maxSilenceMs) attempt.noteDoubt("silent");
+      if (silenceMs >= getAllowedSilenceMs(attempt) && attempt.firstStage !== undefined) {
         firstEndpointIds.add(attempt.firstStage.endpointId);
       }
     }
@@ -182,10 +195,10 @@
     await Promise.all(others.map((attempt) => this._move(attempt, listed.address, "lost")));
   }
 
-  /** Queries a first engine for its stalled requests and moves them, or aborts its silent streams if it does not respond. */
+  /** Queries a first engine for its stalled requests and moves them, or doubts its silent streams if it does not respond. */
   private async _queryEngine(endpointId: string): Promise<void> {
     const endpoint = this._context.endpoints.get(endpointId);
-    if (endpoint === undefined) return this._abortSilentStreams(endpointId, "engine-unanswered");
+    if (endpoint === undefined) return this._doubtSilentStreams(endpointId, "engine-unanswered");
     const queriedAtMs = this._nowMs();
     const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
     if (report.err) {
@@ -195,28 +208,27 @@
         getEvidence(report.val),
         queriedAtMs,
       );
-      return this._abortSilentStreams(endpointId, "engine-unanswered");
+      return this._doubtSilentStreams(endpointId, "engine-unanswered");
     }
     endpoint.slowness = getSlowness(report.val);
     const isPathCut = this._context.paths.getFailure(endpoint.listed.address) === "unanswered";
-    if (isPathCut) this._abortSilentStreams(endpointId, "path-cut", (attempt) => attempt.isDirect);
+    if (isPathCut) this._doubtSilentStreams(endpointId, "path-cut", (attempt) => attempt.isDirect);
     await this._moveStalled(endpointId, report.val);
   }
 
   /**
-   * Aborts the silent resumable streams that began at an unresponsive engine, or at one to which the direct path is lost, so that they
-   * continue over another connection.
+   * Doubts the silent streams that began at an unresponsive engine, or at one to which the direct path is lost, so that their successors
+   * start over other connections.
    */
-  private _abortSilentStreams(
+  private _doubtSilentStreams(
     endpointId: string,
-    cause: GiveUpCause,
+    cause: DoubtCause,
     isAffected: (attempt: StreamAttempt) => boolean = () => true,
   ): void {
     const nowMs = this._nowMs();
     for (const attempt of this._attempts) {
-      if (attempt.firstStage?.endpointId !== endpointId || !attempt.request.isIdempotent) continue;
-      if (!isAffected(attempt)) continue;
-      if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.giveUp(cause);
+      if (attempt.firstStage?.endpointId !== endpointId || !isAffected(attempt)) continue;
+      if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.noteDoubt(cause);
     }
   }
 
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -13,30 +13,43 @@
 export type StreamEnd = "completed" | "broken" | "caller-left";
 
 /**
- * Why this instance gave up a run: the stream was silent for the maximum time, its first engine did not answer a question, the direct path to
- * that engine is cut, the engine is suspected or has restarted, it does not know the request, or the request is quarantined.
+ * Why it is uncertain whether a run continues: the stream is silent for the maximum time, its first engine does not answer a question, the
+ * direct path to that engine is cut, the engine is suspected, or it does not know the request.
  */
-export type GiveUpCause =
-  | "silent"
-  | "engine-unanswered"
-  | "path-cut"
-  | "engine-suspected"
-  | "engine-restarted"
-  | "request-unknown"
-  | "quarantined";
+export type DoubtCause = "silent" | "engine-unanswered" | "path-cut" | "engine-suspected" | "request-unknown";
+
+/**
+ * Why this instance gave up a run: the process of its first engine has restarted, a successor produced the next event, or the run was a
+ * successor that is not needed.
+ */
+export type GiveUpCause = "engine-restarted" | "replaced" | "not-needed";
 
 /** Forwards the complete events of one attempt and reports how it ended. The `StallMonitor` detects stalls and ends attempts. */
 export class StreamAttempt implements TrackedRun {
   /** The endpoint that the request was sent to, as the object of the process life at that time. */
   firstEndpoint: Endpoint | undefined;
-  /** Monotonic time of the send or of the last received bytes. */
+  /** Monotonic time of the send, of the last received bytes, or of the last move. */
   lastActivityAtMs = utils.monotonicMs();
+  /** Monotonic time of the last event. */
+  lastEventAtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic time of the send. */
   sentAtMs = this.lastActivityAtMs;
-  /** Ends the attempt; the stream may continue at another chain. */
+  /** Ends the attempt. */
   readonly abort = new AbortController();
   /** Why this instance gave up the run; undefined if it did not. */
   givenUpFor: GiveUpCause | undefined;
+  /** Whether the answer to the caller comes from this run. A successor leads from its first event on. */
+  isLeading = false;
+  /** Why the run is in doubt; undefined if it is not. */
+  doubt: DoubtCause | undefined;
+  /** Monotonic time of the last try to start a successor. */
+  triedSuccessorAtMs = Number.NEGATIVE_INFINITY;
+  /** Called for each sign that the run may be lost. */
+  onDoubt: (() => void) | undefined;
+  /** Called before a doubt ends. */
+  onCertain: (() => void) | undefined;
+  /** Called before events are forwarded. */
+  onEvents: (() => void) | undefined;
   /** Time from the send of this attempt to its first event. */
   firstEventMs: number | undefined;
   /** Whether the request was sent over a direct connection. */
@@ -61,7 +74,8 @@
     readonly reservation: ChainReservation,
     readonly progress: StreamProgress,
   ) {
-    request.signal.addEventListener("abort", () => this.abort.abort(), { once: true });
+    if (request.signal.aborted) this.abort.abort();
+    else request.signal.addEventListener("abort", () => this.abort.abort(), { once: true });
   }
 
   get firstStage(): ChainStage | undefined {
@@ -92,7 +106,21 @@
     this.lastActivityAtMs = this.sentAtMs;
   }
 
-  /** Ends the run on the decision of this instance; the stream may continue at another chain. */
+  /** Records a sign that the run may be lost. It continues, but may be replaced. */
+  noteDoubt(cause: DoubtCause): void {
+    if (this.abort.signal.aborted || !this.request.isIdempotent) return;
+    this.doubt ??= cause;
+    this.onDoubt?.();
+  }
+
+  /** Records that the stream was moved, so that its new engines read its tokens. */
+  noteMoved(nowMs: number): void {
+    this.awaitsRead = true;
+    this.doubt = undefined;
+    this.lastActivityAtMs = nowMs;
+  }
+
+  /** Ends the run on the decision of this instance. */
   giveUp(cause: GiveUpCause): void {
     if (this.abort.signal.aborted) return;
     this.givenUpFor = cause;
@@ -127,11 +155,14 @@
     if (this.abort.signal.aborted) return;
     const nowMs = utils.monotonicMs();
     if (this.hasPassedChain) this.onPause?.(nowMs - this.lastActivityAtMs);
-    this.lastActivityAtMs = nowMs;
+    this._noteActivity(nowMs);
     if (this.firstEndpoint !== undefined) this.firstEndpoint.heardAtMs = nowMs;
     this.awaitsRead = false;
     const events = this._splitter.push(bytes);
     if (events === undefined) return;
+    this.onEvents?.();
+    this.lastEventAtMs = nowMs;
+    if (!this.request.isHeadSent) this.request.startStream(answer.status, answer.headers);
     if (this.firstEventMs === undefined) {
       this.reservation.notePromptRead();
       this.firstEventMs = this.lastActivityAtMs - this.sentAtMs;
@@ -142,4 +173,10 @@
     answer.message.pause();
     this.request.onceDrained(() => answer.message.resume());
   }
+
+  private _noteActivity(nowMs: number): void {
+    if (this.doubt !== undefined) this.onCertain?.();
+    this.doubt = undefined;
+    this.lastActivityAtMs = nowMs;
+  }
 }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -1,9 +1,8 @@
 /** Forwarder of streamed requests, which run at chains of engines. */
 import { errors, utils } from "@shedtiller/common";
-import type { ChainAdmission, FirstEventTarget } from "../chains/ChainAdmission.js";
+import type { ChainAdmission } from "../chains/ChainAdmission.js";
 import { describeChain } from "../chains/describeChain.js";
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
-import { estimateTokens } from "../chains/estimateTokens.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import { getEvidence } from "../discovery/SuspicionEvidence.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
@@ -13,11 +12,12 @@
 import { failureStatus, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 import type { StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
+import { getFirstEventTarget, StreamPlacement } from "./StreamPlacement.js";
 import { StreamProgress } from "./StreamProgress.js";
 import { StreamRefusals, type StreamRefusal } from "./StreamRefusals.js";
+import { StreamRunLog, type SuccessorObstacle } from "./StreamRunLog.js";
+import { StreamRuns, type RunEnd } from "./StreamRuns.js";
 
-/** Maximum time in the queue for capacity. Callers abandon a stream that is silent for two seconds. */
-const maxQueueMs = 1_500;
 const maxErrorBytes = 1024 * 1024;
 const successStatus = 200;
 /**
@@ -26,30 +26,20 @@
  */
 const misdirectedStatus = 421;
 
-/** Priority of a stream that has begun, ahead of the most urgent priority of a route or an account, which is 0. */
-const resumedPriority = -1;
 /** A rejection after this time results from a stalled chain: engines without capacity reject immediately. */
 const stalledRefusalMs = 1_000;
 
-/** Weight of past attempts in the moving average of the time to the first event. */
-const firstEventSmoothing = 16;
-/** Time to the first event before any stream has run: the prefill time at a chain of medium accelerators. */
-const initialFirstEventMs = 100;
-
-/** By crash risk: whether the first engine must be redundant, so that its zone has the first layers at another engine after a crash. */
-const redundancyByRisk = { none: undefined, some: "preferred", high: "required" } as const;
+/** Minimum time between two tries to find a successor for a run in doubt. */
+const successorIntervalMs = 300;
 
 /**
- * Result of one attempt. `again` means that nothing was sent: while the request waited for capacity, its first engine disappeared or the
- * request was quarantined.
+ * Forwards streams. Each attempt reserves capacity at its chain; a lost stream resumes after the last event that was forwarded, and a run in
+ * doubt continues until its successor has produced an event.
  */
-type AttemptEnd = "answered" | "again" | "not-run" | "lost" | "caller-left";
-
-/** Forwards streams. Each attempt reserves capacity at its chain; a lost stream resumes after the last event that was forwarded. */
 export class StreamForwarder extends RequestForwarder {
-  /** Moving average of the time from the send to the first event. */
-  private _meanFirstEventMs = initialFirstEventMs;
   private readonly _refusals: StreamRefusals;
+  private readonly _runLog: StreamRunLog;
+  private readonly _placement: StreamPlacement;
 
   constructor(
     context: ForwardContext,
@@ -58,6 +48,8 @@
   ) {
     super(context);
     this._refusals = new StreamRefusals(context, _admission);
+    this._runLog = new StreamRunLog(context);
+    this._placement = new StreamPlacement(context, _admission);
   }
 
   async run(request: CallerRequest, service: string): Promise<void> {
@@ -78,19 +70,19 @@
     service: string,
     progress: StreamProgress,
   ): Promise<void> {
-    let hasRun = false;
     while (!request.isAnswered && !request.signal.aborted) {
-      if (await this.refuseIfQuarantined(request, hasRun)) return;
+      if (await this.refuseIfQuarantined(request, progress.hasRun)) return;
       const end = await this._runAttempt(request, service, progress);
+      const { hasRun } = progress;
       if (end === undefined) {
         return this._refuse(request, service, hasRun, this._getNoChainReason(request, service, progress));
       }
       if (end === "answered" || end === "caller-left") return;
-      if (end === "lost") hasRun = progress.passesLevel = true;
       const mayRepeat = !hasRun || request.isIdempotent;
-      const isUnsent = request.attempts === 0;
-      if (mayRepeat && (isUnsent || this.tryWithdrawRetry(request, service))) continue;
-      this._logUnresumed(request, mayRepeat);
+      if (mayRepeat && request.attempts === 0) continue;
+      const obstacle = mayRepeat ? this.getRetryObstacle(request, service) : "runs-once";
+      if (obstacle === undefined && this.tryWithdrawRetry(request, service)) continue;
+      this._runLog.noteUnresumed(request, obstacle ?? "caller-left");
       this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
   }
@@ -109,22 +101,36 @@
     return forecast.isBlocked(service) ? forecast.getBlockReason(service) : "no-room";
   }
 
-  /** Runs one attempt; returns undefined if the request got no chain. */
+  /** Runs one attempt and its successors; returns undefined if the request got no chain. */
   private async _runAttempt(
     request: CallerRequest,
     service: string,
     progress: StreamProgress,
-  ): Promise<AttemptEnd | undefined> {
+  ): Promise<RunEnd | undefined> {
     const queuedAtMs = utils.monotonicMs();
-    const reservation = await this._acquire(request, service, progress);
+    const reservation = await this._placement.acquire(request, service, progress);
     progress.queuedMs += utils.monotonicMs() - queuedAtMs;
     if (reservation === undefined) return request.signal.aborted ? "caller-left" : undefined;
-    const attempt = new StreamAttempt(request, service, reservation, progress);
+    const runs = new StreamRuns({
+      send: (attempt) => this._sendMonitored(attempt),
+      reserve: (doubted, signal) => this._reserveSuccessor(doubted, signal),
+      begin: (doubted, reserved) => this._beginSuccessor(doubted, reserved),
+      discard: (unused) => this._discard(unused),
+      onReplaced: (successor, others) => this._noteReplaced(successor, others),
+      onRecovered: (attempt) => this._runLog.noteRecovered(attempt),
+    });
+    return runs.run(new StreamAttempt(request, service, reservation, progress));
+  }
+
+  private async _sendMonitored(attempt: StreamAttempt): Promise<RunEnd> {
+    const { request, reservation, progress } = attempt;
     progress.chain = describeChain(reservation.stages);
     if (request.attempts > 0) this.context.restarts.notePlaced(reservation.stages);
     this._monitor.add(attempt);
     try {
-      return await this._send(attempt);
+      const end = await this._send(attempt);
+      if (end === "lost") progress.hasRun = progress.passesLevel = true;
+      return end;
     } finally {
       this.context.crashes.end(attempt);
       this._monitor.remove(attempt);
@@ -133,59 +139,66 @@
     }
   }
 
-  private _acquire(
-    request: CallerRequest,
-    service: string,
-    { refusedBy, passesLevel }: StreamProgress,
+  private async _reserveSuccessor(
+    doubted: StreamAttempt,
+    signal: AbortSignal,
   ): Promise<ChainReservation | undefined> {
-    const avoided = this._getAvoidedAddresses(request, refusedBy);
-    const risk = this.context.crashes.getRisk(request);
-    // A request that may have crashed an engine is not spread over others.
-    const isRestart = request.attempts > 0 && risk === "none";
-    const target = getFirstEventTarget(request, passesLevel);
-    return this._admission.acquire({
-      service,
-      demand: {
-        ...estimateTokens(request.fields),
-        availabilityZone: this.context.availabilityZone,
-        targetLatencyMs: target?.targetLatencyMs,
-        refusedBy: avoided,
-        isRandomized: isRestart,
-        assumedRestarts: isRestart ? this.context.restarts.getAssumed() : undefined,
-        redundantFirstEngine: redundancyByRisk[risk],
-      },
-      // A stream that has begun goes first, since its caller already waits for the next event.
-      priority: request.isHeadSent ? resumedPriority : request.priority,
-      maxWaitMs: Math.max(0, Math.min(maxQueueMs, request.getRemainingMs())),
-      latestStartAtMs: this._getLatestStartAtMs(request),
-      target,
-      signal: request.signal,
-    });
+    const { request, service, progress, reservation } = doubted;
+    const nowMs = utils.monotonicMs();
+    if (nowMs - doubted.triedSuccessorAtMs < successorIntervalMs) return undefined;
+    const obstacle = this._getSuccessorObstacle(doubted, nowMs);
+    if (obstacle !== undefined) return void this._runLog.noteKept(doubted, obstacle);
+    await this.context.crashes.waitForTurn(request);
+    if (signal.aborted || request.signal.aborted) return undefined;
+    if (this.context.crashes.getQuarantineMs(request) !== undefined)
+      return void this._runLog.noteKept(doubted, "quarantined");
+    const address = doubted.firstStage?.address;
+    const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
+    const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
+    // The chain of the run in doubt becomes free once the successor has produced an event.
+    const reserved = await reservation.callWithoutLoad(() =>
+      this._placement.acquire(request, service, progress, options),
+    );
+    if (reserved !== undefined || signal.aborted) return reserved;
+    doubted.triedSuccessorAtMs = nowMs;
+    this._runLog.noteKept(doubted, "no-room");
+    return undefined;
   }
 
-  /**
-   * Returns the addresses of the engines that the request avoids if possible: those that rejected the request and, for a request that may
-   * have crashed an engine, those that run other such requests.
-   */
-  private _getAvoidedAddresses(request: CallerRequest, refusedBy: ReadonlySet<string>): ReadonlySet<string> {
-    const { crashes, endpoints } = this.context;
-    if (crashes.isQuiet) return refusedBy;
-    const addresses = crashes
-      .getAvoidedEndpointIds(request)
-      .flatMap((id) => endpoints.get(id)?.listed.address ?? []);
-    return addresses.length === 0 ? refusedBy : new Set([...refusedBy, ...addresses]);
+  private _getSuccessorObstacle(doubted: StreamAttempt, nowMs: number): SuccessorObstacle | undefined {
+    const { request, service } = doubted;
+    if (!request.isIdempotent) return "runs-once";
+    if (!this._monitor.successorGate.isOpen(nowMs)) return "all-silent";
+    return this.getRetryObstacle(request, service);
   }
 
-  /**
-   * Returns the latest monotonic time of a start at which the first event is expected within the target latency; infinite for a stream
-   * that has begun, since its first event has been forwarded.
-   */
-  private _getLatestStartAtMs(request: CallerRequest): number {
-    if (request.isHeadSent) return Number.POSITIVE_INFINITY;
-    return request.arrivedAtMs + request.route.targetLatencyMs - this._meanFirstEventMs;
+  /** Withdraws the retry and creates the successor of a run; returns undefined if the retry is not allowed any more. */
+  private _beginSuccessor(doubted: StreamAttempt, reservation: ChainReservation): StreamAttempt | undefined {
+    const { request, service, progress } = doubted;
+    const nowMs = utils.monotonicMs();
+    const { successorGate } = this._monitor;
+    const obstacle = this._getSuccessorObstacle(doubted, nowMs);
+    if (obstacle !== undefined) return void this._runLog.noteKept(doubted, obstacle);
+    if (!this.tryWithdrawRetry(request, service)) return undefined;
+    successorGate.noteStart(nowMs);
+    const successor = new StreamAttempt(request, service, reservation, progress);
+    this._runLog.noteSuccessor(doubted, successor);
+    return successor;
   }
 
-  private async _send(attempt: StreamAttempt): Promise<AttemptEnd> {
+  private _discard(reservation: ChainReservation): void {
+    reservation.permit?.release();
+    reservation.release();
+    this._admission.noteReleased();
+  }
+
+  private _noteReplaced(successor: StreamAttempt, others: readonly StreamAttempt[]): void {
+    this._runLog.noteReplaced(successor, others);
+    // Streams that fell silent together with this one may have successors as well now.
+    setImmediate(() => this._monitor.renewDoubts());
+  }
+
+  private async _send(attempt: StreamAttempt): Promise<RunEnd> {
     const { request, firstStage } = attempt;
     const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
     // An identical request may have crashed engines while this one waited for capacity.
@@ -208,11 +221,13 @@
         onConnected: (path) => {
           attempt.isDirect = path === undefined;
         },
+        onPathLost: () => attempt.noteDoubt("path-cut"),
       }),
     );
     if (sent.ok) return this._handleAnswer(attempt, sent.val);
     if (request.signal.aborted) return "caller-left";
-    this._logFailedRun(attempt, sent.val.code);
+    if (attempt.givenUpFor === "not-needed") return "lost";
+    this._runLog.noteFailed(attempt, sent.val.code);
     if (sent.val instanceof errors.ConnectionLostError)
       first.circuitBreaker.noteFailed(attempt.sentAtMs, utils.monotonicMs());
     if (sent.val instanceof errors.ConnectionLostError || attempt.abort.signal.aborted)
@@ -229,7 +244,7 @@
     return "not-run";
   }
 
-  private async _handleAnswer(attempt: StreamAttempt, answer: HttpAnswer): Promise<AttemptEnd> {
+  private async _handleAnswer(attempt: StreamAttempt, answer: HttpAnswer): Promise<RunEnd> {
     const { request } = attempt;
     const fields = this.context.codec.decodeAnswer(answer.headers);
     if (attempt.firstEndpoint !== undefined)
@@ -243,20 +258,23 @@
     else attempt.firstEndpoint?.circuitBreaker.noteFailed(attempt.sentAtMs, utils.monotonicMs());
     if (fields.requestId !== request.fields.requestId || fields.isEncoded) {
       answer.abort();
-      this._logFailedRun(attempt, "answer of another request");
+      this._runLog.noteFailed(attempt, "answer of another request");
       return "lost";
     }
     if (answer.status !== successStatus) return this._forwardFailure(attempt, answer);
-    if (!request.isHeadSent) request.startStream(answer.status, answer.headers);
+    if (attempt.isLeading && !request.isHeadSent) request.startStream(answer.status, answer.headers);
     const end = await attempt.relay(answer);
-    this._noteFirstEvent(attempt);
+    this._placement.noteFirstEvent(attempt);
     if (end === "caller-left") return "caller-left";
     if (end === "completed") {
+      attempt.onEvents?.();
+      if (!request.isHeadSent) request.startStream(answer.status, answer.headers);
       request.finish();
       this._noteCompleted(attempt);
       return "answered";
     }
-    this._logFailedRun(attempt, "stream broken off");
+    this._runLog.noteFailed(attempt, "stream broken off");
+    if (attempt.givenUpFor === "not-needed") return "lost";
     // An attempt that this instance aborted may have lost its engine as well: peers report a loss before its connection ends here.
     if (attempt.firstEndpoint !== undefined)
       void this.context.crashes.noteLost(attempt, attempt.firstEndpoint);
@@ -269,11 +287,6 @@
       this.context.crashes.noteCompleted(request.route.kind, request, attempt, firstEndpoint);
   }
 
-  private _noteFirstEvent(attempt: StreamAttempt): void {
-    if (attempt.firstEventMs === undefined) return;
-    this._meanFirstEventMs += (attempt.firstEventMs - this._meanFirstEventMs) / firstEventSmoothing;
-  }
-
   /**
    * Handles the rejection of a request that was not executed.
    *
@@ -288,7 +301,7 @@
     attempt: StreamAttempt,
     answer: HttpAnswer,
     faultyAddress: string | undefined,
-  ): AttemptEnd {
+  ): RunEnd {
     answer.message.resume();
     // A rejected request is no load on its engines.
     attempt.reservation.release();
@@ -302,17 +315,20 @@
     else if (faulty?.noteFull(nowMs) === true) this.context.broadcastFull(faulty.id);
     if (faulty !== undefined && answer.status === misdirectedStatus)
       void this.context.failureDetector.noteLayersMissing(faulty.id);
-    this._logFailedRun(attempt, `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`);
+    this._runLog.noteFailed(
+      attempt,
+      `refusal ${answer.status} for ${address} after ${Math.round(waitedMs)} ms`,
+    );
     return "not-run";
   }
 
   /** Handles an answer with an error status: forwards it, unless the request may be retried. */
-  private async _forwardFailure(attempt: StreamAttempt, answer: HttpAnswer): Promise<AttemptEnd> {
+  private async _forwardFailure(attempt: StreamAttempt, answer: HttpAnswer): Promise<RunEnd> {
     const { request } = attempt;
     const address = attempt.firstStage?.address ?? "";
     const body = await readBody(answer, address, maxErrorBytes, Math.max(1, request.getRemainingMs()));
-    this._logFailedRun(attempt, `status ${answer.status}`);
-    if (body.err || request.isHeadSent) return "lost";
+    this._runLog.noteFailed(attempt, `status ${answer.status}`);
+    if (body.err || request.isHeadSent || !attempt.isLeading) return "lost";
     if (
       request.isIdempotent &&
       answer.status >= failureStatus &&
@@ -333,52 +349,4 @@
     if (request.attempts === 0) request.refuse(503, "no-room", this._admission.getRetryAfterMs(service));
     else request.refuse(504, "out-of-time");
   }
-
-  /** Returns how long ago the first engine of a run gave a sign, by any stream or question; undefined if it never did. */
-  private _getHeardMsAgo({ firstEndpoint }: StreamAttempt): number | undefined {
-    const agoMs = utils.monotonicMs() - (firstEndpoint?.heardAtMs ?? Number.NEGATIVE_INFINITY);
-    return Number.isFinite(agoMs) ? Math.round(agoMs) : undefined;
-  }
-
-  /** Logs what prevented another attempt; the answer of a stream that has begun is incomplete then. */
-  private _logUnresumed(request: CallerRequest, mayRepeat: boolean): void {
-    const hasAttempt = request.attempts < request.route.maxAttempts;
-    const hasTime = request.getRemainingMs() > 0;
-    this.context.log.warn("stream-not-resumed", {
-      requestId: request.id,
-      reason: !mayRepeat ? "runs-once" : !hasAttempt ? "no-attempt" : hasTime ? "no-retry-budget" : "no-time",
-      isHeadSent: request.isHeadSent,
-      attempts: request.attempts,
-    });
-  }
-
-  private _logFailedRun(attempt: StreamAttempt, cause: string): void {
-    const { request, progress, reservation } = attempt;
-    this.context.log.warn("stream-run-failed", {
-      requestId: request.id,
-      digest: request.digest,
-      promptPartIds: request.fields.promptPartIds,
-      cause,
-      givenUpFor: attempt.givenUpFor,
-      silenceMs: Math.round(utils.monotonicMs() - attempt.lastActivityAtMs),
-      engineHeardMsAgo: this._getHeardMsAgo(attempt),
-      suspected: attempt.firstEndpoint?.isSuspect(utils.monotonicMs()),
-      chain: describeChain(reservation.stages),
-      sinceSentMs: Math.round(utils.monotonicMs() - attempt.sentAtMs),
-      hasBegun: attempt.hasBegun,
-      hasEvents: attempt.hasEvents,
-      events: progress.events,
-      lastEventId: progress.lastEventId,
-      attempts: request.attempts,
-      remainingMs: Math.round(request.getRemainingMs()),
-    });
-  }
-}
-
-/** Returns when the first event is due; undefined for a stream that has begun, here or at another instance. */
-function getFirstEventTarget(request: CallerRequest, passesLevel: boolean): FirstEventTarget | undefined {
-  if (request.isHeadSent || request.fields.lastEventId !== undefined) return undefined;
-  const { targetLatencyMs } = request.route;
-  const dueAtMs = request.arrivedAtMs + targetLatencyMs;
-  return { targetLatencyMs, dueAtMs, accountName: request.account?.name, passesLevel };
 }
--- a/packages/gateway/src/requests/StreamProgress.ts
+++ b/packages/gateway/src/requests/StreamProgress.ts
@@ -12,6 +12,8 @@
    * on it.
    */
   passesLevel = false;
+  /** Whether an engine may have executed the request. */
+  hasRun = false;
   /** Time from the arrival of the request to its first forwarded event. */
   firstEventMs: number | undefined;
   /** Longest time between two forwarded events. */
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -9,7 +9,7 @@
 import type { ChainStage } from "../../http/MessageCodec.js";
 import { OrderRefusedError, type EngineOrders, type OrderError } from "../../orders/EngineOrders.js";
 import type { ForwardContext } from "../RequestForwarder.js";
-import type { GiveUpCause, StreamAttempt } from "../StreamAttempt.js";
+import type { DoubtCause, StreamAttempt } from "../StreamAttempt.js";
 import type { MoveCause } from "./EarlyMoves.js";
 import { findDetour } from "./findDetour.js";
 import { getDetourCandidates } from "./getDetourCandidates.js";
@@ -54,7 +54,7 @@
 export class StreamMover {
   constructor(private readonly _structure: StreamMoverStructure) {}
 
-  /** Moves a stream, or aborts it if its first engine is at fault, so that it is resumed at another chain. */
+  /** Moves a stream, or doubts its run if its first engine is at fault, so that a successor starts at another chain. */
   async move(attempt: StreamAttempt, order: MoveOrder): Promise<void> {
     const { context } = this._structure;
     const first = attempt.firstStage;
@@ -62,11 +62,11 @@
     if (first === undefined || profile === undefined) return;
     attempt.triedMoveAtMs = this._structure.nowMs();
     if (order.faultyAddresses.includes(first.address))
-      return this._abandon(attempt, "engine-suspected", order.cause);
+      return this._doubt(attempt, "engine-suspected", order.cause);
     if (attempt.isMoving) return;
     if (order.cause !== "draining") this._noteLost(attempt, order);
-    if (context.crashes.getQuarantineMs(attempt.request) !== undefined)
-      return this._abandon(attempt, "quarantined", order.cause);
+    // No further engine gets a quarantined request; the run stays where it is.
+    if (context.crashes.getQuarantineMs(attempt.request) !== undefined) return;
     attempt.isMoving = true;
     await this._tryChains(attempt, profile, order);
     attempt.isMoving = false;
@@ -131,8 +131,7 @@
       return this._handleRefusal(attempt, moved.val, { before, chain });
     }
     const silenceMs = nowMs() - attempt.lastActivityAtMs;
-    attempt.lastActivityAtMs = nowMs();
-    attempt.awaitsRead = true;
+    attempt.noteMoved(nowMs());
     attempt.progress.moves += 1;
     this._logMove(attempt, order, silenceMs);
     return { kind: "moved" };
@@ -181,7 +180,7 @@
   }
 
   /**
-   * Handles the rejection of a move. Abandons a stream that its first engine has lost. Otherwise the engine named in the rejection
+   * Handles the rejection of a move. Doubts a run that its first engine does not know. Otherwise the engine named in the rejection
    * has no capacity or has not loaded the layers, so another one is chosen until the stream reaches its maximum silence.
    */
   private _handleRefusal(
@@ -191,7 +190,7 @@
   ): TryResult {
     const { context, nowMs } = this._structure;
     if (error instanceof OrderRefusedError && error.status === unknownRequestStatus) {
-      this._abandon(attempt, "request-unknown", "lost");
+      this._doubt(attempt, "request-unknown", "lost");
       return stays;
     }
     const address = error instanceof OrderRefusedError ? error.faultyAddress : undefined;
@@ -226,13 +225,11 @@
     );
   }
 
-  private _abandon(attempt: StreamAttempt, cause: GiveUpCause, sign: MoveCause): void {
-    const { context } = this._structure;
-    if (attempt.abort.signal.aborted) return;
-    context.log.info("chain-given-up", { requestId: attempt.request.id, cause });
-    if (!attempt.request.isIdempotent) return;
-    context.controls.earlyMoves?.noteMove(attempt.service, sign);
-    attempt.giveUp(cause);
+  private _doubt(attempt: StreamAttempt, cause: DoubtCause, sign: MoveCause): void {
+    const { controls } = this._structure.context;
+    if (attempt.abort.signal.aborted || !attempt.request.isIdempotent) return;
+    if (attempt.doubt === undefined) controls.earlyMoves?.noteMove(attempt.service, sign);
+    attempt.noteDoubt(cause);
   }
 
   private _logMove(attempt: StreamAttempt, order: MoveOrder, silenceMs: number): void {
