--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -270,6 +270,15 @@
     this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
   }
 
+  get port(): number {
+    return this._port;
+  }
+
+  get listener(): CallerListener {
+    if (this._listener === undefined) throw new Error("The gateway has not been started.");
+    return this._listener;
+  }
+
   /** Resolves once a request is in flight. */
   async waitForRequest(): Promise<void> {
     await utils.waitUntil(() => (this._listener?.inFlight ?? 0) > 0, generousMs);
