fix(gateway): a planned stop does not cut answers that are still being written

Callers with slow links lost large answers when their instance stopped as planned: in the review, 6 of 6 answers of 12 MB on links of 14 Mbit/s.

Cause: 2.5 s after the signal the listener called closeIdleConnections of Node.js, which takes a connection for idle as soon as its answer has been ended, though its bytes still wait in the process.

Ruled out: the close of all connections at the end of the drain. It waits for inFlight, which falls with the 'close' of the response; Node.js emits that after the last byte has been written to the connection. The test ends with that close. Plain answers are passed to the connection as a whole; of a stream at most the last 16 KB are, the class is the same.

Change: the listener keeps its connections itself and closes those on which all answers have been written and no byte of a further request has been read. Connections that have carried no request yet stay open, as before.

The drain of a whole process was not run.

Conclusion: an answer is cut only by the stop deadline.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -14,6 +14,7 @@
   type AdmittedRequest,
   type Refusal,
 } from "./admitCaller.js";
+import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { sendRefusal } from "./sendRefusal.js";
@@ -56,6 +57,7 @@
 /** Accepts the requests of callers and answers or rejects each of them. Each instance has one such listener. */
 export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
+  private readonly _connections = new CallerConnections();
   private _inFlight = 0;
   private _accepted = 0;
   private _dropped = 0;
@@ -77,7 +79,7 @@
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
-  /** Number of requests without a final answer. */
+  /** Number of requests whose final answer has not been written to the connection. */
   get inFlight(): number {
     return this._inFlight;
   }
@@ -119,9 +121,9 @@
     this._stopAtMs = endsAtMs;
   }
 
-  /** Closes the connections without a request in flight. */
+  /** Closes the connections that wait for another request. */
   closeIdle(): void {
-    this._server.closeIdleConnections();
+    this._connections.closeIdle();
   }
 
   /** Stops listening and closes all connections. */
@@ -159,6 +161,7 @@
   private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAtMs = utils.monotonicMs();
     this._inFlight += 1;
+    this._connections.add(message, response);
     response.once("close", () => (this._inFlight -= 1));
     response.on("error", () => undefined);
     const fields = this._structure.codec.decodeCaller(message.rawHeaders);
--- a/packages/gateway/src/tests/requests/plannedStopTests.ts
+++ b/packages/gateway/src/tests/requests/plannedStopTests.ts
@@ -1,5 +1,6 @@
 /** A planned stop while callers read their answers slowly, over real sockets. */
 import * as http from "node:http";
+import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { utils } from "@shedtiller/common";
 import { answer, callerHeaders, generousMs, setUp } from "./endpointHandlers.js";
@@ -51,3 +52,38 @@
   fixture.listener.close();
   t.deepEqual(await received, { sizeBytes: bodyBytes, isWhole: true });
 });
+
+// Guards against a stop that keeps idle connections, over which callers would send further requests to the stopping instance.
+test("an idle connection is closed at a planned stop while another answer is being written", async (t) => {
+  const fixture = await setUpAnswers(t);
+  const agent = new http.Agent({ keepAlive: true });
+  t.teardown(() => agent.destroy());
+  t.is((await fixture.request("GET", callerHeaders, "/a/small", agent)).body, "whole");
+  const idle = Object.values(agent.freeSockets).flat()[0];
+  const closed = new Promise((resolve) => idle?.once("close", () => resolve("closed")));
+  const message = await requestLarge(fixture);
+  fixture.listener.closeIdle();
+  t.is(await closed, "closed");
+  t.true((await read(message)).isWhole);
+});
+
+// Guards against a stop that takes a kept connection for idle while the next request is being read from it.
+test("a connection on which the next request has begun is not closed at a planned stop", async (t) => {
+  const fixture = await setUpAnswers(t);
+  const socket = net.connect(fixture.port, "127.0.0.1");
+  t.teardown(() => socket.destroy());
+  let received = "";
+  socket.on("data", (bytes: Buffer) => (received += bytes.toString()));
+  const countAnswers = (): number => received.split("whole").length - 1;
+  const lines = ["GET /a/small HTTP/1.1", "host: notes.example", "x-id: r1", "x-key: k1", "", ""];
+  const request = lines.join("\r\n");
+  socket.write(request);
+  t.true(await utils.waitUntil(() => countAnswers() === 1, generousMs));
+  await new Promise((resolve) => socket.write(request.slice(0, -2), resolve));
+  // The gateway has read the bytes above once a later request on another connection is answered.
+  await fixture.request("GET", callerHeaders, "/a/small");
+  fixture.listener.closeIdle();
+  socket.write(request.slice(-2));
+  t.true(await utils.waitUntil(() => countAnswers() === 2 || socket.destroyed, generousMs));
+  t.is(countAnswers(), 2);
+});
