fix(gateway): the body of a plain answer gets what is left of the route's time

Cause: PlainForwarder gave the body the time that was left when the request was sent, counted from the arrival of the headers.

Ruled out: streams. Their timer covers the whole request, and the body of a failure gets what is left when its headers have arrived. Hedges and retries are sent by the same function as the first send.

Change: HttpClient.fetchUntil takes the time by which the whole answer is due; PlainForwarder uses it with the due time of the request.

Ten requests on loopback (timeout 800 ms, headers after 650 ms), one run each at a load of 9: before, 504 after 1,492 to 1,503 ms; after, nine times 504 and once 502 after 830 to 844 ms. The 502 comes from a timer that fires a fraction of a millisecond before the due time, as it can for headers that are missing.

Conclusion: the final answer comes at the due time. Orders to engines still give the body the timeout of the headers once more; no caller waits for them.

--- a/packages/gateway/src/http/HttpClient.ts
+++ b/packages/gateway/src/http/HttpClient.ts
@@ -1,5 +1,5 @@
 /** HTTP/1.1 client for endpoints and the store, whose errors state whether the server may have received the request. */
-import { results } from "@shedtiller/common";
+import { results, utils } from "@shedtiller/common";
 import type { Connector } from "./Connector.js";
 import { ConnectorAgent } from "./ConnectorAgent.js";
 import type { CallError, HttpAnswer, HttpCall, BufferedAnswer } from "./HttpCall.js";
@@ -47,12 +47,23 @@
     maxBytes: number,
     bodyTimeoutMs: number,
     bodyStallMs = bodyTimeoutMs,
+  ): Promise<results.Result<BufferedAnswer, CallError>> {
+    const head = await this.send(call);
+    return head.err ? head : readAnswer(head.val, call, maxBytes, bodyTimeoutMs, bodyStallMs);
+  }
+
+  /**
+   * Sends a request and reads its whole answer, which is due at one time for its headers and its body.
+   * @param dueAtMs - Monotonic time by which the whole answer is due.
+   */
+  async fetchUntil(
+    call: HttpCall,
+    maxBytes: number,
+    dueAtMs: number,
   ): Promise<results.Result<BufferedAnswer, CallError>> {
     const head = await this.send(call);
     if (head.err) return head;
-    const body = await readBody(head.val, call.address, maxBytes, bodyTimeoutMs, bodyStallMs);
-    if (body.err) return body;
-    return results.Ok({ status: head.val.status, headers: head.val.headers, body: body.val });
+    return readAnswer(head.val, call, maxBytes, Math.max(1, dueAtMs - utils.monotonicMs()));
   }
 
   /** Closes the idle connections to an address. */
@@ -78,3 +89,14 @@
     if (waiting?.delete(exchange) === true && waiting.size === 0) this._waiting.delete(address);
   }
 }
+
+async function readAnswer(
+  head: HttpAnswer,
+  { address }: HttpCall,
+  maxBytes: number,
+  timeoutMs: number,
+  stallMs?: number,
+): Promise<results.Result<BufferedAnswer, CallError>> {
+  const body = await readBody(head, address, maxBytes, timeoutMs, stallMs);
+  return body.err ? body : results.Ok({ status: head.status, headers: head.headers, body: body.val });
+}
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -290,10 +290,10 @@
     endpoint.addOwnLoad(1, 0);
     request.attempts += 1;
     const sentAtMs = utils.monotonicMs();
-    const result = await this.context.httpClient.fetch(
+    const result = await this.context.httpClient.fetchUntil(
       this.createCall(request, endpoint, { headTimeoutMs, isFresh, signal, connectTimeoutMs: connectMs }),
       maxAnswerBytes,
-      Math.max(1, remainingMs),
+      request.dueAtMs,
     );
     endpoint.addOwnLoad(-1, 0);
     if (result.err && result.val instanceof errors.NotReachedError) permit.release();
