test(gateway): a stream is sent although its caller left while it waited, failing

Seen, for a resumable stream and for one that may run only once: the engine receives one request instead of none.

--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -171,6 +171,8 @@
   monitor: RecordingMonitor | undefined;
   /** Time since which a newer configuration is known to exist. */
   behindMs = 0;
+  /** Number of requests that were passed to a forwarder, and of those that the forwarder has ended. */
+  readonly forwarded = { begun: 0, ended: 0 };
   private readonly _servers: http.Server[] = [];
   private readonly _httpClient = new HttpClient();
   private _listener: CallerListener | undefined;
@@ -234,10 +236,12 @@
     const plain = new PlainForwarder(context, new PermitQueue(permits.demand, permits.forecast));
     this.monitor = new RecordingMonitor(context, chooser, new RejectingOrders());
     const streams = new StreamForwarder(context, admission, this.monitor);
-    const forward = (request: CallerRequest): Promise<void> => {
+    const forward = async (request: CallerRequest): Promise<void> => {
       const service = route.targets[0]?.service ?? "";
       budgets.recordRequest(service);
-      return (route.kind === "streaming" ? streams : plain).run(request, service);
+      this.forwarded.begun += 1;
+      await (route.kind === "streaming" ? streams : plain).run(request, service);
+      this.forwarded.ended += 1;
     };
     const areKeysFresh = (): boolean => this.areKeysFresh;
     this._port = await getFreePort();
--- /dev/null
+++ b/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
@@ -0,0 +1,43 @@
+/** Callers that leave while their requests wait, over real sockets. */
+import * as http from "node:http";
+import test from "ava";
+import { utils } from "@shedtiller/common";
+import type { Route } from "../../configuration/gatewayConfiguration.js";
+import { answer, callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
+import type { GatewayFixture } from "./GatewayFixture.js";
+
+const allLayers = { layers: [{ start: 0, end: 4 }] };
+const resumable = { kind: "streaming", isResumable: true } as const;
+const kinds: Record<string, Partial<Route>> = {
+  "resumable stream": resumable,
+  "stream that may run only once": { kind: "streaming", isResumable: false },
+};
+/** Time after a crash at which its suspects wait for nothing any more. */
+const settledMs = 10_000;
+
+/** Sends a request whose caller never reads the answer; returns a function with which the caller leaves. */
+function sendAndIgnore(fixture: GatewayFixture, headers: Record<string, string>): () => void {
+  const options = { host: "127.0.0.1", port: fixture.port, method: "POST", path: "/a/x", agent: false };
+  const request = http.request({ ...options, headers: { host: "notes.example", ...headers } });
+  request.on("error", () => undefined);
+  request.end();
+  return () => request.destroy();
+}
+
+for (const [name, route] of Object.entries(kinds)) {
+  // Guards against requests that are sent on after their callers have left during the wait that follows a crash.
+  test(`a ${name} whose caller leaves while it waits for its turn after a crash is not sent`, async (t) => {
+    const fixture = await setUp(t, route);
+    const engine = recordRequests(answer(200, "id: 1\ndata: a\n\n"));
+    await fixture.list([engine, engine], allLayers);
+    fixture.crashes?.ledger.noteCrash("life", fixture.crashClockMs, new Map([["part:shared", 1]]));
+    const leave = sendAndIgnore(fixture, { ...callerHeaders, "x-parts": "shared,own" });
+    t.true(await utils.waitUntil(() => fixture.forwarded.begun === 1, generousMs));
+    leave();
+    t.true(await utils.waitUntil(() => fixture.listener.inFlight === 0, generousMs));
+    t.is(fixture.forwarded.ended, 0, "the request waits");
+    fixture.crashClockMs += settledMs;
+    t.true(await utils.waitUntil(() => fixture.forwarded.ended === 1, generousMs));
+    t.is(engine.requests.length, 0);
+  });
+}
