fix(gateway): nothing is sent for a caller that left while its stream waited

Streams that share a part of their prompt with one that ran when an engine crashed wait for their turn for up to 600 ms.

Cause: StreamForwarder does not look at the caller's signal after that wait. StreamAttempt only listens to it, which is too late: the event has passed.

Ruled out, each with a test that passed before as well: plain requests (HttpExchange sends nothing once the signal has aborted; the queue for permits was only read), the queue for chains, and the wait for the first configuration. Hedges look at the signal before the second send (read, not tried).

Change: the signal is checked after the wait for the turn, so that the request does not wait for a chain either, and once more before the send. Plain requests are checked after their wait, too, since they would otherwise wait for a permit that nobody needs. The signal of a request whose caller left before it was passed on has aborted from the start.

Conclusion: no wait that was found sends for a caller that has left.

--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -56,6 +56,8 @@
       if (!_structure.response.writableFinished) this._disconnect.abort();
     });
     _structure.response.on("error", () => this._disconnect.abort());
+    // The caller may have left before the request was passed on.
+    if (_structure.response.destroyed) this._disconnect.abort();
   }
 
   get id(): string {
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -56,6 +56,7 @@
     let hasRun = false;
     for (;;) {
       if (await this.refuseIfQuarantined(request, hasRun)) return;
+      if (request.signal.aborted) return;
       if (request.getRemainingMs() < minSendMs) break;
       const choice = await this._choose(request, service, excluded, lastAnswer === undefined);
       if (request.signal.aborted) return choice?.permit.release();
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -81,6 +81,7 @@
     let hasRun = false;
     while (!request.isAnswered && !request.signal.aborted) {
       if (await this.refuseIfQuarantined(request, hasRun)) return;
+      if (request.signal.aborted) return;
       const end = await this._runAttempt(request, service, progress);
       if (end === undefined) {
         return this._refuse(request, service, hasRun, this._getNoChainReason(request, service, progress));
@@ -187,8 +188,9 @@
   private async _send(attempt: StreamAttempt): Promise<AttemptEnd> {
     const { request, firstStage } = attempt;
     const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
-    // An identical request may have crashed engines while this one waited for capacity.
-    if (first === undefined || this.context.crashes.getQuarantineMs(request) !== undefined) {
+    // While the request waited for capacity, an identical one may have crashed engines, or its caller may have left.
+    const isQuarantined = this.context.crashes.getQuarantineMs(request) !== undefined;
+    if (first === undefined || isQuarantined || request.signal.aborted) {
       attempt.reservation.permit?.release();
       return "again";
     }
--- a/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
+++ b/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
@@ -4,13 +4,16 @@
 import { utils } from "@shedtiller/common";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { answer, callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
-import type { GatewayFixture } from "./GatewayFixture.js";
+import { createRoute } from "../testData.js";
+import { GatewayFixture } from "./GatewayFixture.js";
 
 const allLayers = { layers: [{ start: 0, end: 4 }] };
 const resumable = { kind: "streaming", isResumable: true } as const;
 const kinds: Record<string, Partial<Route>> = {
-  "resumable stream": resumable,
-  "stream that may run only once": { kind: "streaming", isResumable: false },
+  "a resumable stream": resumable,
+  "a stream that may run only once": { kind: "streaming", isResumable: false },
+  "a safe request": { kind: "safe" },
+  "an unsafe request": { kind: "unsafe" },
 };
 /** Time after a crash at which its suspects wait for nothing any more. */
 const settledMs = 10_000;
@@ -26,7 +29,7 @@
 
 for (const [name, route] of Object.entries(kinds)) {
   // Guards against requests that are sent on after their callers have left during the wait that follows a crash.
-  test(`a ${name} whose caller leaves while it waits for its turn after a crash is not sent`, async (t) => {
+  test(`${name} whose caller leaves while it waits for its turn after a crash is not sent`, async (t) => {
     const fixture = await setUp(t, route);
     const engine = recordRequests(answer(200, "id: 1\ndata: a\n\n"));
     await fixture.list([engine, engine], allLayers);
@@ -41,3 +44,34 @@
     t.is(engine.requests.length, 0);
   });
 }
+
+// Guards against streams that are sent on after their callers have left during the wait for a chain.
+test("a stream whose caller leaves while it waits for capacity is not sent", async (t) => {
+  const fixture = await setUp(t, resumable);
+  const engine = recordRequests(answer(200, "id: 1\ndata: a\n\n"));
+  const leave = sendAndIgnore(fixture, callerHeaders);
+  t.true(await utils.waitUntil(() => fixture.forwarded.begun === 1, generousMs));
+  leave();
+  t.true(await utils.waitUntil(() => fixture.forwarded.ended === 1, generousMs));
+  await fixture.list([engine], allLayers);
+  t.is((await fixture.request("POST", callerHeaders)).status, 200);
+  t.is(engine.requests.length, 1, "only the request of the caller that stayed");
+});
+
+// Guards against requests that are sent on after their callers have left before the first configuration was known.
+test("a request whose caller leaves while it waits for the first configuration is not sent", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  const targets = [{ service: "engines", weight: 1 }];
+  const route = createRoute({ targets, kind: "unsafe", timeoutMs: generousMs });
+  await fixture.listen(route);
+  const endpoint = recordRequests(answer(200, "ran"));
+  await fixture.list([endpoint], {});
+  const leave = sendAndIgnore(fixture, callerHeaders);
+  await fixture.waitForRequest();
+  leave();
+  t.true(await utils.waitUntil(() => fixture.listener.inFlight === 0, generousMs));
+  fixture.configure(route);
+  t.is((await fixture.request("POST", callerHeaders)).status, 200);
+  t.is(endpoint.requests.length, 1, "only the request of the caller that stayed");
+});
