test(gateway): endpoints work on for callers that left during the answer, failing

Seen, for safe and unsafe requests and for a stream that its engine rejects: the connection to the endpoint is still open 30 s after the caller has left. A stream whose events arrive passes.

--- a/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
+++ b/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
@@ -1,11 +1,11 @@
-/** Callers that leave while their requests wait, over real sockets. */
+/** Callers that leave while their requests wait or run, over real sockets. */
 import * as http from "node:http";
 import test from "ava";
 import { utils } from "@shedtiller/common";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { answer, callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
 import { createRoute } from "../testData.js";
-import { GatewayFixture } from "./GatewayFixture.js";
+import { GatewayFixture, type EndpointHandler } from "./GatewayFixture.js";
 
 const allLayers = { layers: [{ start: 0, end: 4 }] };
 const resumable = { kind: "streaming", isResumable: true } as const;
@@ -17,6 +17,22 @@
 };
 /** Time after a crash at which its suspects wait for nothing any more. */
 const settledMs = 10_000;
+const shortPath = "/a/short";
+
+/** An endpoint that answers on one path, and on all others begins answers that it never ends. */
+class EndlessEndpoint {
+  isBegun = false;
+  isClosed = false;
+
+  constructor(private readonly _status: number) {}
+
+  readonly handler: EndpointHandler = (request, response, crash) => {
+    if (request.url === shortPath) return answer(200, "id: 1\ndata: a\n\n")(request, response, crash);
+    response.on("close", () => (this.isClosed = true));
+    response.writeHead(this._status, { "x-id": String(request.headers["x-id"]) });
+    response.write("id: 1\ndata: a\n\n", () => (this.isBegun = true));
+  };
+}
 
 /** Sends a request whose caller never reads the answer; returns a function with which the caller leaves. */
 function sendAndIgnore(fixture: GatewayFixture, headers: Record<string, string>): () => void {
@@ -75,3 +91,26 @@
   t.is((await fixture.request("POST", callerHeaders)).status, 200);
   t.is(endpoint.requests.length, 1, "only the request of the caller that stayed");
 });
+
+const runs: Record<string, { readonly route: Partial<Route>; readonly status: number }> = {
+  "a safe request": { route: { kind: "safe" }, status: 200 },
+  "an unsafe request": { route: { kind: "unsafe" }, status: 200 },
+  "a stream": { route: resumable, status: 200 },
+  "a stream that its engine rejects": { route: resumable, status: 404 },
+};
+
+for (const [name, { route, status }] of Object.entries(runs)) {
+  // Guards against endpoints that work on for callers that have left.
+  test(`the endpoint's connection is closed when the caller leaves while the answer to ${name} arrives`, async (t) => {
+    const fixture = await setUp(t, { ...route, timeoutMs: 2 * generousMs });
+    const endpoint = new EndlessEndpoint(status);
+    await fixture.list([endpoint.handler], allLayers);
+    const leave = sendAndIgnore(fixture, callerHeaders);
+    t.true(await utils.waitUntil(() => endpoint.isBegun, generousMs));
+    // The gateway has read the beginning of the answer once a later request is answered.
+    t.is((await fixture.request("POST", callerHeaders, shortPath)).status, 200);
+    leave();
+    t.true(await utils.waitUntil(() => endpoint.isClosed, generousMs));
+    t.true(await utils.waitUntil(() => fixture.forwarded.ended === 2, generousMs));
+  });
+}
