fix(gateway): the connection to an endpoint is closed when its caller leaves

Cause: the exchange stops listening to the signal of its call once the headers of the answer have arrived, and the reading of the body never looked at it.

Ruled out: streams whose events arrive (StreamAttempt ends them, also while the caller does not read), and tunnels (the peer closes its connection to the endpoint when the requester leaves, also with unread bytes). Each has a test, which passed before.

Change: an answer carries the signal of its call, and readBody closes the connection when the signal aborts. The result is a cancelled call, not a lost connection, so that it is no evidence against the endpoint. Requests that may run only once are treated alike, as before their headers. The same cause kept the slower of two sends and failures of engines open; they end as well.

Conclusion: an endpoint sees the end of its connection as soon as the instance sees the caller leave.

--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -39,6 +39,8 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly message: http.IncomingMessage;
+  /** Aborts when the call is cancelled, as the signal of the call does. */
+  readonly signal?: AbortSignal | undefined;
   /** Returns whether the body arrived completely. The end of the connection completes a body without a stated length, a reset does not. */
   isWhole(): Promise<boolean>;
   /** Aborts the call and closes its connection. */
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -114,6 +114,7 @@
         status: message.statusCode ?? 0,
         headers: message.rawHeaders,
         message,
+        signal: this._call.signal,
         isWhole: async () =>
           message.complete &&
           (connectionEnd === undefined ||
--- a/packages/gateway/src/http/readBody.ts
+++ b/packages/gateway/src/http/readBody.ts
@@ -4,7 +4,8 @@
 import type { CallError, HttpAnswer } from "./HttpCall.js";
 
 /**
- * Reads a body to its end; returns an error if the answer is incomplete.
+ * Reads a body to its end; returns an error if the answer is incomplete. Closes the connection if the signal of the answer aborts, since the
+ * server would otherwise work on for nobody.
  * @param timeoutMs - Maximum time for the whole body.
  * @param stallMs - Maximum time between two chunks. A body of unknown size needs this limit rather than a short `timeoutMs`: a body that
  *   takes longer than `timeoutMs` fails at each retry as well, and each retry occupies the link for nothing.
@@ -25,6 +26,7 @@
   };
   const failTimedOut = (limitMs: number): void =>
     fail(new errors.DeadlineError(`The body of ${address}`, limitMs));
+  const cancel = (): void => fail(new errors.CancelledError(`The body of ${address}`));
   const timeout = new utils.IoTimeout(timeoutMs, () => failTimedOut(timeoutMs));
   let stall = new utils.IoTimeout(stallMs, () => failTimedOut(stallMs));
   answer.message.on("data", (chunk: Buffer) => {
@@ -44,7 +46,10 @@
   answer.message.on("close", () => {
     if (!answer.message.complete) done.resolve(results.Err(new errors.ConnectionLostError(address)));
   });
+  answer.signal?.addEventListener("abort", cancel, { once: true });
+  if (answer.signal?.aborted === true) cancel();
   return done.promise.finally(() => {
+    answer.signal?.removeEventListener("abort", cancel);
     timeout.clear();
     stall.clear();
   });
--- a/packages/gateway/src/tests/http/readBodyTests.ts
+++ b/packages/gateway/src/tests/http/readBodyTests.ts
@@ -21,6 +21,8 @@
   }) as unknown as http.IncomingMessage & stream.PassThrough;
   isAborted = false;
 
+  constructor(readonly signal?: AbortSignal) {}
+
   isWhole(): Promise<boolean> {
     return Promise.resolve(true);
   }
@@ -71,3 +73,20 @@
   const body = await read;
   t.true(body.err && body.val instanceof errors.DeadlineError);
 });
+
+for (const when of ["before", "during"] as const) {
+  test.serial(
+    `a body whose call is cancelled ${when} its reading ends as cancelled, not as lost`,
+    async (t) => {
+      const abort = new AbortController();
+      const answer = new ScriptedAnswer(abort.signal);
+      if (when === "before") abort.abort();
+      const read = readBody(answer, "store", maxBytes, timeoutMs, stallMs);
+      await answer.send("a");
+      abort.abort();
+      const body = await read;
+      t.true(body.err && body.val instanceof errors.CancelledError);
+      t.true(answer.isAborted);
+    },
+  );
+}
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -136,6 +136,25 @@
   t.true(await utils.waitUntil(() => pair.server.carried === 0, maxWaitMs));
 });
 
+// Guards against endpoints that work on because the peer waits for a requester that has left to read.
+test("the endpoint's connection closes when a requester leaves that has not read what has arrived", async (t) => {
+  const pair = await createPair(t);
+  const { socket } = await open(pair);
+  socket.pause();
+  const [endpointSocket] = pair.accepted as [net.Socket];
+  endpointSocket.on("error", () => undefined);
+  endpointSocket.resume();
+  const isClosed = new Promise((resolve) => endpointSocket.once("close", resolve));
+  const chunk = Buffer.alloc(64 * 1024);
+  while (endpointSocket.writableLength < 1024 * 1024) {
+    endpointSocket.write(chunk);
+    await utils.yieldToEvents();
+  }
+  socket.destroy();
+  await isClosed;
+  t.true(await utils.waitUntil(() => pair.server.carried === 0, maxWaitMs));
+});
+
 test("a requester that does not read holds up the endpoint", async (t) => {
   const pair = await createPair(t);
   const { socket } = await open(pair);
--- a/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
+++ b/packages/gateway/src/tests/requests/callersThatLeaveTests.ts
@@ -18,6 +18,9 @@
 /** Time after a crash at which its suspects wait for nothing any more. */
 const settledMs = 10_000;
 const shortPath = "/a/short";
+const eventBytes = 64 * 1024;
+/** Bytes that wait at the engine once neither the gateway nor the caller reads. */
+const heldUpBytes = 1024 * 1024;
 
 /** An endpoint that answers on one path, and on all others begins answers that it never ends. */
 class EndlessEndpoint {
@@ -114,3 +117,36 @@
     t.true(await utils.waitUntil(() => fixture.forwarded.ended === 2, generousMs));
   });
 }
+
+// Guards against engines that work on because their events wait for a caller that has stopped to read.
+test("the engine's connection is closed when a caller leaves that has not read its stream", async (t) => {
+  const fixture = await setUp(t, { ...resumable, timeoutMs: 2 * generousMs });
+  const event = Buffer.from(`id: 1\ndata: ${"x".repeat(eventBytes)}\n\n`);
+  let isClosed = false;
+  let isHeldUp = false;
+  await fixture.list(
+    [
+      (request, response) => {
+        response.on("close", () => (isClosed = true));
+        response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+        const writeNext = (): void => {
+          if (response.destroyed) return;
+          isHeldUp = !response.write(event) && response.writableLength > heldUpBytes;
+          if (!isHeldUp) setImmediate(writeNext);
+        };
+        writeNext();
+      },
+    ],
+    allLayers,
+  );
+  const options = { host: "127.0.0.1", port: fixture.port, method: "POST", path: "/a/x", agent: false };
+  const request = http.request({ ...options, headers: { host: "notes.example", ...callerHeaders } });
+  request.on("error", () => undefined);
+  const message = new utils.Deferred<http.IncomingMessage>();
+  request.once("response", (response) => message.resolve(response));
+  request.end();
+  (await message.promise).on("error", () => undefined);
+  t.true(await utils.waitUntil(() => isHeldUp, generousMs));
+  request.destroy();
+  t.true(await utils.waitUntil(() => isClosed, generousMs));
+});
--- a/packages/gateway/src/tests/requests/plain/hedgedForwardingTests.ts
+++ b/packages/gateway/src/tests/requests/plain/hedgedForwardingTests.ts
@@ -79,3 +79,17 @@
   t.not((await fixture.request("GET", callerHeaders)).status, 200);
   t.is(second.requests.length, 0);
 });
+
+// Guards against an endpoint that works on for a send whose headers arrived, although the answer of another endpoint was used.
+test("the slower of two sends ends after the answer of the other one, also if its headers have arrived", async (t) => {
+  const fixture = await setUp(t, { kind: "safe" });
+  let isClosed = false;
+  const slow: EndpointHandler = (request, response) => {
+    response.on("close", () => (isClosed = true));
+    response.writeHead(200, { "x-id": String(request.headers["x-id"]) });
+    response.write("a part of the bo");
+  };
+  await fixture.list([slow, answer(200, "second")], { service });
+  t.is((await fixture.request("GET", callerHeaders)).body, "second");
+  t.true(await utils.waitUntil(() => isClosed, generousMs / 2));
+});
