fix(gateway): only an answer that reaches the end which the store states proves that a set is current

What callers saw: after a time without the store, requests ran with keys that had been taken away 6.5 to 7.5 s before; 5 s are allowed. Cause: KeyedTopicFeed dropped the end that each answer states, and FeedFollower recorded every answer as complete, also one that was cut off at 1 MB. The age of that freshness went to the zone (StoreRelay) and to the peers (ConfigurationExchange, PeerExchange) as a proof. Ruled out: a wrong proof made by the peers: what they pass on is the age of the follower's or the configuration's freshness, which stays true once those are. Their checks are unchanged; two tests hold them. Change: a page states its end. One that stops short of it applies its changes, leaves the freshness as it was, marks the follower as behind (no denial rests on it), and the next page is read without a pause; an answer without any of the known changes is read again after one. A relayed page states its end as well: a zone that catches up has a store that answers, so its instances do not start to read for themselves, and the grace for endpoints that are missing after an outage begins with the first page. Messages of earlier versions are accepted, and earlier versions get the true age. Log lines: configuration-read-cut-off, endpoints-read-cut-off.

--- a/packages/gateway/src/configuration/ConfigurationWatch.ts
+++ b/packages/gateway/src/configuration/ConfigurationWatch.ts
@@ -1,4 +1,10 @@
-import type { Change, ChangeFeed, StoreError } from "../discovery/ChangeFeed.js";
+import {
+  isCutOff,
+  type Change,
+  type ChangeFeed,
+  type FeedPage,
+  type StoreError,
+} from "../discovery/ChangeFeed.js";
 import { FeedFollower, type FollowOptions } from "../discovery/FeedFollower.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { ActiveConfiguration, ConfigurationSource } from "./ActiveConfiguration.js";
@@ -39,7 +45,7 @@
       retryMs,
       ...clock,
     });
-    this.follower.onRead((page) => this._logRead(page.changes.length, page.nextOffset));
+    this.follower.onRead((page) => this._logRead(page));
     _activeConfiguration.onChanged((table, source) => this._logInForce(table, source));
   }
 
@@ -54,10 +60,15 @@
   }
 
   /** Logs a read that returned changes. Long polls without changes are not logged: their duration is only the wait. */
-  private _logRead(changes: number, nextOffset: number): void {
-    if (changes === 0) return;
-    const tookMs = Math.round(this.follower.getFreshnessAgeMs());
-    this._log.info("configuration-read", { tookMs, nextOffset, version: this._activeConfiguration.version });
+  private _logRead(page: FeedPage<GatewayConfiguration>): void {
+    const { changes, nextOffset, endOffset } = page;
+    const { version } = this._activeConfiguration;
+    const freshnessAgeMs = Math.round(this.follower.getFreshnessAgeMs());
+    if (isCutOff(page)) {
+      this._log.info("configuration-read-cut-off", { nextOffset, endOffset, version, freshnessAgeMs });
+    } else if (changes.length > 0) {
+      this._log.info("configuration-read", { tookMs: freshnessAgeMs, nextOffset, version });
+    }
   }
 
   private _logInForce({ configuration }: RouteTable, source: ConfigurationSource): void {
--- a/packages/gateway/src/discovery/ChangeFeed.ts
+++ b/packages/gateway/src/discovery/ChangeFeed.ts
@@ -18,9 +18,19 @@
 export interface FeedPage<T> {
   readonly changes: readonly Change<T>[];
   readonly nextOffset: number;
+  /** The offset after the newest change that the store had when it answered. */
+  readonly endOffset: number;
   readonly isCompacted: boolean;
 }
 
+/** Returns whether a page was cut off: the store had further changes, so the page does not show that the set is complete. */
+export function isCutOff({
+  nextOffset,
+  endOffset,
+}: Pick<FeedPage<unknown>, "nextOffset" | "endOffset">): boolean {
+  return nextOffset < endOffset;
+}
+
 /** Errors of calls to the store: there was no answer, the store rejected the call, or its answer was invalid. */
 export type StoreError =
   | errors.NotReachedError
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -1,5 +1,5 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import type { Change, ChangeFeed, StoreError } from "./ChangeFeed.js";
+import { isCutOff, type Change, type ChangeFeed, type StoreError } from "./ChangeFeed.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { FeedFollower, type FollowOptions } from "./FeedFollower.js";
 import type { ListedEndpoint } from "./ListedEndpoint.js";
@@ -37,6 +37,12 @@
       },
     };
     this.follower = new FeedFollower(feed, listener, { waitMs: longPollMs, retryMs, gatherMs, ...clock });
+    this.follower.onRead((page) => {
+      if (!isCutOff(page)) return;
+      const { nextOffset, endOffset } = page;
+      const freshnessAgeMs = Math.round(this.follower.getFreshnessAgeMs());
+      log.info("endpoints-read-cut-off", { nextOffset, endOffset, freshnessAgeMs });
+    });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
       const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -1,5 +1,5 @@
 import { utils } from "@shedtiller/common";
-import type { Change, ChangeFeed, FeedPage, StoreError } from "./ChangeFeed.js";
+import { isCutOff, type Change, type ChangeFeed, type FeedPage, type StoreError } from "./ChangeFeed.js";
 
 /**
  * The store counts as unavailable if the set has not been confirmed as current for this long; a follower that gets its pages from a peer
@@ -20,7 +20,7 @@
 export interface FeedListener<T> {
   /** Called with all values as of `freshAtMs` (monotonic); keys that are absent have been removed. */
   onSnapshot(values: ReadonlyMap<string, T>, freshAtMs: number): void;
-  /** Called with changes, possibly none: the set is complete as of `freshAtMs`. */
+  /** Called with changes, possibly none: the set is complete as of `freshAtMs`, which a page that was cut off does not advance. */
   onChanges(changes: readonly Change<T>[], freshAtMs: number): void;
   onLost(error: StoreError): void;
   onRegained(): void;
@@ -45,6 +45,8 @@
   /** Offset at which the read began. */
   readonly fromOffset: number;
   readonly nextOffset: number;
+  /** The offset after the newest change in the store at the time of the read; undefined if the peer does not state it. */
+  readonly endOffset?: number | undefined;
   /** Undefined if the peer reports only that changes exist. */
   readonly changes: readonly Change<T>[] | undefined;
 }
@@ -59,11 +61,15 @@
   private readonly _readListeners: ((page: FeedPage<T>, fromOffset: number) => void)[] = [];
   private _offset: number | undefined;
   private _freshAtMs = Number.NEGATIVE_INFINITY;
+  /** The latest time at which the store is known to have answered, here or to a peer that relays its reads. */
+  private _answeredAtMs = Number.NEGATIVE_INFINITY;
   private _isLost = false;
   private _isReader = true;
   private _isFallbackReader = false;
   /** Whether the next read returns without long polling, because the freshness of the set is unknown or changes are known to be missing. */
   private _isNextReadImmediate = true;
+  /** Whether the last page that was read was cut off after some changes, so that the next one is read without a pause. */
+  private _isReadingOn = false;
   /** Monotonic time since which changes have been known to exist that have not been read. */
   private _behindSinceMs: number | undefined;
   /** Offset up to which changes are known to exist. */
@@ -90,6 +96,14 @@
     return this._nowMs() - this._freshAtMs;
   }
 
+  /**
+   * Returns the time since the store was last known to answer. This is less than the age of the freshness while pages are cut off, since
+   * the store is then available, but the set is not known to be complete.
+   */
+  getAnswerAgeMs(): number {
+    return this._nowMs() - this._answeredAtMs;
+  }
+
   /** Returns how long changes have been known to exist that have not been read. */
   getBehindMs(): number {
     return this._behindSinceMs === undefined ? 0 : this._nowMs() - this._behindSinceMs;
@@ -117,14 +131,18 @@
     if (isReader) this._wakeUp.resolve();
   }
 
-  /** Applies a page that a peer has read. A page that does not continue at the known offset causes a read of the store. */
+  /**
+   * Applies a page that a peer has read. A page that does not continue at the known offset causes a read of the store.
+   * @param freshAtMs - Time as of which the peer's set was complete after this page.
+   */
   applyPeerPage(page: PeerPage<T>, freshAtMs: number): void {
     if (this._offset === undefined || page.nextOffset < this._offset) return;
     const isKnown = page.nextOffset === this._offset;
-    this._knownEndOffset = Math.max(this._knownEndOffset, page.nextOffset);
+    const { nextOffset, endOffset = nextOffset } = page;
+    this._knownEndOffset = Math.max(this._knownEndOffset, nextOffset, endOffset);
     if (!isKnown && (page.changes === undefined || page.fromOffset !== this._offset)) return this._catchUp();
-    this._noteFreshnessGap(freshAtMs);
-    this._advanceTo(page.nextOffset);
+    this._noteRelayed(isCutOff({ nextOffset, endOffset }) ? this._nowMs() : freshAtMs);
+    this._advanceTo(nextOffset);
     this._applyChanges(isKnown ? [] : (page.changes ?? []), freshAtMs);
   }
 
@@ -133,6 +151,7 @@
     if (freshAtMs <= this._freshAtMs || nextOffset < (this._offset ?? 0)) return;
     this._advanceTo(nextOffset);
     this._freshAtMs = freshAtMs;
+    this._answeredAtMs = Math.max(this._answeredAtMs, freshAtMs);
     this._listener.onSnapshot(values, freshAtMs);
   }
 
@@ -173,12 +192,14 @@
 
   private _getPauseMs(error: StoreError | undefined, offsetBefore: number | undefined): number {
     if (error !== undefined) return this._getRetryMs();
+    if (this._isReadingOn) return 0;
     // The store may not return changes yet that a peer has already received; it is then read again after a pause.
     const isWaiting = this._offset === offsetBefore && this._behindSinceMs === undefined;
     return isWaiting ? 0 : (this._options.gatherMs ?? gatherIntervalMs);
   }
 
   private async _read(): Promise<StoreError | undefined> {
+    this._isReadingOn = false;
     const error =
       this._offset === undefined ? await this._readSnapshot() : await this._readChanges(this._offset);
     if (error !== undefined) this._behindSinceMs ??= this._isReader ? undefined : this._nowMs();
@@ -186,18 +207,19 @@
     return error;
   }
 
-  /** Advances to an offset. The follower is no longer behind once the offset reaches the end of the known changes. */
+  /** Moves to an offset. The follower is behind until the offset reaches the end of the known changes. */
   private _advanceTo(nextOffset: number): void {
     this._offset = nextOffset;
     this._knownEndOffset = Math.max(this._knownEndOffset, nextOffset);
     if (nextOffset === this._knownEndOffset) this._behindSinceMs = undefined;
+    else this._behindSinceMs ??= this._nowMs();
   }
 
   private async _readSnapshot(): Promise<StoreError | undefined> {
     const requestedAtMs = this._nowMs();
     const snapshot = await this._feed.getSnapshot();
     if (snapshot.err) return snapshot.val;
-    this._noteAnswered();
+    this._noteAnswered(requestedAtMs);
     this._advanceTo(snapshot.val.nextOffset);
     this._freshAtMs = requestedAtMs;
     this._listener.onSnapshot(snapshot.val.values, requestedAtMs);
@@ -210,13 +232,16 @@
     this._isNextReadImmediate = false;
     const page = await this._feed.getChanges(offset, waitMs);
     if (page.err) return page.val;
-    this._noteAnswered();
+    this._noteAnswered(requestedAtMs);
     if (page.val.isCompacted) return this._readSnapshot();
+    this._knownEndOffset = Math.max(this._knownEndOffset, page.val.endOffset);
     // A peer sent the same changes while this read was in progress.
     if (this._offset !== undefined && this._offset > offset && page.val.nextOffset <= this._offset)
       return undefined;
+    this._isReadingOn = isCutOff(page.val) && page.val.nextOffset > offset;
+    if (isCutOff(page.val)) this._isNextReadImmediate = true;
     this._advanceTo(page.val.nextOffset);
-    this._applyChanges(page.val.changes, requestedAtMs);
+    this._applyChanges(page.val.changes, isCutOff(page.val) ? this._freshAtMs : requestedAtMs);
     for (const listener of this._readListeners) listener(page.val, offset);
     return undefined;
   }
@@ -234,14 +259,16 @@
   }
 
   /** Notifies the listener that the store has recovered, since a peer has read it after a long gap or after a failed read. */
-  private _noteFreshnessGap(freshAtMs: number): void {
-    if (freshAtMs - this._freshAtMs > unavailableAfterMs || this._isLost) this._listener.onRegained();
+  private _noteRelayed(answeredAtMs: number): void {
+    if (answeredAtMs - this._answeredAtMs > unavailableAfterMs || this._isLost) this._listener.onRegained();
+    this._answeredAtMs = Math.max(this._answeredAtMs, answeredAtMs);
     this._isLost = false;
   }
 
   /** Notifies the listener that the store has recovered before the content of the answer is passed on. */
-  private _noteAnswered(): void {
+  private _noteAnswered(requestedAtMs: number): void {
     if (this._isLost) this._listener.onRegained();
+    this._answeredAtMs = Math.max(this._answeredAtMs, requestedAtMs);
     this._isLost = false;
   }
 
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -1,6 +1,7 @@
 import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import * as zod from "zod";
+import { isCutOff } from "../discovery/ChangeFeed.js";
 import type { FeedFollower } from "../discovery/FeedFollower.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { logInvalidPeerMessage } from "./logInvalidPeerMessage.js";
@@ -11,9 +12,9 @@
 /** Interval of the check of the role; it is well below {@link staleMs}. */
 const tickMs = 200;
 /**
- * A reader whose freshness is older than this does not reach the store: the other instances begin to read by themselves, and one of them
- * takes over the role. In the present deployments, the notice of a draining endpoint has to reach all instances within 2 s. The long polls
- * of a healthy reader last 0.4 s, so the age stays below 0.8 s, or slightly more while the store is slow.
+ * A reader that has had no answer for longer than this does not reach the store: the other instances begin to read by themselves, and one
+ * of them takes over the role. In the present deployments, the notice of a draining endpoint has to reach all instances within 2 s. The
+ * long polls of a healthy reader last 0.4 s, so the age stays below 0.8 s, or slightly more while the store is slow.
  */
 const staleMs = 1_400;
 
@@ -40,7 +41,7 @@
 
 /** A relayed feed, independent of the type of its values. */
 interface RelayedFeed {
-  readonly getFreshnessAgeMs: () => number;
+  readonly getAnswerAgeMs: () => number;
   readonly setReader: (isReader: boolean, isFallbackReader: boolean) => void;
 }
 
@@ -77,7 +78,7 @@
     this._receiveReads(topic, follower, codec);
     follower.setReader(false);
     this._feeds.push({
-      getFreshnessAgeMs: () => follower.getFreshnessAgeMs(),
+      getAnswerAgeMs: () => follower.getAnswerAgeMs(),
       setReader: (isReader, isFallbackReader) => follower.setReader(isReader, isFallbackReader),
     });
   }
@@ -94,11 +95,14 @@
     );
   }
 
-  /** Updates the role. If no feed has been fresh for too long, this instance reads by itself, whichever instance holds the role. */
+  /**
+   * Updates the role. If the store has not answered a read of any feed for too long, this instance reads by itself, whichever instance
+   * holds the role.
+   */
   check(): void {
     this._role.noteSuspension(this._pauses.noteTick());
-    // The freshness of any feed shows that the store is reachable; the feed with the shorter long polls is the fresher one.
-    const ageMs = Math.min(...this._feeds.map((feed) => feed.getFreshnessAgeMs()));
+    // An answer for any feed shows that the store is reachable; the feed with the shorter long polls has the latest one.
+    const ageMs = Math.min(...this._feeds.map((feed) => feed.getAnswerAgeMs()));
     if (this.isReader && (this._role.isAlone || ageMs < staleMs)) this._role.noteActivity();
     this._role.update();
     const isSettling = this._nowMs() - this._startedAtMs < settlingMs;
@@ -115,8 +119,10 @@
     follower.onRead((page, fromOffset) => {
       if (!this.isReader && !follower.isFallbackReader) return;
       const changes = codec.encode(page.changes);
+      const { nextOffset, endOffset } = page;
+      // A page that was cut off leaves the freshness of the complete set before it.
       const proofAgeMs = follower.getFreshnessAgeMs();
-      this._notifyZone(topic, { fromOffset, nextOffset: page.nextOffset, changes, proofAgeMs });
+      this._notifyZone(topic, { fromOffset, nextOffset, endOffset, changes, proofAgeMs });
     });
   }
 
@@ -130,13 +136,14 @@
     membership.onNotice(topic, (body, from) => {
       const page = pageSchema.safeParse(body);
       if (!page.success) return logInvalidPeerMessage(log, topic, from);
-      const { proofAgeMs, fromOffset, nextOffset } = page.data;
+      const { proofAgeMs, fromOffset, nextOffset, endOffset = nextOffset } = page.data;
       const encoded = page.data.changes;
       const changes = encoded === undefined ? undefined : codec.decode(encoded as TEncoded);
       // A message that was buffered while this instance was suspended is older than it states: a key may have been revoked since.
       const ageMs = proofAgeMs + this._pauses.getRecentPauseMs();
-      follower.applyPeerPage({ fromOffset, nextOffset, changes }, this._nowMs() - ageMs);
-      if (from.name === this._role.holder && proofAgeMs < staleMs) this._role.noteActivity();
+      follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, this._nowMs() - ageMs);
+      const hasStoreAnswered = proofAgeMs < staleMs || isCutOff({ nextOffset, endOffset });
+      if (from.name === this._role.holder && hasStoreAnswered) this._role.noteActivity();
     });
   }
 
@@ -152,6 +159,8 @@
   return zod.object({
     fromOffset: zod.number(),
     nextOffset: zod.number(),
+    /** Undefined if the peer is of an earlier version, which does not state the end. */
+    endOffset: zod.number().optional(),
     proofAgeMs: zod.number(),
     changes: changesSchema.optional(),
   });
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -51,7 +51,7 @@
   const { reads, events } = await follow([
     lost,
     lost,
-    results.Ok({ changes: [change], nextOffset: 11, isCompacted: false }),
+    results.Ok({ changes: [change], nextOffset: 11, endOffset: 11, isCompacted: false }),
   ]);
   t.deepEqual(events, ["snapshot", "lost", "regained", "1 changes"]);
   t.deepEqual(reads, ["snapshot", "from 10", "from 10", "from 10"]);
@@ -59,8 +59,8 @@
 
 test("a gap in the history leads to a snapshot", async (t) => {
   const { reads, events } = await follow([
-    results.Ok({ changes: [], nextOffset: 10, isCompacted: true }),
-    results.Ok({ changes: [change], nextOffset: 11, isCompacted: false }),
+    results.Ok({ changes: [], nextOffset: 10, endOffset: 10, isCompacted: true }),
+    results.Ok({ changes: [change], nextOffset: 11, endOffset: 11, isCompacted: false }),
   ]);
   t.deepEqual(events, ["snapshot", "snapshot", "1 changes"]);
   t.deepEqual(reads, ["snapshot", "from 10", "snapshot", "from 10"]);
@@ -111,7 +111,9 @@
   async answer(nextOffset: number): Promise<void> {
     const isReading = (): boolean => this._pendingReads.length > 0;
     await utils.waitUntil(isReading, timeoutMs);
-    this._pendingReads.shift()?.resolve(results.Ok({ changes: [change], nextOffset, isCompacted: false }));
+    this._pendingReads
+      .shift()
+      ?.resolve(results.Ok({ changes: [change], nextOffset, endOffset: nextOffset, isCompacted: false }));
     await utils.yieldToEvents();
   }
 }
@@ -170,3 +172,98 @@
   t.is(follower.getBehindMs(), 0);
   stop.abort();
 });
+
+/** A follower whose set was complete at `freshAtMs`, and the pages, events and pauses that follow. */
+async function followAfterOutage(pages: Page[]) {
+  const stop = new AbortController();
+  const feed = new ScriptedFeed(pages, stop);
+  let nowMs = freshAtMs;
+  const steps: unknown[] = [];
+  const listener = {
+    onSnapshot: () => undefined,
+    onChanges: (changes: readonly unknown[], freshMs: number) =>
+      steps.push({ changes: changes.length, freshMs, behindMs: follower.getBehindMs() }),
+    onLost: () => undefined,
+    onRegained: () => undefined,
+  };
+  const follower = new FeedFollower(feed, listener, {
+    waitMs: 0,
+    retryMs: 0,
+    gatherMs,
+    nowMs: () => nowMs,
+    pause: async (durationMs) => {
+      if (nowMs > freshAtMs) steps.push({ pauseMs: durationMs });
+      nowMs += outageMs;
+      await utils.yieldToEvents();
+    },
+  });
+  await follower.run(stop.signal);
+  return { steps, follower };
+}
+
+const freshAtMs = 1_000;
+const outageMs = 10_000;
+const gatherMs = 300;
+
+// Guards against a part of the changes that counts as all of them.
+test("a page that was cut off is applied without becoming fresh, and the next page is read without a pause", async (t) => {
+  const { steps } = await followAfterOutage([
+    results.Ok({ changes: [change], nextOffset: 11, endOffset: 12, isCompacted: false }),
+    results.Ok({ changes: [change], nextOffset: 12, endOffset: 12, isCompacted: false }),
+  ]);
+  t.deepEqual(steps, [
+    { changes: 1, freshMs: freshAtMs, behindMs: 0 },
+    { pauseMs: 0 },
+    { changes: 1, freshMs: freshAtMs + 2 * outageMs, behindMs: 0 },
+    { pauseMs: gatherMs },
+  ]);
+});
+
+// Guards against denials by a set that is known to lack changes.
+test("a follower is behind from a page that was cut off until it has read the known end", async (t) => {
+  const { follower } = await followAfterOutage([
+    results.Ok({ changes: [change], nextOffset: 11, endOffset: 13, isCompacted: false }),
+    results.Ok({ changes: [change], nextOffset: 12, endOffset: 13, isCompacted: false }),
+  ]);
+  t.is(follower.getBehindMs(), 2 * outageMs);
+  t.is(follower.getFreshnessAgeMs(), 3 * outageMs);
+  follower.applyPeerPage({ fromOffset: 12, nextOffset: 13, changes: [change] }, freshAtMs + outageMs);
+  t.is(follower.getBehindMs(), 0);
+});
+
+// Guards against a store that is called in a loop.
+test("an answer without the known changes is not fresh, and is read again after a pause", async (t) => {
+  const { steps } = await followAfterOutage([
+    results.Ok({ changes: [], nextOffset: 10, endOffset: 11, isCompacted: false }),
+  ]);
+  t.deepEqual(steps, [{ changes: 0, freshMs: freshAtMs, behindMs: 0 }, { pauseMs: gatherMs }]);
+});
+
+// Guards against endpoints that are dropped since their entries were removed during an outage.
+test("the first page that a peer relays after an outage is preceded by the notice of the recovery, even if it was cut off", async (t) => {
+  const stop = new AbortController();
+  let nowMs = 0;
+  const events: string[] = [];
+  const listener = {
+    onSnapshot: () => undefined,
+    onChanges: (_changes: readonly unknown[], freshMs: number) => events.push(`changes, fresh at ${freshMs}`),
+    onLost: () => undefined,
+    onRegained: () => events.push("regained"),
+  };
+  const follower = new FeedFollower(new ManualFeed(), listener, {
+    waitMs: 0,
+    retryMs: 0,
+    nowMs: () => nowMs,
+    pause: utils.yieldToEvents,
+  });
+  follower.setReader(false);
+  void follower.run(stop.signal);
+  await utils.waitUntil(() => follower.nextOffset === 10, timeoutMs);
+  nowMs = outageMs;
+  follower.applyPeerPage({ fromOffset: 10, nextOffset: 11, endOffset: 12, changes: [change] }, 0);
+  t.is(follower.getAnswerAgeMs(), 0);
+  t.is(follower.getFreshnessAgeMs(), outageMs);
+  follower.applyPeerPage({ fromOffset: 11, nextOffset: 12, endOffset: 12, changes: [change] }, outageMs);
+  t.deepEqual(events, ["regained", "changes, fresh at 0", `changes, fresh at ${outageMs}`]);
+  stop.abort();
+});
--- a/packages/gateway/src/tests/patterns/SimulatedStore.ts
+++ b/packages/gateway/src/tests/patterns/SimulatedStore.ts
@@ -111,11 +111,12 @@
   ): Promise<results.Result<FeedPage<GatewayConfiguration>, StoreError>> {
     if (!this._reader.isCutOff()) await this._store.waitForVersion(offset, waitMs);
     const page = this._store.getPage(offset);
+    const endOffset = this._store.end;
     if (!(await this._send(page.reduce((sum, version) => sum + getSizeBytes(version), 0))))
       return this._fail();
     const newest = page[page.length - 1];
     const changes = newest === undefined ? [] : [{ key, value: newest }];
-    return results.Ok({ changes, nextOffset: offset + page.length, isCompacted: false });
+    return results.Ok({ changes, nextOffset: offset + page.length, endOffset, isCompacted: false });
   }
 
   /** Sends a body, or fails after a timeout if the store is unreachable. */
@@ -149,7 +150,7 @@
     waitMs: number,
   ): Promise<results.Result<FeedPage<T>, StoreError>> {
     if (!(await this._answer(waitMs))) return results.Err(new errors.NotReachedError("store"));
-    return results.Ok({ changes: [], nextOffset: offset, isCompacted: false });
+    return results.Ok({ changes: [], nextOffset: offset, endOffset: offset, isCompacted: false });
   }
 
   private async _answer(waitMs: number): Promise<boolean> {
--- a/packages/gateway/src/tests/peers/ConfigurationExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/ConfigurationExchangeTests.ts
@@ -100,3 +100,17 @@
   await fleet.waitForDelivery();
   t.is(empty.activeConfiguration.version, 2);
 });
+
+// Guards against a peer that passes on a version out of an answer that was cut off as the newest one.
+test("a version that a peer has without confirmation brings only the freshness that the peer had before", async (t) => {
+  const fleet = new Fleet();
+  const newer = fleet.join("a");
+  const older = fleet.join("b");
+  for (const { activeConfiguration } of [newer, older]) activeConfiguration.accept(createConfiguration(1));
+  newer.activeConfiguration.confirmFreshness(1, fleet.nowMs);
+  fleet.nowMs += longMs;
+  newer.activeConfiguration.accept(createConfiguration(2, routes));
+  await older.exchange.requestFrom("a");
+  t.is(older.activeConfiguration.version, 2);
+  t.is(older.activeConfiguration.getFreshnessAgeMs(), longMs);
+});
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -27,6 +27,8 @@
 class Store {
   readonly changes: Change<ListedEndpoint>[] = [];
   readonly cutOff = new Set<string>();
+  /** Number of changes after which an answer is cut off. */
+  changesPerRead = Number.POSITIVE_INFINITY;
   /** Number of reads of changes, by reader. */
   readonly reads = new Map<string, number>();
 
@@ -54,7 +56,13 @@
     reads.set(this._reader, (reads.get(this._reader) ?? 0) + 1);
     await utils.yieldToEvents();
     if (cutOff.has(this._reader)) return results.Err(new errors.NotReachedError("store"));
-    return results.Ok({ changes: changes.slice(offset), nextOffset: changes.length, isCompacted: false });
+    const nextOffset = Math.min(changes.length, offset + this._store.changesPerRead);
+    return results.Ok({
+      changes: changes.slice(offset, nextOffset),
+      nextOffset,
+      endOffset: changes.length,
+      isCompacted: false,
+    });
   }
 }
 
@@ -77,12 +85,19 @@
   }
 
   /** Advances the clock tick by tick; `isSkipped` selects suspended instances. After each tick all pending reads have completed. */
-  async run(ticks: number, isSkipped: (name: string) => boolean = () => false): Promise<void> {
+  async run(
+    ticks: number,
+    isSkipped: (name: string) => boolean = () => false,
+    onTurn: () => void = () => undefined,
+  ): Promise<void> {
     for (let tick = 0; tick < ticks; tick++) {
       this._nowMs += tickMs;
       for (const [name, { relay }] of this.instances) if (!isSkipped(name)) relay.check();
       // Each turn of the event loop completes reads and lets their followers continue.
-      for (let turn = 0; turn < 20; turn++) await utils.yieldToEvents();
+      for (let turn = 0; turn < 20; turn++) {
+        await utils.yieldToEvents();
+        onTurn();
+      }
     }
   }
 
@@ -230,3 +245,30 @@
   await zone.run(4);
   t.true(zone.get(suspended).follower.getFreshnessAgeMs() <= 2 * tickMs);
 });
+
+// Guards against an endpoint that counts as listed although its removal lies beyond the cut of an answer, at the reader and at its zone.
+test("after an outage, no instance counts its list as complete before it has read up to the end that the store states", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  zone.store.changes.push({ key: "x", value: createListed("x") });
+  await zone.run(4);
+  for (const name of names) zone.store.cutOff.add(name);
+  await zone.run(24);
+  for (const key of ["y", "z"]) zone.store.changes.push({ key, value: createListed(key) });
+  zone.store.changes.push({ key: "x", value: undefined });
+  zone.store.changesPerRead = 1;
+  zone.store.cutOff.clear();
+  const early = new Set<string>();
+  await zone.run(12, undefined, () => {
+    for (const name of names) {
+      const { known, follower } = zone.get(name);
+      if (known.has("x") && follower.getFreshnessAgeMs() < boundMs) early.add(name);
+    }
+  });
+  t.deepEqual([...early], []);
+  for (const name of names) {
+    t.deepEqual([...zone.get(name).known].sort(), ["y", "z"], name);
+    t.true(zone.get(name).follower.getFreshnessAgeMs() <= 2 * tickMs, name);
+    t.is(zone.get(name).regained, 1, name);
+  }
+});
