tests: an unknown key on a route that admits requests without a key, failing

What callers saw: a request with an unknown key, for instance one that was taken away, is run and answered with 200 on a route with allow-anonymous; it should receive 401. Cause: admitCaller runs it without a client account.

--- a/packages/gateway/src/tests/requests/denialTests.ts
+++ b/packages/gateway/src/tests/requests/denialTests.ts
@@ -43,6 +43,23 @@
   t.is((await fixture.request("POST", { ...callerHeaders, "x-key": "other" })).status, 401);
 });
 
+// Guards against a request that runs with a key that was taken away, since its route also admits requests without a key.
+test("an unknown key is denied on a route that admits requests without a key, if the configuration is current", async (t) => {
+  const fixture = await setUp(t);
+  fixture.configure({ ...route, isAnonymousAllowed: true });
+  const unknownKey = { ...callerHeaders, "x-key": "other" };
+  t.is((await fixture.request("POST", unknownKey)).status, 401);
+  t.is((await fixture.request("POST", callerHeaders)).status, 200);
+  t.is((await fixture.request("POST", { "x-id": "r2" })).status, 200);
+});
+
+// Guards against a final rejection of a key that a newer configuration may have added.
+test("an unknown key gets a retryable rejection on such a route while the configuration is long out of date", async (t) => {
+  const fixture = await setUp(t);
+  fixture.activeConfiguration.accept(createConfiguration(1, [{ ...route, isAnonymousAllowed: true }]));
+  t.is((await fixture.request("POST", { ...callerHeaders, "x-key": "other" })).status, 503);
+});
+
 test("while the configuration is long out of date, unknown routes and keys get a retryable rejection immediately", async (t) => {
   const fixture = await setUp(t);
   fixture.activeConfiguration.accept(createConfiguration(1, [route]));
