fix(gateway): an unknown key is denied also on routes that admit requests without a key

What callers saw: a request with an unknown key was run without a client account and answered with 200, also with a key that had been taken away; the platform's protocol says that a key which is not known receives 401. Cause: admitCaller gave such a route to everyone. Ruled out: requests without a key, which the route admits; they are served as before, with a stale configuration as well. Change: the key decides wherever one is sent. The 401 is final for callers, so it takes the way of the other denials: keys have to be fresh, and the configuration younger than its deadline; until then the answer is a retryable 503.

--- a/packages/gateway/src/requests/admitCaller.ts
+++ b/packages/gateway/src/requests/admitCaller.ts
@@ -58,15 +58,14 @@
     return { status: 503, reason: "no-configuration", retryAfterMs: notReadyRetryAfterMs };
   const route = table.getRoute(input.host, input.path);
   if (route === undefined) return { status: 404, reason: "no-route" };
-  const anonymous = { table, route, account: undefined };
-  if (!table.hasAccounts) return anonymous;
   const { apiKey } = input;
-  if (apiKey === undefined && route.isAnonymousAllowed) return anonymous;
+  if (!table.hasAccounts || (apiKey === undefined && route.isAnonymousAllowed)) {
+    return { table, route, account: undefined };
+  }
   if (!areKeysFresh()) {
     return staleConfigurationRefusal;
   }
   if (apiKey === undefined) return { status: 401, reason: "no-key" };
   const account = table.getAccount(apiKey);
-  if (account !== undefined) return { table, route, account };
-  return route.isAnonymousAllowed ? anonymous : { status: 401, reason: "unknown-key" };
+  return account === undefined ? { status: 401, reason: "unknown-key" } : { table, route, account };
 }
