--- a/packages/gateway/src/tests/FakeEngines.ts
+++ b/packages/gateway/src/tests/FakeEngines.ts
@@ -28,6 +28,8 @@
   readonly refusing = new Set<string>();
   /** Ids of the engines that were asked for a report. */
   readonly asked: string[] = [];
+  /** Ids of the engines that accepted an order. */
+  readonly ordered: string[] = [];
   /** Called when an engine is asked for a report. */
   onAsked: (id: string) => void = () => undefined;
   /** Fields in which reports differ from that of an idle engine, by engine id. */
@@ -50,7 +52,8 @@
     return Promise.resolve(results.Ok({ ...idleReport, ...this.reports.get(target.id) }));
   }
 
-  override placeLayers(): Promise<results.Result<void, OrderError>> {
+  override placeLayers(target: OrderTarget): Promise<results.Result<void, OrderError>> {
+    this.ordered.push(target.id);
     return Promise.resolve(results.Ok(undefined));
   }
 
