fix: a list of endpoints from a peer holds at its offset, and brings no endpoint back

Callers: requests reached an endpoint up to 9 s after its entry had gone, from an instance that was in touch with the store.

Cause: after the store's return an instance keeps endpoints whose entries are missing for a grace period, without using them. Its answer to a peer that asks for the list contained them like any other, with the offset that follows their removal. The peer went on reading after that offset and never learned that they were gone. An instance that had dropped an endpoint took it back in the same way, if the list of its peer was fresher.

Ruled out: the grace period itself (it uses no missing endpoint), and the order of offset and list at the sender (both are set in one turn).

Change: the response lists the entries at its offset, and beside them the missing endpoints with the time left. The receiver keeps those that it knows for that time, without using them, and drops them when the peer does; it adds none of them.

Between builds: a requester of an earlier version gets no list while endpoints are missing, since it would take them for listed or drop live ones at once. A list of an earlier version, which has no `missing`, adds no endpoint to a known list and advances neither offset nor freshness; it only shows which known endpoints drain or are gone. No older list undoes what it has shown. The price, in fleets of both builds only: an instance without the store learns of new endpoints from peers of its own build, and repeats its request to older ones.

Log: endpoint-list-taken with its offset, counts and ages, and endpoint-list-unmarked once for each offset.

--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -1,7 +1,7 @@
 import { utils } from "@shedtiller/common";
 import type { Change } from "./ChangeFeed.js";
 import { Endpoint, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
-import type { LayerSpan, ListedEndpoint } from "./ListedEndpoint.js";
+import type { LayerSpan, ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
 import { isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
 
 /**
@@ -99,6 +99,19 @@
     return this.getAll().find((endpoint) => endpoint.listed.address === address);
   }
 
+  /** Returns the entries that the list contains, which are not those of missing endpoints. */
+  getListed(): ListedEndpoint[] {
+    return this.getAll().flatMap(({ id, listed }) => (this._missing.has(id) ? [] : [listed]));
+  }
+
+  /** Returns the endpoints that are kept although their entries are missing, except those whose grace period is over. */
+  getMissing(): MissingEndpoint[] {
+    const nowMs = this._nowMs();
+    return [...this._missing].flatMap(([id, dropAtMs]) =>
+      dropAtMs > nowMs ? [{ id, leftMs: dropAtMs - nowMs }] : [],
+    );
+  }
+
   /** Returns the endpoints of a service that may get new work. */
   getUsable(service: string): Endpoint[] {
     return this.getAll().filter(
@@ -112,11 +125,29 @@
     this._graceUntilMs = this._nowMs() + recoveryGraceMs;
   }
 
-  /** Replaces all entries by those of a complete list. */
-  setAll(values: ReadonlyMap<string, ListedEndpoint>): void {
+  /**
+   * Replaces all entries by those of a complete list.
+   * @param missing - Endpoints that the source of the list keeps for a grace period. Those that are known are kept as long.
+   */
+  setAll(values: ReadonlyMap<string, ListedEndpoint>, missing: readonly MissingEndpoint[] = []): void {
     this.hasList = true;
-    for (const endpoint of this.getAll()) if (!values.has(endpoint.id)) this._markMissing(endpoint);
+    const nowMs = this._nowMs();
+    const dropAtMs = new Map(missing.map(({ id, leftMs }) => [id, nowMs + leftMs]));
+    for (const endpoint of this.getAll()) {
+      if (!values.has(endpoint.id)) this._markMissing(endpoint, dropAtMs.get(endpoint.id));
+    }
     for (const listed of values.values()) this._setListed(listed, false);
+    this.dropMissing();
+  }
+
+  /** Applies a list that may contain endpoints whose entries are missing: updates and drops known endpoints, and adds none. */
+  updateKnown(values: ReadonlyMap<string, ListedEndpoint>): void {
+    for (const endpoint of this.getAll()) {
+      const listed = values.get(endpoint.id);
+      if (listed === undefined) this._markMissing(endpoint);
+      else if (!this._missing.has(endpoint.id)) this._setListed(listed, false);
+    }
+    this.dropMissing();
   }
 
   /** Applies changes of the list. */
@@ -313,10 +344,9 @@
     this._notify(endpoint, "cleared");
   }
 
-  private _markMissing(endpoint: Endpoint): void {
-    const nowMs = this._nowMs();
-    if (nowMs >= this._graceUntilMs) return this._drop(endpoint.id);
-    if (!this._missing.has(endpoint.id)) this._missing.set(endpoint.id, this._graceUntilMs);
+  private _markMissing({ id }: Endpoint, dropAtMs = this._graceUntilMs): void {
+    if (this._nowMs() >= dropAtMs) return this._drop(id);
+    this._missing.set(id, Math.min(dropAtMs, this._missing.get(id) ?? dropAtMs));
   }
 
   private _drop(id: string): void {
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -2,7 +2,7 @@
 import type { Change, ChangeFeed, StoreError } from "./ChangeFeed.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { FeedFollower, type FollowOptions } from "./FeedFollower.js";
-import type { ListedEndpoint } from "./ListedEndpoint.js";
+import type { ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
 
 /**
  * Long-poll timeout. A long poll proves only that the list was complete when the request was sent, so the list may be up to twice this
@@ -16,31 +16,48 @@
  */
 const gatherMs = 400;
 
+/** The list of endpoints of a peer. */
+export interface PeerEndpointList {
+  /** Undefined if the peer's list is the one that this instance already had when it sent its request. */
+  readonly endpoints: readonly ListedEndpoint[] | undefined;
+  /** Undefined if the list may contain endpoints whose entries are missing, as lists of earlier versions do. */
+  readonly missing: readonly MissingEndpoint[] | undefined;
+  /** The store's offset that follows what the peer has read. */
+  readonly nextOffset: number;
+  /** Monotonic time at which the list was complete according to the peer. */
+  readonly freshAtMs: number;
+}
+
 /** Follows the list of endpoints in the store and applies its changes to the endpoint table. Each instance has one such watch. */
 export class EndpointWatch {
   readonly follower: FeedFollower<ListedEndpoint>;
+  /** The list that is being taken from a peer. */
+  private _peerList: PeerEndpointList | undefined;
+  /** Offset of the newest list that was applied although it does not tell missing endpoints from others. */
+  private _unmarkedOffset = 0;
 
   /** @param clock - Monotonic clock and waits, replaced in tests. */
   constructor(
     private readonly _endpoints: EndpointTable,
     feed: ChangeFeed<ListedEndpoint>,
-    log: DecisionLog,
+    private readonly _log: DecisionLog,
     clock: Pick<FollowOptions, "nowMs" | "pause"> = {},
   ) {
     const listener = {
-      onSnapshot: (values: ReadonlyMap<string, ListedEndpoint>) => _endpoints.setAll(values),
+      onSnapshot: (values: ReadonlyMap<string, ListedEndpoint>) =>
+        _endpoints.setAll(values, this._peerList?.missing),
       onChanges: (changes: readonly Change<ListedEndpoint>[]) => _endpoints.apply(changes),
-      onLost: (error: StoreError) => log.warn("endpoint-store-lost", { cause: error.message }),
+      onLost: (error: StoreError) => _log.warn("endpoint-store-lost", { cause: error.message }),
       onRegained: () => {
         _endpoints.noteStoreReturned();
-        log.info("endpoint-store-regained", { endpoints: _endpoints.getAll().length });
+        _log.info("endpoint-store-regained", { endpoints: _endpoints.getAll().length });
       },
     };
     this.follower = new FeedFollower(feed, listener, { waitMs: longPollMs, retryMs, gatherMs, ...clock });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
       const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
-      log.info(`endpoint-${event}`, {
+      _log.info(`endpoint-${event}`, {
         endpointId: id,
         address: listed.address,
         zone: listed.availabilityZone,
@@ -53,16 +70,42 @@
     return this.follower.run(signal);
   }
 
-  /**
-   * Applies a list that was complete at `freshAtMs` according to a peer, if that is newer than the known list.
-   * @param list - Undefined if the peer's list is the one that this instance already had when it sent its request.
-   */
-  applyPeerList(list: readonly ListedEndpoint[] | undefined, nextOffset: number, freshAtMs: number): void {
-    if (list === undefined) {
+  /** Applies the list of a peer, if it is newer than the known list. */
+  applyPeerList(list: PeerEndpointList): void {
+    const { endpoints, missing, nextOffset, freshAtMs } = list;
+    if (endpoints === undefined) {
       this.follower.applyPeerPage({ fromOffset: nextOffset, nextOffset, changes: [] }, freshAtMs);
       return;
     }
-    const values = new Map(list.map((listed) => [listed.id, listed]));
+    if (nextOffset < this._unmarkedOffset) return;
+    const values = new Map(endpoints.map((listed) => [listed.id, listed]));
+    if (missing === undefined) return this._applyUnmarkedList(values, nextOffset);
+    const ageBeforeMs = this.follower.getFreshnessAgeMs();
+    this._peerList = list;
     this.follower.applyPeerSnapshot(values, nextOffset, freshAtMs);
+    this._peerList = undefined;
+    const ageMs = this.follower.getFreshnessAgeMs();
+    if (ageMs >= ageBeforeMs) return;
+    this._log.info("endpoint-list-taken", {
+      nextOffset,
+      endpoints: values.size,
+      missing: missing.length,
+      ageMs: Math.round(ageMs),
+      ageBeforeMs: Number.isFinite(ageBeforeMs) ? Math.round(ageBeforeMs) : undefined,
+    });
+  }
+
+  /**
+   * Applies a list that does not tell missing endpoints from others. Their removal may precede the offset of the list, so that neither the
+   * offset nor the freshness advances, and only an instance that has read nothing yet adds endpoints: its first snapshot corrects them.
+   */
+  private _applyUnmarkedList(values: ReadonlyMap<string, ListedEndpoint>, nextOffset: number): void {
+    const knownOffset = this.follower.nextOffset;
+    if (knownOffset !== undefined && nextOffset <= knownOffset) return;
+    if (nextOffset > this._unmarkedOffset)
+      this._log.info("endpoint-list-unmarked", { nextOffset, knownOffset, endpoints: values.size });
+    this._unmarkedOffset = nextOffset;
+    if (knownOffset === undefined) this._endpoints.setAll(values);
+    else this._endpoints.updateKnown(values);
   }
 }
--- a/packages/gateway/src/discovery/ListedEndpoint.ts
+++ b/packages/gateway/src/discovery/ListedEndpoint.ts
@@ -30,3 +30,11 @@
   bornAtMs: zod.number().int().optional(),
 });
 export type ListedEndpoint = zod.infer<typeof listedEndpointSchema>;
+
+/** An endpoint whose entry is missing, and that is kept for a grace period in which it gets no new work. */
+export const missingEndpointSchema = zod.object({
+  id: zod.string().min(1),
+  /** Time until the endpoint counts as gone unless its entry reappears. */
+  leftMs: zod.number().nonnegative(),
+});
+export type MissingEndpoint = zod.infer<typeof missingEndpointSchema>;
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -153,8 +153,7 @@
       getConfigurationOffset: () => configurationWatch.follower.nextOffset,
       advanceTo: (nextOffset) => configurationWatch.follower.advanceTo(nextOffset),
       getEndpointListOffset: () => endpointWatch.follower.nextOffset,
-      applyEndpointList: (list, nextOffset, freshAtMs) =>
-        endpointWatch.applyPeerList(list, nextOffset, freshAtMs),
+      applyEndpointList: (list) => endpointWatch.applyPeerList(list),
       isRegistryReached: () => this._directory.isRegistryReached,
       getInstances: () => this._directory.getInstances(),
       addInstances: (instances) => this._directory.addInstances(instances),
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -4,7 +4,8 @@
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ReportedSuspicion } from "../discovery/FailureDetector.js";
-import type { LayerSpan, ListedEndpoint } from "../discovery/ListedEndpoint.js";
+import type { PeerEndpointList } from "../discovery/EndpointWatch.js";
+import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { SuspicionEvidence } from "../discovery/SuspicionEvidence.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { ConfigurationExchange, type ConfigurationState } from "./ConfigurationExchange.js";
@@ -45,12 +46,7 @@
   readonly getEndpointListAgeMs: () => number;
   /** Returns the store's offset that follows what this instance has read of the list, or undefined before the first read. */
   readonly getEndpointListOffset: () => number | undefined;
-  /** Accepts a list that was complete at `freshAtMs`; the list is undefined if this instance has the same one. */
-  readonly applyEndpointList: (
-    list: readonly ListedEndpoint[] | undefined,
-    nextOffset: number,
-    freshAtMs: number,
-  ) => void;
+  readonly applyEndpointList: (list: PeerEndpointList) => void;
   /** Returns whether the last read of the registry of instances succeeded. */
   readonly isRegistryReached: () => boolean;
   readonly getInstances: () => readonly RegisteredInstance[];
@@ -224,26 +220,35 @@
     ]);
   }
 
+  /**
+   * Responds with the list of endpoints. A requester of an earlier version would take missing endpoints for gone, and lose the requests
+   * that they are working on, or for listed ones, and keep them for good: it gets no list while there are any.
+   */
   private _respondEndpoints(body: unknown): unknown {
-    const nextOffset = this._structure.getEndpointListOffset();
+    const { endpoints, getEndpointListAgeMs, getEndpointListOffset } = this._structure;
+    const nextOffset = getEndpointListOffset();
     if (nextOffset === undefined) return undefined;
-    const proofAgeMs = getFiniteAgeMs(this._structure.getEndpointListAgeMs());
+    const proofAgeMs = getFiniteAgeMs(getEndpointListAgeMs());
     const request = endpointsRequestSchema.safeParse(body);
     if (request.success && request.data.nextOffset === nextOffset) return { proofAgeMs, nextOffset };
-    const endpoints = this._structure.endpoints.getAll().map((endpoint) => endpoint.listed);
-    return { proofAgeMs, nextOffset, endpoints };
+    const missing = endpoints.getMissing();
+    if (missing.length > 0 && request.data?.readsMissing !== true) return undefined;
+    return { proofAgeMs, nextOffset, endpoints: endpoints.getListed(), missing };
   }
 
   private async _requestEndpoints(name: string): Promise<void> {
     const requestedAtMs = this._nowMs();
-    const request = { nextOffset: this._structure.getEndpointListOffset() };
+    const request = { nextOffset: this._structure.getEndpointListOffset(), readsMissing: true };
     const response = await this._request(name, peerTopics.endpoints, request, endpointsResponseSchema);
     if (response === undefined) return;
-    this._structure.applyEndpointList(
-      response.endpoints,
-      response.nextOffset,
-      requestedAtMs - response.proofAgeMs,
-    );
+    const { endpoints, missing, nextOffset, proofAgeMs } = response;
+    const tookMs = this._nowMs() - requestedAtMs;
+    this._structure.applyEndpointList({
+      endpoints,
+      missing: missing?.map(({ id, leftMs }) => ({ id, leftMs: Math.max(0, leftMs - tookMs) })),
+      nextOffset,
+      freshAtMs: requestedAtMs - proofAgeMs,
+    });
   }
 
   /** Sends a request to a peer, and returns undefined if no valid response arrives in time. */
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -2,7 +2,7 @@
 import * as zod from "zod";
 import { configurationDeltaSchema } from "../configuration/configurationDelta.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
-import { layerSpanSchema, listedEndpointSchema } from "../discovery/ListedEndpoint.js";
+import { layerSpanSchema, listedEndpointSchema, missingEndpointSchema } from "../discovery/ListedEndpoint.js";
 import { evidenceSchema } from "../discovery/SuspicionEvidence.js";
 import { registeredInstanceSchema } from "./PeerRegistry.js";
 
@@ -108,6 +108,8 @@
 export const endpointsRequestSchema = zod.object({
   /** The store's offset that follows what the requester has read; undefined before its first read. */
   nextOffset: zod.number().optional(),
+  /** Whether the requester reads the missing endpoints of the response; omitted by instances of earlier versions. */
+  readsMissing: zod.boolean().default(false),
 });
 
 /** The response to a request for the list of endpoints. */
@@ -117,10 +119,15 @@
   /** The store's offset that follows what the responder has read. */
   nextOffset: zod.number(),
   /**
-   * The list of endpoints, left out if the requester has the same one: a list of 195 endpoints takes 40 KB, and all instances request it
+   * The list of endpoints at `nextOffset`, left out if the requester has the same one: a list of 195 endpoints takes 40 KB, and all instances request it
    * while the store is unavailable.
    */
   endpoints: zod.array(listedEndpointSchema).optional(),
+  /**
+   * Endpoints that the responder keeps for a grace period although the list no longer contains them. Omitted by instances of earlier
+   * versions, whose lists contain them.
+   */
+  missing: zod.array(missingEndpointSchema).optional(),
 });
 
 /** The instances that the responder has in its directory. */
--- a/packages/gateway/src/tests/discovery/EndpointListTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointListTests.ts
@@ -9,6 +9,7 @@
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { PeerExchange } from "../../peers/PeerExchange.js";
+import { peerTopics } from "../../peers/peerMessages.js";
 import { PeerNetwork } from "../peers/PeerNetwork.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
 import { createListed } from "../testData.js";
@@ -29,12 +30,13 @@
   const nowMs = (): number => clock.nowMs;
   const network = new PeerNetwork();
   const join = (name: string) => {
+    const membership = network.join({ name, availabilityZone: "east" });
     const log = new DecisionLog(new SilentLogOutput(), nowMs);
     const table = new EndpointTable(nowMs);
     const watch = new EndpointWatch(table, new AbsentFeed(), log, { nowMs });
     const activeConfiguration = new ActiveConfiguration();
     const exchange = new PeerExchange({
-      membership: network.join({ name, availabilityZone: "east" }),
+      membership,
       activeConfiguration,
       endpoints: table,
       log,
@@ -44,13 +46,14 @@
       getConfigurationOffset: () => 0,
       advanceTo: () => undefined,
       getEndpointListOffset: () => watch.follower.nextOffset,
-      applyEndpointList: (list, nextOffset, freshAtMs) => watch.applyPeerList(list, nextOffset, freshAtMs),
+      applyEndpointList: (list) => watch.applyPeerList(list),
       isRegistryReached: () => true,
       getInstances: () => [],
       addInstances: () => undefined,
       nowMs,
     });
     return {
+      membership,
       table,
       watch,
       exchange,
@@ -106,3 +109,115 @@
   await request;
   t.is(behind.table.get("gone"), undefined);
 });
+
+test("an instance that takes a peer's list keeps the endpoints that the peer keeps, and drops them at the same moment", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const behind = join("b");
+  behind.readSnapshot(["gone", "here"], 10);
+  clock.nowMs += 2_000;
+  keepGone(peer);
+  clock.nowMs += 500;
+  await behind.exchange.requestIfStale();
+  for (const [elapsedMs, isKnown] of [
+    [1_499, true],
+    [1, false],
+  ] as const) {
+    clock.nowMs += elapsedMs;
+    for (const { table } of [peer, behind]) {
+      table.dropMissing();
+      t.is(table.get("gone") !== undefined, isKnown);
+    }
+  }
+});
+
+test("an endpoint that is missing in a peer's list gets work again once its entry is back", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const behind = join("b");
+  behind.readSnapshot(["gone", "here"], 10);
+  clock.nowMs += 2_000;
+  keepGone(peer);
+  await behind.exchange.requestIfStale();
+  const changes = [{ key: "gone", value: createListed("gone") }];
+  behind.watch.follower.applyPeerPage({ fromOffset: 11, nextOffset: 12, changes }, clock.nowMs);
+  t.deepEqual(behind.getUsable(), ["gone", "here"]);
+});
+
+/** Has an instance answer requests for its list as earlier versions do, which list endpoints that they keep for a grace period. */
+function answerAsEarlierVersion({ membership, table, watch }: Joined): void {
+  membership.onRequest(peerTopics.endpoints, () => {
+    const endpoints = table.getAll().map(({ listed }) => listed);
+    return { proofAgeMs: 0, nextOffset: watch.follower.nextOffset, endpoints };
+  });
+}
+
+// Guards against endpoints that are gone, taken for good from an instance of an earlier version during an upgrade.
+test("the list of an earlier version adds no endpoint and advances no offset, but shows which endpoints drain or are gone", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const behind = join("b");
+  answerAsEarlierVersion(peer);
+  behind.readSnapshot(["here", "leaves", "ended"], 10);
+  clock.nowMs += 2_000;
+  peer.readSnapshot(["gone", "here", "leaves"], 10);
+  peer.table.noteDraining("leaves");
+  peer.table.noteStoreReturned();
+  peer.readRemoval("gone", 10);
+  await behind.exchange.requestIfStale();
+  t.deepEqual(behind.getUsable(), ["here"]);
+  t.deepEqual(
+    behind.table.getAll().map(({ id }) => id),
+    ["here", "leaves"],
+  );
+  t.is(behind.watch.follower.nextOffset, 10);
+});
+
+test("an instance that has read nothing yet serves by the list of an earlier version, until it reads the store or a list that it can trust", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const started = join("b");
+  answerAsEarlierVersion(peer);
+  keepGone(peer);
+  await started.exchange.requestIfStale();
+  t.true(started.table.hasList);
+  t.deepEqual(started.getUsable(), ["gone", "here"]);
+  t.is(started.watch.follower.nextOffset, undefined);
+  const upgraded = join("c");
+  clock.nowMs += 3_000;
+  upgraded.readSnapshot(["here"], 11);
+  peer.membership.onRequest(peerTopics.endpoints, () => undefined);
+  await started.exchange.requestIfStale();
+  t.deepEqual(started.getUsable(), ["here"]);
+  t.is(started.watch.follower.nextOffset, 11);
+});
+
+test("an older list does not undo what the newer list of an earlier version has shown", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const behind = join("b");
+  answerAsEarlierVersion(peer);
+  behind.readSnapshot(["gone", "here"], 8);
+  clock.nowMs += 2_000;
+  peer.readSnapshot(["here"], 11);
+  await behind.exchange.requestIfStale();
+  const missing: [] = [];
+  const endpoints = ["gone", "here"].map((id) => createListed(id));
+  behind.watch.applyPeerList({ endpoints, missing, nextOffset: 10, freshAtMs: clock.nowMs });
+  t.deepEqual(behind.getUsable(), ["here"]);
+});
+
+test("an instance of an earlier version gets no list while endpoints are missing from it", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const earlier = join("b");
+  keepGone(peer);
+  const request = async (): Promise<unknown> => {
+    const reply = await earlier.membership.request("a", peerTopics.endpoints, { nextOffset: 10 }, 400);
+    return reply.ok ? reply.val : reply.val.code;
+  };
+  t.is(await request(), undefined);
+  clock.nowMs += 2_000;
+  peer.table.dropMissing();
+  t.like(await request(), { nextOffset: 11, endpoints: [{ id: "here" }] });
+});
