fix: engines that nobody reaches do not keep the others of their zone from getting orders

Cause: the planner of a zone closes a gap with the engines that cost least. One that can't be reached looks like any other to it until a request has made it suspect, and an engine without layers gets no requests. The order failed, nothing followed from that, and a second later the same engine was chosen again. Besides, if more than half of a zone's engines don't answer, LostEngineDetector left none of them out, however long that lasted.

Ruled out: the back-off after a failed order (one second, for this engine only).

Change: an order that got no answer has its engine probed, so that the next plans do without it. An engine that does not answer and has no layers is left out in any case. One with layers is left out after 8 s also if most engines of its zone don't answer; as long as that is so, the orders for the others make none of them drop layers, since requests may pass through engines that only the leader does not reach.

Not covered: an engine that answers and refuses each order.

--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -1,4 +1,4 @@
-import { utils } from "@shedtiller/common";
+import { errors, utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
 import { toCopyEngine, toCopyModel } from "../chains/engineModel.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
@@ -7,9 +7,15 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import type { EngineOrders, EngineReport } from "./EngineOrders.js";
+import type { EngineOrders, EngineReport, OrderError } from "./EngineOrders.js";
 import { LostEngineDetector } from "./LostEngineDetector.js";
-import { getExpectedSpan, noLayers, type ZoneEngine, type ZoneOrder } from "./planZoneOrders.js";
+import {
+  getExpectedSpan,
+  noLayers,
+  withoutDrops,
+  type ZoneEngine,
+  type ZoneOrder,
+} from "./planZoneOrders.js";
 import { ZonePlanner } from "./ZonePlanner.js";
 
 const tickMs = 200;
@@ -103,14 +109,15 @@
     const zones = utils.groupBy(endpoints, (endpoint) => endpoint.listed.availabilityZone);
     for (const [zone, members] of zones) {
       if (!this._structure.mayOrder(zone)) continue;
-      const orders = await this._plan(this._lostEngines.withoutLost(members), profile);
+      const orders = await this._plan(members, profile);
       await Promise.all(orders.map((order) => this._order(order, profile)));
     }
   }
 
   /** Returns the orders that are due for the engines of a zone; none while engines are still being added. */
-  private async _plan(members: readonly Endpoint[], profile: EngineProfile): Promise<ZoneOrder[]> {
+  private async _plan(listed: readonly Endpoint[], profile: EngineProfile): Promise<ZoneOrder[]> {
     const nowMs = utils.monotonicMs();
+    const members = this._lostEngines.withoutLost(listed);
     const [sample] = members;
     if (sample === undefined) return [];
     const pool = getPoolKey(sample);
@@ -124,7 +131,13 @@
     const areFirstEnginesEqualized =
       this._structure.areFirstEnginesEqualized && placement.canSpreadFirstEngines(copyEngines, profile);
     const firstEngineWeight = areFirstEnginesEqualized ? placement.usualFirstEngineWeight : undefined;
-    return planner.plan(engines, { ...toCopyModel(profile), firstEngineWeight });
+    const orders = await planner.plan(engines, { ...toCopyModel(profile), firstEngineWeight });
+    const hasUncertain = listed.some(
+      (member) => member.listed.layers.length > 0 && !members.includes(member),
+    );
+    if (!hasUncertain || this._lostEngines.isZoneReached(listed)) return orders;
+    // Requests may pass through the engines that don't answer, and need the layers of the others.
+    return withoutDrops(orders, engines);
   }
 
   private _toZoneEngine(member: Endpoint, profile: EngineProfile, nowMs: number): ZoneEngine {
@@ -153,7 +166,12 @@
     this._retryAtMs.set(name, utils.monotonicMs() + retryMs);
     const target = endpoint.orderTarget;
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
-    if (report.err) return this._logOutcome(endpoint, span, report.val.code);
+    if (report.err) {
+      // The next plan has to do without an engine that can't be reached, whether or not requests have made it suspect.
+      const isCurrent = this._structure.endpoints.get(name) === endpoint;
+      if (isCurrent && isUnanswered(report.val)) void this._lostEngines.check(endpoint);
+      return this._logOutcome(endpoint, span, report.val.code);
+    }
     if (this._structure.endpoints.get(name) !== endpoint)
       return this._logOutcome(endpoint, span, "started again");
     const postponeReason = getPostponeReason(order, report.val, endpoint, profile);
@@ -183,6 +201,15 @@
   }
 }
 
+/** Returns whether an error shows that an engine gave no answer at all. */
+function isUnanswered(error: OrderError): boolean {
+  return (
+    error instanceof errors.NotReachedError ||
+    error instanceof errors.ConnectionLostError ||
+    error instanceof errors.DeadlineError
+  );
+}
+
 /** Returns the reason for which an engine can't receive an order now, or undefined if there is none. */
 function getPostponeReason(
   order: ZoneOrder,
--- a/packages/gateway/src/orders/LostEngineDetector.ts
+++ b/packages/gateway/src/orders/LostEngineDetector.ts
@@ -12,12 +12,19 @@
 const failuresUntilLost = 2;
 /** If more than this share of a zone's engines does not answer, the link to the zone has failed rather than its engines. */
 const maxLostShare = 0.5;
+/**
+ * An engine that has ended leaves the list after three missed heartbeats, about 4 s. One that neither answers nor leaves the list for twice
+ * as long is no longer waited for, whatever its share of the zone.
+ */
+const longLostMs = 8_000;
 
 interface Probe {
   failures: number;
   isRunning: boolean;
   /** Monotonic time of the next probe. */
   nextAtMs: number;
+  /** Monotonic time from which the engine has counted as lost. */
+  lostSinceMs: number;
 }
 
 /**
@@ -34,15 +41,25 @@
     private readonly _nowMs: () => number = utils.monotonicMs,
   ) {}
 
-  /** Probes the engines of a zone that are under suspicion or were lost, and returns the engines that are not lost. */
+  /**
+   * Probes the engines of a zone that are under suspicion or were lost, and returns the engines that are not lost. If the zone is not reached,
+   * lost engines that have loaded layers remain for a while, since requests may reach them.
+   */
   withoutLost(members: readonly Endpoint[]): Endpoint[] {
     const nowMs = this._nowMs();
     for (const member of members) {
       if (member.isSuspect(nowMs) || this._probes.has(member.id)) void this.check(member);
     }
-    const remaining = members.filter((member) => !this._isLost(member.id));
-    const isZoneReached = remaining.length >= members.length * (1 - maxLostShare);
-    return isZoneReached ? remaining : [...members];
+    const isReached = this.isZoneReached(members);
+    return members.filter(
+      (member) => !this._isLost(member.id) || (!isReached && this._mayServe(member, nowMs)),
+    );
+  }
+
+  /** Returns whether enough engines of a zone answer to assume that the others have failed, and not the link to the zone. */
+  isZoneReached(members: readonly Endpoint[]): boolean {
+    const lost = members.filter((member) => this._isLost(member.id));
+    return lost.length <= members.length * maxLostShare;
   }
 
   /** Forgets all probes, since this instance reached no engine while they ran. */
@@ -58,15 +75,26 @@
     return (this._probes.get(id)?.failures ?? 0) >= failuresUntilLost;
   }
 
+  /** Returns whether requests may pass through a lost engine by paths that this instance does not have. */
+  private _mayServe({ id, listed }: Endpoint, nowMs: number): boolean {
+    const lostSinceMs = this._probes.get(id)?.lostSinceMs ?? nowMs;
+    return listed.layers.length > 0 && nowMs - lostSinceMs < longLostMs;
+  }
+
   /** Probes an engine until it answers or counts as lost. */
   async check(member: Endpoint): Promise<void> {
-    const probe = this._probes.get(member.id) ?? { failures: 0, isRunning: false, nextAtMs: 0 };
+    const probe = this._probes.get(member.id) ?? {
+      failures: 0,
+      isRunning: false,
+      nextAtMs: 0,
+      lostSinceMs: 0,
+    };
     this._probes.set(member.id, probe);
     if (probe.isRunning || this._nowMs() < probe.nextAtMs) return;
     probe.isRunning = true;
     while (!(await this._probeOnce(member))) {
       probe.failures += 1;
-      if (probe.failures === failuresUntilLost) this._logWarning(member, "engine-lost");
+      if (probe.failures === failuresUntilLost) this._noteLost(member, probe);
       if (probe.failures >= failuresUntilLost) break;
       await utils.sleep(retryMs);
     }
@@ -74,6 +102,11 @@
     probe.nextAtMs = this._nowMs() + lostProbeIntervalMs;
   }
 
+  private _noteLost(member: Endpoint, probe: Probe): void {
+    probe.lostSinceMs = this._nowMs();
+    this._logWarning(member, "engine-lost");
+  }
+
   /** Probes an engine once; an answer resets its failures. */
   private async _probeOnce(member: Endpoint): Promise<boolean> {
     const target = member.orderTarget;
--- a/packages/gateway/src/orders/planZoneOrders.ts
+++ b/packages/gateway/src/orders/planZoneOrders.ts
@@ -91,6 +91,15 @@
   return getDroppedSpans(member, span).length > 0;
 }
 
+/** Returns the orders that make no engine drop layers. */
+export function withoutDrops(orders: readonly ZoneOrder[], members: readonly ZoneEngine[]): ZoneOrder[] {
+  const byName = new Map(members.map((member) => [member.engine.name, member]));
+  return orders.filter(({ name, span }) => {
+    const member = byName.get(name);
+    return member !== undefined && !isDroppingLayers(member, span);
+  });
+}
+
 /** Returns the spans of an engine's listed layers that lie outside `span`. */
 function getDroppedSpans(member: ZoneEngine, span: LayerSpan): LayerSpan[] {
   const { listed } = member;
--- a/packages/gateway/src/tests/orders/planZoneOrdersTests.ts
+++ b/packages/gateway/src/tests/orders/planZoneOrdersTests.ts
@@ -1,7 +1,12 @@
 /** Tests that layers are dropped only once other engines have loaded them, and that a broken zone is ordered directly to its target. */
 import test from "ava";
 import type { LayerSpan } from "../../discovery/ListedEndpoint.js";
-import { isZoneComplete, planZoneOrders, type ZoneEngine } from "../../orders/planZoneOrders.js";
+import {
+  isZoneComplete,
+  planZoneOrders,
+  withoutDrops,
+  type ZoneEngine,
+} from "../../orders/planZoneOrders.js";
 import * as zoneTestData from "./zoneTestData.js";
 
 const model = zoneTestData.smallModel;
@@ -74,3 +79,18 @@
   const members = [createMember("a", span(0, 4), { isFree: false })];
   t.is(zoneTestData.describeOrders(planZoneOrders(members, [span(0, 5)], model)), "");
 });
+
+// Guards against engines that drop layers which requests need, on the word of a leader that does not reach most of their zone.
+test("of the orders for a zone that is hardly reached, those remain that add layers", (t) => {
+  const members = [
+    createMember("a", span(0, 4)),
+    createMember("b", span(0, 4)),
+    createMember("c", span(0, 0)),
+  ];
+  const orders = [
+    { name: "a", span: span(0, 6), isUrgent: true },
+    { name: "b", span: span(2, 8), isUrgent: true },
+    { name: "c", span: span(4, 8), isUrgent: true },
+  ];
+  t.is(zoneTestData.describeOrders(withoutDrops(orders, members)), "a=0-6,c=4-8");
+});
