fix: a restart of an endpoint does not end the grace period of its missing entry

The cause of the endpoints that are gone, in another place: a peer's notice or an engine's report of a newer start took an endpoint out of those whose entries are missing. If the new process ended as well before it wrote an entry, the endpoint got work for good, since its removal had been read.

Change: only an entry ends the grace period; the restarted endpoint is known meanwhile, and gets no new work.

Ruled out: it does not act where each start of a process has an id of its own.

Before: the new test fails (getUsable() contains the endpoint). After: it passes, and so do the other tests of the lives.

--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -308,7 +308,6 @@
    * exists, and work that passes through that process is lost.
    */
   private _restart(before: Endpoint, listed: ListedEndpoint): void {
-    this._missing.delete(before.id);
     const endpoint = this._create(listed);
     this._endpoints.set(listed.id, endpoint);
     this._notify(before, "restarted");
--- a/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
@@ -176,3 +176,15 @@
     ["a"],
   );
 });
+
+// Guards against an endpoint that is gone and gets work for good, since its entry and its restart were taken in the wrong order.
+test("a restart that a peer or a report shows does not end the grace period of an endpoint whose entry is missing", (t) => {
+  const { clock, table } = setUp();
+  table.noteStoreReturned();
+  table.apply([{ key: "a", value: undefined }]);
+  table.noteStart("a", second, []);
+  t.deepEqual(table.getUsable("engines"), []);
+  clock.nowMs += 2_000;
+  table.dropMissing();
+  t.is(table.get("a"), undefined);
+});
