fix: layers from a report do not replace those of an entry that the sender has not read

The cause of the endpoints that are gone, in another place: an instance that reads in a report which layers an engine has tells its peers, which set them whatever they knew. A notice that arrives after a newer entry, as it does after a suspension or on a link that was cut, put the older layers in place of those of the entry. The list does not repeat entries, so that they stayed, and went on to others with a list at a newer offset. An engine that was taken for empty got no requests, and its leader's orders were put off ("not as listed").

Change: the notice says which layers the sender had in its list, and a peer whose list shows others ignores it. A peer that is behind reads the entry soon, or asks the engine itself once it turns a request away. Notices of earlier versions have no such field and are taken as before; earlier versions ignore the field.

What remains: an engine that has gone back to the very layers that the sender knew, while the notice was on its way.

--- a/packages/gateway/src/discovery/EndpointHealth.ts
+++ b/packages/gateway/src/discovery/EndpointHealth.ts
@@ -40,7 +40,7 @@
         // What an instance observes that reaches no endpoint tells nothing about any of them.
         if (!paths.isIsolated) exchange.broadcastSuspicion(id, evidence, ageMs);
       },
-      broadcastLayers: (id, layers) => exchange.broadcastLayers(id, layers),
+      broadcastLayers: (id, layers, replaced) => exchange.broadcastLayers(id, layers, replaced),
       count,
     });
     this._review = new SuspicionReview({ endpoints, liveness, log });
--- a/packages/gateway/src/discovery/FailureDetector.ts
+++ b/packages/gateway/src/discovery/FailureDetector.ts
@@ -41,8 +41,12 @@
   readonly liveness: Pick<LivenessCheck, "run">;
   /** Reports a suspicion to the peers, with the time since the beginning of the failed attempt. */
   readonly broadcastSuspicion: (endpointId: string, evidence: SuspicionEvidence, ageMs: number) => void;
-  /** Reports to the peers which layers an engine has loaded, if the list contains others. */
-  readonly broadcastLayers: (endpointId: string, layers: readonly LayerSpan[]) => void;
+  /** Reports to the peers which layers an engine has loaded, if the list contains others, which they replace. */
+  readonly broadcastLayers: (
+    endpointId: string,
+    layers: readonly LayerSpan[],
+    replaced: readonly LayerSpan[],
+  ) => void;
   /** Counts a suspicion by its cause. */
   readonly count: (cause: string) => void;
   /** Monotonic clock, replaced in tests. */
@@ -145,9 +149,10 @@
       const reason = `holds other layers: ${report.val.code}`;
       return this.noteUnresponsive(endpointId, reason, getEvidence(report.val), attemptedAtMs);
     }
+    const replaced = endpoint.listed.layers;
     if (!endpoints.setLayers(endpoint, report.val.layers)) return;
     endpoint.avoidedUntilMs = 0;
-    broadcastLayers(endpointId, report.val.layers);
+    broadcastLayers(endpointId, report.val.layers, replaced);
     log.info("endpoint-holds-other-layers", { endpointId, address });
   }
 
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -134,9 +134,13 @@
     this._structure.membership.notifyAll(peerTopics.newVersion, { version });
   }
 
-  /** Broadcasts to all peers which layers an engine has loaded, if they differ from those in the list of endpoints. */
-  broadcastLayers(endpointId: string, layers: readonly LayerSpan[]): void {
-    this._notifyAboutEndpoint(endpointId, peerTopics.layers, { layers });
+  /**
+   * Broadcasts to all peers which layers an engine has loaded, if they differ from those in the list of endpoints.
+   * @param replaced - The layers in the list of this instance. Peers whose lists show others have read an entry that may be newer than the
+   * report.
+   */
+  broadcastLayers(endpointId: string, layers: readonly LayerSpan[], replaced?: readonly LayerSpan[]): void {
+    this._notifyAboutEndpoint(endpointId, peerTopics.layers, { layers, replaced });
   }
 
   private _notifyAboutEndpoint(
@@ -164,9 +168,11 @@
     this._onEndpointNotice(peerTopics.slowness, slownessSchema, (endpoint, { slowness }) => {
       endpoint.slowness = slowness;
     });
-    this._onEndpointNotice(peerTopics.layers, loadedLayersSchema, (endpoint, { layers }) =>
-      endpoints.setLayers(endpoint, layers),
-    );
+    this._onEndpointNotice(peerTopics.layers, loadedLayersSchema, (endpoint, { layers, replaced }) => {
+      const isKnown =
+        replaced === undefined || JSON.stringify(replaced) === JSON.stringify(endpoint.listed.layers);
+      if (isKnown) endpoints.setLayers(endpoint, layers);
+    });
   }
 
   /** Handles notices of peers about an endpoint. Notices about an earlier or unknown life of its process are ignored. */
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -71,7 +71,12 @@
 export const endpointNoticeSchema = zod.object({ lifeId: zod.string() });
 
 /** The layers that an engine reports as loaded, where the list shows others. */
-export const loadedLayersSchema = zod.object({ lifeId: zod.string(), layers: zod.array(layerSpanSchema) });
+export const loadedLayersSchema = zod.object({
+  lifeId: zod.string(),
+  layers: zod.array(layerSpanSchema),
+  /** The layers in the list of the sender; omitted by instances of earlier versions. */
+  replaced: zod.array(layerSpanSchema).optional(),
+});
 
 /** An endpoint whose process has restarted. */
 export const restartSchema = zod.object({ endpointId: zod.string(), bornAtMs: zod.number().int() });
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -109,3 +109,18 @@
   sender.exchange.broadcastSuspicion("e", "lost");
   t.is(far.endpoints.get("e")?.evidence, "lost");
 });
+
+// Guards against an instance that takes an engine for empty for good, since a report from before the engine's entry arrived after it.
+test("layers that a peer has read in a report replace those that it knew, but not those of another entry", (t) => {
+  const network = new PeerNetwork();
+  const sender = join(network, "a");
+  const behind = join(network, "b");
+  const ahead = join(network, "c");
+  const [older, newer] = [[{ start: 0, end: 4 }], [{ start: 2, end: 4 }]];
+  for (const { endpoints } of [sender, behind])
+    endpoints.setAll(new Map([["e", createListed("e", { layers: older })]]));
+  ahead.endpoints.setAll(new Map([["e", createListed("e", { layers: newer })]]));
+  sender.exchange.broadcastLayers("e", [], older);
+  t.deepEqual(behind.endpoints.get("e")?.listed.layers, []);
+  t.deepEqual(ahead.endpoints.get("e")?.listed.layers, newer);
+});
