fix: an engine whose reports keep contradicting the list gets orders by its reports

The cause of the endpoints that are gone, where it stops orders: a leader whose list shows an older state of an engine, for whatever reason, put off each order for it ("not as listed") and waited for an entry that corrects the list. Entries that don't change are not repeated, so that it waited for good, and a zone that needed the engine stayed broken.

Before: the new test of LayerReconcilerTests fails after 30 s.

--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -8,6 +8,7 @@
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders, EngineReport, OrderError } from "./EngineOrders.js";
+import { LayerContradictions } from "./LayerContradictions.js";
 import { LostEngineDetector } from "./LostEngineDetector.js";
 import {
   getExpectedSpan,
@@ -63,6 +64,7 @@
   /** Monotonic time at which the last engine was added, by the key of its pool. */
   private readonly _addedAtMs = new Map<string, number>();
   private readonly _lostEngines: LostEngineDetector;
+  private readonly _contradictions = new LayerContradictions(utils.monotonicMs);
 
   constructor(private readonly _structure: LayerReconcilerStructure) {
     this._lostEngines = new LostEngineDetector(_structure.orders, _structure.log);
@@ -174,6 +176,7 @@
     }
     if (this._structure.endpoints.get(name) !== endpoint)
       return this._logOutcome(endpoint, span, "started again");
+    this._noteReport(endpoint, report.val);
     const postponeReason = getPostponeReason(order, report.val, endpoint, profile);
     if (postponeReason !== undefined) return this._logOutcome(endpoint, span, postponeReason);
     if (!this._structure.mayOrder(endpoint.listed.availabilityZone)) return;
@@ -184,6 +187,19 @@
     this._pending.set(name, { span, dueAtMs: utils.monotonicMs() + loadMs + overdueMs });
   }
 
+  /** Takes over the layers that an engine reports once the list has shown others for so long that no entry is about to correct it. */
+  private _noteReport(endpoint: Endpoint, { isBusy, layers }: EngineReport): void {
+    const { endpoints, log } = this._structure;
+    const listed = endpoint.listed.layers;
+    if (isBusy || !this._contradictions.note(endpoint.id, listed, layers)) return;
+    log.warn("listed-layers-contradicted", {
+      endpointId: endpoint.id,
+      listed: describeLayers(listed),
+      reported: describeLayers(layers),
+    });
+    endpoints.setLayers(endpoint, layers);
+  }
+
   private _logOutcome(endpoint: Endpoint, span: LayerSpan, outcome: string): void {
     this._structure.log.info("layers-ordered", {
       endpointId: endpoint.id,
@@ -198,6 +214,7 @@
     this._pending.delete(id);
     this._retryAtMs.delete(id);
     this._lostEngines.removeProbe(id);
+    this._contradictions.remove(id);
   }
 }
 
@@ -227,6 +244,10 @@
   return report.usedTokenLayers < capacityTokenLayers ? undefined : "in use";
 }
 
+function describeLayers(layers: readonly LayerSpan[]): string[] {
+  return layers.map(({ start, end }) => `${start}-${end}`);
+}
+
 function getPoolKey(endpoint: Endpoint): string {
   return `${endpoint.listed.service}\u0000${endpoint.listed.availabilityZone}`;
 }
--- a/packages/gateway/src/tests/orders/LayerReconcilerTests.ts
+++ b/packages/gateway/src/tests/orders/LayerReconcilerTests.ts
@@ -12,7 +12,7 @@
 
 const timeoutMs = 30_000;
 
-/** Runs a reconciler for a zone until `isDone` returns true, and returns whether it did; engines named `gone…` never answer. */
+/** Runs a reconciler for a zone until `isDone` returns true, and returns whether it did; engines named `gone…` never answer, and those named `emptied…` hold none of the listed layers. */
 async function reconcile(
   engines: readonly ListedEndpoint[],
   isDone: (orders: FakeEngines) => boolean,
@@ -23,7 +23,7 @@
   const orders = new FakeEngines();
   for (const { id, layers } of engines) {
     if (id.startsWith("gone")) orders.silent.add(id);
-    else orders.reports.set(id, { layers });
+    else orders.reports.set(id, { layers: id.startsWith("emptied") ? [] : layers });
   }
   const endpoints = new EndpointTable();
   const reconciler = new LayerReconciler({
@@ -58,3 +58,9 @@
   const gone = ["gone-1", "gone-2", "gone-3"].map((id) => createListed(id));
   t.true(await reconcile([half, ...gone, empty], ({ ordered }) => ordered.includes("empty")));
 });
+
+// Guards against a zone that stays broken since an instance that was told an older state of an engine keeps it, and orders nothing.
+test("an engine that keeps reporting other layers than those in the list gets orders by its reports", async (t) => {
+  const emptied = createListed("emptied", { layers: [{ start: 0, end: 1 }] });
+  t.true(await reconcile([half, emptied], ({ ordered }) => ordered.includes("emptied")));
+});
