--- a/packages/gateway/src/tests/discovery/EndpointListTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointListTests.ts
@@ -144,6 +144,20 @@
   t.deepEqual(behind.getUsable(), ["gone", "here"]);
 });
 
+test("a peer's list that shows an endpoint as ready does not end its draining, nor that of one that was gone in between", async (t) => {
+  const { clock, join } = setUp();
+  const peer = join("a");
+  const behind = join("b");
+  behind.readSnapshot(["here", "leaves", "returns"], 10);
+  for (const id of ["leaves", "returns"]) behind.table.noteDraining(id);
+  behind.readRemoval("returns", 10);
+  clock.nowMs += 2_000;
+  peer.readSnapshot(["here", "leaves", "returns"], 12);
+  await behind.exchange.requestIfStale();
+  t.is(behind.watch.follower.nextOffset, 12);
+  t.deepEqual(behind.getUsable(), ["here"]);
+});
+
 /** Has an instance answer requests for its list as earlier versions do, which list endpoints that they keep for a grace period. */
 function answerAsEarlierVersion({ membership, table, watch }: Joined): void {
   membership.onRequest(peerTopics.endpoints, () => {
