gateway: callers that have received nothing go elsewhere if their silent run can have no successor

Cause: a caller without any answer can send its request elsewhere only if it gets a failure in time; and instances with few streams took their silence for a common one too often, so that no successor started.

Change: a run that is silent for the maximum time and can have no successor is given up if nothing of its answer has been forwarded, so that the caller gets a complete failure (502) as before. An answer that has begun is still never ended. Whether silence is common is judged by the signs of all engines of the service, answers to questions included, and not by the events of this instance's streams only; a common silence ends nothing at all.

--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -28,7 +28,7 @@
 /** Timeout of a query; an engine that does not report within this time counts as unresponsive. */
 const reportTimeoutMs = 400;
 /** Silence after which a resumable stream may have a successor; callers abandon a stream that is silent for two seconds. */
-const maxSilenceMs = 1_200;
+export const maxSilenceMs = 1_200;
 
 /**
  * Detects stalled streams, queries their first engines for the engine at fault, and moves the streams to other engines. Where that does not
@@ -36,7 +36,8 @@
  */
 export class StallMonitor {
   private readonly _attempts = new Set<StreamAttempt>();
-  private readonly _successorGate = new SuccessorGate(this._attempts);
+  /** Decides whether runs in doubt may have successors now. */
+  readonly successorGate: SuccessorGate;
   /** Monotonic time of the last query, by the id of the endpoint. */
   private readonly _queriedAtMs = new Map<string, number>();
   private readonly _mover: StreamMover;
@@ -56,6 +57,7 @@
     private readonly _nowMs: () => number = utils.monotonicMs,
     random: () => number = Math.random,
   ) {
+    this.successorGate = new SuccessorGate(_context.endpoints);
     this._mover = new StreamMover({ context: _context, chooser, orders: _orders, nowMs: _nowMs, random });
     this._watch = this._createWatch(random);
     this._drainWatch = this._createDrainWatch();
@@ -79,12 +81,6 @@
 
   remove(attempt: StreamAttempt): void {
     this._attempts.delete(attempt);
-    this._successorGate.noteEnd(attempt);
-  }
-
-  /** Decides whether runs in doubt may have successors now. */
-  get successorGate(): SuccessorGate {
-    return this._successorGate;
   }
 
   /** Number of running streams. */
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -19,10 +19,10 @@
 export type DoubtCause = "silent" | "engine-unanswered" | "path-cut" | "engine-suspected" | "request-unknown";
 
 /**
- * Why this instance gave up a run: the process of its first engine has restarted, a successor produced the next event, or the run was a
- * successor that is not needed.
+ * Why this instance gave up a run: the process of its first engine has restarted, a successor produced the next event, the run was a
+ * successor that is not needed, or there is no successor and the caller has received nothing yet.
  */
-export type GiveUpCause = "engine-restarted" | "replaced" | "not-needed";
+export type GiveUpCause = "engine-restarted" | "replaced" | "not-needed" | "no-successor";
 
 /** Forwards the complete events of one attempt and reports how it ended. The `StallMonitor` detects stalls and ends attempts. */
 export class StreamAttempt implements TrackedRun {
@@ -30,8 +30,6 @@
   firstEndpoint: Endpoint | undefined;
   /** Monotonic time of the send, of the last received bytes, or of the last move. */
   lastActivityAtMs = utils.monotonicMs();
-  /** Monotonic time of the last event. */
-  lastEventAtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic time of the send. */
   sentAtMs = this.lastActivityAtMs;
   /** Ends the attempt. */
@@ -161,7 +159,6 @@
     const events = this._splitter.push(bytes);
     if (events === undefined) return;
     this.onEvents?.();
-    this.lastEventAtMs = nowMs;
     if (!this.request.isHeadSent) this.request.startStream(answer.status, answer.headers);
     if (this.firstEventMs === undefined) {
       this.reservation.notePromptRead();
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -10,7 +10,7 @@
 import type { CallerRequest } from "./CallerRequest.js";
 import { isReturn, refuseAtGates } from "./refuseAtGates.js";
 import { failureStatus, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
-import type { StallMonitor } from "./StallMonitor.js";
+import { maxSilenceMs, type StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
 import { getFirstEventTarget, StreamPlacement } from "./StreamPlacement.js";
 import { StreamProgress } from "./StreamProgress.js";
@@ -143,16 +143,16 @@
   private async _reserveSuccessor(
     doubted: StreamAttempt,
     signal: AbortSignal,
-  ): Promise<ChainReservation | undefined> {
+  ): Promise<ChainReservation | "give-up" | undefined> {
     const { request, service, progress, reservation } = doubted;
     const nowMs = utils.monotonicMs();
     if (nowMs - doubted.triedSuccessorAtMs < successorIntervalMs) return undefined;
     const obstacle = this._getSuccessorObstacle(doubted, nowMs);
-    if (obstacle !== undefined) return void this._runLog.noteKept(doubted, obstacle);
+    if (obstacle !== undefined) return this._handleObstacle(doubted, obstacle);
     await this.context.crashes.waitForTurn(request);
     if (signal.aborted || request.signal.aborted) return undefined;
     if (this.context.crashes.getQuarantineMs(request) !== undefined)
-      return void this._runLog.noteKept(doubted, "quarantined");
+      return this._handleObstacle(doubted, "quarantined");
     const address = doubted.firstStage?.address;
     const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
     const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
@@ -162,14 +162,24 @@
     );
     if (reserved !== undefined || signal.aborted) return reserved;
     doubted.triedSuccessorAtMs = nowMs;
-    this._runLog.noteKept(doubted, "no-room");
+    return this._handleObstacle(doubted, "no-room");
+  }
+
+  /**
+   * Keeps a run that can't have a successor, unless its caller has received nothing yet and the next event would be late: that caller gets a
+   * failure while it still has time to send the request elsewhere.
+   */
+  private _handleObstacle(doubted: StreamAttempt, obstacle: SuccessorObstacle): "give-up" | undefined {
+    const nowMs = utils.monotonicMs();
+    const isLate = !doubted.request.isHeadSent && nowMs - doubted.lastActivityAtMs >= maxSilenceMs;
+    if (isLate && !this._monitor.successorGate.isSilenceCommon(doubted.service, nowMs)) return "give-up";
+    this._runLog.noteKept(doubted, obstacle);
     return undefined;
   }
 
   private _getSuccessorObstacle(doubted: StreamAttempt, nowMs: number): SuccessorObstacle | undefined {
     const { request, service } = doubted;
-    if (!request.isIdempotent) return "runs-once";
-    if (!this._monitor.successorGate.isOpen(nowMs)) return "all-silent";
+    if (!this._monitor.successorGate.isOpen(service, nowMs)) return "all-silent";
     return this.getRetryObstacle(request, service);
   }
 
@@ -181,7 +191,7 @@
     const obstacle = this._getSuccessorObstacle(doubted, nowMs);
     if (obstacle !== undefined) return void this._runLog.noteKept(doubted, obstacle);
     if (!this.tryWithdrawRetry(request, service)) return undefined;
-    successorGate.noteStart(nowMs);
+    successorGate.noteStart(service, nowMs);
     const successor = new StreamAttempt(request, service, reservation, progress);
     this._runLog.noteSuccessor(doubted, successor);
     return successor;
--- a/packages/gateway/src/requests/StreamRunLog.ts
+++ b/packages/gateway/src/requests/StreamRunLog.ts
@@ -7,8 +7,7 @@
 import type { DoubtCause, StreamAttempt } from "./StreamAttempt.js";
 
 /** What prevents a successor of a run in doubt. */
-export type SuccessorObstacle =
-  RetryObstacle | "runs-once" | "quarantined" | "all-silent" | "no-room" | "waits-for-turn";
+export type SuccessorObstacle = RetryObstacle | "quarantined" | "all-silent" | "no-room";
 
 /** How the doubt of a run ended: its successor went on, the run itself did, or the run ended first. */
 export type DoubtResult = "replaced" | "recovered" | "ended";
--- a/packages/gateway/src/requests/StreamRuns.ts
+++ b/packages/gateway/src/requests/StreamRuns.ts
@@ -14,10 +14,13 @@
   /** Sends a run, and resolves with its end. */
   readonly send: (attempt: StreamAttempt) => Promise<RunEnd>;
   /**
-   * Reserves a chain for the successor of a run in doubt; resolves with undefined if the run can't have one now. `signal` aborts once the run
-   * is no longer in doubt or has ended.
+   * Reserves a chain for the successor of a run in doubt; resolves with undefined if the run can't have one now, and with `give-up` if its
+   * caller had better go elsewhere. `signal` aborts once the run is no longer in doubt or has ended.
    */
-  readonly reserve: (doubted: StreamAttempt, signal: AbortSignal) => Promise<ChainReservation | undefined>;
+  readonly reserve: (
+    doubted: StreamAttempt,
+    signal: AbortSignal,
+  ) => Promise<ChainReservation | "give-up" | undefined>;
   /** Withdraws the retry and creates the successor; undefined if the retry budget is exhausted. */
   readonly begin: (doubted: StreamAttempt, reservation: ChainReservation) => StreamAttempt | undefined;
   /** Returns a reservation that is not used. */
@@ -79,10 +82,14 @@
   private _fail(error: unknown): void {
     this._isOver = true;
     this._reserving?.abort();
-    for (const run of this._runs) run.giveUp("not-needed");
+    this._giveUp();
     this._end.reject(error);
   }
 
+  private _giveUp(): void {
+    for (const run of this._runs) run.giveUp("no-successor");
+  }
+
   /** Ends all other runs, since this one has produced an event or the whole answer. */
   private _goOnAlone(winner: StreamAttempt): void {
     this._reserving?.abort();
@@ -110,6 +117,7 @@
     });
     this._reserving = undefined;
     if (reservation === undefined) return;
+    if (reservation === "give-up") return this._giveUp();
     const isNeeded = !signal.aborted && !this._isOver && doubted.doubt !== undefined;
     if (!isNeeded) return this._structure.discard(reservation);
     const successor = this._structure.begin(doubted, reservation);
--- a/packages/gateway/src/requests/SuccessorGate.ts
+++ b/packages/gateway/src/requests/SuccessorGate.ts
@@ -1,40 +1,33 @@
 /** Limits the successors of streams that fall silent together. */
-import type { StreamAttempt } from "./StreamAttempt.js";
+import type { EndpointTable } from "../discovery/EndpointTable.js";
 
-/** A run with an event within this time is not silent; pauses between events are usually shorter than 100 ms. */
-const activeMs = 300;
+/** Half of the silence from which on a run is in doubt, and more than a late pause between two events. */
+const activeMs = 600;
 /** Time within which a successor should have produced an event; most first events arrive within 300 ms. */
 const trialMs = 450;
 
 /**
- * Decides whether a run in doubt may have a successor now. If none of the streams of this instance has had an event lately, the cause is
- * probably no single engine but what they share: this instance, its links, or a pause of all engines. Successors would then spend the retry
- * budget in vain, so only one of them starts at a time, and the others follow once it has produced an event.
+ * Decides whether a run in doubt may have a successor now. If no engine of the service has given a sign lately, the cause is probably no
+ * single engine but what they share: this instance, its links, or a pause of all engines. Successors would then spend the retry budget in
+ * vain, so only one of them starts at a time, and the others follow once it has produced an event.
  */
 export class SuccessorGate {
   private _trialAtMs = Number.NEGATIVE_INFINITY;
-  /** Monotonic time of the last event of a run that has ended. */
-  private _endedEventAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly _attempts: ReadonlySet<Pick<StreamAttempt, "lastEventAtMs">>) {}
+  constructor(private readonly _endpoints: Pick<EndpointTable, "getUsable">) {}
 
   /** Returns whether a successor may start. */
-  isOpen(nowMs: number): boolean {
-    return nowMs - this._trialAtMs >= trialMs || this._hasActiveRun(nowMs);
+  isOpen(service: string, nowMs: number): boolean {
+    return nowMs - this._trialAtMs >= trialMs || !this.isSilenceCommon(service, nowMs);
   }
 
-  /** Records that a successor starts. */
-  noteStart(nowMs: number): void {
-    if (!this._hasActiveRun(nowMs)) this._trialAtMs = nowMs;
-  }
-
-  /** Records that a run is over. */
-  noteEnd({ lastEventAtMs }: Pick<StreamAttempt, "lastEventAtMs">): void {
-    this._endedEventAtMs = Math.max(this._endedEventAtMs, lastEventAtMs);
+  /** Returns whether no engine of the service has given a sign lately. */
+  isSilenceCommon(service: string, nowMs: number): boolean {
+    return this._endpoints.getUsable(service).every(({ heardAtMs }) => nowMs - heardAtMs >= activeMs);
   }
 
-  private _hasActiveRun(nowMs: number): boolean {
-    if (nowMs - this._endedEventAtMs < activeMs) return true;
-    return [...this._attempts].some(({ lastEventAtMs }) => nowMs - lastEventAtMs < activeMs);
+  /** Records that a successor starts. */
+  noteStart(service: string, nowMs: number): void {
+    if (this.isSilenceCommon(service, nowMs)) this._trialAtMs = nowMs;
   }
 }
--- a/packages/gateway/src/tests/requests/silentEngineTests.ts
+++ b/packages/gateway/src/tests/requests/silentEngineTests.ts
@@ -3,7 +3,7 @@
 import test, { type ExecutionContext } from "ava";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { FakeEngines } from "../FakeEngines.js";
-import { callerHeaders, generousMs, setUp } from "./endpointHandlers.js";
+import { callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
 import type { GatewayFixture, ReceivedAnswer } from "./GatewayFixture.js";
 import { ScriptedEngine, toEvents, type ScriptedRun } from "./ScriptedEngine.js";
 
@@ -73,6 +73,22 @@
   t.is(body, toEvents(4));
 });
 
+// Guards against callers that have received nothing and wait for a silent engine until it is too late to send the request elsewhere.
+test("a caller that has received nothing gets a failure if its silent run can't have a successor", async (t) => {
+  const fixture = await setUp(t, { kind: "streaming", isResumable: true, maxAttempts: 1 }, new FakeEngines());
+  const engine = recordRequests(() => undefined);
+  await fixture.list([engine, engine], allLayers);
+  const received = fixture.request("POST", callerHeaders);
+  await utils.waitUntil(() => engine.requests.length > 0, generousMs);
+  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastActivityAtMs -= silenceMs;
+  for (const endpoint of fixture.endpoints.getAll()) endpoint.heardAtMs = utils.monotonicMs() + generousMs;
+  await fixture.monitor?.check();
+  const { status, isWhole } = await received;
+  t.is(status, 502);
+  t.true(isWhole);
+  t.is(engine.requests.length, 1);
+});
+
 test("the successor of a silent run goes on after the last event, and then the silent run ends", async (t) => {
   const stream = await startSilentStream(t, { maxAttempts: 2 });
   await checkSilent(stream);
@@ -145,7 +161,7 @@
   const { engine, fixture } = stream;
   (await waitForRun(engine, 1)).send(2);
   await utils.waitUntil(() => fixture.monitor?.attempts[1]?.progress.events === 2, generousMs);
-  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastEventAtMs -= silenceMs;
+  for (const endpoint of fixture.endpoints.getAll()) endpoint.heardAtMs -= silenceMs;
   await checkSilent(stream);
   const successor = await waitForRun(engine, 2);
   successor.finish(2);
