fix(pipeline): a silent stage is kept until its replacement has produced something

What callers saw: a stream whose engine was silent for a moment lost its stage at once; if nothing could take over, all stages of the chain were released, the caller waited for a new chain that began from the prompt, and a stream whose time was short ended at its deadline.

Cause: Stage ended its call as soon as one probe stayed unanswered, and PipelineRun released the stage, or the whole chain, before it knew a replica or another chain that takes the work.

Ruled out: the detection itself (times and probes are unchanged); the version switch of a rollout, which goes by the engines' last reports and not by silence.

Change: a call ends with its outcome, with the certain loss of its engine (connection ended, refused, stream no longer known) or with its release. Stages that fell silent, and those that answered after all, are counted (shedtiller_stages_silent, shedtiller_stages_resumed).

--- a/packages/entry/src/metrics/InstanceMetrics.ts
+++ b/packages/entry/src/metrics/InstanceMetrics.ts
@@ -78,6 +78,16 @@
     );
     this._addGauge("shedtiller_tokens", "Tokens generated so far", () => pipeline.counters.tokens);
     this._addGauge("shedtiller_stages_lost", "Stages lost so far", () => pipeline.counters.stagesLost);
+    this._addGauge(
+      "shedtiller_stages_silent",
+      "Stages whose engines fell silent so far",
+      () => pipeline.counters.stagesSilent,
+    );
+    this._addGauge(
+      "shedtiller_stages_resumed",
+      "Stages whose silent engines answered after all so far",
+      () => pipeline.counters.stagesResumed,
+    );
     this._addGauge(
       "shedtiller_stages_rebuilt",
       "Stages rebuilt so far",
--- a/packages/pipeline/src/request/PipelineContext.ts
+++ b/packages/pipeline/src/request/PipelineContext.ts
@@ -12,7 +12,12 @@
 /** Counters for the metrics. */
 export interface PipelineCounters {
   probes: number;
+  /** Stages that were replaced: lost ones, and silent ones whose replica replied first. */
   stagesLost: number;
+  /** Stages whose engines fell silent. */
+  stagesSilent: number;
+  /** Stages whose silent engines answered while the stage was kept. */
+  stagesResumed: number;
   stagesRebuilt: number;
   chainsRestarted: number;
   strayReplies: number;
@@ -48,6 +53,8 @@
   readonly counters: PipelineCounters = {
     probes: 0,
     stagesLost: 0,
+    stagesSilent: 0,
+    stagesResumed: 0,
     stagesRebuilt: 0,
     chainsRestarted: 0,
     strayReplies: 0,
--- a/packages/pipeline/src/request/Stage.ts
+++ b/packages/pipeline/src/request/Stage.ts
@@ -5,7 +5,7 @@
 import type { EngineError, EngineLink } from "../engine/EngineLink.js";
 import type { PipelineContext } from "./PipelineContext.js";
 
-/** The engine answered neither the call nor a probe in time. */
+/** The engine has answered neither the call nor a probe in time, and may still go on. */
 export class StageSilentError extends errors.ShedtillerError {
   readonly code = "stage_silent";
 
@@ -26,11 +26,19 @@
   }
 }
 
-/** Error of a call to a stage, after which the stage is replaced. */
-export type StageError = EngineError | StageSilentError | StageStateLostError;
+/** Error of a call to a stage that is certainly lost. */
+export type StageError = EngineError | StageStateLostError;
 type Applied = results.Result<AppliedFrame, StageError>;
 
+/**
+ * Receives the time for which the engine has answered neither the call nor a probe, or undefined once a silent engine has
+ * answered a probe. Silence is no loss: the engine may be suspended for a moment, and go on.
+ */
+export type SilenceListener = (silentMs: number | undefined) => void;
+
 const waitGrowthFactor = 2;
+/** Maximum time between two looks at a silent engine; its reply to the call itself is noticed at once. */
+const maxSilentWaitMs = 100;
 
 /** Runs the calls of one stage attempt on an endpoint, and distinguishes a lost reply from a lost endpoint. */
 export class Stage {
@@ -38,6 +46,7 @@
   appliedTo = 0;
   /** Whether a call may have been sent to the endpoint for this stage. */
   isWritten = false;
+  private _isReleased = false;
 
   constructor(
     private readonly _context: PipelineContext,
@@ -52,20 +61,23 @@
     return this.candidate.entry.name;
   }
 
-  /** Applies the stage to the positions in `frame`, and waits for the outcome for as long as the engine answers probes. */
-  async apply(frame: ApplyFrame): Promise<Applied> {
+  /** Applies the stage to the positions in `frame`, and waits until it has the outcome, is lost or has been released. */
+  async apply(frame: ApplyFrame, onSilence: SilenceListener): Promise<Applied> {
     const link = await this._context.connector.getLink(this.endpoint, this.candidate.entry.address);
     if (link.err) return link;
+    if (this._isReleased) return results.Err(new StageStateLostError(this.endpoint));
     this.isWritten = true;
     const startMs = utils.monotonicMs();
     const expectedMs = this._getExpectedMs(frame.count);
-    const outcome = await this._waitForOutcome(link.val, frame, expectedMs);
+    const outcome = await this._waitForOutcome(link.val, frame, expectedMs, onSilence);
     if (outcome.ok) this._recordSuccess(frame, expectedMs, utils.monotonicMs() - startMs);
     return outcome;
   }
 
   /** Frees the engine's memory for this stage; later replies to it are dropped. */
   release(): void {
+    if (this._isReleased) return;
+    this._isReleased = true;
     this.candidate.entry.ownStreams -= 1;
     if (!this.isWritten) return;
     void this._context.connector.getLink(this.endpoint, this.candidate.entry.address).then((link) => {
@@ -73,22 +85,33 @@
     });
   }
 
-  private async _waitForOutcome(link: EngineLink, frame: ApplyFrame, expectedMs: number): Promise<Applied> {
+  private async _waitForOutcome(
+    link: EngineLink,
+    frame: ApplyFrame,
+    expectedMs: number,
+    onSilence: SilenceListener,
+  ): Promise<Applied> {
     const reply = link.apply(frame);
     const detector = this._context.getDetector(this.endpoint);
     if (detector.isProbeDue()) void this._sampleProbeTime(link);
     const startMs = utils.monotonicMs();
     let waitMs = detector.getCallDeadlineMs(expectedMs);
+    let isSilent = false;
     for (;;) {
       const first = await settleWithin(reply, waitMs);
       if (first !== undefined) return first;
+      if (this._isReleased) return results.Err(new StageStateLostError(this.endpoint));
       const status = await this._probe(link);
-      if (status === undefined)
-        return results.Err(new StageSilentError(this.endpoint, utils.monotonicMs() - startMs));
-      if (status.err) return status;
-      const resolved = this._resolveStatus(status.val, frame);
+      // The reply to the call may have come during the probe.
+      const late = status === undefined ? await Promise.race([reply, undefined]) : undefined;
+      if (late !== undefined) return late;
+      const wasSilent: boolean = isSilent;
+      isSilent = status === undefined;
+      if (isSilent !== wasSilent) onSilence(isSilent ? utils.monotonicMs() - startMs : undefined);
+      if (status?.err === true) return status;
+      const resolved = status === undefined ? undefined : this._resolveStatus(status.val, frame);
       if (resolved !== undefined) return resolved;
-      waitMs *= waitGrowthFactor;
+      waitMs = isSilent ? Math.min(maxSilentWaitMs, waitMs * waitGrowthFactor) : waitMs * waitGrowthFactor;
     }
   }
 
