fix(claims): the holder of a key is waited for until the caller's deadline

What callers saw: a repeated call with the same key at another instance was answered with "outcome unknown" after 2 s while the holder of the key still ran the request, however long the caller would have waited.

Cause: AtMostOnceExecutor asked the holder with a timeout of 2 s, and took a missing answer for a lost outcome.

Ruled out: a second run. The request to the holder only reads its outcome, and the key stays claimed.

Change: the timeout is the rest of the caller's deadline. A holder that is lost is noticed as soon as before where its connection ends, and by the silence of the link otherwise; a holder that no longer has the outcome says so at once.

Conclusion: a missing answer ends no wait any more that may still end well.

--- a/packages/claims/src/AtMostOnceExecutor.ts
+++ b/packages/claims/src/AtMostOnceExecutor.ts
@@ -39,7 +39,6 @@
 }
 
 const claimTimeoutMs = 3_000;
-const holderTimeoutMs = 2_000;
 
 /**
  * Runs work at most once for each idempotency key, across all instances and for ever. It claims a key in the log, runs the work if the
@@ -82,11 +81,12 @@
   ): Promise<AtMostOnceResult<A>> {
     const holder = this._structure.projection.getHolder(key);
     const isFree = holder === undefined || this._structure.batcher.isAbandoning(key);
-    if (!isFree) return this._requestFromHolder(holder, key);
+    if (!isFree) return this._requestFromHolder(holder, key, options.deadlineMs);
     const claim: Claim = { key, claimId: utils.newId() };
     const claimOutcome = await this._claim(claim, options);
     if (claimOutcome === undefined) return this._abandon(claim, "the key could not be claimed in time");
-    if (claimOutcome.kind === "lost") return this._requestFromHolder(claimOutcome.holder, key);
+    if (claimOutcome.kind === "lost")
+      return this._requestFromHolder(claimOutcome.holder, key, options.deadlineMs);
     if (claimOutcome.kind === "out-of-window") {
       return results.Err(
         new OutcomeUnknownError("the key is older than the claims horizon, or its time is in the future"),
@@ -126,14 +126,20 @@
     return results.Err(new ClaimRefusedError(reason));
   }
 
-  private async _requestFromHolder(holder: string, key: string): Promise<AtMostOnceResult<A>> {
+  /** Waits for the holder until the deadline, since it may still run the key's request; the loss of the link ends the wait. */
+  private async _requestFromHolder(
+    holder: string,
+    key: string,
+    deadlineMs: number,
+  ): Promise<AtMostOnceResult<A>> {
     this._structure.timeline.add("claim-lost", { subject: key, detail: `held by ${holder}` });
     if (holder === this._structure.holder) {
       return results.Err(
         new OutcomeUnknownError("the key was claimed by this instance, which no longer has the outcome"),
       );
     }
-    const answer = await this._structure.requestFromHolder(holder, key, holderTimeoutMs);
+    const timeoutMs = Math.max(0, deadlineMs - utils.monotonicMs());
+    const answer = await this._structure.requestFromHolder(holder, key, timeoutMs);
     if (answer !== undefined) return results.Ok(answer);
     return results.Err(new OutcomeUnknownError(`the key was claimed by ${holder}, which does not respond`));
   }
