test(membership): a request survives a moment of silence of its peer (failing)

In a small fleet a link is closed after four missed heartbeats, which is one second. All requests on it fail, also those that the peer, suspended for that moment, would answer.

Seen, npx ava packages/membership/dist/tests/membershipTests.js: 'The connection to b was lost.' where 'done' is expected.

--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -1,4 +1,5 @@
 /** Links, liveness and zone roles of instances on loopback. */
+import * as net from "node:net";
 import { utils } from "@shedtiller/common";
 import type { ListedInstance } from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
@@ -52,6 +53,67 @@
   }
 }
 
+/** Forwards connections to a port, and holds all data back while it is paused. */
+class PausableRelay {
+  private readonly _sockets = new Set<net.Socket>();
+  private readonly _server = net.createServer((client) => {
+    const target = net.connect(this._targetPort, "127.0.0.1");
+    for (const socket of [client, target]) this._sockets.add(socket.on("error", () => undefined));
+    client.pipe(target).pipe(client);
+  });
+
+  constructor(private readonly _targetPort: number) {}
+
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
+    return (this._server.address() as net.AddressInfo).port;
+  }
+
+  setPaused(isPaused: boolean): void {
+    for (const socket of this._sockets) {
+      if (isPaused) socket.pause();
+      else socket.resume();
+    }
+  }
+
+  close(): void {
+    this._server.close();
+    for (const socket of this._sockets) socket.destroy();
+  }
+}
+
+// Guards against requests that are given up for a peer that is suspended for a moment and then answers them.
+test("a peer that is silent for a moment counts as not linked, and still answers the requests that it has", async (t) => {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  const relay = new PausableRelay(b.port);
+  const port = await relay.listen();
+  t.teardown(() => {
+    peers.close();
+    relay.close();
+  });
+  const work = new utils.Deferred<string>();
+  let isAsked = false;
+  b.onRequest("work", () => {
+    isAsked = true;
+    return work.promise;
+  });
+  const entry = { role: "entry", state: "live" } as const;
+  a.setListed([{ ...b.self, ...entry, address: `127.0.0.1:${port}` }]);
+  b.setListed([{ ...a.self, ...entry, address: `127.0.0.1:${a.port}` }]);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
+  const reply = a.request("b", "work", null, waitMs);
+  t.true(await utils.waitUntil(() => isAsked, waitMs));
+  relay.setPaused(true);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 0, waitMs));
+  t.deepEqual(a.getZoneRoleCandidates(), ["a"]);
+  relay.setPaused(false);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1, waitMs));
+  work.resolve("done");
+  const answer = await reply;
+  t.is(answer.ok ? answer.val : answer.val.message, "done");
+});
+
 test("instances establish links and answer requests; a request to an unknown instance fails", async (t) => {
   const peers = new Peers();
   const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
