test(standins): the port of a stand-in stays reserved while it is down (failing)

A stand-in or a relay that comes back to its port finds it taken by another connection of the machine.

Seen, npx ava packages/standins/dist/tests/relayTests.js: the port is not below the range of outgoing connections.

--- a/packages/standins/src/tests/relayTests.ts
+++ b/packages/standins/src/tests/relayTests.ts
@@ -3,6 +3,9 @@
 import test from "ava";
 import { Relay } from "../network/Relay.js";
 
+/** Start of the range of ports that Linux uses for outgoing connections. */
+const firstOutgoingPort = 32_768;
+
 function connect(port: number): Promise<net.Socket> {
   return new Promise((resolve, reject) => {
     const socket = net.connect(port, "127.0.0.1", () => resolve(socket));
@@ -50,3 +53,21 @@
   await relay.acceptConnections();
   await t.throwsAsync(connect(port), { code: "ECONNREFUSED" });
 });
+
+// Guards against a port that another connection or another stand-in has taken when the relay comes back to it.
+test("the port of a relay that refuses connections stays reserved until the relay is closed", async (t) => {
+  const relay = new Relay(1, () => ({ isCut: false, delayMs: 0 }));
+  t.teardown(() => relay.close());
+  const port = await relay.start();
+  t.true(port < firstOutgoingPort);
+  relay.refuseConnections();
+  const other = net.createServer();
+  t.teardown(() => other.close());
+  const listen = (): Promise<unknown> =>
+    new Promise((resolve, reject) => other.once("error", reject).listen(port, "127.0.0.2", () => resolve(0)));
+  await t.throwsAsync(listen(), { code: "EADDRINUSE" });
+  await relay.acceptConnections();
+  (await connect(port)).destroy();
+  relay.close();
+  await t.notThrowsAsync(listen());
+});
