fix(standins): ports of stand-ins and relays stay reserved while they are down

What was seen: traces that kill an endpoint ended with EADDRINUSE, at times with a run that did not end by itself.

Cause: HttpStandIn and Relay took a port that the system chose, from the range of outgoing connections, and gave it up while they were down. Any connection of the machine could take it meanwhile.

Not ruled out by a run: that the listener of the same process was still closing. Both kinds were not told apart.

Connections to a stand-in that is down are refused as before.

Conclusion: the class is mended for what stands behind HttpStandIn and Relay.

--- a/packages/standins/src/HttpStandIn.ts
+++ b/packages/standins/src/HttpStandIn.ts
@@ -1,8 +1,9 @@
 /** Base class of the HTTP stand-ins. */
 import type * as http from "node:http";
 import type * as net from "node:net";
-import { errors, utils } from "@shedtiller/common";
+import { utils } from "@shedtiller/common";
 import * as restify from "restify";
+import { ReservedPort } from "./network/ReservedPort.js";
 
 export const loopback = "127.0.0.1";
 
@@ -11,6 +12,7 @@
   protected readonly server: restify.Server;
   private readonly _sockets = new Set<net.Socket>();
   private _port = 0;
+  private _reserved: ReservedPort | undefined;
 
   /** @param name - Name of the stand-in, unique in its fleet. */
   constructor(readonly name: string) {
@@ -34,13 +36,11 @@
     return this._port;
   }
 
-  /** Starts listening. The system chooses the port if `port` is 0. */
+  /** Starts listening. A free port is chosen and reserved until `close` if `port` is 0. */
   async start(port = 0): Promise<void> {
-    await listen(this.httpServer, port);
-    const bound = this.httpServer.address();
-    if (bound === null || typeof bound === "string")
-      throw new errors.InvariantError("The server of a stand-in listens, but has no port.");
-    this._port = bound.port;
+    if (port === 0) this._reserved = await ReservedPort.listen(this.httpServer, loopback);
+    else await listen(this.httpServer, port);
+    this._port = this._reserved?.port ?? port;
   }
 
   /** Resets all connections and refuses new ones, as the crash of a process does. */
@@ -58,6 +58,7 @@
   /** Stops the server permanently. */
   async close(): Promise<void> {
     if (this.httpServer.listening) await this.kill();
+    this._reserved?.release();
   }
 
   private _trackSocket(socket: net.Socket): void {
--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -1,6 +1,7 @@
 /** TCP relay on loopback that simulates one network link and injects cuts, one-way cuts, delays and silent connections. */
 import * as net from "node:net";
-import { errors, utils } from "@shedtiller/common";
+import { utils } from "@shedtiller/common";
+import { ReservedPort } from "./ReservedPort.js";
 
 /** State of a link. Several relays may share one state, so that one fault affects all of them. */
 export interface LinkState {
@@ -27,7 +28,7 @@
   /** Sockets whose data is discarded. */
   private readonly _silencedSockets = new WeakSet<net.Socket>();
   private readonly _acceptingListeners: ((isAccepting: boolean) => void)[] = [];
-  private _port = 0;
+  private _reserved: ReservedPort | undefined;
   private _isClosed = false;
 
   /** @param getState - Returns the current state of the link. */
@@ -38,12 +39,8 @@
 
   /** Starts listening and returns the port of the relay. */
   async start(): Promise<number> {
-    await this._listen(0);
-    const bound = this._server.address();
-    if (bound === null || typeof bound === "string")
-      throw new errors.InvariantError("The server of a relay listens, but has no port.");
-    this._port = bound.port;
-    return bound.port;
+    this._reserved = await ReservedPort.listen(this._server, loopback);
+    return this._reserved.port;
   }
 
   /** Refuses new connections, as the address of a stopped target does, and resets the open ones. */
@@ -61,7 +58,7 @@
   /** Accepts connections again, on the same port. Has no effect after `close`. */
   async acceptConnections(): Promise<void> {
     if (this._server.listening || this._isClosed) return;
-    await this._listen(this._port);
+    await this._listen(this._reserved?.port ?? 0);
     for (const listener of this._acceptingListeners) listener(true);
   }
 
@@ -69,6 +66,7 @@
   close(): void {
     this._isClosed = true;
     this.refuseConnections();
+    this._reserved?.release();
   }
 
   /** Resets all open connections. */
--- a/packages/standins/src/network/StandInNetwork.ts
+++ b/packages/standins/src/network/StandInNetwork.ts
@@ -79,7 +79,7 @@
   }
 
   close(): void {
-    for (const { relay } of this._relays.values()) relay.refuseConnections();
+    for (const { relay } of this._relays.values()) relay.close();
   }
 
   private _getLinkState(from: NetworkNode, to: NetworkNode): LinkState {
