membership: the links of silent peers are closed after four missed heartbeats again

Reason: the mend kept a silent link for 4 s and dialled no other one in that time. A connection that is dead for good while the peer lives (links between instances do that) would be replaced after 4 s, where it takes one second in fleets of eight instances; in between the peer gets no relayed changes, notices of draining endpoints, loads or permits. Instances read the store by themselves after 1.4 s, but the notices have no such fallback. The mend needs a second link that is opened beside the silent one, with one rule on both sides for which of them remains; that is not written yet.

--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -5,15 +5,13 @@
 import type { ListedInstance } from "@shedtiller/logservice";
 import type { Timeline } from "@shedtiller/timeline";
 import * as ws from "ws";
+import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
-import { forwardReplySchema, forwardSchema } from "./forwardMessages.js";
 import { linkCheckIntervalMs, LinkFailureDetector, suspensionThresholdMs } from "./LinkFailureDetector.js";
 import type { Member } from "./Member.js";
 import { acceptPeer, dialPeer } from "./peerHandshake.js";
 import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
 import { pickContacts } from "./pickContacts.js";
-import { recordContact, recordContactLost } from "./recordContact.js";
-import { SilentLinks } from "./SilentLinks.js";
 import { TrafficCounter } from "./TrafficCounter.js";
 
 const heartbeatTopic = "heartbeat";
@@ -28,6 +26,14 @@
 /** Time that the peer responsible for dialling has to open the link before this instance dials as well. */
 const dialGraceMs = 1_000;
 
+const forwardSchema = zod.object({
+  to: zod.string(),
+  topic: zod.string(),
+  body: zod.unknown(),
+  timeoutMs: zod.number(),
+});
+const forwardReplySchema = zod.object({ isDelivered: zod.boolean(), body: zod.unknown() });
+
 /** Handles a request from a peer and returns the body of the reply. */
 export type RequestHandler = (body: unknown, from: PeerIdentity) => Promise<unknown> | unknown;
 /** Handles a connection to the peer listener that changes to another protocol than that of the links. */
@@ -50,7 +56,6 @@
   readonly traffic = new TrafficCounter();
   private readonly _members = new Map<string, Member>();
   private readonly _links = new Map<string, PeerLink>();
-  private readonly _silentLinks = new SilentLinks();
   private readonly _dialling = new Set<string>();
   /** Names of the contacts in other zones; undefined if they have to be computed again after a change of the members. */
   private _contacts: Set<string> | undefined;
@@ -175,9 +180,9 @@
     return [...this._members.values()];
   }
 
-  /** Returns the members to which a link is open and not silent. */
+  /** Returns the members to which a link is open. */
   getLinked(): Member[] {
-    return this.getMembers().filter(({ name }) => this._isOpen(name) && !this._silentLinks.has(name));
+    return this.getMembers().filter((member) => this._links.get(member.name)?.isOpen === true);
   }
 
   /** Returns the names of the live instances of the own zone that can take a zone role, including this instance. */
@@ -208,9 +213,9 @@
     return Math.max(...contacts.map((member) => member.lostSinceMs ?? 0));
   }
 
-  /** Sends a notice to all members with an open link that `isRecipient` accepts, also to those that are silent. */
+  /** Sends a notice to all linked members that `isRecipient` accepts. */
   notifyAll(topic: string, body: unknown, isRecipient: (member: Member) => boolean = () => true): void {
-    for (const member of this.getMembers())
+    for (const member of this.getLinked())
       if (isRecipient(member)) this._links.get(member.name)?.notify(topic, body);
   }
 
@@ -222,12 +227,11 @@
     timeoutMs: number,
   ): Promise<results.Result<unknown, PeerError>> {
     const link = this._links.get(name);
-    if (link?.isOpen === true && !this._silentLinks.has(name)) return link.request(topic, body, timeoutMs);
+    if (link?.isOpen === true) return link.request(topic, body, timeoutMs);
     const zone = this._members.get(name)?.availabilityZone;
     const contact = this.getLinked().find((member) => member.availabilityZone === zone);
     const contactLink = contact === undefined ? undefined : this._links.get(contact.name);
-    if (contactLink === undefined)
-      return link?.request(topic, body, timeoutMs) ?? results.Err(new errors.ConnectionLostError(name));
+    if (contactLink === undefined) return results.Err(new errors.ConnectionLostError(name));
     const forwarded = await contactLink.request(
       forwardTopic,
       { to: name, topic, body, timeoutMs },
@@ -251,17 +255,13 @@
   /** Dials the members to which a link is needed but not open. Of two instances, the one with the smaller name dials first. */
   private _dialMissingLinks(): void {
     for (const member of this._members.values()) {
-      if (!this._needsLink(member) || this._isOpen(member.name)) continue;
+      if (!this._needsLink(member) || this._links.get(member.name)?.isOpen === true) continue;
       const isDialler = this.self.name < member.name;
       const waitedMs = utils.monotonicMs() - member.lostSinceMonotonicMs;
       if (isDialler || waitedMs > dialGraceMs) void this._dial(member);
     }
   }
 
-  private _isOpen(name: string): boolean {
-    return this._links.get(name)?.isOpen === true;
-  }
-
   private _needsLink(member: Member): boolean {
     return member.availabilityZone === this.self.availabilityZone || this._isContact(member);
   }
@@ -289,18 +289,18 @@
     if (link.ok) this._addLink(link.val);
   }
 
-  /** Registers a link. Of two links to one peer that are not silent, the one dialled by the instance with the smaller name remains. */
+  /** Registers a link. Of two links to one peer, the one dialled by the instance with the smaller name remains. */
   private _addLink(link: PeerLink): void {
     if (this._isClosed) return link.close();
     const { name, availabilityZone } = link.peer;
     const existing = this._links.get(name);
     const isPreferred = link.isDialled === this.self.name < name;
-    if (existing?.isOpen === true && !this._silentLinks.has(name) && !isPreferred) return link.close();
+    if (existing?.isOpen === true && !isPreferred) return link.close();
     this._links.set(name, link);
-    this._silentLinks.remove(name);
     if (existing !== undefined && existing !== link) existing.close();
     const member = this._members.get(name) ?? this._addMember({ name, availabilityZone, address: "" });
-    recordContact(member, this._structure.timeline);
+    if (member.lostSinceMs !== undefined) this._structure.timeline.add("member-seen", { subject: name });
+    member.lostSinceMs = undefined;
     // The peer may have restarted since it announced that it leaves; if it has not, it says so again.
     member.isLeaving = false;
     if (this._isLeaving) link.notify(leavingTopic, null);
@@ -327,7 +327,7 @@
 
   /** Removes a member that is no longer listed, unless its link is still open. */
   private _removeUnlinked(name: string): void {
-    if (this._isOpen(name)) return;
+    if (this._links.get(name)?.isOpen === true) return;
     this._members.delete(name);
     this._contacts = undefined;
   }
@@ -345,12 +345,11 @@
     const { name } = link.peer;
     if (this._links.get(name) !== link) return;
     this._links.delete(name);
-    if (!this._silentLinks.remove(name)) this._markLost(name);
-  }
-
-  private _markLost(name: string): void {
     const member = this._members.get(name);
-    if (member !== undefined && !this._isClosed) recordContactLost(member, this._structure.timeline);
+    if (member === undefined) return;
+    member.lostSinceMs = utils.wallMs();
+    member.lostSinceMonotonicMs = utils.monotonicMs();
+    if (!this._isClosed) this._structure.timeline.add("member-lost", { subject: name });
   }
 
   private _getHeartbeatIntervalMs(): number {
@@ -370,19 +369,15 @@
       const fields = [...this._heartbeatFields].map(([field, getValue]) => [field, getValue()]);
       this.notifyAll(heartbeatTopic, Object.fromEntries(fields));
       // After a suspension of this process, frames that peers sent meanwhile have not been read yet.
-      if (!wasSuspended) this._updateSilentLinks(intervalMs * maxMissedHeartbeats);
+      if (!wasSuspended) this._closeSilentLinks(intervalMs * maxMissedHeartbeats);
       dueAtMs = utils.monotonicMs() + intervalMs;
       await utils.sleep(intervalMs, signal).catch(() => undefined);
     }
   }
 
-  private _updateSilentLinks(maxSilenceMs: number): void {
-    const changes = this._silentLinks.update(this._links.values(), maxSilenceMs, utils.monotonicMs());
-    for (const name of changes.silent) this._markLost(name);
-    for (const name of changes.resumed) {
-      const member = this._members.get(name);
-      if (member !== undefined) recordContact(member, this._structure.timeline);
-    }
+  private _closeSilentLinks(maxSilenceMs: number): void {
+    const nowMs = utils.monotonicMs();
+    for (const link of this._links.values()) if (nowMs - link.lastReceivedAtMs > maxSilenceMs) link.close();
   }
 
   private _storeHeartbeat(body: unknown, from: PeerIdentity): void {
