test(gateway): a successor without events never ends once its caller has got status 504, failing

What callers saw: status 504, as it should be. The run of the stream went on for ever: its engine worked on, its load stayed reserved, and a planned stop waits for it.

Cause: the deadline ends a run without headers by the timeout for the headers, and a run with headers by closing the caller's connection. The headers of a successor are not forwarded before its first event, so neither applies to it.

--- a/packages/gateway/src/tests/requests/silentEngineTests.ts
+++ b/packages/gateway/src/tests/requests/silentEngineTests.ts
@@ -4,13 +4,15 @@
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { FakeEngines } from "../FakeEngines.js";
 import { callerHeaders, generousMs, setUp } from "./endpointHandlers.js";
-import type { GatewayFixture, ReceivedAnswer } from "./GatewayFixture.js";
+import type { EndpointHandler, GatewayFixture, ReceivedAnswer } from "./GatewayFixture.js";
 import { ScriptedEngine, toEvents, type ScriptedRun } from "./ScriptedEngine.js";
 
 const allLayers = { layers: [{ start: 0, end: 4 }] };
 /** A silence after which callers still wait. */
 const silenceMs = 1_500;
 const checkIntervalMs = 50;
+/** Deadline of a stream that its engines do not answer. */
+const deadlineMs = 2_000;
 
 interface SilentStream {
   readonly fixture: GatewayFixture;
@@ -158,3 +160,27 @@
     t.is(body, toEvents(4));
   }
 });
+
+// Guards against a run that never ends: its caller has got status 504, and its engine has sent headers but no event.
+test("a successor without events ends at the deadline of its request", async (t) => {
+  const engine = new ScriptedEngine();
+  let arrived = 0;
+  const handle: EndpointHandler = (...args) => {
+    arrived += 1;
+    if (arrived > 1) engine.handle(...args);
+  };
+  const fixture = await setUp(
+    t,
+    { kind: "streaming", isResumable: true, maxAttempts: 2, timeoutMs: deadlineMs },
+    new FakeEngines(),
+  );
+  await fixture.list([handle, handle], allLayers);
+  const received = fixture.request("POST", callerHeaders);
+  await utils.waitUntil(() => arrived === 1, generousMs);
+  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastActivityAtMs -= silenceMs;
+  await fixture.monitor?.check();
+  const successor = await waitForRun(engine, 0);
+  t.is((await received).status, 504);
+  t.true(await utils.waitUntil(() => successor.isCut, generousMs));
+  t.true(await utils.waitUntil(() => fixture.forwarded.ended === 1, generousMs));
+});
