fix(gateway): nothing works on for a request that the gateway has refused

What callers saw: status 504 at their deadline. The successor of their stream worked on, without end if its engine was lost.

Cause: the signal of a request aborted only when its caller left. A refusal before the headers completes the answer, so that nothing told the runs of the stream that the request was over.

Change: a refusal aborts the signal as well. Runs end with it, requests that still wait for a chain leave the queue, and nothing is sent for a request that has got status 503 for its deadline while it waited.

--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -38,7 +38,7 @@
   peer: string | undefined;
   /** Fields that the forwarder adds to the log line of the request's end. */
   details: LogFields = {};
-  private readonly _disconnect = new AbortController();
+  private readonly _over = new AbortController();
   private _digest: string | undefined;
   private _partTraits: RequestTraits | undefined;
   private _traits: RequestTraits | undefined;
@@ -53,11 +53,11 @@
     this.dueAtMs = arrivedAtMs + Math.min(fields.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     this.isIdempotent = route.kind === "safe" || (route.kind === "streaming" && route.isResumable);
     _structure.response.on("close", () => {
-      if (!_structure.response.writableFinished) this._disconnect.abort();
+      if (!_structure.response.writableFinished) this._over.abort();
     });
-    _structure.response.on("error", () => this._disconnect.abort());
+    _structure.response.on("error", () => this._over.abort());
     // The caller may have left before the request was passed on.
-    if (_structure.response.destroyed) this._disconnect.abort();
+    if (_structure.response.destroyed) this._over.abort();
   }
 
   get id(): string {
@@ -104,9 +104,9 @@
     return this.account?.priority ?? this.route.priority;
   }
 
-  /** Aborts when the caller disconnects. */
+  /** Aborts when the caller disconnects, and when the gateway refuses the request. */
   get signal(): AbortSignal {
-    return this._disconnect.signal;
+    return this._over.signal;
   }
 
   get isHeadSent(): boolean {
@@ -141,6 +141,7 @@
       this._structure.codec.encodeRefusal(retryAfterMs),
       this._structure.isDraining(),
     );
+    this._over.abort();
   }
 
   /** Forwards the status and headers of a stream. */
