test(gateway): a safe request is ended before the retry budget allows another send, failing

What callers saw: status 502 or 504, though the endpoint was sound and only late.

Cause: without the figures of many instances, the first send of a safe request ends after 0.55 of its target latency, and only then the retry budget is asked for another one. It is the cause of the streams that were cut: a doubt is treated as a loss.

--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -38,7 +38,7 @@
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
 import { PlainForwarder } from "../../requests/PlainForwarder.js";
-import { RetryBudgets } from "../../requests/RetryBudgets.js";
+import { RetryBudgets, type RetryBudgetOptions } from "../../requests/RetryBudgets.js";
 import { StallMonitor } from "../../requests/StallMonitor.js";
 import type { StreamAttempt } from "../../requests/StreamAttempt.js";
 import { StreamForwarder } from "../../requests/StreamForwarder.js";
@@ -165,6 +165,8 @@
   areKeysFresh = true;
   /** Engines that answer questions and orders; set before the start. */
   orders: EngineOrders = new RejectingOrders();
+  /** Generous unless a test sets it before the start. */
+  retryBudget: RetryBudgetOptions = { ratio: 1, slack: 1_000, windowMs: 10_000 };
   /** Concurrency of plain endpoints; set before the start. */
   concurrency: EndpointConcurrency | undefined;
   /** The clock of quarantines. It advances only with crashes and when a test sets it, so that the speed of a test does not affect its result. */
@@ -189,7 +191,7 @@
   /** Starts the gateway without a configuration. */
   async listen(route: Route): Promise<void> {
     const log = new DecisionLog(new SilentLogOutput(), utils.monotonicMs);
-    const budgets = new RetryBudgets({ ratio: 1, slack: 1_000, windowMs: 10_000 });
+    const budgets = new RetryBudgets(this.retryBudget);
     budgets.setInstanceCount(1);
     const codec = new TestCodec();
     const permits = createPermitDependencies(this.endpoints);
