fix(gateway): a late safe request is sent to a second endpoint as well, and the first send continues

What callers saw: status 502 or 504 for safe requests whose endpoint was sound and late, once the retry budget was used up or the second endpoint was slower still.

Cause: where the figures of many instances were not in use, the first send ended at 0.55 of the target latency, before the retry budget was asked for the next one.

Change: such requests are hedged like those with the figures of many instances: the second send starts after the same time, if the retry budget and the route allow it, and the first answer counts. Without a second send the first one has the time of the request. A route with three attempts uses the third one only after both sends have failed.

--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -20,8 +20,8 @@
 const maxAnswerBytes = 16 * 1024 * 1024;
 /** Retry-After of a request that was not executed: about the service time of a plain request. */
 const retryAfterMs = 100;
-/** A safe request without an answer after this share of its target latency is abandoned and sent to another endpoint. */
-const resendAfterShare = 0.55;
+/** Share of the target latency after which a safe request without an answer is sent to another endpoint as well, if no usual time is known. */
+const hedgeAfterShare = 0.55;
 /**
  * Share of the target latency after which an unestablished connection is abandoned for another endpoint. Nothing was sent, so that also a
  * request that may run only once can still be answered in time there.
@@ -36,8 +36,6 @@
 interface PlainChoice {
   readonly endpoint: Endpoint;
   readonly permit: SendPermit;
-  /** Whether the request could be sent to another endpoint after this one. */
-  readonly hasAlternative: boolean;
 }
 
 /** Forwards plain requests. Retries safe requests after any failure, other requests only if they were provably not executed. */
@@ -95,11 +93,11 @@
   ): Promise<SendOutcome> {
     excluded.add(choice.endpoint.id);
     const concurrency = this._getConcurrency(service);
-    if (concurrency === undefined || request.route.kind !== "safe" || !hasRetryLeft(request))
+    if (request.route.kind !== "safe" || !hasRetryLeft(request))
       return this._track(request, choice, concurrency, request.signal);
-    const defaultMs = request.route.targetLatencyMs * resendAfterShare;
+    const defaultMs = request.route.targetLatencyMs * hedgeAfterShare;
     return hedge({
-      lateAfterMs: concurrency.getHedgeAfterMs(service, defaultMs),
+      lateAfterMs: concurrency?.getHedgeAfterMs(service, defaultMs) ?? defaultMs,
       signal: request.signal,
       start: (signal) => this._track(request, choice, concurrency, signal),
       startSecond: () => {
@@ -141,7 +139,8 @@
     const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
     const send = concurrency?.begin(endpoint);
     this.context.crashes.begin(run);
-    const outcome = await this._send(request, choice, { signal, isHedged: concurrency !== undefined });
+    const connectMs = concurrency === undefined ? connectTimeoutMs : getConnectMs(request);
+    const outcome = await this._send(request, choice, signal, connectMs);
     this.context.crashes.end(run);
     if (send !== undefined) concurrency?.records.end(send, toSendResult(outcome));
     if (outcome.kind === "answer")
@@ -189,10 +188,7 @@
   ): PlainChoice | undefined {
     const endpoint = this._pick(request, service, excluded);
     const permit = endpoint?.tryAcquirePermit(utils.monotonicMs());
-    if (endpoint === undefined || permit === undefined) return undefined;
-    const usable = this.context.endpoints.getUsable(service);
-    const hasAlternative = usable.some(({ id }) => id !== endpoint.id && !excluded.has(id));
-    return { endpoint, permit, hasAlternative };
+    return endpoint === undefined || permit === undefined ? undefined : { endpoint, permit };
   }
 
   /** Returns whether an endpoint that is not excluded has no permit now, or may have no room. */
@@ -277,17 +273,12 @@
 
   private async _send(
     request: CallerRequest,
-    { endpoint, permit, hasAlternative }: PlainChoice,
-    { signal, isHedged }: { readonly signal: AbortSignal; readonly isHedged: boolean },
+    { endpoint, permit }: PlainChoice,
+    signal: AbortSignal,
+    connectMs: number,
   ): Promise<SendOutcome> {
-    const remainingMs = request.getRemainingMs();
-    const isRepeatable = request.route.kind === "safe" && request.attempts + 1 < request.route.maxAttempts;
-    const mayResend = !isHedged && isRepeatable && hasAlternative;
-    const headTimeoutMs = mayResend
-      ? Math.min(remainingMs, request.route.targetLatencyMs * resendAfterShare)
-      : remainingMs;
+    const headTimeoutMs = request.getRemainingMs();
     const isFresh = request.route.kind !== "safe" || request.attempts > 0;
-    const connectMs = isHedged ? getConnectMs(request) : connectTimeoutMs;
     endpoint.addOwnLoad(1, 0);
     request.attempts += 1;
     const sentAtMs = utils.monotonicMs();
