test(gateway): a silent run before its first event gets no successor in overload, failing

What callers saw: no first event until they left, though other engines had room. A run that is lost passes the level of admission when it is resumed; a run in doubt does not.

--- a/packages/gateway/src/tests/requests/refuseAtGatesTests.ts
+++ b/packages/gateway/src/tests/requests/refuseAtGatesTests.ts
@@ -1,14 +1,19 @@
 /** The decision of the admission gates on streams, as callers observe it over real sockets. */
+import { utils } from "@shedtiller/common";
 import test from "ava";
 import { AdmissionGate, type GateQuery, type GateRefusal } from "../../loadcontrol/AdmissionGate.js";
 import { toLevelKey, UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import { SharedFigures } from "../../peers/SharedFigures.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
-import { answer, callerHeaders, recordRequests, setUp } from "./endpointHandlers.js";
+import { FakeEngines } from "../FakeEngines.js";
+import { answer, callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
+import type { EndpointHandler } from "./GatewayFixture.js";
 
 const stream = { kind: "streaming", isResumable: true } as const;
 const allLayers = { layers: [{ start: 0, end: 4 }] };
+/** A silence after which a resumable stream may have a successor. */
+const silenceMs = 1_500;
 
 /** Rejects every request. */
 class ClosedGate extends AdmissionGate {
@@ -105,3 +110,22 @@
   const received = await fixture.request("POST", { ...callerHeaders, "x-last": "1" });
   t.is(received.status, 200);
 });
+
+// Guards against a silent run without a successor in overload, since its request counted as one that no engine had worked on.
+test("the successor of a stream without events passes the level", async (t) => {
+  const fixture = await setUp(t, { ...stream, targetLatencyMs: 8, maxAttempts: 2 }, new FakeEngines());
+  const respond = answer(200, "id: 1\ndata: a\n\n");
+  let arrived = 0;
+  const handle: EndpointHandler = (...args) => {
+    arrived += 1;
+    if (arrived > 1) respond(...args);
+  };
+  await fixture.list([handle, handle], allLayers);
+  const received = fixture.request("POST", callerHeaders);
+  t.true(await utils.waitUntil(() => arrived === 1, generousMs));
+  fixture.controls.levels = createClosedLevels();
+  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastActivityAtMs -= silenceMs;
+  await fixture.monitor?.check();
+  t.true(await utils.waitUntil(() => arrived === 2, generousMs / 2));
+  t.is((await received).status, 200);
+});
