fix(gateway): the successor of a silent run passes the level of admission

What callers saw: in overload, no first event from a stream whose engine had fallen silent before it.

Cause: a request passes the level once an engine may have worked on it, but only a run that had ended counted. A run in doubt has not ended, so that its successor waited behind the level and was rejected.

Change: the request passes the level from the first search for a successor on.

--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -153,6 +153,8 @@
     if (signal.aborted || request.signal.aborted) return undefined;
     if (this.context.crashes.getQuarantineMs(request) !== undefined)
       return void this._runLog.noteKept(doubted, "quarantined");
+    // The engine of the run in doubt may have begun to work on the request.
+    progress.passesLevel = true;
     const address = doubted.firstStage?.address;
     const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
     const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
