test(gateway): all streams that are silent together reserve chains for one successor, failing

What callers saw: nothing directly. Each silent stream takes a chain and a permit, and all but one return them in the same turn of the event loop. The returned chains count as starts in the shares of first engines and in the levels of urgency, and as capacity that became free, so that the expected waits of new streams are too short for a while.

Evidence: three permits are taken for one successor, where one is expected.

--- a/packages/gateway/src/tests/requests/silentEngineTests.ts
+++ b/packages/gateway/src/tests/requests/silentEngineTests.ts
@@ -184,3 +184,27 @@
   t.true(await utils.waitUntil(() => successor.isCut, generousMs));
   t.true(await utils.waitUntil(() => fixture.forwarded.ended === 1, generousMs));
 });
+
+// Guards against chains and permits that all silent streams take at once, although only one of them may have a successor.
+test("of streams that are silent together only the one with a successor reserves a chain", async (t) => {
+  const stream = await startSilentStream(t, { maxAttempts: 2 });
+  const { engine, fixture } = stream;
+  for (const [index, id] of ["r2", "r3"].entries()) {
+    void fixture.request("POST", { ...callerHeaders, "x-id": id }).catch(() => undefined);
+    (await waitForRun(engine, index + 1)).send(2);
+    const hasEvents = (): boolean => fixture.monitor?.attempts[index + 1]?.progress.events === 2;
+    await utils.waitUntil(hasEvents, generousMs);
+  }
+  let permits = 0;
+  for (const endpoint of fixture.endpoints.getAll()) {
+    const tryAcquire = endpoint.tryAcquirePermit.bind(endpoint);
+    endpoint.tryAcquirePermit = (nowMs) => {
+      permits += 1;
+      return tryAcquire(nowMs);
+    };
+  }
+  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastEventAtMs -= silenceMs;
+  await checkSilent(stream);
+  await waitForRun(engine, 3);
+  t.is(permits, 1);
+});
