fix(gateway): of streams that are silent together only one at a time seeks a chain for its successor

What callers saw: nothing directly; the waits that an instance expected for new streams were too short after a common silence.

Cause: the gate was asked before the search for a chain and again after it. In between all silent streams had reserved one.

If a search finds no room, the other streams in doubt try at once.

--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -159,12 +159,16 @@
     const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
     const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
     // The chain of the run in doubt becomes free once the successor has produced an event.
-    const reserved = await reservation.callWithoutLoad(() =>
-      this._placement.acquire(request, service, progress, options),
-    );
+    const { successorGate } = this._monitor;
+    if (!successorGate.tryBeginSearch(utils.monotonicMs())) return undefined;
+    const reserved = await reservation
+      .callWithoutLoad(() => this._placement.acquire(request, service, progress, options))
+      .finally(() => successorGate.endSearch());
     if (reserved !== undefined || signal.aborted) return reserved;
     doubted.triedSuccessorAtMs = nowMs;
     this._runLog.noteKept(doubted, "no-room");
+    // Smaller streams may find room.
+    setImmediate(() => this._monitor.renewDoubts());
     return undefined;
   }
 
--- a/packages/gateway/src/requests/SuccessorGate.ts
+++ b/packages/gateway/src/requests/SuccessorGate.ts
@@ -13,6 +13,8 @@
  */
 export class SuccessorGate {
   private _trialAtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which the running search for a chain began. */
+  private _searchAtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic time of the last event of a run that has ended. */
   private _endedEventAtMs = Number.NEGATIVE_INFINITY;
 
@@ -23,6 +25,17 @@
     return nowMs - this._trialAtMs >= trialMs || this._hasActiveRun(nowMs);
   }
 
+  /** Begins the search for the chain of a successor; returns false if it has to wait for the end of another one. */
+  tryBeginSearch(nowMs: number): boolean {
+    if (nowMs - this._searchAtMs < trialMs && !this._hasActiveRun(nowMs)) return false;
+    this._searchAtMs = nowMs;
+    return true;
+  }
+
+  endSearch(): void {
+    this._searchAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Records that a successor starts. */
   noteStart(nowMs: number): void {
     if (!this._hasActiveRun(nowMs)) this._trialAtMs = nowMs;
