--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -153,13 +153,17 @@
     if (signal.aborted || request.signal.aborted) return undefined;
     if (this.context.crashes.getQuarantineMs(request) !== undefined)
       return this._handleObstacle(doubted, "quarantined");
+    // The engine of the run in doubt may have begun to work on the request.
+    progress.passesLevel = true;
     const address = doubted.firstStage?.address;
     const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
     const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
     // The chain of the run in doubt becomes free once the successor has produced an event.
-    const reserved = await reservation.callWithoutLoad(() =>
-      this._placement.acquire(request, service, progress, options),
-    );
+    const { successorGate } = this._monitor;
+    if (!successorGate.tryBeginSearch(service, utils.monotonicMs())) return undefined;
+    const reserved = await reservation
+      .callWithoutLoad(() => this._placement.acquire(request, service, progress, options))
+      .finally(() => successorGate.endSearch());
     if (reserved !== undefined || signal.aborted) return reserved;
     doubted.triedSuccessorAtMs = nowMs;
     return this._handleObstacle(doubted, "no-room");
--- a/packages/gateway/src/requests/SuccessorGate.ts
+++ b/packages/gateway/src/requests/SuccessorGate.ts
@@ -13,6 +13,8 @@
  */
 export class SuccessorGate {
   private _trialAtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which the running search for a chain began. */
+  private _searchAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly _endpoints: Pick<EndpointTable, "getUsable">) {}
 
@@ -26,6 +28,17 @@
     return this._endpoints.getUsable(service).every(({ heardAtMs }) => nowMs - heardAtMs >= activeMs);
   }
 
+  /** Begins the search for the chain of a successor; returns false if it has to wait for the end of another one. */
+  tryBeginSearch(service: string, nowMs: number): boolean {
+    if (nowMs - this._searchAtMs < trialMs && this.isSilenceCommon(service, nowMs)) return false;
+    this._searchAtMs = nowMs;
+    return true;
+  }
+
+  endSearch(): void {
+    this._searchAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Records that a successor starts. */
   noteStart(service: string, nowMs: number): void {
     if (this.isSilenceCommon(service, nowMs)) this._trialAtMs = nowMs;
--- a/packages/gateway/src/tests/requests/silentEngineTests.ts
+++ b/packages/gateway/src/tests/requests/silentEngineTests.ts
@@ -4,13 +4,15 @@
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { FakeEngines } from "../FakeEngines.js";
 import { callerHeaders, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
-import type { GatewayFixture, ReceivedAnswer } from "./GatewayFixture.js";
+import type { EndpointHandler, GatewayFixture, ReceivedAnswer } from "./GatewayFixture.js";
 import { ScriptedEngine, toEvents, type ScriptedRun } from "./ScriptedEngine.js";
 
 const allLayers = { layers: [{ start: 0, end: 4 }] };
 /** A silence after which callers still wait. */
 const silenceMs = 1_500;
 const checkIntervalMs = 50;
+/** Deadline of a stream that its engines do not answer. */
+const deadlineMs = 2_000;
 
 interface SilentStream {
   readonly fixture: GatewayFixture;
@@ -174,3 +176,51 @@
     t.is(body, toEvents(4));
   }
 });
+
+// Guards against a run that never ends: its caller has got status 504, and its engine has sent headers but no event.
+test("a successor without events ends at the deadline of its request", async (t) => {
+  const engine = new ScriptedEngine();
+  let arrived = 0;
+  const handle: EndpointHandler = (...args) => {
+    arrived += 1;
+    if (arrived > 1) engine.handle(...args);
+  };
+  const fixture = await setUp(
+    t,
+    { kind: "streaming", isResumable: true, maxAttempts: 2, timeoutMs: deadlineMs },
+    new FakeEngines(),
+  );
+  await fixture.list([handle, handle], allLayers);
+  const received = fixture.request("POST", callerHeaders);
+  await utils.waitUntil(() => arrived === 1, generousMs);
+  for (const attempt of fixture.monitor?.attempts ?? []) attempt.lastActivityAtMs -= silenceMs;
+  await fixture.monitor?.check();
+  const successor = await waitForRun(engine, 0);
+  t.is((await received).status, 504);
+  t.true(await utils.waitUntil(() => successor.isCut, generousMs));
+  t.true(await utils.waitUntil(() => fixture.forwarded.ended === 1, generousMs));
+});
+
+// Guards against chains and permits that all silent streams take at once, although only one of them may have a successor.
+test("of streams that are silent together only the one with a successor reserves a chain", async (t) => {
+  const stream = await startSilentStream(t, { maxAttempts: 2 });
+  const { engine, fixture } = stream;
+  for (const [index, id] of ["r2", "r3"].entries()) {
+    void fixture.request("POST", { ...callerHeaders, "x-id": id }).catch(() => undefined);
+    (await waitForRun(engine, index + 1)).send(2);
+    const hasEvents = (): boolean => fixture.monitor?.attempts[index + 1]?.progress.events === 2;
+    await utils.waitUntil(hasEvents, generousMs);
+  }
+  let permits = 0;
+  for (const endpoint of fixture.endpoints.getAll()) {
+    const tryAcquire = endpoint.tryAcquirePermit.bind(endpoint);
+    endpoint.tryAcquirePermit = (nowMs) => {
+      permits += 1;
+      return tryAcquire(nowMs);
+    };
+  }
+  for (const endpoint of fixture.endpoints.getAll()) endpoint.heardAtMs -= silenceMs;
+  await checkSilent(stream);
+  await waitForRun(engine, 3);
+  t.is(permits, 1);
+});
