gateway: a stream whose caller reads slowly is not silent

What callers saw: nothing directly; a slow reader's stream spent an attempt and a retry of the budget, which other streams then lacked.

Cause: this instance pauses the answer of the engine while its caller does not read, and counted the pause as silence of the engine.

Change: a paused run is not silent; its silence counts from the moment at which it is read again.

The test failed before: doubt "silent" where none is expected.

--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -118,7 +118,7 @@
     const nowMs = this._nowMs();
     const firstEndpointIds = new Set<string>();
     for (const attempt of this._attempts) {
-      const silenceMs = nowMs - attempt.lastActivityAtMs;
+      const silenceMs = attempt.getSilenceMs(nowMs);
       if (silenceMs >= maxSilenceMs) attempt.noteDoubt("silent");
       if (silenceMs >= getAllowedSilenceMs(attempt) && attempt.firstStage !== undefined) {
         firstEndpointIds.add(attempt.firstStage.endpointId);
@@ -224,7 +224,7 @@
     const nowMs = this._nowMs();
     for (const attempt of this._attempts) {
       if (attempt.firstStage?.endpointId !== endpointId || !isAffected(attempt)) continue;
-      if (nowMs - attempt.lastActivityAtMs >= laterEventSilenceMs) attempt.noteDoubt(cause);
+      if (attempt.getSilenceMs(nowMs) >= laterEventSilenceMs) attempt.noteDoubt(cause);
     }
   }
 
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -52,6 +52,8 @@
   firstEventMs: number | undefined;
   /** Whether the request was sent over a direct connection. */
   isDirect = true;
+  /** Whether this instance does not read the answer, since the caller has not read what was forwarded. */
+  isPaused = false;
   /** Whether the stream is being moved to another chain. */
   isMoving = false;
   /** Monotonic time of the last try to move the stream. */
@@ -98,6 +100,11 @@
     return this.hasEvents && !this.awaitsRead;
   }
 
+  /** Returns for how long the engines have sent nothing; 0 while this instance does not read. */
+  getSilenceMs(nowMs: number): number {
+    return this.isPaused ? 0 : nowMs - this.lastActivityAtMs;
+  }
+
   /** Records that the request is sent now. */
   noteSent(): void {
     this.sentAtMs = utils.monotonicMs();
@@ -167,8 +174,13 @@
     }
     this.progress.noteEvents(events.lastId, this.request.arrivedAtMs);
     if (this.request.write(events.bytes)) return;
+    this.isPaused = true;
     answer.message.pause();
-    this.request.onceDrained(() => answer.message.resume());
+    this.request.onceDrained(() => {
+      this.isPaused = false;
+      this.lastActivityAtMs = utils.monotonicMs();
+      answer.message.resume();
+    });
   }
 
   private _noteActivity(nowMs: number): void {
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -175,7 +175,7 @@
    */
   private _handleObstacle(doubted: StreamAttempt, obstacle: SuccessorObstacle): "give-up" | undefined {
     const nowMs = utils.monotonicMs();
-    const isLate = !doubted.request.isHeadSent && nowMs - doubted.lastActivityAtMs >= maxSilenceMs;
+    const isLate = !doubted.request.isHeadSent && doubted.getSilenceMs(nowMs) >= maxSilenceMs;
     if (isLate && !this._monitor.successorGate.isSilenceCommon(doubted.service, nowMs)) return "give-up";
     this._runLog.noteKept(doubted, obstacle);
     return undefined;
--- a/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
+++ b/packages/gateway/src/requests/moves/EarlyMoveWatch.ts
@@ -130,11 +130,16 @@
    * move a silence mostly means that tokens wait to be read, and the report of the first engine tells more.
    */
   private _isAskedAbout(attempt: StreamAttempt): boolean {
-    return attempt.hasPassedChain && !attempt.isMoving && attempt.request.route.targetPauseMs > 0;
+    return (
+      attempt.hasPassedChain &&
+      !attempt.isMoving &&
+      !attempt.isPaused &&
+      attempt.request.route.targetPauseMs > 0
+    );
   }
 
   private _getSilenceMs(attempt: StreamAttempt): number {
-    return this._structure.nowMs() - attempt.lastActivityAtMs;
+    return attempt.getSilenceMs(this._structure.nowMs());
   }
 
   private _getLimitMs(attempt: StreamAttempt): number {
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -179,3 +179,13 @@
   await monitor.check();
   t.false(attempt.abort.signal.aborted);
 });
+
+// Guards against successors of streams that are only silent since their callers read them slowly.
+test("a stream whose caller reads slowly is not silent", async (t) => {
+  const { clock, orders, monitor, attempt } = setUp();
+  attempt.isPaused = true;
+  clock.nowMs += 1_000;
+  await monitor.check();
+  t.is(attempt.doubt, undefined);
+  t.deepEqual(orders.asked, []);
+});
