gateway: a report that is late since this process was held up is no evidence against its engine

What callers saw: streams refused with no-room by instances on small cores, since sound engines were suspected.

Cause: StallMonitor asks the first engine of a silent stream and takes a missing answer within 400 ms for evidence, reports it to all peers, and doubts all silent streams of the engine. An answer that has arrived but could not be read in time by a busy or throttled process looks the same. PauseDetector takes out pauses of over 500 ms only. The questions of EngineInquiry have had this check from the start.

--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -189,3 +189,14 @@
   t.is(attempt.doubt, undefined);
   t.deepEqual(orders.asked, []);
 });
+
+// Guards against suspicions of sound engines by an instance that was held up itself, so that it read their reports too late.
+test("a report that is late since this process was held up is no evidence against its engine", async (t) => {
+  const { clock, endpoints, orders, monitor, attempt } = setUp();
+  orders.silent.add("a");
+  orders.onAsked = () => (clock.nowMs += 600);
+  await monitor.check();
+  t.deepEqual(orders.asked, ["a"]);
+  t.false(endpoints.get("a")?.isSuspect(clock.nowMs));
+  t.is(attempt.doubt, undefined);
+});
