--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -163,6 +163,8 @@
   /** The decisions under load; none is on unless a test sets it. */
   readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
+  /** Engines that answer questions and orders; set before the start. */
+  orders: EngineOrders = new RejectingOrders();
   /** Concurrency of plain endpoints; set before the start. */
   concurrency: EndpointConcurrency | undefined;
   /** The clock of quarantines. It advances only with crashes and when a test sets it, so that the speed of a test does not affect its result. */
@@ -171,6 +173,8 @@
   monitor: RecordingMonitor | undefined;
   /** Time since which a newer configuration is known to exist. */
   behindMs = 0;
+  /** Number of requests that were passed to a forwarder, and of those that the forwarder has ended. */
+  readonly forwarded = { begun: 0, ended: 0 };
   private readonly _servers: http.Server[] = [];
   private readonly _httpClient = new HttpClient();
   private _listener: CallerListener | undefined;
@@ -232,12 +236,14 @@
       this.controls,
     );
     const plain = new PlainForwarder(context, new PermitQueue(permits.demand, permits.forecast));
-    this.monitor = new RecordingMonitor(context, chooser, new RejectingOrders());
+    this.monitor = new RecordingMonitor(context, chooser, this.orders);
     const streams = new StreamForwarder(context, admission, this.monitor);
-    const forward = (request: CallerRequest): Promise<void> => {
+    const forward = async (request: CallerRequest): Promise<void> => {
       const service = route.targets[0]?.service ?? "";
       budgets.recordRequest(service);
-      return (route.kind === "streaming" ? streams : plain).run(request, service);
+      this.forwarded.begun += 1;
+      await (route.kind === "streaming" ? streams : plain).run(request, service);
+      this.forwarded.ended += 1;
     };
     const areKeysFresh = (): boolean => this.areKeysFresh;
     this._port = await getFreePort();
@@ -270,6 +276,15 @@
     this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
   }
 
+  get port(): number {
+    return this._port;
+  }
+
+  get listener(): CallerListener {
+    if (this._listener === undefined) throw new Error("The gateway has not been started.");
+    return this._listener;
+  }
+
   /** Resolves once a request is in flight. */
   async waitForRequest(): Promise<void> {
     await utils.waitUntil(() => (this._listener?.inFlight ?? 0) > 0, generousMs);
