--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -1,4 +1,4 @@
-import { utils } from "@shedtiller/common";
+import { errors, utils } from "@shedtiller/common";
 import * as placement from "@shedtiller/placement";
 import { toCopyEngine, toCopyModel } from "../chains/engineModel.js";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
@@ -7,9 +7,16 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import type { EngineOrders, EngineReport } from "./EngineOrders.js";
+import type { EngineOrders, EngineReport, OrderError } from "./EngineOrders.js";
+import { LayerContradictions } from "./LayerContradictions.js";
 import { LostEngineDetector } from "./LostEngineDetector.js";
-import { getExpectedSpan, noLayers, type ZoneEngine, type ZoneOrder } from "./planZoneOrders.js";
+import {
+  getExpectedSpan,
+  noLayers,
+  withoutDrops,
+  type ZoneEngine,
+  type ZoneOrder,
+} from "./planZoneOrders.js";
 import { ZonePlanner } from "./ZonePlanner.js";
 
 const tickMs = 200;
@@ -57,6 +64,7 @@
   /** Monotonic time at which the last engine was added, by the key of its pool. */
   private readonly _addedAtMs = new Map<string, number>();
   private readonly _lostEngines: LostEngineDetector;
+  private readonly _contradictions = new LayerContradictions(utils.monotonicMs);
 
   constructor(private readonly _structure: LayerReconcilerStructure) {
     this._lostEngines = new LostEngineDetector(_structure.orders, _structure.log);
@@ -103,14 +111,15 @@
     const zones = utils.groupBy(endpoints, (endpoint) => endpoint.listed.availabilityZone);
     for (const [zone, members] of zones) {
       if (!this._structure.mayOrder(zone)) continue;
-      const orders = await this._plan(this._lostEngines.withoutLost(members), profile);
+      const orders = await this._plan(members, profile);
       await Promise.all(orders.map((order) => this._order(order, profile)));
     }
   }
 
   /** Returns the orders that are due for the engines of a zone; none while engines are still being added. */
-  private async _plan(members: readonly Endpoint[], profile: EngineProfile): Promise<ZoneOrder[]> {
+  private async _plan(listed: readonly Endpoint[], profile: EngineProfile): Promise<ZoneOrder[]> {
     const nowMs = utils.monotonicMs();
+    const members = this._lostEngines.withoutLost(listed);
     const [sample] = members;
     if (sample === undefined) return [];
     const pool = getPoolKey(sample);
@@ -124,7 +133,13 @@
     const areFirstEnginesEqualized =
       this._structure.areFirstEnginesEqualized && placement.canSpreadFirstEngines(copyEngines, profile);
     const firstEngineWeight = areFirstEnginesEqualized ? placement.usualFirstEngineWeight : undefined;
-    return planner.plan(engines, { ...toCopyModel(profile), firstEngineWeight });
+    const orders = await planner.plan(engines, { ...toCopyModel(profile), firstEngineWeight });
+    const hasUncertain = listed.some(
+      (member) => member.listed.layers.length > 0 && !members.includes(member),
+    );
+    if (!hasUncertain || this._lostEngines.isZoneReached(listed)) return orders;
+    // Requests may pass through the engines that don't answer, and need the layers of the others.
+    return withoutDrops(orders, engines);
   }
 
   private _toZoneEngine(member: Endpoint, profile: EngineProfile, nowMs: number): ZoneEngine {
@@ -153,9 +168,15 @@
     this._retryAtMs.set(name, utils.monotonicMs() + retryMs);
     const target = endpoint.orderTarget;
     const report = await this._structure.orders.getReport(target, reportTimeoutMs);
-    if (report.err) return this._logOutcome(endpoint, span, report.val.code);
+    if (report.err) {
+      // The next plan has to do without an engine that can't be reached, whether or not requests have made it suspect.
+      const isCurrent = this._structure.endpoints.get(name) === endpoint;
+      if (isCurrent && isUnanswered(report.val)) void this._lostEngines.check(endpoint);
+      return this._logOutcome(endpoint, span, report.val.code);
+    }
     if (this._structure.endpoints.get(name) !== endpoint)
       return this._logOutcome(endpoint, span, "started again");
+    this._noteReport(endpoint, report.val);
     const postponeReason = getPostponeReason(order, report.val, endpoint, profile);
     if (postponeReason !== undefined) return this._logOutcome(endpoint, span, postponeReason);
     if (!this._structure.mayOrder(endpoint.listed.availabilityZone)) return;
@@ -166,6 +187,19 @@
     this._pending.set(name, { span, dueAtMs: utils.monotonicMs() + loadMs + overdueMs });
   }
 
+  /** Takes over the layers that an engine reports once the list has shown others for so long that no entry is about to correct it. */
+  private _noteReport(endpoint: Endpoint, { isBusy, layers }: EngineReport): void {
+    const { endpoints, log } = this._structure;
+    const listed = endpoint.listed.layers;
+    if (isBusy || !this._contradictions.note(endpoint.id, listed, layers)) return;
+    log.warn("listed-layers-contradicted", {
+      endpointId: endpoint.id,
+      listed: describeLayers(listed),
+      reported: describeLayers(layers),
+    });
+    endpoints.setLayers(endpoint, layers);
+  }
+
   private _logOutcome(endpoint: Endpoint, span: LayerSpan, outcome: string): void {
     this._structure.log.info("layers-ordered", {
       endpointId: endpoint.id,
@@ -180,9 +214,19 @@
     this._pending.delete(id);
     this._retryAtMs.delete(id);
     this._lostEngines.removeProbe(id);
+    this._contradictions.remove(id);
   }
 }
 
+/** Returns whether an error shows that an engine gave no answer at all. */
+function isUnanswered(error: OrderError): boolean {
+  return (
+    error instanceof errors.NotReachedError ||
+    error instanceof errors.ConnectionLostError ||
+    error instanceof errors.DeadlineError
+  );
+}
+
 /** Returns the reason for which an engine can't receive an order now, or undefined if there is none. */
 function getPostponeReason(
   order: ZoneOrder,
@@ -200,6 +244,10 @@
   return report.usedTokenLayers < capacityTokenLayers ? undefined : "in use";
 }
 
+function describeLayers(layers: readonly LayerSpan[]): string[] {
+  return layers.map(({ start, end }) => `${start}-${end}`);
+}
+
 function getPoolKey(endpoint: Endpoint): string {
   return `${endpoint.listed.service}\u0000${endpoint.listed.availabilityZone}`;
 }
