--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -158,9 +158,9 @@
     const address = doubted.firstStage?.address;
     const avoided = address === undefined ? progress.refusedBy : new Set([...progress.refusedBy, address]);
     const options = { avoided, signal: AbortSignal.any([signal, request.signal]) };
-    // The chain of the run in doubt becomes free once the successor has produced an event.
     const { successorGate } = this._monitor;
     if (!successorGate.tryBeginSearch(service, utils.monotonicMs())) return undefined;
+    // The chain of the run in doubt becomes free once the successor has produced an event.
     const reserved = await reservation
       .callWithoutLoad(() => this._placement.acquire(request, service, progress, options))
       .finally(() => successorGate.endSearch());
