gateway: reports that are read late count against their engines again

Suspected cause: on such cores nearly each question ends more than 20 ms late, so that no engine that went dark was suspected by these questions any more, and streams went on to be sent there.

--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -9,7 +9,6 @@
 import { DrainWatch } from "./moves/DrainWatch.js";
 import type { MoveCause } from "./moves/EarlyMoves.js";
 import { EarlyMoveWatch } from "./moves/EarlyMoveWatch.js";
-import { heldUpMs } from "./moves/EngineInquiry.js";
 import { StreamMover } from "./moves/StreamMover.js";
 import type { ForwardContext } from "./RequestForwarder.js";
 import type { DoubtCause, StreamAttempt } from "./StreamAttempt.js";
@@ -198,8 +197,6 @@
     if (endpoint === undefined) return this._doubtSilentStreams(endpointId, "engine-unanswered");
     const queriedAtMs = this._nowMs();
     const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
-    const isHeldUp = this._nowMs() - queriedAtMs > reportTimeoutMs + heldUpMs;
-    if (report.err && isHeldUp) return;
     if (report.err) {
       this._context.failureDetector.noteUnresponsive(
         endpointId,
--- a/packages/gateway/src/requests/moves/EngineInquiry.ts
+++ b/packages/gateway/src/requests/moves/EngineInquiry.ts
@@ -9,7 +9,7 @@
 import type { EarlyMoves } from "./EarlyMoves.js";
 
 /** A question that took this much longer than its timeout shows that this process was held up, and nothing about the engine. */
-export const heldUpMs = 20;
+const heldUpMs = 20;
 /** If more than this share of the engines that are asked together does not answer, this instance is slow or cut off. */
 const maxUnansweredShare = 0.5;
 
