gateway: one piece of code decides whether a request may be sent again

tryWithdrawRetry repeated the checks of getRetryObstacle, which the log lines about runs without a successor use. It asks it now. Behaviour is unchanged.

--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -160,9 +160,8 @@
    * @returns Whether the request may be sent again.
    */
   protected tryWithdrawRetry(request: CallerRequest, service: string): boolean {
-    if (request.attempts >= request.route.maxAttempts) return false;
-    if (request.getRemainingMs() <= 0 || request.signal.aborted) return false;
-    return this.context.budgets.tryWithdraw(service);
+    const isAllowed = !request.signal.aborted && this.getRetryObstacle(request, service) === undefined;
+    return isAllowed && this.context.budgets.tryWithdraw(service);
   }
 
   /** Returns what prevents a retry of the request now; undefined if nothing does. */
