--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -1,6 +1,7 @@
 import { utils } from "@shedtiller/common";
 import type { Change } from "./ChangeFeed.js";
 import { Endpoint, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
+import { areSameLayers } from "./layerSpans.js";
 import type { LayerSpan, ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
 import { isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
 
@@ -79,7 +80,7 @@
    */
   setLayers(endpoint: Endpoint, layers: readonly LayerSpan[]): boolean {
     if (this._endpoints.get(endpoint.id) !== endpoint) return false;
-    if (JSON.stringify(layers) === JSON.stringify(endpoint.listed.layers)) return false;
+    if (areSameLayers(layers, endpoint.listed.layers)) return false;
     endpoint.listed = { ...endpoint.listed, layers: [...layers] };
     this._notify(endpoint, "layers");
     return true;
@@ -276,7 +277,7 @@
     known.listed = before.isDraining ? { ...listed, isDraining: true } : listed;
     if (isHeartbeat) this._noteHeartbeat(known);
     if (listed.isDraining && !before.isDraining) this._notify(known, "draining");
-    if (JSON.stringify(listed.layers) !== JSON.stringify(before.layers)) this._notify(known, "layers");
+    if (!areSameLayers(listed.layers, before.layers)) this._notify(known, "layers");
   }
 
   /**
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -2,6 +2,7 @@
 import { isCutOff, type Change, type ChangeFeed, type StoreError } from "./ChangeFeed.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { FeedFollower, type FollowOptions } from "./FeedFollower.js";
+import { describeLayers } from "./layerSpans.js";
 import type { ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
 
 /**
@@ -62,12 +63,11 @@
     });
     _endpoints.onChanged((endpoint, event) => {
       const { id, listed } = endpoint;
-      const layers = listed.layers.map((span) => `${span.start}-${span.end}`);
       _log.info(`endpoint-${event}`, {
         endpointId: id,
         address: listed.address,
         zone: listed.availabilityZone,
-        layers,
+        layers: describeLayers(listed.layers),
       });
     });
   }
--- a/packages/gateway/src/orders/LayerContradictions.ts
+++ b/packages/gateway/src/orders/LayerContradictions.ts
@@ -1,3 +1,4 @@
+import { areSameLayers } from "../discovery/layerSpans.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 
 /**
@@ -27,7 +28,7 @@
     const nowMs = this._nowMs();
     const before = this._contradictions.get(id);
     this._contradictions.delete(id);
-    if (JSON.stringify(listed) === JSON.stringify(reported)) return false;
+    if (areSameLayers(listed, reported)) return false;
     const layers = JSON.stringify([listed, reported]);
     const isSame = before?.layers === layers && nowMs - before.lastAtMs <= maxPauseMs;
     const sinceMs = isSame ? before.sinceMs : nowMs;
--- a/packages/gateway/src/orders/LayerReconciler.ts
+++ b/packages/gateway/src/orders/LayerReconciler.ts
@@ -5,6 +5,7 @@
 import type { EngineProfile, Service } from "../configuration/gatewayConfiguration.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import { areSameLayers, describeLayers, describeSpan } from "../discovery/layerSpans.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders, EngineReport, OrderError } from "./EngineOrders.js";
@@ -205,7 +206,7 @@
       endpointId: endpoint.id,
       address: endpoint.listed.address,
       kind: endpoint.listed.kind,
-      span: `${span.start}-${span.end}`,
+      span: describeSpan(span),
       outcome,
     });
   }
@@ -236,7 +237,7 @@
 ): string | undefined {
   if (report.isBusy) return "busy";
   // Differences between the engine and the list disappear with the engine's next entry.
-  if (JSON.stringify(report.layers) !== JSON.stringify(endpoint.listed.layers)) return "not as listed";
+  if (!areSameLayers(report.layers, endpoint.listed.layers)) return "not as listed";
   if (order.isUrgent) return undefined;
   const layers = order.span.end - order.span.start;
   const engine = toCopyEngine(endpoint, profile);
@@ -244,10 +245,6 @@
   return report.usedTokenLayers < capacityTokenLayers ? undefined : "in use";
 }
 
-function describeLayers(layers: readonly LayerSpan[]): string[] {
-  return layers.map(({ start, end }) => `${start}-${end}`);
-}
-
 function getPoolKey(endpoint: Endpoint): string {
   return `${endpoint.listed.service}\u0000${endpoint.listed.availabilityZone}`;
 }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -5,6 +5,7 @@
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import type { ReportedSuspicion } from "../discovery/FailureDetector.js";
 import type { PeerEndpointList } from "../discovery/EndpointWatch.js";
+import { areSameLayers } from "../discovery/layerSpans.js";
 import type { LayerSpan } from "../discovery/ListedEndpoint.js";
 import type { SuspicionEvidence } from "../discovery/SuspicionEvidence.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
@@ -169,8 +170,7 @@
       endpoint.slowness = slowness;
     });
     this._onEndpointNotice(peerTopics.layers, loadedLayersSchema, (endpoint, { layers, replaced }) => {
-      const isKnown =
-        replaced === undefined || JSON.stringify(replaced) === JSON.stringify(endpoint.listed.layers);
+      const isKnown = replaced === undefined || areSameLayers(replaced, endpoint.listed.layers);
       if (isKnown) endpoints.setLayers(endpoint, layers);
     });
   }
