--- a/packages/gateway/src/tests/discovery/EndpointListTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointListTests.ts
@@ -83,14 +83,20 @@
   peer.readRemoval("gone", 10);
 }
 
-// Guards against requests to an endpoint seconds after its entry has gone, for as long as the endpoint's process runs.
-test("an endpoint that a peer keeps for a grace period after its removal gets no work at an instance that takes the peer's list", async (t) => {
+/** Sets up an instance that keeps endpoint "gone" for a while, and one that has not read its removal. */
+function setUpGrace() {
   const { clock, join } = setUp();
   const peer = join("a");
   const behind = join("b");
   behind.readSnapshot(["gone", "here"], 10);
   clock.nowMs += 2_000;
   keepGone(peer);
+  return { clock, peer, behind };
+}
+
+// Guards against requests to an endpoint seconds after its entry has gone, for as long as the endpoint's process runs.
+test("an endpoint that a peer keeps for a grace period after its removal gets no work at an instance that takes the peer's list", async (t) => {
+  const { behind } = setUpGrace();
   await behind.exchange.requestIfStale();
   t.is(behind.watch.follower.nextOffset, 11);
   t.deepEqual(behind.getUsable(), ["here"]);
@@ -98,12 +104,7 @@
 
 // Guards against a leader that takes endpoints back which it has just dropped, and sends orders to them for good.
 test("a list from an instance that still keeps a removed endpoint does not bring the endpoint back where it has been dropped", async (t) => {
-  const { clock, join } = setUp();
-  const peer = join("a");
-  const behind = join("b");
-  behind.readSnapshot(["gone", "here"], 10);
-  clock.nowMs += 2_000;
-  keepGone(peer);
+  const { behind } = setUpGrace();
   const request = behind.exchange.requestIfStale();
   behind.readRemoval("gone", 10, 300);
   await request;
@@ -111,12 +112,7 @@
 });
 
 test("an instance that takes a peer's list keeps the endpoints that the peer keeps, and drops them at the same moment", async (t) => {
-  const { clock, join } = setUp();
-  const peer = join("a");
-  const behind = join("b");
-  behind.readSnapshot(["gone", "here"], 10);
-  clock.nowMs += 2_000;
-  keepGone(peer);
+  const { clock, peer, behind } = setUpGrace();
   clock.nowMs += 500;
   await behind.exchange.requestIfStale();
   for (const [elapsedMs, isKnown] of [
@@ -132,12 +128,7 @@
 });
 
 test("an endpoint that is missing in a peer's list gets work again once its entry is back", async (t) => {
-  const { clock, join } = setUp();
-  const peer = join("a");
-  const behind = join("b");
-  behind.readSnapshot(["gone", "here"], 10);
-  clock.nowMs += 2_000;
-  keepGone(peer);
+  const { clock, behind } = setUpGrace();
   await behind.exchange.requestIfStale();
   const changes = [{ key: "gone", value: createListed("gone") }];
   behind.watch.follower.applyPeerPage({ fromOffset: 11, nextOffset: 12, changes }, clock.nowMs);
