gateway: no copy of the set of runs for each event; a plain name for what a lost path leads to

StreamRuns copied and filtered its runs for every event, though nearly all streams have one. HttpExchange's method that ends a repeatable call or tells its caller has a name for both, and settled calls leave it at the start: only calls without an answer reach it, so behaviour is unchanged. A comment no longer says that the monitor ends attempts.

--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -72,13 +72,14 @@
   /** Ends the call, whose path is cut, if it has waited for its answer on a direct connection for longer than usual. */
   endIfSilent(): void {
     const waitedMs = utils.monotonicMs() - (this._sentDirectlyAtMs ?? Number.POSITIVE_INFINITY);
-    if (waitedMs >= silenceMs) this._endIfRepeatable();
+    if (waitedMs >= silenceMs) this._handleLostPath();
   }
 
-  private _endIfRepeatable(): void {
+  private _handleLostPath(): void {
+    if (this._isSettled) return;
     const { address, isRepeatable, onPathLost } = this._call;
-    if (onPathLost !== undefined) return this._isSettled ? undefined : onPathLost();
-    if (isRepeatable === true) this._end(new PathLostError(address));
+    if (onPathLost !== undefined) onPathLost();
+    else if (isRepeatable === true) this._end(new PathLostError(address));
   }
 
   /** Records when the request is written: once the connection is established, or at once on a pooled connection. */
@@ -101,7 +102,7 @@
   }
 
   private _noteSilence(): void {
-    if (this._connector?.noteSilence(this._call.address) === true) this._endIfRepeatable();
+    if (this._connector?.noteSilence(this._call.address) === true) this._handleLostPath();
   }
 
   private _acceptHead(message: http.IncomingMessage): void {
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -24,7 +24,7 @@
  */
 export type GiveUpCause = "engine-restarted" | "replaced" | "not-needed" | "no-successor";
 
-/** Forwards the complete events of one attempt and reports how it ended. The `StallMonitor` detects stalls and ends attempts. */
+/** Forwards the complete events of one attempt and reports how it ended. The `StallMonitor` detects stalls and doubts attempts. */
 export class StreamAttempt implements TrackedRun {
   /** The endpoint that the request was sent to, as the object of the process life at that time. */
   firstEndpoint: Endpoint | undefined;
--- a/packages/gateway/src/requests/StreamRuns.ts
+++ b/packages/gateway/src/requests/StreamRuns.ts
@@ -93,6 +93,8 @@
   /** Ends all other runs, since this one has produced an event or the whole answer. */
   private _goOnAlone(winner: StreamAttempt): void {
     this._reserving?.abort();
+    // Nearly all events come from the only run of their stream.
+    if (winner.isLeading && this._runs.size === 1 && this._runs.has(winner)) return;
     const others = [...this._runs].filter((run) => run !== winner);
     for (const other of others) other.giveUp(other.isLeading ? "replaced" : "not-needed");
     if (!winner.isLeading && others.length > 0) this._structure.onReplaced(winner, others);
