gateway: a log line for each connection of a caller that ends without an answer

What callers saw: requests that ended with a closed connection and no status; no log named them. Cause: the limit on new connections, invalid bytes and closed connections with requests on them left no line, so that the hypotheses of the incident could not be told apart. Change: connection-dropped, connection-invalid and request-unanswered, the last one with the side that closed the connection. No logic is changed. Measured: gateway tests of requests and http pass.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,5 +1,7 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
+import type * as net from "node:net";
+import type { Duplex } from "node:stream";
 import { utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
@@ -74,8 +76,8 @@
       },
     );
     this._server.on("connection", () => this._noteConnection());
-    this._server.on("drop", () => this._noteDrop());
-    this._server.on("clientError", (_error, socket) => socket.destroy());
+    this._server.on("drop", (dropped) => this._noteDrop(dropped));
+    this._server.on("clientError", (error, socket) => this._noteInvalidBytes(error, socket));
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -142,9 +144,29 @@
     this._applyAcceptLimit();
   }
 
-  private _noteDrop(): void {
+  private _noteDrop(dropped: net.DropArgument | undefined): void {
     this._dropped += 1;
     this._structure.onDropped?.();
+    this._structure.log.info("connection-dropped", {
+      callerPort: dropped?.remotePort,
+      acceptLimit: this._acceptLimit,
+    });
+  }
+
+  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (error.code !== "ECONNRESET")
+      this._structure.log.info("connection-invalid", { cause: error.code ?? String(error) });
+    socket.destroy();
+  }
+
+  /** Logs which side closed the connection of a request that has no whole answer. */
+  private _noteUnanswered({ socket }: http.IncomingMessage, fields: CallerFields, isHeadSent: boolean): void {
+    const side = socket.readableEnded || socket.errored !== null ? "caller" : "instance";
+    this._structure.log.info("request-unanswered", {
+      requestId: fields.requestId,
+      closedBy: side,
+      isHeadSent,
+    });
   }
 
   private _applyAcceptLimit(): void {
@@ -162,9 +184,12 @@
     const arrivedAtMs = utils.monotonicMs();
     this._inFlight += 1;
     this._connections.add(message, response);
-    response.once("close", () => (this._inFlight -= 1));
-    response.on("error", () => undefined);
     const fields = this._structure.codec.decodeCaller(message.rawHeaders);
+    response.once("close", () => {
+      this._inFlight -= 1;
+      if (!response.writableFinished) this._noteUnanswered(message, fields, response.headersSent);
+    });
+    response.on("error", () => undefined);
     try {
       await this._structure.activeConfiguration.waitUntilLoaded(this._getMaxWaitMs(fields));
       if (response.destroyed) return;
