entry: an instance agrees to give up a version only if it knows a chain of another one

The agreement rests on the version that is served, and where no version has a complete chain, or the only one is closed already, that is the version in force by definition. So what an instance does not know counted as consent, and an agreement once given was renewed every 250 ms. Ruled out: late orders (sent once, to idle engines), a loss of engines (none was lost), the deadline (the refusal came 6 s after admission, right when the version opened again). Change: a version is closed only if another open one has a complete chain here, unless a gap is needed; an instance that knows no chain at all does not answer, which delays a rollout by 30 s at the most.

--- a/packages/entry/src/feeds/VersionsInUse.ts
+++ b/packages/entry/src/feeds/VersionsInUse.ts
@@ -63,14 +63,20 @@
     return { version, release: this.addRequest(pipeline.name, version) };
   }
 
+  /** Returns whether this instance knows a complete chain of any version. */
+  hasChain(pipeline: PipelineObject): boolean {
+    return getCompleteVersions(this._directory, pipeline).length > 0;
+  }
+
   /**
-   * Closes a version to new requests at this instance for 5 s, unless it is in use. Returns whether it was closed.
+   * Closes a version to new requests at this instance for 5 s, unless it is in use or no other open version has a complete chain. Returns
+   * whether it was closed.
    * @param isGap - Whether no version has a complete chain without the engines in question. The version may then be closed
    * even though it is the one that is served.
    */
   tryClose(pipeline: PipelineObject, version: string, isGap: boolean): boolean {
     const isRunning = this._running.get(pipeline.name)?.has(version) ?? false;
-    if (isRunning || (!isGap && this.getServed(pipeline) === version)) return false;
+    if (isRunning || (!isGap && !this._canServeWithout(pipeline, version))) return false;
     const closed = this._closedUntilMs.get(pipeline.name) ?? new Map<string, number>();
     this._closedUntilMs.set(pipeline.name, closed.set(version, utils.monotonicMs() + closedDurationMs));
     return true;
@@ -142,6 +148,12 @@
     return [...new Set([this.getServed(pipeline), ...running])];
   }
 
+  private _canServeWithout(pipeline: PipelineObject, version: string): boolean {
+    if (this.getServed(pipeline) === version) return false;
+    const complete = getCompleteVersions(this._directory, pipeline);
+    return complete.some((other) => other !== version && !this._isClosed(pipeline.name, other));
+  }
+
   private _isClosed(model: string, version: string): boolean {
     return utils.monotonicMs() < (this._closedUntilMs.get(model)?.get(version) ?? 0);
   }
--- a/packages/entry/src/orders/VersionRetirement.ts
+++ b/packages/entry/src/orders/VersionRetirement.ts
@@ -32,7 +32,7 @@
 /** Dependencies of {@link VersionRetirement}. */
 export interface VersionRetirementStructure {
   readonly membership: Pick<Membership, "getMembers" | "onRequest" | "request">;
-  readonly versions: Pick<VersionsInUse, "tryClose">;
+  readonly versions: Pick<VersionsInUse, "tryClose" | "hasChain">;
   readonly getPipeline: (model: string) => PipelineObject | undefined;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: () => number;
@@ -83,6 +83,10 @@
     if (!request.success) return undefined;
     const { model, version, isGap } = request.data;
     const pipeline = this._structure.getPipeline(model);
-    return { isFree: pipeline === undefined || this._structure.versions.tryClose(pipeline, version, isGap) };
+    if (pipeline === undefined) return { isFree: true };
+    const { versions } = this._structure;
+    // Without a chain, this instance does not know on which version its next request starts.
+    if (!isGap && !versions.hasChain(pipeline)) return undefined;
+    return { isFree: versions.tryClose(pipeline, version, isGap) };
   }
 }
--- a/packages/entry/src/tests/feeds/VersionsInUseTests.ts
+++ b/packages/entry/src/tests/feeds/VersionsInUseTests.ts
@@ -75,6 +75,23 @@
   t.false(uses.mayBeUsed(pipeline, "1", []));
 });
 
+// Guards against requests that are refused during a rollout, since an instance without a chain agreed to give up the only one left.
+test("an instance that knows no complete chain of another version does not close the one that is left", (t) => {
+  const uses = new VersionsInUse(createDirectory([]), () => [pipeline]);
+  t.false(uses.hasChain(pipeline));
+  t.false(uses.tryClose(pipeline, "1", false));
+  t.true(uses.tryClose(pipeline, "1", true), "a gap can't be avoided");
+});
+
+// Guards against a closed version that stays closed although no other version has got a chain, so that requests wait in vain.
+test("a version is not closed once more while it is the only one with a complete chain", (t) => {
+  const directory = createDirectory(["1", "2"]);
+  const uses = new VersionsInUse(directory, () => [pipeline]);
+  t.true(uses.tryClose(pipeline, "1", false));
+  directory.setReport({ ...createReport("g2", "2"), state: "loading" }, true);
+  t.false(uses.tryClose(pipeline, "1", false));
+});
+
 test("nothing is reported on a pipeline whose engines have loaded a single version", (t) => {
   t.deepEqual(createUses(["2"]).getOwn(), []);
 });
--- a/packages/entry/src/tests/orders/VersionRetirementTests.ts
+++ b/packages/entry/src/tests/orders/VersionRetirementTests.ts
@@ -13,6 +13,7 @@
 class Fleet {
   nowMs = 0;
   isOwnFree = true;
+  hasChain = true;
   handler: RequestHandler | undefined;
   readonly retirement: VersionRetirement;
 
@@ -30,7 +31,7 @@
           return results.Ok(answer === "nothing" ? undefined : answer);
         },
       },
-      versions: { tryClose: () => this.isOwnFree },
+      versions: { tryClose: () => this.isOwnFree, hasChain: () => this.hasChain },
       getPipeline: (model) => (model === pipeline.name ? pipeline : undefined),
       nowMs: () => this.nowMs,
     });
@@ -87,6 +88,16 @@
   t.is(await fleet.getBlocker(), "version 1: e2 has not answered");
 });
 
+// Guards against a rollout that breaks up the last chain of a version while an instance does not know any chain yet.
+test("an instance that knows no complete chain does not answer, unless a gap is needed", async (t) => {
+  const fleet = new Fleet(new Map());
+  fleet.hasChain = false;
+  const request = { model: pipeline.name, version: "1", isGap: false };
+  const from = { name: "e2", availabilityZone: "a" };
+  t.is(await fleet.handler?.(request, from), undefined);
+  t.deepEqual(await fleet.handler?.({ ...request, isGap: true }, from), { isFree: true });
+});
+
 test("a retirement request is answered with whether the version is free, an invalid one is not answered", async (t) => {
   const fleet = new Fleet(new Map());
   const from = { name: "e1", availabilityZone: "a" };
