gateway: only the last answer of what was read from a connection ends it

Cause: each answer said `Connection: close` from then on, and Node closes the connection after such an answer, whatever has been read behind its request.

Ruled out: an end by the endpoint (it answers both), and the closing of idle connections (the second request is in flight).

Change: CallerConnection owns the end of a connection. Only the answer to the last request that was read announces the close; a request that is read after the announcement is not forwarded, since its caller knows that it is not processed. After the last answer the sending half ends and the rest is read for up to a second, so that bytes on their way do not reset the connection under the answer.

The tests failed before: [200] instead of [200, 200] for a planned stop and for a limit on connections, and a request that followed an announced close reached the endpoint. They pass now.

--- /dev/null
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -0,0 +1,71 @@
+import type * as http from "node:http";
+import type * as net from "node:net";
+
+/** Time for which a connection is read after its last answer, so that bytes which arrive meanwhile do not reset it before the caller has the answer. */
+const lingerMs = 1_000;
+
+interface PendingAnswer {
+  readonly message: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+}
+
+/** One connection of a caller. Decides when the connection ends: after the answers to all requests that were read from it. */
+export class CallerConnection {
+  /** Requests whose answers have not been written to the connection, in the order of their arrival. */
+  private readonly _pending: PendingAnswer[] = [];
+  /** Number of bytes that had been read when the last answer had been written. */
+  private _answeredBytes = 0;
+  private _isCloseAnnounced = false;
+
+  constructor(private readonly _socket: net.Socket) {
+    // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
+    _socket.destroySoon = () => this._endAfterAnswers();
+  }
+
+  /** Whether no request is in progress, and none has begun to arrive. */
+  get isIdle(): boolean {
+    return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
+  }
+
+  /**
+   * Records a request, whose answer has been written once `response` closes.
+   * @returns Whether the request may be processed; false if an earlier answer has announced the end of the connection.
+   */
+  add(message: http.IncomingMessage, response: http.ServerResponse): boolean {
+    if (this._isCloseAnnounced) return false;
+    const pending = { message, response };
+    this._pending.push(pending);
+    response.once("close", () => this._remove(pending));
+    return true;
+  }
+
+  /**
+   * Announces the end of the connection with the head of `response`.
+   * @returns False if further requests have been read; the last of their answers may announce the end.
+   */
+  announceClose(response: http.ServerResponse): boolean {
+    if (this._pending.at(-1)?.response !== response) return false;
+    this._isCloseAnnounced = true;
+    return true;
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    this._socket.destroy();
+  }
+
+  private _remove(pending: PendingAnswer): void {
+    this._pending.splice(this._pending.indexOf(pending), 1);
+    this._answeredBytes = this._socket.bytesRead;
+  }
+
+  /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
+  private _endAfterAnswers(): void {
+    this._isCloseAnnounced = true;
+    const socket = this._socket;
+    socket.end(() => {
+      const timer = setTimeout(() => socket.destroy(), lingerMs);
+      socket.once("close", () => clearTimeout(timer));
+    });
+  }
+}
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -182,9 +182,9 @@
 
   private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAtMs = utils.monotonicMs();
-    this._inFlight += 1;
-    this._connections.add(message, response);
     const fields = this._structure.codec.decodeCaller(message.rawHeaders);
+    if (!this._connections.get(message.socket).add(message, response)) return this._ignore(message, fields);
+    this._inFlight += 1;
     response.once("close", () => {
       this._inFlight -= 1;
       if (!response.writableFinished) this._noteUnanswered(message, fields, response.headersSent);
@@ -206,6 +206,17 @@
     }
   }
 
+  /** Reads a request that followed an announced close and is not processed. */
+  private _ignore(message: http.IncomingMessage, fields: CallerFields): void {
+    message.resume();
+    this._structure.log.info("request-ignored", { requestId: fields.requestId, reason: "close-announced" });
+  }
+
+  /** Whether the connection ends after this answer; called as the head of the answer is written. */
+  private _endsConnection(response: http.ServerResponse): boolean {
+    return this._endsConnections && this._connections.get(response.req.socket).announceClose(response);
+  }
+
   private _getMaxWaitMs({ deadlineMs }: CallerFields): number {
     const maxWaitMs = this._structure.startupTimeoutMs ?? maxStartupWaitMs;
     return Math.min(maxWaitMs, (deadlineMs ?? Number.POSITIVE_INFINITY) * startupDeadlineShare);
@@ -248,7 +259,7 @@
   ): Promise<void> {
     const { codec, forward, log } = this._structure;
     const { route, account } = admitted;
-    const isDraining = (): boolean => this._endsConnections;
+    const endsConnection = (): boolean => this._endsConnection(response);
     const request = new CallerRequest({
       message,
       response,
@@ -258,7 +269,7 @@
       body,
       arrivedAtMs,
       codec,
-      isDraining,
+      endsConnection,
     });
     await forward(request);
     const tookMs = Math.round(utils.monotonicMs() - arrivedAtMs);
@@ -287,7 +298,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._endsConnections,
+      this._endsConnection(response),
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -18,7 +18,8 @@
   /** Monotonic time at which the request headers arrived. */
   readonly arrivedAtMs: number;
   readonly codec: MessageCodec;
-  readonly isDraining: () => boolean;
+  /** Decides, as the head of the answer is written, whether the connection ends after the answer. */
+  readonly endsConnection: () => boolean;
 }
 
 /** A request in flight. Its final answer is written exactly once. */
@@ -139,7 +140,7 @@
       status,
       reason,
       this._structure.codec.encodeRefusal(retryAfterMs),
-      this._structure.isDraining(),
+      this._structure.endsConnection(),
     );
     this._over.abort();
   }
@@ -174,8 +175,8 @@
 
   /** Writes the status and those of the endpoint's headers that are forwarded to callers, followed by the gateway's `ownHeaders`. */
   private _writeHead(status: number, headers: readonly string[], ownHeaders: readonly string[]): void {
-    const { codec, response, isDraining } = this._structure;
-    const connection = isDraining() ? ["Connection", "close"] : [];
+    const { codec, response, endsConnection } = this._structure;
+    const connection = endsConnection() ? ["Connection", "close"] : [];
     const rawHeaders = [...codec.encodeForCaller(headers), ...connection, ...ownHeaders];
     // Node also accepts raw headers, which its type declarations omit.
     response.writeHead(status, rawHeaders as unknown as http.OutgoingHttpHeader[]);
--- a/packages/gateway/src/tests/requests/CallerRequestTests.ts
+++ b/packages/gateway/src/tests/requests/CallerRequestTests.ts
@@ -16,7 +16,7 @@
     body: Buffer.alloc(0),
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
-    isDraining: () => false,
+    endsConnection: () => false,
   });
 }
 
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -45,7 +45,7 @@
     body: Buffer.alloc(0),
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
-    isDraining: () => false,
+    endsConnection: () => false,
   });
 }
 
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -179,6 +179,6 @@
     body: Buffer.alloc(0),
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
-    isDraining: () => false,
+    endsConnection: () => false,
   });
 }
--- /dev/null
+++ b/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
@@ -0,0 +1,67 @@
+/** Several requests on one connection, over real sockets. */
+import test, { type ExecutionContext } from "ava";
+import { setUp } from "./endpointHandlers.js";
+import type { GatewayFixture } from "./GatewayFixture.js";
+import { HeldEndpoint } from "./HeldEndpoint.js";
+import { formatRequest, RawCaller } from "./RawCaller.js";
+
+const resumable = { kind: "streaming", isResumable: true } as const;
+const allLayers = { layers: [{ start: 0, end: 4 }] };
+
+interface PipelinedCase {
+  readonly fixture: GatewayFixture;
+  readonly endpoint: HeldEndpoint;
+  readonly caller: RawCaller;
+}
+
+/** Starts a gateway with one endpoint, and a caller on one connection. */
+async function setUpCaller(t: ExecutionContext, route: Parameters<typeof setUp>[1]): Promise<PipelinedCase> {
+  const fixture = await setUp(t, route);
+  const endpoint = new HeldEndpoint();
+  await fixture.list([endpoint.handler], allLayers);
+  const caller = new RawCaller(fixture.port);
+  t.teardown(() => caller.close());
+  return { fixture, endpoint, caller };
+}
+
+const endings: Record<string, (fixture: GatewayFixture) => void> = {
+  "a planned stop": (fixture) => fixture.listener.drain(),
+  "a limit on new connections": (fixture) => fixture.setAcceptLimit(2),
+};
+
+for (const [name, end] of Object.entries(endings)) {
+  // Guards against an answer with `Connection: close` in front of a request that runs at an endpoint.
+  test(`two requests that were read from one connection are both answered during ${name}`, async (t) => {
+    const { fixture, endpoint, caller } = await setUpCaller(t, { kind: "unsafe" });
+    await caller.send(formatRequest("r1", "/a/x") + formatRequest("r2", "/a/x"));
+    await endpoint.waitFor("r1");
+    await endpoint.waitFor("r2");
+    end(fixture);
+    endpoint.release("r1");
+    await caller.waitForAnswers(1);
+    endpoint.release("r2");
+    await caller.waitForEnd();
+    t.deepEqual(caller.statuses, [200, 200]);
+    t.is(caller.received.split(/connection: close/i).length, 2, "only the last answer ends the connection");
+  });
+}
+
+// Guards against a request that runs although its caller knows by `Connection: close` that it is not processed.
+test("a request that follows an announced close is not forwarded", async (t) => {
+  const { fixture, endpoint, caller } = await setUpCaller(t, resumable);
+  fixture.listener.drain();
+  await caller.send(formatRequest("r1", "/a/x"));
+  await endpoint.waitFor("r1");
+  endpoint.begin("r1");
+  await caller.waitForAnswers(1);
+  await caller.send(formatRequest("r2", "/a/x"));
+  const other = new RawCaller(fixture.port);
+  t.teardown(() => other.close());
+  await other.send(formatRequest("r3", "/a/x"));
+  await endpoint.waitFor("r3");
+  t.false(endpoint.has("r2"));
+  endpoint.release("r1");
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [200]);
+  t.true(caller.received.endsWith("0\r\n\r\n"), "the stream is whole");
+});
