gateway: requests behind another one on a connection end when their caller leaves

Callers left, and endpoints worked on: a request whose answer waits behind another one on the same connection ran to its end, and counted as in flight for ever, so that a planned stop took its whole grace time.

Cause: Node emits `close` on a connection's end only for the answer that is being written, not for the queued ones.

Change: CallerConnection closes the queued answers.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -20,6 +20,7 @@
   constructor(private readonly _socket: net.Socket) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
     _socket.destroySoon = () => this._endAfterAnswers();
+    _socket.once("close", () => this._closeQueued());
   }
 
   /** Whether no request is in progress, and none has begun to arrive. */
@@ -68,4 +69,13 @@
       socket.once("close", () => clearTimeout(timer));
     });
   }
+
+  /** Closes the answers that wait behind another one. Node closes only the answer that is being written. */
+  private _closeQueued(): void {
+    for (const { response } of [...this._pending]) {
+      if (response.socket !== null || response.writableFinished) continue;
+      response.destroy();
+      response.emit("close");
+    }
+  }
 }
--- a/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
+++ b/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
@@ -1,6 +1,7 @@
 /** Several requests on one connection, over real sockets. */
 import test, { type ExecutionContext } from "ava";
-import { setUp } from "./endpointHandlers.js";
+import { utils } from "@shedtiller/common";
+import { generousMs, setUp } from "./endpointHandlers.js";
 import type { GatewayFixture } from "./GatewayFixture.js";
 import { HeldEndpoint } from "./HeldEndpoint.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
@@ -65,3 +66,14 @@
   t.deepEqual(caller.statuses, [200]);
   t.true(caller.received.endsWith("0\r\n\r\n"), "the stream is whole");
 });
+
+// Guards against requests that run on, and count as in flight, because their answers wait behind another one on a connection that is gone.
+test("all requests of a connection end when their caller leaves", async (t) => {
+  const { fixture, endpoint, caller } = await setUpCaller(t, { kind: "safe" });
+  await caller.send(formatRequest("r1", "/a/x") + formatRequest("r2", "/a/x"));
+  await endpoint.waitFor("r1");
+  await endpoint.waitFor("r2");
+  caller.close();
+  t.true(await utils.waitUntil(() => endpoint.abandoned.length === 2, generousMs));
+  t.true(await utils.waitUntil(() => fixture.listener.inFlight === 0, generousMs));
+});
