gateway: a caller that ends its sending half after its request gets its answer

Callers saw: nothing, and the connection closed, though the endpoints had run 6 and 8 of 8 of their requests (RFC 9112, 9.6 permits a caller to end its half).

Cause: Node ends a connection when the other side ends its half, also with requests in progress.

Ruled out: taking each such caller for one that stays; both send the same packet, and work for a caller that has left has to end within half a second. A timer alone can't tell them apart either.

Change: the connection waits for its answers, and the caller is sent interim responses (100, which clients that know only that one skip as well) until it is reset or the answer begins. HTTP/1.0 callers, and those that end their half during an answer, count as having left, as before.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
+import { DepartureProbe } from "./DepartureProbe.js";
 
 /** Time for which a connection is read after its last answer, so that bytes which arrive meanwhile do not reset it before the caller has the answer. */
 const lingerMs = 1_000;
@@ -20,6 +21,7 @@
   constructor(private readonly _socket: net.Socket) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
     _socket.destroySoon = () => this._endAfterAnswers();
+    _socket.once("end", () => this._noteCallerEnd());
     _socket.once("close", () => this._closeQueued());
   }
 
@@ -60,6 +62,15 @@
     this._answeredBytes = this._socket.bytesRead;
   }
 
+  /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
+  private _noteCallerEnd(): void {
+    const awaited = this._pending[0]?.response;
+    if (awaited === undefined || awaited.writableEnded) return;
+    // Callers that end their sending half do so after their request; an end during the answer is a departure.
+    if (!DepartureProbe.canProbe(awaited)) return this.close();
+    new DepartureProbe(() => this._pending[0]?.response);
+  }
+
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
   private _endAfterAnswers(): void {
     this._isCloseAnnounced = true;
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -75,6 +75,8 @@
         void this._handle(message, response);
       },
     );
+    // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
+    Object.assign(this._server, { httpAllowHalfOpen: true });
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
     this._server.on("clientError", (error, socket) => this._noteInvalidBytes(error, socket));
