gateway: bytes that can't be read are refused after the answers to the requests before them

Callers saw: a request in progress got nothing, though it ran, if bytes that are no request followed it (8 of 8); a head of 80 kB, bytes that are no request, and a head that came too slowly closed the connection without 431, 400 or 408. A request without a host was refused by Node itself, and one behind it ran and got nothing.

Cause: `clientError` and Node's own answers ended the connection without regard to the requests in progress.

Ruled out: an end by the endpoint (it answers), and a reset by unread bytes (the connection was destroyed by this instance).

Change: CallerConnection refuses such bytes once all requests before them are answered, or in place of the answer to the request whose body can't be read; nothing is sent if the caller knows already that the connection ends. Heads that come too slowly are looked for each second; Node's default is 30 s. A request without a host is refused like any other.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -1,6 +1,8 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
+import { formatRefusal, sendRefusal } from "./sendRefusal.js";
+import type { ReadFault } from "./toReadFault.js";
 
 /** Time for which a connection is read after its last answer, so that bytes which arrive meanwhile do not reset it before the caller has the answer. */
 const lingerMs = 1_000;
@@ -17,6 +19,9 @@
   /** Number of bytes that had been read when the last answer had been written. */
   private _answeredBytes = 0;
   private _isCloseAnnounced = false;
+  private _lastMessage: http.IncomingMessage | undefined;
+  /** What is wrong with the bytes behind the requests that were read. */
+  private _fault: ReadFault | undefined;
 
   constructor(private readonly _socket: net.Socket) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
@@ -36,6 +41,9 @@
    */
   add(message: http.IncomingMessage, response: http.ServerResponse): boolean {
     if (this._isCloseAnnounced) return false;
+    // The caller itself asks for the end of the connection.
+    if (!response.shouldKeepAlive) this._isCloseAnnounced = true;
+    this._lastMessage = message;
     const pending = { message, response };
     this._pending.push(pending);
     response.once("close", () => this._remove(pending));
@@ -52,6 +60,15 @@
     return true;
   }
 
+  /** Refuses bytes that can't be read, after the answers to all requests before them, and ends the connection. */
+  fail(fault: ReadFault): void {
+    if (this._fault !== undefined) return;
+    this._fault = fault;
+    const last = this._pending.at(-1);
+    if (this._lastMessage?.complete === false) this._refuseIncomplete(last?.response, fault);
+    if (last === undefined) this._endWithFault(fault);
+  }
+
   /** Closes the connection. */
   close(): void {
     this._socket.destroy();
@@ -60,6 +77,23 @@
   private _remove(pending: PendingAnswer): void {
     this._pending.splice(this._pending.indexOf(pending), 1);
     this._answeredBytes = this._socket.bytesRead;
+    if (this._pending.length === 0 && this._fault !== undefined) this._endWithFault(this._fault);
+  }
+
+  /** Refuses the last request, whose body can't be read to its end, unless it has been answered. */
+  private _refuseIncomplete(response: http.ServerResponse | undefined, { status, reason }: ReadFault): void {
+    this._isCloseAnnounced = true;
+    if (response?.headersSent === false) sendRefusal(response, status, reason, {}, true);
+  }
+
+  /** Sends the refusal of bytes that belong to no request, unless the caller knows already that the connection ends. */
+  private _endWithFault({ status, reason }: ReadFault): void {
+    const socket = this._socket;
+    if (socket.destroyed) return;
+    // A connection on which nothing has arrived waits for no answer.
+    const isAwaited = !this._isCloseAnnounced && socket.bytesRead > 0;
+    if (isAwaited) socket.write(formatRefusal(status, reason));
+    this._endAfterAnswers();
   }
 
   /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,7 +1,6 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import type { Duplex } from "node:stream";
 import { utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
@@ -20,10 +19,13 @@
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { sendRefusal } from "./sendRefusal.js";
+import { invalidRequest, toReadFault } from "./toReadFault.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
 const maxHeaderBytes = 64 * 1024;
+/** Interval in which connections are checked for heads that take too long; Node's own is longer than the time for a head. */
+const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
 const acceptBacklog = 1_024;
 /** Retry-After of a stopping instance: the caller should retry at once, over a new connection to another instance. */
@@ -70,7 +72,12 @@
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
-      { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
+      {
+        maxHeaderSize: maxHeaderBytes,
+        requestTimeout: 0,
+        requireHostHeader: false,
+        connectionsCheckingInterval: headerCheckIntervalMs,
+      },
       (message, response) => {
         void this._handle(message, response);
       },
@@ -79,7 +86,14 @@
     Object.assign(this._server, { httpAllowHalfOpen: true });
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
-    this._server.on("clientError", (error, socket) => this._noteInvalidBytes(error, socket));
+    this._server.on("clientError", (error, socket) => {
+      // A server without TLS has no other streams.
+      this._noteInvalidBytes(error, socket as net.Socket);
+    });
+    this._server.on("connect", (message, socket) => {
+      this._connections.get(message.socket).fail(invalidRequest);
+      socket.resume();
+    });
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -155,10 +169,11 @@
     });
   }
 
-  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (error.code !== "ECONNRESET")
-      this._structure.log.info("connection-invalid", { cause: error.code ?? String(error) });
-    socket.destroy();
+  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
+    const fault = toReadFault(error);
+    if (fault === undefined) return void socket.destroy();
+    this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
+    this._connections.get(socket).fail(fault);
   }
 
   /** Logs which side closed the connection of a request that has no whole answer. */
@@ -242,6 +257,7 @@
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): AdmittedRequest | Refusal {
     const { activeConfiguration, areKeysFresh } = this._structure;
+    if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
     const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
     const admitted = admitCaller(input, activeConfiguration.table, areKeysFresh);
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -1,5 +1,5 @@
 /** Rejections by the gateway itself. */
-import type * as http from "node:http";
+import * as http from "node:http";
 
 /** Reason for which the gateway itself ended a request. */
 export type RefusalReason =
@@ -10,6 +10,11 @@
   | "no-key"
   | "unknown-key"
   | "body-too-large"
+  /** The bytes are no request. */
+  | "invalid-request"
+  | "head-too-large"
+  /** The head of the request was not completed in time. */
+  | "head-too-late"
   | "no-endpoint"
   /** This instance reaches no endpoint, neither directly nor through a peer. */
   | "isolated"
@@ -47,3 +52,15 @@
   });
   response.end(body);
 }
+
+/** Returns the bytes of a rejection that answers no request in particular, after which the connection ends. */
+export function formatRefusal(status: number, reason: RefusalReason): string {
+  const body = JSON.stringify({ error: reason });
+  const lines = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
+    "Content-Type: application/json",
+    `Content-Length: ${body.length}`,
+    "Connection: close",
+  ];
+  return [...lines, "", body].join("\r\n");
+}
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -7,7 +7,7 @@
 import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "../../configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "../../configuration/DenialFreshness.js";
-import type { Route } from "../../configuration/gatewayConfiguration.js";
+import type { CallerLimits, Route } from "../../configuration/gatewayConfiguration.js";
 import { CrashDetector } from "../../crashes/CrashDetector.js";
 import { probeConnection, type ProbeResult } from "@shedtiller/crashes";
 import { EndpointStatements } from "../../discovery/EndpointStatements.js";
@@ -278,6 +278,16 @@
     this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
   }
 
+  /** Changes the limits on callers. */
+  setLimits(changes: Partial<CallerLimits>): void {
+    const { table } = this.activeConfiguration;
+    if (table === undefined) throw new Error("The gateway has no configuration.");
+    const { configuration } = table;
+    const limits = { ...configuration.limits, ...changes };
+    this.activeConfiguration.accept({ ...configuration, version: configuration.version + 1, limits });
+    this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
+  }
+
   get port(): number {
     return this._port;
   }
--- a/packages/gateway/src/tests/requests/RawCaller.ts
+++ b/packages/gateway/src/tests/requests/RawCaller.ts
@@ -14,7 +14,7 @@
   isClosed = false;
   readonly socket: net.Socket;
 
-  constructor(port: number) {
+  constructor(readonly port: number) {
     this.socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
     this.socket.on("data", (bytes: Buffer) => (this.received += bytes.toString("latin1")));
     this.socket.on("error", () => undefined);
