gateway: max-header-bytes is applied, and a refusal of too large a request is not lost by a reset

Callers saw: 502 for a head of 20 kB, from an endpoint that refuses it; the limit was read from the configuration and applied nowhere. A head of 100 kB was refused although the configuration allowed it.

Cause: only the constant of 64 KiB was applied.

Change: a head over the limit of the configuration is refused with 431, and heads are read up to the larger of the limit and 64 KiB. After 413 and 431 the connection ends; what the caller still sends is read and dropped until it is silent for a second, 10 s at the most.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -4,8 +4,13 @@
 import { formatRefusal, sendRefusal } from "./sendRefusal.js";
 import type { ReadFault } from "./toReadFault.js";
 
-/** Time for which a connection is read after its last answer, so that bytes which arrive meanwhile do not reset it before the caller has the answer. */
+/**
+ * Time without bytes after which a connection is closed whose last answer has been written. What arrives meanwhile is read and dropped:
+ * unread bytes would reset the connection, and the caller might not have read the answer.
+ */
 const lingerMs = 1_000;
+/** Time after the last answer for which a caller may go on with what it sends. */
+const maxLingerMs = 10_000;
 
 interface PendingAnswer {
   readonly message: http.IncomingMessage;
@@ -108,11 +113,18 @@
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
   private _endAfterAnswers(): void {
     this._isCloseAnnounced = true;
+    this._socket.end(() => this._linger(maxLingerMs));
+  }
+
+  /** Closes the connection once the caller has sent nothing for a while, and after `leftMs` at the latest. */
+  private _linger(leftMs: number): void {
     const socket = this._socket;
-    socket.end(() => {
-      const timer = setTimeout(() => socket.destroy(), lingerMs);
-      socket.once("close", () => clearTimeout(timer));
-    });
+    const { bytesRead } = socket;
+    const timer = setTimeout(() => {
+      if (socket.bytesRead === bytesRead || leftMs <= lingerMs) this.close();
+      else this._linger(leftMs - lingerMs);
+    }, lingerMs).unref();
+    socket.once("close", () => clearTimeout(timer));
   }
 
   /** Closes the answers that wait behind another one. Node closes only the answer that is being written. */
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -18,12 +18,15 @@
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
+import { getHeadBytes } from "./getHeadBytes.js";
+import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { invalidRequest, toReadFault } from "./toReadFault.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
-const maxHeaderBytes = 64 * 1024;
+/** Size of the heads that are read at least; a request that is over the limit of the configuration can then be named in the log. */
+const minHeaderBytes = 64 * 1024;
 /** Interval in which connections are checked for heads that take too long; Node's own is longer than the time for a head. */
 const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
@@ -40,6 +43,11 @@
 /** Share of its deadline that a request may spend on waiting for the configuration; the remainder is left for its execution. */
 const startupDeadlineShare = 0.5;
 
+const bodyTooLarge: Refusal = { status: 413, reason: "body-too-large" };
+const headTooLarge: Refusal = { status: 431, reason: "head-too-large" };
+/** Refusals after which the connection ends, since there may be no end to what the caller sends. */
+const lastRefusals: ReadonlySet<Refusal> = new Set([bodyTooLarge, headTooLarge]);
+
 /** Dependencies of {@link CallerListener}. */
 export interface CallerListenerStructure {
   readonly host: string;
@@ -73,7 +81,7 @@
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
       {
-        maxHeaderSize: maxHeaderBytes,
+        maxHeaderSize: minHeaderBytes,
         requestTimeout: 0,
         requireHostHeader: false,
         connectionsCheckingInterval: headerCheckIntervalMs,
@@ -194,6 +202,8 @@
 
   private _applyLimits(limits: CallerLimits): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+    // Not part of Node's types; applies to new connections.
+    Object.assign(this._server, { maxHeaderSize: Math.max(minHeaderBytes, limits.maxHeaderBytes) });
     this._server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
   }
 
@@ -214,8 +224,8 @@
       if (response.destroyed) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
-      if (body === undefined)
-        return this._refuse(message, response, fields, { status: 413, reason: "body-too-large" });
+      if (body === "cut") return;
+      if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
       await this._forward(message, response, fields, admitted, body, arrivedAtMs);
     } catch (error) {
       this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
@@ -229,9 +239,12 @@
     this._structure.log.info("request-ignored", { requestId: fields.requestId, reason: "close-announced" });
   }
 
-  /** Whether the connection ends after this answer; called as the head of the answer is written. */
-  private _endsConnection(response: http.ServerResponse): boolean {
-    return this._endsConnections && this._connections.get(response.req.socket).announceClose(response);
+  /**
+   * Decides, as the head of an answer is written, whether the connection ends after it.
+   * @param isWanted - Whether the connection should end after the answers to all requests that were read.
+   */
+  private _endsConnection(response: http.ServerResponse, isWanted = this._endsConnections): boolean {
+    return isWanted && this._connections.get(response.req.socket).announceClose(response);
   }
 
   private _getMaxWaitMs({ deadlineMs }: CallerFields): number {
@@ -257,10 +270,13 @@
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): AdmittedRequest | Refusal {
     const { activeConfiguration, areKeysFresh } = this._structure;
+    const { table } = activeConfiguration;
+    if (table !== undefined && getHeadBytes(message) > table.configuration.limits.maxHeaderBytes)
+      return headTooLarge;
     if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
     const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
-    const admitted = admitCaller(input, activeConfiguration.table, areKeysFresh);
+    const admitted = admitCaller(input, table, areKeysFresh);
     if ("reason" in admitted) return admitted;
     const timeoutMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
     if (utils.monotonicMs() + timeoutMs <= this._stopAtMs) return admitted;
@@ -316,7 +332,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._endsConnection(response),
+      this._endsConnection(response, this._endsConnections || lastRefusals.has(refusal)),
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
@@ -328,15 +344,3 @@
     });
   }
 }
-
-/** Reads the whole body; returns undefined if it is larger than `maxBytes`. */
-async function readCallerBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
--- a/packages/gateway/src/tests/requests/RawCaller.ts
+++ b/packages/gateway/src/tests/requests/RawCaller.ts
@@ -12,12 +12,13 @@
   /** Whether the gateway has ended its half of the connection. */
   isEnded = false;
   isClosed = false;
+  error: Error | undefined;
   readonly socket: net.Socket;
 
   constructor(readonly port: number) {
     this.socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
     this.socket.on("data", (bytes: Buffer) => (this.received += bytes.toString("latin1")));
-    this.socket.on("error", () => undefined);
+    this.socket.on("error", (error) => (this.error = error));
     this.socket.on("end", () => (this.isEnded = true));
     this.socket.on("close", () => (this.isClosed = true));
   }
--- a/packages/gateway/src/tests/requests/unreadableRequestTests.ts
+++ b/packages/gateway/src/tests/requests/unreadableRequestTests.ts
@@ -10,6 +10,8 @@
 const noRequest = "this is no request\r\n\r\n";
 /** More than any head that is read. */
 const largeHead = formatRequest("r2", "/a/x", [`x-large: ${"x".repeat(80_000)}`]);
+/** More than the configuration of the tests allows, and less than is read. */
+const longHead = formatRequest("r2", "/a/x", [`x-long: ${"x".repeat(20_000)}`]);
 const brokenChunk = formatRequest("r2", "/a/x", ["transfer-encoding: chunked"])
   .replace("content-length: 0\r\n", "")
   .concat("not a size\r\n");
@@ -36,6 +38,7 @@
   "bytes that are no request": { bytes: noRequest, status: 400 },
   "a body that is no body": { bytes: brokenChunk, status: 400 },
   "a head of 80 kB": { bytes: largeHead, status: 431 },
+  "a head over the limit of the configuration": { bytes: longHead, status: 431 },
   "a request for a tunnel": { bytes: connect, status: 400 },
 };
 
