gateway: an error while a request is handled is answered, and leaves the other requests of its connection alone

Callers saw: the connection closed without a status, with all requests on it. Headers that can't be decoded ended the process (an unhandled rejection).

Cause: on any error that was thrown, the listener destroyed the connection; the headers were decoded outside of the `try`.

Change: 503 with a time to return if the request was not passed to a forwarder, 502 otherwise, since it may have run. The log line `request-failed` stays. A body that is cut by its caller is no failure.

The four tests failed before: [] instead of [200, 503] and [200, 502], an unhandled rejection, and a connection that was closed after a whole answer. They pass now.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -19,9 +19,18 @@
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { getHeadBytes } from "./getHeadBytes.js";
+import {
+  bodyTooLarge,
+  failedBeforeRun,
+  failedStatus,
+  headTooLarge,
+  isLastRefusal,
+  stopping,
+} from "./listenerRefusals.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { invalidRequest, toReadFault } from "./toReadFault.js";
+import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
@@ -31,8 +40,6 @@
 const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
 const acceptBacklog = 1_024;
-/** Retry-After of a stopping instance: the caller should retry at once, over a new connection to another instance. */
-const stoppingRetryAfterMs = 20;
 
 /**
  * Maximum time that a request waits for the first configuration. When 195 instances start at once, half of them have a configuration
@@ -43,11 +50,6 @@
 /** Share of its deadline that a request may spend on waiting for the configuration; the remainder is left for its execution. */
 const startupDeadlineShare = 0.5;
 
-const bodyTooLarge: Refusal = { status: 413, reason: "body-too-large" };
-const headTooLarge: Refusal = { status: 431, reason: "head-too-large" };
-/** Refusals after which the connection ends, since there may be no end to what the caller sends. */
-const lastRefusals: ReadonlySet<Refusal> = new Set([bodyTooLarge, headTooLarge]);
-
 /** Dependencies of {@link CallerListener}. */
 export interface CallerListenerStructure {
   readonly host: string;
@@ -209,8 +211,9 @@
 
   private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAtMs = utils.monotonicMs();
-    const fields = this._structure.codec.decodeCaller(message.rawHeaders);
-    if (!this._connections.get(message.socket).add(message, response)) return this._ignore(message, fields);
+    if (!this._connections.get(message.socket).add(message, response)) return this._ignore(message);
+    let fields = unreadFields;
+    let request: CallerRequest | undefined;
     this._inFlight += 1;
     response.once("close", () => {
       this._inFlight -= 1;
@@ -218,25 +221,39 @@
     });
     response.on("error", () => undefined);
     try {
+      fields = this._structure.codec.decodeCaller(message.rawHeaders);
       await this._structure.activeConfiguration.waitUntilLoaded(this._getMaxWaitMs(fields));
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       const admitted = await this._admitWhenFresh(message, fields);
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
       if (body === "cut") return;
       if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
-      await this._forward(message, response, fields, admitted, body, arrivedAtMs);
+      request = this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
+      await this._forward(request);
     } catch (error) {
       this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
-      response.destroy();
+      if (isOver(response)) return;
+      // A request that was passed to a forwarder may have run, or may still run.
+      if (request === undefined) this._refuse(message, response, fields, failedBeforeRun);
+      else request.refuse(failedStatus, "failed");
     }
   }
 
   /** Reads a request that followed an announced close and is not processed. */
-  private _ignore(message: http.IncomingMessage, fields: CallerFields): void {
+  private _ignore(message: http.IncomingMessage): void {
     message.resume();
-    this._structure.log.info("request-ignored", { requestId: fields.requestId, reason: "close-announced" });
+    const { requestId } = this._tryDecode(message);
+    this._structure.log.info("request-ignored", { requestId, cause: "close-announced" });
+  }
+
+  private _tryDecode({ rawHeaders }: http.IncomingMessage): CallerFields {
+    try {
+      return this._structure.codec.decodeCaller(rawHeaders);
+    } catch {
+      return unreadFields;
+    }
   }
 
   /**
@@ -280,21 +297,18 @@
     if ("reason" in admitted) return admitted;
     const timeoutMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
     if (utils.monotonicMs() + timeoutMs <= this._stopAtMs) return admitted;
-    return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
+    return stopping;
   }
 
-  private async _forward(
+  private _createRequest(
     message: http.IncomingMessage,
     response: http.ServerResponse,
     fields: CallerFields,
-    admitted: AdmittedRequest,
+    { route, account }: AdmittedRequest,
     body: Buffer,
     arrivedAtMs: number,
-  ): Promise<void> {
-    const { codec, forward, log } = this._structure;
-    const { route, account } = admitted;
-    const endsConnection = (): boolean => this._endsConnection(response);
-    const request = new CallerRequest({
+  ): CallerRequest {
+    return new CallerRequest({
       message,
       response,
       fields,
@@ -302,15 +316,19 @@
       account,
       body,
       arrivedAtMs,
-      codec,
-      endsConnection,
+      codec: this._structure.codec,
+      endsConnection: () => this._endsConnection(response),
     });
+  }
+
+  private async _forward(request: CallerRequest): Promise<void> {
+    const { forward, log } = this._structure;
     await forward(request);
-    const tookMs = Math.round(utils.monotonicMs() - arrivedAtMs);
+    const tookMs = Math.round(utils.monotonicMs() - request.arrivedAtMs);
     const outcome = request.signal.aborted && request.outcome === "open" ? "caller-left" : request.outcome;
     log.info("request-ended", {
       requestId: request.id,
-      route: route.name,
+      route: request.route.name,
       outcome,
       attempts: request.attempts,
       tookMs,
@@ -332,7 +350,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._endsConnection(response, this._endsConnections || lastRefusals.has(refusal)),
+      this._endsConnection(response, this._endsConnections || isLastRefusal(refusal)),
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
@@ -344,3 +362,8 @@
     });
   }
 }
+
+/** Whether the request has been answered, or its caller has left. */
+function isOver(response: http.ServerResponse): boolean {
+  return response.destroyed || response.writableEnded;
+}
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -29,6 +29,8 @@
   | "resting"
   | "held-back"
   | "not-run"
+  /** An error of this instance. */
+  | "failed"
   | "outcome-unknown"
   | "out-of-time";
 
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -60,9 +60,13 @@
   return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
 }
 
+/** Id of a request whose headers make the codec fail. */
+export const undecodableId = "undecodable";
+
 /** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
 class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
+    if (lookUp(headers, "x-id") === undecodableId) throw new Error("These headers can't be decoded.");
     return {
       requestId: lookUp(headers, "x-id"),
       deadlineMs: undefined,
