--- /dev/null
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -0,0 +1,138 @@
+import type * as http from "node:http";
+import type * as net from "node:net";
+import { DepartureProbe } from "./DepartureProbe.js";
+import { formatRefusal, sendRefusal } from "./sendRefusal.js";
+import type { ReadFault } from "./toReadFault.js";
+
+/**
+ * Time without bytes after which a connection is closed whose last answer has been written. What arrives meanwhile is read and dropped:
+ * unread bytes would reset the connection, and the caller might not have read the answer.
+ */
+const lingerMs = 1_000;
+/** Time after the last answer for which a caller may go on with what it sends. */
+const maxLingerMs = 10_000;
+
+interface PendingAnswer {
+  readonly message: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+}
+
+/** One connection of a caller. Decides when the connection ends: after the answers to all requests that were read from it. */
+export class CallerConnection {
+  /** Requests whose answers have not been written to the connection, in the order of their arrival. */
+  private readonly _pending: PendingAnswer[] = [];
+  /** Number of bytes that had been read when the last answer had been written. */
+  private _answeredBytes = 0;
+  private _isCloseAnnounced = false;
+  private _lastMessage: http.IncomingMessage | undefined;
+  /** What is wrong with the bytes behind the requests that were read. */
+  private _fault: ReadFault | undefined;
+
+  constructor(private readonly _socket: net.Socket) {
+    // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
+    _socket.destroySoon = () => this._endAfterAnswers();
+    _socket.once("end", () => this._noteCallerEnd());
+    _socket.once("close", () => this._closeQueued());
+  }
+
+  /** Whether no request is in progress, and none has begun to arrive. */
+  get isIdle(): boolean {
+    return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
+  }
+
+  /**
+   * Records a request, whose answer has been written once `response` closes.
+   * @returns Whether the request may be processed; false if an earlier answer has announced the end of the connection.
+   */
+  add(message: http.IncomingMessage, response: http.ServerResponse): boolean {
+    if (this._isCloseAnnounced) return false;
+    // The caller itself asks for the end of the connection.
+    if (!response.shouldKeepAlive) this._isCloseAnnounced = true;
+    this._lastMessage = message;
+    const pending = { message, response };
+    this._pending.push(pending);
+    response.once("close", () => this._remove(pending));
+    return true;
+  }
+
+  /**
+   * Announces the end of the connection with the head of `response`.
+   * @returns False if further requests have been read; the last of their answers may announce the end.
+   */
+  announceClose(response: http.ServerResponse): boolean {
+    if (this._pending.at(-1)?.response !== response) return false;
+    this._isCloseAnnounced = true;
+    return true;
+  }
+
+  /** Refuses bytes that can't be read, after the answers to all requests before them, and ends the connection. */
+  fail(fault: ReadFault): void {
+    if (this._fault !== undefined) return;
+    this._fault = fault;
+    const last = this._pending.at(-1);
+    if (this._lastMessage?.complete === false) this._refuseIncomplete(last?.response, fault);
+    if (last === undefined) this._endWithFault(fault);
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    this._socket.destroy();
+  }
+
+  private _remove(pending: PendingAnswer): void {
+    this._pending.splice(this._pending.indexOf(pending), 1);
+    this._answeredBytes = this._socket.bytesRead;
+    if (this._pending.length === 0 && this._fault !== undefined) this._endWithFault(this._fault);
+  }
+
+  /** Refuses the last request, whose body can't be read to its end, unless it has been answered. */
+  private _refuseIncomplete(response: http.ServerResponse | undefined, { status, reason }: ReadFault): void {
+    this._isCloseAnnounced = true;
+    if (response?.headersSent === false) sendRefusal(response, status, reason, {}, true);
+  }
+
+  /** Sends the refusal of bytes that belong to no request, unless the caller knows already that the connection ends. */
+  private _endWithFault({ status, reason }: ReadFault): void {
+    const socket = this._socket;
+    if (socket.destroyed) return;
+    // A connection on which nothing has arrived waits for no answer.
+    const isAwaited = !this._isCloseAnnounced && socket.bytesRead > 0;
+    if (isAwaited) socket.write(formatRefusal(status, reason));
+    this._endAfterAnswers();
+  }
+
+  /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
+  private _noteCallerEnd(): void {
+    const awaited = this._pending[0]?.response;
+    if (awaited === undefined || awaited.writableEnded) return;
+    // Callers that end their sending half do so after their request; an end during the answer is a departure.
+    if (!DepartureProbe.canProbe(awaited)) return this.close();
+    new DepartureProbe(() => this._pending[0]?.response);
+  }
+
+  /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
+  private _endAfterAnswers(): void {
+    this._isCloseAnnounced = true;
+    this._socket.end(() => this._linger(maxLingerMs));
+  }
+
+  /** Closes the connection once the caller has sent nothing for a while, and after `leftMs` at the latest. */
+  private _linger(leftMs: number): void {
+    const socket = this._socket;
+    const { bytesRead } = socket;
+    const timer = setTimeout(() => {
+      if (socket.bytesRead === bytesRead || leftMs <= lingerMs) this.close();
+      else this._linger(leftMs - lingerMs);
+    }, lingerMs).unref();
+    socket.once("close", () => clearTimeout(timer));
+  }
+
+  /** Closes the answers that wait behind another one. Node closes only the answer that is being written. */
+  private _closeQueued(): void {
+    for (const { response } of [...this._pending]) {
+      if (response.socket !== null || response.writableFinished) continue;
+      response.destroy();
+      response.emit("close");
+    }
+  }
+}
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,7 +1,6 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import type { Duplex } from "node:stream";
 import { utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
@@ -19,15 +18,28 @@
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
+import { getHeadBytes } from "./getHeadBytes.js";
+import {
+  bodyTooLarge,
+  failedBeforeRun,
+  failedStatus,
+  headTooLarge,
+  isLastRefusal,
+  stopping,
+} from "./listenerRefusals.js";
+import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
+import { invalidRequest, toReadFault } from "./toReadFault.js";
+import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
-const maxHeaderBytes = 64 * 1024;
+/** Size of the heads that are read at least; a request that is over the limit of the configuration can then be named in the log. */
+const minHeaderBytes = 64 * 1024;
+/** Interval in which connections are checked for heads that take too long; Node's own is longer than the time for a head. */
+const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
 const acceptBacklog = 1_024;
-/** Retry-After of a stopping instance: the caller should retry at once, over a new connection to another instance. */
-const stoppingRetryAfterMs = 20;
 
 /**
  * Maximum time that a request waits for the first configuration. When 195 instances start at once, half of them have a configuration
@@ -70,14 +82,28 @@
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
-      { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
+      {
+        maxHeaderSize: minHeaderBytes,
+        requestTimeout: 0,
+        requireHostHeader: false,
+        connectionsCheckingInterval: headerCheckIntervalMs,
+      },
       (message, response) => {
         void this._handle(message, response);
       },
     );
+    // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
+    Object.assign(this._server, { httpAllowHalfOpen: true });
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
-    this._server.on("clientError", (error, socket) => this._noteInvalidBytes(error, socket));
+    this._server.on("clientError", (error, socket) => {
+      // A server without TLS has no other streams.
+      this._noteInvalidBytes(error, socket as net.Socket);
+    });
+    this._server.on("connect", (message, socket) => {
+      this._connections.get(message.socket).fail(invalidRequest);
+      socket.resume();
+    });
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -153,10 +179,11 @@
     });
   }
 
-  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (error.code !== "ECONNRESET")
-      this._structure.log.info("connection-invalid", { cause: error.code ?? String(error) });
-    socket.destroy();
+  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
+    const fault = toReadFault(error);
+    if (fault === undefined) return void socket.destroy();
+    this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
+    this._connections.get(socket).fail(fault);
   }
 
   /** Logs which side closed the connection of a request that has no whole answer. */
@@ -177,35 +204,66 @@
 
   private _applyLimits(limits: CallerLimits): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+    // Not part of Node's types; applies to new connections.
+    Object.assign(this._server, { maxHeaderSize: Math.max(minHeaderBytes, limits.maxHeaderBytes) });
     this._server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
   }
 
   private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAtMs = utils.monotonicMs();
+    if (!this._connections.get(message.socket).add(message, response)) return this._ignore(message);
+    let fields = unreadFields;
+    let request: CallerRequest | undefined;
     this._inFlight += 1;
-    this._connections.add(message, response);
-    const fields = this._structure.codec.decodeCaller(message.rawHeaders);
     response.once("close", () => {
       this._inFlight -= 1;
       if (!response.writableFinished) this._noteUnanswered(message, fields, response.headersSent);
     });
     response.on("error", () => undefined);
     try {
+      fields = this._structure.codec.decodeCaller(message.rawHeaders);
       await this._structure.activeConfiguration.waitUntilLoaded(this._getMaxWaitMs(fields));
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       const admitted = await this._admitWhenFresh(message, fields);
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
-      if (body === undefined)
-        return this._refuse(message, response, fields, { status: 413, reason: "body-too-large" });
-      await this._forward(message, response, fields, admitted, body, arrivedAtMs);
+      if (body === "cut") return;
+      if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
+      request = this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
+      await this._forward(request);
     } catch (error) {
       this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
-      response.destroy();
+      if (isOver(response)) return;
+      // A request that was passed to a forwarder may have run, or may still run.
+      if (request === undefined) this._refuse(message, response, fields, failedBeforeRun);
+      else request.refuse(failedStatus, "failed");
+    }
+  }
+
+  /** Reads a request that followed an announced close and is not processed. */
+  private _ignore(message: http.IncomingMessage): void {
+    message.resume();
+    const { requestId } = this._tryDecode(message);
+    this._structure.log.info("request-ignored", { requestId, cause: "close-announced" });
+  }
+
+  private _tryDecode({ rawHeaders }: http.IncomingMessage): CallerFields {
+    try {
+      return this._structure.codec.decodeCaller(rawHeaders);
+    } catch {
+      return unreadFields;
     }
   }
 
+  /**
+   * Decides, as the head of an answer is written, whether the connection ends after it.
+   * @param isWanted - Whether the connection should end after the answers to all requests that were read.
+   */
+  private _endsConnection(response: http.ServerResponse, isWanted = this._endsConnections): boolean {
+    return isWanted && this._connections.get(response.req.socket).announceClose(response);
+  }
+
   private _getMaxWaitMs({ deadlineMs }: CallerFields): number {
     const maxWaitMs = this._structure.startupTimeoutMs ?? maxStartupWaitMs;
     return Math.min(maxWaitMs, (deadlineMs ?? Number.POSITIVE_INFINITY) * startupDeadlineShare);
@@ -229,27 +287,28 @@
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): AdmittedRequest | Refusal {
     const { activeConfiguration, areKeysFresh } = this._structure;
+    const { table } = activeConfiguration;
+    if (table !== undefined && getHeadBytes(message) > table.configuration.limits.maxHeaderBytes)
+      return headTooLarge;
+    if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
     const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
-    const admitted = admitCaller(input, activeConfiguration.table, areKeysFresh);
+    const admitted = admitCaller(input, table, areKeysFresh);
     if ("reason" in admitted) return admitted;
     const timeoutMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
     if (utils.monotonicMs() + timeoutMs <= this._stopAtMs) return admitted;
-    return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
+    return stopping;
   }
 
-  private async _forward(
+  private _createRequest(
     message: http.IncomingMessage,
     response: http.ServerResponse,
     fields: CallerFields,
-    admitted: AdmittedRequest,
+    { route, account }: AdmittedRequest,
     body: Buffer,
     arrivedAtMs: number,
-  ): Promise<void> {
-    const { codec, forward, log } = this._structure;
-    const { route, account } = admitted;
-    const isDraining = (): boolean => this._endsConnections;
-    const request = new CallerRequest({
+  ): CallerRequest {
+    return new CallerRequest({
       message,
       response,
       fields,
@@ -257,15 +316,19 @@
       account,
       body,
       arrivedAtMs,
-      codec,
-      isDraining,
+      codec: this._structure.codec,
+      endsConnection: () => this._endsConnection(response),
     });
+  }
+
+  private async _forward(request: CallerRequest): Promise<void> {
+    const { forward, log } = this._structure;
     await forward(request);
-    const tookMs = Math.round(utils.monotonicMs() - arrivedAtMs);
+    const tookMs = Math.round(utils.monotonicMs() - request.arrivedAtMs);
     const outcome = request.signal.aborted && request.outcome === "open" ? "caller-left" : request.outcome;
     log.info("request-ended", {
       requestId: request.id,
-      route: route.name,
+      route: request.route.name,
       outcome,
       attempts: request.attempts,
       tookMs,
@@ -287,7 +350,7 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._endsConnections,
+      this._endsConnection(response, this._endsConnections || isLastRefusal(refusal)),
     );
     log.warn("request-refused", {
       requestId: fields.requestId,
@@ -300,14 +363,7 @@
   }
 }
 
-/** Reads the whole body; returns undefined if it is larger than `maxBytes`. */
-async function readCallerBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+/** Whether the request has been answered, or its caller has left. */
+function isOver(response: http.ServerResponse): boolean {
+  return response.destroyed || response.writableEnded;
 }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -7,7 +7,7 @@
 import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "../../configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "../../configuration/DenialFreshness.js";
-import type { Route } from "../../configuration/gatewayConfiguration.js";
+import type { CallerLimits, Route } from "../../configuration/gatewayConfiguration.js";
 import { CrashDetector } from "../../crashes/CrashDetector.js";
 import { probeConnection, type ProbeResult } from "@shedtiller/crashes";
 import { EndpointStatements } from "../../discovery/EndpointStatements.js";
@@ -60,9 +60,13 @@
   return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
 }
 
+/** Id of a request whose headers make the codec fail. */
+export const undecodableId = "undecodable";
+
 /** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
 class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
+    if (lookUp(headers, "x-id") === undecodableId) throw new Error("These headers can't be decoded.");
     return {
       requestId: lookUp(headers, "x-id"),
       deadlineMs: undefined,
@@ -278,6 +282,16 @@
     this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
   }
 
+  /** Changes the limits on callers. */
+  setLimits(changes: Partial<CallerLimits>): void {
+    const { table } = this.activeConfiguration;
+    if (table === undefined) throw new Error("The gateway has no configuration.");
+    const { configuration } = table;
+    const limits = { ...configuration.limits, ...changes };
+    this.activeConfiguration.accept({ ...configuration, version: configuration.version + 1, limits });
+    this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
+  }
+
   get port(): number {
     return this._port;
   }
