--- a/packages/gateway/src/tests/RecordingLogOutput.ts
+++ b/packages/gateway/src/tests/RecordingLogOutput.ts
@@ -1,14 +1,18 @@
-import { LogOutput, type LogLevel } from "../logs/LogOutput.js";
+import { LogOutput, type LogFields, type LogLevel } from "../logs/LogOutput.js";
 
-/** Records the level and the event name of each log line. */
+/** Records the log lines. */
 export class RecordingLogOutput extends LogOutput {
+  /** The level and the event name of each line. */
   readonly events: string[] = [];
+  /** The fields of each line. */
+  readonly fields: LogFields[] = [];
 
   override isBehind(): boolean {
     return false;
   }
 
-  override write(level: LogLevel, event: string): void {
+  override write(level: LogLevel, event: string, fields: LogFields): void {
     this.events.push(`${level} ${event}`);
+    this.fields.push(fields);
   }
 }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -26,6 +26,7 @@
 } from "../../http/MessageCodec.js";
 import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
+import type { LogOutput } from "../../logs/LogOutput.js";
 import {
   EngineOrders,
   OrderRefusedError,
@@ -163,6 +164,8 @@
   /** The decisions under load; none is on unless a test sets it. */
   readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
+  /** Receives the log lines; set before the start. */
+  logOutput: LogOutput = new SilentLogOutput();
   /** Engines that answer questions and orders; set before the start. */
   orders: EngineOrders = new RejectingOrders();
   /** Generous unless a test sets it before the start. */
@@ -190,7 +193,7 @@
 
   /** Starts the gateway without a configuration. */
   async listen(route: Route): Promise<void> {
-    const log = new DecisionLog(new SilentLogOutput(), utils.monotonicMs);
+    const log = new DecisionLog(this.logOutput, utils.monotonicMs);
     const budgets = new RetryBudgets(this.retryBudget);
     budgets.setInstanceCount(1);
     const codec = new TestCodec();
