--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -26,6 +26,7 @@
 } from "../../http/MessageCodec.js";
 import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
+import type { LogOutput } from "../../logs/LogOutput.js";
 import {
   EngineOrders,
   OrderRefusedError,
@@ -45,6 +46,7 @@
 import { createConfiguration, createListed, profile } from "../testData.js";
 import { createPermitDependencies } from "../createPermitDependencies.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
+import { getFreePort } from "./getFreePort.js";
 
 /** A timeout that no test reaches, so that the speed of a test does not affect its result. */
 const generousMs = 60_000;
@@ -167,6 +169,8 @@
   /** The decisions under load; none is on unless a test sets it. */
   readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
+  /** Receives the log lines; set before the start. */
+  logOutput: LogOutput = new SilentLogOutput();
   /** Engines that answer questions and orders; set before the start. */
   orders: EngineOrders = new RejectingOrders();
   /** Generous unless a test sets it before the start. */
@@ -194,7 +198,7 @@
 
   /** Starts the gateway without a configuration. */
   async listen(route: Route): Promise<void> {
-    const log = new DecisionLog(new SilentLogOutput(), utils.monotonicMs);
+    const log = new DecisionLog(this.logOutput, utils.monotonicMs);
     const budgets = new RetryBudgets(this.retryBudget);
     budgets.setInstanceCount(1);
     const codec = new TestCodec();
@@ -388,11 +392,3 @@
     return (server.address() as net.AddressInfo).port;
   }
 }
-
-async function getFreePort(): Promise<number> {
-  const server = http.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
