membership: a silent link is in doubt and replaced, and still carries the replies of its requests

What callers saw: a peer that was suspended for a moment lost all requests on its link, for instance the wait of a caller for the outcome of a key, although it went on and answered them.

Cause: silence was taken for the loss of the peer. Membership closed a link after four missed heartbeats, and LinkFailureDetector after 4 s, with the requests on it. A link that was replaced while it worked was closed as well, with the requests on it.

To tell the sides nothing: a link on which only the accepting side hears nothing would be redialled a second later than by the close that the other side saw until now.

A silent link comes into doubt at the time at which it was closed before: the peer counts as not linked, and a replacement is dialled at once. The side that hears nothing states so over the link. The socket stays open: it is used again if something arrives before a replacement exists, and otherwise ends when both sides have replaced it and no request waits on it, or after 8 s of silence, the longest timeout of a request between gateways. Of two links the one whose handshake began later remains, since a peer dials only if it has none that it can use; of two that were dialled at the same time, the one of the instance with the smaller name, as before. Notices still go to peers in doubt, so that these miss nothing if the doubt was wrong; on a retired link they are dropped, as they may be older than those on its replacement. Each change of a link is logged with the silence and the pending requests, and counted.

Conclusion: a doubt about a link moves roles and new requests at once, and ends none of the requests on it.

--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -14,7 +14,7 @@
   readonly activeConfiguration: ActiveConfiguration;
   readonly endpoints: EndpointTable;
   readonly crashes: Pick<CrashDetector, "ledger">;
-  readonly membership: Pick<Membership, "getLinked">;
+  readonly membership: Pick<Membership, "getLinked" | "getLinkChanges">;
   readonly callerListener: Pick<CallerListener, "inFlight">;
   readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
   readonly reachability: Pick<Reachability, "paths" | "server">;
@@ -51,6 +51,12 @@
     Math.min(activeConfiguration.getFreshnessAgeMs() / utils.msPerSecond, Number.MAX_SAFE_INTEGER),
   );
   metrics.addGauge("peers", "Peers linked", () => membership.getLinked().length);
+  metrics.addLabelledGauge({
+    name: "peer_link_changes",
+    help: "Changes of links to peers since the start, by kind",
+    labelNames: ["kind"],
+    getValues: () => [...membership.getLinkChanges()].map(([kind, value]) => ({ labels: { kind }, value })),
+  });
 }
 
 function addEndpointGauges(metrics: GatewayMetrics, { endpoints }: GaugeStructure): void {
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -102,13 +102,15 @@
   }
 
   private _createMembership(): Membership {
-    const { instance, peers } = this._structure.settings;
+    const { settings, log } = this._structure;
+    const { instance, peers } = settings;
     return new Membership({
       self: instance,
       secret: peers.secret,
       timeline: new Timeline(instance.name),
       host: peers.host,
       port: peers.port,
+      onLinkChanged: (change) => log.info("peer-link-changed", { ...change }),
     });
   }
 
--- a/packages/membership/src/LinkFailureDetector.ts
+++ b/packages/membership/src/LinkFailureDetector.ts
@@ -11,16 +11,16 @@
 export const linkCheckIntervalMs = 1_000;
 /**
  * Silence after which the side that dialled the link probes it at each check. A probe also shows the other side that this instance is
- * alive; the accepting side probes one check later if it has received nothing. One more check remains before the link is closed. Probing
+ * alive; the accepting side probes one check later if it has received nothing. One more check remains before the link is in doubt. Probing
  * from both sides at each check causes 108 frames a second at 27 links, a third of the work of an idle instance; this rule causes 27.
  */
 const probeAfterMs = 1_900;
-/** Silence after which a link is closed. Longer than the 3.5 s freezes from which instances recover, since redialling costs 1 ms. */
+/** Silence after which a link is in doubt at the latest. Longer than the 3.5 s freezes from which instances recover, since redialling costs 1 ms. */
 const maxSilenceMs = 4_000;
 /** A check that is late by more than this shows that this process was suspended; silence is then no evidence against its peers. */
 export const suspensionThresholdMs = 500;
 
-/** Probes the peer links of an instance that have gone silent, and closes those that stay silent. */
+/** Probes the peer links of an instance that have gone silent, and finds those that stay silent. */
 export class LinkFailureDetector {
   private _checkedAtMs: number;
 
@@ -29,16 +29,18 @@
     this._checkedAtMs = this._nowMs();
   }
 
-  /** Checks all links once: probes silent links, and closes links that have been silent for too long. */
-  check(links: Iterable<Pick<PeerLink, "lastReceivedAtMs" | "isDialled" | "ping" | "close">>): void {
+  /** Checks all links once: probes silent links, and returns those that have been silent for too long. */
+  check<T extends Pick<PeerLink, "lastReceivedAtMs" | "isDialled" | "ping">>(links: Iterable<T>): T[] {
     const nowMs = this._nowMs();
     const wasSuspended = nowMs - this._checkedAtMs > linkCheckIntervalMs + suspensionThresholdMs;
     this._checkedAtMs = nowMs;
-    for (const link of [...links]) {
+    const silent: T[] = [];
+    for (const link of links) {
       const silenceMs = nowMs - link.lastReceivedAtMs;
-      if (silenceMs >= maxSilenceMs && !wasSuspended) link.close();
-      else if (silenceMs >= getProbeAfterMs(link)) link.ping();
+      if (silenceMs >= maxSilenceMs && !wasSuspended) silent.push(link);
+      if (silenceMs >= getProbeAfterMs(link)) link.ping();
     }
+    return silent;
   }
 }
 
--- a/packages/membership/src/Member.ts
+++ b/packages/membership/src/Member.ts
@@ -6,9 +6,9 @@
   readonly availabilityZone: string;
   readonly address: string;
   isLeaving: boolean;
-  /** Wall-clock time since which there is no open link; undefined while the link is open. */
+  /** Wall-clock time since which there is no open link without doubt; undefined while there is one. */
   lostSinceMs: number | undefined;
-  /** Monotonic time at which the link was last lost; before the first link, the time at which the member was added. */
+  /** Monotonic time at which the link was last lost or came into doubt; before the first link, the time at which the member was added. */
   lostSinceMonotonicMs: number;
   /** Fields of the last received heartbeat. */
   heartbeat: Record<string, unknown>;
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -5,12 +5,13 @@
 import type { ListedInstance } from "@shedtiller/logservice";
 import type { Timeline } from "@shedtiller/timeline";
 import * as ws from "ws";
-import * as zod from "zod";
 import { getBudgetIntervalMs } from "./controlBudget.js";
-import { linkCheckIntervalMs, LinkFailureDetector, suspensionThresholdMs } from "./LinkFailureDetector.js";
+import { forwardReplySchema, forwardSchema } from "./forwardMessages.js";
+import type { LinkChange, LinkChangeKind } from "./LinkChange.js";
+import { suspensionThresholdMs } from "./LinkFailureDetector.js";
 import type { Member } from "./Member.js";
-import { acceptPeer, dialPeer } from "./peerHandshake.js";
-import type { PeerError, PeerIdentity, PeerLink, PeerLinkEvents } from "./PeerLink.js";
+import type { PeerError, PeerIdentity, PeerLink } from "./PeerLink.js";
+import { PeerLinks } from "./PeerLinks.js";
 import { pickContacts } from "./pickContacts.js";
 import { TrafficCounter } from "./TrafficCounter.js";
 
@@ -22,17 +23,6 @@
 const heartbeatBytesPerSecond = 800;
 const minHeartbeatIntervalMs = 250;
 const maxMissedHeartbeats = 4;
-const dialIntervalMs = 200;
-/** Time that the peer responsible for dialling has to open the link before this instance dials as well. */
-const dialGraceMs = 1_000;
-
-const forwardSchema = zod.object({
-  to: zod.string(),
-  topic: zod.string(),
-  body: zod.unknown(),
-  timeoutMs: zod.number(),
-});
-const forwardReplySchema = zod.object({ isDelivered: zod.boolean(), body: zod.unknown() });
 
 /** Handles a request from a peer and returns the body of the reply. */
 export type RequestHandler = (body: unknown, from: PeerIdentity) => Promise<unknown> | unknown;
@@ -48,15 +38,17 @@
   readonly timeline: Timeline;
   readonly host: string;
   readonly port: number;
+  /** Receives each change of a link, for logs and metrics. */
+  readonly onLinkChanged?: ((change: LinkChange) => void) | undefined;
 }
 
 /** Maintains links to all instances of the own availability zone and to a few of each other zone, and routes messages over them. */
 export class Membership {
   readonly self: PeerIdentity;
   readonly traffic = new TrafficCounter();
+  private readonly _linkChanges = new Map<LinkChangeKind, number>();
   private readonly _members = new Map<string, Member>();
-  private readonly _links = new Map<string, PeerLink>();
-  private readonly _dialling = new Set<string>();
+  private readonly _links: PeerLinks;
   /** Names of the contacts in other zones; undefined if they have to be computed again after a change of the members. */
   private _contacts: Set<string> | undefined;
   private readonly _requestHandlers = new Map<string, RequestHandler>();
@@ -76,10 +68,11 @@
 
   constructor(private readonly _structure: MembershipStructure) {
     this.self = _structure.self;
+    this._links = this._createLinks();
     this._server.on("upgrade", (request, socket, head) => {
       const handleUpgrade = this._upgradeHandlers.get(request.url ?? "");
       if (handleUpgrade !== undefined) return handleUpgrade(request, socket, head);
-      this._sockets.handleUpgrade(request, socket, head, (client) => void this._acceptLink(client));
+      this._sockets.handleUpgrade(request, socket, head, (client) => void this._links.accept(client));
     });
     this.onNotice(leavingTopic, (body, from) => this._markLeaving(body, from.name));
     this.onNotice(heartbeatTopic, (body, from) => this._storeHeartbeat(body, from));
@@ -102,16 +95,7 @@
 
   /** Maintains the links and sends heartbeats until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const ignore = (): void => undefined;
-    const dials = utils.repeat(dialIntervalMs, signal, () => this._dialMissingLinks(), ignore);
-    const detector = new LinkFailureDetector();
-    const checks = utils.repeat(
-      linkCheckIntervalMs,
-      signal,
-      () => detector.check(this._links.values()),
-      ignore,
-    );
-    await Promise.all([dials, checks, this._sendHeartbeats(signal)]);
+    await Promise.all([this._links.run(signal), this._sendHeartbeats(signal)]);
   }
 
   /** Announces to all peers that this instance is shutting down and takes no new zone roles. */
@@ -122,7 +106,7 @@
 
   close(): void {
     this._isClosed = true;
-    for (const link of this._links.values()) link.close();
+    this._links.close();
     for (const client of this._sockets.clients) client.terminate();
     this._server.close();
     this._server.closeAllConnections();
@@ -180,9 +164,14 @@
     return [...this._members.values()];
   }
 
-  /** Returns the members to which a link is open. */
+  /** Returns the members to which a link is open and not in doubt. */
   getLinked(): Member[] {
-    return this.getMembers().filter((member) => this._links.get(member.name)?.isOpen === true);
+    return this.getMembers().filter((member) => this._links.getUsable(member.name) !== undefined);
+  }
+
+  /** Returns whether any link to a peer is open, also one in doubt: the peer may only be suspended for a moment. */
+  hasOpenLink(name: string): boolean {
+    return this._links.hasOpen(name);
   }
 
   /** Returns the names of the live instances of the own zone that can take a zone role, including this instance. */
@@ -213,10 +202,20 @@
     return Math.max(...contacts.map((member) => member.lostSinceMs ?? 0));
   }
 
-  /** Sends a notice to all linked members that `isRecipient` accepts. */
+  /** Returns the number of changes of links so far, by kind. */
+  getLinkChanges(): ReadonlyMap<LinkChangeKind, number> {
+    return this._linkChanges;
+  }
+
+  /**
+   * Sends a notice to all members that `isRecipient` accepts and to which a link is open. A peer whose link is in doubt receives it, too,
+   * so that it has missed nothing if the doubt was wrong.
+   */
   notifyAll(topic: string, body: unknown, isRecipient: (member: Member) => boolean = () => true): void {
-    for (const member of this.getLinked())
-      if (isRecipient(member)) this._links.get(member.name)?.notify(topic, body);
+    for (const link of this._links.getCurrent()) {
+      const member = this._members.get(link.peer.name);
+      if (member !== undefined && isRecipient(member)) link.notify(topic, body);
+    }
   }
 
   /** Sends a request to an instance over its link; without a link, a linked instance of the same zone forwards the request. */
@@ -226,11 +225,11 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<results.Result<unknown, PeerError>> {
-    const link = this._links.get(name);
-    if (link?.isOpen === true) return link.request(topic, body, timeoutMs);
+    const link = this._links.getUsable(name);
+    if (link !== undefined) return link.request(topic, body, timeoutMs);
     const zone = this._members.get(name)?.availabilityZone;
     const contact = this.getLinked().find((member) => member.availabilityZone === zone);
-    const contactLink = contact === undefined ? undefined : this._links.get(contact.name);
+    const contactLink = contact === undefined ? undefined : this._links.getUsable(contact.name);
     if (contactLink === undefined) return results.Err(new errors.ConnectionLostError(name));
     const forwarded = await contactLink.request(
       forwardTopic,
@@ -246,22 +245,12 @@
   private async _forward(body: unknown): Promise<unknown> {
     const parsed = forwardSchema.safeParse(body);
     if (!parsed.success) return { isDelivered: false, body: null };
-    const link = this._links.get(parsed.data.to);
+    const link = this._links.getUsable(parsed.data.to);
     if (link === undefined) return { isDelivered: false, body: null };
     const reply = await link.request(parsed.data.topic, parsed.data.body, parsed.data.timeoutMs);
     return reply.ok ? { isDelivered: true, body: reply.val } : { isDelivered: false, body: null };
   }
 
-  /** Dials the members to which a link is needed but not open. Of two instances, the one with the smaller name dials first. */
-  private _dialMissingLinks(): void {
-    for (const member of this._members.values()) {
-      if (!this._needsLink(member) || this._links.get(member.name)?.isOpen === true) continue;
-      const isDialler = this.self.name < member.name;
-      const waitedMs = utils.monotonicMs() - member.lostSinceMonotonicMs;
-      if (isDialler || waitedMs > dialGraceMs) void this._dial(member);
-    }
-  }
-
   private _needsLink(member: Member): boolean {
     return member.availabilityZone === this.self.availabilityZone || this._isContact(member);
   }
@@ -276,37 +265,49 @@
     return this.getMembers().filter((member) => member.availabilityZone !== this.self.availabilityZone);
   }
 
-  private async _dial(member: Member): Promise<void> {
-    if (this._dialling.has(member.name)) return;
-    this._dialling.add(member.name);
-    const link = await dialPeer(member.address, this.self, this._structure.secret, this._createEvents());
-    this._dialling.delete(member.name);
-    if (link.ok) this._addLink(link.val);
+  private _createLinks(): PeerLinks {
+    return new PeerLinks({
+      self: this.self,
+      secret: this._structure.secret,
+      getNeeded: () => this.getMembers().filter((member) => this._needsLink(member)),
+      onRequest: async (link, topic, body) => this._requestHandlers.get(topic)?.(body, link.peer),
+      onNotice: (link, topic, body) => this._noticeHandlers.get(topic)?.(body, link.peer),
+      onTraffic: (direction, topic, sizeBytes) => this.traffic.add(direction, topic, sizeBytes),
+      onOpened: (link) => this._handleOpened(link),
+      onResumed: (peer) => void this._markSeen(peer),
+      onLost: ({ name }) => this._markLost(name),
+      onChanged: (change) => this._handleChange(change),
+    });
   }
 
-  private async _acceptLink(socket: ws.WebSocket): Promise<void> {
-    const link = await acceptPeer(socket, "dialler", this.self, this._structure.secret, this._createEvents());
-    if (link.ok) this._addLink(link.val);
+  private _handleChange(change: LinkChange): void {
+    this._linkChanges.set(change.kind, (this._linkChanges.get(change.kind) ?? 0) + 1);
+    this._structure.onLinkChanged?.(change);
   }
 
-  /** Registers a link. Of two links to one peer, the one dialled by the instance with the smaller name remains. */
-  private _addLink(link: PeerLink): void {
-    if (this._isClosed) return link.close();
-    const { name, availabilityZone } = link.peer;
-    const existing = this._links.get(name);
-    const isPreferred = link.isDialled === this.self.name < name;
-    if (existing?.isOpen === true && !isPreferred) return link.close();
-    this._links.set(name, link);
-    if (existing !== undefined && existing !== link) existing.close();
-    const member = this._members.get(name) ?? this._addMember({ name, availabilityZone, address: "" });
-    if (member.lostSinceMs !== undefined) this._structure.timeline.add("member-seen", { subject: name });
-    member.lostSinceMs = undefined;
+  private _handleOpened(link: PeerLink): void {
+    const member = this._markSeen(link.peer);
     // The peer may have restarted since it announced that it leaves; if it has not, it says so again.
     member.isLeaving = false;
     if (this._isLeaving) link.notify(leavingTopic, null);
     for (const listener of this._linkedListeners) listener(link.peer);
   }
 
+  private _markSeen({ name, availabilityZone }: PeerIdentity): Member {
+    const member = this._members.get(name) ?? this._addMember({ name, availabilityZone, address: "" });
+    if (member.lostSinceMs !== undefined) this._structure.timeline.add("member-seen", { subject: name });
+    member.lostSinceMs = undefined;
+    return member;
+  }
+
+  private _markLost(name: string): void {
+    const member = this._members.get(name);
+    if (member === undefined) return;
+    member.lostSinceMs = utils.wallMs();
+    member.lostSinceMonotonicMs = utils.monotonicMs();
+    if (!this._isClosed) this._structure.timeline.add("member-lost", { subject: name });
+  }
+
   private _addMember(listed: Pick<ListedInstance, "name" | "availabilityZone" | "address">): Member {
     const existing = this._members.get(listed.name);
     if (existing !== undefined && (existing.address === listed.address || listed.address === ""))
@@ -325,37 +326,17 @@
     return member;
   }
 
-  /** Removes a member that is no longer listed, unless its link is still open. */
+  /** Removes a member that is no longer listed, unless it is linked. */
   private _removeUnlinked(name: string): void {
-    if (this._links.get(name)?.isOpen === true) return;
+    if (this._links.getUsable(name) !== undefined) return;
     this._members.delete(name);
     this._contacts = undefined;
   }
 
-  private _createEvents(): PeerLinkEvents {
-    return {
-      onRequest: async (link, topic, body) => this._requestHandlers.get(topic)?.(body, link.peer),
-      onNotice: (link, topic, body) => this._noticeHandlers.get(topic)?.(body, link.peer),
-      onClosed: (link) => this._removeLink(link),
-      onTraffic: (direction, topic, sizeBytes) => this.traffic.add(direction, topic, sizeBytes),
-    };
-  }
-
-  private _removeLink(link: PeerLink): void {
-    const { name } = link.peer;
-    if (this._links.get(name) !== link) return;
-    this._links.delete(name);
-    const member = this._members.get(name);
-    if (member === undefined) return;
-    member.lostSinceMs = utils.wallMs();
-    member.lostSinceMonotonicMs = utils.monotonicMs();
-    if (!this._isClosed) this._structure.timeline.add("member-lost", { subject: name });
-  }
-
   private _getHeartbeatIntervalMs(): number {
     return getBudgetIntervalMs({
       messageBytes: heartbeatBytes,
-      receivers: this._links.size,
+      receivers: this._links.getCurrent().length,
       bytesPerSecond: heartbeatBytesPerSecond,
       floorMs: minHeartbeatIntervalMs,
     });
@@ -369,17 +350,12 @@
       const fields = [...this._heartbeatFields].map(([field, getValue]) => [field, getValue()]);
       this.notifyAll(heartbeatTopic, Object.fromEntries(fields));
       // After a suspension of this process, frames that peers sent meanwhile have not been read yet.
-      if (!wasSuspended) this._closeSilentLinks(intervalMs * maxMissedHeartbeats);
+      if (!wasSuspended) this._links.doubtSilent(intervalMs * maxMissedHeartbeats);
       dueAtMs = utils.monotonicMs() + intervalMs;
       await utils.sleep(intervalMs, signal).catch(() => undefined);
     }
   }
 
-  private _closeSilentLinks(maxSilenceMs: number): void {
-    const nowMs = utils.monotonicMs();
-    for (const link of this._links.values()) if (nowMs - link.lastReceivedAtMs > maxSilenceMs) link.close();
-  }
-
   private _storeHeartbeat(body: unknown, from: PeerIdentity): void {
     const member = this._members.get(from.name);
     if (member !== undefined && typeof body === "object" && body !== null) {
--- a/packages/membership/src/PeerLink.ts
+++ b/packages/membership/src/PeerLink.ts
@@ -33,6 +33,7 @@
     number,
     { topic: string; pendingReply: utils.Deferred<results.Result<unknown, PeerError>> }
   >();
+  private _answering = 0;
   private _isClosed = false;
 
   constructor(
@@ -53,6 +54,16 @@
     return !this._isClosed && this._socket.readyState === ws.WebSocket.OPEN;
   }
 
+  /** Number of requests in both directions whose replies have not arrived or have not been sent. */
+  get pending(): number {
+    return this._pendingRequests.size + this._answering;
+  }
+
+  /** Whether no request waits for its reply in either direction. */
+  get isIdle(): boolean {
+    return this.pending === 0;
+  }
+
   /** Sends a request to the peer and waits for its reply. */
   async request(
     topic: string,
@@ -87,6 +98,12 @@
     if (this.isOpen) this._socket.ping();
   }
 
+  /** Closes the link once everything that was sent has been received. */
+  end(): void {
+    this._socket.close();
+  }
+
+  /** Closes the link at once; requests on it fail. */
   close(): void {
     this._socket.terminate();
     this._close();
@@ -120,7 +137,9 @@
   }
 
   private async _answer(id: number, topic: string, body: unknown): Promise<void> {
+    this._answering += 1;
     const reply = await this._events.onRequest(this, topic, body).catch(() => undefined);
+    this._answering -= 1;
     if (this.isOpen) this._send({ kind: "reply", id, body: reply });
   }
 
@@ -130,8 +149,8 @@
     for (const { pendingReply } of this._pendingRequests.values()) {
       pendingReply.resolve(results.Err(new errors.ConnectionLostError(this.peer.name)));
     }
-    this._pendingRequests.clear();
     this._events.onClosed(this);
+    this._pendingRequests.clear();
   }
 }
 
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -3,7 +3,7 @@
 import { utils } from "@shedtiller/common";
 import type { ListedInstance } from "@shedtiller/logservice";
 import { Timeline } from "@shedtiller/timeline";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import * as fc from "fast-check";
 import { Packr } from "msgpackr";
 import * as ws from "ws";
@@ -55,15 +55,25 @@
 
 /** Forwards connections to a port, and holds all data back while it is paused. */
 class PausableRelay {
+  /** Number of connections that were accepted. */
+  accepted = 0;
   private readonly _sockets = new Set<net.Socket>();
+  private readonly _clients = new Set<net.Socket>();
   private readonly _server = net.createServer((client) => {
     const target = net.connect(this._targetPort, "127.0.0.1");
+    this.accepted += 1;
+    this._clients.add(client.once("close", () => this._clients.delete(client)));
     for (const socket of [client, target]) this._sockets.add(socket.on("error", () => undefined));
     client.pipe(target).pipe(client);
   });
 
   constructor(private readonly _targetPort: number) {}
 
+  /** Number of connections that are open. */
+  get open(): number {
+    return this._clients.size;
+  }
+
   async listen(): Promise<number> {
     await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
     return (this._server.address() as net.AddressInfo).port;
@@ -76,6 +86,14 @@
     }
   }
 
+  /** Like {@link setPaused}, for the data in one direction only. */
+  setClientsPaused(isPaused: boolean): void {
+    for (const client of this._clients) {
+      if (isPaused) client.pause();
+      else client.resume();
+    }
+  }
+
   close(): void {
     this._server.close();
     for (const socket of this._sockets) socket.destroy();
@@ -114,6 +132,64 @@
   t.is(answer.ok ? answer.val : answer.val.message, "done");
 });
 
+interface RelayedPeers {
+  /** Dials the link. */
+  readonly a: Membership;
+  /** Accepts the link. */
+  readonly b: Membership;
+  readonly relay: PausableRelay;
+}
+
+/** Creates two instances of one zone whose link passes through a relay. */
+async function linkThroughRelay(t: ExecutionContext): Promise<RelayedPeers> {
+  const peers = new Peers();
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  const relay = new PausableRelay(b.port);
+  const port = await relay.listen();
+  t.teardown(() => {
+    peers.close();
+    relay.close();
+  });
+  const entry = { role: "entry", state: "live" } as const;
+  a.setListed([{ ...b.self, ...entry, address: `127.0.0.1:${port}` }]);
+  b.setListed([{ ...a.self, ...entry, address: `127.0.0.1:${a.port}` }]);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
+  return { a, b, relay };
+}
+
+// Guards against a dead link that is kept for the requests on it, and not replaced meanwhile.
+test("a link that is silent for good is replaced before it is closed", async (t) => {
+  const { a, b, relay } = await linkThroughRelay(t);
+  a.onRequest("echo", (body) => body);
+  relay.setPaused(true);
+  t.true(await utils.waitUntil(() => relay.accepted === 2, waitMs));
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
+  t.is(relay.open, 2);
+  t.is((await b.request("a", "echo", "hello", waitMs)).unwrap(), "hello");
+});
+
+// Guards against a link on which only one side receives anything: that side would keep it, and refuse the link that the other side dials.
+test("a link that is silent in one direction is replaced on both sides, and closed once nothing waits on it", async (t) => {
+  const { a, b, relay } = await linkThroughRelay(t);
+  const work = new utils.Deferred<string>();
+  let isAsked = false;
+  a.onRequest("work", () => {
+    isAsked = true;
+    return work.promise;
+  });
+  a.onRequest("echo", (body) => body);
+  const reply = b.request("a", "work", null, waitMs);
+  t.true(await utils.waitUntil(() => isAsked, waitMs));
+  relay.setClientsPaused(true);
+  t.true(await utils.waitUntil(() => relay.accepted === 2 && b.getLinked().length === 1, waitMs));
+  t.is((await b.request("a", "echo", "hello", waitMs)).unwrap(), "hello");
+  relay.setClientsPaused(false);
+  work.resolve("done");
+  t.is((await reply).unwrap(), "done");
+  t.true(await utils.waitUntil(() => relay.open === 1, waitMs));
+  t.deepEqual([a.getLinked().length, b.getLinked().length], [1, 1]);
+});
+
 test("instances establish links and answer requests; a request to an unknown instance fails", async (t) => {
   const peers = new Peers();
   const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
