gateway: a tunnel goes on while the link to its requester is in doubt

What callers saw: an instance without paths of its own that was suspended for some seconds, or whose link to a peer was silent, lost the answers that came through this peer.

Cause: the peer closed the tunnels of a requester that did not count as linked at two looks, 2 s apart. A doubt about the link counted as the loss of the requester, although the tunnels have connections of their own, which worked.

Ruled out: to judge by the tunnel itself: a requester sends nothing while it reads an answer. TCP keep-alive: it is not sent while data is unacknowledged, which is the usual case.

Change: tunnels end once no link to their requester is open at two looks. A link in doubt is open until it has been silent for 8 s. For a requester that loses power the time until its tunnels end grows from 3 to 9 s to 8 to 13 s; a requester whose process ends is known at once, as before. The log line of a tunnel that this instance ended says why.

--- a/packages/gateway/src/paths/Reachability.ts
+++ b/packages/gateway/src/paths/Reachability.ts
@@ -9,7 +9,7 @@
 import { TunnelClient } from "./TunnelClient.js";
 import { TunnelServer } from "./TunnelServer.js";
 
-/** Interval at which connections of peers without a link are looked for; a link that ends is redialled within a second. */
+/** Interval at which connections of peers without an open link are looked for; a link that ends is redialled within a second. */
 const orphanCheckMs = 2_000;
 
 /** Dependencies of {@link Reachability}. */
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -33,7 +33,7 @@
 
 /** Dependencies of {@link TunnelServer}. */
 export interface TunnelServerStructure {
-  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll" | "getLinked">;
+  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll" | "hasOpenLink">;
   readonly endpoints: Pick<EndpointTable, "getByAddress">;
   readonly paths: Pick<EndpointPaths, "shouldUsePeer" | "isIsolated" | "noteDirect">;
   /** Address of the own peer listener. */
@@ -41,6 +41,9 @@
   readonly log: DecisionLog;
 }
 
+/** Why this instance ended a tunnel whose endpoint had not ended its connection. */
+type TunnelCloseCause = "requester-left" | "requester-lost" | "stop" | "unclaimed";
+
 /** A connection to an endpoint that is or was forwarded. */
 interface Tunnel {
   readonly ticket: string;
@@ -48,6 +51,8 @@
   readonly address: string;
   readonly endpointSocket: net.Socket;
   readonly end: Promise<TunnelEnd>;
+  /** Undefined unless this instance ended the tunnel. */
+  closeCause?: TunnelCloseCause;
 }
 
 /**
@@ -58,7 +63,7 @@
   /** Open tunnels and tunnels that ended a short time ago, by ticket. */
   private readonly _tunnels = new Map<string, Tunnel>();
   private readonly _unclaimed = new Set<string>();
-  /** Peers with tunnels that had no link at the last look, which may have been replaced at that moment. */
+  /** Peers with tunnels that had no open link at the last look, which may have been replaced at that moment. */
   private _unlinkedPeers: ReadonlySet<string> = new Set();
   private _carried = 0;
   private _isLeaving = false;
@@ -82,23 +87,23 @@
   }
 
   /**
-   * Closes the connections of peers that have had no link since the last call. A peer that loses power closes nothing, and the endpoint
-   * would go on working for it.
+   * Closes the connections of peers that have had no open link since the last call. A peer that loses power closes nothing, and the endpoint
+   * would go on working for it. A link in doubt is open: its peer may be suspended, and go on with its requests.
    */
   closeOrphans(): void {
-    const linked = new Set(this._structure.membership.getLinked().map(({ name }) => name));
     const unlinked = new Set<string>();
-    for (const { peer, endpointSocket } of this._tunnels.values()) {
-      if (linked.has(peer)) continue;
+    for (const tunnel of this._tunnels.values()) {
+      const { peer } = tunnel;
+      if (this._structure.membership.hasOpenLink(peer)) continue;
       unlinked.add(peer);
-      if (this._unlinkedPeers.has(peer)) endpointSocket.destroy();
+      if (this._unlinkedPeers.has(peer)) closeTunnel(tunnel, "requester-lost");
     }
     this._unlinkedPeers = unlinked;
   }
 
   /** Closes all forwarded connections. */
   close(): void {
-    for (const { endpointSocket } of this._tunnels.values()) endpointSocket.destroy();
+    for (const tunnel of this._tunnels.values()) closeTunnel(tunnel, "stop");
   }
 
   private async _open(body: unknown, peer: string): Promise<TunnelReply> {
@@ -125,7 +130,8 @@
   private _add(endpointSocket: net.Socket, peer: string, address: string): string {
     const ticket = crypto.randomUUID();
     const end = waitForConnectionEnd(endpointSocket);
-    this._tunnels.set(ticket, { ticket, peer, address, endpointSocket, end });
+    const tunnel: Tunnel = { ticket, peer, address, endpointSocket, end };
+    this._tunnels.set(ticket, tunnel);
     this._unclaimed.add(ticket);
     endpointSocket.once("close", () => {
       this._carried -= 1;
@@ -133,7 +139,7 @@
       setTimeout(() => this._tunnels.delete(ticket), endMemoryMs).unref();
     });
     setTimeout(() => {
-      if (this._unclaimed.has(ticket)) endpointSocket.destroy();
+      if (this._unclaimed.has(ticket)) closeTunnel(tunnel, "unclaimed");
     }, ticketTimeoutMs).unref();
     return ticket;
   }
@@ -151,14 +157,15 @@
   }
 
   /** Forwards both directions. The pipes pause a sender whose receiver does not read. */
-  private _forward({ ticket, peer, address, endpointSocket, end }: Tunnel, peerSocket: net.Socket): void {
+  private _forward(tunnel: Tunnel, peerSocket: net.Socket): void {
+    const { ticket, peer, address, endpointSocket, end } = tunnel;
     const startedAtMs = utils.monotonicMs();
     peerSocket.setNoDelay(true);
     endpointSocket.pipe(peerSocket);
     peerSocket.pipe(endpointSocket, { end: false });
     // An HTTP client that closes its side waits for nothing any more.
-    peerSocket.once("end", () => endpointSocket.destroy());
-    peerSocket.once("close", () => endpointSocket.destroy());
+    peerSocket.once("end", () => closeTunnel(tunnel, "requester-left"));
+    peerSocket.once("close", () => closeTunnel(tunnel, "requester-left"));
     void end.then((result) => {
       if (result === "reset") utils.resetSocket(peerSocket);
       this._structure.log.info("tunnel-ended", {
@@ -166,6 +173,7 @@
         peer,
         address,
         end: result,
+        closeCause: tunnel.closeCause,
         bytesSent: endpointSocket.bytesWritten,
         bytesReceived: endpointSocket.bytesRead,
         tookMs: Math.round(utils.monotonicMs() - startedAtMs),
@@ -181,3 +189,9 @@
     return Promise.race([tunnel.end, utils.sleep(endTimeoutMs).then(() => undefined)]);
   }
 }
+
+function closeTunnel(tunnel: Tunnel, cause: TunnelCloseCause): void {
+  if (tunnel.endpointSocket.destroyed) return;
+  tunnel.closeCause ??= cause;
+  tunnel.endpointSocket.destroy();
+}
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -26,7 +26,7 @@
   /** Address of the endpoint. */
   readonly address: string;
   readonly peerPort: number;
-  /** Whether the peer has a link to the instance. */
+  /** Whether the peer has an open link to the instance. */
   readonly linkState: { isLinked: boolean };
   /** Connections at the endpoint. */
   readonly accepted: net.Socket[];
@@ -68,7 +68,7 @@
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
       onUpgrade: (path, handler) => void upgradeHandlers.set(path, handler),
       notifyAll: () => undefined,
-      getLinked: () => (linkState.isLinked ? [toMember(self)] : []),
+      hasOpenLink: () => linkState.isLinked,
     },
     peerAddress: `${host}:${peerPort}`,
     endpoints,
