gateway: a peer that stops says so again when the link to a requester of its tunnels is replaced

What callers saw: a request that was sent through a peer in its planned stop, after the link to this peer had been replaced, ended without an answer at the stop deadline of the peer.

Cause: a peer announced once that it stops. The requester forgets the announcement when a link is established, since the peer may have restarted, and then reuses open tunnels through the peer for new requests, so that the peer never gets rid of them; the announcement itself is lost with a link that is interrupted at that moment. Membership repeats its own announcement on each new link; it keeps the requester from opening tunnels, but not from reusing them.

Change: the peer announces it again on each new link.

The fixture delivers notices only where a test asks for it, so that the other tests are as they were.

--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -3,7 +3,7 @@
 import type * as net from "node:net";
 import type { Duplex } from "node:stream";
 import { utils } from "@shedtiller/common";
-import type { Membership } from "@shedtiller/membership";
+import type { Member, Membership } from "@shedtiller/membership";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import { waitForConnectionEnd } from "../http/waitForConnectionEnd.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
@@ -33,7 +33,7 @@
 
 /** Dependencies of {@link TunnelServer}. */
 export interface TunnelServerStructure {
-  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll" | "hasOpenLink">;
+  readonly membership: Pick<Membership, "onRequest" | "onUpgrade" | "notifyAll" | "hasOpenLink" | "onLinked">;
   readonly endpoints: Pick<EndpointTable, "getByAddress">;
   readonly paths: Pick<EndpointPaths, "shouldUsePeer" | "isIsolated" | "noteDirect">;
   /** Address of the own peer listener. */
@@ -72,6 +72,10 @@
     const { membership } = _structure;
     membership.onRequest(peerTopics.tunnelOpen, (body, from) => this._open(body, from.name));
     membership.onRequest(peerTopics.tunnelEnd, (body) => this._getEnd(body));
+    // A requester takes a peer for restarted once the link to it is replaced.
+    membership.onLinked(({ name }) => {
+      if (this._isLeaving) this._announceLeaving((member) => member.name === name);
+    });
     membership.onUpgrade(tunnelPath, (request, socket, head) => this._accept(request, socket, head));
   }
 
@@ -83,7 +87,7 @@
   /** Takes no new connections; the peers close those that they don't use. */
   leave(): void {
     this._isLeaving = true;
-    this._structure.membership.notifyAll(peerTopics.tunnelsClosing, null);
+    this._announceLeaving();
   }
 
   /**
@@ -106,6 +110,10 @@
     for (const tunnel of this._tunnels.values()) closeTunnel(tunnel, "stop");
   }
 
+  private _announceLeaving(isRecipient?: (member: Member) => boolean): void {
+    this._structure.membership.notifyAll(peerTopics.tunnelsClosing, null, isRecipient);
+  }
+
   private async _open(body: unknown, peer: string): Promise<TunnelReply> {
     const request = tunnelRequestSchema.safeParse(body);
     const address = request.data?.address ?? "";
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -3,7 +3,7 @@
 import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { errors, results, utils } from "@shedtiller/common";
-import type { RequestHandler, UpgradeHandler } from "@shedtiller/membership";
+import type { NoticeHandler, RequestHandler, UpgradeHandler } from "@shedtiller/membership";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { Connection } from "../../http/Connector.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
@@ -26,10 +26,12 @@
   /** Address of the endpoint. */
   readonly address: string;
   readonly peerPort: number;
-  /** Whether the peer has an open link to the instance. */
-  readonly linkState: { isLinked: boolean };
+  /** Whether the peer has an open link to the instance, and whether its notices arrive. */
+  readonly linkState: { isLinked: boolean; deliversNotices: boolean };
   /** Connections at the endpoint. */
   readonly accepted: net.Socket[];
+  /** Replaces the link between the instance and the peer. */
+  readonly relink: () => void;
   /** Ends the process of the peer: its connections close, and it answers nothing any more. */
   readonly killPeer: () => void;
 }
@@ -54,6 +56,8 @@
   const paths = new EndpointPaths({ endpoints, log });
   const requestHandlers = new Map<string, RequestHandler>();
   const upgradeHandlers = new Map<string, UpgradeHandler>();
+  const noticeHandlers = new Map<string, NoticeHandler>();
+  const linkedListeners: (() => void)[] = [];
   const sockets = new Set<net.Socket>();
   const listener = http.createServer();
   listener.on("connection", (socket: net.Socket) => sockets.add(socket));
@@ -62,12 +66,16 @@
   );
   const peerPort = await listen(listener);
   const self = { name: "front-1", availabilityZone: "east" };
-  const linkState = { isLinked: true };
+  const peer = { ...toMember({ name: "front-2", availabilityZone: "east" }), address: "" };
+  const linkState = { isLinked: true, deliversNotices: false };
   const server = new TunnelServer({
     membership: {
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
       onUpgrade: (path, handler) => void upgradeHandlers.set(path, handler),
-      notifyAll: () => undefined,
+      notifyAll: (topic, body, isRecipient = () => true) => {
+        if (linkState.deliversNotices && isRecipient(toMember(self))) noticeHandlers.get(topic)?.(body, peer);
+      },
+      onLinked: (listener) => void linkedListeners.push(() => listener(self)),
       hasOpenLink: () => linkState.isLinked,
     },
     peerAddress: `${host}:${peerPort}`,
@@ -75,13 +83,13 @@
     paths,
     log,
   });
-  const peer = { ...toMember({ name: "front-2", availabilityZone: "east" }), address: "" };
   const client = new TunnelClient({
     membership: {
       self,
       getLinked: () => [peer],
-      onLinked: () => undefined,
-      onNotice: () => undefined,
+      // The requester registers the link before it reads what the peer sends over it.
+      onLinked: (listener) => void linkedListeners.unshift(() => listener(peer)),
+      onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
       request: async (name, topic, body) => {
         const handler = requestHandlers.get(topic);
         if (handler === undefined) return results.Err(new errors.ConnectionLostError(name));
@@ -89,6 +97,9 @@
       },
     },
   });
+  const relink = (): void => {
+    for (const listener of linkedListeners) listener();
+  };
   const killPeer = (): void => {
     requestHandlers.clear();
     for (const socket of sockets) socket.destroy();
@@ -99,7 +110,7 @@
     listener.close();
     endpoint.close();
   });
-  return { client, server, paths, address, peerPort, accepted, linkState, killPeer };
+  return { client, server, paths, address, peerPort, accepted, linkState, relink, killPeer };
 }
 
 async function open(pair: TunnelPair): Promise<Connection> {
@@ -200,6 +211,18 @@
   t.is(pair.accepted.length, 0);
 });
 
+// Guards against requests that are sent through a peer that stops, and end unanswered at its stop deadline.
+test("a peer that stops takes no further requests over its tunnels, even if the link to it is replaced", async (t) => {
+  const pair = await createPair(t);
+  pair.linkState.deliversNotices = true;
+  await open(pair);
+  t.false(pair.client.isLeaving("front-2"));
+  pair.server.leave();
+  t.true(pair.client.isLeaving("front-2"));
+  pair.relink();
+  t.true(pair.client.isLeaving("front-2"));
+});
+
 test("a connection without a valid ticket is rejected", async (t) => {
   const pair = await createPair(t);
   const status = await new Promise((resolve) => {
