gateway: the end of a tunnel is asked for again while the link to its peer is replaced

What callers saw: a whole answer without a length that came through a peer was cut off, as if the endpoint had reset its connection, if the link to the peer was interrupted or in doubt at that moment.

Cause: the peer is asked over the link how the endpoint ended its connection. A request without a link fails at once, and the failure counted as "not closed by the endpoint".

Change: the question is repeated within the 500 ms that it has, which is enough to dial the peer again. A peer that has ended is known to be gone after these 500 ms and no longer at once.

--- a/packages/gateway/src/paths/TunnelClient.ts
+++ b/packages/gateway/src/paths/TunnelClient.ts
@@ -18,7 +18,9 @@
 const openTimeoutMs = 300;
 /** Time to connect to the peer once the tunnel is open: a few round trips. */
 const claimTimeoutMs = 300;
+/** Time in which a peer says how a tunnel ended: enough to dial it again if the link to it has just been interrupted. */
 const endTimeoutMs = 500;
+const endRetryMs = 50;
 /** Time for which a peer that could not help is asked only if no other is left. */
 const avoidedMs = 1_000;
 /** Time for which a peer that opened a tunnel counts as proven. */
@@ -103,9 +105,13 @@
   /** Asks a peer how the connection of a tunnel to its endpoint ended; false if the peer does not say that the endpoint closed it. */
   async wasClosedByServer({ peer, tunnelId }: ConnectionPath): Promise<boolean> {
     const { membership } = this._structure;
-    const reply = await membership.request(peer, peerTopics.tunnelEnd, { ticket: tunnelId }, endTimeoutMs);
-    const end = reply.ok ? tunnelEndSchema.safeParse(reply.val) : undefined;
-    return end?.data === "closed";
+    const dueAtMs = this._nowMs() + endTimeoutMs;
+    for (let leftMs = endTimeoutMs; leftMs > 0; leftMs = dueAtMs - this._nowMs()) {
+      const reply = await membership.request(peer, peerTopics.tunnelEnd, { ticket: tunnelId }, leftMs);
+      if (reply.ok) return tunnelEndSchema.safeParse(reply.val).data === "closed";
+      await utils.sleep(endRetryMs);
+    }
+    return false;
   }
 
   /**
--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -26,8 +26,8 @@
   /** Address of the endpoint. */
   readonly address: string;
   readonly peerPort: number;
-  /** Whether the peer has an open link to the instance, and whether its notices arrive. */
-  readonly linkState: { isLinked: boolean; deliversNotices: boolean };
+  /** Whether the peer has an open link to the instance, whether its notices arrive, and how many requests to it fail from now on. */
+  readonly linkState: { isLinked: boolean; deliversNotices: boolean; failedRequests: number };
   /** Connections at the endpoint. */
   readonly accepted: net.Socket[];
   /** Replaces the link between the instance and the peer. */
@@ -67,7 +67,7 @@
   const peerPort = await listen(listener);
   const self = { name: "front-1", availabilityZone: "east" };
   const peer = { ...toMember({ name: "front-2", availabilityZone: "east" }), address: "" };
-  const linkState = { isLinked: true, deliversNotices: false };
+  const linkState = { isLinked: true, deliversNotices: false, failedRequests: 0 };
   const server = new TunnelServer({
     membership: {
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
@@ -92,7 +92,9 @@
       onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
       request: async (name, topic, body) => {
         const handler = requestHandlers.get(topic);
-        if (handler === undefined) return results.Err(new errors.ConnectionLostError(name));
+        const isLost = linkState.failedRequests > 0;
+        if (isLost) linkState.failedRequests -= 1;
+        if (handler === undefined || isLost) return results.Err(new errors.ConnectionLostError(name));
         return results.Ok(await handler(body, self));
       },
     },
@@ -200,6 +202,19 @@
   t.false(await getEnd(() => pair.killPeer()));
 });
 
+// Guards against a whole answer without a length that counts as cut since the link to the peer is replaced at its end.
+test("the end of a tunnel is asked for again while there is no link to the peer", async (t) => {
+  const pair = await createPair(t);
+  const { socket, path } = await open(pair);
+  socket.resume();
+  const isClosed = new Promise((resolve) => socket.once("close", resolve));
+  pair.accepted[0]?.end("the rest");
+  await isClosed;
+  pair.linkState.failedRequests = 2;
+  t.true(path !== undefined && (await pair.client.wasClosedByServer(path)));
+  t.is(pair.linkState.failedRequests, 0);
+});
+
 test("a peer forwards no connection over a path that it has lost itself, to an unknown address, or while it stops", async (t) => {
   const pair = await createPair(t);
   t.deepEqual(await getFailure(pair, `${host}:1`), ["unknown"]);
