membership: a peer that is heard again counts as newly linked, and gets no notices while its link is in doubt

A peer whose link is used again counts as newly linked, so that broadcasts send it their full state; that it leaves is remembered, since it has not restarted. A member whose address is not known is not dialled: the dialled address was empty, which the URL parser takes for a host named "peer".

--- a/packages/gateway/src/paths/TunnelClient.ts
+++ b/packages/gateway/src/paths/TunnelClient.ts
@@ -72,8 +72,10 @@
     this._random = _structure.random ?? Math.random;
     const { membership } = _structure;
     membership.onNotice(peerTopics.tunnelsClosing, (_body, from) => this._noteLeaving(from.name));
-    // A peer that has restarted forwards connections again.
-    membership.onLinked((peer) => this._leaving.delete(peer.name));
+    // A peer that has restarted forwards connections again; one whose link was in doubt has not restarted.
+    membership.onLinked((peer, isResumed) => {
+      if (isResumed !== true) this._leaving.delete(peer.name);
+    });
   }
 
   /** Returns whether a peer forwards connections no longer. */
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -28,6 +28,8 @@
 export type RequestHandler = (body: unknown, from: PeerIdentity) => Promise<unknown> | unknown;
 /** Handles a connection to the peer listener that changes to another protocol than that of the links. */
 export type UpgradeHandler = (request: http.IncomingMessage, socket: Duplex, head: Buffer) => void;
+/** Called when a peer is linked: over a new link, or again over one that was in doubt. No notices were sent to it while it was not linked. */
+export type LinkedListener = (peer: PeerIdentity, isResumed?: boolean) => void;
 /** Handles a one-way notice from a peer. */
 export type NoticeHandler = (body: unknown, from: PeerIdentity) => void;
 
@@ -55,7 +57,7 @@
   private readonly _noticeHandlers = new Map<string, NoticeHandler>();
   private readonly _upgradeHandlers = new Map<string, UpgradeHandler>();
   private readonly _heartbeatFields = new Map<string, () => unknown>();
-  private readonly _linkedListeners: ((peer: PeerIdentity) => void)[] = [];
+  private readonly _linkedListeners: LinkedListener[] = [];
   private readonly _server = http.createServer((_request, response) => response.writeHead(404).end());
   private readonly _sockets = new ws.WebSocketServer({
     noServer: true,
@@ -146,8 +148,8 @@
     this._upgradeHandlers.set(path, handler);
   }
 
-  /** Calls `listener` whenever a link to a peer is established. */
-  onLinked(listener: (peer: PeerIdentity) => void): void {
+  /** Calls `listener` whenever a peer counts as linked that did not before, or over a new link. */
+  onLinked(listener: LinkedListener): void {
     this._linkedListeners.push(listener);
   }
 
@@ -207,15 +209,10 @@
     return this._linkChanges;
   }
 
-  /**
-   * Sends a notice to all members that `isRecipient` accepts and to which a link is open. A peer whose link is in doubt receives it, too,
-   * so that it has missed nothing if the doubt was wrong.
-   */
+  /** Sends a notice to all linked members that `isRecipient` accepts. */
   notifyAll(topic: string, body: unknown, isRecipient: (member: Member) => boolean = () => true): void {
-    for (const link of this._links.getCurrent()) {
-      const member = this._members.get(link.peer.name);
-      if (member !== undefined && isRecipient(member)) link.notify(topic, body);
-    }
+    for (const member of this.getLinked())
+      if (isRecipient(member)) this._links.getUsable(member.name)?.notify(topic, body);
   }
 
   /** Sends a request to an instance over its link; without a link, a linked instance of the same zone forwards the request. */
@@ -274,7 +271,7 @@
       onNotice: (link, topic, body) => this._noticeHandlers.get(topic)?.(body, link.peer),
       onTraffic: (direction, topic, sizeBytes) => this.traffic.add(direction, topic, sizeBytes),
       onOpened: (link) => this._handleOpened(link),
-      onResumed: (peer) => void this._markSeen(peer),
+      onResumed: (peer) => this._handleResumed(peer),
       onLost: ({ name }) => this._markLost(name),
       onChanged: (change) => this._handleChange(change),
     });
@@ -293,6 +290,11 @@
     for (const listener of this._linkedListeners) listener(link.peer);
   }
 
+  private _handleResumed(peer: PeerIdentity): void {
+    this._markSeen(peer);
+    for (const listener of this._linkedListeners) listener(peer, true);
+  }
+
   private _markSeen({ name, availabilityZone }: PeerIdentity): Member {
     const member = this._members.get(name) ?? this._addMember({ name, availabilityZone, address: "" });
     if (member.lostSinceMs !== undefined) this._structure.timeline.add("member-seen", { subject: name });
--- a/packages/membership/src/PeerLinks.ts
+++ b/packages/membership/src/PeerLinks.ts
@@ -101,6 +101,8 @@
   /** Dials the members to which a link is needed but missing or in doubt. Of two instances, the one with the smaller name dials first. */
   private _dialMissing(): void {
     for (const member of this._structure.getNeeded()) {
+      // A peer that is linked but not listed has to dial itself.
+      if (member.address === "") continue;
       const isUsable = this._table.getUsable(member.name) !== undefined;
       const sinceMs = isUsable ? this._table.getUnusableSinceMs(member.name) : member.lostSinceMonotonicMs;
       if (sinceMs === undefined) continue;
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -94,6 +94,11 @@
     }
   }
 
+  /** Refuses further connections. */
+  stopAccepting(): void {
+    this._server.close();
+  }
+
   close(): void {
     this._server.close();
     for (const socket of this._sockets) socket.destroy();
@@ -141,7 +146,7 @@
 }
 
 /** Creates two instances of one zone whose link passes through a relay. */
-async function linkThroughRelay(t: ExecutionContext): Promise<RelayedPeers> {
+async function linkThroughRelay(t: ExecutionContext, isAListed = true): Promise<RelayedPeers> {
   const peers = new Peers();
   const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
   const relay = new PausableRelay(b.port);
@@ -152,7 +157,7 @@
   });
   const entry = { role: "entry", state: "live" } as const;
   a.setListed([{ ...b.self, ...entry, address: `127.0.0.1:${port}` }]);
-  b.setListed([{ ...a.self, ...entry, address: `127.0.0.1:${a.port}` }]);
+  if (isAListed) b.setListed([{ ...a.self, ...entry, address: `127.0.0.1:${a.port}` }]);
   t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
   return { a, b, relay };
 }
@@ -168,6 +173,22 @@
   t.is((await b.request("a", "echo", "hello", waitMs)).unwrap(), "hello");
 });
 
+// Guards against a peer that stays without a link, or misses what was broadcast meanwhile, although it is heard again.
+test("a link that is heard again before it is replaced is used again, and its peer counts as newly linked", async (t) => {
+  const { a, b, relay } = await linkThroughRelay(t, false);
+  b.onRequest("echo", (body) => body);
+  const linked: (boolean | undefined)[] = [];
+  a.onLinked((_peer, isResumed) => linked.push(isResumed));
+  relay.stopAccepting();
+  relay.setPaused(true);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 0, waitMs));
+  t.true(a.hasOpenLink("b"));
+  relay.setPaused(false);
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1, waitMs));
+  t.deepEqual(linked, [true]);
+  t.is((await a.request("b", "echo", "hello", waitMs)).unwrap(), "hello");
+});
+
 // Guards against a link on which only one side receives anything: that side would keep it, and refuse the link that the other side dials.
 test("a link that is silent in one direction is replaced on both sides, and closed once nothing waits on it", async (t) => {
   const { a, b, relay } = await linkThroughRelay(t);
