gateway: an idle connection is closed only if nothing has arrived on it

Callers saw: the connection closed under their request, if the process was held up (a large configuration, a frozen process, a small core) while the idle time passed; a raised idle time did not reach connections that were idle already. A half-read head got no status, and a connection without any bytes was closed after the time for a head.

Cause: timers run before sockets are read; Node's timer closes the connection at once, and each connection keeps the idle time of its last answer. A margin on the idle time does not help against a hold-up that is longer than the margin.

Change: when the time has passed, all that has arrived is read first; only a silent connection is closed, and one with the beginning of a request gets 408. The same holds for the time of a head, which begins with its first byte. A longer idle time is applied to idle connections.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -1,8 +1,9 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
+import { readArrived } from "./readArrived.js";
 import { formatRefusal, sendRefusal } from "./sendRefusal.js";
-import type { ReadFault } from "./toReadFault.js";
+import { headTooLate, type ReadFault } from "./toReadFault.js";
 
 /**
  * Time without bytes after which a connection is closed whose last answer has been written. What arrives meanwhile is read and dropped:
@@ -74,6 +75,35 @@
     if (last === undefined) this._endWithFault(fault);
   }
 
+  /** Applies a longer idle time to a connection that waits for a request already. */
+  raiseIdleTimeout(timeoutMs: number): void {
+    const { timeout } = this._socket;
+    if (this.isIdle && timeout !== undefined && timeout > 0 && timeout < timeoutMs)
+      this._socket.setTimeout(timeoutMs);
+  }
+
+  /** Waits for further bytes; Node does not check the time for a head a second time. */
+  awaitMore(timeoutMs: number): void {
+    this._socket.setTimeout(timeoutMs);
+  }
+
+  /** Refuses a head that is not complete, unless more of it has arrived meanwhile. */
+  async failIfSilent(fault: ReadFault, timeoutMs: number): Promise<void> {
+    const { bytesRead } = this._socket;
+    await readArrived();
+    if (this._socket.bytesRead === bytesRead) this.fail(fault);
+    else if (this._pending.length === 0 && !this.isIdle) this.awaitMore(timeoutMs);
+  }
+
+  /** Ends a connection whose idle time has passed, unless a request has arrived meanwhile. */
+  async endIfSilent(): Promise<void> {
+    const { bytesRead } = this._socket;
+    await readArrived();
+    if (this._pending.length > 0 || this._socket.bytesRead !== bytesRead) return;
+    if (this.isIdle) this.close();
+    else this.fail(headTooLate);
+  }
+
   /** Closes the connection. */
   close(): void {
     this._socket.destroy();
@@ -95,9 +125,7 @@
   private _endWithFault({ status, reason }: ReadFault): void {
     const socket = this._socket;
     if (socket.destroyed) return;
-    // A connection on which nothing has arrived waits for no answer.
-    const isAwaited = !this._isCloseAnnounced && socket.bytesRead > 0;
-    if (isAwaited) socket.write(formatRefusal(status, reason));
+    if (!this._isCloseAnnounced) socket.write(formatRefusal(status, reason));
     this._endAfterAnswers();
   }
 
--- a/packages/gateway/src/requests/CallerConnections.ts
+++ b/packages/gateway/src/requests/CallerConnections.ts
@@ -18,6 +18,11 @@
     for (const connection of this._connections.values()) if (connection.isIdle) connection.close();
   }
 
+  /** Applies a longer idle time to the connections that wait for a request already. */
+  raiseIdleTimeout(timeoutMs: number): void {
+    for (const connection of this._connections.values()) connection.raiseIdleTimeout(timeoutMs);
+  }
+
   private _add(socket: net.Socket): CallerConnection {
     const connection = new CallerConnection(socket);
     this._connections.set(socket, connection);
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -29,7 +29,7 @@
 } from "./listenerRefusals.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
-import { invalidRequest, toReadFault } from "./toReadFault.js";
+import { headTooLate, invalidRequest, toReadFault } from "./toReadFault.js";
 import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
@@ -96,6 +96,7 @@
     Object.assign(this._server, { httpAllowHalfOpen: true });
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
+    this._server.on("timeout", (socket) => void this._connections.get(socket).endIfSilent());
     this._server.on("clientError", (error, socket) => {
       // A server without TLS has no other streams.
       this._noteInvalidBytes(error, socket as net.Socket);
@@ -182,8 +183,13 @@
   private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const fault = toReadFault(error);
     if (fault === undefined) return void socket.destroy();
+    const connection = this._connections.get(socket);
+    // The time for a head begins with its first byte.
+    if (fault === headTooLate && socket.bytesRead === 0)
+      return connection.awaitMore(this._server.keepAliveTimeout);
     this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
-    this._connections.get(socket).fail(fault);
+    if (fault === headTooLate) void connection.failIfSilent(fault, this._server.headersTimeout);
+    else connection.fail(fault);
   }
 
   /** Logs which side closed the connection of a request that has no whole answer. */
@@ -204,6 +210,7 @@
 
   private _applyLimits(limits: CallerLimits): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+    this._connections.raiseIdleTimeout(this._server.keepAliveTimeout);
     // Not part of Node's types; applies to new connections.
     Object.assign(this._server, { maxHeaderSize: Math.max(minHeaderBytes, limits.maxHeaderBytes) });
     this._server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
--- a/packages/gateway/src/requests/toReadFault.ts
+++ b/packages/gateway/src/requests/toReadFault.ts
@@ -9,10 +9,11 @@
 
 /** The bytes of a caller are no request that this instance serves. */
 export const invalidRequest: ReadFault = { status: 400, reason: "invalid-request" };
+export const headTooLate: ReadFault = { status: 408, reason: "head-too-late" };
 const faultsByCode: ReadonlyMap<string | undefined, ReadFault> = new Map<string, ReadFault>([
   ["HPE_HEADER_OVERFLOW", { status: 431, reason: "head-too-large" }],
   ["HPE_CHUNK_EXTENSIONS_OVERFLOW", { status: 413, reason: "body-too-large" }],
-  ["ERR_HTTP_REQUEST_TIMEOUT", { status: 408, reason: "head-too-late" }],
+  ["ERR_HTTP_REQUEST_TIMEOUT", headTooLate],
 ]);
 
 /** Returns how the caller is told of an error of its connection; undefined if the connection itself has failed. */
