gateway: a planned stop answers or refuses each request that has reached the instance

Callers saw: the connection closed without a status during a planned stop, although a request had arrived on it in time: unread on an idle connection, half read, on a connection that waited to be accepted, or still running at the end of the grace time.

Cause: idle connections were told by the bytes that had been read, not by those that had arrived; the stop ended as soon as nothing was in flight, and Node's server.close() closes idle connections by itself.

Change: what has arrived is read before idle connections are closed. The stop waits for requests that have begun to arrive; a second without further bytes gives 503. Then the accept queue is emptied, only the listening socket is closed, and the last connections are answered. What is left at the deadline is refused, with 502 if it was sent to an endpoint and 503 otherwise.

The five tests fail with the old order of the steps: no answer, [] instead of [503] and [502], and requests that never reached the endpoint. They pass now. plannedStopTests pass unchanged.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -33,6 +33,7 @@
 import { ConnectionGate } from "./requests/ConnectionGate.js";
 import { CallerListener } from "./requests/CallerListener.js";
 import type { CallerRequest } from "./requests/CallerRequest.js";
+import { drainCallers } from "./requests/drainCallers.js";
 import { ForwarderSet } from "./requests/ForwarderSet.js";
 import { PermitForecast } from "./requests/PermitForecast.js";
 import { Reachability } from "./paths/Reachability.js";
@@ -44,9 +45,6 @@
 
 /** Margin before the revocation bound at which keys are rejected, for the time between the check and the sending of the request. */
 const revocationMarginMs = 500;
-/** Time until the load balancer stops sending connections after a stop signal: it takes two readiness checks, one second apart. */
-const balancerNoticeMs = 2_500;
-const drainPollMs = 50;
 
 /** Implementations that the platform provides for the abstract classes of this package. */
 export interface GatewayPlatform {
@@ -196,12 +194,13 @@
     this._peers.membership.leave();
     this._reachability.server.leave();
     this._log.info("drain-began", { inHand: this._callerListener.inFlight });
-    await deadline.pause(balancerNoticeMs);
-    this._callerListener.setStopDeadline(deadline.endsAtMs);
-    this._callerListener.closeIdle();
-    while (this._callerListener.inFlight + this._reachability.server.carried > 0 && !deadline.isReached)
-      await deadline.pause(drainPollMs);
+    await drainCallers({
+      listener: this._callerListener,
+      deadline,
+      hasOtherWork: () => this._reachability.server.carried > 0,
+    });
     this._log.info("instance-stopped", { inHand: this._callerListener.inFlight });
+    await this._callerListener.refuseInFlight();
     this._stop.abort();
     this._callerListener.close();
     this._readinessListener.close();
--- a/packages/gateway/src/http/startListening.ts
+++ b/packages/gateway/src/http/startListening.ts
@@ -1,6 +1,6 @@
 /** Start and stop of HTTP servers. */
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 
 /** Starts a server; resolves once it listens, and rejects if it cannot listen. */
 export function startListening(server: http.Server, options: net.ListenOptions): Promise<void> {
@@ -15,3 +15,8 @@
   server.close();
   server.closeAllConnections();
 }
+
+/** Stops accepting connections. Unlike `server.close()`, this closes no connection that waits for a request, and goes on to check heads that are late. */
+export function closeListeningSocket(server: http.Server): void {
+  net.Server.prototype.close.call(server);
+}
--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -13,6 +13,10 @@
 /** Time after the last answer for which a caller may go on with what it sends. */
 const maxLingerMs = 10_000;
 
+/** Time without bytes after which a stopping instance refuses a request that has begun to arrive; packets that were lost come earlier. */
+const stoppingSilenceMs = 1_000;
+const stoppingFault: ReadFault = { status: 503, reason: "stopping" };
+
 interface PendingAnswer {
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
@@ -28,6 +32,8 @@
   private _lastMessage: http.IncomingMessage | undefined;
   /** What is wrong with the bytes behind the requests that were read. */
   private _fault: ReadFault | undefined;
+  /** How the caller is told that the rest of its request has not arrived. */
+  private _silenceFault = headTooLate;
 
   constructor(private readonly _socket: net.Socket) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
@@ -41,6 +47,11 @@
     return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
   }
 
+  /** Whether a request is in progress, or has begun to arrive, whose caller waits for an answer. */
+  get isBusy(): boolean {
+    return this._pending.length > 0 || (!this.isIdle && !this._isCloseAnnounced);
+  }
+
   /**
    * Records a request, whose answer has been written once `response` closes.
    * @returns Whether the request may be processed; false if an earlier answer has announced the end of the connection.
@@ -101,7 +112,16 @@
     await readArrived();
     if (this._pending.length > 0 || this._socket.bytesRead !== bytesRead) return;
     if (this.isIdle) this.close();
-    else this.fail(headTooLate);
+    else this.fail(this._silenceFault);
+  }
+
+  /** Closes the connection if it is idle; otherwise gives a request that has begun to arrive little time between its bytes. */
+  stop(): void {
+    this._silenceFault = stoppingFault;
+    // The first request of a new connection may be on its way.
+    if (this._socket.bytesRead === 0) return;
+    if (this.isIdle) this.close();
+    else if (this._pending.length === 0) this.awaitMore(stoppingSilenceMs);
   }
 
   /** Closes the connection. */
--- a/packages/gateway/src/requests/CallerConnections.ts
+++ b/packages/gateway/src/requests/CallerConnections.ts
@@ -1,5 +1,6 @@
 import type * as net from "node:net";
 import { CallerConnection } from "./CallerConnection.js";
+import { readArrived } from "./readArrived.js";
 
 /**
  * The open connections of callers. Node's own `closeIdleConnections` also closes connections to which the end of an answer has been passed
@@ -13,9 +14,15 @@
     return this._connections.get(socket) ?? this._add(socket);
   }
 
-  /** Closes the connections on which all answers have been written and no further request has begun. */
-  closeIdle(): void {
-    for (const connection of this._connections.values()) if (connection.isIdle) connection.close();
+  /** Whether a request is in progress, or has begun to arrive. */
+  get isBusy(): boolean {
+    return [...this._connections.values()].some(({ isBusy }) => isBusy);
+  }
+
+  /** Closes the connections on which all answers have been written and no further request has arrived. */
+  async closeIdle(): Promise<void> {
+    await readArrived();
+    for (const connection of this._connections.values()) connection.stop();
   }
 
   /** Applies a longer idle time to the connections that wait for a request already. */
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -6,27 +6,15 @@
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
-import { startListening, stopListening } from "../http/startListening.js";
+import { closeListeningSocket, startListening, stopListening } from "../http/startListening.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
-import {
-  admitCaller,
-  isDenial,
-  staleConfigurationRefusal,
-  type AdmittedRequest,
-  type Refusal,
-} from "./admitCaller.js";
+import type { AdmittedRequest, Refusal } from "./admitCaller.js";
+import { CallerAdmission } from "./CallerAdmission.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
-import { getHeadBytes } from "./getHeadBytes.js";
-import {
-  bodyTooLarge,
-  failedBeforeRun,
-  failedStatus,
-  headTooLarge,
-  isLastRefusal,
-  stopping,
-} from "./listenerRefusals.js";
+import { bodyTooLarge, failedBeforeRun, failedStatus, isLastRefusal, stopping } from "./listenerRefusals.js";
+import { readArrived } from "./readArrived.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { headTooLate, invalidRequest, toReadFault } from "./toReadFault.js";
@@ -41,15 +29,6 @@
 /** Length of the accept queue; the kernel may cap it lower. */
 const acceptBacklog = 1_024;
 
-/**
- * Maximum time that a request waits for the first configuration. When 195 instances start at once, half of them have a configuration
- * 0.9 s after they begin to listen and 90 % after 1.4 s. A rejected caller retries once, and the request fails if the retry reaches
- * another instance without a configuration, which is likely. Callers abandon a stream that is silent for 2 s.
- */
-const maxStartupWaitMs = 1_200;
-/** Share of its deadline that a request may spend on waiting for the configuration; the remainder is left for its execution. */
-const startupDeadlineShare = 0.5;
-
 /** Dependencies of {@link CallerListener}. */
 export interface CallerListenerStructure {
   readonly host: string;
@@ -72,15 +51,18 @@
 export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
   private readonly _connections = new CallerConnections();
+  private readonly _admission: CallerAdmission;
+  /** The requests that have been passed to a forwarder and not ended. */
+  private readonly _requests = new Set<CallerRequest>();
   private _inFlight = 0;
   private _accepted = 0;
   private _dropped = 0;
   private _acceptLimit: number | undefined;
   private _acceptedSinceLimit = 0;
   private _isDraining = false;
-  private _stopAtMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly _structure: CallerListenerStructure) {
+    this._admission = new CallerAdmission(_structure);
     this._server = http.createServer(
       {
         maxHeaderSize: minHeaderBytes,
@@ -94,6 +76,7 @@
     );
     // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
     Object.assign(this._server, { httpAllowHalfOpen: true });
+    this._server.on("connection", (socket) => void this._connections.get(socket));
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
     this._server.on("timeout", (socket) => void this._connections.get(socket).endIfSilent());
@@ -147,12 +130,34 @@
    * @param endsAtMs - Monotonic time at which the process stops.
    */
   setStopDeadline(endsAtMs: number): void {
-    this._stopAtMs = endsAtMs;
+    this._admission.setStopDeadline(endsAtMs);
+  }
+
+  /** Whether a request is in progress, or has begun to arrive. */
+  get isBusy(): boolean {
+    return this._inFlight > 0 || this._connections.isBusy;
+  }
+
+  /** Closes the connections that wait for another request; resolves once that is done. */
+  closeIdle(): Promise<void> {
+    return this._connections.closeIdle();
   }
 
-  /** Closes the connections that wait for another request. */
-  closeIdle(): void {
-    this._connections.closeIdle();
+  /** Accepts the connections that have reached this instance, then stops listening. Open connections stay. */
+  async stopAccepting(): Promise<void> {
+    await readArrived();
+    closeListeningSocket(this._server);
+  }
+
+  /** Refuses the requests whose answers have not begun; resolves once the refusals have been written. */
+  async refuseInFlight(): Promise<void> {
+    for (const request of this._requests)
+      request.refuse(
+        request.attempts === 0 ? stopping.status : failedStatus,
+        "stopping",
+        stopping.retryAfterMs,
+      );
+    await readArrived();
   }
 
   /** Stops listening and closes all connections. */
@@ -229,10 +234,8 @@
     response.on("error", () => undefined);
     try {
       fields = this._structure.codec.decodeCaller(message.rawHeaders);
-      await this._structure.activeConfiguration.waitUntilLoaded(this._getMaxWaitMs(fields));
-      if (isOver(response)) return;
-      const admitted = await this._admitWhenFresh(message, fields);
-      if (isOver(response)) return;
+      const admitted = await this._admission.admit(message, fields, () => isOver(response));
+      if (admitted === undefined) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
       if (body === "cut") return;
@@ -271,42 +274,6 @@
     return isWanted && this._connections.get(response.req.socket).announceClose(response);
   }
 
-  private _getMaxWaitMs({ deadlineMs }: CallerFields): number {
-    const maxWaitMs = this._structure.startupTimeoutMs ?? maxStartupWaitMs;
-    return Math.min(maxWaitMs, (deadlineMs ?? Number.POSITIVE_INFINITY) * startupDeadlineShare);
-  }
-
-  /**
-   * Admits the request, or rejects it permanently only if the configuration is known to be current. Otherwise the rejection is
-   * retryable, since another instance may have a newer configuration.
-   */
-  private async _admitWhenFresh(
-    message: http.IncomingMessage,
-    fields: CallerFields,
-  ): Promise<AdmittedRequest | Refusal> {
-    const { denialFreshness } = this._structure;
-    const admitted = this._admit(message, fields);
-    if (!isDenial(admitted) || denialFreshness.isFresh()) return admitted;
-    const isFresh = await denialFreshness.waitUntilFresh(this._getMaxWaitMs(fields));
-    const decision = this._admit(message, fields);
-    return isDenial(decision) && !isFresh ? staleConfigurationRefusal : decision;
-  }
-
-  private _admit(message: http.IncomingMessage, fields: CallerFields): AdmittedRequest | Refusal {
-    const { activeConfiguration, areKeysFresh } = this._structure;
-    const { table } = activeConfiguration;
-    if (table !== undefined && getHeadBytes(message) > table.configuration.limits.maxHeaderBytes)
-      return headTooLarge;
-    if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
-    const host = (message.headers.host ?? "").replace(/:\d+$/, "");
-    const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
-    const admitted = admitCaller(input, table, areKeysFresh);
-    if ("reason" in admitted) return admitted;
-    const timeoutMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
-    if (utils.monotonicMs() + timeoutMs <= this._stopAtMs) return admitted;
-    return stopping;
-  }
-
   private _createRequest(
     message: http.IncomingMessage,
     response: http.ServerResponse,
@@ -330,7 +297,8 @@
 
   private async _forward(request: CallerRequest): Promise<void> {
     const { forward, log } = this._structure;
-    await forward(request);
+    this._requests.add(request);
+    await forward(request).finally(() => this._requests.delete(request));
     const tookMs = Math.round(utils.monotonicMs() - request.arrivedAtMs);
     const outcome = request.signal.aborted && request.outcome === "open" ? "caller-left" : request.outcome;
     log.info("request-ended", {
--- /dev/null
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -0,0 +1,141 @@
+/** The end of a planned stop, while requests arrive, over real sockets. */
+import test, { type ExecutionContext } from "ava";
+import { utils } from "@shedtiller/common";
+import { drainCallers, type DrainDeadline } from "../../requests/drainCallers.js";
+import { generousMs, setUp } from "./endpointHandlers.js";
+import type { GatewayFixture } from "./GatewayFixture.js";
+import { HeldEndpoint } from "./HeldEndpoint.js";
+import { formatRequest, RawCaller } from "./RawCaller.js";
+
+const pauseMs = 1;
+
+/** A deadline whose pauses are short, and which a test lets pass. */
+class FakeDeadline implements DrainDeadline {
+  isReached = false;
+  readonly endsAtMs = utils.monotonicMs() + 2 * generousMs;
+
+  async pause(): Promise<void> {
+    await utils.sleep(pauseMs);
+  }
+}
+
+class Stop {
+  readonly deadline = new FakeDeadline();
+
+  constructor(
+    readonly fixture: GatewayFixture,
+    readonly endpoint: HeldEndpoint,
+  ) {}
+
+  /** Stops the gateway as an instance does. */
+  async run(): Promise<void> {
+    this.fixture.listener.drain();
+    await drainCallers({
+      listener: this.fixture.listener,
+      deadline: this.deadline,
+      hasOtherWork: () => false,
+    });
+    await this.fixture.listener.refuseInFlight();
+    this.fixture.listener.close();
+  }
+}
+
+async function setUpStop(t: ExecutionContext): Promise<Stop> {
+  const fixture = await setUp(t, { kind: "unsafe" });
+  const endpoint = new HeldEndpoint();
+  await fixture.list([endpoint.handler], {});
+  return new Stop(fixture, endpoint);
+}
+
+function connect(t: ExecutionContext, { fixture }: Stop): RawCaller {
+  const caller = new RawCaller(fixture.port);
+  t.teardown(() => caller.close());
+  return caller;
+}
+
+/** Sends a request and receives its answer, so that the connection is idle. */
+async function rest(stop: Stop, caller: RawCaller, id: string): Promise<void> {
+  await caller.send(formatRequest(id, "/a/x"));
+  await stop.endpoint.waitFor(id);
+  stop.endpoint.release(id);
+  await caller.waitForAnswers(1);
+  await utils.waitUntil(() => stop.fixture.listener.inFlight === 0, generousMs);
+}
+
+// Guards against the close of an idle connection whose next request has arrived but has not been read.
+test("a request that has arrived unread at an idle connection is answered during a planned stop", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  await rest(stop, caller, "r1");
+  // The kernel gets the bytes within this call.
+  caller.socket.write(formatRequest("r2", "/a/x"));
+  const closed = stop.fixture.listener.closeIdle();
+  await stop.endpoint.waitFor("r2");
+  stop.endpoint.release("r2");
+  await caller.waitForAnswers(2);
+  await closed;
+  t.deepEqual(caller.statuses, [200, 200]);
+});
+
+// Guards against a stop that ends as soon as nothing is in flight, although a request is half read.
+test("a request that is half read when nothing is in flight is answered during a planned stop", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  await rest(stop, caller, "r1");
+  const request = formatRequest("r2", "/a/x");
+  await caller.send(request.slice(0, -2));
+  // The gateway has read the bytes above once a later request has been answered.
+  await rest(stop, connect(t, stop), "r3");
+  const stopped = stop.run();
+  const idle = connect(t, stop);
+  await rest(stop, idle, "r4");
+  await caller.send(request.slice(-2));
+  await stop.endpoint.waitFor("r2");
+  stop.endpoint.release("r2");
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [200, 200]);
+  await stopped;
+});
+
+// Guards against a stop that closes the listening socket while connections with requests wait to be accepted.
+test("a request on a connection that has not been accepted is answered during a planned stop", async (t) => {
+  const stop = await setUpStop(t);
+  const callers = Array.from({ length: 20 }, () => connect(t, stop));
+  for (const [index, caller] of callers.entries()) void caller.send(formatRequest(`r${index}`, "/a/x"));
+  const stopped = stop.run();
+  for (const index of callers.keys()) {
+    await stop.endpoint.waitFor(`r${index}`);
+    stop.endpoint.release(`r${index}`);
+  }
+  await Promise.all(callers.map((caller) => caller.waitForEnd()));
+  t.deepEqual(
+    callers.map(({ statuses }) => statuses),
+    callers.map(() => [200]),
+  );
+  await stopped;
+});
+
+// Guards against the close without a status of connections whose requests are not completed before the stop.
+test("a request whose rest does not arrive during a planned stop: 503", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  await caller.send(formatRequest("r1", "/a/x").slice(0, -2));
+  await rest(stop, connect(t, stop), "r2");
+  const stopped = stop.run();
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [503]);
+  await stopped;
+});
+
+// Guards against the close without a status of connections whose requests still run at the end of the grace time.
+test("a request that runs at the end of the grace time: 502", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  await caller.send(formatRequest("r1", "/a/x"));
+  await stop.endpoint.waitFor("r1");
+  const stopped = stop.run();
+  stop.deadline.isReached = true;
+  await stopped;
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [502]);
+});
