--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -1,8 +1,9 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
+import { readArrived } from "./readArrived.js";
 import { formatRefusal, sendRefusal } from "./sendRefusal.js";
-import type { ReadFault } from "./toReadFault.js";
+import { headTooLate, type ReadFault } from "./toReadFault.js";
 
 /**
  * Time without bytes after which a connection is closed whose last answer has been written. What arrives meanwhile is read and dropped:
@@ -12,6 +13,10 @@
 /** Time after the last answer for which a caller may go on with what it sends. */
 const maxLingerMs = 10_000;
 
+/** Time without bytes after which a stopping instance refuses a request that has begun to arrive; packets that were lost come earlier. */
+const stoppingSilenceMs = 1_000;
+const stoppingFault: ReadFault = { status: 503, reason: "stopping" };
+
 interface PendingAnswer {
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
@@ -27,6 +32,8 @@
   private _lastMessage: http.IncomingMessage | undefined;
   /** What is wrong with the bytes behind the requests that were read. */
   private _fault: ReadFault | undefined;
+  /** How the caller is told that the rest of its request has not arrived. */
+  private _silenceFault = headTooLate;
 
   constructor(private readonly _socket: net.Socket) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
@@ -40,6 +47,11 @@
     return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
   }
 
+  /** Whether a request is in progress, or has begun to arrive, whose caller waits for an answer. */
+  get isBusy(): boolean {
+    return this._pending.length > 0 || (!this.isIdle && !this._isCloseAnnounced);
+  }
+
   /**
    * Records a request, whose answer has been written once `response` closes.
    * @returns Whether the request may be processed; false if an earlier answer has announced the end of the connection.
@@ -74,6 +86,44 @@
     if (last === undefined) this._endWithFault(fault);
   }
 
+  /** Applies a longer idle time to a connection that waits for a request already. */
+  raiseIdleTimeout(timeoutMs: number): void {
+    const { timeout } = this._socket;
+    if (this.isIdle && timeout !== undefined && timeout > 0 && timeout < timeoutMs)
+      this._socket.setTimeout(timeoutMs);
+  }
+
+  /** Waits for further bytes; Node does not check the time for a head a second time. */
+  awaitMore(timeoutMs: number): void {
+    this._socket.setTimeout(timeoutMs);
+  }
+
+  /** Refuses a head that is not complete, unless more of it has arrived meanwhile. */
+  async failIfSilent(fault: ReadFault, timeoutMs: number): Promise<void> {
+    const { bytesRead } = this._socket;
+    await readArrived();
+    if (this._socket.bytesRead === bytesRead) this.fail(fault);
+    else if (this._pending.length === 0 && !this.isIdle) this.awaitMore(timeoutMs);
+  }
+
+  /** Ends a connection whose idle time has passed, unless a request has arrived meanwhile. */
+  async endIfSilent(): Promise<void> {
+    const { bytesRead } = this._socket;
+    await readArrived();
+    if (this._pending.length > 0 || this._socket.bytesRead !== bytesRead) return;
+    if (this.isIdle) this.close();
+    else this.fail(this._silenceFault);
+  }
+
+  /** Closes the connection if it is idle; otherwise gives a request that has begun to arrive little time between its bytes. */
+  stop(): void {
+    this._silenceFault = stoppingFault;
+    // The first request of a new connection may be on its way.
+    if (this._socket.bytesRead === 0) return;
+    if (this.isIdle) this.close();
+    else if (this._pending.length === 0) this.awaitMore(stoppingSilenceMs);
+  }
+
   /** Closes the connection. */
   close(): void {
     this._socket.destroy();
@@ -95,9 +145,7 @@
   private _endWithFault({ status, reason }: ReadFault): void {
     const socket = this._socket;
     if (socket.destroyed) return;
-    // A connection on which nothing has arrived waits for no answer.
-    const isAwaited = !this._isCloseAnnounced && socket.bytesRead > 0;
-    if (isAwaited) socket.write(formatRefusal(status, reason));
+    if (!this._isCloseAnnounced) socket.write(formatRefusal(status, reason));
     this._endAfterAnswers();
   }
 
