gateway: the limit on new connections follows what callers cause, and ends with the overload

What callers saw: at instances that were busy for another reason, or idle again, requests on new connections were turned away for seconds; limited instances sent callers to each other. Cause: the first limit was 0.7 of the connections of one interval, in which a process that is held up accepts one or two; it rose by 1.1 an interval from there, and ended after two seconds without a refused connection. A limited instance stated the low utilization that its limit gave it, so that its peers counted it as one with room; single intervals of 200 ms decided whether there was a peer with room. Ruled out: ignoring the time after a start, since callers are better off elsewhere while a process warms up; it is enough that the limit needs callers and ends soon. A utilization of 1 stated by limited instances: with all of them limited, each lifts its limit at once and takes in its whole queue. Change: ConnectionLimitPolicy, a pure decision by the figures of an interval. No limit unless an interval of the overload had more than one connection; the first limit follows the busiest of them; one connection is accepted always (two before); the limit rises towards 0.9, by 1.5 an interval at most, and ends after 600 ms without overload and refusals. Peers are told the mean of a second, and at least 0.9 while there is a limit. Each change is logged with the limit, the peer, its utilization and the age of that. Tests: ConnectionLimitPolicyTests. Existing tests of ConnectionGate that state numbers of the policy have the new ones: least number 1 for 2, the limit ends after the third calm interval for the tenth, the stated utilization is a mean.

--- a/packages/gateway/src/requests/ConnectionGate.ts
+++ b/packages/gateway/src/requests/ConnectionGate.ts
@@ -3,32 +3,17 @@
 import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import { ConnectionLimitPolicy, decisionIntervalMs } from "./ConnectionLimitPolicy.js";
 import type { ConnectionCounts } from "./NewConnectionLimit.js";
 
-/** Interval of the ticks, which coincide with those of the check of streams. */
-const tickMs = 200;
-/**
- * Share of its time for which the event loop is busy from which the process counts as overloaded. Connections then wait to be accepted, and
- * the delay of the loop shows nothing of it, since only a few are accepted in each of its turns.
- */
-const overloadUtilization = 0.95;
-/** Consecutive intervals of overload before the limit begins; a shorter overload, as by one large message, ends by itself. */
-const overloadTicks = 3;
-/** Utilization below which more connections are accepted, so that the process is kept busy. */
-const relaxedUtilization = 0.85;
-/** A peer whose utilization is at most this can take over connections. */
-const peerUtilization = 0.6;
-/** Factors by which the limit changes with each interval; it falls faster than it rises, since accepted connections bring requests for long. */
-const decreaseFactor = 0.7;
-const increaseFactor = 1.1;
+const heartbeatField = "utilization";
+/** Intervals whose mean utilization is told to peers. Single ones vary between idle and busy at small instances. */
+const statedIntervals = 5;
 /**
- * Least number of connections that are accepted in an interval, so that an instance which counts as ready never seems to have stopped to
- * accept connections.
+ * Least utilization that this instance states while it sends callers away: other instances must not begin to send theirs here, but those that
+ * do so already keep their limits while this one keeps up.
  */
-const minAccepted = 2;
-/** Number of intervals without a refused connection after which the limit ends. */
-const ticksWithoutRefusals = 10;
-const heartbeatField = "utilization";
+const limitedUtilization = 0.9;
 
 /** The listener whose connections are limited. */
 export interface LimitedListener {
@@ -43,6 +28,15 @@
   readonly log: DecisionLog;
   /** Returns the share of the time since the last call for which the event loop was busy; replaced in tests. */
   readonly takeUtilization?: () => number;
+  /** Monotonic clock; replaced in tests. */
+  readonly nowMs?: () => number;
+}
+
+/** What a peer has stated with its last heartbeat. */
+interface PeerUtilization {
+  readonly name: string;
+  readonly utilization: number;
+  readonly ageMs: number;
 }
 
 /**
@@ -51,20 +45,26 @@
  */
 export class ConnectionGate {
   private readonly _takeUtilization: () => number;
-  private _utilization = 0;
-  private _overloadedTicks = 0;
-  private _unrefusedTicks = 0;
-  private _limit: number | undefined;
+  private readonly _nowMs: () => number;
+  private readonly _policy = new ConnectionLimitPolicy();
+  /** Times at which heartbeats were first seen. */
+  private readonly _seenAtMs = new WeakMap<object, number>();
+  /** The latest utilizations, the last one of the last interval. */
+  private _utilizations: number[] = [];
 
   constructor(private readonly _structure: ConnectionGateStructure) {
     this._takeUtilization = _structure.takeUtilization ?? createUtilizationMeter();
-    _structure.membership.addHeartbeatField(heartbeatField, () => this._getRoundedUtilization());
+    this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+    _structure.membership.addHeartbeatField(heartbeatField, () => {
+      const least = this._policy.limit === undefined ? 0 : limitedUtilization;
+      return round(Math.max(least, mean(this._utilizations)));
+    });
   }
 
   /** Updates the limit periodically until `signal` aborts. */
   async run(signal: AbortSignal, listener: LimitedListener): Promise<void> {
     await utils.repeat(
-      tickMs,
+      decisionIntervalMs,
       signal,
       () => this.tick(listener),
       (error) => {
@@ -76,42 +76,49 @@
   /** Measures the utilization, and updates the limit. */
   tick(listener: LimitedListener): void {
     const counts = listener.takeConnectionCounts();
-    this._utilization = this._takeUtilization();
-    this._overloadedTicks = this._utilization >= overloadUtilization ? this._overloadedTicks + 1 : 0;
-    const before = this._limit;
-    this._limit = before === undefined ? this._getFirstLimit(counts) : this._getNextLimit(before, counts);
-    if ((before === undefined) !== (this._limit === undefined)) this._log(counts);
-    listener.setAcceptLimit(this._limit === undefined ? undefined : Math.floor(this._limit));
+    const utilization = this._takeUtilization();
+    this._utilizations = [...this._utilizations, utilization].slice(-statedIntervals);
+    const peer = this._getLeastBusyPeer();
+    const before = this._policy.limit;
+    this._policy.update({ ...counts, utilization, leastPeerUtilization: peer?.utilization });
+    const { limit } = this._policy;
+    if ((before === undefined) !== (limit === undefined)) this._log(counts, peer);
+    listener.setAcceptLimit(limit);
   }
 
-  private _getFirstLimit({ accepted }: ConnectionCounts): number | undefined {
-    if (this._overloadedTicks < overloadTicks || !this._hasPeerWithRoom()) return undefined;
-    this._unrefusedTicks = 0;
-    return Math.max(minAccepted, accepted * decreaseFactor);
-  }
-
-  private _getNextLimit(limit: number, { refused }: ConnectionCounts): number | undefined {
-    this._unrefusedTicks = refused > 0 ? 0 : this._unrefusedTicks + 1;
-    if (this._unrefusedTicks >= ticksWithoutRefusals || !this._hasPeerWithRoom()) return undefined;
-    if (this._utilization >= overloadUtilization) return Math.max(minAccepted, limit * decreaseFactor);
-    return this._utilization < relaxedUtilization ? limit * increaseFactor : limit;
+  private _getLeastBusyPeer(): PeerUtilization | undefined {
+    let least: PeerUtilization | undefined;
+    const nowMs = this._nowMs();
+    for (const { name, heartbeat } of this._structure.membership.getLinked()) {
+      const seenAtMs = this._seenAtMs.get(heartbeat) ?? nowMs;
+      this._seenAtMs.set(heartbeat, seenAtMs);
+      const utilization = heartbeat[heartbeatField];
+      if (typeof utilization !== "number" || utilization >= (least?.utilization ?? Number.POSITIVE_INFINITY))
+        continue;
+      least = { name, utilization, ageMs: nowMs - seenAtMs };
+    }
+    return least;
   }
 
-  private _hasPeerWithRoom(): boolean {
-    return this._structure.membership.getLinked().some(({ heartbeat }) => {
-      const utilization = heartbeat[heartbeatField];
-      return typeof utilization === "number" && utilization <= peerUtilization;
+  private _log(counts: ConnectionCounts, peer: PeerUtilization | undefined): void {
+    const { limit } = this._policy;
+    this._structure.log.warn(limit === undefined ? "connections-unlimited" : "connections-limited", {
+      utilization: round(this._utilizations.at(-1) ?? 0),
+      ...counts,
+      limit,
+      peer: peer?.name,
+      peerUtilization: peer?.utilization,
+      peerAgeMs: peer === undefined ? undefined : Math.round(peer.ageMs),
     });
   }
+}
 
-  private _log({ accepted, refused }: ConnectionCounts): void {
-    const message = this._limit === undefined ? "connections-unlimited" : "connections-limited";
-    this._structure.log.warn(message, { utilization: this._getRoundedUtilization(), accepted, refused });
-  }
+function mean(values: readonly number[]): number {
+  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
+}
 
-  private _getRoundedUtilization(): number {
-    return Math.round(this._utilization * 100) / 100;
-  }
+function round(utilization: number): number {
+  return Math.round(utilization * 100) / 100;
 }
 
 function createUtilizationMeter(): () => number {
