crashes: a probe reads what has arrived before it runs out of time

Cause: the timer of a probe was handled before the refusal that had arrived while this process was held up, as the event loop handles timers first; the probe then reported no answer, and the crash was not counted. It is the class of idle connections that are closed before what has arrived is read. Ruled out: a change of this work in the path of these tests (the code of probes is older). Change: IoTimeout, as for connections to endpoints.

--- a/packages/crashes/src/probeConnection.ts
+++ b/packages/crashes/src/probeConnection.ts
@@ -1,4 +1,5 @@
 import * as net from "node:net";
+import { utils } from "@shedtiller/common";
 
 /** Result of a connection attempt; `nothing` if no answer came in time or the address could not be reached. */
 export type ProbeResult = "open" | "refused" | "nothing";
@@ -12,11 +13,11 @@
   return new Promise((resolve) => {
     const socket = net.connect({ host, port: Number(port) });
     const end = (result: ProbeResult): void => {
-      clearTimeout(timer);
+      timeout.clear();
       socket.destroy();
       resolve(result);
     };
-    const timer = setTimeout(() => end("nothing"), timeoutMs);
+    const timeout = new utils.IoTimeout(timeoutMs, () => end("nothing"), { isPauseExcluded: true });
     socket.once("connect", () => end("open"));
     socket.once("error", (error: NodeJS.ErrnoException) =>
       end(error.code === "ECONNREFUSED" ? "refused" : "nothing"),
--- a/packages/crashes/src/tests/probeConnectionTests.ts
+++ b/packages/crashes/src/tests/probeConnectionTests.ts
@@ -21,3 +21,21 @@
 test("the probe of an unreachable address reports that there was no answer", async (t) => {
   t.is(await probeConnection("256.0.0.1:80", timeoutMs), "nothing");
 });
+
+/** Holds up this process, so that timers expire before anything that arrives meanwhile is read. */
+function holdUp(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
+// Guards against crashes that are not counted, since a probe ran out of time while its answer waited to be read.
+test("a probe whose answer arrives while this process is held up reports the answer", async (t) => {
+  const { server, address } = await listen();
+  t.teardown(() => server.close());
+  const open = probeConnection(address, 1);
+  holdUp(50);
+  t.is(await open, "open");
+  await new Promise((resolve) => server.close(resolve));
+  const refused = probeConnection(address, 1);
+  holdUp(50);
+  t.is(await refused, "refused");
+});
