gateway: a refusal that ends its connection is not lost by a reset while the body is on its way

What callers saw: a caller that is refused by a stopping instance while it sends its body gets a reset (EPIPE), and may lose the answer. Cause: Node closes the connection right after an answer with Connection: close, with the rest of the body unread; the kernel answers what still comes with a reset. The same cause as with refusals beyond the limit on new connections, which read on already. Change: such a refusal is sent whole, and its connection ends once the body has been read, after a second at most. Tests: the case "stopping" of "a caller that is refused while its body is on its way ..." failed before with "write EPIPE"; the case "overloaded" fails if ConnectionRefuser closes its connection right after the answer (tried by hand).

--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -1,5 +1,9 @@
 /** Rejections by the gateway itself. */
 import type * as http from "node:http";
+import * as stream from "node:stream";
+
+/** Time for which the rest of a rejected body is read; a caller that sends for longer does not heed the answer. */
+const maxBodyReadMs = 1_000;
 
 /** Reason for which the gateway itself ended a request. */
 export type RefusalReason =
@@ -47,5 +51,22 @@
     "Content-Length": body.length,
     ...(isLast ? { Connection: "close" } : {}),
   });
-  response.end(body);
+  if (isLast && !response.req.complete && !response.req.destroyed) endAfterBody(response, body);
+  else response.end(body);
+}
+
+/**
+ * Sends the whole answer, and ends the connection once the body of the request has been read. A connection that is closed with unread bytes
+ * is reset, and the caller may lose the answer.
+ */
+function endAfterBody(response: http.ServerResponse, body: Buffer): void {
+  response.write(body);
+  // After a pause of the process, timers come before what has arrived in the meantime.
+  const timer = setTimeout(() => setImmediate(() => response.end()), maxBodyReadMs);
+  const stopWatching = stream.finished(response.req, () => response.end());
+  response.once("close", () => {
+    clearTimeout(timer);
+    stopWatching();
+  });
+  response.req.resume();
 }
--- a/packages/gateway/src/tests/requests/overloadRefusalTests.ts
+++ b/packages/gateway/src/tests/requests/overloadRefusalTests.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { utils } from "@shedtiller/common";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { RecordingLogOutput } from "../RecordingLogOutput.js";
 import { createRoute } from "../testData.js";
@@ -39,28 +39,42 @@
   });
 }
 
-// Guards against callers that lose the refusal since the connection is closed with a part of their body unread, and so is reset.
-test("a caller that is refused while its body is on its way gets the whole refusal at once, and no reset", async (t) => {
-  const fixture = new GatewayFixture();
-  t.teardown(() => fixture.close());
-  await fixture.start(createRoute({ targets, kind: "unsafe" }));
-  fixture.setAcceptLimit(0);
-  const rest = "x".repeat(400_000);
-  const caller = net.connect({ port: fixture.port, host: "127.0.0.1", allowHalfOpen: true });
+/** Sends the beginning of a request, and the parts of its body once the answer has come; returns the answer and how the connection ended. */
+async function sendInParts(t: ExecutionContext, port: number): Promise<{ answer: string; end: string }> {
+  // A reset shows with the write after the one that it answers.
+  const parts = ["first", "second", "third"];
+  const caller = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
   t.teardown(() => caller.destroy());
   const refused = new utils.Deferred<void>();
   const closed = new utils.Deferred<string>();
-  let received = "";
+  let answer = "";
   caller.on("data", (part: Buffer) => {
-    received += part.toString();
-    if (received.endsWith('"}')) refused.resolve();
+    answer += part.toString();
+    if (answer.endsWith('"}')) refused.resolve();
   });
   caller.on("error", (error) => closed.resolve(String(error)));
   caller.on("close", () => closed.resolve("closed"));
-  const head = `POST /a/x HTTP/1.1\r\nHost: notes.example\r\nx-key: k1\r\nContent-Length: ${rest.length + 1}\r\n\r\n`;
-  caller.write(`${head}x`);
+  const length = parts.join("").length;
+  caller.write(`POST /a/x HTTP/1.1\r\nHost: notes.example\r\nx-key: k1\r\nContent-Length: ${length}\r\n\r\n`);
   await refused.promise;
-  caller.end(rest);
-  t.is(await closed.promise, "closed");
-  t.regex(received, /^HTTP\/1.1 503 .*\{"error":"overloaded"\}$/s);
-});
+  for (const part of parts) await new Promise((resolve) => caller.write(part, resolve));
+  caller.end();
+  return { end: await closed.promise, answer };
+}
+
+// Guards against callers that lose the refusal since the connection is closed with a part of their body unread, and so is reset.
+for (const reason of ["overloaded", "stopping"]) {
+  test(`a caller that is refused while its body is on its way gets the whole refusal at once, and no reset (${reason})`, async (t) => {
+    const fixture = new GatewayFixture();
+    t.teardown(() => fixture.close());
+    await fixture.start(createRoute({ targets, kind: "unsafe" }));
+    if (reason === "overloaded") fixture.setAcceptLimit(0);
+    else {
+      fixture.stopAfter(0);
+      fixture.listener.drain();
+    }
+    const { answer, end } = await sendInParts(t, fixture.port);
+    t.is(end, "closed");
+    t.true(answer.startsWith("HTTP/1.1 503 ") && answer.endsWith(`{"error":"${reason}"}`), answer);
+  });
+}
