gateway: an instance that has just started does not count as one with room, and tests of early refusals

What callers would see: refused by an overloaded instance, they go to one that has just started and warms up. Cause: before its first interval an instance stated a utilization of 0. Change: it states nothing until it has measured. Lines of a head without a header name are left out before the id is decoded.

--- a/packages/gateway/src/requests/ConnectionGate.ts
+++ b/packages/gateway/src/requests/ConnectionGate.ts
@@ -55,10 +55,7 @@
   constructor(private readonly _structure: ConnectionGateStructure) {
     this._takeUtilization = _structure.takeUtilization ?? createUtilizationMeter();
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
-    _structure.membership.addHeartbeatField(heartbeatField, () => {
-      const least = this._policy.limit === undefined ? 0 : limitedUtilization;
-      return round(Math.max(least, mean(this._utilizations)));
-    });
+    _structure.membership.addHeartbeatField(heartbeatField, () => this._getStatedUtilization());
   }
 
   /** Updates the limit periodically until `signal` aborts. */
@@ -86,6 +83,13 @@
     listener.setAcceptLimit(limit);
   }
 
+  /** Returns undefined before the first interval, so that an instance that starts does not count as one with room. */
+  private _getStatedUtilization(): number | undefined {
+    if (this._utilizations.length === 0) return undefined;
+    const least = this._policy.limit === undefined ? 0 : limitedUtilization;
+    return round(Math.max(least, mean(this._utilizations)));
+  }
+
   private _getLeastBusyPeer(): PeerUtilization | undefined {
     let least: PeerUtilization | undefined;
     const nowMs = this._nowMs();
@@ -114,7 +118,7 @@
 }
 
 function mean(values: readonly number[]): number {
-  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
 function round(utilization: number): number {
--- a/packages/gateway/src/requests/ConnectionRefuser.ts
+++ b/packages/gateway/src/requests/ConnectionRefuser.ts
@@ -83,6 +83,6 @@
     .slice(1)
     .flatMap((line) => {
       const separator = line.indexOf(":");
-      return [line.slice(0, separator), line.slice(separator + 1).trim()];
+      return separator < 1 ? [] : [line.slice(0, separator), line.slice(separator + 1).trim()];
     });
 }
--- a/packages/gateway/src/tests/requests/ConnectionGateTests.ts
+++ b/packages/gateway/src/tests/requests/ConnectionGateTests.ts
@@ -84,6 +84,14 @@
   t.is(create([]).tick(1, 5), undefined);
 });
 
+// Guards against callers that are sent to an instance that has just started.
+test("an instance states nothing before it has measured its utilization", (t) => {
+  const { tick, getField } = create([]);
+  t.is(getField(), undefined);
+  tick(0.3, 1);
+  t.is(getField(), 0.3);
+});
+
 // Guards against callers that a limited instance sends to another one, which sends them back.
 test("an instance that limits new connections states that it has no room, however idle that makes it", (t) => {
   const { tick, state, getField } = create([{ utilization: 0.2 }]);
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -39,6 +39,7 @@
 import type { CallerRequest } from "../../requests/CallerRequest.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
 import { PlainForwarder } from "../../requests/PlainForwarder.js";
+import type { RefusalReason } from "../../requests/sendRefusal.js";
 import { RetryBudgets, type RetryBudgetOptions } from "../../requests/RetryBudgets.js";
 import { StallMonitor } from "../../requests/StallMonitor.js";
 import type { StreamAttempt } from "../../requests/StreamAttempt.js";
@@ -62,7 +63,7 @@
 }
 
 /** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
-class TestCodec extends MessageCodec {
+export class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
     return {
       requestId: lookUp(headers, "x-id"),
@@ -180,6 +181,8 @@
   behindMs = 0;
   /** Number of requests that were passed to a forwarder, and of those that the forwarder has ended. */
   readonly forwarded = { begun: 0, ended: 0 };
+  /** Reasons for which requests were rejected before they were forwarded. */
+  readonly refusals: RefusalReason[] = [];
   private readonly _servers: http.Server[] = [];
   private readonly _httpClient = new HttpClient();
   private _listener: CallerListener | undefined;
@@ -266,6 +269,7 @@
         getDeadlineMs: () => generousMs,
       }),
       forward,
+      onRefused: (reason) => void this.refusals.push(reason),
       startupTimeoutMs: generousMs,
     });
     await this._listener.listen();
--- a/packages/gateway/src/tests/requests/overloadRefusalTests.ts
+++ b/packages/gateway/src/tests/requests/overloadRefusalTests.ts
@@ -35,6 +35,7 @@
     t.is(answer.headers.connection, "close");
     t.true(Number(answer.headers["x-retry-after-ms"]) > 0);
     t.is(fixture.forwarded.begun, before);
+    t.deepEqual(fixture.refusals, ["overloaded"]);
     t.true(output.fields.some(({ requestId, reason }) => requestId === "r1" && reason === "overloaded"));
   });
 }
@@ -63,7 +64,7 @@
 }
 
 // Guards against callers that lose the refusal since the connection is closed with a part of their body unread, and so is reset.
-for (const reason of ["overloaded", "stopping"]) {
+for (const reason of ["overloaded", "stopping"] as const) {
   test(`a caller that is refused while its body is on its way gets the whole refusal at once, and no reset (${reason})`, async (t) => {
     const fixture = new GatewayFixture();
     t.teardown(() => fixture.close());
@@ -75,6 +76,7 @@
     }
     const { answer, end } = await sendInParts(t, fixture.port);
     t.is(end, "closed");
+    t.deepEqual(fixture.refusals, [reason]);
     t.true(answer.startsWith("HTTP/1.1 503 ") && answer.endsWith(`{"error":"${reason}"}`), answer);
   });
 }
