gateway: why a connection ended before its answer is logged, counted and explained

Callers that got nothing left a line that said only which side had closed the connection, and no metric.

Change: request-unanswered has the cause (caller-left, answer-broken-off, instance-stopped), unanswered_requests_total counts it; connection-invalid names the caller's port, the refusal and the requests in progress.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -10,6 +10,11 @@
   const explanation = explainRequest(requestId, lines);
   for (const line of explanation) print(options.json === true ? JSON.stringify(line) : formatExplained(line));
   if (explanation.length > 0) return exitCodes.ok;
-  printError(`No line of ${files.length} files names the request ${requestId}.`);
+  printError(
+    `No line of ${files.length} files names the request ${requestId}. If its caller got nothing, no instance has read it whole:`,
+  );
+  printError(
+    `look for connection-invalid and request-ignored lines of that time, and see "A caller got nothing" in OPERATIONS.`,
+  );
   return exitCodes.negativeResult;
 }
--- a/packages/cli/src/tests/explainTests.ts
+++ b/packages/cli/src/tests/explainTests.ts
@@ -149,10 +149,11 @@
   fs.writeFileSync(file, lines.map((line) => JSON.stringify(line)).join("\n"));
   const { stdout } = await run(process.execPath, [shedtiller, "explain", "r1", file]);
   t.regex(stdout, /a {2}request-ended {2}requestId=r1 outcome=outcome-unknown tookMs=3000/);
-  const none = await t.throwsAsync<Error & { code: number }>(
+  const none = await t.throwsAsync<Error & { code: number; stderr: string }>(
     run(process.execPath, [shedtiller, "explain", "r0", file]),
   );
   t.is(none?.code, 1);
+  t.regex(none?.stderr ?? "", /No line of 1 files names the request r0\..*connection-invalid/s);
   const unreadable = await t.throwsAsync<Error & { code: number }>(
     run(process.execPath, [shedtiller, "explain", "r1", path.join(folder, "none.log")]),
   );
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -280,6 +280,7 @@
       areKeysFresh: () => this._areKeysFresh(),
       denialFreshness: this._createDenialFreshness(),
       forward: (request) => this._forward(request),
+      onUnanswered: (cause) => this.metrics.unansweredRequests.inc({ cause }),
       onDropped: () => this.metrics.droppedConnections.inc(),
     });
   }
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -44,6 +44,8 @@
   readonly hedges: prom.Counter<"service">;
   /** Connections of callers that were closed unread while this instance was overloaded. */
   readonly droppedConnections: prom.Counter;
+  /** Requests whose connections ended before their whole answers, by cause. */
+  readonly unansweredRequests: prom.Counter<"cause">;
   /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
   readonly zoneFlowChanges: prom.Counter<"service">;
   /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
@@ -144,6 +146,11 @@
       "Connections of callers closed unread while this instance was overloaded",
       [],
     );
+    this.unansweredRequests = this._createCounter(
+      "unanswered_requests_total",
+      "Requests whose connections ended before their whole answers, by cause",
+      ["cause"],
+    );
     this.hedges = this._createCounter(
       "hedges_total",
       "Requests that were sent to a second endpoint while the first one had not answered, by service",
--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/gateway/src/requests/CallerConnection.ts
@@ -42,6 +42,11 @@
     _socket.once("close", () => this._closeQueued());
   }
 
+  /** Number of requests whose answers have not been written. */
+  get inProgress(): number {
+    return this._pending.length;
+  }
+
   /** Whether no request is in progress, and none has begun to arrive. */
   get isIdle(): boolean {
     return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -12,6 +12,7 @@
 import { CallerAdmission } from "./CallerAdmission.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
+import { getCloseCause, type CloseCause } from "./getCloseCause.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { bodyTooLarge, failedBeforeRun, failedStatus, isLastRefusal, stopping } from "./listenerRefusals.js";
 import { readArrived } from "./readArrived.js";
@@ -43,6 +44,8 @@
   readonly forward: (request: CallerRequest) => Promise<void>;
   /** Called for each connection that is closed unread because of the limit on new ones. */
   readonly onDropped?: () => void;
+  /** Called for each request whose connection ended before its whole answer. */
+  readonly onUnanswered?: (cause: CloseCause) => void;
   /** Maximum time that a request waits for the first configuration; replaced in tests. */
   readonly startupTimeoutMs?: number;
 }
@@ -60,6 +63,7 @@
   private _acceptLimit: number | undefined;
   private _acceptedSinceLimit = 0;
   private _isDraining = false;
+  private _isStopped = false;
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._admission = new CallerAdmission(_structure);
@@ -162,6 +166,7 @@
 
   /** Stops listening and closes all connections. */
   close(): void {
+    this._isStopped = true;
     stopListening(this._server);
   }
 
@@ -192,17 +197,25 @@
     // The time for a head begins with its first byte.
     if (fault === headTooLate && socket.bytesRead === 0)
       return connection.awaitMore(this._server.keepAliveTimeout);
-    this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
+    this._structure.log.info("connection-invalid", {
+      cause: error.code ?? String(error),
+      ...fault,
+      callerPort: socket.remotePort,
+      inProgress: connection.inProgress,
+    });
     if (fault === headTooLate) void connection.failIfSilent(fault, this._server.headersTimeout);
     else connection.fail(fault);
   }
 
-  /** Logs which side closed the connection of a request that has no whole answer. */
+  /** Reports why the connection of a request ended before its whole answer. */
   private _noteUnanswered({ socket }: http.IncomingMessage, fields: CallerFields, isHeadSent: boolean): void {
-    const side = socket.readableEnded || socket.errored !== null ? "caller" : "instance";
+    const hasCallerEnded = socket.readableEnded || socket.errored !== null;
+    const cause = getCloseCause({ hasCallerEnded, isStopped: this._isStopped });
+    this._structure.onUnanswered?.(cause);
     this._structure.log.info("request-unanswered", {
       requestId: fields.requestId,
-      closedBy: side,
+      closedBy: hasCallerEnded ? "caller" : "instance",
+      cause,
       isHeadSent,
     });
   }
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -14,16 +14,8 @@
 import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
-import { emptyStatement, type StatedLimit, type StatedRetryAfter } from "../../http/EndpointStatement.js";
 import { HttpClient } from "../../http/HttpClient.js";
 import { EndpointPaths } from "../../paths/EndpointPaths.js";
-import {
-  MessageCodec,
-  type AnswerFields,
-  type CallerFields,
-  type EndpointFields,
-  type RawHeaders,
-} from "../../http/MessageCodec.js";
 import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
 import {
@@ -36,6 +28,7 @@
 import type { UrgencyLevels } from "../../loadcontrol/UrgencyLevels.js";
 import { CallerListener } from "../../requests/CallerListener.js";
 import type { CallerRequest } from "../../requests/CallerRequest.js";
+import type { CloseCause } from "../../requests/getCloseCause.js";
 import { PermitQueue } from "../../requests/PermitQueue.js";
 import { PlainForwarder } from "../../requests/PlainForwarder.js";
 import { RetryBudgets, type RetryBudgetOptions } from "../../requests/RetryBudgets.js";
@@ -45,6 +38,7 @@
 import { createConfiguration, createListed, profile } from "../testData.js";
 import { createPermitDependencies } from "../createPermitDependencies.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
+import { TestCodec } from "./TestCodec.js";
 
 /** A timeout that no test reaches, so that the speed of a test does not affect its result. */
 const generousMs = 60_000;
@@ -52,67 +46,6 @@
 /** Time between two crashes on the clock of quarantines. */
 const crashIntervalMs = 150;
 
-function decodeLimit(text: string | undefined): StatedLimit {
-  return text === undefined ? { kind: "none" } : { kind: "named", perSecond: Number(text) };
-}
-
-function decodeRetryAfter(text: string | undefined): StatedRetryAfter {
-  return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
-}
-
-/** Id of a request whose headers make the codec fail. */
-export const undecodableId = "undecodable";
-
-/** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
-class TestCodec extends MessageCodec {
-  override decodeCaller(headers: RawHeaders): CallerFields {
-    if (lookUp(headers, "x-id") === undecodableId) throw new Error("These headers can't be decoded.");
-    return {
-      requestId: lookUp(headers, "x-id"),
-      deadlineMs: undefined,
-      apiKey: lookUp(headers, "x-key"),
-      promptTokens: 2,
-      maxAnswerTokens: 2,
-      answerTokensHint: undefined,
-      promptPartIds: lookUp(headers, "x-parts")?.split(",") ?? [],
-      lastEventId: lookUp(headers, "x-last"),
-    };
-  }
-
-  override encodeForEndpoint(headers: RawHeaders, fields: EndpointFields): string[] {
-    const lines = ["Host", "notes.example", "x-id", lookUp(headers, "x-id") ?? ""];
-    return fields.lastEventId === undefined ? lines : [...lines, "x-last", fields.lastEventId];
-  }
-
-  override decodeAnswer(headers: RawHeaders): AnswerFields {
-    return {
-      requestId: lookUp(headers, "x-id"),
-      hasNotRun: lookUp(headers, "x-not-run") !== undefined,
-      faultyAddress: undefined,
-      isEncoded: false,
-      stated: {
-        ...emptyStatement,
-        limit: decodeLimit(lookUp(headers, "x-limit")),
-        retryAfter: decodeRetryAfter(lookUp(headers, "x-rest-ms")),
-        isDraining: lookUp(headers, "x-leaving") !== undefined,
-      },
-    };
-  }
-
-  override encodeForCaller(headers: RawHeaders): string[] {
-    return ["x-id", lookUp(headers, "x-id") ?? ""];
-  }
-
-  override encodeRefusal(retryAfterMs: number | undefined): Record<string, string> {
-    return retryAfterMs === undefined ? {} : { "x-retry-after-ms": String(retryAfterMs) };
-  }
-}
-
-function lookUp(headers: RawHeaders, name: string): string | undefined {
-  const index = headers.findIndex((header, at) => at % 2 === 0 && header.toLowerCase() === name);
-  return index < 0 ? undefined : headers[index + 1];
-}
-
 /** Engines that reject every query and order, since these tests do not cover stalls. */
 class RejectingOrders extends EngineOrders {
   override getReport(): Promise<results.Result<EngineReport, OrderError>> {
@@ -181,6 +114,8 @@
   behindMs = 0;
   /** Number of requests that were passed to a forwarder, and of those that the forwarder has ended. */
   readonly forwarded = { begun: 0, ended: 0 };
+  /** Why connections ended before the answers to their requests. */
+  readonly unanswered: CloseCause[] = [];
   private readonly _servers: http.Server[] = [];
   private readonly _httpClient = new HttpClient();
   private _listener: CallerListener | undefined;
@@ -268,6 +203,7 @@
       }),
       forward,
       startupTimeoutMs: generousMs,
+      onUnanswered: (cause) => this.unanswered.push(cause),
     });
     await this._listener.listen();
   }
--- a/packages/gateway/src/tests/requests/HeldEndpoint.ts
+++ b/packages/gateway/src/tests/requests/HeldEndpoint.ts
@@ -40,6 +40,11 @@
     else response.writeHead(200, { "x-id": id }).end(`id: 1\ndata: ${id}\n\n`);
   }
 
+  /** Resets the connection of a request. */
+  breakOff(id: string): void {
+    this._require(id).destroy();
+  }
+
   private _require(id: string): http.ServerResponse {
     const response = this._held.get(id);
     if (response === undefined) throw new Error(`No request ${id} has arrived.`);
--- a/packages/gateway/src/tests/requests/failedRequestTests.ts
+++ b/packages/gateway/src/tests/requests/failedRequestTests.ts
@@ -2,9 +2,10 @@
 import test, { type ExecutionContext } from "ava";
 import { utils } from "@shedtiller/common";
 import { generousMs, setUp } from "./endpointHandlers.js";
-import { undecodableId, type GatewayFixture } from "./GatewayFixture.js";
+import type { GatewayFixture } from "./GatewayFixture.js";
 import { HeldEndpoint } from "./HeldEndpoint.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
+import { undecodableId } from "./TestCodec.js";
 
 function fail(): never {
   throw new Error("This call fails.");
