gateway: a stopping instance listens until it has nothing to do

Cause: the listening socket was closed before the requests on the last connections had been read.

Change: it is closed only at a moment at which all that has arrived was read and nothing is in progress.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -147,10 +147,15 @@
     return this._connections.closeIdle();
   }
 
-  /** Accepts the connections that have reached this instance, then stops listening. Open connections stay. */
-  async stopAccepting(): Promise<void> {
+  /**
+   * Accepts the connections that have reached this instance, and stops listening unless they brought requests. Open connections stay.
+   * @returns Whether the instance has stopped listening.
+   */
+  async tryStopAccepting(): Promise<boolean> {
     await readArrived();
+    if (this.isBusy) return false;
     closeListeningSocket(this._server);
+    return true;
   }
 
   /** Refuses the requests whose answers have not begun; resolves once the refusals have been written. */
--- a/packages/gateway/src/requests/drainCallers.ts
+++ b/packages/gateway/src/requests/drainCallers.ts
@@ -10,7 +10,7 @@
 
 /** Dependencies of {@link drainCallers}. */
 export interface DrainStructure {
-  readonly listener: Pick<CallerListener, "setStopDeadline" | "closeIdle" | "isBusy" | "stopAccepting">;
+  readonly listener: Pick<CallerListener, "setStopDeadline" | "closeIdle" | "isBusy" | "tryStopAccepting">;
   readonly deadline: DrainDeadline;
   /** Whether the instance still works for others than its own callers. */
   readonly hasOtherWork: () => boolean;
@@ -22,8 +22,10 @@
   await deadline.pause(balancerNoticeMs);
   listener.setStopDeadline(deadline.endsAtMs);
   await listener.closeIdle();
-  while (isBusy() && !deadline.isReached) await deadline.pause(pollMs);
-  await listener.stopAccepting();
+  do {
+    while (isBusy() && !deadline.isReached) await deadline.pause(pollMs);
+    // New callers are served as long as the process has to stay anyway.
+  } while (!(await listener.tryStopAccepting()) && !deadline.isReached);
   // Requests on the connections that were accepted last.
   do await deadline.pause(pollMs);
   while (isBusy() && !deadline.isReached);
