gateway: the beginning of a request is not taken for a part of the one in front of it

Callers saw: the connection closed during a planned stop, though a request was half read on it, if it had begun to arrive while the one in front of it was in progress.

Cause: a connection counted as idle if nothing had been read since the last answer; it is now counted from the end of the last request. If both come within one read, the beginning of the second is still taken for a part of the first.

The connections have moved to @shedtiller/common, since the listener of entry instances closes connections for the same causes.

The test failed with the old count (the request never reached the endpoint). It passes now.

--- a/packages/gateway/src/requests/CallerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -1,9 +1,9 @@
-import type * as http from "node:http";
+import * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
 import { readArrived } from "./readArrived.js";
-import { formatRefusal, sendRefusal } from "./sendRefusal.js";
-import { headTooLate, type ReadFault } from "./toReadFault.js";
+import type { FaultWriter } from "./FaultWriter.js";
+import { headTooLate, stoppingFault, type ReadFault } from "./toReadFault.js";
 
 /**
  * Time without bytes after which a connection is closed whose last answer has been written. What arrives meanwhile is read and dropped:
@@ -15,19 +15,18 @@
 
 /** Time without bytes after which a stopping instance refuses a request that has begun to arrive; packets that were lost come earlier. */
 const stoppingSilenceMs = 1_000;
-const stoppingFault: ReadFault = { status: 503, reason: "stopping" };
 
 interface PendingAnswer {
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
 }
 
-/** One connection of a caller. Decides when the connection ends: after the answers to all requests that were read from it. */
-export class CallerConnection {
+/** One connection of an HTTP server. Decides when the connection ends: after the answers to all requests that were read from it. */
+export class ServerConnection {
   /** Requests whose answers have not been written to the connection, in the order of their arrival. */
   private readonly _pending: PendingAnswer[] = [];
-  /** Number of bytes that had been read when the last answer had been written. */
-  private _answeredBytes = 0;
+  /** Number of bytes that had been read when the last request was complete. */
+  private _requestBytes = 0;
   private _isCloseAnnounced = false;
   private _lastMessage: http.IncomingMessage | undefined;
   /** What is wrong with the bytes behind the requests that were read. */
@@ -35,13 +34,21 @@
   /** How the caller is told that the rest of its request has not arrived. */
   private _silenceFault = headTooLate;
 
-  constructor(private readonly _socket: net.Socket) {
+  constructor(
+    private readonly _socket: net.Socket,
+    private readonly _writer: FaultWriter,
+  ) {
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
     _socket.destroySoon = () => this._endAfterAnswers();
     _socket.once("end", () => this._noteCallerEnd());
     _socket.once("close", () => this._closeQueued());
   }
 
+  /** Port of the other side. */
+  get remotePort(): number | undefined {
+    return this._socket.remotePort;
+  }
+
   /** Number of requests whose answers have not been written. */
   get inProgress(): number {
     return this._pending.length;
@@ -49,7 +56,7 @@
 
   /** Whether no request is in progress, and none has begun to arrive. */
   get isIdle(): boolean {
-    return this._pending.length === 0 && this._socket.bytesRead === this._answeredBytes;
+    return this._pending.length === 0 && this._socket.bytesRead === this._requestBytes;
   }
 
   /** Whether a request is in progress, or has begun to arrive, whose caller waits for an answer. */
@@ -68,6 +75,8 @@
     this._lastMessage = message;
     const pending = { message, response };
     this._pending.push(pending);
+    this._requestBytes = this._socket.bytesRead;
+    message.once("end", () => (this._requestBytes = this._socket.bytesRead));
     response.once("close", () => this._remove(pending));
     return true;
   }
@@ -136,24 +145,34 @@
 
   private _remove(pending: PendingAnswer): void {
     this._pending.splice(this._pending.indexOf(pending), 1);
-    this._answeredBytes = this._socket.bytesRead;
     if (this._pending.length === 0 && this._fault !== undefined) this._endWithFault(this._fault);
   }
 
   /** Refuses the last request, whose body can't be read to its end, unless it has been answered. */
-  private _refuseIncomplete(response: http.ServerResponse | undefined, { status, reason }: ReadFault): void {
+  private _refuseIncomplete(response: http.ServerResponse | undefined, fault: ReadFault): void {
     this._isCloseAnnounced = true;
-    if (response?.headersSent === false) sendRefusal(response, status, reason, {}, true);
+    if (response?.headersSent === false) this._writer.refuse(response, fault);
   }
 
   /** Sends the refusal of bytes that belong to no request, unless the caller knows already that the connection ends. */
-  private _endWithFault({ status, reason }: ReadFault): void {
+  private _endWithFault(fault: ReadFault): void {
     const socket = this._socket;
     if (socket.destroyed) return;
-    if (!this._isCloseAnnounced) socket.write(formatRefusal(status, reason));
+    if (!this._isCloseAnnounced) socket.write(this._format(fault));
     this._endAfterAnswers();
   }
 
+  private _format(fault: ReadFault): string {
+    const { type, body } = this._writer.getContent(fault);
+    const lines = [
+      `HTTP/1.1 ${fault.status} ${http.STATUS_CODES[fault.status]}`,
+      `Content-Type: ${type}`,
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      "Connection: close",
+    ];
+    return [...lines, "", body].join("\r\n");
+  }
+
   /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
   private _noteCallerEnd(): void {
     const awaited = this._pending[0]?.response;
--- a/packages/gateway/src/requests/toReadFault.ts
+++ b/packages/common/src/connections/toReadFault.ts
@@ -1,14 +1,16 @@
-/** Reasons for which bytes of a caller can't be read as a request. */
-import type { RefusalReason } from "./sendRefusal.js";
+/** Reasons for which the bytes of a caller can't be read as a request. */
 
 /** How a caller is told that its bytes can't be read. */
 export interface ReadFault {
   readonly status: number;
-  readonly reason: RefusalReason;
+  readonly reason: "invalid-request" | "head-too-large" | "head-too-late" | "body-too-large" | "stopping";
 }
 
 /** The bytes of a caller are no request that this instance serves. */
 export const invalidRequest: ReadFault = { status: 400, reason: "invalid-request" };
+/** The rest of a request did not arrive before the process stops. */
+export const stoppingFault: ReadFault = { status: 503, reason: "stopping" };
+/** The head of a request was not completed in time. */
 export const headTooLate: ReadFault = { status: 408, reason: "head-too-late" };
 const faultsByCode: ReadonlyMap<string | undefined, ReadFault> = new Map<string, ReadFault>([
   ["HPE_HEADER_OVERFLOW", { status: 431, reason: "head-too-large" }],
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * as connections from "./connections/index.js";
 export * as errors from "./errors/index.js";
 export * as results from "./results.js";
 export * as utils from "./utils/index.js";
--- a/packages/gateway/src/requests/CallerAdmission.ts
+++ b/packages/gateway/src/requests/CallerAdmission.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import { utils } from "@shedtiller/common";
+import { connections, utils } from "@shedtiller/common";
 import type { CallerFields } from "../http/MessageCodec.js";
 import {
   admitCaller,
@@ -11,7 +11,6 @@
 import type { CallerListenerStructure } from "./CallerListener.js";
 import { getHeadBytes } from "./getHeadBytes.js";
 import { headTooLarge, stopping } from "./listenerRefusals.js";
-import { invalidRequest } from "./toReadFault.js";
 
 /**
  * Maximum time that a request waits for the first configuration. When 195 instances start at once, half of them have a configuration
@@ -79,7 +78,8 @@
     const { table } = activeConfiguration;
     if (table !== undefined && getHeadBytes(message) > table.configuration.limits.maxHeaderBytes)
       return headTooLarge;
-    if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
+    if (message.headers.host === undefined && message.httpVersion === "1.1")
+      return connections.invalidRequest;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
     const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
     const admitted = admitCaller(input, table, areKeysFresh);
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import { utils } from "@shedtiller/common";
+import { connections, utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
@@ -10,15 +10,13 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { AdmittedRequest, Refusal } from "./admitCaller.js";
 import { CallerAdmission } from "./CallerAdmission.js";
-import { CallerConnections } from "./CallerConnections.js";
+import { CallerFaultWriter } from "./CallerFaultWriter.js";
 import { CallerRequest } from "./CallerRequest.js";
 import { getCloseCause, type CloseCause } from "./getCloseCause.js";
 import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
 import { bodyTooLarge, failedBeforeRun, failedStatus, isLastRefusal, stopping } from "./listenerRefusals.js";
-import { readArrived } from "./readArrived.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal } from "./sendRefusal.js";
-import { headTooLate, invalidRequest, toReadFault } from "./toReadFault.js";
 import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
@@ -53,7 +51,7 @@
 /** Accepts the requests of callers and answers or rejects each of them. Each instance has one such listener. */
 export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
-  private readonly _connections = new CallerConnections();
+  private readonly _connections: connections.ServerConnections;
   private readonly _admission: CallerAdmission;
   /** The requests that have been passed to a forwarder and not ended. */
   private readonly _requests = new Set<CallerRequest>();
@@ -78,20 +76,9 @@
         void this._handle(message, response);
       },
     );
-    // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
-    Object.assign(this._server, { httpAllowHalfOpen: true });
-    this._server.on("connection", (socket) => void this._connections.get(socket));
+    this._connections = this._createConnections();
     this._server.on("connection", () => this._noteConnection());
     this._server.on("drop", (dropped) => this._noteDrop(dropped));
-    this._server.on("timeout", (socket) => void this._connections.get(socket).endIfSilent());
-    this._server.on("clientError", (error, socket) => {
-      // A server without TLS has no other streams.
-      this._noteInvalidBytes(error, socket as net.Socket);
-    });
-    this._server.on("connect", (message, socket) => {
-      this._connections.get(message.socket).fail(invalidRequest);
-      socket.resume();
-    });
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -152,7 +139,7 @@
    * @returns Whether the instance has stopped listening.
    */
   async tryStopAccepting(): Promise<boolean> {
-    await readArrived();
+    await connections.readArrived();
     if (this.isBusy) return false;
     closeListeningSocket(this._server);
     return true;
@@ -166,7 +153,7 @@
         "stopping",
         stopping.retryAfterMs,
       );
-    await readArrived();
+    await connections.readArrived();
   }
 
   /** Stops listening and closes all connections. */
@@ -195,21 +182,18 @@
     });
   }
 
-  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
-    const fault = toReadFault(error);
-    if (fault === undefined) return void socket.destroy();
-    const connection = this._connections.get(socket);
-    // The time for a head begins with its first byte.
-    if (fault === headTooLate && socket.bytesRead === 0)
-      return connection.awaitMore(this._server.keepAliveTimeout);
-    this._structure.log.info("connection-invalid", {
-      cause: error.code ?? String(error),
-      ...fault,
-      callerPort: socket.remotePort,
-      inProgress: connection.inProgress,
+  private _createConnections(): connections.ServerConnections {
+    return new connections.ServerConnections({
+      server: this._server,
+      writer: new CallerFaultWriter(),
+      onFault: (cause, fault, { remotePort, inProgress }) =>
+        this._structure.log.info("connection-invalid", {
+          cause,
+          ...fault,
+          callerPort: remotePort,
+          inProgress,
+        }),
     });
-    if (fault === headTooLate) void connection.failIfSilent(fault, this._server.headersTimeout);
-    else connection.fail(fault);
   }
 
   /** Reports why the connection of a request ended before its whole answer. */
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -1,5 +1,5 @@
 /** Rejections by the gateway itself. */
-import * as http from "node:http";
+import type * as http from "node:http";
 
 /** Reason for which the gateway itself ended a request. */
 export type RefusalReason =
@@ -54,15 +54,3 @@
   });
   response.end(body);
 }
-
-/** Returns the bytes of a rejection that answers no request in particular, after which the connection ends. */
-export function formatRefusal(status: number, reason: RefusalReason): string {
-  const body = JSON.stringify({ error: reason });
-  const lines = [
-    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
-    "Content-Type: application/json",
-    `Content-Length: ${body.length}`,
-    "Connection: close",
-  ];
-  return [...lines, "", body].join("\r\n");
-}
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -97,6 +97,32 @@
   await stopped;
 });
 
+// Guards against taking the beginning of a request for a part of the request in front of it.
+test("a request that is half read while another one is in progress is answered during a planned stop", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  const request = formatRequest("r2", "/a/x");
+  await caller.send(formatRequest("r1", "/a/x"));
+  await stop.endpoint.waitFor("r1");
+  await caller.send(request.slice(0, -2));
+  // The gateway has read the bytes above once a later request has been answered.
+  const other = connect(t, stop);
+  await other.send(formatRequest("r3", "/a/x"));
+  await stop.endpoint.waitFor("r3");
+  stop.endpoint.release("r3");
+  await other.waitForAnswers(1);
+  stop.endpoint.release("r1");
+  await caller.waitForAnswers(1);
+  const stopped = stop.run();
+  await stop.fixture.listener.closeIdle();
+  await caller.send(request.slice(-2));
+  await stop.endpoint.waitFor("r2");
+  stop.endpoint.release("r2");
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [200, 200]);
+  await stopped;
+});
+
 // Guards against a stop that closes the listening socket while connections with requests wait to be accepted.
 test("a request on a connection that has not been accepted is answered during a planned stop", async (t) => {
   const stop = await setUpStop(t);
