entry: connections of callers end only after the answers to the requests that were read from them

Callers saw, at the listener of an entry instance: 400 in the place of the answer to a request that runs, if bytes that are no request follow it; nothing if they end their sending half after the request; requests that run on behind another one on a connection that is gone; and a close of an idle connection whose next request had arrived, when the listener stops.

Change: the listener uses ServerConnections, with refusals in its own format.

The four tests failed before ([400], [], one abandoned request of two, no second answer). They pass now.

--- a/packages/entry/src/http/HttpListener.ts
+++ b/packages/entry/src/http/HttpListener.ts
@@ -1,11 +1,12 @@
 /** HTTP listener: a restify server with limits on header time, body size and connections. */
 import type * as http from "node:http";
-import type * as net from "node:net";
-import { errors, utils } from "@shedtiller/common";
+import * as net from "node:net";
+import { connections, errors, utils } from "@shedtiller/common";
 import type { InstanceSettings } from "@shedtiller/settings";
 import getRawBody from "raw-body";
 import * as restify from "restify";
 import { ApiError, sendError } from "./apiErrors.js";
+import { ApiFaultWriter } from "./ApiFaultWriter.js";
 
 /** Handles one request. An error that the handler throws is sent as the response. */
 export type Handler = (request: restify.Request, response: http.ServerResponse) => Promise<void> | void;
@@ -27,6 +28,9 @@
 export class HttpListener {
   private readonly _server: restify.Server;
   private readonly _sockets = new Set<net.Socket>();
+  private readonly _connections: connections.ServerConnections;
+  /** Requests that followed an announced end of their connection, and are not handled. */
+  private readonly _ignored = new WeakSet<http.IncomingMessage>();
 
   constructor(private readonly _structure: HttpListenerStructure) {
     const { limits, tls } = _structure;
@@ -37,6 +41,20 @@
       ...(tls === undefined ? {} : { certificate: tls.certificate, key: tls.key }),
       httpServerOptions: { maxHeaderSize: limits.headerSizeBytes },
     } as restify.ServerOptions);
+    this._connections = new connections.ServerConnections({
+      server: this._httpServer,
+      writer: new ApiFaultWriter(),
+      onFault: () => undefined,
+    });
+    // Restify calls its handlers later, and what follows the request may have been read by then.
+    this._httpServer.prependListener("request", (message, response) => {
+      if (!this._connections.get(message.socket).add(message, response)) this._ignored.add(message);
+    });
+    this._server.pre((request: restify.Request, _response: restify.Response, next: restify.Next) => {
+      if (!this._ignored.delete(request)) return next();
+      request.resume();
+      return next(false);
+    });
     this._server.use(restify.plugins.queryParser({ mapParams: false }));
     this._server.pre((request: restify.Request, response: restify.Response, next: restify.Next) => {
       if (Number(request.header("content-length") ?? 0) <= limits.bodySizeBytes) return next();
@@ -99,10 +117,11 @@
     server.setSecureContext?.({ cert: certificate, key });
   }
 
-  /** Stops accepting connections and closes idle ones; busy connections are closed after their requests. */
-  stopAccepting(): void {
-    if (this._httpServer.listening) this._httpServer.close();
-    this._httpServer.closeIdleConnections();
+  /** Stops accepting connections and closes idle ones; resolves once that is done. */
+  async stopAccepting(): Promise<void> {
+    // Unlike `close` of an HTTP server, this closes no connection on which a request has arrived that has not been read.
+    if (this._httpServer.listening) net.Server.prototype.close.call(this._httpServer);
+    await this._connections.closeIdle();
   }
 
   /** Stops accepting connections and resets all open ones. */
