common: bytes of a TLS handshake are no beginning of a request

A connection with TLS on which no request had arrived counted as one with the beginning of a request, so that a stop would refuse it with 503 after a second. Found by reading; the listener of entry instances is the only one with TLS.

--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -26,7 +26,7 @@
   /** Requests whose answers have not been written to the connection, in the order of their arrival. */
   private readonly _pending: PendingAnswer[] = [];
   /** Number of bytes that had been read when the last request was complete. */
-  private _requestBytes = 0;
+  private _requestBytes: number;
   private _isCloseAnnounced = false;
   private _lastMessage: http.IncomingMessage | undefined;
   /** What is wrong with the bytes behind the requests that were read. */
@@ -34,10 +34,16 @@
   /** How the caller is told that the rest of its request has not arrived. */
   private _silenceFault = headTooLate;
 
+  /**
+   * Takes charge of a socket.
+   * @param _handshakeBytes - Number of bytes that had been read before the first request could arrive.
+   */
   constructor(
     private readonly _socket: net.Socket,
     private readonly _writer: FaultWriter,
+    private readonly _handshakeBytes: number,
   ) {
+    this._requestBytes = _handshakeBytes;
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
     _socket.destroySoon = () => this._endAfterAnswers();
     _socket.once("end", () => this._noteCallerEnd());
@@ -49,6 +55,11 @@
     return this._socket.remotePort;
   }
 
+  /** Whether no byte of a request has ever arrived. */
+  get isUnused(): boolean {
+    return this._socket.bytesRead === this._handshakeBytes;
+  }
+
   /** Number of requests whose answers have not been written. */
   get inProgress(): number {
     return this._pending.length;
@@ -133,7 +144,7 @@
   stop(): void {
     this._silenceFault = stoppingFault;
     // The first request of a new connection may be on its way.
-    if (this._socket.bytesRead === 0) return;
+    if (this.isUnused) return;
     if (this.isIdle) this.close();
     else if (this._pending.length === 0) this.awaitMore(stoppingSilenceMs);
   }
--- a/packages/common/src/connections/ServerConnections.ts
+++ b/packages/common/src/connections/ServerConnections.ts
@@ -59,7 +59,8 @@
   }
 
   private _add(socket: net.Socket): ServerConnection {
-    const connection = new ServerConnection(socket, this._structure.writer);
+    const handshakeBytes = socket instanceof tls.TLSSocket ? socket.bytesRead : 0;
+    const connection = new ServerConnection(socket, this._structure.writer, handshakeBytes);
     this._connections.set(socket, connection);
     socket.once("close", () => this._connections.delete(socket));
     return connection;
