tests: a refusal is not lost by the rest of a body that is on its way

Guards the time for which ServerConnection reads on after the last answer. With Node's own end of the connection the test fails with a write error of its caller, as does the one for 413; both pass with the code as it is.

--- a/packages/gateway/src/tests/requests/callerLimitTests.ts
+++ b/packages/gateway/src/tests/requests/callerLimitTests.ts
@@ -1,6 +1,7 @@
 /** The limits of the configuration on what callers send, over real sockets. */
 import test from "ava";
-import { answer, recordRequests, setUp } from "./endpointHandlers.js";
+import { utils } from "@shedtiller/common";
+import { answer, generousMs, recordRequests, setUp } from "./endpointHandlers.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
 
 /** More than the configuration of the tests allows, and more than the buffers of both ends hold. */
@@ -20,6 +21,24 @@
   t.is(caller.error, undefined);
 });
 
+// Guards against a reset by the rest of a body whose request was refused before it had arrived.
+test("a caller that is refused while its body is on its way gets the refusal and no reset", async (t) => {
+  const fixture = await setUp(t, { kind: "unsafe" });
+  fixture.stopAfter(0);
+  fixture.listener.drain();
+  const caller = new RawCaller(fixture.port);
+  t.teardown(() => caller.close());
+  const request = formatRequest("r1", "/a/x", [], "first part, second part");
+  await caller.send(request.slice(0, -"second part".length));
+  await caller.waitForEnd();
+  // A reset shows with the write after the one that it answers.
+  for (const part of ["second", " ", "part"]) await caller.send(part);
+  caller.endSending();
+  await utils.waitUntil(() => caller.isClosed, generousMs);
+  t.deepEqual(caller.statuses, [503]);
+  t.is(caller.error, undefined);
+});
+
 // Guards against a limit of the configuration that is not applied because it is larger than what is read without one.
 test("a head is accepted up to a large limit of the configuration", async (t) => {
   const fixture = await setUp(t, { kind: "unsafe" });
