Merge branch 'callers': one owner of the end of each connection, in gateway and entry

Found in the join: headers that can't be decoded ended the process when their connection was beyond the limit; such a request is refused without an id now (the test failed with an uncaught exception before).

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -281,6 +281,7 @@
       denialFreshness: this._createDenialFreshness(),
       forward: (request) => this._forward(request),
       onRefused: (reason) => this.metrics.callerRefusals.inc({ reason }),
+      onUnanswered: (cause) => this.metrics.unansweredRequests.inc({ cause }),
     });
   }
 
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -44,6 +44,8 @@
   readonly hedges: prom.Counter<"service">;
   /** Requests of callers that were rejected before they were forwarded. */
   readonly callerRefusals: prom.Counter<"reason">;
+  /** Requests whose connections ended before their whole answers, by cause. */
+  readonly unansweredRequests: prom.Counter<"cause">;
   /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
   readonly zoneFlowChanges: prom.Counter<"service">;
   /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
@@ -144,6 +146,11 @@
       "Requests of callers rejected before they were forwarded, by reason",
       ["reason"],
     );
+    this.unansweredRequests = this._createCounter(
+      "unanswered_requests_total",
+      "Requests whose connections ended before their whole answers, by cause",
+      ["cause"],
+    );
     this.hedges = this._createCounter(
       "hedges_total",
       "Requests that were sent to a second endpoint while the first one had not answered, by service",
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,7 +1,6 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
-import type * as net from "node:net";
-import { utils } from "@shedtiller/common";
+import { connections, utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
@@ -10,16 +9,15 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { AdmittedRequest, Refusal } from "./admitCaller.js";
 import { CallerAdmission } from "./CallerAdmission.js";
-import { CallerConnections } from "./CallerConnections.js";
+import { CallerFaultWriter } from "./CallerFaultWriter.js";
 import { CallerRequest } from "./CallerRequest.js";
 import type { LimitedListener } from "./ConnectionGate.js";
 import { ConnectionRefuser } from "./ConnectionRefuser.js";
+import { getCloseCause, type CloseCause } from "./getCloseCause.js";
 import { bodyTooLarge, failedBeforeRun, failedStatus, isLastRefusal, stopping } from "./listenerRefusals.js";
 import { NewConnectionLimit, type ConnectionCounts } from "./NewConnectionLimit.js";
-import { readArrived } from "./readArrived.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
-import { headTooLate, invalidRequest, toReadFault } from "./toReadFault.js";
 import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
@@ -45,6 +43,8 @@
   readonly forward: (request: CallerRequest) => Promise<void>;
   /** Called for each request that is rejected before it is forwarded. */
   readonly onRefused?: (reason: RefusalReason) => void;
+  /** Called for each request whose connection ended before its whole answer. */
+  readonly onUnanswered?: (cause: CloseCause) => void;
   /** Maximum time that a request waits for the first configuration; replaced in tests. */
   readonly startupTimeoutMs?: number;
 }
@@ -52,13 +52,14 @@
 /** Accepts the requests of callers and answers or rejects each of them. Each instance has one such listener. */
 export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
-  private readonly _connections = new CallerConnections();
+  private readonly _connections: connections.ServerConnections;
   private readonly _connectionLimit = new NewConnectionLimit();
   private readonly _admission: CallerAdmission;
   /** The requests that have been passed to a forwarder and not ended. */
   private readonly _requests = new Set<CallerRequest>();
   private _inFlight = 0;
   private _isDraining = false;
+  private _isStopped = false;
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._admission = new CallerAdmission(_structure);
@@ -73,19 +74,8 @@
         void this._handle(message, response);
       },
     );
-    this._server.on("connection", (socket) => void this._connections.get(socket));
+    this._connections = this._createConnections();
     this._screenConnections();
-    // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
-    Object.assign(this._server, { httpAllowHalfOpen: true });
-    this._server.on("timeout", (socket) => void this._connections.get(socket).endIfSilent());
-    this._server.on("clientError", (error, socket) => {
-      // A server without TLS has no other streams.
-      this._noteInvalidBytes(error, socket as net.Socket);
-    });
-    this._server.on("connect", (message, socket) => {
-      this._connections.get(message.socket).fail(invalidRequest);
-      socket.resume();
-    });
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -137,10 +127,15 @@
     return this._connections.closeIdle();
   }
 
-  /** Accepts the connections that have reached this instance, then stops listening. Open connections stay. */
-  async stopAccepting(): Promise<void> {
-    await readArrived();
+  /**
+   * Accepts the connections that have reached this instance, and stops listening unless they brought requests. Open connections stay.
+   * @returns Whether the instance has stopped listening.
+   */
+  async tryStopAccepting(): Promise<boolean> {
+    await connections.readArrived();
+    if (this.isBusy) return false;
     closeListeningSocket(this._server);
+    return true;
   }
 
   /** Refuses the requests whose answers have not begun; resolves once the refusals have been written. */
@@ -151,11 +146,12 @@
         "stopping",
         stopping.retryAfterMs,
       );
-    await readArrived();
+    await connections.readArrived();
   }
 
   /** Stops listening and closes all connections. */
   close(): void {
+    this._isStopped = true;
     stopListening(this._server);
   }
 
@@ -179,24 +175,29 @@
     });
   }
 
-  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
-    const fault = toReadFault(error);
-    if (fault === undefined) return void socket.destroy();
-    const connection = this._connections.get(socket);
-    // The time for a head begins with its first byte.
-    if (fault === headTooLate && socket.bytesRead === 0)
-      return connection.awaitMore(this._server.keepAliveTimeout);
-    this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
-    if (fault === headTooLate) void connection.failIfSilent(fault, this._server.headersTimeout);
-    else connection.fail(fault);
+  private _createConnections(): connections.ServerConnections {
+    return new connections.ServerConnections({
+      server: this._server,
+      writer: new CallerFaultWriter(),
+      onFault: (cause, fault, { remotePort, inProgress }) =>
+        this._structure.log.info("connection-invalid", {
+          cause,
+          ...fault,
+          callerPort: remotePort,
+          inProgress,
+        }),
+    });
   }
 
-  /** Logs which side closed the connection of a request that has no whole answer. */
+  /** Reports why the connection of a request ended before its whole answer. */
   private _noteUnanswered({ socket }: http.IncomingMessage, fields: CallerFields, isHeadSent: boolean): void {
-    const side = socket.readableEnded || socket.errored !== null ? "caller" : "instance";
+    const hasCallerEnded = socket.readableEnded || socket.errored !== null;
+    const cause = getCloseCause({ hasCallerEnded, isStopped: this._isStopped });
+    this._structure.onUnanswered?.(cause);
     this._structure.log.info("request-unanswered", {
       requestId: fields.requestId,
-      closedBy: side,
+      closedBy: hasCallerEnded ? "caller" : "instance",
+      cause,
       isHeadSent,
     });
   }
--- a/packages/gateway/src/requests/ConnectionRefuser.ts
+++ b/packages/gateway/src/requests/ConnectionRefuser.ts
@@ -49,7 +49,7 @@
       isAnswered = true;
       const hasBody = !head.startsWith("HEAD ");
       socket.end(hasBody ? this._head + this._body : this._head);
-      this._onRefused(this._codec.decodeCaller(decodeHeaders(head)).requestId, reason);
+      this._onRefused(this._tryDecodeId(head), reason);
     };
     // A connection that is closed with unread bytes is reset, and the caller may lose the answer: the rest is read until the caller closes.
     socket.on("data", (part: Buffer) => {
@@ -73,6 +73,15 @@
     );
     socket.once("close", () => clearTimeout(timer));
   }
+
+  /** Returns the id of a request; undefined if its head can't be decoded. */
+  private _tryDecodeId(head: string): string | undefined {
+    try {
+      return this._codec.decodeCaller(decodeHeaders(head)).requestId;
+    } catch {
+      return undefined;
+    }
+  }
 }
 
 /** Returns the headers of a head, which may be incomplete, as alternating names and values. */
--- a/packages/gateway/src/tests/requests/ConnectionRefuserTests.ts
+++ b/packages/gateway/src/tests/requests/ConnectionRefuserTests.ts
@@ -2,7 +2,7 @@
 import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { ConnectionRefuser } from "../../requests/ConnectionRefuser.js";
-import { TestCodec } from "./GatewayFixture.js";
+import { TestCodec, undecodableId } from "./TestCodec.js";
 
 /** Starts a server that refuses every connection; returns its port and the ids of the refused requests. */
 async function listen(t: ExecutionContext): Promise<{ port: number; ids: (string | undefined)[] }> {
@@ -56,3 +56,11 @@
   t.is(await send(port, []), "");
   t.deepEqual(ids, []);
 });
+
+// Guards against an instance that ends since the headers of a refused request can't be decoded.
+test("a request whose headers can't be decoded is refused, without an id", async (t) => {
+  const { port, ids } = await listen(t);
+  const answer = await send(port, [`GET / HTTP/1.1\r\nx-id: ${undecodableId}\r\n\r\n`]);
+  t.true(answer.startsWith("HTTP/1.1 503 "), answer);
+  t.deepEqual(ids, [undefined]);
+});
