--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -1,7 +1,6 @@
 /** The HTTP server for callers: reads requests within size limits, resolves route and API key, and passes them to a forwarder. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import type { Duplex } from "node:stream";
 import { utils } from "@shedtiller/common";
 import type { ActiveConfiguration } from "../configuration/ActiveConfiguration.js";
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
@@ -18,16 +17,31 @@
 } from "./admitCaller.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerRequest } from "./CallerRequest.js";
-import type { ConnectionCounts, LimitedListener } from "./ConnectionGate.js";
-import { sendRefusal } from "./sendRefusal.js";
+import type { LimitedListener } from "./ConnectionGate.js";
+import { ConnectionRefuser } from "./ConnectionRefuser.js";
+import { getHeadBytes } from "./getHeadBytes.js";
+import {
+  bodyTooLarge,
+  failedBeforeRun,
+  failedStatus,
+  headTooLarge,
+  isLastRefusal,
+  stopping,
+} from "./listenerRefusals.js";
+import { NewConnectionLimit, type ConnectionCounts } from "./NewConnectionLimit.js";
+import { readCallerBody } from "./readCallerBody.js";
+import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
+import { invalidRequest, toReadFault } from "./toReadFault.js";
+import { unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
-const maxHeaderBytes = 64 * 1024;
+/** Size of the heads that are read at least; a request that is over the limit of the configuration can then be named in the log. */
+const minHeaderBytes = 64 * 1024;
+/** Interval in which connections are checked for heads that take too long; Node's own is longer than the time for a head. */
+const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
 const acceptBacklog = 1_024;
-/** Retry-After of a stopping instance: the caller should retry at once, over a new connection to another instance. */
-const stoppingRetryAfterMs = 20;
 
 /**
  * Maximum time that a request waits for the first configuration. When 195 instances start at once, half of them have a configuration
@@ -50,8 +64,8 @@
   /** Whether the configuration is recent enough to reject unknown routes and keys permanently. */
   readonly denialFreshness: Pick<DenialFreshness, "isFresh" | "waitUntilFresh">;
   readonly forward: (request: CallerRequest) => Promise<void>;
-  /** Called for each connection that is closed unread because of the limit on new ones. */
-  readonly onDropped?: () => void;
+  /** Called for each request that is rejected before it is forwarded. */
+  readonly onRefused?: (reason: RefusalReason) => void;
   /** Maximum time that a request waits for the first configuration; replaced in tests. */
   readonly startupTimeoutMs?: number;
 }
@@ -60,24 +74,34 @@
 export class CallerListener implements LimitedListener {
   private readonly _server: http.Server;
   private readonly _connections = new CallerConnections();
+  private readonly _connectionLimit = new NewConnectionLimit();
   private _inFlight = 0;
-  private _accepted = 0;
-  private _dropped = 0;
-  private _acceptLimit: number | undefined;
-  private _acceptedSinceLimit = 0;
   private _isDraining = false;
   private _stopAtMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly _structure: CallerListenerStructure) {
     this._server = http.createServer(
-      { maxHeaderSize: maxHeaderBytes, requestTimeout: 0 },
+      {
+        maxHeaderSize: minHeaderBytes,
+        requestTimeout: 0,
+        requireHostHeader: false,
+        connectionsCheckingInterval: headerCheckIntervalMs,
+      },
       (message, response) => {
         void this._handle(message, response);
       },
     );
-    this._server.on("connection", () => this._noteConnection());
-    this._server.on("drop", (dropped) => this._noteDrop(dropped));
-    this._server.on("clientError", (error, socket) => this._noteInvalidBytes(error, socket));
+    this._screenConnections();
+    // Not part of Node's types. Without it, Node ends a connection when the caller ends its sending half.
+    Object.assign(this._server, { httpAllowHalfOpen: true });
+    this._server.on("clientError", (error, socket) => {
+      // A server without TLS has no other streams.
+      this._noteInvalidBytes(error, socket as net.Socket);
+    });
+    this._server.on("connect", (message, socket) => {
+      this._connections.get(message.socket).fail(invalidRequest);
+      socket.resume();
+    });
     _structure.activeConfiguration.onChanged((table) => this._applyLimits(table.configuration.limits));
   }
 
@@ -87,21 +111,17 @@
   }
 
   /**
-   * Limits how many connections are accepted until the next call. Further ones are closed unread, and answers end their connections.
+   * Limits how many new connections are served until the next call. The requests of further ones are rejected, and answers end their
+   * connections.
    * @param limit - Number of connections, or undefined for no limit.
    */
   setAcceptLimit(limit: number | undefined): void {
-    this._acceptLimit = limit;
-    this._acceptedSinceLimit = 0;
-    this._applyAcceptLimit();
+    this._connectionLimit.set(limit);
   }
 
-  /** Returns how many connections were accepted and closed unread since the last call. */
+  /** Returns how many connections were accepted and refused since the last call. */
   takeConnectionCounts(): ConnectionCounts {
-    const counts = { accepted: this._accepted, dropped: this._dropped };
-    this._accepted = 0;
-    this._dropped = 0;
-    return counts;
+    return this._connectionLimit.takeCounts();
   }
 
   /** Starts to listen; resolves once the port is open. */
@@ -135,28 +155,29 @@
 
   /** Whether answers end their connections, so that callers reach another instance with their next requests. */
   private get _endsConnections(): boolean {
-    return this._isDraining || this._acceptLimit !== undefined;
-  }
-
-  private _noteConnection(): void {
-    this._accepted += 1;
-    this._acceptedSinceLimit += 1;
-    this._applyAcceptLimit();
+    return this._isDraining || this._connectionLimit.isSet;
   }
 
-  private _noteDrop(dropped: net.DropArgument | undefined): void {
-    this._dropped += 1;
-    this._structure.onDropped?.();
-    this._structure.log.info("connection-dropped", {
-      callerPort: dropped?.remotePort,
-      acceptLimit: this._acceptLimit,
+  /** Passes new connections to the HTTP server unless they are beyond the limit. */
+  private _screenConnections(): void {
+    const { codec, log, onRefused } = this._structure;
+    const refuser = new ConnectionRefuser(codec, (requestId, reason) => {
+      onRefused?.(reason);
+      log.warn("request-refused", { requestId, reason });
+    });
+    const serve = this._server.listeners("connection");
+    this._server.removeAllListeners("connection");
+    this._server.on("connection", (socket) => {
+      if (!this._connectionLimit.tryAccept()) return refuser.refuse(socket);
+      for (const listener of serve) listener.call(this._server, socket);
     });
   }
 
-  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (error.code !== "ECONNRESET")
-      this._structure.log.info("connection-invalid", { cause: error.code ?? String(error) });
-    socket.destroy();
+  private _noteInvalidBytes(error: NodeJS.ErrnoException, socket: net.Socket): void {
+    const fault = toReadFault(error);
+    if (fault === undefined) return void socket.destroy();
+    this._structure.log.info("connection-invalid", { cause: error.code ?? String(error), ...fault });
+    this._connections.get(socket).fail(fault);
   }
 
   /** Logs which side closed the connection of a request that has no whole answer. */
@@ -169,43 +190,68 @@
     });
   }
 
-  private _applyAcceptLimit(): void {
-    const isReached = this._acceptLimit !== undefined && this._acceptedSinceLimit >= this._acceptLimit;
-    // Node closes a connection unread if there are this many open ones; it takes 0 for no limit.
-    this._server.maxConnections = isReached ? 1 : Number.MAX_SAFE_INTEGER;
-  }
-
   private _applyLimits(limits: CallerLimits): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+    // Not part of Node's types; applies to new connections.
+    Object.assign(this._server, { maxHeaderSize: Math.max(minHeaderBytes, limits.maxHeaderBytes) });
     this._server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs;
   }
 
   private async _handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAtMs = utils.monotonicMs();
+    if (!this._connections.get(message.socket).add(message, response)) return this._ignore(message);
+    let fields = unreadFields;
+    let request: CallerRequest | undefined;
     this._inFlight += 1;
-    this._connections.add(message, response);
-    const fields = this._structure.codec.decodeCaller(message.rawHeaders);
     response.once("close", () => {
       this._inFlight -= 1;
       if (!response.writableFinished) this._noteUnanswered(message, fields, response.headersSent);
     });
     response.on("error", () => undefined);
     try {
+      fields = this._structure.codec.decodeCaller(message.rawHeaders);
       await this._structure.activeConfiguration.waitUntilLoaded(this._getMaxWaitMs(fields));
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       const admitted = await this._admitWhenFresh(message, fields);
-      if (response.destroyed) return;
+      if (isOver(response)) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
-      if (body === undefined)
-        return this._refuse(message, response, fields, { status: 413, reason: "body-too-large" });
-      await this._forward(message, response, fields, admitted, body, arrivedAtMs);
+      if (body === "cut") return;
+      if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
+      request = this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
+      await this._forward(request);
     } catch (error) {
       this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
-      response.destroy();
+      if (isOver(response)) return;
+      // A request that was passed to a forwarder may have run, or may still run.
+      if (request === undefined) this._refuse(message, response, fields, failedBeforeRun);
+      else request.refuse(failedStatus, "failed");
     }
   }
 
+  /** Reads a request that followed an announced close and is not processed. */
+  private _ignore(message: http.IncomingMessage): void {
+    message.resume();
+    const { requestId } = this._tryDecode(message);
+    this._structure.log.info("request-ignored", { requestId, cause: "close-announced" });
+  }
+
+  private _tryDecode({ rawHeaders }: http.IncomingMessage): CallerFields {
+    try {
+      return this._structure.codec.decodeCaller(rawHeaders);
+    } catch {
+      return unreadFields;
+    }
+  }
+
+  /**
+   * Decides, as the head of an answer is written, whether the connection ends after it.
+   * @param isWanted - Whether the connection should end after the answers to all requests that were read.
+   */
+  private _endsConnection(response: http.ServerResponse, isWanted = this._endsConnections): boolean {
+    return isWanted && this._connections.get(response.req.socket).announceClose(response);
+  }
+
   private _getMaxWaitMs({ deadlineMs }: CallerFields): number {
     const maxWaitMs = this._structure.startupTimeoutMs ?? maxStartupWaitMs;
     return Math.min(maxWaitMs, (deadlineMs ?? Number.POSITIVE_INFINITY) * startupDeadlineShare);
@@ -229,27 +275,28 @@
 
   private _admit(message: http.IncomingMessage, fields: CallerFields): AdmittedRequest | Refusal {
     const { activeConfiguration, areKeysFresh } = this._structure;
+    const { table } = activeConfiguration;
+    if (table !== undefined && getHeadBytes(message) > table.configuration.limits.maxHeaderBytes)
+      return headTooLarge;
+    if (message.headers.host === undefined && message.httpVersion === "1.1") return invalidRequest;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
     const input = { host, path: message.url ?? "/", apiKey: fields.apiKey };
-    const admitted = admitCaller(input, activeConfiguration.table, areKeysFresh);
+    const admitted = admitCaller(input, table, areKeysFresh);
     if ("reason" in admitted) return admitted;
     const timeoutMs = Math.min(fields.deadlineMs ?? Number.POSITIVE_INFINITY, admitted.route.timeoutMs);
     if (utils.monotonicMs() + timeoutMs <= this._stopAtMs) return admitted;
-    return { status: 503, reason: "stopping", retryAfterMs: stoppingRetryAfterMs };
+    return stopping;
   }
 
-  private async _forward(
+  private _createRequest(
     message: http.IncomingMessage,
     response: http.ServerResponse,
     fields: CallerFields,
-    admitted: AdmittedRequest,
+    { route, account }: AdmittedRequest,
     body: Buffer,
     arrivedAtMs: number,
-  ): Promise<void> {
-    const { codec, forward, log } = this._structure;
-    const { route, account } = admitted;
-    const isDraining = (): boolean => this._endsConnections;
-    const request = new CallerRequest({
+  ): CallerRequest {
+    return new CallerRequest({
       message,
       response,
       fields,
@@ -257,15 +304,19 @@
       account,
       body,
       arrivedAtMs,
-      codec,
-      isDraining,
+      codec: this._structure.codec,
+      endsConnection: () => this._endsConnection(response),
     });
+  }
+
+  private async _forward(request: CallerRequest): Promise<void> {
+    const { forward, log } = this._structure;
     await forward(request);
-    const tookMs = Math.round(utils.monotonicMs() - arrivedAtMs);
+    const tookMs = Math.round(utils.monotonicMs() - request.arrivedAtMs);
     const outcome = request.signal.aborted && request.outcome === "open" ? "caller-left" : request.outcome;
     log.info("request-ended", {
       requestId: request.id,
-      route: route.name,
+      route: request.route.name,
       outcome,
       attempts: request.attempts,
       tookMs,
@@ -287,8 +338,9 @@
       refusal.status,
       refusal.reason,
       codec.encodeRefusal(refusal.retryAfterMs),
-      this._endsConnections,
+      this._endsConnection(response, this._endsConnections || isLastRefusal(refusal)),
     );
+    this._structure.onRefused?.(refusal.reason);
     log.warn("request-refused", {
       requestId: fields.requestId,
       host: message.headers.host,
@@ -300,14 +352,7 @@
   }
 }
 
-/** Reads the whole body; returns undefined if it is larger than `maxBytes`. */
-async function readCallerBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+/** Whether the request has been answered, or its caller has left. */
+function isOver(response: http.ServerResponse): boolean {
+  return response.destroyed || response.writableEnded;
 }
--- a/packages/gateway/src/requests/sendRefusal.ts
+++ b/packages/gateway/src/requests/sendRefusal.ts
@@ -1,15 +1,22 @@
 /** Rejections by the gateway itself. */
-import type * as http from "node:http";
+import * as http from "node:http";
 
 /** Reason for which the gateway itself ended a request. */
 export type RefusalReason =
   | "stopping"
+  /** This instance is overloaded, and another one has room. */
+  | "overloaded"
   | "no-configuration"
   | "stale-configuration"
   | "no-route"
   | "no-key"
   | "unknown-key"
   | "body-too-large"
+  /** The bytes are no request. */
+  | "invalid-request"
+  | "head-too-large"
+  /** The head of the request was not completed in time. */
+  | "head-too-late"
   | "no-endpoint"
   /** This instance reaches no endpoint, neither directly nor through a peer. */
   | "isolated"
@@ -24,6 +31,8 @@
   | "resting"
   | "held-back"
   | "not-run"
+  /** An error of this instance. */
+  | "failed"
   | "outcome-unknown"
   | "out-of-time";
 
@@ -47,3 +56,15 @@
   });
   response.end(body);
 }
+
+/** Returns the bytes of a rejection that answers no request in particular, after which the connection ends. */
+export function formatRefusal(status: number, reason: RefusalReason): string {
+  const body = JSON.stringify({ error: reason });
+  const lines = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
+    "Content-Type: application/json",
+    `Content-Length: ${body.length}`,
+    "Connection: close",
+  ];
+  return [...lines, "", body].join("\r\n");
+}
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -7,7 +7,7 @@
 import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "../../configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "../../configuration/DenialFreshness.js";
-import type { Route } from "../../configuration/gatewayConfiguration.js";
+import type { CallerLimits, Route } from "../../configuration/gatewayConfiguration.js";
 import { CrashDetector } from "../../crashes/CrashDetector.js";
 import { probeConnection, type ProbeResult } from "@shedtiller/crashes";
 import { EndpointStatements } from "../../discovery/EndpointStatements.js";
@@ -26,6 +26,7 @@
 } from "../../http/MessageCodec.js";
 import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
+import type { LogOutput } from "../../logs/LogOutput.js";
 import {
   EngineOrders,
   OrderRefusedError,
@@ -45,6 +46,7 @@
 import { createConfiguration, createListed, profile } from "../testData.js";
 import { createPermitDependencies } from "../createPermitDependencies.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
+import { getFreePort } from "./getFreePort.js";
 
 /** A timeout that no test reaches, so that the speed of a test does not affect its result. */
 const generousMs = 60_000;
@@ -60,9 +62,13 @@
   return text === undefined ? { kind: "none" } : { kind: "named", afterMs: Number(text) };
 }
 
+/** Id of a request whose headers make the codec fail. */
+export const undecodableId = "undecodable";
+
 /** Codec of the tests' headers `x-id`, `x-key`, `x-last`, `x-parts`, `x-not-run`, `x-limit`, `x-rest-ms` and `x-leaving`. */
 class TestCodec extends MessageCodec {
   override decodeCaller(headers: RawHeaders): CallerFields {
+    if (lookUp(headers, "x-id") === undecodableId) throw new Error("These headers can't be decoded.");
     return {
       requestId: lookUp(headers, "x-id"),
       deadlineMs: undefined,
@@ -163,6 +169,8 @@
   /** The decisions under load; none is on unless a test sets it. */
   readonly controls: TestControls = { gates: this.gates, flows: undefined };
   areKeysFresh = true;
+  /** Receives the log lines; set before the start. */
+  logOutput: LogOutput = new SilentLogOutput();
   /** Engines that answer questions and orders; set before the start. */
   orders: EngineOrders = new RejectingOrders();
   /** Generous unless a test sets it before the start. */
@@ -190,7 +198,7 @@
 
   /** Starts the gateway without a configuration. */
   async listen(route: Route): Promise<void> {
-    const log = new DecisionLog(new SilentLogOutput(), utils.monotonicMs);
+    const log = new DecisionLog(this.logOutput, utils.monotonicMs);
     const budgets = new RetryBudgets(this.retryBudget);
     budgets.setInstanceCount(1);
     const codec = new TestCodec();
@@ -278,6 +286,16 @@
     this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
   }
 
+  /** Changes the limits on callers. */
+  setLimits(changes: Partial<CallerLimits>): void {
+    const { table } = this.activeConfiguration;
+    if (table === undefined) throw new Error("The gateway has no configuration.");
+    const { configuration } = table;
+    const limits = { ...configuration.limits, ...changes };
+    this.activeConfiguration.accept({ ...configuration, version: configuration.version + 1, limits });
+    this.activeConfiguration.confirmFreshness(this.activeConfiguration.version, utils.monotonicMs());
+  }
+
   get port(): number {
     return this._port;
   }
@@ -374,11 +392,3 @@
     return (server.address() as net.AddressInfo).port;
   }
 }
-
-async function getFreePort(): Promise<number> {
-  const server = http.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
