--- a/packages/gateway/src/tests/paths/TunnelTests.ts
+++ b/packages/gateway/src/tests/paths/TunnelTests.ts
@@ -3,7 +3,7 @@
 import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { errors, results, utils } from "@shedtiller/common";
-import type { RequestHandler, UpgradeHandler } from "@shedtiller/membership";
+import type { NoticeHandler, RequestHandler, UpgradeHandler } from "@shedtiller/membership";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { Connection } from "../../http/Connector.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
@@ -26,10 +26,12 @@
   /** Address of the endpoint. */
   readonly address: string;
   readonly peerPort: number;
-  /** Whether the peer has a link to the instance. */
-  readonly linkState: { isLinked: boolean };
+  /** Whether the peer has an open link to the instance, whether its notices arrive, and how many requests to it fail from now on. */
+  readonly linkState: { isLinked: boolean; deliversNotices: boolean; failedRequests: number };
   /** Connections at the endpoint. */
   readonly accepted: net.Socket[];
+  /** Replaces the link between the instance and the peer. */
+  readonly relink: () => void;
   /** Ends the process of the peer: its connections close, and it answers nothing any more. */
   readonly killPeer: () => void;
 }
@@ -54,6 +56,8 @@
   const paths = new EndpointPaths({ endpoints, log });
   const requestHandlers = new Map<string, RequestHandler>();
   const upgradeHandlers = new Map<string, UpgradeHandler>();
+  const noticeHandlers = new Map<string, NoticeHandler>();
+  const linkedListeners: (() => void)[] = [];
   const sockets = new Set<net.Socket>();
   const listener = http.createServer();
   listener.on("connection", (socket: net.Socket) => sockets.add(socket));
@@ -62,33 +66,42 @@
   );
   const peerPort = await listen(listener);
   const self = { name: "front-1", availabilityZone: "east" };
-  const linkState = { isLinked: true };
+  const peer = { ...toMember({ name: "front-2", availabilityZone: "east" }), address: "" };
+  const linkState = { isLinked: true, deliversNotices: false, failedRequests: 0 };
   const server = new TunnelServer({
     membership: {
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
       onUpgrade: (path, handler) => void upgradeHandlers.set(path, handler),
-      notifyAll: () => undefined,
-      getLinked: () => (linkState.isLinked ? [toMember(self)] : []),
+      notifyAll: (topic, body, isRecipient = () => true) => {
+        if (linkState.deliversNotices && isRecipient(toMember(self))) noticeHandlers.get(topic)?.(body, peer);
+      },
+      onLinked: (listener) => void linkedListeners.push(() => listener(self)),
+      hasOpenLink: () => linkState.isLinked,
     },
     peerAddress: `${host}:${peerPort}`,
     endpoints,
     paths,
     log,
   });
-  const peer = { ...toMember({ name: "front-2", availabilityZone: "east" }), address: "" };
   const client = new TunnelClient({
     membership: {
       self,
       getLinked: () => [peer],
-      onLinked: () => undefined,
-      onNotice: () => undefined,
+      // The requester registers the link before it reads what the peer sends over it.
+      onLinked: (listener) => void linkedListeners.unshift(() => listener(peer)),
+      onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
       request: async (name, topic, body) => {
         const handler = requestHandlers.get(topic);
-        if (handler === undefined) return results.Err(new errors.ConnectionLostError(name));
+        const isLost = linkState.failedRequests > 0;
+        if (isLost) linkState.failedRequests -= 1;
+        if (handler === undefined || isLost) return results.Err(new errors.ConnectionLostError(name));
         return results.Ok(await handler(body, self));
       },
     },
   });
+  const relink = (): void => {
+    for (const listener of linkedListeners) listener();
+  };
   const killPeer = (): void => {
     requestHandlers.clear();
     for (const socket of sockets) socket.destroy();
@@ -99,7 +112,7 @@
     listener.close();
     endpoint.close();
   });
-  return { client, server, paths, address, peerPort, accepted, linkState, killPeer };
+  return { client, server, paths, address, peerPort, accepted, linkState, relink, killPeer };
 }
 
 async function open(pair: TunnelPair): Promise<Connection> {
@@ -189,6 +202,19 @@
   t.false(await getEnd(() => pair.killPeer()));
 });
 
+// Guards against a whole answer without a length that counts as cut since the link to the peer is replaced at its end.
+test("the end of a tunnel is asked for again while there is no link to the peer", async (t) => {
+  const pair = await createPair(t);
+  const { socket, path } = await open(pair);
+  socket.resume();
+  const isClosed = new Promise((resolve) => socket.once("close", resolve));
+  pair.accepted[0]?.end("the rest");
+  await isClosed;
+  pair.linkState.failedRequests = 2;
+  t.true(path !== undefined && (await pair.client.wasClosedByServer(path)));
+  t.is(pair.linkState.failedRequests, 0);
+});
+
 test("a peer forwards no connection over a path that it has lost itself, to an unknown address, or while it stops", async (t) => {
   const pair = await createPair(t);
   t.deepEqual(await getFailure(pair, `${host}:1`), ["unknown"]);
@@ -200,6 +226,18 @@
   t.is(pair.accepted.length, 0);
 });
 
+// Guards against requests that are sent through a peer that stops, and end unanswered at its stop deadline.
+test("a peer that stops takes no further requests over its tunnels, even if the link to it is replaced", async (t) => {
+  const pair = await createPair(t);
+  pair.linkState.deliversNotices = true;
+  await open(pair);
+  t.false(pair.client.isLeaving("front-2"));
+  pair.server.leave();
+  t.true(pair.client.isLeaving("front-2"));
+  pair.relink();
+  t.true(pair.client.isLeaving("front-2"));
+});
+
 test("a connection without a valid ticket is rejected", async (t) => {
   const pair = await createPair(t);
   const status = await new Promise((resolve) => {
