gateway: requests go to engines in doubt, one at a time, when too few others are left

What callers saw: streams were refused with `no-room` while most slots of the engines were free. A silence of 1.5 s of all engines was enough.

Cause: a suspicion excluded an engine like a certain loss, also if all engines that could complete a chain were only silent.

Change: an engine whose suspicion rests on silence is in doubt. It ranks behind all others. The first event through the chain withdraws the suspicion, and so does any event of the engine after it. Certain losses, open circuits and engines that were told to be avoided exclude as before; moves and successors use no engine in doubt, as before. The log says `endpoint-tried` once a suspicion, with evidence and ages; the gauge `endpoints_tried` counts them, and `stream-refused` names the number.

--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -69,6 +69,11 @@
     "Endpoints that leave, by their own word or the list's",
     () => endpoints.getAll().filter(({ listed }) => listed.isDraining).length,
   );
+  metrics.addGauge(
+    "endpoints_tried",
+    "Endpoints in doubt that have a request of this instance, since too few others are left",
+    () => endpoints.getAll().filter(({ trials }) => trials > 0).length,
+  );
   metrics.addGauge("endpoints", "Endpoints listed", () => endpoints.getAll().length);
 }
 
--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -8,6 +8,7 @@
 import { createEntryCost, type EntryControls } from "./EntryCosts.js";
 import type { FirstEventForecast } from "./FirstEventForecast.js";
 import { findCheapestChain, type ChainCandidate, type ChainDemand } from "./findCheapestChain.js";
+import { getDoubtCostMs, getTrialEngines } from "./getTrialEngines.js";
 import {
   countLoadedLayers,
   getKind,
@@ -38,6 +39,11 @@
   readonly firstEvents?: Pick<FirstEventForecast, "getQueueCostMs"> | undefined;
 }
 
+interface TrialDemand extends ChainDemand {
+  /** Engines in doubt that may get the request. */
+  readonly tried?: ReadonlySet<Endpoint>;
+}
+
 /** Computes the cost of each engine for a request, and finds the cheapest chain of engines with free capacity. */
 export class ChainChooser {
   /**
@@ -53,12 +59,25 @@
 
   /**
    * Returns the cheapest chain with free capacity, or undefined if there is none. Engines that rejected the request before are used only
-   * if there is no other chain.
+   * if there is no other chain, and engines in doubt only if too few others are left.
    */
   choose(
     endpoints: readonly Endpoint[],
     profile: EngineProfile,
     demand: ChainDemand,
+  ): ChainStage[] | undefined {
+    const chain = this._chooseAvoidingRefusals(endpoints, profile, demand);
+    if (chain !== undefined || demand.mayProbe !== true) return chain;
+    const tried = getTrialEngines(endpoints, profile.layerCount, this._nowMs());
+    return tried.size === 0
+      ? undefined
+      : this._chooseAvoidingRefusals(endpoints, profile, { ...demand, tried });
+  }
+
+  private _chooseAvoidingRefusals(
+    endpoints: readonly Endpoint[],
+    profile: EngineProfile,
+    demand: TrialDemand,
   ): ChainStage[] | undefined {
     const chain = this._choosePreferringRoom(endpoints, profile, demand);
     const hasRefusals = demand.refusedBy !== undefined && demand.refusedBy.size > 0;
@@ -70,7 +89,7 @@
   private _choosePreferringRoom(
     endpoints: readonly Endpoint[],
     profile: EngineProfile,
-    demand: ChainDemand,
+    demand: TrialDemand,
   ): ChainStage[] | undefined {
     for (const assumedRestarts of getAssumptions(endpoints, demand)) {
       for (let draw = 0; draw < maxDraws; draw++) {
@@ -90,7 +109,7 @@
   private _choosePreferringRedundancy(
     endpoints: readonly Endpoint[],
     profile: EngineProfile,
-    demand: ChainDemand,
+    demand: TrialDemand,
   ): ChainStage[] | undefined {
     const chain = this._chooseAmong(endpoints, profile, demand);
     if (chain !== undefined || demand.redundantFirstEngine !== "preferred") return chain;
@@ -100,7 +119,7 @@
   private _chooseAmong(
     endpoints: readonly Endpoint[],
     profile: EngineProfile,
-    demand: ChainDemand,
+    demand: TrialDemand,
   ): ChainStage[] | undefined {
     const { layerCount } = profile;
     const completeZones = getCompleteZones(endpoints, layerCount, this._nowMs());
@@ -133,11 +152,12 @@
   private _toCandidates(
     endpoint: Endpoint,
     profile: EngineProfile,
-    demand: ChainDemand,
+    demand: TrialDemand,
     completeZones: ReadonlySet<string>,
   ): ChainCandidate[] {
     const nowMs = this._nowMs();
-    if (endpoint.isAvoided(nowMs)) return [];
+    const isTrial = demand.tried?.has(endpoint) === true;
+    if (endpoint.isAvoided(nowMs) && !isTrial) return [];
     // A moved stream keeps its first engine, whose back-off applies to new requests only.
     if (endpoint.backoff.getLeftMs(nowMs) > 0 && endpoint.id !== demand.firstEndpointId) return [];
     if (demand.refusedBy?.has(endpoint.listed.address) === true) return [];
@@ -161,12 +181,14 @@
     // Compares all requests at the engine with its slots, since the load that peers report includes requests that begin elsewhere.
     const canBeFirst = load.requests < endpoint.listed.slots && endpoint.hasPermit(nowMs);
     const queueMs = this._controls.firstEvents?.getQueueCostMs(endpoint, profile, demand) ?? 0;
+    const doubtMs = isTrial ? getDoubtCostMs(endpoint, nowMs) : 0;
     return endpoint.listed.layers.map(({ start, end }) => ({
       endpoint,
       start,
       end,
       msPerLayer,
       queueMs,
+      doubtMs,
       freeLayers,
       freeLayersCrossZone,
       canBeFirst,
--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -1,6 +1,7 @@
 /** The load that a request reserves at the engines of its chain. */
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import type { EndpointTrial } from "../discovery/EndpointTrial.js";
 import type { SendPermit } from "../discovery/SendPermit.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 
@@ -18,6 +19,8 @@
   private _loads: readonly ReservedLoad[] = [];
   private _isReleased = false;
   private _hasMoved = false;
+  /** Tests of engines of the first chain that were in doubt. */
+  private readonly _trials: readonly EndpointTrial[];
 
   constructor(
     private readonly _endpoints: EndpointTable,
@@ -32,6 +35,7 @@
   ) {
     this.move(stages);
     this._hasMoved = false;
+    this._trials = _endpoints.beginTrials(stages.map((stage) => stage.endpointId));
   }
 
   get stages(): readonly ChainStage[] {
@@ -54,6 +58,10 @@
       load.endpoint.addOwnLoad(0, 0, -load.promptTokens);
       return { ...load, promptTokens: 0 };
     });
+    for (const trial of this._trials) {
+      if (this._hasMoved) trial.end();
+      else trial.pass();
+    }
     if (!this._hasMoved) this._onPromptRead?.();
   }
 
@@ -69,6 +77,7 @@
 
   release(): void {
     this._removeLoads();
+    for (const trial of this._trials) trial.end();
     this._isReleased = true;
   }
 
--- a/packages/gateway/src/chains/findCheapestChain.ts
+++ b/packages/gateway/src/chains/findCheapestChain.ts
@@ -29,6 +29,8 @@
    * one has loaded them.
    */
   readonly redundantFirstEngine?: "preferred" | "required" | undefined;
+  /** Whether the request may test engines in doubt, since it can be repeated elsewhere and has crashed none. */
+  readonly mayProbe?: boolean | undefined;
   /** Addresses of engines that rejected this request; the cause of a rejection rarely ends within milliseconds. */
   readonly refusedBy?: ReadonlySet<string> | undefined;
 }
@@ -52,6 +54,8 @@
   readonly msPerLayer: number;
   /** Cost of the prompts in front at the engine. A chain has it for the engine with the highest one, which delays all others. */
   readonly queueMs: number;
+  /** Cost of an engine in doubt, which ranks it behind all others; 0 if omitted. */
+  readonly doubtMs?: number;
   /** Number of layers for which the tokens of the request still fit into memory. */
   readonly freeLayers: number;
   /** Number of these layers that a cross-zone chain may use. */
@@ -153,7 +157,11 @@
     const freeLayers = this._getFreeLayers(candidate);
     const queueMs = Math.max(label.queueMs, candidate.queueMs);
     const entryMs =
-      hopMs * this._demand.answerTokens + this._getZoneMs(label, candidate) + queueMs - label.queueMs;
+      hopMs * this._demand.answerTokens +
+      this._getZoneMs(label, candidate) +
+      (candidate.doubtMs ?? 0) +
+      queueMs -
+      label.queueMs;
     const { firstEnd } = this._demand;
     const last = Math.min(candidate.end, from + freeLayers);
     for (const to of this._boundaries) {
--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -26,6 +26,12 @@
 /** Stated requests count for this time, in which a plain endpoint answers several requests; afterwards those known from peers are newer. */
 const statedRequestsMs = 200;
 
+/** A sign within this time after the evidence of a suspicion may have been sent before the endpoint stopped. */
+const signMarginMs = 50;
+
+/** Number of running requests with which an instance tests an endpoint that has given no sign. */
+const maxTrials = 1;
+
 /** Separates the endpoint id from the start time of the process. Ids of the platform consist of letters, digits and dashes. */
 export const lifeSeparator = "@";
 
@@ -58,6 +64,12 @@
   heardAtMs = Number.NEGATIVE_INFINITY;
   /** Number of consecutive suspicions without a heartbeat between them. */
   suspicions = 0;
+  /** Running requests of this instance that test the endpoint while it is in doubt. */
+  trials = 0;
+  /** Monotonic time of the last trial. */
+  triedAtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic time of the next trial after one without a result. */
+  nextTrialAtMs = 0;
   /** The load at which the endpoint last rejected a request for lack of capacity. */
   private _observedCapacity: { readonly tokenLayers: number; readonly untilMs: number } | undefined;
   /** Factor by which the endpoint is slower than its accelerator kind, as it reports itself; 1 is nominal. */
@@ -216,8 +228,31 @@
     return isBlocked || (!mayProbe && this.isRecovering(nowMs));
   }
 
-  /** Returns whether this instance sends no new work to the endpoint, since it is suspect, was avoided or has failed requests. */
+  /**
+   * Returns whether this instance sends no new work to the endpoint unless too few others are left, since it is suspect, was avoided or has
+   * failed requests.
+   */
   isAvoided(nowMs: number): boolean {
-    return this.isSuspect(nowMs) || nowMs < this.avoidedUntilMs || this.circuitBreaker.isOpen(nowMs);
+    return (this.isSuspect(nowMs) && !this._hasGivenSign()) || this._isExcluded(nowMs);
+  }
+
+  /** Returns whether nothing speaks against the endpoint but its silence, so that it may still work. */
+  isInDoubt(nowMs: number): boolean {
+    const isSilent = this.isSuspect(nowMs) && this.evidence !== "lost" && !this._hasGivenSign();
+    return isSilent && !this._isExcluded(nowMs);
+  }
+
+  /** Returns whether a request may test the endpoint while it is in doubt. */
+  mayBeTried(nowMs: number): boolean {
+    return this.trials < maxTrials && nowMs >= this.nextTrialAtMs;
+  }
+
+  /** Returns whether the endpoint answered or sent an event after its suspicion for silence. */
+  private _hasGivenSign(): boolean {
+    return this.evidence === "unanswered" && this.heardAtMs > this.suspectedAtMs + signMarginMs;
+  }
+
+  private _isExcluded(nowMs: number): boolean {
+    return nowMs < this.avoidedUntilMs || this.circuitBreaker.isOpen(nowMs);
   }
 }
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -1,6 +1,7 @@
 import { utils } from "@shedtiller/common";
 import type { Change } from "./ChangeFeed.js";
 import { Endpoint, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
+import { EndpointTrial } from "./EndpointTrial.js";
 import { areSameLayers } from "./layerSpans.js";
 import type { LayerSpan, ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
 import { isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
@@ -35,11 +36,11 @@
 const minHeartbeatDelayMs = 1_000;
 
 /**
- * A change of an endpoint; `restarted` replaces `gone` if a new process runs under the same id, and `confirmed` follows `suspected` if
- * stronger evidence arrives.
+ * A change of an endpoint; `restarted` replaces `gone` if a new process runs under the same id, `confirmed` follows `suspected` if stronger
+ * evidence arrives, and `tried` if the endpoint gets a request nevertheless.
  */
 export type EndpointEvent =
-  "added" | "draining" | "gone" | "restarted" | "layers" | "suspected" | "confirmed" | "cleared";
+  "added" | "draining" | "gone" | "restarted" | "layers" | "suspected" | "confirmed" | "tried" | "cleared";
 /** How a report on an endpoint relates to the known life of the endpoint's process. */
 export type LifeOrder = "same" | "newer" | "earlier";
 export type EndpointListener = (endpoint: Endpoint, event: EndpointEvent) => void;
@@ -229,6 +230,19 @@
     return true;
   }
 
+  /** Begins the trials of those of some endpoints that are in doubt, since a request is sent to them. */
+  beginTrials(ids: readonly string[]): EndpointTrial[] {
+    const nowMs = this._nowMs();
+    return ids.flatMap((id) => {
+      const endpoint = this._endpoints.get(id);
+      if (endpoint?.isInDoubt(nowMs) !== true) return [];
+      const isFirst = endpoint.triedAtMs < endpoint.suspectedAtMs;
+      const trial = new EndpointTrial(this, endpoint, this._nowMs);
+      if (isFirst) this._notify(endpoint, "tried");
+      return [trial];
+    });
+  }
+
   /** Withdraws a suspicion that turned out to be wrong. */
   clear(id: string): void {
     const endpoint = this._endpoints.get(id);
--- a/packages/gateway/src/discovery/EndpointWatch.ts
+++ b/packages/gateway/src/discovery/EndpointWatch.ts
@@ -1,5 +1,7 @@
+import { utils } from "@shedtiller/common";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { isCutOff, type Change, type ChangeFeed, type StoreError } from "./ChangeFeed.js";
+import type { Endpoint } from "./Endpoint.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { FeedFollower, type FollowOptions } from "./FeedFollower.js";
 import { describeLayers } from "./layerSpans.js";
@@ -68,6 +70,7 @@
         address: listed.address,
         zone: listed.availabilityZone,
         layers: describeLayers(listed.layers),
+        ...(event === "tried" ? describeDoubt(endpoint, utils.monotonicMs()) : undefined),
       });
     });
   }
@@ -115,3 +118,12 @@
     else this._endpoints.updateKnown(values);
   }
 }
+
+/** Describes why an endpoint is in doubt, with the age of the evidence. */
+function describeDoubt({ evidence, suspectedAtMs, heardAtMs }: Endpoint, nowMs: number): object {
+  return {
+    evidence,
+    evidenceAgeMs: Math.round(nowMs - suspectedAtMs),
+    heardMsAgo: Number.isFinite(heardAtMs) ? Math.round(nowMs - heardAtMs) : undefined,
+  };
+}
--- a/packages/gateway/src/requests/StreamPlacement.ts
+++ b/packages/gateway/src/requests/StreamPlacement.ts
@@ -51,6 +51,8 @@
         availabilityZone: this._context.availabilityZone,
         targetLatencyMs: target?.targetLatencyMs,
         refusedBy: avoided,
+        // A successor at an engine in doubt would spend a retry on what the run in doubt shows already.
+        mayProbe: request.isIdempotent && risk === "none" && options.avoided === undefined,
         isRandomized: isRestart,
         assumedRestarts: isRestart ? this._context.restarts.getAssumed() : undefined,
         redundantFirstEngine: redundancyByRisk[risk],
--- a/packages/gateway/src/requests/StreamRefusals.ts
+++ b/packages/gateway/src/requests/StreamRefusals.ts
@@ -48,6 +48,7 @@
           ? this._context.forecast.describeBlocks(service)
           : undefined,
       suspected: endpoints.filter((endpoint) => endpoint.isSuspect(nowMs)).length,
+      tried: endpoints.filter(({ trials }) => trials > 0).length,
       room: profile === undefined ? undefined : describeFreeCapacity(endpoints, profile, nowMs),
     });
     if (reason === "less-urgent") noteRefusedAfterGates(this._context, request, service, retryAfterMs);
