gateway: the time for which this process was held up does not count against an endpoint

What callers saw: streams left sound engines, and new ones were refused, after an instance had been held up (a share of a core, a large version, a suspension): it read the answers to its questions after their timeouts.

Cause: a timer that is late fires before the answer is read that arrived meanwhile, so that a missing report was taken for silence of the engine. The same in the checks of reported suspicions, of missing layers and of the leader's lost engines. EngineInquiry noticed it, but took no question for evidence that ended more than 20 ms late.

Change: one class, EndpointQuestions, for all of them. The timeout of a question consists of four ticks, each of which starts after the last one has fired, so that a hold-up takes nothing from the others. After the last one, what has arrived is read before the decision. A question that was held up for longer than its timeout shows nothing; the check repeats it. Refusals count at once, as before. A dark endpoint is noticed later by at most the time for which the process was held up.

Five of the seven of heldUpChecksTests fail on the code before; the review and the inquiry passed and are guarded.

--- a/packages/gateway/src/discovery/FailureDetector.ts
+++ b/packages/gateway/src/discovery/FailureDetector.ts
@@ -2,7 +2,9 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "../orders/EngineOrders.js";
 import type { Endpoint } from "./Endpoint.js";
+import { EndpointQuestions } from "./EndpointQuestions.js";
 import type { EndpointTable } from "./EndpointTable.js";
+import { HeldUpError } from "./HeldUpError.js";
 import type { LayerSpan } from "./ListedEndpoint.js";
 import type { LivenessCheck } from "./LivenessCheck.js";
 import { getEvidence, isStronger, type SuspicionEvidence } from "./SuspicionEvidence.js";
@@ -59,6 +61,7 @@
  */
 export class FailureDetector {
   private readonly _nowMs: () => number;
+  private readonly _questions: EndpointQuestions;
   /** Endpoints whose layers are being queried. */
   private readonly _queried = new Set<Endpoint>();
   /** Endpoints that are being checked because of a peer's report. */
@@ -66,6 +69,7 @@
 
   constructor(private readonly _structure: FailureDetectorStructure) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+    this._questions = new EndpointQuestions({ nowMs: this._nowMs });
   }
 
   /**
@@ -102,11 +106,11 @@
     log.warn("endpoint-suspicion-reported", { endpointId, address, evidence, reporter, heardMsAgo });
     if (this._checked.has(endpoint)) return;
     this._checked.add(endpoint);
-    const ownEvidence = await liveness.run(endpoint);
+    const own = await liveness.run(endpoint);
     this._checked.delete(endpoint);
-    if (endpoints.get(endpointId) !== endpoint) return;
-    if (ownEvidence !== undefined)
-      return void endpoints.suspect(endpointId, isStronger(evidence, ownEvidence) ? evidence : ownEvidence);
+    if (endpoints.get(endpointId) !== endpoint || own === "unknown") return;
+    if (own !== "answers")
+      return void endpoints.suspect(endpointId, isStronger(evidence, own) ? evidence : own);
     endpoints.clear(endpointId);
     log.info("endpoint-suspicion-refuted", { endpointId, address, evidence, reporter });
   }
@@ -118,7 +122,9 @@
     if (endpoint === undefined || !this._suspect(endpointId, reason, "reported")) return;
     const attemptedAtMs = this._nowMs();
     const evidence = await liveness.run(endpoint);
-    if (evidence !== undefined) {
+    // The suspicion stays until its review.
+    if (evidence === "unknown") return;
+    if (evidence !== "answers") {
       endpoints.suspect(endpointId, evidence);
       return broadcastSuspicion(endpointId, evidence, this._nowMs() - attemptedAtMs);
     }
@@ -143,9 +149,13 @@
     endpoint.avoidedUntilMs = this._nowMs() + layersBackoffMs;
     const { address } = endpoint.listed;
     const attemptedAtMs = this._nowMs();
-    const report = await orders.getReport(endpoint.orderTarget, reportTimeoutMs);
+    const report = await this._questions.ask(reportTimeoutMs, (limitMs) =>
+      orders.getReport(endpoint.orderTarget, limitMs),
+    );
     this._queried.delete(endpoint);
     if (report.err) {
+      // The next request that the engine rejects repeats the query.
+      if (report.val instanceof HeldUpError) return;
       const reason = `holds other layers: ${report.val.code}`;
       return this.noteUnresponsive(endpointId, reason, getEvidence(report.val), attemptedAtMs);
     }
--- a/packages/gateway/src/discovery/SuspicionReview.ts
+++ b/packages/gateway/src/discovery/SuspicionReview.ts
@@ -52,8 +52,8 @@
 
   private async _check(endpoint: Endpoint): Promise<void> {
     const { endpoints, liveness, log } = this._structure;
-    const evidence = await liveness.run(endpoint);
-    if (evidence !== undefined || endpoints.get(endpoint.id) !== endpoint) return;
+    const result = await liveness.run(endpoint);
+    if (result !== "answers" || endpoints.get(endpoint.id) !== endpoint) return;
     endpoints.clear(endpoint.id);
     log.info("endpoint-answers-again", { endpointId: endpoint.id, address: endpoint.listed.address });
   }
--- a/packages/gateway/src/orders/LostEngineDetector.ts
+++ b/packages/gateway/src/orders/LostEngineDetector.ts
@@ -1,5 +1,7 @@
 import { utils } from "@shedtiller/common";
 import type { Endpoint } from "../discovery/Endpoint.js";
+import { EndpointQuestions } from "../discovery/EndpointQuestions.js";
+import { HeldUpError } from "../discovery/HeldUpError.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EngineOrders } from "./EngineOrders.js";
 
@@ -33,13 +35,16 @@
  */
 export class LostEngineDetector {
   private readonly _probes = new Map<string, Probe>();
+  private readonly _questions: EndpointQuestions;
 
   /** @param _nowMs - Monotonic clock, replaced in tests. */
   constructor(
     private readonly _orders: EngineOrders,
     private readonly _log: DecisionLog,
     private readonly _nowMs: () => number = utils.monotonicMs,
-  ) {}
+  ) {
+    this._questions = new EndpointQuestions({ nowMs: _nowMs });
+  }
 
   /**
    * Probes the engines of a zone that are under suspicion or were lost, and returns the engines that are not lost. If the zone is not reached,
@@ -92,7 +97,7 @@
     this._probes.set(member.id, probe);
     if (probe.isRunning || this._nowMs() < probe.nextAtMs) return;
     probe.isRunning = true;
-    while (!(await this._probeOnce(member))) {
+    while ((await this._probeOnce(member)) === "unanswered") {
       probe.failures += 1;
       if (probe.failures === failuresUntilLost) this._noteLost(member, probe);
       if (probe.failures >= failuresUntilLost) break;
@@ -107,14 +112,16 @@
     this._logWarning(member, "engine-lost");
   }
 
-  /** Probes an engine once; an answer resets its failures. */
-  private async _probeOnce(member: Endpoint): Promise<boolean> {
+  /** Probes an engine once; an answer resets its failures. The result is unknown if this process was held up meanwhile. */
+  private async _probeOnce(member: Endpoint): Promise<"answered" | "unanswered" | "unknown"> {
     const target = member.orderTarget;
-    const report = await this._orders.getReport(target, reportTimeoutMs);
-    if (report.err) return false;
+    const report = await this._questions.ask(reportTimeoutMs, (limitMs) =>
+      this._orders.getReport(target, limitMs),
+    );
+    if (report.err) return report.val instanceof HeldUpError ? "unknown" : "unanswered";
     if (this._isLost(member.id)) this._logWarning(member, "engine-answers-again");
     this.removeProbe(member.id);
-    return true;
+    return "answered";
   }
 
   private _logWarning(member: Endpoint, message: string): void {
--- a/packages/gateway/src/requests/StallMonitor.ts
+++ b/packages/gateway/src/requests/StallMonitor.ts
@@ -3,6 +3,8 @@
 import type { ChainChooser } from "../chains/ChainChooser.js";
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
 import type { Endpoint } from "../discovery/Endpoint.js";
+import { EndpointQuestions } from "../discovery/EndpointQuestions.js";
+import { HeldUpError } from "../discovery/HeldUpError.js";
 import { getEvidence } from "../discovery/SuspicionEvidence.js";
 import type { EngineOrders, EngineReport } from "../orders/EngineOrders.js";
 import { getSlowness } from "../orders/getSlowness.js";
@@ -25,7 +27,10 @@
 const laterEventSilenceMs = 300;
 /** Minimum time between two queries of an engine. Its report is about 200 ms old, so an earlier query returns nothing new. */
 const reportIntervalMs = 300;
-/** Timeout of a query; an engine that does not report within this time counts as unresponsive. */
+/**
+ * Timeout of a query; an engine that does not report within this time counts as unresponsive. The time for which this process was held up is
+ * left out.
+ */
 const reportTimeoutMs = 400;
 /** Silence after which a resumable stream may have a successor; callers abandon a stream that is silent for two seconds. */
 export const maxSilenceMs = 1_200;
@@ -40,6 +45,7 @@
   readonly successorGate: SuccessorGate;
   /** Monotonic time of the last query, by the id of the endpoint. */
   private readonly _queriedAtMs = new Map<string, number>();
+  private readonly _questions: EndpointQuestions;
   private readonly _mover: StreamMover;
   /** Undefined if early moves are switched off. */
   private readonly _watch: EarlyMoveWatch | undefined;
@@ -58,6 +64,7 @@
     random: () => number = Math.random,
   ) {
     this.successorGate = new SuccessorGate(_context.endpoints);
+    this._questions = new EndpointQuestions({ nowMs: _nowMs });
     this._mover = new StreamMover({ context: _context, chooser, orders: _orders, nowMs: _nowMs, random });
     this._watch = this._createWatch(random);
     this._drainWatch = this._createDrainWatch();
@@ -196,8 +203,11 @@
     const endpoint = this._context.endpoints.get(endpointId);
     if (endpoint === undefined) return this._doubtSilentStreams(endpointId, "engine-unanswered");
     const queriedAtMs = this._nowMs();
-    const report = await this._orders.getReport(endpoint.orderTarget, reportTimeoutMs);
+    const report = await this._questions.ask(reportTimeoutMs, (limitMs) =>
+      this._orders.getReport(endpoint.orderTarget, limitMs),
+    );
     if (report.err) {
+      if (report.val instanceof HeldUpError) return this._noteUnknown(endpointId, report.val.heldUpMs);
       this._context.failureDetector.noteUnresponsive(
         endpointId,
         `no report: ${report.val.code}`,
@@ -212,6 +222,12 @@
     await this._moveStalled(endpointId, report.val);
   }
 
+  /** Records a query without a result; the next check repeats it. */
+  private _noteUnknown(endpointId: string, heldUpMs: number): void {
+    this._context.controls.earlyMoves?.noteQuestion("unknown");
+    this._context.log.info("engine-query-held-up", { endpointId, heldUpMs: Math.round(heldUpMs) });
+  }
+
   /**
    * Doubts the silent streams that began at an unresponsive engine, or at one to which the direct path is lost, so that their successors
    * start over other connections.
--- a/packages/gateway/src/requests/moves/EngineInquiry.ts
+++ b/packages/gateway/src/requests/moves/EngineInquiry.ts
@@ -1,5 +1,7 @@
 /** Questions to engines whether they still work, and what their answers show. */
 import type { Endpoint } from "../../discovery/Endpoint.js";
+import { EndpointQuestions } from "../../discovery/EndpointQuestions.js";
+import { HeldUpError } from "../../discovery/HeldUpError.js";
 import { getEvidence } from "../../discovery/SuspicionEvidence.js";
 import type { EngineOrders } from "../../orders/EngineOrders.js";
 import { getSlowness } from "../../orders/getSlowness.js";
@@ -8,8 +10,6 @@
 import { AnswerTimeout } from "./AnswerTimeout.js";
 import type { EarlyMoves } from "./EarlyMoves.js";
 
-/** A question that took this much longer than its timeout shows that this process was held up, and nothing about the engine. */
-const heldUpMs = 20;
 /** If more than this share of the engines that are asked together does not answer, this instance is slow or cut off. */
 const maxUnansweredShare = 0.5;
 
@@ -35,10 +35,12 @@
   /** Monotonic time of the last question, by the id of the endpoint. */
   readonly askedAtMs = new Map<string, number>();
   private readonly _timeout = new AnswerTimeout();
+  private readonly _questions: EndpointQuestions;
   /** By availability zone: monotonic time at which an engine there last answered a question. */
   private readonly _zoneAnsweredAtMs = new Map<string, number>();
 
   constructor(private readonly _structure: EngineInquiryStructure) {
+    this._questions = new EndpointQuestions({ nowMs: _structure.nowMs });
     _structure.context.endpoints.onChanged((endpoint, event) => {
       if (event === "gone" || event === "restarted") this.askedAtMs.delete(endpoint.id);
     });
@@ -63,7 +65,9 @@
     const askedAtMs = nowMs();
     this.askedAtMs.set(endpoint.id, askedAtMs);
     const { timeoutMs } = this._timeout;
-    const report = await orders.getReport(endpoint.orderTarget, timeoutMs);
+    const report = await this._questions.ask(timeoutMs, (limitMs) =>
+      orders.getReport(endpoint.orderTarget, limitMs),
+    );
     const tookMs = nowMs() - askedAtMs;
     if (report.ok) {
       earlyMoves.noteQuestion("answered");
@@ -73,13 +77,13 @@
       return undefined;
     }
     const reason = `silent chain: ${report.val.code}`;
-    if (getEvidence(report.val) === "lost") {
+    if (!(report.val instanceof HeldUpError) && getEvidence(report.val) === "lost") {
       earlyMoves.noteQuestion("lost");
       context.failureDetector.noteUnresponsive(endpoint.id, reason, "lost", askedAtMs);
       return undefined;
     }
-    const isHeldUp = tookMs > timeoutMs + heldUpMs;
-    if (!isHeldUp && this._isConclusive(endpoint, askedAtMs)) return { endpoint, reason };
+    if (!(report.val instanceof HeldUpError) && this._isConclusive(endpoint, askedAtMs))
+      return { endpoint, reason };
     earlyMoves.noteQuestion("unknown");
     return undefined;
   }
