gateway: instances spread their trials of engines in doubt, and a zone that is cut off sends none to others

What a review of the trials found, before any of it was seen to fail: - All instances see the same silence and rank the engines in doubt alike, so that all would try the same one first. A silent engine can't reject what exceeds its slots until it reads again. Each instance now multiplies the ranked silence by a random number from 0.5 to 1.5. - A zone without paths to the others takes most engines for silent. If its own ones are full, its surplus would have gone to engines that it does not reach. Doubt now counts by the engines of the own zone, if it has any. - A request that reaches no engine is sent again without an attempt, so that it could test one engine after the other until its deadline. A request now tests once; then it is rejected in time.

--- a/packages/gateway/src/chains/ChainChooser.ts
+++ b/packages/gateway/src/chains/ChainChooser.ts
@@ -68,7 +68,7 @@
   ): ChainStage[] | undefined {
     const chain = this._chooseAvoidingRefusals(endpoints, profile, demand);
     if (chain !== undefined || demand.mayProbe !== true) return chain;
-    const tried = getTrialEngines(endpoints, profile.layerCount, this._nowMs());
+    const tried = getTrialEngines(endpoints, profile.layerCount, demand.availabilityZone, this._nowMs());
     return tried.size === 0
       ? undefined
       : this._chooseAvoidingRefusals(endpoints, profile, { ...demand, tried });
@@ -181,7 +181,7 @@
     // Compares all requests at the engine with its slots, since the load that peers report includes requests that begin elsewhere.
     const canBeFirst = load.requests < endpoint.listed.slots && endpoint.hasPermit(nowMs);
     const queueMs = this._controls.firstEvents?.getQueueCostMs(endpoint, profile, demand) ?? 0;
-    const doubtMs = isTrial ? getDoubtCostMs(endpoint, nowMs) : 0;
+    const doubtMs = isTrial ? getDoubtCostMs(endpoint, nowMs, this._random()) : 0;
     return endpoint.listed.layers.map(({ start, end }) => ({
       endpoint,
       start,
--- a/packages/gateway/src/chains/ChainReservation.ts
+++ b/packages/gateway/src/chains/ChainReservation.ts
@@ -42,6 +42,11 @@
     return this._stages;
   }
 
+  /** Whether the request tests an engine that was in doubt. */
+  get isTrial(): boolean {
+    return this._trials.length > 0;
+  }
+
   /** Moves the reservation to another chain. Does nothing after the release, since a request may end while it is being moved. */
   move(stages: readonly ChainStage[]): void {
     if (this._isReleased) return;
--- a/packages/gateway/src/requests/StreamPlacement.ts
+++ b/packages/gateway/src/requests/StreamPlacement.ts
@@ -23,6 +23,8 @@
 export class StreamPlacement {
   /** Moving average of the time from the send to the first event. */
   private _meanFirstEventMs = initialFirstEventMs;
+  /** Requests that have tested an engine in doubt. */
+  private readonly _tried = new WeakSet<CallerRequest>();
 
   constructor(
     private readonly _context: ForwardContext,
@@ -33,7 +35,7 @@
    * Reserves a chain for a request, waiting for capacity; resolves with undefined if there is none in time.
    * @param options - Other engines to avoid if possible than those that rejected the request, and another signal that ends the wait.
    */
-  acquire(
+  async acquire(
     request: CallerRequest,
     service: string,
     { refusedBy, passesLevel }: StreamProgress,
@@ -44,15 +46,14 @@
     // A request that may have crashed an engine is not spread over others.
     const isRestart = request.attempts > 0 && risk === "none";
     const target = getFirstEventTarget(request, passesLevel);
-    return this._admission.acquire({
+    const reservation = await this._admission.acquire({
       service,
       demand: {
         ...estimateTokens(request.fields),
         availabilityZone: this._context.availabilityZone,
         targetLatencyMs: target?.targetLatencyMs,
         refusedBy: avoided,
-        // A successor at an engine in doubt would spend a retry on what the run in doubt shows already.
-        mayProbe: request.isIdempotent && risk === "none" && options.avoided === undefined,
+        mayProbe: risk === "none" && options.avoided === undefined && this._mayProbe(request),
         isRandomized: isRestart,
         assumedRestarts: isRestart ? this._context.restarts.getAssumed() : undefined,
         redundantFirstEngine: redundancyByRisk[risk],
@@ -64,6 +65,13 @@
       target,
       signal: options.signal ?? request.signal,
     });
+    if (reservation?.isTrial === true) this._tried.add(request);
+    return reservation;
+  }
+
+  /** Returns whether a request may test an engine in doubt: once, so that a request that reaches none is rejected in time. */
+  private _mayProbe(request: CallerRequest): boolean {
+    return request.isIdempotent && !this._tried.has(request);
   }
 
   /** Records the time to the first event of an attempt. */
--- a/packages/gateway/src/tests/chains/engineTrialsTests.ts
+++ b/packages/gateway/src/tests/chains/engineTrialsTests.ts
@@ -1,4 +1,5 @@
 /** Requests to engines that are in doubt, since they have been silent for a moment and may still work. */
+import { utils } from "@shedtiller/common";
 import test from "ava";
 import { ChainChooser } from "../../chains/ChainChooser.js";
 import { ChainReservation } from "../../chains/ChainReservation.js";
@@ -25,7 +26,10 @@
     createListed(id, { layers: [{ start, end }], address: `${id}:1` }),
   ]);
   endpoints.setAll(new Map(listed));
-  const chooser = new ChainChooser(() => clock.nowMs);
+  const chooser = new ChainChooser(
+    () => clock.nowMs,
+    () => 0.5,
+  );
   const get = (id: string) => {
     const endpoint = endpoints.get(id);
     if (endpoint === undefined) throw new Error(`no endpoint ${id}`);
@@ -100,6 +104,41 @@
   t.is(chooseIds(), "a", "most engines are in doubt");
 });
 
+// Guards against requests that a zone without paths to the others sends there, since its own engines are full.
+test("engines of other zones that are silent get no requests while those of the own zone are sound", (t) => {
+  const { endpoints, get, chooseIds } = setUp({ a: [0, 4], b: [0, 4], c: [0, 4] });
+  for (const id of ["b", "c"])
+    get(id).listed = { ...get(id).listed, availabilityZone: id === "b" ? "west" : "north" };
+  for (const id of ["b", "c"]) endpoints.suspect(id, "unanswered");
+  get("a").addOwnLoad(8, getCapacityTokenLayers(get("a"), profile));
+  t.is(chooseIds(), undefined);
+  endpoints.suspect("a", "unanswered");
+  t.regex(chooseIds() ?? "", /^[bc]$/, "the own engine is full");
+});
+
+// Guards against a herd: all instances see the same silence, and an engine can't reject what it does not read.
+test("instances that see the same silence do not all try the same engine", (t) => {
+  const ids = Array.from({ length: 8 }, (_, index) => `e${index}`);
+  const { clock, endpoints, get } = setUp(Object.fromEntries(ids.map((id) => [id, [0, 4] as const])));
+  for (const id of ids) {
+    get(id).heardAtMs = clock.nowMs - 900;
+    endpoints.suspect(id, "unanswered");
+  }
+  const counts = new Map<string, number>();
+  const instances = 80;
+  for (let seed = 1; seed <= instances; seed++) {
+    const random = new utils.RandomSource(seed);
+    const chooser = new ChainChooser(
+      () => clock.nowMs,
+      () => random.nextUnit(),
+    );
+    const id = chooser.choose(endpoints.getUsable("engines"), profile, demand)?.[0]?.endpointId ?? "";
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.is(counts.size, ids.length);
+  t.true(Math.max(...counts.values()) < (3 * instances) / ids.length);
+});
+
 test("a chain has as few engines in doubt as possible", (t) => {
   const { endpoints, chooseIds } = setUp({ a: [0, 4], b: [0, 2], c: [2, 4], d: [2, 4] });
   for (const id of ["a", "c", "d"]) endpoints.suspect(id, "unanswered");
