gateway: a refusal announces the end of its connection after the requests that arrived with it

Cause: after a body, Node goes on with the handler of the first request before it parses what follows; the refusal announced the end, and the second request was ignored. Ruled out: a second request that crosses the announced end; it lay in the same read. Change: while answers end their connections, a request is decided on after what has arrived has been read. The two new tests fail without it (the second request has no status).

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -223,6 +223,8 @@
     response.on("error", () => undefined);
     try {
       fields = this._structure.codec.decodeCaller(message.rawHeaders);
+      // An answer that announces the end of the connection has to come after the requests that arrived with this one.
+      if (this._endsConnections) await connections.readArrived();
       const admitted = await this._admission.admit(message, fields, () => isOver(response));
       if (admitted === undefined) return;
       if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
--- a/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
+++ b/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
@@ -47,6 +47,19 @@
   });
 }
 
+for (const [name, end] of Object.entries(endings)) {
+  // Guards against a refusal that announces the end before the request that arrived in the same piece has been read.
+  test(`two requests that arrive in one piece are both refused during ${name}`, async (t) => {
+    const { fixture, caller } = await setUpCaller(t, { kind: "unsafe" });
+    await caller.send(formatRequest("r0", "/other"));
+    await caller.waitForAnswers(1);
+    end(fixture);
+    await caller.send(formatRequest("r1", "/other", [], "body") + formatRequest("r2", "/other", [], "body"));
+    await caller.waitForEnd();
+    t.deepEqual(caller.statuses, [404, 404, 404]);
+  });
+}
+
 // Guards against a request that runs although its caller knows by `Connection: close` that it is not processed.
 test("a request that follows an announced close is not forwarded", async (t) => {
   const { fixture, endpoint, caller } = await setUpCaller(t, resumable);
