common: a stream that has begun goes on for a caller that ends only its sending half

Cause: such an end counted as a departure, since no interim response may follow a head. Ruled out: waiting for the write of an event in each case; an engine may be silent for longer than work may go on for a caller that has left. Change: the parts of the answer serve as probes.

--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -188,9 +188,11 @@
   private _noteCallerEnd(): void {
     const awaited = this._pending[0]?.response;
     if (awaited === undefined || awaited.writableEnded) return;
-    // Callers that end their sending half do so after their request; an end during the answer is a departure.
-    if (!DepartureProbe.canProbe(awaited)) return this.close();
-    new DepartureProbe(() => this._pending[0]?.response);
+    new DepartureProbe({
+      getAwaited: () => this._pending[0]?.response,
+      getBytesWritten: () => this._socket.bytesWritten,
+      onLeft: () => this.close(),
+    });
   }
 
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
--- a/packages/gateway/src/tests/requests/HeldEndpoint.ts
+++ b/packages/gateway/src/tests/requests/HeldEndpoint.ts
@@ -33,6 +33,11 @@
     response.write(`id: 1\ndata: ${id}\n\n`);
   }
 
+  /** Sends a further event of a stream. */
+  sendEvent(id: string): void {
+    this._require(id).write(`id: 1\ndata: ${id}\n\n`);
+  }
+
   /** Completes the answer to a request. */
   release(id: string): void {
     const response = this._require(id);
--- a/packages/gateway/src/tests/requests/halfClosedCallerTests.ts
+++ b/packages/gateway/src/tests/requests/halfClosedCallerTests.ts
@@ -35,6 +35,29 @@
   });
 }
 
+// Guards against cutting a stream whose head has been sent before the end of the caller's sending half is read.
+test("a caller that ends its sending half after the head of a stream gets the events that follow", async (t) => {
+  const fixture = await setUp(t, { kind: "streaming", isResumable: true });
+  const endpoint = new HeldEndpoint();
+  await fixture.list([endpoint.handler], allLayers);
+  const caller = new RawCaller(fixture.port);
+  t.teardown(() => caller.close());
+  await caller.send(formatRequest("r1", "/a/x"));
+  await endpoint.waitFor("r1");
+  endpoint.begin("r1");
+  await caller.waitForAnswers(1);
+  caller.endSending();
+  const sending = setInterval(() => endpoint.sendEvent("r1"), 10);
+  t.teardown(() => clearInterval(sending));
+  const countEvents = (): number => caller.received.split("data: r1").length - 1;
+  await utils.waitUntil(() => countEvents() >= 60 || caller.isEnded, generousMs);
+  clearInterval(sending);
+  endpoint.release("r1");
+  await caller.waitForEnd();
+  t.true(countEvents() >= 60);
+  t.deepEqual(endpoint.abandoned, []);
+});
+
 // Guards against answers that are lost because the caller ends its sending half while two requests wait for them.
 test("a caller that ends its sending half after two requests gets both answers", async (t) => {
   const fixture = await setUp(t, { kind: "unsafe" });
