gateway: the last pause of a planned stop ends only after what has arrived is read

Callers saw their connection closed without a status by a stopping instance, although their request had been passed on to an endpoint.

Cause: the last pause before the end of the process is a timer, which runs before sockets are read. After a hold-up of the process nothing seemed to be in progress. The requests that waited in the socket buffers were read only after those in flight had been refused, and were passed on just before all connections were closed.

Ruled out: the connections that wait to be accepted, whose requests are read before the instance stops listening.

Change: what has arrived is read after each pause, before the decision that nothing is in progress.

Test: a request on an unused connection arrives in the last pause, and the event loop is held up until the pause is over.

--- a/packages/gateway/src/requests/drainCallers.ts
+++ b/packages/gateway/src/requests/drainCallers.ts
@@ -1,3 +1,4 @@
+import { connections } from "@shedtiller/common";
 import type { StopDeadline } from "../StopDeadline.js";
 import type { CallerListener } from "./CallerListener.js";
 
@@ -27,6 +28,9 @@
     // New callers are served as long as the process has to stay anyway.
   } while (!(await listener.tryStopAccepting()) && !deadline.isReached);
   // Requests on the connections that were accepted last.
-  do await deadline.pause(pollMs);
-  while (isBusy() && !deadline.isReached);
+  do {
+    await deadline.pause(pollMs);
+    // The pause may end before what has arrived meanwhile is read.
+    await connections.readArrived();
+  } while (isBusy() && !deadline.isReached);
 }
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -13,9 +13,16 @@
 class FakeDeadline implements DrainDeadline {
   isReached = false;
   readonly endsAtMs = utils.monotonicMs() + 2 * generousMs;
+  /** Number of pauses that have begun. */
+  pauses = 0;
+  /** Called in each pause, once its timer has been set. */
+  onPause: () => void = () => undefined;
 
   async pause(): Promise<void> {
-    await utils.sleep(pauseMs);
+    const slept = utils.sleep(pauseMs);
+    this.pauses += 1;
+    this.onPause();
+    await slept;
   }
 }
 
@@ -165,3 +172,30 @@
   await caller.waitForEnd();
   t.deepEqual(caller.statuses, [502]);
 });
+
+/** Holds up the event loop until the timers of all pauses are due. */
+function blockEventLoop(): void {
+  const endMs = utils.monotonicMs() + 10 * pauseMs;
+  while (utils.monotonicMs() < endMs);
+}
+
+// Guards against a request that is passed on while the instance ends, and whose connection is then closed without a status.
+test.serial("a request that arrives unread in the last pause of a planned stop is answered", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  // The gateway has accepted the connection above once a later one is served.
+  await rest(stop, connect(t, stop), "r1");
+  stop.deadline.onPause = () => {
+    // The first pause is that for the load balancer, the second one that after the end of listening.
+    if (stop.deadline.pauses !== 2) return;
+    // The kernel gets the bytes within this call.
+    caller.socket.write(formatRequest("r2", "/a/x"));
+    blockEventLoop();
+  };
+  const stopped = stop.run();
+  await utils.waitUntil(() => stop.endpoint.has("r2") || caller.isClosed, generousMs);
+  if (stop.endpoint.has("r2")) stop.endpoint.release("r2");
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [200]);
+  await stopped;
+});
