gateway: a stopping instance passes on no request after it has refused those in flight

Callers saw their connection closed without a status at the end of the grace time, although their request had been passed on to an endpoint.

Cause: the requests in flight were refused first, and then the instance read once more what had arrived. A request that was read there was passed on, and its connection closed in the same moment.

Ruled out: requests that were refused themselves, which are not passed on any more.

Change: before the requests in flight are refused, the instance stops to pass requests on; those that are read later get the same 503.

Test: a request arrives unread on an unused connection as the requests in flight are refused.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -59,6 +59,8 @@
   private readonly _requests = new Set<CallerRequest>();
   private _inFlight = 0;
   private _isDraining = false;
+  /** Whether no further request is passed to a forwarder. */
+  private _isEnding = false;
   private _isStopped = false;
 
   constructor(private readonly _structure: CallerListenerStructure) {
@@ -138,8 +140,9 @@
     return true;
   }
 
-  /** Refuses the requests whose answers have not begun; resolves once the refusals have been written. */
+  /** Refuses the requests whose answers have not begun, and those that arrive; resolves once the refusals have been written. */
   async refuseInFlight(): Promise<void> {
+    this._isEnding = true;
     for (const request of this._requests)
       request.refuse(
         request.attempts === 0 ? stopping.status : failedStatus,
@@ -229,6 +232,7 @@
       const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
       if (body === "cut") return;
       if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
+      if (this._isEnding) return this._refuse(message, response, fields, stopping);
       request = this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
       await this._forward(request);
     } catch (error) {
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -199,3 +199,20 @@
   t.deepEqual(caller.statuses, [200]);
   await stopped;
 });
+
+// Guards against a request that is passed on after all requests in flight were refused, and whose connection is then closed without a status.
+test.serial(
+  "a request that arrives unread at the end of the grace time is refused and not passed on",
+  async (t) => {
+    const stop = await setUpStop(t);
+    const caller = connect(t, stop);
+    await rest(stop, connect(t, stop), "r1");
+    // The kernel gets the bytes within this call.
+    caller.socket.write(formatRequest("r2", "/a/x"));
+    await stop.fixture.listener.refuseInFlight();
+    stop.fixture.listener.close();
+    await caller.waitForEnd();
+    t.deepEqual(caller.statuses, [503]);
+    t.false(stop.endpoint.has("r2"));
+  },
+);
