membership: a request to a peer runs out of time only after what has arrived is read

Callers of small or busy instances saw requests end that went through peers: a connection to an endpoint was not opened, or an answer that ends with its connection was taken for broken off, although the peer's reply had arrived.

Cause: the time of a request to a peer ends in a timer, which runs before sockets are read, so that after a hold-up of the process the request failed with its reply in the socket buffer. What callers saw is by reading; shown is the request to the peer.

Ruled out: one turn of the event loop, as other timeouts wait, since links pass on what was read in a further turn.

Change: what has arrived is read before the request fails.

Test: the event loop is held up for twice the time of a request once its reply has been sent.

--- a/packages/membership/src/PeerLink.ts
+++ b/packages/membership/src/PeerLink.ts
@@ -1,5 +1,5 @@
 /** An authenticated link to a peer that carries requests with replies and one-way notices. */
-import { errors, results, utils } from "@shedtiller/common";
+import { connections, errors, results, utils } from "@shedtiller/common";
 import { Packr } from "msgpackr";
 import * as ws from "ws";
 import { peerFrameSchema, type PeerFrame } from "./peerFrames.js";
@@ -74,13 +74,13 @@
     const id = this._nextId++;
     const pendingReply = new utils.Deferred<results.Result<unknown, PeerError>>();
     this._pendingRequests.set(id, { topic, pendingReply });
-    const timer = setTimeout(
-      () =>
-        pendingReply.resolve(
-          results.Err(new errors.DeadlineError(`The request ${topic} to ${this.peer.name}`, timeoutMs)),
-        ),
-      timeoutMs,
-    );
+    const expire = async (): Promise<void> => {
+      await connections.readArrived();
+      pendingReply.resolve(
+        results.Err(new errors.DeadlineError(`The request ${topic} to ${this.peer.name}`, timeoutMs)),
+      );
+    };
+    const timer = setTimeout(() => void expire(), timeoutMs);
     this._send({ kind: "request", id, topic, body });
     const reply = await pendingReply.promise;
     clearTimeout(timer);
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -137,6 +137,29 @@
   t.is(answer.ok ? answer.val : answer.val.message, "done");
 });
 
+/** Holds up the event loop. */
+function blockEventLoop(durationMs: number): void {
+  const endMs = utils.monotonicMs() + durationMs;
+  while (utils.monotonicMs() < endMs);
+}
+
+// Guards against requests that count as unanswered although their replies have arrived, since the process was held up.
+test.serial("a reply that arrives in time counts although its time passes before it is read", async (t) => {
+  const peers = new Peers();
+  t.teardown(() => peers.close());
+  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
+  const timeoutMs = 300;
+  b.onRequest("work", () => {
+    // Runs once the reply has been sent, and before it is read.
+    void Promise.resolve().then(() => process.nextTick(blockEventLoop, 2 * timeoutMs));
+    return "done";
+  });
+  peers.setListedOnAll();
+  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
+  const answer = await a.request("b", "work", null, timeoutMs);
+  t.is(answer.ok ? answer.val : answer.val.message, "done");
+});
+
 interface RelayedPeers {
   /** Dials the link. */
   readonly a: Membership;
