common: a connection that lingers after its last answer is closed only after what has arrived is read

Callers that were refused while they still sent their body got a reset at an instance that was held up for more than a second, and could lose a refusal that they had not read.

Cause: the time without bytes ends in a timer, which runs before sockets are read. The connection was closed with bytes unread, which resets it.

Ruled out: connections in use, whose idle time is checked after what has arrived is read.

Change: what has arrived is read before the connection counts as silent.

Test: a caller sends a part of its body right before a hold-up of the event loop, and goes on after it.

--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -203,10 +203,12 @@
   private _linger(leftMs: number): void {
     const socket = this._socket;
     const { bytesRead } = socket;
-    const timer = setTimeout(() => {
+    const decide = async (): Promise<void> => {
+      await readArrived();
       if (socket.bytesRead === bytesRead || leftMs <= lingerMs) this.close();
       else this._linger(leftMs - lingerMs);
-    }, lingerMs).unref();
+    };
+    const timer = setTimeout(() => void decide(), lingerMs).unref();
     socket.once("close", () => clearTimeout(timer));
   }
 
--- a/packages/gateway/src/tests/requests/idleConnectionTests.ts
+++ b/packages/gateway/src/tests/requests/idleConnectionTests.ts
@@ -117,3 +117,33 @@
     t.deepEqual(caller.statuses, [200]);
   },
 );
+
+// Guards against a reset that a refused caller gets although it still sends its body, since the process was held up.
+test.serial(
+  "a refused caller whose body goes on is not reset although the time to read it passes before it is read",
+  async (t) => {
+    const [fixture, caller] = await setUpCaller(t);
+    fixture.setLimits({ idleTimeoutMs: generousMs, maxBodyBytes: 1 });
+    const request = formatRequest("r1", "/a/x", [], "too large");
+    await caller.send(request.slice(0, -2));
+    await caller.waitForEnd();
+    // After an immediate, timers come before sockets.
+    await utils.yieldToEvents();
+    // The kernel gets the bytes within this call.
+    caller.socket.write(request.slice(-2, -1));
+    blockEventLoop();
+    // The timers of the gateway have run once another request is answered.
+    const other = new RawCaller(fixture.port);
+    t.teardown(() => other.close());
+    await sendAndWait(other, "r2");
+    // A reset shows with the write after the one that it answers.
+    for (const id of ["r3", "r4"]) {
+      caller.socket.write("x");
+      await sendAndWait(other, id);
+    }
+    caller.endSending();
+    t.true(await utils.waitUntil(() => caller.isClosed, generousMs));
+    t.is(caller.error, undefined);
+    t.deepEqual(caller.statuses, [413]);
+  },
+);
