--- a/packages/gateway/src/tests/paths/PathConnectorTests.ts
+++ b/packages/gateway/src/tests/paths/PathConnectorTests.ts
@@ -1,7 +1,9 @@
 /** Tests which path a connection to an endpoint takes, and what an instance concludes about its own network paths. */
+import * as net from "node:net";
 import test from "ava";
 import { utils } from "@shedtiller/common";
 import type { ConnectFailure } from "../../http/Connector.js";
+import { PathConnector } from "../../paths/PathConnector.js";
 import { PathFixture } from "./PathFixture.js";
 
 const addresses = ["e1:1", "e2:1", "e3:1", "e4:1"];
@@ -147,3 +149,29 @@
   fixture.paths.noteLost("e1:1", "refused", "front-2");
   t.is(await fixture.connector.probe("e1:1", 10), "nothing");
 });
+
+// Guards against a crash investigation that finds nothing although the endpoint has accepted the probe, since the process was held up.
+test.serial(
+  "a probe that is accepted in time counts although its time passes before that is read",
+  async (t) => {
+    const server = net.createServer((socket) => socket.destroy());
+    t.teardown(() => void server.close());
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    const { endpoints, paths, log } = new PathFixture([address]);
+    const tunnels = {
+      open: () => new Promise<never>(() => undefined),
+      wasClosedByServer: () => Promise.resolve(false),
+      isLeaving: () => false,
+      onPeerLeaving: () => undefined,
+    };
+    const connector = new PathConnector({ endpoints, paths, tunnels, log });
+    const timeoutMs = 20;
+    // After an immediate, timers come before sockets.
+    await utils.yieldToEvents();
+    const probed = connector.probe(address, timeoutMs);
+    const endMs = utils.monotonicMs() + 2 * timeoutMs;
+    while (utils.monotonicMs() < endMs);
+    t.is(await probed, "open");
+  },
+);
