gateway: a stopping instance refuses requests that it has not admitted

What callers could see: a connection that is closed without a status at the end of the grace time, where a request waited for the configuration, for its body, or for what had arrived with it. Cause: only requests that had been passed to a forwarder were refused (found by reading in the review). Ruled out: a second answer; a request that was refused meanwhile is over. Change: requests are known from their head on, and are refused with 503 like those in flight; one that is read after that is refused at once.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -59,6 +59,8 @@
   private readonly _requests = new Set<CallerRequest>();
   private _inFlight = 0;
   private _isDraining = false;
+  /** Refuses the requests that have not been passed to a forwarder yet because of the stop of this instance, by response. */
+  private readonly _unadmitted = new Map<http.ServerResponse, () => void>();
   /** Whether no further request is passed to a forwarder. */
   private _isEnding = false;
   private _isStopped = false;
@@ -143,6 +145,7 @@
   /** Refuses the requests whose answers have not begun, and those that arrive; resolves once the refusals have been written. */
   async refuseInFlight(): Promise<void> {
     this._isEnding = true;
+    for (const refuse of this._unadmitted.values()) refuse();
     for (const request of this._requests)
       request.refuse(
         request.attempts === 0 ? stopping.status : failedStatus,
@@ -226,16 +229,8 @@
     response.on("error", () => undefined);
     try {
       fields = this._structure.codec.decodeCaller(message.rawHeaders);
-      // An answer that announces the end of the connection has to come after the requests that arrived with this one.
-      if (this._endsConnections) await connections.readArrived();
-      const admitted = await this._admission.admit(message, fields, () => isOver(response));
-      if (admitted === undefined) return;
-      if ("reason" in admitted) return this._refuse(message, response, fields, admitted);
-      const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
-      if (body === "cut") return;
-      if (body === "too-large") return this._refuse(message, response, fields, bodyTooLarge);
-      if (this._isEnding) return this._refuse(message, response, fields, stopping);
-      request = this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
+      request = await this._admit(message, response, fields, arrivedAtMs);
+      if (request === undefined) return;
       await this._forward(request);
     } catch (error) {
       this._structure.log.error("request-failed", { requestId: fields.requestId, cause: String(error) });
@@ -246,6 +241,31 @@
     }
   }
 
+  /** Reads and admits a request; returns undefined if it is over before it is passed to a forwarder. */
+  private async _admit(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    fields: CallerFields,
+    arrivedAtMs: number,
+  ): Promise<CallerRequest | undefined> {
+    const refuse = (refusal: Refusal): void => this._refuse(message, response, fields, refusal);
+    if (this._isEnding) return void refuse(stopping);
+    this._unadmitted.set(response, () => refuse(stopping));
+    try {
+      // An answer that announces the end of the connection has to come after the requests that arrived with this one.
+      if (this._endsConnections) await connections.readArrived();
+      const admitted = await this._admission.admit(message, fields, () => isOver(response));
+      if (admitted === undefined || isOver(response)) return undefined;
+      if ("reason" in admitted) return void refuse(admitted);
+      const body = await readCallerBody(message, admitted.table.configuration.limits.maxBodyBytes);
+      if (body === "cut" || isOver(response)) return undefined;
+      if (body === "too-large") return void refuse(bodyTooLarge);
+      return this._createRequest(message, response, fields, admitted, body, arrivedAtMs);
+    } finally {
+      this._unadmitted.delete(response);
+    }
+  }
+
   /** Reads a request that followed an announced close and is not processed. */
   private _ignore(message: http.IncomingMessage): void {
     message.resume();
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -3,7 +3,8 @@
 import { utils } from "@shedtiller/common";
 import { drainCallers, type DrainDeadline } from "../../requests/drainCallers.js";
 import { generousMs, setUp } from "./endpointHandlers.js";
-import type { GatewayFixture } from "./GatewayFixture.js";
+import { createRoute } from "../testData.js";
+import { GatewayFixture } from "./GatewayFixture.js";
 import { HeldEndpoint } from "./HeldEndpoint.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
 
@@ -216,3 +217,19 @@
     t.false(stop.endpoint.has("r2"));
   },
 );
+
+// Guards against a request that still waits for the configuration at the end of the grace time, and whose connection is closed without a status.
+test.serial("a request that has not been admitted at the end of the grace time is refused", async (t) => {
+  const fixture = new GatewayFixture();
+  t.teardown(() => fixture.close());
+  await fixture.listen(createRoute({ targets: [{ service: "engines", weight: 1 }], kind: "unsafe" }));
+  const caller = new RawCaller(fixture.port);
+  t.teardown(() => caller.close());
+  await caller.send(formatRequest("r1", "/a/x"));
+  await fixture.waitForRequest();
+  fixture.listener.drain();
+  await fixture.listener.refuseInFlight();
+  fixture.listener.close();
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [503]);
+});
