--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -16,15 +16,10 @@
 /** Time without bytes after which a stopping instance refuses a request that has begun to arrive; packets that were lost come earlier. */
 const stoppingSilenceMs = 1_000;
 
-interface PendingAnswer {
-  readonly message: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-}
-
 /** One connection of an HTTP server. Decides when the connection ends: after the answers to all requests that were read from it. */
 export class ServerConnection {
-  /** Requests whose answers have not been written to the connection, in the order of their arrival. */
-  private readonly _pending: PendingAnswer[] = [];
+  /** Answers that have not been written to the connection, in the order of their requests. */
+  private readonly _pending: http.ServerResponse[] = [];
   /** Number of bytes that had been read when the last request was complete. */
   private _requestBytes: number;
   private _isCloseAnnounced = false;
@@ -84,11 +79,10 @@
     // The caller itself asks for the end of the connection.
     if (!response.shouldKeepAlive) this._isCloseAnnounced = true;
     this._lastMessage = message;
-    const pending = { message, response };
-    this._pending.push(pending);
+    this._pending.push(response);
     this._requestBytes = this._socket.bytesRead;
     message.once("end", () => (this._requestBytes = this._socket.bytesRead));
-    response.once("close", () => this._remove(pending));
+    response.once("close", () => this._remove(response));
     return true;
   }
 
@@ -97,7 +91,7 @@
    * @returns False if further requests have been read; the last of their answers may announce the end.
    */
   announceClose(response: http.ServerResponse): boolean {
-    if (this._pending.at(-1)?.response !== response) return false;
+    if (this._pending.at(-1) !== response) return false;
     this._isCloseAnnounced = true;
     return true;
   }
@@ -107,7 +101,7 @@
     if (this._fault !== undefined) return;
     this._fault = fault;
     const last = this._pending.at(-1);
-    if (this._lastMessage?.complete === false) this._refuseIncomplete(last?.response, fault);
+    if (this._lastMessage?.complete === false) this._refuseIncomplete(last, fault);
     if (last === undefined) this._endWithFault(fault);
   }
 
@@ -154,8 +148,8 @@
     this._socket.destroy();
   }
 
-  private _remove(pending: PendingAnswer): void {
-    this._pending.splice(this._pending.indexOf(pending), 1);
+  private _remove(response: http.ServerResponse): void {
+    this._pending.splice(this._pending.indexOf(response), 1);
     if (this._pending.length === 0 && this._fault !== undefined) this._endWithFault(this._fault);
   }
 
@@ -186,10 +180,10 @@
 
   /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
   private _noteCallerEnd(): void {
-    const awaited = this._pending[0]?.response;
+    const [awaited] = this._pending;
     if (awaited === undefined || awaited.writableEnded) return;
     new DepartureProbe({
-      getAwaited: () => this._pending[0]?.response,
+      getAwaited: () => this._pending[0],
       getBytesWritten: () => this._socket.bytesWritten,
       onLeft: () => this.close(),
     });
@@ -216,7 +210,7 @@
 
   /** Closes the answers that wait behind another one. Node closes only the answer that is being written. */
   private _closeQueued(): void {
-    for (const { response } of [...this._pending]) {
+    for (const response of [...this._pending]) {
       if (response.socket !== null || response.writableFinished) continue;
       response.destroy();
       response.emit("close");
