Refusals without Node's server, tolerant decoding and reads after a timer have one piece of code each

What was written again: the head of an answer that is written to a socket (ServerConnection and ConnectionRefuser), decoding of headers that may fail (CallerListener and ConnectionRefuser), a timer that reads before it decides (ConnectionRefuser, where IoTimeout does), the wait of two turns of the event loop (settleWithin of pipeline), and the refusal of an overloaded instance beside the other refusals of the listener. readArrived moves to utils, beside IoTimeout and yieldToEvents, since links, paths and pipelines use it as well.

--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -1,8 +1,9 @@
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
-import { readArrived } from "./readArrived.js";
+import { readArrived } from "../utils/readArrived.js";
 import type { FaultWriter } from "./FaultWriter.js";
+import { formatLastHead } from "./formatLastHead.js";
 import { headTooLate, stoppingFault, type ReadFault } from "./toReadFault.js";
 
 /**
@@ -169,13 +170,7 @@
 
   private _format(fault: ReadFault): string {
     const { type, body } = this._writer.getContent(fault);
-    const lines = [
-      `HTTP/1.1 ${fault.status} ${http.STATUS_CODES[fault.status]}`,
-      `Content-Type: ${type}`,
-      `Content-Length: ${Buffer.byteLength(body)}`,
-      "Connection: close",
-    ];
-    return [...lines, "", body].join("\r\n");
+    return formatLastHead(fault.status, { "Content-Type": type }, body) + body;
   }
 
   /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
--- a/packages/common/src/connections/ServerConnections.ts
+++ b/packages/common/src/connections/ServerConnections.ts
@@ -2,7 +2,7 @@
 import type * as net from "node:net";
 import * as tls from "node:tls";
 import type { FaultWriter } from "./FaultWriter.js";
-import { readArrived } from "./readArrived.js";
+import { readArrived } from "../utils/readArrived.js";
 import { ServerConnection } from "./ServerConnection.js";
 import { headTooLate, invalidRequest, toReadFault, type ReadFault } from "./toReadFault.js";
 
--- a/packages/common/src/connections/readArrived.ts
+++ b/packages/common/src/utils/readArrived.ts
@@ -1,4 +1,4 @@
-import { yieldToEvents } from "../utils/tasks.js";
+import { yieldToEvents } from "./tasks.js";
 
 /**
  * Resolves once what had arrived at sockets before the call has been read. Timers run before sockets are read, so that after a hold-up of the
--- a/packages/gateway/src/paths/PathConnector.ts
+++ b/packages/gateway/src/paths/PathConnector.ts
@@ -1,5 +1,5 @@
 import type * as net from "node:net";
-import { connections, errors, results, utils } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import type { ProbeResult } from "@shedtiller/crashes";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
 import { Connector, type Connection, type ConnectionPath, type PathListener } from "../http/Connector.js";
@@ -154,7 +154,7 @@
       if (opened.err && opened.val.includes("refused")) refusals.add("peer");
       return closeProbe(opened.ok ? opened.val.socket : undefined);
     });
-    const expired = utils.sleep(timeoutMs).then(connections.readArrived);
+    const expired = utils.sleep(timeoutMs).then(utils.readArrived);
     const isOpen = await Promise.race([getFirstTrue([direct, tunnel]), expired.then(() => false)]);
     if (isOpen) return "open";
     const isOwnPathDoubtful = paths.shouldUsePeer(address) || paths.mayBeIsolated;
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -18,7 +18,7 @@
 import { NewConnectionLimit, type ConnectionCounts } from "./NewConnectionLimit.js";
 import { readCallerBody } from "./readCallerBody.js";
 import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
-import { unreadFields } from "./unreadFields.js";
+import { tryDecodeCaller, unreadFields } from "./unreadFields.js";
 
 /** Time added to the announced timeouts, so that the gateway never closes a connection on which a request is on its way. */
 const keepAliveMarginMs = 1_500;
@@ -136,7 +136,7 @@
    * @returns Whether the instance has stopped listening.
    */
   async tryStopAccepting(): Promise<boolean> {
-    await connections.readArrived();
+    await utils.readArrived();
     if (this.isBusy) return false;
     closeListeningSocket(this._server);
     return true;
@@ -152,7 +152,7 @@
         "stopping",
         stopping.retryAfterMs,
       );
-    await connections.readArrived();
+    await utils.readArrived();
   }
 
   /** Stops listening and closes all connections. */
@@ -253,7 +253,7 @@
     this._unadmitted.set(response, () => refuse(stopping));
     try {
       // An answer that announces the end of the connection has to come after the requests that arrived with this one.
-      if (this._endsConnections) await connections.readArrived();
+      if (this._endsConnections) await utils.readArrived();
       const admitted = await this._admission.admit(message, fields, () => isOver(response));
       if (admitted === undefined || isOver(response)) return undefined;
       if ("reason" in admitted) return void refuse(admitted);
@@ -269,18 +269,10 @@
   /** Reads a request that followed an announced close and is not processed. */
   private _ignore(message: http.IncomingMessage): void {
     message.resume();
-    const { requestId } = this._tryDecode(message);
+    const { requestId } = tryDecodeCaller(this._structure.codec, message.rawHeaders);
     this._structure.log.info("request-ignored", { requestId, cause: "close-announced" });
   }
 
-  private _tryDecode({ rawHeaders }: http.IncomingMessage): CallerFields {
-    try {
-      return this._structure.codec.decodeCaller(rawHeaders);
-    } catch {
-      return unreadFields;
-    }
-  }
-
   /**
    * Decides, as the head of an answer is written, whether the connection ends after it.
    * @param isWanted - Whether the connection should end after the answers to all requests that were read.
--- a/packages/gateway/src/requests/ConnectionRefuser.ts
+++ b/packages/gateway/src/requests/ConnectionRefuser.ts
@@ -1,12 +1,11 @@
-import * as http from "node:http";
 import type * as net from "node:net";
+import { connections, utils } from "@shedtiller/common";
 import type { MessageCodec } from "../http/MessageCodec.js";
+import { overloaded } from "./listenerRefusals.js";
 import type { RefusalReason } from "./sendRefusal.js";
+import { tryDecodeCaller } from "./unreadFields.js";
 
-const status = 503;
-const reason: RefusalReason = "overloaded";
-/** Retry-After: the caller should retry at once, over a new connection to another instance. */
-const retryAfterMs = 20;
+const { status, reason, retryAfterMs } = overloaded;
 const lineEnd = "\r\n";
 const headEnd = lineEnd + lineEnd;
 /** Size of a head from which on its end is not waited for. */
@@ -27,17 +26,8 @@
     private readonly _codec: MessageCodec,
     private readonly _onRefused: (requestId: string | undefined, reason: RefusalReason) => void,
   ) {
-    const lines = Object.entries(_codec.encodeRefusal(retryAfterMs)).map(
-      ([name, value]) => `${name}: ${value}`,
-    );
-    this._head = [
-      `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
-      ...lines,
-      "Content-Type: application/json",
-      `Content-Length: ${Buffer.byteLength(this._body)}`,
-      "Connection: close",
-      lineEnd,
-    ].join(lineEnd);
+    const headers = { ..._codec.encodeRefusal(retryAfterMs), "Content-Type": "application/json" };
+    this._head = connections.formatLastHead(status, headers, this._body);
   }
 
   /** Rejects the request of a connection from which nothing has been read. */
@@ -49,7 +39,7 @@
       isAnswered = true;
       const hasBody = !head.startsWith("HEAD ");
       socket.end(hasBody ? this._head + this._body : this._head);
-      this._onRefused(this._tryDecodeId(head), reason);
+      this._onRefused(tryDecodeCaller(this._codec, decodeHeaders(head)).requestId, reason);
     };
     // A connection that is closed with unread bytes is reset, and the caller may lose the answer: the rest is read until the caller closes.
     socket.on("data", (part: Buffer) => {
@@ -62,25 +52,11 @@
       socket.end();
     });
     socket.on("error", () => undefined);
-    // After a pause of the process, timers come before what has arrived in the meantime.
-    const timer = setTimeout(
-      () =>
-        setImmediate(() => {
-          answer();
-          socket.destroySoon();
-        }),
-      maxReadMs,
-    );
-    socket.once("close", () => clearTimeout(timer));
-  }
-
-  /** Returns the id of a request; undefined if its head can't be decoded. */
-  private _tryDecodeId(head: string): string | undefined {
-    try {
-      return this._codec.decodeCaller(decodeHeaders(head)).requestId;
-    } catch {
-      return undefined;
-    }
+    const timeout = new utils.IoTimeout(maxReadMs, () => {
+      answer();
+      socket.destroySoon();
+    });
+    socket.once("close", () => timeout.clear());
   }
 }
 
--- a/packages/gateway/src/requests/drainCallers.ts
+++ b/packages/gateway/src/requests/drainCallers.ts
@@ -1,4 +1,4 @@
-import { connections } from "@shedtiller/common";
+import { utils } from "@shedtiller/common";
 import type { StopDeadline } from "../StopDeadline.js";
 import type { CallerListener } from "./CallerListener.js";
 
@@ -31,6 +31,6 @@
   do {
     await deadline.pause(pollMs);
     // The pause may end before what has arrived meanwhile is read.
-    await connections.readArrived();
+    await utils.readArrived();
   } while (isBusy() && !deadline.isReached);
 }
--- a/packages/gateway/src/requests/listenerRefusals.ts
+++ b/packages/gateway/src/requests/listenerRefusals.ts
@@ -5,6 +5,12 @@
 const elsewhereRetryAfterMs = 20;
 
 export const stopping: Refusal = { status: 503, reason: "stopping", retryAfterMs: elsewhereRetryAfterMs };
+/** This instance is overloaded, and another one has room. */
+export const overloaded = {
+  status: 503,
+  reason: "overloaded",
+  retryAfterMs: elsewhereRetryAfterMs,
+} as const satisfies Refusal;
 export const bodyTooLarge: Refusal = { status: 413, reason: "body-too-large" };
 export const headTooLarge: Refusal = { status: 431, reason: "head-too-large" };
 /** An error of this instance before the request was passed to a forwarder. */
--- a/packages/gateway/src/requests/unreadFields.ts
+++ b/packages/gateway/src/requests/unreadFields.ts
@@ -1,4 +1,4 @@
-import type { CallerFields } from "../http/MessageCodec.js";
+import type { CallerFields, MessageCodec, RawHeaders } from "../http/MessageCodec.js";
 
 /** The fields of a request until its headers have been decoded. */
 export const unreadFields: CallerFields = {
@@ -11,3 +11,12 @@
   promptPartIds: [],
   lastEventId: undefined,
 };
+
+/** Decodes the headers of a request that is not processed; returns no fields if they can't be decoded. */
+export function tryDecodeCaller(codec: MessageCodec, headers: RawHeaders): CallerFields {
+  try {
+    return codec.decodeCaller(headers);
+  } catch {
+    return unreadFields;
+  }
+}
--- a/packages/membership/src/PeerLink.ts
+++ b/packages/membership/src/PeerLink.ts
@@ -1,5 +1,5 @@
 /** An authenticated link to a peer that carries requests with replies and one-way notices. */
-import { connections, errors, results, utils } from "@shedtiller/common";
+import { errors, results, utils } from "@shedtiller/common";
 import { Packr } from "msgpackr";
 import * as ws from "ws";
 import { peerFrameSchema, type PeerFrame } from "./peerFrames.js";
@@ -75,7 +75,7 @@
     const pendingReply = new utils.Deferred<results.Result<unknown, PeerError>>();
     this._pendingRequests.set(id, { topic, pendingReply });
     const expire = async (): Promise<void> => {
-      await connections.readArrived();
+      await utils.readArrived();
       pendingReply.resolve(
         results.Err(new errors.DeadlineError(`The request ${topic} to ${this.peer.name}`, timeoutMs)),
       );
--- a/packages/pipeline/src/request/Stage.ts
+++ b/packages/pipeline/src/request/Stage.ts
@@ -161,10 +161,7 @@
  */
 async function settleWithin<T>(work: Promise<T>, durationMs: number): Promise<T | undefined> {
   const timer = new utils.Deferred<undefined>();
-  const handle = setTimeout(
-    () => setImmediate(() => setImmediate(() => timer.resolve(undefined))),
-    durationMs,
-  );
+  const handle = setTimeout(() => void utils.readArrived().then(() => timer.resolve(undefined)), durationMs);
   try {
     return await Promise.race([work, timer.promise]);
   } finally {
