tests: one set-up of a caller on one connection, and of a link through a relay

Five test files of callers' connections had the same set-up of gateway, endpoint and caller, and a test of links had that of the function below it.

--- a/packages/gateway/src/tests/requests/closeCauseTests.ts
+++ b/packages/gateway/src/tests/requests/closeCauseTests.ts
@@ -1,21 +1,17 @@
 /** Reports of connections that end before the answers to their requests, over real sockets. */
 import test, { type ExecutionContext } from "ava";
 import { utils } from "@shedtiller/common";
-import { generousMs, setUp } from "./endpointHandlers.js";
+import { generousMs } from "./endpointHandlers.js";
 import type { GatewayFixture } from "./GatewayFixture.js";
-import { HeldEndpoint } from "./HeldEndpoint.js";
-import { formatRequest, RawCaller } from "./RawCaller.js";
+import type { HeldEndpoint } from "./HeldEndpoint.js";
+import { formatRequest, type RawCaller } from "./RawCaller.js";
+import { setUpCaller } from "./setUpCaller.js";
 
 const onceOnly = { kind: "streaming", isResumable: false } as const;
-const allLayers = { layers: [{ start: 0, end: 4 }] };
 
 /** Starts a stream; resolves once its caller has received the first event. */
 async function setUpStream(t: ExecutionContext): Promise<[GatewayFixture, HeldEndpoint, RawCaller]> {
-  const fixture = await setUp(t, onceOnly);
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], allLayers);
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
+  const { fixture, endpoint, caller } = await setUpCaller(t, onceOnly);
   await caller.send(formatRequest("r1", "/a/x"));
   await endpoint.waitFor("r1");
   endpoint.begin("r1");
--- a/packages/gateway/src/tests/requests/failedRequestTests.ts
+++ b/packages/gateway/src/tests/requests/failedRequestTests.ts
@@ -1,10 +1,10 @@
 /** Errors of the gateway itself while it handles a request, over real sockets. */
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { utils } from "@shedtiller/common";
-import { generousMs, setUp } from "./endpointHandlers.js";
+import { generousMs } from "./endpointHandlers.js";
 import type { GatewayFixture } from "./GatewayFixture.js";
-import { HeldEndpoint } from "./HeldEndpoint.js";
-import { formatRequest, RawCaller } from "./RawCaller.js";
+import { formatRequest } from "./RawCaller.js";
+import { setUpCaller } from "./setUpCaller.js";
 import { undecodableId } from "./TestCodec.js";
 
 function fail(): never {
@@ -31,19 +31,10 @@
   },
 };
 
-async function setUpCaller(t: ExecutionContext): Promise<[GatewayFixture, HeldEndpoint, RawCaller]> {
-  const fixture = await setUp(t, { kind: "unsafe" });
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], {});
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
-  return [fixture, endpoint, caller];
-}
-
 for (const [name, { id, status, prepare }] of Object.entries(failures)) {
   // Guards against the close of a connection, with all of its requests, because of an error of the gateway.
   test(`a request that fails ${name} gets ${status}, and the one in front of it its answer`, async (t) => {
-    const [fixture, endpoint, caller] = await setUpCaller(t);
+    const { fixture, endpoint, caller } = await setUpCaller(t, { kind: "unsafe" });
     await caller.send(formatRequest("r0", "/a/x"));
     await endpoint.waitFor("r0");
     prepare(fixture);
@@ -58,7 +49,7 @@
 
 // Guards against a second answer to a request whose end fails after its answer.
 test("an error after the answer does not affect the connection", async (t) => {
-  const [fixture, endpoint, caller] = await setUpCaller(t);
+  const { fixture, endpoint, caller } = await setUpCaller(t, { kind: "unsafe" });
   Object.defineProperty(fixture.forwarded, "ended", { get: fail });
   await caller.send(formatRequest("r1", "/a/x"));
   await endpoint.waitFor("r1");
--- a/packages/gateway/src/tests/requests/halfClosedCallerTests.ts
+++ b/packages/gateway/src/tests/requests/halfClosedCallerTests.ts
@@ -2,11 +2,10 @@
 import test from "ava";
 import { utils } from "@shedtiller/common";
 import type { Route } from "../../configuration/gatewayConfiguration.js";
-import { generousMs, setUp } from "./endpointHandlers.js";
-import { HeldEndpoint } from "./HeldEndpoint.js";
-import { formatRequest, RawCaller } from "./RawCaller.js";
+import { generousMs } from "./endpointHandlers.js";
+import { formatRequest } from "./RawCaller.js";
+import { setUpCaller } from "./setUpCaller.js";
 
-const allLayers = { layers: [{ start: 0, end: 4 }] };
 const kinds: Record<string, Partial<Route>> = {
   "a safe request": { kind: "safe" },
   "an unsafe request": { kind: "unsafe" },
@@ -17,11 +16,7 @@
 for (const [name, route] of Object.entries(kinds)) {
   // Guards against taking a caller that has ended only its sending half for one that has left.
   test(`a caller that ends its sending half after ${name} gets the whole answer`, async (t) => {
-    const fixture = await setUp(t, route);
-    const endpoint = new HeldEndpoint();
-    await fixture.list([endpoint.handler], allLayers);
-    const caller = new RawCaller(fixture.port);
-    t.teardown(() => caller.close());
+    const { endpoint, caller } = await setUpCaller(t, route);
     await caller.send(formatRequest("r1", "/a/x"));
     caller.endSending();
     await endpoint.waitFor("r1");
@@ -37,11 +32,7 @@
 
 // Guards against cutting a stream whose head has been sent before the end of the caller's sending half is read.
 test("a caller that ends its sending half after the head of a stream gets the events that follow", async (t) => {
-  const fixture = await setUp(t, { kind: "streaming", isResumable: true });
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], allLayers);
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
+  const { endpoint, caller } = await setUpCaller(t, { kind: "streaming", isResumable: true });
   await caller.send(formatRequest("r1", "/a/x"));
   await endpoint.waitFor("r1");
   endpoint.begin("r1");
@@ -60,11 +51,7 @@
 
 // Guards against answers that are lost because the caller ends its sending half while two requests wait for them.
 test("a caller that ends its sending half after two requests gets both answers", async (t) => {
-  const fixture = await setUp(t, { kind: "unsafe" });
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], allLayers);
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
+  const { endpoint, caller } = await setUpCaller(t, { kind: "unsafe" });
   await caller.send(formatRequest("r1", "/a/x") + formatRequest("r2", "/a/x"));
   caller.endSending();
   await endpoint.waitFor("r1");
--- a/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
+++ b/packages/gateway/src/tests/requests/pipelinedRequestTests.ts
@@ -1,29 +1,12 @@
 /** Several requests on one connection, over real sockets. */
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { utils } from "@shedtiller/common";
-import { generousMs, setUp } from "./endpointHandlers.js";
+import { generousMs } from "./endpointHandlers.js";
 import type { GatewayFixture } from "./GatewayFixture.js";
-import { HeldEndpoint } from "./HeldEndpoint.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
+import { setUpCaller } from "./setUpCaller.js";
 
 const resumable = { kind: "streaming", isResumable: true } as const;
-const allLayers = { layers: [{ start: 0, end: 4 }] };
-
-interface PipelinedCase {
-  readonly fixture: GatewayFixture;
-  readonly endpoint: HeldEndpoint;
-  readonly caller: RawCaller;
-}
-
-/** Starts a gateway with one endpoint, and a caller on one connection. */
-async function setUpCaller(t: ExecutionContext, route: Parameters<typeof setUp>[1]): Promise<PipelinedCase> {
-  const fixture = await setUp(t, route);
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], allLayers);
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
-  return { fixture, endpoint, caller };
-}
 
 const endings: Record<string, (fixture: GatewayFixture) => void> = {
   "a planned stop": (fixture) => fixture.listener.drain(),
--- a/packages/gateway/src/tests/requests/unreadableRequestTests.ts
+++ b/packages/gateway/src/tests/requests/unreadableRequestTests.ts
@@ -1,12 +1,10 @@
 /** Bytes that can't be read as a request, over real sockets. */
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { utils } from "@shedtiller/common";
-import { generousMs, setUp } from "./endpointHandlers.js";
-import type { GatewayFixture } from "./GatewayFixture.js";
-import { HeldEndpoint } from "./HeldEndpoint.js";
+import { generousMs } from "./endpointHandlers.js";
 import { formatRequest, RawCaller } from "./RawCaller.js";
+import { setUpCaller } from "./setUpCaller.js";
 
-const allLayers = { layers: [{ start: 0, end: 4 }] };
 const noRequest = "this is no request\r\n\r\n";
 /** More than any head that is read. */
 const largeHead = formatRequest("r2", "/a/x", [`x-large: ${"x".repeat(80_000)}`]);
@@ -16,21 +14,6 @@
   .replace("content-length: 0\r\n", "")
   .concat("not a size\r\n");
 
-interface CallerCase {
-  readonly fixture: GatewayFixture;
-  readonly endpoint: HeldEndpoint;
-  readonly caller: RawCaller;
-}
-
-async function setUpCaller(t: ExecutionContext, route: Parameters<typeof setUp>[1]): Promise<CallerCase> {
-  const fixture = await setUp(t, route);
-  const endpoint = new HeldEndpoint();
-  await fixture.list([endpoint.handler], allLayers);
-  const caller = new RawCaller(fixture.port);
-  t.teardown(() => caller.close());
-  return { fixture, endpoint, caller };
-}
-
 const withoutHost = formatRequest("r2", "/a/x").replace("host: notes.example\r\n", "");
 const connect = "CONNECT notes.example:443 HTTP/1.1\r\nhost: notes.example\r\n\r\n";
 
--- a/packages/membership/src/tests/membershipTests.ts
+++ b/packages/membership/src/tests/membershipTests.ts
@@ -107,24 +107,13 @@
 
 // Guards against requests that are given up for a peer that is suspended for a moment and then answers them.
 test("a peer that is silent for a moment counts as not linked, and still answers the requests that it has", async (t) => {
-  const peers = new Peers();
-  const [a, b] = [await peers.add("a", "x"), await peers.add("b", "x")];
-  const relay = new PausableRelay(b.port);
-  const port = await relay.listen();
-  t.teardown(() => {
-    peers.close();
-    relay.close();
-  });
+  const { a, b, relay } = await linkThroughRelay(t);
   const work = new utils.Deferred<string>();
   let isAsked = false;
   b.onRequest("work", () => {
     isAsked = true;
     return work.promise;
   });
-  const entry = { role: "entry", state: "live" } as const;
-  a.setListed([{ ...b.self, ...entry, address: `127.0.0.1:${port}` }]);
-  b.setListed([{ ...a.self, ...entry, address: `127.0.0.1:${a.port}` }]);
-  t.true(await utils.waitUntil(() => a.getLinked().length === 1 && b.getLinked().length === 1, waitMs));
   const reply = a.request("b", "work", null, waitMs);
   t.true(await utils.waitUntil(() => isAsked, waitMs));
   relay.setPaused(true);
