gateway: a line and figures for the share of the retry budget, and for granted and denied retries

Cause: not known yet. The hypotheses differ in the share that an instance uses, in what the slack is divided by and in the time between grant and send, none of which left a line or a figure. Change: retry-share-changed with the number of instances and the share, request-not-retried for plain requests (streams had stream-not-resumed), shedtiller_gateway_retry_budget_total by service and event, whose sums over all instances are both sides of the rule, and shedtiller_gateway_retry_slack_share. A retry is withdrawn in one call that returns what prevents it. The check of the age of the keys moves to a module of its own. The decisions are unchanged.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -3,6 +3,7 @@
 import { ConcurrentRestarts } from "./chains/ConcurrentRestarts.js";
 import { ActiveConfiguration } from "./configuration/ActiveConfiguration.js";
 import { DenialFreshness } from "./configuration/DenialFreshness.js";
+import { KeyFreshness } from "./configuration/KeyFreshness.js";
 import type { GatewayConfiguration } from "./configuration/gatewayConfiguration.js";
 import type { ChangeFeed } from "./discovery/ChangeFeed.js";
 import { RequestQuarantine } from "./crashes/RequestQuarantine.js";
@@ -43,9 +44,6 @@
 import { RetryBudgets, toBudgetOptions } from "./requests/RetryBudgets.js";
 import { StopDeadline } from "./StopDeadline.js";
 
-/** Margin before the revocation bound at which keys are rejected, for the time between the check and the sending of the request. */
-const revocationMarginMs = 500;
-
 /** Implementations that the platform provides for the abstract classes of this package. */
 export interface GatewayPlatform {
   readonly configurationFeed: ChangeFeed<GatewayConfiguration>;
@@ -85,6 +83,7 @@
   private readonly _readinessListener: ReadinessListener;
   private readonly _httpClient = new HttpClient();
   private readonly _stop = new AbortController();
+  private readonly _keys = new KeyFreshness(this.activeConfiguration, () => this._settings.keys);
   private _isDraining = false;
 
   constructor(
@@ -93,7 +92,10 @@
     private readonly _log: DecisionLog,
   ) {
     const { callers, retries } = _settings;
-    this._budgets = new RetryBudgets(toBudgetOptions(retries));
+    this._budgets = new RetryBudgets(toBudgetOptions(retries), {
+      log: _log,
+      count: (service, event) => this.metrics.retryBudget.inc({ service, event }),
+    });
     this._limits = new EndpointLimits({
       log: _log,
       count: (service) => this.metrics.namedLimits.inc({ service }),
@@ -140,6 +142,7 @@
       callerListener: this._callerListener,
       forwarders: this._forwarders,
       reachability: this._reachability,
+      budgets: this._budgets,
     });
   }
 
@@ -277,7 +280,7 @@
       activeConfiguration: this.activeConfiguration,
       codec,
       log: this._log,
-      areKeysFresh: () => this._areKeysFresh(),
+      areKeysFresh: () => this._keys.areKeysFresh(),
       denialFreshness: this._createDenialFreshness(),
       forward: (request) => this._forward(request),
       onRefused: (reason) => this.metrics.callerRefusals.inc({ reason }),
@@ -378,18 +381,10 @@
     this.metrics.duration.observe({ kind }, (utils.monotonicMs() - request.arrivedAtMs) / utils.msPerSecond);
   }
 
-  private _areKeysFresh(): boolean {
-    const { isRevocationStrict, revocationBoundMs } = this._settings.keys;
-    return (
-      !isRevocationStrict ||
-      this.activeConfiguration.getFreshnessAgeMs() < revocationBoundMs - revocationMarginMs
-    );
-  }
-
   private _isReady(): boolean {
     const { table } = this.activeConfiguration;
     if (this._isDraining || table === undefined || !this.endpoints.hasList) return false;
-    return !table.hasAccounts || this._areKeysFresh();
+    return !table.hasAccounts || this._keys.areKeysFresh();
   }
 
   private _logTaskFailure(error: unknown): void {
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: prom.Counter;
   readonly namedLimits: prom.Counter<"service">;
   readonly permits: prom.Counter<"service">;
+  /** Requests, and retries granted and denied by the retry budget; over all instances, granted retries are bounded by the requests. */
+  readonly retryBudget: prom.Counter<"service" | "event">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
   readonly statements: prom.Counter<"what" | "service">;
   /** Streams moved or resumed at the first sign of a lost engine. */
@@ -91,6 +93,11 @@
       "Permits that came for endpoints that name a limit, by service",
       ["service"],
     );
+    this.retryBudget = this._createCounter(
+      "retry_budget_total",
+      "Requests, granted retries and denied retries, by service",
+      ["service", "event"],
+    );
     this.statements = this._createCounter(
       "endpoint_statements_total",
       "Answers in which endpoints ask for rest, say that they leave, or have an unknown or unreadable header, by service",
--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -6,6 +6,7 @@
 import type { EndpointTable } from "./discovery/EndpointTable.js";
 import type { GatewayMetrics } from "./GatewayMetrics.js";
 import type { CallerListener } from "./requests/CallerListener.js";
+import type { RetryBudgets } from "./requests/RetryBudgets.js";
 import type { Reachability } from "./paths/Reachability.js";
 import type { ForwarderSet } from "./requests/ForwarderSet.js";
 
@@ -18,6 +19,7 @@
   readonly callerListener: Pick<CallerListener, "inFlight">;
   readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
   readonly reachability: Pick<Reachability, "paths" | "server">;
+  readonly budgets: Pick<RetryBudgets, "slackShare">;
 }
 
 /** Adds the gauges, whose values are read from the components at scrape time. */
@@ -30,8 +32,13 @@
 
 function addRequestGauges(
   metrics: GatewayMetrics,
-  { callerListener, forwarders, crashes }: GaugeStructure,
+  { callerListener, forwarders, crashes, budgets }: GaugeStructure,
 ): void {
+  metrics.addGauge(
+    "retry_slack_share",
+    "Retries per window and service beyond the ratio that this instance may send",
+    () => budgets.slackShare,
+  );
   metrics.addGauge("requests_in_hand", "Requests without a final answer", () => callerListener.inFlight);
   metrics.addGauge("requests_waiting", "Requests that wait for room", () => forwarders.waiting);
   metrics.addGauge(
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -70,7 +70,11 @@
       if (outcome.kind === "answer") lastAnswer = outcome.answer;
       if (outcome.kind !== "not-run") hasRun = true;
       const mayRepeat = request.isIdempotent || !hasRun;
-      if (!mayRepeat || (request.attempts > 0 && !this.tryWithdrawRetry(request, service))) break;
+      if (mayRepeat && request.attempts === 0) continue;
+      const obstacle = mayRepeat ? this.withdrawRetry(request, service) : "runs-once";
+      if (obstacle === undefined) continue;
+      this.context.log.warn("request-not-retried", { requestId: request.id, obstacle, hasRun });
+      break;
     }
     this._end(request, service, lastAnswer, hasRun);
   }
@@ -119,7 +123,7 @@
     if (!this._mayBeSentNow(request)) return undefined;
     const second = this._tryAcquire(request, service, excluded);
     if (second === undefined) return undefined;
-    if (!this.tryWithdrawRetry(request, service)) {
+    if (this.withdrawRetry(request, service) !== undefined) {
       second.permit.release();
       return undefined;
     }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -73,7 +73,7 @@
 export const noEndpointRetryAfterMs = 1_000;
 
 /** What prevents another send of a request. */
-export type RetryObstacle = "no-attempt" | "no-time" | "no-retry-budget";
+export type RetryObstacle = "caller-left" | "no-attempt" | "no-time" | "no-retry-budget";
 
 /** Handles requests of one kind from their admission to their answer. */
 export abstract class RequestForwarder {
@@ -157,21 +157,29 @@
 
   /**
    * Withdraws a retry from the budget of the service if the request has attempts and time left.
-   * @returns Whether the request may be sent again.
+   * @returns What prevents a retry; undefined if the request may be sent again.
    */
-  protected tryWithdrawRetry(request: CallerRequest, service: string): boolean {
-    const isAllowed = !request.signal.aborted && this.getRetryObstacle(request, service) === undefined;
-    return isAllowed && this.context.budgets.tryWithdraw(service);
+  protected withdrawRetry(request: CallerRequest, service: string): RetryObstacle | undefined {
+    const obstacle = getOwnObstacle(request);
+    if (obstacle !== undefined) return obstacle;
+    return this.context.budgets.tryWithdraw(service) ? undefined : "no-retry-budget";
   }
 
   /** Returns what prevents a retry of the request now; undefined if nothing does. */
   protected getRetryObstacle(request: CallerRequest, service: string): RetryObstacle | undefined {
-    if (request.attempts >= request.route.maxAttempts) return "no-attempt";
-    if (request.getRemainingMs() <= 0) return "no-time";
+    const obstacle = getOwnObstacle(request);
+    if (obstacle !== undefined) return obstacle;
     return this.context.budgets.canWithdraw(service) ? undefined : "no-retry-budget";
   }
 }
 
+/** Returns what prevents a retry of the request whatever the budget. */
+function getOwnObstacle(request: CallerRequest): RetryObstacle | undefined {
+  if (request.signal.aborted) return "caller-left";
+  if (request.attempts >= request.route.maxAttempts) return "no-attempt";
+  return request.getRemainingMs() <= 0 ? "no-time" : undefined;
+}
+
 /**
  * Picks a service at random by the weights of a route's targets.
  * @param random - A number from 0 to 1.
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -2,6 +2,7 @@
 import { utils } from "@shedtiller/common";
 import { WindowedCount } from "@shedtiller/routing";
 import type { GatewaySettings } from "../gatewaySettings.js";
+import type { DecisionLog } from "../logs/DecisionLog.js";
 
 /** The retry budget of the whole deployment, from its settings. */
 export interface RetryBudgetOptions {
@@ -28,6 +29,17 @@
   return { ratio: budgetRatio, slack: budgetSlack, windowMs: budgetWindowS * utils.msPerSecond };
 }
 
+/** What the budget of a service counts. */
+export type RetryBudgetEvent = "request" | "granted" | "denied";
+
+/** Dependencies of {@link RetryBudgets}. */
+export interface RetryBudgetsStructure {
+  /** Monotonic clock; replaced in tests. */
+  readonly nowMs?: () => number;
+  readonly log?: Pick<DecisionLog, "info">;
+  readonly count?: (service: string, event: RetryBudgetEvent) => void;
+}
+
 interface ServiceCounts {
   readonly requests: WindowedCount;
   readonly retries: WindowedCount;
@@ -48,17 +60,26 @@
   private _pendingDecrease: { readonly count: number; readonly fromMs: number } | undefined;
   private _hasRetried = false;
 
-  /** @param nowMs - Monotonic clock; replaced in tests. */
+  private readonly _nowMs: () => number;
+
   constructor(
     private _options: RetryBudgetOptions,
-    private readonly _nowMs: () => number = utils.monotonicMs,
-  ) {}
+    private readonly _structure: RetryBudgetsStructure = {},
+  ) {
+    this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+  }
+
+  /** Retries per window and service that this instance may send beyond the ratio. */
+  get slackShare(): number {
+    return (this._options.slack / this._getInstanceCount(this._nowMs())) * slackShare;
+  }
 
   /** Replaces the budget of the deployment. Keeps the counts unless the length of the window changes. */
   setOptions(options: RetryBudgetOptions): void {
     const isSameWindow = options.windowMs === this._options.windowMs;
     this._options = options;
     if (!isSameWindow) this._counts.clear();
+    this._logShare("settings");
   }
 
   /**
@@ -68,8 +89,10 @@
   setInstanceCount(count: number): void {
     const instanceCount = Math.max(1, count);
     if (instanceCount >= this._instanceCount || !this._hasRetried) {
+      const isChanged = instanceCount !== this._instanceCount;
       this._instanceCount = instanceCount;
       this._pendingDecrease = undefined;
+      if (isChanged) this._logShare("instance-count");
       return;
     }
     if (this._pendingDecrease?.count !== instanceCount) {
@@ -80,12 +103,17 @@
   /** Counts a request to a service, which adds its ratio of a retry to the budget. */
   recordRequest(service: string): void {
     this._get(service).requests.add(this._nowMs());
+    this._structure.count?.(service, "request");
   }
 
   /** Withdraws a retry for a service from the budget; returns false if the budget is exhausted. */
   tryWithdraw(service: string): boolean {
-    if (!this.canWithdraw(service)) return false;
+    if (!this.canWithdraw(service)) {
+      this._structure.count?.(service, "denied");
+      return false;
+    }
     this._get(service).retries.add(this._nowMs());
+    this._structure.count?.(service, "granted");
     this._hasRetried = true;
     return true;
   }
@@ -94,9 +122,7 @@
   canWithdraw(service: string): boolean {
     const nowMs = this._nowMs();
     const { requests, retries } = this._get(service);
-    const { ratio, slack } = this._options;
-    const allowed =
-      ratio * ratioShare * requests.get(nowMs) + (slack / this._getInstanceCount(nowMs)) * slackShare;
+    const allowed = this._options.ratio * ratioShare * requests.get(nowMs) + this.slackShare;
     return retries.get(nowMs) + 1 <= allowed;
   }
 
@@ -104,10 +130,16 @@
     if (this._pendingDecrease !== undefined && nowMs >= this._pendingDecrease.fromMs) {
       this._instanceCount = this._pendingDecrease.count;
       this._pendingDecrease = undefined;
+      this._logShare("instance-count");
     }
     return this._instanceCount;
   }
 
+  private _logShare(reason: "instance-count" | "settings"): void {
+    const fields = { reason, instances: this._instanceCount, slackShare: this.slackShare, ...this._options };
+    this._structure.log?.info("retry-share-changed", fields);
+  }
+
   private _get(service: string): ServiceCounts {
     const existing = this._counts.get(service);
     if (existing !== undefined) return existing;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -81,9 +81,9 @@
       if (end === "answered" || end === "caller-left") return;
       const mayRepeat = !hasRun || request.isIdempotent;
       if (mayRepeat && request.attempts === 0) continue;
-      const obstacle = mayRepeat ? this.getRetryObstacle(request, service) : "runs-once";
-      if (obstacle === undefined && this.tryWithdrawRetry(request, service)) continue;
-      this._runLog.noteUnresumed(request, obstacle ?? "caller-left");
+      const obstacle = mayRepeat ? this.withdrawRetry(request, service) : "runs-once";
+      if (obstacle === undefined) continue;
+      this._runLog.noteUnresumed(request, obstacle);
       this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
     }
   }
@@ -194,7 +194,7 @@
     const { successorGate } = this._monitor;
     const obstacle = this._getSuccessorObstacle(doubted, nowMs);
     if (obstacle !== undefined) return void this._runLog.noteKept(doubted, obstacle);
-    if (!this.tryWithdrawRetry(request, service)) return undefined;
+    if (this.withdrawRetry(request, service) !== undefined) return undefined;
     successorGate.noteStart(service, nowMs);
     const successor = new StreamAttempt(request, service, reservation, progress);
     this._runLog.noteSuccessor(doubted, successor);
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -12,7 +12,7 @@
 }
 
 function create(instances: number): RetryBudgets {
-  const budgets = new RetryBudgets(options, () => 0);
+  const budgets = new RetryBudgets(options, { nowMs: () => 0 });
   budgets.setInstanceCount(instances);
   return budgets;
 }
@@ -40,7 +40,7 @@
 });
 
 test("an instance of a large fleet can retry its first request", (t) => {
-  const budgets = new RetryBudgets({ ...options, slack: 354 }, () => 0);
+  const budgets = new RetryBudgets({ ...options, slack: 354 }, { nowMs: () => 0 });
   budgets.setInstanceCount(85);
   budgets.recordRequest("s");
   t.true(budgets.tryWithdraw("s"));
@@ -52,7 +52,7 @@
     let retries = 0;
     for (let instance = 0; instance < instances; instance++) {
       clock.nowMs = 0;
-      const before = new RetryBudgets(options, () => clock.nowMs);
+      const before = new RetryBudgets(options, { nowMs: () => clock.nowMs });
       before.setInstanceCount(instances);
       before.recordRequest("s");
       // The instance uses no retries until the window begins.
@@ -60,7 +60,7 @@
       retries += exhaust(before);
       clock.nowMs += options.windowMs / 2;
       retries += exhaust(before);
-      const after = new RetryBudgets(options, () => clock.nowMs);
+      const after = new RetryBudgets(options, { nowMs: () => clock.nowMs });
       after.setInstanceCount(instances);
       after.recordRequest("s");
       clock.nowMs += options.windowMs / 2;
@@ -72,7 +72,7 @@
 
 test("an instance of a large fleet may use its share of a window at once, since engines reject requests in bursts", (t) => {
   const clock = { nowMs: 0 };
-  const budgets = new RetryBudgets({ ...options, slack: 574 }, () => clock.nowMs);
+  const budgets = new RetryBudgets({ ...options, slack: 574 }, { nowMs: () => clock.nowMs });
   budgets.setInstanceCount(195);
   // 1.2 requests per second for one window allow 0.18 times 12 retries, plus half of 574 / 195.
   for (; clock.nowMs < options.windowMs; clock.nowMs += 833) budgets.recordRequest("s");
@@ -83,7 +83,7 @@
 
 test("the shares of instances that left are redistributed only after a window", (t) => {
   const clock = { nowMs: 0 };
-  const budgets = new RetryBudgets(options, () => clock.nowMs);
+  const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs });
   budgets.setInstanceCount(8);
   t.is(exhaust(budgets), 12);
   budgets.setInstanceCount(4);
