gateway: a process earns its share of the retry slack in its first window

What callers saw: not recorded; endpoints that fail get more repeats than the deployment allows, which makes their failure worse for all callers. Cause: each process had half of its instance's part of the slack from its start. One restart of all within a window was covered; each further one brought the half again. Class: an allowance of the deployment that each process gets anew. Ruled out: the ratio, which each process earns by requests of its own. Change: the half is earned in proportion to the age of the process, over one window. A reload that changes the length of the window begins anew likewise; before, it cleared the counts and gave the share again. Weighed: knowledge of what the former process used, from peers or from the one that stops, would return more after one restart; it helps nobody where all are killed at once, and costs a message and a rule for what was not told. Before the change the two new tests of RetryBudgets fail. Tests: those of full shares now begin after a whole window, since a new process with its whole share was the fault; their bounds are unchanged.

--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -16,10 +16,10 @@
 /** Share of the ratio that is used; the remainder covers requests that are counted in another window than their retries. */
 const ratioShare = 0.9;
 /**
- * Share of its quota of the slack that a process uses per window, so that the budget holds even if all instances restart once within a
- * window.
+ * Share of its part of the slack that an instance uses per window. The processes that replace the first one within the window use the
+ * other half together.
  */
-const slackShare = 0.5;
+const slackUse = 0.5;
 /** Number of instances assumed to share the slack until the real number is known. A number that is too high is safe. */
 const assumedInstances = 100;
 
@@ -49,6 +49,10 @@
  * Counts requests and retries per service in a sliding window. The shares of all instances together stay within the budget, so the
  * instances need no coordination.
  *
+ * Each instance has an equal part of the slack. A process earns half of that part in its first window, in proportion to its age, and may use
+ * the half in every window from then on. So in any window the process that runs at its beginning uses at most one half, and the processes
+ * started later, which run one after the other, together at most the other half, however many they are.
+ *
  * An instance may use its whole share at once. Engines reject requests in bursts, and a token bucket of one or two retries (the share of
  * the slack among 195 instances) would deny a retry to the third stream of a burst while most of the window's budget is unused.
  */
@@ -61,24 +65,33 @@
   private _hasRetried = false;
 
   private readonly _nowMs: () => number;
+  /** Monotonic time since which this process earns its share of the slack. */
+  private _earnsSinceMs: number;
 
   constructor(
     private _options: RetryBudgetOptions,
     private readonly _structure: RetryBudgetsStructure = {},
   ) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+    this._earnsSinceMs = this._nowMs();
   }
 
   /** Retries per window and service that this instance may send beyond the ratio. */
   get slackShare(): number {
-    return (this._options.slack / this._getInstanceCount(this._nowMs())) * slackShare;
+    const nowMs = this._nowMs();
+    const { slack, windowMs } = this._options;
+    const earned = Math.min(1, (nowMs - this._earnsSinceMs) / windowMs);
+    return (slack / this._getInstanceCount(nowMs)) * slackUse * earned;
   }
 
-  /** Replaces the budget of the deployment. Keeps the counts unless the length of the window changes. */
+  /** Replaces the budget of the deployment. If the length of the window changes, counts and slack begin anew, as in a new process. */
   setOptions(options: RetryBudgetOptions): void {
     const isSameWindow = options.windowMs === this._options.windowMs;
     this._options = options;
-    if (!isSameWindow) this._counts.clear();
+    if (!isSameWindow) {
+      this._counts.clear();
+      this._earnsSinceMs = this._nowMs();
+    }
     this._logShare("settings");
   }
 
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -11,9 +11,11 @@
   return withdrawn;
 }
 
-function create(instances: number): RetryBudgets {
-  const budgets = new RetryBudgets(options, { nowMs: () => 0 });
+/** Creates the budgets of a process that has run for a whole window. */
+function create(instances: number, clock = { nowMs: 0 }, slack = options.slack): RetryBudgets {
+  const budgets = new RetryBudgets({ ...options, slack }, { nowMs: () => clock.nowMs });
   budgets.setInstanceCount(instances);
+  clock.nowMs += options.windowMs;
   return budgets;
 }
 
@@ -32,6 +34,30 @@
   t.true(retries <= options.ratio * requestsEach * instances + options.slack, `${retries} retries`);
 });
 
+// Guards against a share of the slack that each new process has at once.
+test("processes that replace each other in series use a part of the slack once, however many they are", (t) => {
+  const instances = 8;
+  for (const livesMs of [[5_000], [2_500, 2_500], Array.from({ length: 50 }, () => 200)]) {
+    const clock = { nowMs: 0 };
+    let retries = exhaust(create(instances, clock));
+    for (const lifeMs of livesMs) {
+      const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs });
+      budgets.setInstanceCount(instances);
+      const endsMs = clock.nowMs + lifeMs;
+      for (; clock.nowMs < endsMs; clock.nowMs += 100) retries += exhaust(budgets);
+    }
+    t.true(retries <= options.slack / instances, `${livesMs.length} processes: ${retries} retries`);
+  }
+});
+
+// Guards against a reload of the settings that gives a process its share of the slack a second time.
+test("a change of the length of the window does not renew the slack", (t) => {
+  const budgets = create(8);
+  t.is(exhaust(budgets), 12);
+  budgets.setOptions({ ...options, windowMs: 5_000 });
+  t.is(exhaust(budgets), 0);
+});
+
 test("a change in the number of instances does not renew the budget", (t) => {
   const budgets = create(8);
   exhaust(budgets);
@@ -39,9 +65,8 @@
   t.is(exhaust(budgets), 0);
 });
 
-test("an instance of a large fleet can retry its first request", (t) => {
-  const budgets = new RetryBudgets({ ...options, slack: 354 }, { nowMs: () => 0 });
-  budgets.setInstanceCount(85);
+test("an instance of a large fleet that has run for a window can retry its first request", (t) => {
+  const budgets = create(85, { nowMs: 0 }, 354);
   budgets.recordRequest("s");
   t.true(budgets.tryWithdraw("s"));
 });
@@ -83,8 +108,7 @@
 
 test("the shares of instances that left are redistributed only after a window", (t) => {
   const clock = { nowMs: 0 };
-  const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs });
-  budgets.setInstanceCount(8);
+  const budgets = create(8, clock);
   t.is(exhaust(budgets), 12);
   budgets.setInstanceCount(4);
   clock.nowMs += options.windowMs * 0.9;
