gateway: the retry slack is divided by all instances, or not used until they are known

What callers saw: not recorded; endpoints that fail get more repeats than the deployment allows. Cause: an instance took the first list of instances for the whole. The registry lists those that registered before it, and a linked instance reads it again after 15 or 60 s only; a decrease from the assumed 100 took effect at once while nothing had been retried. Eight instances that start one after the other divide by 1, 2, .. 8. Class: a number that others still change is taken for final. Evidence: retry-share-changed of the first of four gateways: 1 instance and a share of 20, a second later 2 and 10, then 3 and 6.7; eight gateways that start once, endpoints that fail everything, slack 40: 52 retries in a window before. Ruled out: restarts; no process of that run starts twice. Change: InstanceCount. The slack is earned from then on, and no number is assumed: without a registry there is only the ratio. Conclusion: newcomers earn what is free, since their count and their earning begin together.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -93,6 +93,7 @@
   ) {
     const { callers, retries } = _settings;
     this._budgets = new RetryBudgets(toBudgetOptions(retries), {
+      getSharing: () => this._peers.getSharing(),
       log: _log,
       count: (service, event) => this.metrics.retryBudget.inc({ service, event }),
     });
@@ -234,7 +235,6 @@
       statements: this._statements,
       demand: this._demand,
       log: this._log,
-      onInstanceCount: (count) => this._budgets.setInstanceCount(count),
     });
   }
 
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { RequestDemand } from "../requests/RequestDemand.js";
 import { DrainingBroadcast } from "./DrainingBroadcast.js";
+import type { SharingInstances } from "./InstanceCount.js";
 import { LimitBroadcast } from "./LimitBroadcast.js";
 import { LoadExchange } from "./LoadExchange.js";
 import { PeerDirectory } from "./PeerDirectory.js";
@@ -42,8 +43,6 @@
   readonly statements: EndpointStatements;
   readonly demand: RequestDemand;
   readonly log: DecisionLog;
-  /** Receives the number of known instances, including this one. */
-  readonly onInstanceCount: (count: number) => void;
 }
 
 /** Creates and runs the components of an instance that communicate with its peers. */
@@ -89,6 +88,11 @@
     return this._directory.getCount();
   }
 
+  /** Returns the instances that divide allowances; undefined while there may be others that this instance does not know. */
+  getSharing(): SharingInstances | undefined {
+    return this._directory.getSharing();
+  }
+
   /** Starts all tasks and returns their promises. The tasks end once `signal` aborts. */
   start(signal: AbortSignal): Promise<void>[] {
     return [
@@ -115,7 +119,7 @@
   }
 
   private _createDirectory(): PeerDirectory {
-    const { settings, registry, log, onInstanceCount } = this._structure;
+    const { settings, registry, log } = this._structure;
     const { instance, peers } = settings;
     return new PeerDirectory({
       self: { ...instance, address: `${peers.host}:${peers.port}` },
@@ -123,10 +127,7 @@
       registry,
       log,
       isReader: () => this.relay.isReader,
-      onInstanceCount: (count) => {
-        this._assumePeerLoads();
-        onInstanceCount(count);
-      },
+      onInstances: () => this._assumePeerLoads(),
     });
   }
 
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -3,6 +3,7 @@
 import { WindowedCount } from "@shedtiller/routing";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
+import type { SharingInstances } from "../peers/InstanceCount.js";
 
 /** The retry budget of the whole deployment, from its settings. */
 export interface RetryBudgetOptions {
@@ -20,8 +21,6 @@
  * other half together.
  */
 const slackUse = 0.5;
-/** Number of instances assumed to share the slack until the real number is known. A number that is too high is safe. */
-const assumedInstances = 100;
 
 /** Returns the budget of the settings. */
 export function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
@@ -34,6 +33,8 @@
 
 /** Dependencies of {@link RetryBudgets}. */
 export interface RetryBudgetsStructure {
+  /** Returns the instances that share the slack; undefined while they are not known, and then this instance has no part of the slack. */
+  readonly getSharing?: () => SharingInstances | undefined;
   /** Monotonic clock; replaced in tests. */
   readonly nowMs?: () => number;
   readonly log?: Pick<DecisionLog, "info">;
@@ -49,8 +50,8 @@
  * Counts requests and retries per service in a sliding window. The shares of all instances together stay within the budget, so the
  * instances need no coordination.
  *
- * Each instance has an equal part of the slack. A process earns half of that part in its first window, in proportion to its age, and may use
- * the half in every window from then on. So in any window the process that runs at its beginning uses at most one half, and the processes
+ * Each instance has an equal part of the slack. Once a process knows the instances, it earns half of that part within one window, in
+ * proportion to the time, and may use the half in every window from then on. So in any window the process that runs at its beginning uses at most one half, and the processes
  * started later, which run one after the other, together at most the other half, however many they are.
  *
  * An instance may use its whole share at once. Engines reject requests in bursts, and a token bucket of one or two retries (the share of
@@ -58,30 +59,30 @@
  */
 export class RetryBudgets {
   private readonly _counts = new Map<string, ServiceCounts>();
-  /** Number of instances among which the slack is divided now. */
-  private _instanceCount = assumedInstances;
+  /** Number of instances among which the slack is divided now; undefined while unknown. */
+  private _instanceCount: number | undefined;
   /** A smaller number of instances that takes effect at the monotonic time `fromMs`. */
   private _pendingDecrease: { readonly count: number; readonly fromMs: number } | undefined;
-  private _hasRetried = false;
 
   private readonly _nowMs: () => number;
-  /** Monotonic time since which this process earns its share of the slack. */
-  private _earnsSinceMs: number;
+  /** Monotonic time of the latest change of the length of the window. */
+  private _windowChangedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private _options: RetryBudgetOptions,
     private readonly _structure: RetryBudgetsStructure = {},
   ) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
-    this._earnsSinceMs = this._nowMs();
   }
 
   /** Retries per window and service that this instance may send beyond the ratio. */
   get slackShare(): number {
     const nowMs = this._nowMs();
-    const { slack, windowMs } = this._options;
-    const earned = Math.min(1, (nowMs - this._earnsSinceMs) / windowMs);
-    return (slack / this._getInstanceCount(nowMs)) * slackUse * earned;
+    const sharing = this._structure.getSharing?.();
+    if (sharing === undefined) return 0;
+    const earnsSinceMs = Math.max(sharing.sinceMs, this._windowChangedAtMs);
+    const earned = Math.min(1, (nowMs - earnsSinceMs) / this._options.windowMs);
+    return this._getFullShare(this._getInstanceCount(sharing.count, nowMs)) * earned;
   }
 
   /** Replaces the budget of the deployment. If the length of the window changes, counts and slack begin anew, as in a new process. */
@@ -90,29 +91,11 @@
     this._options = options;
     if (!isSameWindow) {
       this._counts.clear();
-      this._earnsSinceMs = this._nowMs();
+      this._windowChangedAtMs = this._nowMs();
     }
     this._logShare("settings");
   }
 
-  /**
-   * Sets the number of instances that share the slack. If this instance has retried before, a decrease takes effect one window later, since
-   * the instances that left may have used their shares of the current window.
-   */
-  setInstanceCount(count: number): void {
-    const instanceCount = Math.max(1, count);
-    if (instanceCount >= this._instanceCount || !this._hasRetried) {
-      const isChanged = instanceCount !== this._instanceCount;
-      this._instanceCount = instanceCount;
-      this._pendingDecrease = undefined;
-      if (isChanged) this._logShare("instance-count");
-      return;
-    }
-    if (this._pendingDecrease?.count !== instanceCount) {
-      this._pendingDecrease = { count: instanceCount, fromMs: this._nowMs() + this._options.windowMs };
-    }
-  }
-
   /** Counts a request to a service, which adds its ratio of a retry to the budget. */
   recordRequest(service: string): void {
     this._get(service).requests.add(this._nowMs());
@@ -127,7 +110,6 @@
     }
     this._get(service).retries.add(this._nowMs());
     this._structure.count?.(service, "granted");
-    this._hasRetried = true;
     return true;
   }
 
@@ -139,18 +121,33 @@
     return retries.get(nowMs) + 1 <= allowed;
   }
 
-  private _getInstanceCount(nowMs: number): number {
-    if (this._pendingDecrease !== undefined && nowMs >= this._pendingDecrease.fromMs) {
-      this._instanceCount = this._pendingDecrease.count;
-      this._pendingDecrease = undefined;
-      this._logShare("instance-count");
-    }
-    return this._instanceCount;
+  /**
+   * Returns the number of instances among which the slack is divided. A decrease takes effect one window later, since the instances that left
+   * may have used their shares of the current window.
+   */
+  private _getInstanceCount(count: number, nowMs: number): number {
+    const current = this._instanceCount ?? count;
+    if (count >= current) this._pendingDecrease = undefined;
+    else if (this._pendingDecrease?.count !== count)
+      this._pendingDecrease = { count, fromMs: nowMs + this._options.windowMs };
+    const isDue = this._pendingDecrease !== undefined && nowMs >= this._pendingDecrease.fromMs;
+    const inEffect = count >= current || isDue ? count : current;
+    if (inEffect === this._instanceCount) return inEffect;
+    this._instanceCount = inEffect;
+    this._pendingDecrease = undefined;
+    this._logShare("instance-count");
+    return inEffect;
+  }
+
+  /** Returns the share of the slack of a process that has run for a window. */
+  private _getFullShare(instanceCount: number): number {
+    return (this._options.slack / instanceCount) * slackUse;
   }
 
   private _logShare(reason: "instance-count" | "settings"): void {
-    const fields = { reason, instances: this._instanceCount, slackShare: this.slackShare, ...this._options };
-    this._structure.log?.info("retry-share-changed", fields);
+    const instances = this._instanceCount;
+    const fullShare = instances === undefined ? 0 : this._getFullShare(instances);
+    this._structure.log?.info("retry-share-changed", { reason, instances, fullShare, ...this._options });
   }
 
   private _get(service: string): ServiceCounts {
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -137,8 +137,9 @@
   /** Starts the gateway without a configuration. */
   async listen(route: Route): Promise<void> {
     const log = new DecisionLog(this.logOutput, utils.monotonicMs);
-    const budgets = new RetryBudgets(this.retryBudget);
-    budgets.setInstanceCount(1);
+    // The only instance, which has run for long.
+    const getSharing = () => ({ count: 1, sinceMs: Number.NEGATIVE_INFINITY });
+    const budgets = new RetryBudgets(this.retryBudget, { getSharing });
     const codec = new TestCodec();
     const permits = createPermitDependencies(this.endpoints);
     this.crashes = new CrashDetector({
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -11,11 +11,28 @@
   return withdrawn;
 }
 
+interface Fleet {
+  /** Number of instances that a process knows. */
+  instances: number;
+  readonly clock: { nowMs: number };
+  readonly slack?: number;
+}
+
+/** Creates the budgets of a new process, which knows the instances at once. */
+function start(fleet: Fleet): RetryBudgets {
+  const { clock } = fleet;
+  const sinceMs = clock.nowMs;
+  return new RetryBudgets(
+    { ...options, slack: fleet.slack ?? options.slack },
+    { nowMs: () => clock.nowMs, getSharing: () => ({ count: fleet.instances, sinceMs }) },
+  );
+}
+
 /** Creates the budgets of a process that has run for a whole window. */
-function create(instances: number, clock = { nowMs: 0 }, slack = options.slack): RetryBudgets {
-  const budgets = new RetryBudgets({ ...options, slack }, { nowMs: () => clock.nowMs });
-  budgets.setInstanceCount(instances);
-  clock.nowMs += options.windowMs;
+function create(fleet: Fleet): RetryBudgets {
+  const budgets = start(fleet);
+  exhaust(budgets);
+  fleet.clock.nowMs += options.windowMs;
   return budgets;
 }
 
@@ -25,7 +42,7 @@
   let retries = 0;
   for (let instance = 0; instance < instances; instance++) {
     for (const life of ["before", "after"]) {
-      const budgets = create(instances);
+      const budgets = create({ instances, clock: { nowMs: 0 } });
       for (let request = 0; request < requestsEach / 2; request++) budgets.recordRequest("s");
       retries += exhaust(budgets);
       t.true(retries > 0, life);
@@ -39,10 +56,9 @@
   const instances = 8;
   for (const livesMs of [[5_000], [2_500, 2_500], Array.from({ length: 50 }, () => 200)]) {
     const clock = { nowMs: 0 };
-    let retries = exhaust(create(instances, clock));
+    let retries = exhaust(create({ instances, clock }));
     for (const lifeMs of livesMs) {
-      const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs });
-      budgets.setInstanceCount(instances);
+      const budgets = start({ instances, clock });
       const endsMs = clock.nowMs + lifeMs;
       for (; clock.nowMs < endsMs; clock.nowMs += 100) retries += exhaust(budgets);
     }
@@ -52,21 +68,22 @@
 
 // Guards against a reload of the settings that gives a process its share of the slack a second time.
 test("a change of the length of the window does not renew the slack", (t) => {
-  const budgets = create(8);
+  const budgets = create({ instances: 8, clock: { nowMs: 0 } });
   t.is(exhaust(budgets), 12);
   budgets.setOptions({ ...options, windowMs: 5_000 });
   t.is(exhaust(budgets), 0);
 });
 
 test("a change in the number of instances does not renew the budget", (t) => {
-  const budgets = create(8);
+  const fleet = { instances: 8, clock: { nowMs: 0 } };
+  const budgets = create(fleet);
   exhaust(budgets);
-  budgets.setInstanceCount(4);
+  fleet.instances = 4;
   t.is(exhaust(budgets), 0);
 });
 
 test("an instance of a large fleet that has run for a window can retry its first request", (t) => {
-  const budgets = create(85, { nowMs: 0 }, 354);
+  const budgets = create({ instances: 85, clock: { nowMs: 0 }, slack: 354 });
   budgets.recordRequest("s");
   t.true(budgets.tryWithdraw("s"));
 });
@@ -77,16 +94,14 @@
     let retries = 0;
     for (let instance = 0; instance < instances; instance++) {
       clock.nowMs = 0;
-      const before = new RetryBudgets(options, { nowMs: () => clock.nowMs });
-      before.setInstanceCount(instances);
+      const before = start({ instances, clock });
       before.recordRequest("s");
       // The instance uses no retries until the window begins.
       clock.nowMs = 10 * options.windowMs;
       retries += exhaust(before);
       clock.nowMs += options.windowMs / 2;
       retries += exhaust(before);
-      const after = new RetryBudgets(options, { nowMs: () => clock.nowMs });
-      after.setInstanceCount(instances);
+      const after = start({ instances, clock });
       after.recordRequest("s");
       clock.nowMs += options.windowMs / 2;
       retries += exhaust(after);
@@ -97,8 +112,7 @@
 
 test("an instance of a large fleet may use its share of a window at once, since engines reject requests in bursts", (t) => {
   const clock = { nowMs: 0 };
-  const budgets = new RetryBudgets({ ...options, slack: 574 }, { nowMs: () => clock.nowMs });
-  budgets.setInstanceCount(195);
+  const budgets = start({ instances: 195, clock, slack: 574 });
   // 1.2 requests per second for one window allow 0.18 times 12 retries, plus half of 574 / 195.
   for (; clock.nowMs < options.windowMs; clock.nowMs += 833) budgets.recordRequest("s");
   t.is(exhaust(budgets), 3);
@@ -106,11 +120,22 @@
   t.is(exhaust(budgets), 1, "neither the requests nor the retries are in the window any more");
 });
 
+test("an instance that does not know all others has its requests' ratio only", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs, getSharing: () => undefined });
+  clock.nowMs += 10 * options.windowMs;
+  t.is(exhaust(budgets), 0);
+  for (let request = 0; request < 100; request++) budgets.recordRequest("s");
+  t.is(exhaust(budgets), 18);
+});
+
 test("the shares of instances that left are redistributed only after a window", (t) => {
   const clock = { nowMs: 0 };
-  const budgets = create(8, clock);
+  const fleet = { instances: 8, clock };
+  const budgets = create(fleet);
   t.is(exhaust(budgets), 12);
-  budgets.setInstanceCount(4);
+  fleet.instances = 4;
+  t.is(exhaust(budgets), 0);
   clock.nowMs += options.windowMs * 0.9;
   t.is(exhaust(budgets), 0);
   clock.nowMs += options.windowMs;
