gateway: a retry counts from its send, and returns to the budget if it is not sent

What callers saw: requests without a second try although the budget was not used up; and repeats that come together when room is there again. Cause: a retry was counted when it was granted. A stream then waits up to 1.5 s for room; a plain request may find no other endpoint, and its retry was lost. Change: RetryPermit. A granted retry is reserved until its connection is established, counts from that moment, and is released at the end of the request. Reserved and sent retries together stay within what is allowed, so that sends keep the budget whenever they were granted. Tests: three windows of grants sent at once, and a grant that is not sent; neither can be written without the permit.

--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -71,7 +71,7 @@
       if (outcome.kind !== "not-run") hasRun = true;
       const mayRepeat = request.isIdempotent || !hasRun;
       if (mayRepeat && request.attempts === 0) continue;
-      const obstacle = mayRepeat ? this.withdrawRetry(request, service) : "runs-once";
+      const obstacle = mayRepeat ? this.reserveRetry(request, service) : "runs-once";
       if (obstacle === undefined) continue;
       this.context.log.warn("request-not-retried", { requestId: request.id, obstacle, hasRun });
       break;
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -119,6 +119,8 @@
       isRepeatable: request.isIdempotent,
       onPathLost: options.onPathLost,
       onConnected: (path) => {
+        request.retryPermit?.use();
+        request.retryPermit = undefined;
         this._notePath(request, endpoint, path);
         options.onConnected?.(path);
       },
@@ -156,7 +158,7 @@
   }
 
   /**
-   * Withdraws a retry from the budget of the service if the request has attempts and time left.
+   * Withdraws a retry that is sent at once from the budget of the service if the request has attempts and time left.
    * @returns What prevents a retry; undefined if the request may be sent again.
    */
   protected withdrawRetry(request: CallerRequest, service: string): RetryObstacle | undefined {
@@ -165,6 +167,17 @@
     return this.context.budgets.tryWithdraw(service) ? undefined : "no-retry-budget";
   }
 
+  /**
+   * Reserves a retry for the next send of the request, which may have to wait for room, if the request has attempts and time left.
+   * @returns What prevents a retry; undefined if the request may be sent again.
+   */
+  protected reserveRetry(request: CallerRequest, service: string): RetryObstacle | undefined {
+    const obstacle = getOwnObstacle(request);
+    if (obstacle !== undefined) return obstacle;
+    request.retryPermit ??= this.context.budgets.tryReserve(service);
+    return request.retryPermit === undefined ? "no-retry-budget" : undefined;
+  }
+
   /** Returns what prevents a retry of the request now; undefined if nothing does. */
   protected getRetryObstacle(request: CallerRequest, service: string): RetryObstacle | undefined {
     const obstacle = getOwnObstacle(request);
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -4,6 +4,7 @@
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharingInstances } from "../peers/InstanceCount.js";
+import { RetryPermit } from "./RetryPermit.js";
 
 /** The retry budget of the whole deployment, from its settings. */
 export interface RetryBudgetOptions {
@@ -44,6 +45,8 @@
 interface ServiceCounts {
   readonly requests: WindowedCount;
   readonly retries: WindowedCount;
+  /** Number of granted retries that have not been sent. */
+  reserved: number;
 }
 
 /**
@@ -102,23 +105,37 @@
     this._structure.count?.(service, "request");
   }
 
-  /** Withdraws a retry for a service from the budget; returns false if the budget is exhausted. */
+  /** Withdraws a retry that is sent now; returns false if the budget is exhausted. */
   tryWithdraw(service: string): boolean {
+    const permit = this.tryReserve(service);
+    permit?.use();
+    return permit !== undefined;
+  }
+
+  /** Reserves a retry that is sent later, or not at all; returns undefined if the budget is exhausted. */
+  tryReserve(service: string): RetryPermit | undefined {
     if (!this.canWithdraw(service)) {
       this._structure.count?.(service, "denied");
-      return false;
+      return undefined;
     }
-    this._get(service).retries.add(this._nowMs());
-    this._structure.count?.(service, "granted");
-    return true;
+    const counts = this._get(service);
+    counts.reserved += 1;
+    return new RetryPermit(
+      () => {
+        // The length of the window, and with it the counts, may have changed since.
+        this._get(service).retries.add(this._nowMs());
+        this._structure.count?.(service, "granted");
+      },
+      () => (counts.reserved -= 1),
+    );
   }
 
   /** Returns whether the budget of a service allows a retry now. */
   canWithdraw(service: string): boolean {
     const nowMs = this._nowMs();
-    const { requests, retries } = this._get(service);
+    const { requests, retries, reserved } = this._get(service);
     const allowed = this._options.ratio * ratioShare * requests.get(nowMs) + this.slackShare;
-    return retries.get(nowMs) + 1 <= allowed;
+    return retries.get(nowMs) + reserved + 1 <= allowed;
   }
 
   /**
@@ -154,7 +171,11 @@
     const existing = this._counts.get(service);
     if (existing !== undefined) return existing;
     const { windowMs } = this._options;
-    const counts = { requests: new WindowedCount(windowMs), retries: new WindowedCount(windowMs) };
+    const counts = {
+      requests: new WindowedCount(windowMs),
+      retries: new WindowedCount(windowMs),
+      reserved: 0,
+    };
     this._counts.set(service, counts);
     return counts;
   }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -81,7 +81,7 @@
       if (end === "answered" || end === "caller-left") return;
       const mayRepeat = !hasRun || request.isIdempotent;
       if (mayRepeat && request.attempts === 0) continue;
-      const obstacle = mayRepeat ? this.withdrawRetry(request, service) : "runs-once";
+      const obstacle = mayRepeat ? this.reserveRetry(request, service) : "runs-once";
       if (obstacle === undefined) continue;
       this._runLog.noteUnresumed(request, obstacle);
       this._refuse(request, service, hasRun, hasRun ? "outcome-unknown" : "not-run");
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -141,3 +141,27 @@
   clock.nowMs += options.windowMs;
   t.is(exhaust(budgets), 25);
 });
+
+// Guards against retries that are granted in several windows, wait for room and arrive in one.
+test("retries that are sent together keep the budget, whenever they were granted", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = create({ instances: 1, clock });
+  const permits = [];
+  for (let window = 0; window < 3; window++) {
+    for (let permit = budgets.tryReserve("s"); permit; permit = budgets.tryReserve("s")) permits.push(permit);
+    clock.nowMs += 1.1 * options.windowMs;
+  }
+  for (const permit of permits) permit.use();
+  t.is(permits.length + exhaust(budgets), options.slack / 2);
+});
+
+test("a granted retry that is not sent returns to the budget, and one that was sent does not", (t) => {
+  const budgets = create({ instances: 100, clock: { nowMs: 0 } });
+  const unsent = budgets.tryReserve("s");
+  t.false(budgets.tryWithdraw("s"));
+  unsent?.release();
+  const sent = budgets.tryReserve("s");
+  sent?.use();
+  sent?.release();
+  t.is(exhaust(budgets), 0);
+});
