gateway: answers that go on without an end are given up, and their endpoints are left

What callers saw: endpoints that send bytes until the connection is closed took the memory and the time of the instance; callers of sound endpoints got nothing, or refusals of an overloaded instance. Cause: an answer was bounded by its deadline (interim answers, empty lines, extensions of chunks), by 16 MB each and nothing over all (bodies), or not at all (an incomplete event, whose buffer was copied and searched with each piece, and whose bytes counted as a sign of life). The head of such an answer reset the count of failures. Change: a bound on what comes up to the end of the headers, on framing against body, on an event, and on all answers together, beyond which the largest one is given up (AnswerMemory, setting answers.maxBufferedMb). Buffers grow by doubling, and only new bytes are searched. The body of a refusal is not awaited. Only events with fields and the beginning of an event are signs of life. Such endpoints are avoided for 0.5 s, then twice as long each time up to 30 s, until they have produced an event or a whole answer. answer-ended, ended_answers_total, answer_buffer_bytes.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -17,7 +17,8 @@
 import type { ListedEndpoint } from "./discovery/ListedEndpoint.js";
 import { addGauges } from "./addGauges.js";
 import { GatewayMetrics } from "./GatewayMetrics.js";
-import { getChangedSections, type GatewaySettings } from "./gatewaySettings.js";
+import { bytesPerMb, getChangedSections, type GatewaySettings } from "./gatewaySettings.js";
+import { AnswerMemory } from "./http/AnswerMemory.js";
 import { HttpClient } from "./http/HttpClient.js";
 import type { MessageCodec } from "./http/MessageCodec.js";
 import { LoadControls } from "./loadcontrol/LoadControls.js";
@@ -81,7 +82,7 @@
   private readonly _callerListener: CallerListener;
   private readonly _connectionGate: ConnectionGate;
   private readonly _readinessListener: ReadinessListener;
-  private readonly _httpClient = new HttpClient();
+  private readonly _httpClient: HttpClient;
   private readonly _stop = new AbortController();
   private readonly _keys = new KeyFreshness(this.activeConfiguration, () => this._settings.keys);
   private _isDraining = false;
@@ -91,7 +92,8 @@
     platform: GatewayPlatform,
     private readonly _log: DecisionLog,
   ) {
-    const { callers, retries } = _settings;
+    const { answers, callers, retries } = _settings;
+    this._httpClient = new HttpClient(new AnswerMemory(answers.maxBufferedMb * bytesPerMb));
     this._budgets = new RetryBudgets(toBudgetOptions(retries), {
       getSharing: () => this._peers.getSharing(),
       log: _log,
@@ -144,6 +146,7 @@
       forwarders: this._forwarders,
       reachability: this._reachability,
       budgets: this._budgets,
+      answerMemory: this._httpClient.memory,
     });
   }
 
@@ -327,6 +330,7 @@
       restarts: new ConcurrentRestarts(() => this._peers.getInstanceCount()),
       controls: this._controls,
       countDoubt: (cause, result) => this.metrics.streamDoubts.inc({ cause, result }),
+      countEndless: (service, cause) => this.metrics.endedAnswers.inc({ service, cause }),
       broadcastFull: (endpointId) => this._peers.exchange.broadcastFull(endpointId),
     };
   }
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly quarantinedRequests: prom.Counter;
   readonly namedLimits: prom.Counter<"service">;
   readonly permits: prom.Counter<"service">;
+  /** Answers of endpoints that were ended since they went on beyond their limits. */
+  readonly endedAnswers: prom.Counter<"service" | "cause">;
   /** Requests, and retries granted and denied by the retry budget; over all instances, granted retries are bounded by the requests. */
   readonly retryBudget: prom.Counter<"service" | "event">;
   /** Responses in which an endpoint states something about itself, such as a back-off or that it drains. */
@@ -93,6 +95,11 @@
       "Permits that came for endpoints that name a limit, by service",
       ["service"],
     );
+    this.endedAnswers = this._createCounter(
+      "ended_answers_total",
+      "Answers of endpoints that were ended since they went on beyond their limits, by service and cause",
+      ["service", "cause"],
+    );
     this.retryBudget = this._createCounter(
       "retry_budget_total",
       "Requests, granted retries and denied retries, by service",
--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -6,6 +6,7 @@
 import type { EndpointTable } from "./discovery/EndpointTable.js";
 import type { GatewayMetrics } from "./GatewayMetrics.js";
 import type { CallerListener } from "./requests/CallerListener.js";
+import type { AnswerMemory } from "./http/AnswerMemory.js";
 import type { RetryBudgets } from "./requests/RetryBudgets.js";
 import type { Reachability } from "./paths/Reachability.js";
 import type { ForwarderSet } from "./requests/ForwarderSet.js";
@@ -20,6 +21,7 @@
   readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
   readonly reachability: Pick<Reachability, "paths" | "server">;
   readonly budgets: Pick<RetryBudgets, "slackShare">;
+  readonly answerMemory: Pick<AnswerMemory, "sizeBytes">;
 }
 
 /** Adds the gauges, whose values are read from the components at scrape time. */
@@ -32,8 +34,13 @@
 
 function addRequestGauges(
   metrics: GatewayMetrics,
-  { callerListener, forwarders, crashes, budgets }: GaugeStructure,
+  { callerListener, forwarders, crashes, budgets, answerMemory }: GaugeStructure,
 ): void {
+  metrics.addGauge(
+    "answer_buffer_bytes",
+    "Memory of answers that are being received",
+    () => answerMemory.sizeBytes,
+  );
   metrics.addGauge(
     "retry_slack_share",
     "Retries per window and service beyond the ratio that this instance may send",
--- a/packages/gateway/src/discovery/CircuitBreaker.ts
+++ b/packages/gateway/src/discovery/CircuitBreaker.ts
@@ -6,6 +6,8 @@
 const secondOpenMs = 500;
 /** Maximum open time, and thus the interval of probe requests: endpoints that fail this way work again after a few seconds. */
 const maxOpenMs = 4_000;
+/** Maximum open time after answers without an end, each of which takes memory and time until it is given up. */
+const maxEndlessOpenMs = 30_000;
 /** How long after the open time an endpoint that has not answered since its last failure gets no requests that cannot be retried. */
 const maxRecoveryMs = 5_000;
 
@@ -16,6 +18,8 @@
  */
 export class CircuitBreaker {
   private _failures = 0;
+  /** Number of answers without an end since the last whole answer or event; a head shows nothing, since it comes with each of them. */
+  private _endlessAnswers = 0;
   private _failedAtMs = Number.NEGATIVE_INFINITY;
   private _openUntilMs = 0;
   private readonly _slowStart = new SlowStart();
@@ -33,12 +37,25 @@
    */
   noteFailed(sentAtMs: number, nowMs: number): void {
     if (sentAtMs <= this._failedAtMs) return;
-    this._failedAtMs = nowMs;
     this._failures += 1;
     const openMs =
       this._failures === 1 ? firstOpenMs : Math.min(maxOpenMs, secondOpenMs * 2 ** (this._failures - 2));
-    this._openUntilMs = nowMs + openMs;
-    this._slowStart.start(nowMs);
+    this._open(nowMs, openMs);
+  }
+
+  /**
+   * Records an answer that was given up since it went on without an end. Such answers that were given up together count as one.
+   * @param sentAtMs - Monotonic time at which the request was sent.
+   */
+  noteEndless(sentAtMs: number, nowMs: number): void {
+    if (sentAtMs <= this._failedAtMs) return;
+    this._endlessAnswers += 1;
+    this._open(nowMs, Math.min(maxEndlessOpenMs, secondOpenMs * 2 ** (this._endlessAnswers - 1)));
+  }
+
+  /** Records a whole answer, or an event, of a request that was sent at `sentAtMs`. */
+  noteProduced(sentAtMs: number): void {
+    if (sentAtMs > this._failedAtMs) this._endlessAnswers = 0;
   }
 
   noteSent(nowMs: number): void {
@@ -61,6 +78,12 @@
 
   /** Returns whether the last request failed. A request that cannot be retried should then go to another endpoint. */
   isRecovering(nowMs: number): boolean {
-    return this._failures > 0 && nowMs < this._openUntilMs + maxRecoveryMs;
+    return this._failures + this._endlessAnswers > 0 && nowMs < this._openUntilMs + maxRecoveryMs;
+  }
+
+  private _open(nowMs: number, durationMs: number): void {
+    this._failedAtMs = nowMs;
+    this._openUntilMs = nowMs + durationMs;
+    this._slowStart.start(nowMs);
   }
 }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -3,6 +3,10 @@
 import { errors, results } from "@shedtiller/common";
 import { checkSections, SettingsError } from "@shedtiller/settings";
 import * as zod from "zod";
+import { defaultMaxBufferedBytes } from "./http/AnswerMemory.js";
+
+/** Bytes of a megabyte in settings. */
+export const bytesPerMb = 1024 * 1024;
 
 const text = zod.string().min(1);
 const port = zod.coerce.number().int().min(1).max(65_535);
@@ -67,6 +71,16 @@
       drainMs: milliseconds.optional(),
     })
     .prefault({}),
+  /** Bounds on the answers of endpoints. */
+  answers: zod
+    .strictObject({
+      /** Memory for all answers that are being received; beyond it the largest one is given up. */
+      maxBufferedMb: zod.coerce
+        .number()
+        .positive()
+        .default(defaultMaxBufferedBytes / bytesPerMb),
+    })
+    .prefault({}),
   /** Decisions under load that the configuration may call for; `docs/INTERFACES.md` names the condition of each. */
   loadControl: zod
     .strictObject({
--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -2,7 +2,9 @@
 import type * as http from "node:http";
 import type { errors } from "@shedtiller/common";
 import type { AnswerTooLargeError } from "./AnswerTooLargeError.js";
+import type { AnswerMemory } from "./AnswerMemory.js";
 import type { ConnectionPath } from "./Connector.js";
+import type { EndlessAnswerError } from "./EndlessAnswerError.js";
 import type { PathLostError } from "./PathLostError.js";
 
 /** The error of a call without a usable answer. Only `NotReachedError` proves that the server did not receive the request. */
@@ -12,7 +14,8 @@
   | errors.DeadlineError
   | errors.CancelledError
   | PathLostError
-  | AnswerTooLargeError;
+  | AnswerTooLargeError
+  | EndlessAnswerError;
 
 /** An HTTP request with its connection options and time limits. */
 export interface HttpCall {
@@ -43,6 +46,10 @@
   readonly message: http.IncomingMessage;
   /** Aborts when the call is cancelled, as the signal of the call does. */
   readonly signal?: AbortSignal | undefined;
+  /** Memory that the body shares with the other answers to the same client. */
+  readonly memory?: AnswerMemory | undefined;
+  /** Bytes that the connection has received for this answer, including headers and framing. */
+  readonly receivedBytes?: number;
   /** Returns whether the body arrived completely. The end of the connection completes a body without a stated length, a reset does not. */
   isWhole(): Promise<boolean>;
   /** Aborts the call and closes its connection. */
--- a/packages/gateway/src/http/HttpClient.ts
+++ b/packages/gateway/src/http/HttpClient.ts
@@ -1,10 +1,12 @@
 /** HTTP/1.1 client for endpoints and the store, whose errors state whether the server may have received the request. */
 import { results, utils } from "@shedtiller/common";
+import { AnswerMemory } from "./AnswerMemory.js";
 import type { Connector } from "./Connector.js";
 import { ConnectorAgent } from "./ConnectorAgent.js";
 import type { CallError, HttpAnswer, HttpCall, BufferedAnswer } from "./HttpCall.js";
 import { HttpExchange } from "./HttpExchange.js";
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
+import { discardBody } from "./discardBody.js";
 import { readBody } from "./readBody.js";
 
 /** Makes calls over pooled keep-alive connections, or over a new connection if `isFresh` is set. */
@@ -15,6 +17,9 @@
   private readonly _waiting = new Map<string, Set<HttpExchange>>();
   private _connector: Connector | undefined;
 
+  /** @param memory - Memory for the answers that are being received. */
+  constructor(readonly memory = new AnswerMemory()) {}
+
   /** Establishes all further connections with `connector`. */
   useConnector(connector: Connector): void {
     this._connector = connector;
@@ -32,7 +37,7 @@
   send(call: HttpCall): Promise<results.Result<HttpAnswer, CallError>> {
     return new Promise((resolve) => {
       const agent = call.isFresh === true ? this._fresh : this._keepAlive;
-      const exchange = new HttpExchange(call, agent, this._connector, (result) => {
+      const exchange = new HttpExchange(call, agent, this._connector, this.memory, (result) => {
         this._removeWaiting(call.address, exchange);
         resolve(result);
       });
@@ -55,14 +60,20 @@
   /**
    * Sends a request and reads its whole answer, which is due at one time for its headers and its body.
    * @param dueAtMs - Monotonic time by which the whole answer is due.
+   * @param needsBody - Called with the head; the body of an answer that does not need it is discarded.
    */
   async fetchUntil(
     call: HttpCall,
     maxBytes: number,
     dueAtMs: number,
+    needsBody: (head: HttpAnswer) => boolean = () => true,
   ): Promise<results.Result<BufferedAnswer, CallError>> {
     const head = await this.send(call);
     if (head.err) return head;
+    if (!needsBody(head.val)) {
+      discardBody(head.val);
+      return results.Ok({ status: head.val.status, headers: head.val.headers, body: Buffer.alloc(0) });
+    }
     return readAnswer(head.val, call, maxBytes, Math.max(1, dueAtMs - utils.monotonicMs()));
   }
 
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -2,8 +2,11 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import { errors, results, utils } from "@shedtiller/common";
+import type { AnswerMemory } from "./AnswerMemory.js";
 import type { Connector } from "./Connector.js";
 import type { ConnectorAgent } from "./ConnectorAgent.js";
+import { EndlessAnswerError } from "./EndlessAnswerError.js";
+import { maxHeadBytes } from "./framing.js";
 import type { CallError, HttpAnswer, HttpCall } from "./HttpCall.js";
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
 import { PathLostError } from "./PathLostError.js";
@@ -25,12 +28,14 @@
   private _silenceTimer: NodeJS.Timeout | undefined;
   /** Monotonic time at which the request was written to a direct connection; undefined on other connections. */
   private _sentDirectlyAtMs: number | undefined;
+  private _receivedBytes = 0;
   private readonly _onAbort = (): void => this._end(new errors.CancelledError("A call"));
 
   constructor(
     private readonly _call: HttpCall,
     private readonly _agent: ConnectorAgent,
     private readonly _connector: Connector | undefined,
+    private readonly _memory: AnswerMemory,
     private readonly _resolve: (result: results.Result<HttpAnswer, CallError>) => void,
   ) {}
 
@@ -84,6 +89,7 @@
 
   /** Records when the request is written: once the connection is established, or at once on a pooled connection. */
   private _watchConnection(socket: net.Socket): void {
+    this._countReceived(socket);
     const onConnected = (): void => {
       this._mayHaveArrived = true;
       this._connectTimeout?.clear();
@@ -93,6 +99,18 @@
     else onConnected();
   }
 
+  /** Counts the bytes of this answer; Node bounds neither interim answers nor what comes before a status line. */
+  private _countReceived(socket: net.Socket): void {
+    const count = (bytes: Buffer): void => {
+      this._receivedBytes += bytes.length;
+      if (!this._isSettled && this._receivedBytes > maxHeadBytes)
+        this._end(new EndlessAnswerError(this._call.address, "head", maxHeadBytes));
+    };
+    socket.on("data", count);
+    // The connection may be used again for another call.
+    this._request?.once("close", () => socket.removeListener("data", count));
+  }
+
   private _noteSent(socket: net.Socket): void {
     const path = this._connector?.getPath(socket);
     this._call.onConnected?.(path);
@@ -112,8 +130,13 @@
     if (this._agent instanceof KeepAliveAgent) this._agent.noteAnswer(socket, message.headers);
     const connectionEnd = isFramed(message) ? undefined : waitForConnectionEnd(socket);
     message.on("error", () => undefined);
+    const getReceivedBytes = (): number => this._receivedBytes;
     this._settle(
       results.Ok({
+        memory: this._memory,
+        get receivedBytes() {
+          return getReceivedBytes();
+        },
         status: message.statusCode ?? 0,
         headers: message.rawHeaders,
         message,
--- a/packages/gateway/src/http/readBody.ts
+++ b/packages/gateway/src/http/readBody.ts
@@ -1,6 +1,9 @@
 /** Reading of answer bodies with limits on size and time. */
 import { errors, results, utils } from "@shedtiller/common";
 import { AnswerTooLargeError } from "./AnswerTooLargeError.js";
+import { ByteCollector } from "./ByteCollector.js";
+import { EndlessAnswerError } from "./EndlessAnswerError.js";
+import { checkFraming } from "./framing.js";
 import type { CallError, HttpAnswer } from "./HttpCall.js";
 
 /**
@@ -18,8 +21,7 @@
   stallMs = timeoutMs,
 ): Promise<results.Result<Buffer, CallError>> {
   const done = new utils.Deferred<results.Result<Buffer, CallError>>();
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const collector = new ByteCollector();
   const fail = (error: CallError): void => {
     done.resolve(results.Err(error));
     answer.abort();
@@ -27,18 +29,24 @@
   const failTimedOut = (limitMs: number): void =>
     fail(new errors.DeadlineError(`The body of ${address}`, limitMs));
   const cancel = (): void => fail(new errors.CancelledError(`The body of ${address}`));
+  const buffer = answer.memory?.open(() =>
+    fail(new EndlessAnswerError(address, "buffers", answer.memory?.maxBytes ?? 0)),
+  );
   const timeout = new utils.IoTimeout(timeoutMs, () => failTimedOut(timeoutMs));
   let stall = new utils.IoTimeout(stallMs, () => failTimedOut(stallMs));
   answer.message.on("data", (chunk: Buffer) => {
     stall.clear();
     stall = new utils.IoTimeout(stallMs, () => failTimedOut(stallMs));
-    sizeBytes += chunk.length;
-    chunks.push(chunk);
-    if (sizeBytes > maxBytes) fail(new AnswerTooLargeError(address, maxBytes));
+    if (collector.sizeBytes + chunk.length > maxBytes)
+      return fail(new AnswerTooLargeError(address, maxBytes));
+    collector.append(chunk);
+    const endless = checkFraming(answer, address, collector.sizeBytes);
+    if (endless !== undefined) return fail(endless);
+    buffer?.resize(collector.capacityBytes);
   });
   answer.message.on("end", () => {
     void answer.isWhole().then((isWhole) => {
-      if (isWhole) done.resolve(results.Ok(Buffer.concat(chunks)));
+      if (isWhole) done.resolve(results.Ok(collector.bytes));
       else fail(new errors.ConnectionLostError(address));
     });
   });
@@ -52,5 +60,6 @@
     answer.signal?.removeEventListener("abort", cancel);
     timeout.clear();
     stall.clear();
+    buffer?.close();
   });
 }
--- a/packages/gateway/src/requests/EventSplitter.ts
+++ b/packages/gateway/src/requests/EventSplitter.ts
@@ -1,32 +1,55 @@
 /** Splits a byte stream of server-sent events at event boundaries, so that no incomplete event is forwarded. */
+import { ByteCollector } from "../http/ByteCollector.js";
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idPattern = /^id:[ ]?(.*)$/gm;
+const fieldPattern = /^(id|data|event)\b/m;
+/** Length of the longest end of an event, CR LF CR LF, less one byte. */
+const endOverlapBytes = 3;
 
 /** One or more complete events, and the id of the last one that has an id. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly lastId: string | undefined;
+  /** Whether any of them is more than a comment. */
+  readonly hasFields: boolean;
 }
 
-/** Buffers bytes and returns events as soon as they are complete. */
+/** Buffers bytes and returns events as soon as they are complete. The time is linear in the number of bytes. */
 export class EventSplitter {
-  private _remainder: Buffer = Buffer.alloc(0);
+  private readonly _partial = new ByteCollector();
+
+  /** Size of the incomplete event. */
+  get partialBytes(): number {
+    return this._partial.sizeBytes;
+  }
+
+  /** Memory that the incomplete event uses. */
+  get bufferedBytes(): number {
+    return this._partial.capacityBytes;
+  }
 
   /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this._remainder.length > 0;
+    return this._partial.sizeBytes > 0;
   }
 
   /** Adds bytes and returns the events that they complete, or undefined if they complete none. */
   push(bytes: Buffer): CompleteEvents | undefined {
-    const all = this._remainder.length === 0 ? bytes : Buffer.concat([this._remainder, bytes]);
-    const end = findLastEventEnd(all);
-    this._remainder = all.subarray(end);
-    if (end === 0) return undefined;
+    // The bytes buffered before contain no end of an event.
+    const searchedBytes = Math.max(0, this._partial.sizeBytes - endOverlapBytes);
+    this._partial.append(bytes);
+    const all = this._partial.bytes;
+    const endInRest = findLastEventEnd(all.subarray(searchedBytes));
+    if (endInRest === 0) return undefined;
+    const end = searchedBytes + endInRest;
     const complete = all.subarray(0, end);
-    return { bytes: complete, lastId: findLastId(complete) };
+    const rest = all.subarray(end);
+    this._partial.clear();
+    if (rest.length > 0) this._partial.append(Buffer.from(rest));
+    const text = complete.toString("latin1");
+    return { bytes: complete, lastId: findLastId(text), hasFields: fieldPattern.test(text) };
   }
 }
 
@@ -40,7 +63,7 @@
   return 0;
 }
 
-function findLastId(bytes: Buffer): string | undefined {
-  const matches = [...bytes.toString("latin1").matchAll(idPattern)];
+function findLastId(text: string): string | undefined {
+  const matches = [...text.matchAll(idPattern)];
   return matches[matches.length - 1]?.[1]?.trim();
 }
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -12,12 +12,15 @@
 import {
   connectTimeoutMs,
   failureStatus,
+  isEndless,
   noEndpointRetryAfterMs,
   RequestForwarder,
   type ForwardContext,
 } from "./RequestForwarder.js";
 
 const maxAnswerBytes = 16 * 1024 * 1024;
+/** Time that a body has at least after its headers until its absence counts against the endpoint; callers may have very short deadlines. */
+const minBodyMs = 250;
 /** Retry-After of a request that was not executed: about the service time of a plain request. */
 const retryAfterMs = 100;
 /** Share of the target latency after which a safe request without an answer is sent to another endpoint as well, if no usual time is known. */
@@ -286,12 +289,21 @@
     endpoint.addOwnLoad(1, 0);
     request.attempts += 1;
     const sentAtMs = utils.monotonicMs();
+    let headAtMs = Number.POSITIVE_INFINITY;
     const result = await this.context.httpClient.fetchUntil(
       this.createCall(request, endpoint, { headTimeoutMs, isFresh, signal, connectTimeoutMs: connectMs }),
       maxAnswerBytes,
       request.dueAtMs,
+      (head) => {
+        headAtMs = utils.monotonicMs();
+        // The body of a refusal says nothing more, and may not end.
+        return !this.context.codec.decodeAnswer(head.headers).hasNotRun;
+      },
     );
     endpoint.addOwnLoad(-1, 0);
+    const isLate = utils.monotonicMs() - headAtMs >= minBodyMs;
+    if (result.err && isEndless(result.val) && (isLate || !(result.val instanceof errors.DeadlineError)))
+      this.noteEndless(request, endpoint, result.val, sentAtMs);
     if (result.err && result.val instanceof errors.NotReachedError) permit.release();
     const isLost = result.err && result.val instanceof errors.ConnectionLostError;
     const isAbandoned = result.err && isAbandonedConnection(result.val, sentAtMs, connectMs);
@@ -319,6 +331,7 @@
     if (fields.hasNotRun || status >= failureStatus)
       endpoint.circuitBreaker.noteFailed(sentAtMs, utils.monotonicMs());
     else endpoint.noteAnswered(sentAtMs);
+    if (!fields.hasNotRun) endpoint.circuitBreaker.noteProduced(sentAtMs);
     if (fields.hasNotRun) return { kind: "not-run", error: `status ${status}` };
     if (fields.requestId !== request.fields.requestId)
       return { kind: "unknown", error: "answer of another request" };
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -7,13 +7,16 @@
 import type { FailureDetector } from "../discovery/FailureDetector.js";
 import type { CrashDetector } from "../crashes/CrashDetector.js";
 import type { EndpointTable } from "../discovery/EndpointTable.js";
+import { AnswerTooLargeError } from "../http/AnswerTooLargeError.js";
+import { EndlessAnswerError } from "../http/EndlessAnswerError.js";
 import type { ConnectionPath } from "../http/Connector.js";
-import type { HttpCall } from "../http/HttpCall.js";
+import type { CallError, HttpCall } from "../http/HttpCall.js";
 import type { HttpClient } from "../http/HttpClient.js";
 import type { ChainStage, MessageCodec } from "../http/MessageCodec.js";
 import type { LoadControls } from "../loadcontrol/LoadControls.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { EndpointPaths } from "../paths/EndpointPaths.js";
+import { errors, utils } from "@shedtiller/common";
 import type { CallerRequest } from "./CallerRequest.js";
 import type { PermitForecast } from "./PermitForecast.js";
 import type { RequestDemand } from "./RequestDemand.js";
@@ -56,6 +59,8 @@
   readonly controls: Pick<LoadControls, "gates" | "flows"> & Partial<LoadControls>;
   /** Counts how doubts about runs of streams ended. */
   readonly countDoubt?: StreamRunLogStructure["countDoubt"];
+  /** Counts answers that were ended since they went on beyond their limits. */
+  readonly countEndless?: (service: string, cause: string) => void;
   /** Reports to the peers that an endpoint rejected a request for lack of capacity. */
   readonly broadcastFull: (endpointId: string) => void;
 }
@@ -150,6 +155,28 @@
     return true;
   }
 
+  /** Records that an answer was ended since it went on beyond its limits. The endpoint is avoided like one that fails at once. */
+  protected noteEndless(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    error: CallError,
+    sentAtMs: number,
+  ): void {
+    const nowMs = utils.monotonicMs();
+    const { service, address } = endpoint.listed;
+    endpoint.circuitBreaker.noteEndless(sentAtMs, nowMs);
+    this.context.countEndless?.(service, error.code);
+    this.context.log.warn("answer-ended", {
+      requestId: request.id,
+      service,
+      endpointId: endpoint.id,
+      address,
+      cause: error.code,
+      part: error instanceof EndlessAnswerError ? error.part : "body",
+      sinceSentMs: Math.round(nowMs - sentAtMs),
+    });
+  }
+
   private _notePath(request: CallerRequest, endpoint: Endpoint, path: ConnectionPath | undefined): void {
     request.peer = path?.peer;
     if (path === undefined) return;
@@ -186,6 +213,15 @@
   }
 }
 
+/** Returns whether an answer whose headers had arrived went on beyond its limits, in size or in time. */
+export function isEndless(error: CallError): boolean {
+  return (
+    error instanceof EndlessAnswerError ||
+    error instanceof AnswerTooLargeError ||
+    error instanceof errors.DeadlineError
+  );
+}
+
 /** Returns what prevents a retry of the request whatever the budget. */
 function getOwnObstacle(request: CallerRequest): RetryObstacle | undefined {
   if (request.signal.aborted) return "caller-left";
--- a/packages/gateway/src/requests/StreamAttempt.ts
+++ b/packages/gateway/src/requests/StreamAttempt.ts
@@ -1,6 +1,9 @@
 /** One attempt to run a streamed request at a chain. */
 import { utils } from "@shedtiller/common";
 import type { ChainReservation } from "../chains/ChainReservation.js";
+import type { AnswerBuffer } from "../http/AnswerMemory.js";
+import { EndlessAnswerError, type EndlessPart } from "../http/EndlessAnswerError.js";
+import { checkFraming } from "../http/framing.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import type { ChainStage } from "../http/MessageCodec.js";
 import type { TrackedRun } from "../crashes/TrackedRun.js";
@@ -9,6 +12,9 @@
 import { EventSplitter } from "./EventSplitter.js";
 import type { StreamProgress } from "./StreamProgress.js";
 
+/** Maximum size of one event. */
+export const maxEventBytes = 1024 * 1024;
+
 /** How the stream of an attempt ended. */
 export type StreamEnd = "completed" | "broken" | "caller-left";
 
@@ -28,7 +34,7 @@
 export class StreamAttempt implements TrackedRun {
   /** The endpoint that the request was sent to, as the object of the process life at that time. */
   firstEndpoint: Endpoint | undefined;
-  /** Monotonic time of the send, of the last received bytes, or of the last move. */
+  /** Monotonic time of the send, of the last event or the beginning of an event, or of the last move. */
   lastActivityAtMs = utils.monotonicMs();
   /** Monotonic time of the send. */
   sentAtMs = this.lastActivityAtMs;
@@ -66,7 +72,11 @@
   onFirstEvent: (() => void) | undefined;
   /** Whether the answer's headers have arrived, so that the first engine executes the request. */
   hasBegun = false;
+  /** The reason for which this instance ended an answer that goes on without an event; undefined if it did not. */
+  endless: EndlessAnswerError | undefined;
   private readonly _splitter = new EventSplitter();
+  private _bodyBytes = 0;
+  private _buffer: AnswerBuffer | undefined;
 
   constructor(
     readonly request: CallerRequest,
@@ -137,6 +147,7 @@
     const done = new utils.Deferred<StreamEnd>();
     const { message } = answer;
     this.hasBegun = true;
+    this._buffer = answer.memory?.open(() => this._endEndless("buffers", answer.memory?.maxBytes ?? 0));
     const end = (result: StreamEnd): void => {
       done.resolve(this.request.signal.aborted ? "caller-left" : result);
       answer.abort();
@@ -153,17 +164,26 @@
     message.on("close", () => {
       if (!message.complete) end("broken");
     });
-    return done.promise;
+    return done.promise.finally(() => this._buffer?.close());
+  }
+
+  private _endEndless(part: EndlessPart, maxBytes: number): void {
+    this.endless ??= new EndlessAnswerError(this.firstStage?.address ?? "", part, maxBytes);
+    this.abort.abort();
   }
 
   private _forward(bytes: Buffer, answer: HttpAnswer): void {
     if (this.abort.signal.aborted) return;
-    const nowMs = utils.monotonicMs();
-    if (this.hasPassedChain) this.onPause?.(nowMs - this.lastActivityAtMs);
-    this._noteActivity(nowMs);
-    if (this.firstEndpoint !== undefined) this.firstEndpoint.heardAtMs = nowMs;
-    this.awaitsRead = false;
+    this._bodyBytes += bytes.length;
+    const hadPartialEvent = this._splitter.hasPartialEvent;
     const events = this._splitter.push(bytes);
+    this._buffer?.resize(this._splitter.bufferedBytes);
+    if (this._splitter.partialBytes > maxEventBytes) return this._endEndless("event", maxEventBytes);
+    const endless = checkFraming(answer, this.firstStage?.address ?? "", this._bodyBytes);
+    if (endless !== undefined) return this._endEndless(endless.part, endless.maxBytes);
+    // Neither comments nor more and more bytes of one event show that the engine produces anything.
+    const isSign = events?.hasFields ?? !hadPartialEvent;
+    if (isSign) this._noteActivity();
     if (events === undefined) return;
     this.onEvents?.();
     if (!this.request.isHeadSent) this.request.startStream(answer.status, answer.headers);
@@ -183,7 +203,11 @@
     });
   }
 
-  private _noteActivity(nowMs: number): void {
+  private _noteActivity(): void {
+    const nowMs = utils.monotonicMs();
+    if (this.hasPassedChain) this.onPause?.(nowMs - this.lastActivityAtMs);
+    if (this.firstEndpoint !== undefined) this.firstEndpoint.heardAtMs = nowMs;
+    this.awaitsRead = false;
     if (this.doubt !== undefined) this.onCertain?.();
     this.doubt = undefined;
     this.lastActivityAtMs = nowMs;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -5,11 +5,13 @@
 import { findNamedEndpoint } from "../chains/findNamedEndpoint.js";
 import type { ChainReservation } from "../chains/ChainReservation.js";
 import { getEvidence } from "../discovery/SuspicionEvidence.js";
+import { discardBody } from "../http/discardBody.js";
+import { EndlessAnswerError } from "../http/EndlessAnswerError.js";
 import type { HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { isReturn, refuseAtGates } from "./refuseAtGates.js";
-import { failureStatus, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
+import { failureStatus, isEndless, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
 import { maxSilenceMs, type StallMonitor } from "./StallMonitor.js";
 import { StreamAttempt } from "./StreamAttempt.js";
 import { getFirstEventTarget, StreamPlacement } from "./StreamPlacement.js";
@@ -225,7 +227,10 @@
     request.attempts += 1;
     attempt.noteSent();
     attempt.firstEndpoint = first;
-    attempt.onFirstEvent = () => void this.context.crashes.noteFirstEvent(attempt);
+    attempt.onFirstEvent = () => {
+      first.circuitBreaker.noteProduced(attempt.sentAtMs);
+      void this.context.crashes.noteFirstEvent(attempt);
+    };
     this.context.crashes.begin(attempt);
     const sent = await this.context.httpClient.send(
       this.createCall(request, first, {
@@ -244,6 +249,7 @@
     if (request.signal.aborted) return "caller-left";
     if (attempt.givenUpFor === "not-needed") return "lost";
     this._runLog.noteFailed(attempt, sent.val.code);
+    if (sent.val instanceof EndlessAnswerError) this.noteEndless(request, first, sent.val, attempt.sentAtMs);
     if (sent.val instanceof errors.ConnectionLostError)
       first.circuitBreaker.noteFailed(attempt.sentAtMs, utils.monotonicMs());
     if (sent.val instanceof errors.ConnectionLostError || attempt.abort.signal.aborted)
@@ -289,8 +295,12 @@
       this._noteCompleted(attempt);
       return "answered";
     }
-    this._runLog.noteFailed(attempt, "stream broken off");
+    this._runLog.noteFailed(attempt, attempt.endless?.code ?? "stream broken off");
     if (attempt.givenUpFor === "not-needed") return "lost";
+    if (attempt.endless !== undefined && attempt.firstEndpoint !== undefined) {
+      this.noteEndless(request, attempt.firstEndpoint, attempt.endless, attempt.sentAtMs);
+      return "lost";
+    }
     // An attempt that this instance aborted may have lost its engine as well: peers report a loss before its connection ends here.
     if (attempt.firstEndpoint !== undefined)
       void this.context.crashes.noteLost(attempt, attempt.firstEndpoint);
@@ -318,7 +328,7 @@
     answer: HttpAnswer,
     faultyAddress: string | undefined,
   ): RunEnd {
-    answer.message.resume();
+    discardBody(answer);
     // A rejected request is no load on its engines.
     attempt.reservation.release();
     const nowMs = utils.monotonicMs();
@@ -344,6 +354,8 @@
     const address = attempt.firstStage?.address ?? "";
     const body = await readBody(answer, address, maxErrorBytes, Math.max(1, request.getRemainingMs()));
     this._runLog.noteFailed(attempt, `status ${answer.status}`);
+    if (body.err && attempt.firstEndpoint !== undefined && isEndless(body.val))
+      this.noteEndless(request, attempt.firstEndpoint, body.val, attempt.sentAtMs);
     if (body.err || request.isHeadSent || !attempt.isLeading) return "lost";
     if (
       request.isIdempotent &&
--- a/packages/gateway/src/tests/discovery/CircuitBreakerTests.ts
+++ b/packages/gateway/src/tests/discovery/CircuitBreakerTests.ts
@@ -62,3 +62,21 @@
   breaker.noteAnswered(2_000);
   t.false(breaker.isRecovering(2_000));
 });
+
+// Guards against an endpoint whose heads of answers without an end count as answers, so that it attracts requests again and again.
+test("an endpoint whose answers have no end is avoided for longer each time, until it has produced something", (t) => {
+  const breaker = new CircuitBreaker();
+  let nowMs = 1_000;
+  const openMs: number[] = [];
+  for (let answer = 0; answer < 8; answer++) {
+    breaker.noteAnswered(nowMs);
+    breaker.noteEndless(nowMs, nowMs + 10);
+    const fromMs = nowMs + 10;
+    for (nowMs = fromMs; breaker.isOpen(nowMs);) nowMs += 10;
+    openMs.push(nowMs - fromMs);
+  }
+  t.deepEqual(openMs, [500, 1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000]);
+  breaker.noteProduced(nowMs);
+  breaker.noteEndless(nowMs, nowMs);
+  t.false(breaker.isOpen(nowMs + 500));
+});
