routing, claims: the reserve of retries of the older form is earned with the age of the process

RetryBudget gave each new process its whole reserve of ten, however often it was started. Change: the entry's budget earns the reserve within ten seconds. A call that did not reach its endpoint is no retry there and takes none, so that a new process can still go to the next endpoint when one is gone. Looked at and left: pipelines have no such budget; runs of one request are bounded by the ledger of crashes. Test: five processes of two seconds each withdraw ten together; 50 before.

--- a/packages/claims/src/service/ServiceCaller.ts
+++ b/packages/claims/src/service/ServiceCaller.ts
@@ -55,11 +55,11 @@
     this._retries.recordRequest();
     const tried = new Set<string>();
     let ran: ExecutionStatus = "no";
+    let isRetry = false;
     for (;;) {
       const endpoint = this._selectEndpoint(call.service, tried);
       if (endpoint === undefined) return results.Err(new ServiceError(call.service, ran));
-      if (tried.size > 0 && !this._retries.tryWithdraw())
-        return results.Err(new ServiceError(call.service, ran));
+      if (isRetry && !this._retries.tryWithdraw()) return results.Err(new ServiceError(call.service, ran));
       tried.add(endpoint.name);
       const sentAtMs = utils.monotonicMs();
       this._backoffs.get(endpoint.name)?.noteSent(sentAtMs);
@@ -67,6 +67,8 @@
       if (answer.ok) this._noteAnswer(endpoint, answer.val, sentAtMs);
       if (answer.ok) return answer;
       this._noteFailure(endpoint, answer.val);
+      // A call that did not reach its endpoint is no load there.
+      isRetry ||= answer.val.code !== "not_reached";
       if (answer.val.code !== "not_reached") ran = "unknown";
       // A call that may have run is retried only if it is declared repeatable.
       if (ran === "unknown" && !call.isRepeatable)
--- a/packages/entry/src/composeEntry.ts
+++ b/packages/entry/src/composeEntry.ts
@@ -45,6 +45,8 @@
 }
 
 const leaseDurationMs = 8_000;
+/** Time in which a new process earns the reserve of retries, so that restarts in a row do not multiply it. */
+const retryReserveEarnMs = 10_000;
 
 /** Creates a container with bindings for all services of an instance. */
 export function composeEntry(
@@ -139,7 +141,9 @@
   options: ComposeOptions,
 ): void {
   container.bind(routing.EndpointDirectory).toConstantValue(new routing.EndpointDirectory());
-  container.bind(routing.RetryBudget).toConstantValue(new routing.RetryBudget());
+  container
+    .bind(routing.RetryBudget)
+    .toConstantValue(new routing.RetryBudget(undefined, undefined, { earnMs: retryReserveEarnMs }));
   container
     .bind(routing.ChainChooser)
     .toDynamicValue(
--- a/packages/routing/src/tests/routingTests.ts
+++ b/packages/routing/src/tests/routingTests.ts
@@ -140,6 +140,21 @@
   );
 });
 
+// Guards against processes that each have the whole reserve from their start, however often they are started.
+test("processes that replace each other while the reserve is earned have it once together", (t) => {
+  const clock = { nowMs: 0 };
+  let withdrawn = 0;
+  for (let life = 0; life < 5; life++) {
+    const budget = new RetryBudget(0.2, 10, { earnMs: 10_000, nowMs: () => clock.nowMs });
+    for (const endMs = clock.nowMs + 2_000; clock.nowMs < endMs; clock.nowMs += 100)
+      while (budget.tryWithdraw()) withdrawn += 1;
+  }
+  t.true(withdrawn <= 10, `${withdrawn} retries`);
+  const budget = new RetryBudget(0.2, 10, { earnMs: 10_000, nowMs: () => clock.nowMs });
+  for (let step = 0; step < 300; step++, clock.nowMs += 100) while (budget.tryWithdraw()) withdrawn += 1;
+  t.true(withdrawn >= 10, "the reserve is earned once");
+});
+
 test("retries are limited to a share of the requests", (t) => {
   const budget = new RetryBudget(0.2, 10);
   const withdrawAll = (): number => {
