common: work with a deadline goes on after a pause of the process

What callers saw: a call that only its claim holder could run was refused as not run after the holder had been suspended, though its claim was in the log: 503 claim_refused, "the key could not be claimed in time". Change: withDeadline uses IoTimeout and waits once more after a pause, for as long as it took and for the timeout at most. The test is unchanged.

--- a/packages/common/src/utils/tasks.ts
+++ b/packages/common/src/utils/tasks.ts
@@ -1,5 +1,6 @@
 /** Helpers for asynchronous tasks: abortable sleep, deadlines, and periodic loops that end with an abort signal. */
 import * as errors from "../errors/index.js";
+import { IoTimeout } from "./IoTimeout.js";
 import { monotonicMs } from "./clock.js";
 
 /** Waits for `durationMs`, or rejects with `CancelledError` once `signal` aborts. */
@@ -23,17 +24,21 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
-/** Settles like `work`, or rejects with `DeadlineError` after `durationMs`. The work itself is not aborted. */
+/**
+ * Settles like `work`, or rejects with `DeadlineError` after `durationMs`. After a pause of this process the work goes on for as long as the
+ * pause took, since what it waits for may have arrived unread. The work itself is not aborted.
+ */
 export function withDeadline<T>(work: Promise<T>, durationMs: number, operation: string): Promise<T> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => reject(new errors.DeadlineError(operation, durationMs)), durationMs);
+    const fail = (): void => reject(new errors.DeadlineError(operation, durationMs));
+    const timeout = new IoTimeout(durationMs, fail, { isPauseExcluded: true });
     work.then(
       (value) => {
-        clearTimeout(timer);
+        timeout.clear();
         resolve(value);
       },
       (error: unknown) => {
-        clearTimeout(timer);
+        timeout.clear();
         reject(error);
       },
     );
