--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -54,8 +54,8 @@
  * instances need no coordination.
  *
  * Each instance has an equal part of the slack. Once a process knows the instances, it earns half of that part within one window, in
- * proportion to the time, and may use the half in every window from then on. So in any window the process that runs at its beginning uses at most one half, and the processes
- * started later, which run one after the other, together at most the other half, however many they are.
+ * proportion to the time, and may use the half in every window from then on. So in any window the process that runs at its beginning uses at
+ * most one half, and the processes started later, which run one after the other, together at most the other half, however many they are.
  *
  * An instance may use its whole share at once. Engines reject requests in bursts, and a token bucket of one or two retries (the share of
  * the slack among 195 instances) would deny a retry to the third stream of a burst while most of the window's budget is unused.
@@ -66,7 +66,6 @@
   private _instanceCount: number | undefined;
   /** A smaller number of instances that takes effect at the monotonic time `fromMs`. */
   private _pendingDecrease: { readonly count: number; readonly fromMs: number } | undefined;
-
   private readonly _nowMs: () => number;
   /** Monotonic time of the latest change of the length of the window. */
   private _windowChangedAtMs = Number.NEGATIVE_INFINITY;
