--- a/packages/gateway/src/tests/requests/ConnectionRefuserTests.ts
+++ b/packages/gateway/src/tests/requests/ConnectionRefuserTests.ts
@@ -64,3 +64,28 @@
   t.true(answer.startsWith("HTTP/1.1 503 "), answer);
   t.deepEqual(ids, [undefined]);
 });
+
+// Guards against callers that send two requests in one piece and get a refusal of the first one only.
+for (const [what, first] of Object.entries({
+  "without a body": "GET /a HTTP/1.1\r\nx-id: r1\r\n\r\n",
+  "with a body": "POST /a HTTP/1.1\r\nx-id: r1\r\nContent-Length: 4\r\n\r\nbody",
+})) {
+  test(`each of two requests that arrive in one piece is refused, the first one ${what}`, async (t) => {
+    const { port, ids } = await listen(t);
+    const answers = (await send(port, [`${first}GET /b HTTP/1.1\r\nx-id: r2\r\n\r\n`])).split("HTTP/1.1 ");
+    t.is(answers.length, 3);
+    t.true(answers.slice(1).every((answer) => answer.startsWith("503 ")));
+    t.deepEqual(
+      answers.slice(1).map((answer) => answer.includes("Connection: close")),
+      [false, true],
+    );
+    t.deepEqual(ids, ["r1", "r2"]);
+  });
+}
+
+test("a body that has not arrived whole hides no further request", async (t) => {
+  const { port, ids } = await listen(t);
+  const request = "POST /a HTTP/1.1\r\nx-id: r1\r\nContent-Length: 99\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
+  t.is((await send(port, [request])).split("HTTP/1.1 ").length, 2);
+  t.deepEqual(ids, ["r1"]);
+});
