gateway: bytes that arrive after an answer was given up are not counted in the memory of answers

What callers saw: nothing recorded; found by reading. Bytes counted for an answer that was given up before would never have been taken off again, and sound answers would have been given up for them. Change: a closed buffer does not count. One more assertion, which fails without the check by reading; it was not run without it.

--- a/packages/gateway/src/http/AnswerMemory.ts
+++ b/packages/gateway/src/http/AnswerMemory.ts
@@ -7,7 +7,7 @@
 export class AnswerBuffer {
   private _sizeBytes = 0;
 
-  /** @param evict - Gives the answer up, and closes this buffer. */
+  /** @param evict - Gives the answer up. */
   constructor(
     private readonly _memory: AnswerMemory,
     readonly evict: () => void,
@@ -17,8 +17,9 @@
     return this._sizeBytes;
   }
 
-  /** Sets the memory that the answer uses; may evict this answer or others. */
+  /** Sets the memory that the answer uses; may evict this answer or others. Has no effect on a closed buffer. */
   resize(sizeBytes: number): void {
+    if (!this._memory.isOpen(this)) return;
     const addedBytes = sizeBytes - this._sizeBytes;
     this._sizeBytes = sizeBytes;
     this._memory.add(addedBytes);
@@ -49,6 +50,10 @@
     return buffer;
   }
 
+  isOpen(buffer: AnswerBuffer): boolean {
+    return this._buffers.has(buffer);
+  }
+
   add(addedBytes: number): void {
     this._sizeBytes += addedBytes;
     while (this._sizeBytes > this.maxBytes && this._buffers.size > 0) {
--- a/packages/gateway/src/tests/http/endlessAnswerTests.ts
+++ b/packages/gateway/src/tests/http/endlessAnswerTests.ts
@@ -107,6 +107,9 @@
   small.close();
   small.close();
   t.is(memory.sizeBytes, 30);
+  // Bytes that arrive after the end of an answer are not counted.
+  small.resize(50);
+  t.is(memory.sizeBytes, 30);
   open("beyond the bound", 101);
   t.deepEqual(evicted, ["large", "beyond the bound"]);
 });
