--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -64,6 +64,7 @@
   folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
   lines = [];
   closers = [];
+  _isFinished = false;
 
   constructor(caseFolder) {
     this.caseFolder = caseFolder;
@@ -75,10 +76,14 @@
 
   /** Ends all processes, writes the record and exits with the status of the result. */
   async finish(result, summary) {
+    if (this._isFinished) return;
+    this._isFinished = true;
     this.lines.push("", `trouble: ${isTrouble ? "yes" : "no"}`, ...summary, `result: ${result}`);
     fs.writeFileSync(path.join(this.caseFolder, "record.txt"), this.lines.join("\n") + "\n");
     for (const line of [...summary, `result: ${result}`]) console.log(line);
     for (const close of this.closers.reverse()) await close();
+    if (process.env.KEEP_LOGS !== undefined)
+      fs.cpSync(this.folder, process.env.KEEP_LOGS, { recursive: true });
     fs.rmSync(this.folder, { recursive: true, force: true });
     process.exit(exitByResult[result]);
   }
@@ -87,12 +92,14 @@
 /** Runs a script; an error counts as a case that couldn't run. */
 export async function main(caseFolder, script) {
   const run = new Run(caseFolder);
-  const limit = setTimeout(() => void run.finish("not run", ["the run took too long"]), 110_000);
+  const stop = (reason) => void run.finish("not run", [reason]);
+  setTimeout(() => stop("the run took too long"), 110_000);
+  for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => stop(`ended by ${signal}`));
+  process.on("uncaughtException", (error) => stop(String(error?.stack ?? error)));
   try {
     await script(run);
   } catch (error) {
-    clearTimeout(limit);
-    await run.finish("not run", [String(error?.stack ?? error)]);
+    stop(String(error?.stack ?? error));
   }
 }
 
@@ -134,6 +141,11 @@
       }
   }
 
+  /** The open connections go silent for good; new ones work. */
+  silence() {
+    this._child.send({});
+  }
+
   heal() {
     for (const filler of this._fillers) filler.destroy();
     this._fillers = [];
@@ -145,7 +157,7 @@
  * The store as one gateway sees it. The addresses of the other gateways that the gateway reads are replaced by those of `getPeerAddress`, so
  * that its links can lead through relays.
  */
-async function startStoreView(run, store, getPeerAddress) {
+export async function startStoreView(run, store, getPeerAddress) {
   const [host, port] = store.address.split(":");
   const server = http.createServer((request, response) => {
     const forwarded = http.request(
@@ -154,7 +166,7 @@
         const chunks = [];
         for await (const chunk of answer) chunks.push(chunk);
         let body = Buffer.concat(chunks);
-        if (request.url.startsWith("/shedtiller/log-newest") && request.url.includes("topic=keyed.instances"))
+        if (answer.statusCode === 200 && request.url.includes("/log-newest?topic=keyed.instances"))
           body = rewriteInstances(body, getPeerAddress);
         const headers = { ...answer.headers, "content-length": String(body.length) };
         delete headers["transfer-encoding"];
@@ -251,29 +263,42 @@
     await exited;
   }
 
+  /** Name of the gateway that reads the store for the zone, as this one sees it. */
+  getReader() {
+    const changes = [
+      ...this.readLog().matchAll(/"zone-duty-changed","duty":"store-reader".*?"holder":"([^"]+)"/g),
+    ];
+    return changes.at(-1)?.[1] ?? this.name;
+  }
+
   readLog() {
     return fs.readFileSync(this.logFile, "utf8");
   }
 }
 
-/** Starts gateways in one zone. With `relay`, all links of the gateway named by it lead through the relay process. */
-export async function startGateways(run, store, names, { zone = "east", relay, cutName } = {}) {
+/** Starts gateways in one zone. With `isRelayed`, each has a relay process through which its links to the store and to its peers lead. */
+export async function startGateways(run, store, names, { zone = "east", isRelayed = false } = {}) {
   const gateways = names.map((name) => new Gateway(run, name, zone));
-  for (const gateway of gateways) await gateway.allocate();
-  const byName = new Map(gateways.map((gateway) => [gateway.name, gateway]));
   for (const gateway of gateways) {
-    const addresses = new Map();
-    for (const other of gateways) {
-      const isRelayed =
-        relay !== undefined && other !== gateway && [gateway.name, other.name].includes(cutName);
-      if (isRelayed) addresses.set(other.name, await relay.lead(other.peerAddress));
+    await gateway.allocate();
+    if (isRelayed) gateway.relay = new RelayProcess(run);
+  }
+  const inbound = new Map();
+  for (const { name, relay, peerAddress } of gateways)
+    inbound.set(name, isRelayed ? await relay.lead(peerAddress) : peerAddress);
+  for (const gateway of gateways) {
+    const { relay } = gateway;
+    if (!isRelayed) {
+      gateway.start(store.address);
+      continue;
     }
-    const view = await startStoreView(run, store, (name) => addresses.get(name));
-    const isCut = relay !== undefined && gateway.name === cutName;
-    gateway.start(isCut ? await relay.lead(view) : view);
+    // A link leads through the relays of both sides.
+    const seen = new Map();
+    for (const name of names) if (name !== gateway.name) seen.set(name, await relay.lead(inbound.get(name)));
+    gateway.start(await relay.lead(await startStoreView(run, store, (name) => seen.get(name))));
   }
   for (const gateway of gateways) await gateway.waitUntilReady();
-  return byName;
+  return new Map(gateways.map((gateway) => [gateway.name, gateway]));
 }
 
 export async function startStore(run) {
--- a/review/lib-2/relay.mjs
+++ b/review/lib-2/relay.mjs
@@ -5,6 +5,8 @@
 import * as net from "node:net";
 
 const backlog = 1;
+/** Both sides of the open connections. */
+const pairs = new Set();
 
 /** Listens at a free port and forwards each connection to `target` once its first bytes have arrived. */
 function listen(target) {
@@ -16,6 +18,9 @@
       const upstream = net.connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true });
       upstream.on("error", () => client.resetAndDestroy());
       client.on("error", () => upstream.resetAndDestroy());
+      const pair = [client, upstream];
+      pairs.add(pair);
+      client.once("close", () => pairs.delete(pair));
       upstream.write(first);
       upstream.pipe(client);
       client.pipe(upstream);
@@ -26,7 +31,18 @@
   });
 }
 
+/** Open connections deliver nothing from now on, and are not closed; new ones work. */
+function silence() {
+  for (const [client, upstream] of pairs) {
+    client.unpipe(upstream);
+    upstream.unpipe(client);
+    for (const socket of [client, upstream]) socket.on("data", () => undefined);
+  }
+  pairs.clear();
+}
+
 process.on("message", async ({ id, target }) => {
+  if (target === undefined) return silence();
   process.send({ id, port: await listen(target) });
 });
 process.on("disconnect", () => process.exit(0));
