--- a/packages/standins/src/network/Relay.ts
+++ b/packages/standins/src/network/Relay.ts
@@ -124,7 +124,11 @@
       if (pending.length === 1) setTimeout(pump, Math.max(pollIntervalMs, state.delayMs));
     };
     from.on("data", (chunk) => send(() => to.write(chunk)));
-    from.once("close", (hadError) => send(() => (hadError ? utils.resetSocket(to) : to.destroySoon())));
+    from.once("close", (hadError) => {
+      // What a cut holds up is lost with a reset of its sender, which retransmits it no longer.
+      if (hadError && isBlocked()) pending.length = 0;
+      send(() => (hadError ? utils.resetSocket(to) : to.destroySoon()));
+    });
     from.resume();
   }
 }
