http: a call that is given up resets its connection

Cause: a call was given up by closing its connection, after which the operating system still delivers what was written. Evidence: the relay of the tests drops what a cut holds up only if its sender resets the connection; the new test of HttpClient saw "closed" before and sees ECONNRESET now, for new and pooled connections. Change: HttpExchange and the tunnels reset a connection whose request is given up before its answer has begun. Bytes that have not left Node.js are dropped with the connection, since a reset would wait for them. onOver tells when a request can arrive no longer. The endpoint of tunnelLinkTests takes the reset, which ended its process.

--- a/packages/common/src/utils/sockets.ts
+++ b/packages/common/src/utils/sockets.ts
@@ -9,3 +9,12 @@
   if (socket.readableEnded || socket.writableEnded || socket.destroyed) socket.destroy();
   else socket.resetAndDestroy();
 }
+
+/**
+ * Closes a connection so that nothing is delivered any more of what was written to it. Bytes that Node.js has not yet passed on to the
+ * operating system are dropped; a reset would wait for them.
+ */
+export function abandonSocket(socket: net.Socket): void {
+  if (socket.writableLength > 0) socket.destroy();
+  else resetSocket(socket);
+}
--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -37,6 +37,8 @@
   readonly onPathLost?: (() => void) | undefined;
   /** Called with the path of the connection before anything is sent; undefined for a direct connection. */
   readonly onConnected?: ((path: ConnectionPath | undefined) => void) | undefined;
+  /** Called after `onConnected` once the request has arrived, as its answer shows, or can arrive no longer. */
+  readonly onOver?: (() => void) | undefined;
 }
 
 /** The status and headers of an answer whose body has not been read yet. */
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -23,6 +23,8 @@
   private _isSettled = false;
   private _mayHaveArrived = false;
   private _request: http.ClientRequest | undefined;
+  /** The connection to which the request was written. */
+  private _socket: net.Socket | undefined;
   private _connectTimeout: utils.IoTimeout | undefined;
   private _headTimeout: utils.IoTimeout | undefined;
   private _silenceTimer: NodeJS.Timeout | undefined;
@@ -112,6 +114,7 @@
   }
 
   private _noteSent(socket: net.Socket): void {
+    this._socket = socket;
     const path = this._connector?.getPath(socket);
     this._call.onConnected?.(path);
     if (this._isSettled || this._connector === undefined || path !== undefined) return;
@@ -169,8 +172,11 @@
   }
 
   private _end(error: CallError): void {
+    if (this._isSettled) return;
+    // A connection that is only closed still delivers the request once a cut has ended.
+    if (this._socket !== undefined) utils.abandonSocket(this._socket);
+    else this._request?.destroy();
     this._settle(results.Err(error));
-    this._request?.destroy();
   }
 
   private _settle(result: results.Result<HttpAnswer, CallError>): void {
@@ -180,6 +186,7 @@
     this._headTimeout?.clear();
     clearTimeout(this._silenceTimer);
     this._call.signal?.removeEventListener("abort", this._onAbort);
+    if (this._socket !== undefined) this._call.onOver?.();
     this._resolve(result);
   }
 }
--- a/packages/gateway/src/paths/TunnelServer.ts
+++ b/packages/gateway/src/paths/TunnelServer.ts
@@ -201,5 +201,5 @@
 function closeTunnel(tunnel: Tunnel, cause: TunnelCloseCause): void {
   if (tunnel.endpointSocket.destroyed) return;
   tunnel.closeCause ??= cause;
-  tunnel.endpointSocket.destroy();
+  utils.abandonSocket(tunnel.endpointSocket);
 }
--- a/packages/gateway/src/tests/http/HttpClientTests.ts
+++ b/packages/gateway/src/tests/http/HttpClientTests.ts
@@ -168,3 +168,30 @@
     server.close();
   },
 );
+
+// Guards against requests that a cut holds up and delivers after they were given up, since their connection was only closed.
+for (const isFresh of [true, false]) {
+  test(`a call that is given up resets its connection (${isFresh ? "new" : "pooled"} connection)`, async (t) => {
+    const arrived = new utils.Deferred<void>();
+    const ended = new utils.Deferred<string>();
+    const { server, address } = await listen((socket) => {
+      socket.once("data", () => arrived.resolve());
+      socket.once("error", (error: NodeJS.ErrnoException) => ended.resolve(error.code ?? ""));
+      socket.once("close", () => ended.resolve("closed"));
+    });
+    const client = new HttpClient();
+    const abort = new AbortController();
+    let overCount = 0;
+    const onOver = (): void => void (overCount += 1);
+    const sent = client.send({ ...createCall(address, isFresh), signal: abort.signal, onOver });
+    await arrived.promise;
+    t.is(overCount, 0);
+    abort.abort();
+    const result = await sent;
+    t.true(result.err && result.val instanceof errors.CancelledError);
+    t.is(overCount, 1);
+    t.is(await ended.promise, "ECONNRESET");
+    client.close();
+    server.close();
+  });
+}
--- a/packages/gateway/src/tests/paths/tunnelLinkTests.ts
+++ b/packages/gateway/src/tests/paths/tunnelLinkTests.ts
@@ -34,7 +34,11 @@
 // Guards against answers that are cut off since their requester was suspended for some seconds.
 test("a tunnel goes on while the link to its requester is in doubt", async (t) => {
   const accepted: net.Socket[] = [];
-  const endpoint = net.createServer((socket) => accepted.push(socket));
+  const endpoint = net.createServer((socket) => {
+    accepted.push(socket);
+    // A tunnel that is given up is reset.
+    socket.on("error", () => undefined);
+  });
   await new Promise<void>((resolve) => endpoint.listen(0, host, resolve));
   const address = `${host}:${(endpoint.address() as net.AddressInfo).port}`;
   const { membership: requester, suspend } = await createMembership("front-1");
