gateway: requests pay for retries once, and retries count until a window after their arrival

What callers saw: on real processes endpoints got more retries than all instances together may send. Cause: each process let the requests of its own last window pay. After a restart or a move of callers, those before pay for retries at the beginning of a window and those in it for the rest, while the budget takes one of both. And a retry counted from its send for one window, though a cut delivers it later. Ruled out: sends that are not counted. Change: requests pay once they are established, as the smallest count of the windows that end within the last window (EstablishedCount). At a moment of a window each instance returns at most its requests of the window before, so that all together have those of one window, however callers move. A retry counts from its grant until a window after every send of its request has arrived or been given up (RequestSends). The ratio needs no reserve for restarts now, so that 0.6 of the slack is used at rest. A gauge shows what requests and slack allow and what is used. Two tests of RetryBudgets pinned that requests pay at once; they ask for two windows of requests now, and further ones pin what replaces it.

--- a/packages/gateway/src/addGauges.ts
+++ b/packages/gateway/src/addGauges.ts
@@ -20,7 +20,7 @@
   readonly callerListener: Pick<CallerListener, "inFlight">;
   readonly forwarders: Pick<ForwarderSet, "waiting" | "monitor">;
   readonly reachability: Pick<Reachability, "paths" | "server">;
-  readonly budgets: Pick<RetryBudgets, "slackShare">;
+  readonly budgets: Pick<RetryBudgets, "slackShare" | "getUses">;
   readonly answerMemory: Pick<AnswerMemory, "sizeBytes">;
 }
 
@@ -46,6 +46,17 @@
     "Retries per window and service beyond the ratio that this instance may send",
     () => budgets.slackShare,
   );
+  metrics.addLabelledGauge({
+    name: "retry_budget_window",
+    help: "Retries per window that requests and slack allow this instance, and those that have ended or are open, by service",
+    labelNames: ["service", "part"],
+    getValues: () =>
+      budgets
+        .getUses()
+        .flatMap(({ service, ...parts }) =>
+          Object.entries(parts).map(([part, value]) => ({ labels: { service, part }, value })),
+        ),
+  });
   metrics.addGauge("requests_in_hand", "Requests without a final answer", () => callerListener.inFlight);
   metrics.addGauge("requests_waiting", "Requests that wait for room", () => forwarders.waiting);
   metrics.addGauge(
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -5,7 +5,7 @@
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import type { LogFields } from "../logs/LogOutput.js";
 import { digestRequest, getPartTraits, type RequestIdentity, type RequestTraits } from "@shedtiller/crashes";
-import type { RetryPermit } from "./RetryPermit.js";
+import { RequestSends } from "./RequestSends.js";
 import { sendRefusal, type RefusalReason } from "./sendRefusal.js";
 
 /** Dependencies of {@link CallerRequest}. */
@@ -35,8 +35,7 @@
   readonly isIdempotent: boolean;
   /** Number of sends to endpoints that may have reached the endpoint. */
   attempts = 0;
-  /** Granted retry that has not been sent yet. */
-  retryPermit: RetryPermit | undefined;
+  readonly sends = new RequestSends();
   outcome = "open";
   /** Name of the peer that forwarded the last send; undefined if it was sent directly. */
   peer: string | undefined;
--- a/packages/gateway/src/requests/ForwarderSet.ts
+++ b/packages/gateway/src/requests/ForwarderSet.ts
@@ -48,7 +48,7 @@
     // Nothing is gained by a wait, since no endpoint is within reach.
     if (this._context.paths.isIsolated) return request.refuse(503, "isolated", isolatedRetryAfterMs);
     const forwarder = route.kind === "streaming" ? this._streams : this._plain;
-    await forwarder.run(request, service).finally(() => request.retryPermit?.release());
+    await forwarder.run(request, service).finally(() => request.sends.releaseUnsent());
   }
 
   /** Records the demand on engines. */
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -124,11 +124,11 @@
       isRepeatable: request.isIdempotent,
       onPathLost: options.onPathLost,
       onConnected: (path) => {
-        request.retryPermit?.use();
-        request.retryPermit = undefined;
+        request.sends.noteSent();
         this._notePath(request, endpoint, path);
         options.onConnected?.(path);
       },
+      onOver: () => request.sends.noteOver(),
     };
   }
 
@@ -185,24 +185,25 @@
   }
 
   /**
-   * Withdraws a retry that is sent at once from the budget of the service if the request has attempts and time left.
+   * Withdraws a retry for one more send of the request if the request has attempts and time left.
    * @returns What prevents a retry; undefined if the request may be sent again.
    */
   protected withdrawRetry(request: CallerRequest, service: string): RetryObstacle | undefined {
     const obstacle = getOwnObstacle(request);
     if (obstacle !== undefined) return obstacle;
-    return this.context.budgets.tryWithdraw(service) ? undefined : "no-retry-budget";
+    const permit = this.context.budgets.tryReserve(service);
+    if (permit === undefined) return "no-retry-budget";
+    request.sends.addRetry(permit);
+    return undefined;
   }
 
   /**
-   * Reserves a retry for the next send of the request, which may have to wait for room, if the request has attempts and time left.
+   * Reserves a retry for the next send of the request, which may have to wait for room. Has no effect if the request has a retry that it has
+   * not sent.
    * @returns What prevents a retry; undefined if the request may be sent again.
    */
   protected reserveRetry(request: CallerRequest, service: string): RetryObstacle | undefined {
-    const obstacle = getOwnObstacle(request);
-    if (obstacle !== undefined) return obstacle;
-    request.retryPermit ??= this.context.budgets.tryReserve(service);
-    return request.retryPermit === undefined ? "no-retry-budget" : undefined;
+    return request.sends.hasUnsentRetry ? getOwnObstacle(request) : this.withdrawRetry(request, service);
   }
 
   /** Returns what prevents a retry of the request now; undefined if nothing does. */
--- a/packages/gateway/src/requests/RetryBudgets.ts
+++ b/packages/gateway/src/requests/RetryBudgets.ts
@@ -1,6 +1,6 @@
 /** This instance's share of the retry budgets, which the deployment has per service for all instances together. */
 import { utils } from "@shedtiller/common";
-import { WindowedCount } from "@shedtiller/routing";
+import { EstablishedCount, WindowedCount } from "@shedtiller/routing";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { SharingInstances } from "../peers/InstanceCount.js";
@@ -15,13 +15,11 @@
   readonly windowMs: number;
 }
 
-/** Share of the ratio that is used; the remainder covers requests that are counted in another window than their retries. */
-const ratioShare = 0.9;
 /**
- * Share of its part of the slack that an instance uses per window. The processes that replace the first one within the window use the
- * other half together.
+ * Share of its part of the slack that an instance uses per window. The processes that replace its process within the window use the
+ * remainder together. More than half, since endpoints fail far more often than instances start again.
  */
-const slackUse = 0.5;
+const slackUse = 0.6;
 
 /** Returns the budget of the settings. */
 export function toBudgetOptions(retries: GatewaySettings["retries"]): RetryBudgetOptions {
@@ -42,20 +40,38 @@
   readonly count?: (service: string, event: RetryBudgetEvent) => void;
 }
 
+/** What the budget of a service allows this instance per window, and what is used of it. */
+export interface RetryBudgetUse {
+  readonly service: string;
+  /** Retries that the requests allow. */
+  readonly byRequests: number;
+  /** Retries that this instance's part of the slack allows. */
+  readonly bySlack: number;
+  /** Retries that have arrived or were given up within the last window. */
+  readonly ended: number;
+  /** Retries that are granted and may arrive later. */
+  readonly open: number;
+}
+
 interface ServiceCounts {
-  readonly requests: WindowedCount;
+  readonly requests: EstablishedCount;
+  /** Retries by the time at which they had arrived or were given up. */
   readonly retries: WindowedCount;
-  /** Number of granted retries that have not been sent. */
-  reserved: number;
+  /** Number of granted retries that have not arrived and have not been given up. */
+  open: number;
 }
 
 /**
  * Counts requests and retries per service in a sliding window. The shares of all instances together stay within the budget, so the
  * instances need no coordination.
  *
- * Each instance has an equal part of the slack. Once a process knows the instances, it earns half of that part within one window, in
- * proportion to the time, and may use the half in every window from then on. So in any window the process that runs at its beginning uses at
- * most one half, and the processes started later, which run one after the other, together at most the other half, however many they are.
+ * A request pays for retries only once it is part of an established count: callers that move to another instance, or processes that replace
+ * others, would pay for the retries of one window with the requests of two. A retry counts from its grant until a window after its arrival,
+ * since a cut may hold it up and deliver it together with later ones.
+ *
+ * Each instance has an equal part of the slack. Once a process knows the instances, it earns a smaller share of that part within one window,
+ * in proportion to the time, and has a larger one from then on. So in any window the process that runs at its beginning uses at most the
+ * larger share, and the processes started later, which run one after the other, together at most the smaller one, however many they are.
  *
  * An instance may use its whole share at once. Engines reject requests in bursts, and a token bucket of one or two retries (the share of
  * the slack among 195 instances) would deny a retry to the third stream of a burst while most of the window's budget is unused.
@@ -83,8 +99,9 @@
     const sharing = this._structure.getSharing?.();
     if (sharing === undefined) return 0;
     const earnsSinceMs = Math.max(sharing.sinceMs, this._windowChangedAtMs);
-    const earned = Math.min(1, (nowMs - earnsSinceMs) / this._options.windowMs);
-    return this._getFullShare(this._getInstanceCount(sharing.count, nowMs)) * earned;
+    const earned = (nowMs - earnsSinceMs) / this._options.windowMs;
+    const part = this._options.slack / this._getInstanceCount(sharing.count, nowMs);
+    return part * (earned < 1 ? (1 - slackUse) * earned : slackUse);
   }
 
   /** Replaces the budget of the deployment. If the length of the window changes, counts and slack begin anew, as in a new process. */
@@ -104,37 +121,46 @@
     this._structure.count?.(service, "request");
   }
 
-  /** Withdraws a retry that is sent now; returns false if the budget is exhausted. */
+  /** Withdraws a retry that arrives at once; returns false if the budget is exhausted. */
   tryWithdraw(service: string): boolean {
     const permit = this.tryReserve(service);
     permit?.use();
+    permit?.end();
     return permit !== undefined;
   }
 
-  /** Reserves a retry that is sent later, or not at all; returns undefined if the budget is exhausted. */
+  /** Reserves a retry; returns undefined if the budget is exhausted. */
   tryReserve(service: string): RetryPermit | undefined {
     if (!this.canWithdraw(service)) {
       this._structure.count?.(service, "denied");
       return undefined;
     }
     const counts = this._get(service);
-    counts.reserved += 1;
-    return new RetryPermit(
-      () => {
-        // The length of the window, and with it the counts, may have changed since.
-        this._get(service).retries.add(this._nowMs());
-        this._structure.count?.(service, "granted");
-      },
-      () => (counts.reserved -= 1),
-    );
+    counts.open += 1;
+    return new RetryPermit({
+      onSent: () => this._structure.count?.(service, "granted"),
+      // The length of the window, and with it the counts, may have changed since.
+      onOver: () => this._get(service).retries.add(this._nowMs()),
+      onReleased: () => (counts.open -= 1),
+    });
   }
 
   /** Returns whether the budget of a service allows a retry now. */
   canWithdraw(service: string): boolean {
+    const { byRequests, bySlack, ended, open } = this._getUse(service);
+    return ended + open + 1 <= byRequests + bySlack;
+  }
+
+  /** Returns the use of the budgets of all services. */
+  getUses(): RetryBudgetUse[] {
+    return [...this._counts.keys()].map((service) => this._getUse(service));
+  }
+
+  private _getUse(service: string): RetryBudgetUse {
     const nowMs = this._nowMs();
-    const { requests, retries, reserved } = this._get(service);
-    const allowed = this._options.ratio * ratioShare * requests.get(nowMs) + this.slackShare;
-    return retries.get(nowMs) + reserved + 1 <= allowed;
+    const { requests, retries, open } = this._get(service);
+    const byRequests = this._options.ratio * requests.get(nowMs);
+    return { service, byRequests, bySlack: this.slackShare, ended: retries.get(nowMs), open };
   }
 
   /**
@@ -155,14 +181,9 @@
     return inEffect;
   }
 
-  /** Returns the share of the slack of a process that has run for a window. */
-  private _getFullShare(instanceCount: number): number {
-    return (this._options.slack / instanceCount) * slackUse;
-  }
-
   private _logShare(reason: "instance-count" | "settings"): void {
     const instances = this._instanceCount;
-    const fullShare = instances === undefined ? 0 : this._getFullShare(instances);
+    const fullShare = instances === undefined ? 0 : (this._options.slack / instances) * slackUse;
     this._structure.log?.info("retry-share-changed", { reason, instances, fullShare, ...this._options });
   }
 
@@ -171,9 +192,9 @@
     if (existing !== undefined) return existing;
     const { windowMs } = this._options;
     const counts = {
-      requests: new WindowedCount(windowMs),
+      requests: new EstablishedCount(windowMs),
       retries: new WindowedCount(windowMs),
-      reserved: 0,
+      open: 0,
     };
     this._counts.set(service, counts);
     return counts;
--- a/packages/gateway/src/tests/patterns/RetryFleet.ts
+++ b/packages/gateway/src/tests/patterns/RetryFleet.ts
@@ -1,8 +1,9 @@
-/** Simulated fleet whose instances use up their retry budgets at any time, while processes start and end and the registry is away. */
-import type { utils } from "@shedtiller/common";
+/** Simulated fleet whose instances use up their retry budgets, while processes start and end and the registry is away. */
+import { utils } from "@shedtiller/common";
 import type { Member } from "@shedtiller/membership";
 import { InstanceCount, settlingMs } from "../../peers/InstanceCount.js";
 import { RetryBudgets, type RetryBudgetOptions } from "../../requests/RetryBudgets.js";
+import type { RetryPermit } from "../../requests/RetryPermit.js";
 
 export const stepMs = 100;
 const zones = 3;
@@ -16,6 +17,15 @@
 const maxAwayMs = 12_000;
 const maxRequestsPerStep = 3;
 const maxSeries = 8;
+/** Longest time without a failure, and longest time for which each request fails. */
+const maxSoundMs = 25_000;
+const maxFailingMs = 8_000;
+/** Longest time between two moves of callers, and weight of the callers of an instance that most have left. */
+const maxUnmovedMs = 15_000;
+const leftWeight = 0.05;
+/** Longest time between two cuts, and longest cut, at whose end everything that was sent meanwhile arrives. */
+const maxUncutMs = 20_000;
+const maxCutMs = 12_000;
 
 interface Process {
   readonly budgets: RetryBudgets;
@@ -24,6 +34,8 @@
   /** Fields of the last heartbeat. */
   heartbeat: Record<string, unknown>;
   readonly known: Set<string>;
+  /** Retries that have been sent, and arrive at the end of a cut. */
+  readonly heldUp: RetryPermit[];
   /** The linked members since the last heartbeat. */
   linked: Member[];
   isRegistered: boolean;
@@ -38,8 +50,13 @@
   startsAtMs: number;
   /** Time at which the process ends for good. */
   leavesAtMs: number;
+  /** Share of the callers, relative to the other instances. */
+  weight: number;
 }
 
+/** How a fleet is disturbed. `processes`: all requests fail at all times. `all`: failures begin suddenly, callers move, and cuts delay sends. */
+export type RetryDisturbance = "none" | "processes" | "all";
+
 /** Runs in steps; each process retries as often as its budget allows in each step. */
 export class RetryFleet {
   /** Requests and retries of all instances by step. */
@@ -53,6 +70,11 @@
   private _createdCount = 0;
   private _nextSeriesAtMs = 0;
   private readonly _kills: number[] = [];
+  private _soundUntilMs = 0;
+  private _failsUntilMs = 0;
+  private _movesAtMs = 0;
+  private _cutFromMs = 0;
+  private _cutUntilMs = 0;
 
   constructor(
     private readonly _options: RetryBudgetOptions,
@@ -64,25 +86,76 @@
     for (let index = 0; index < instances; index++) this._addInstance(this._draw(this._staggerMs));
   }
 
-  /** Advances the time; with `isDisturbed`, processes and the registry are struck at random. */
-  run(durationMs: number, isDisturbed: boolean): void {
+  /** Advances the time, and disturbs processes, callers, endpoints and links at random. */
+  run(durationMs: number, disturbance: RetryDisturbance): void {
     for (const endMs = this._nowMs + durationMs; this._nowMs < endMs; this._nowMs += stepMs) {
-      if (isDisturbed) this._strike();
+      if (disturbance !== "none") this._strike();
+      if (disturbance === "all") this._disturbTraffic();
       if (this._nowMs % heartbeatIntervalMs === 0) this._sendHeartbeats();
-      let requests = 0;
-      let retries = 0;
-      for (const instance of this._instances) {
-        this._advance(instance);
-        const { process } = instance;
-        if (process === undefined) continue;
-        const arrivals = this._random.nextInteger(maxRequestsPerStep);
-        for (let request = 0; request < arrivals; request++) process.budgets.recordRequest(service);
-        requests += arrivals;
-        while (process.budgets.tryWithdraw(service)) retries += 1;
-      }
-      this.requests.push(requests);
-      this.retries.push(retries);
+      for (const instance of this._instances) this._advance(instance);
+      this.requests.push(disturbance === "all" ? this._shareRequests() : this._addRequests());
+      this.retries.push(utils.getSum(this._instances.map(({ process }) => this._retry(process))));
+    }
+  }
+
+  /** Adds as many requests to each process on average; returns their number. */
+  private _addRequests(): number {
+    let requests = 0;
+    for (const { process } of this._instances) {
+      if (process === undefined) continue;
+      const arrivals = this._random.nextInteger(maxRequestsPerStep);
+      for (let request = 0; request < arrivals; request++) process.budgets.recordRequest(service);
+      requests += arrivals;
+    }
+    return requests;
+  }
+
+  /** Adds requests to the processes that run, by the weights of their instances; returns their number, which no process changes. */
+  private _shareRequests(): number {
+    const running = this._instances.filter(({ process }) => process !== undefined);
+    const total = utils.getSum(running.map(({ weight }) => weight));
+    const requests = this._instances.length;
+    for (let request = 0; request < requests; request++) {
+      let remaining = this._random.nextUnit() * total;
+      const receiver = running.find(({ weight }) => (remaining -= weight) < 0);
+      receiver?.process?.budgets.recordRequest(service);
+    }
+    return requests;
+  }
+
+  /** Retries as often as the budget allows; returns how many retries arrive. */
+  private _retry(process: Process | undefined): number {
+    if (process === undefined) return 0;
+    let arrived = 0;
+    const isCut = this._nowMs >= this._cutFromMs && this._nowMs < this._cutUntilMs;
+    if (!isCut) arrived += process.heldUp.length;
+    if (!isCut) for (const permit of process.heldUp.splice(0)) permit.end();
+    if (this._nowMs < this._soundUntilMs) return arrived;
+    for (
+      let permit = process.budgets.tryReserve(service);
+      permit;
+      permit = process.budgets.tryReserve(service)
+    ) {
+      permit.use();
+      if (isCut) process.heldUp.push(permit);
+      else permit.end();
+      if (!isCut) arrived += 1;
+    }
+    return arrived;
+  }
+
+  private _disturbTraffic(): void {
+    if (this._nowMs >= this._failsUntilMs) {
+      this._soundUntilMs = this._nowMs + this._draw(maxSoundMs);
+      this._failsUntilMs = this._soundUntilMs + this._draw(maxFailingMs);
+    }
+    if (this._nowMs >= this._cutUntilMs) {
+      this._cutFromMs = this._nowMs + this._draw(maxUncutMs);
+      this._cutUntilMs = this._cutFromMs + this._draw(maxCutMs);
     }
+    if (this._nowMs < this._movesAtMs) return;
+    this._movesAtMs = this._nowMs + this._draw(maxUnmovedMs);
+    for (const instance of this._instances) instance.weight = this._random.pick([leftWeight, 1]) ?? 1;
   }
 
   private _addInstance(delayMs: number): Instance {
@@ -93,6 +166,7 @@
       process: undefined,
       startsAtMs: this._nowMs + delayMs,
       leavesAtMs: Number.POSITIVE_INFINITY,
+      weight: 1,
     };
     this._instances.push(instance);
     return instance;
@@ -125,6 +199,7 @@
       fields,
       heartbeat: {},
       known,
+      heldUp: [],
       linked: [],
       isRegistered: false,
       nextReadAtMs: this._nowMs,
--- a/packages/gateway/src/tests/patterns/RetryFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/RetryFleetTests.ts
@@ -30,12 +30,26 @@
   test(`${instances} instances keep the retry budget while processes start and end at random`, (t) => {
     for (const seed of ownSeeds) {
       const fleet = new RetryFleet(options, new utils.RandomSource(seed), instances, 4_000);
-      fleet.run(30_000, false);
+      fleet.run(30_000, "none");
       const undisturbedUse = getLargestUse(fleet);
-      fleet.run(70_000, true);
+      fleet.run(70_000, "processes");
       const use = getLargestUse(fleet);
       t.log(`seed ${seed}: ${undisturbedUse.toFixed(2)} of the budget at rest, ${use.toFixed(2)} at most`);
       t.true(use <= 1, `seed ${seed}: ${use}`);
     }
   });
 }
+
+for (const [instances, ownSeeds] of seeds) {
+  // Guards against requests that pay for retries twice within a window, and retries that arrive after they have left the count.
+  test(`${instances} instances keep the retry budget while failures begin suddenly, callers move and cuts hold up what is sent`, (t) => {
+    for (const seed of ownSeeds) {
+      const fleet = new RetryFleet(options, new utils.RandomSource(seed), instances, 4_000);
+      fleet.run(30_000, "none");
+      fleet.run(200_000, "all");
+      const use = getLargestUse(fleet);
+      t.log(`seed ${seed}: ${use.toFixed(2)} of the budget at most`);
+      t.true(use <= 1, `seed ${seed}: ${use}`);
+    }
+  });
+}
--- a/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
+++ b/packages/gateway/src/tests/requests/RetryBudgetsTests.ts
@@ -36,6 +36,17 @@
   return budgets;
 }
 
+/** Records requests at a constant rate, and advances the time. */
+function addRequests(
+  budgets: RetryBudgets,
+  clock: Fleet["clock"],
+  perWindow: number,
+  durationMs: number,
+): void {
+  const endMs = clock.nowMs + durationMs;
+  for (; clock.nowMs < endMs; clock.nowMs += options.windowMs / perWindow) budgets.recordRequest("s");
+}
+
 test("eight instances that exhaust their shares, restart and exhaust them again stay within ratio and slack", (t) => {
   const instances = 8;
   const requestsEach = 100;
@@ -69,7 +80,7 @@
 // Guards against a reload of the settings that gives a process its share of the slack a second time.
 test("a change of the length of the window does not renew the slack", (t) => {
   const budgets = create({ instances: 8, clock: { nowMs: 0 } });
-  t.is(exhaust(budgets), 12);
+  t.is(exhaust(budgets), 15);
   budgets.setOptions({ ...options, windowMs: 5_000 });
   t.is(exhaust(budgets), 0);
 });
@@ -113,8 +124,8 @@
 test("an instance of a large fleet may use its share of a window at once, since engines reject requests in bursts", (t) => {
   const clock = { nowMs: 0 };
   const budgets = start({ instances: 195, clock, slack: 574 });
-  // 1.2 requests per second for one window allow 0.18 times 12 retries, plus half of 574 / 195.
-  for (; clock.nowMs < options.windowMs; clock.nowMs += 833) budgets.recordRequest("s");
+  // 1.2 requests per second for two windows allow 0.2 times 11 retries, plus 0.6 of 574 / 195.
+  for (; clock.nowMs < 2 * options.windowMs; clock.nowMs += 833) budgets.recordRequest("s");
   t.is(exhaust(budgets), 3);
   clock.nowMs += options.windowMs * 1.1;
   t.is(exhaust(budgets), 1, "neither the requests nor the retries are in the window any more");
@@ -125,21 +136,56 @@
   const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs, getSharing: () => undefined });
   clock.nowMs += 10 * options.windowMs;
   t.is(exhaust(budgets), 0);
-  for (let request = 0; request < 100; request++) budgets.recordRequest("s");
-  t.is(exhaust(budgets), 18);
+  addRequests(budgets, clock, 100, 2 * options.windowMs);
+  t.is(exhaust(budgets), 19);
+});
+
+// Guards against processes or instances that take over callers within a window and pay with the same callers' requests once more.
+test("requests pay for retries only after a process has had as many for a window", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs, getSharing: () => undefined });
+  addRequests(budgets, clock, 100, options.windowMs);
+  t.is(exhaust(budgets), 0);
+  addRequests(budgets, clock, 100, options.windowMs);
+  t.is(exhaust(budgets), 19);
+});
+
+test("requests pay for retries until a window after the last one", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = new RetryBudgets(options, { nowMs: () => clock.nowMs, getSharing: () => undefined });
+  addRequests(budgets, clock, 100, 3 * options.windowMs);
+  clock.nowMs += options.windowMs / 2;
+  t.is(exhaust(budgets), 9, "half of the requests of a window");
+  clock.nowMs += 1.1 * options.windowMs;
+  t.is(exhaust(budgets), 0);
+});
+
+// Guards against retries that a cut holds up until they have left the count, and that arrive together with later ones.
+test("a retry counts for a window from its arrival", (t) => {
+  const clock = { nowMs: 0 };
+  const budgets = create({ instances: 8, clock });
+  const permits = Array.from({ length: 15 }, () => budgets.tryReserve("s"));
+  for (const permit of permits) permit?.use();
+  clock.nowMs += 3 * options.windowMs;
+  t.is(exhaust(budgets), 0, "none has arrived");
+  for (const permit of permits) permit?.end();
+  clock.nowMs += 0.9 * options.windowMs;
+  t.is(exhaust(budgets), 0);
+  clock.nowMs += 0.2 * options.windowMs;
+  t.is(exhaust(budgets), 15);
 });
 
 test("the shares of instances that left are redistributed only after a window", (t) => {
   const clock = { nowMs: 0 };
   const fleet = { instances: 8, clock };
   const budgets = create(fleet);
-  t.is(exhaust(budgets), 12);
+  t.is(exhaust(budgets), 15);
   fleet.instances = 4;
   t.is(exhaust(budgets), 0);
   clock.nowMs += options.windowMs * 0.9;
   t.is(exhaust(budgets), 0);
   clock.nowMs += options.windowMs;
-  t.is(exhaust(budgets), 25);
+  t.is(exhaust(budgets), 30);
 });
 
 // Guards against retries that are granted in several windows, wait for room and arrive in one.
@@ -151,8 +197,11 @@
     for (let permit = budgets.tryReserve("s"); permit; permit = budgets.tryReserve("s")) permits.push(permit);
     clock.nowMs += 1.1 * options.windowMs;
   }
-  for (const permit of permits) permit.use();
-  t.is(permits.length + exhaust(budgets), options.slack / 2);
+  for (const permit of permits) {
+    permit.use();
+    permit.end();
+  }
+  t.is(permits.length + exhaust(budgets), 0.6 * options.slack);
 });
 
 test("a granted retry that is not sent returns to the budget, and one that was sent does not", (t) => {
@@ -164,4 +213,7 @@
   sent?.use();
   sent?.release();
   t.is(exhaust(budgets), 0);
+  sent?.end();
+  sent?.end();
+  t.is(exhaust(budgets), 0);
 });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./EndpointBackoff.js";
 export * from "./EngineReport.js";
 export * from "./EndpointDirectory.js";
+export * from "./EstablishedCount.js";
 export * from "./OutlierEjection.js";
 export * from "./RetryBudget.js";
 export * from "./SlowStart.js";
