crashes: only a run of its own that survives releases a trait

What callers saw: where several requests that crash engines came at the same time, each of them crashed up to 15 engines; the seconds after a conviction were as bad as those before. Cause: a conviction took from all other traits each crash that they shared with the convicted one, and released those that were left with too little, though requests that run together at an engine share its crash and several of them may crash it. Whoever was released began anew at all instances. Besides, the crashes of several such requests come within 250 ms of each other, and counted half as if their cause were common; and instances took turns by trait, so that two of them began trials of different traits at once, perhaps at one engine. Evidence: the ledger's test "a trial convicts a trait, and the traits beside it are held until a trial of their own" saw "unknown" for the trait beside it; it replaces a test that pinned just that, and asks for more: the trait beside it is held, and its own crash convicts it. "crashes at the same time count in full ..." saw "suspected". Change: a conviction releases nobody. A trait that was convicted by a crash at which the newly convicted one was running is tried again. Instances take turns for all traits together. Weighed against it: the release of traits that were harmless before, with a new hold at their next crash. It needs a third state, and gains half a second in which a trait that many callers send waits for its trial.

--- a/packages/crashes/src/CrashLedger.ts
+++ b/packages/crashes/src/CrashLedger.ts
@@ -60,8 +60,8 @@
  * monotonic clock.
  *
  * A trait is quarantined once the evidence against it has enough weight; after that, one request at a time is tried. A trial that survives
- * clears all traits of its request. A trial that crashes an endpoint convicts the trait, and crashes that a convicted trait explains no
- * longer count against the traits beside it.
+ * clears all traits of its request. A trial that crashes an endpoint convicts the trait, and crashes that a convicted trait explains start
+ * no further quarantine. They end none: only a run of its own that survives releases a trait.
  */
 export class CrashLedger {
   readonly evidence: CrashEvidence;
@@ -169,6 +169,13 @@
     return this._nowMs() - this.getDueAtMs(quarantined) >= rank * trialIntervalMs;
   }
 
+  /** A trait that is due for a trial; all instances with the same quarantines return the same one. */
+  get firstDueTrait(): string | undefined {
+    const nowMs = this._nowMs();
+    const due = [...this._quarantines.keys()].filter((trait) => this._getDueAtMs(trait, true) <= nowMs);
+    return due.sort()[0];
+  }
+
   /**
    * Records the start of a trial after a quarantine.
    * @returns The trial, if it was new and is to be reported.
@@ -281,32 +288,24 @@
     const before = this._quarantines.get(trait);
     if (before === undefined) return;
     const isConvicted = isSole || before.isConvicted;
-    const explicable = isConvicted ? this._getExplicable(trait) : [];
+    const doubtful = isConvicted ? this._getDoubtful(trait) : [];
     const nowMs = this._nowMs();
     const untilMs = nowMs + laterQuarantineMs;
     this._setQuarantine(trait, { sinceMs: nowMs, untilMs, times: before.times + 1, isConvicted });
-    for (const other of explicable) this._reconsider(other);
+    for (const other of doubtful) this._reconsider(other);
   }
 
-  /**
-   * Returns the quarantined traits whose evidence a convicted trait may explain: those that no trial has convicted, and those whose trial
-   * crashed an endpoint at which the convicted trait was running as well.
-   */
-  private _getExplicable(convicted: string): string[] {
-    return [...this._quarantines.keys()].filter((other) => {
-      if (other === convicted) return false;
-      if (this._convicted.has(other))
-        return this.evidence.getNewestCrash(other)?.suspects.has(convicted) === true;
-      return this.getWeight(other) >= quarantineWeight;
-    });
+  /** Returns the convicted traits whose trial crashed an endpoint at which a newly convicted one was running as well. */
+  private _getDoubtful(convicted: string): string[] {
+    return [...this._convicted].filter(
+      (other) => other !== convicted && this.evidence.getNewestCrash(other)?.suspects.has(convicted) === true,
+    );
   }
 
-  /** Releases a trait if too little evidence against it is left, or else has it tried again if a trial had convicted it. */
+  /** Has a trait tried again. Only a run that survives releases it, since several traits may have crashed the same endpoints. */
   private _reconsider(trait: string): void {
-    const wasConvicted = this._convicted.delete(trait);
-    this.evidence.invalidate();
-    if (this.getWeight(trait) < quarantineWeight) return this._release(trait);
-    if (wasConvicted) this._quarantineFirst(trait);
+    this._convicted.delete(trait);
+    this._quarantineFirst(trait);
   }
 
   /**
--- a/packages/crashes/src/tests/CrashLedgerTests.ts
+++ b/packages/crashes/src/tests/CrashLedgerTests.ts
@@ -189,7 +189,8 @@
   t.is(ledger.getStatus("shared"), "suspected");
 });
 
-test("a trial convicts a trait, and crashes that it explains no longer count against the traits beside it", (t) => {
+// Guards against requests that crash engines and are released, unheld, since another one that crashes engines was running beside them.
+test("a trial convicts a trait, and the traits beside it are held until a trial of their own", (t) => {
   const { clock, ledger, crash } = create();
   for (let count = 0; count < 3; count++) crash("crashing", "beside");
   t.is(ledger.getStatus("beside"), "held");
@@ -197,8 +198,31 @@
   t.is(ledger.getRequestStatus(["crashing", "new"]), "due-for-trial");
   crash("crashing", "new");
   t.is(ledger.getStatus("crashing"), "held");
-  t.is(ledger.getStatus("beside"), "unknown");
   t.is(ledger.getStatus("new"), "unknown");
+  t.is(ledger.getStatus("beside"), "due-for-trial");
+  crash("beside");
+  t.true(ledger.getQuarantineLeftMs("beside") > 60_000, "it crashes endpoints as well");
+});
+
+test("a sound trait beside a convicted one is released by the first run that survives", (t) => {
+  const { clock, ledger, crash } = create();
+  for (let count = 0; count < 3; count++) crash("crashing", "beside");
+  clock.nowMs += ledger.getQuarantineLeftMs("crashing");
+  crash("crashing");
+  t.true(ledger.mayTry(["beside"], 0));
+  ledger.noteSurvived("beside", clock.nowMs);
+  t.is(ledger.getStatus("beside"), "unknown");
+});
+
+// Guards against evidence that counts half although the crashes at the same time have suspects of their own.
+test("crashes at the same time count in full if each has a suspect from an earlier crash", (t) => {
+  const { clock, ledger } = create();
+  for (let round = 0; round < 4; round++) {
+    clock.nowMs += 1_000;
+    for (const [index, digest] of ["one", "other", "third"].entries())
+      ledger.noteCrash(`i-${round}-${digest}`, clock.nowMs + 110 * index, new Map([[digest, 1]]));
+  }
+  for (const digest of ["one", "other", "third"]) t.is(ledger.getStatus(digest), "held", digest);
 });
 
 // Guards against a trial that crashes an endpoint and convicts a sound trait together with the one at fault.
--- a/packages/gateway/src/crashes/CrashDetector.ts
+++ b/packages/gateway/src/crashes/CrashDetector.ts
@@ -387,9 +387,9 @@
   }
 
   private _isOwnTurn(quarantined: RequestTraits): boolean {
-    const [first = ""] = quarantined;
     if (this._caution.isStarting(quarantined)) return false;
-    return this.ledger.mayTry(quarantined, this._structure.getTrialRank(first));
+    // Instances take turns for all traits together, so that two of them don't begin trials of different traits at the same moment.
+    return this.ledger.mayTry(quarantined, this._structure.getTrialRank(this.ledger.firstDueTrait ?? ""));
   }
 
   private _countRejection(leftMs: number): number {
--- a/packages/gateway/src/tests/crashes/CrashDetectorTests.ts
+++ b/packages/gateway/src/tests/crashes/CrashDetectorTests.ts
@@ -1,93 +1,15 @@
 /** Tests the detection of crashes, and the clearing of suspected requests. */
 import test from "ava";
-import { initialPhaseMs, CrashDetector } from "../../crashes/CrashDetector.js";
-import type { TrackedRequest, TrackedRun } from "../../crashes/TrackedRun.js";
+import { noCrashReports } from "@shedtiller/crashes";
+import { initialPhaseMs } from "../../crashes/CrashDetector.js";
 import {
-  noCrashReports,
-  type CrashReportsMessage,
-  digestRequest,
-  isPartTrait,
-  type ProbeResult,
-} from "@shedtiller/crashes";
-import type { Endpoint } from "../../discovery/Endpoint.js";
-import { EndpointTable } from "../../discovery/EndpointTable.js";
-import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
-import { DecisionLog } from "../../logs/DecisionLog.js";
-import { createListed } from "../testData.js";
-import { SilentLogOutput } from "../SilentLogOutput.js";
-import { SimulatedClock } from "../patterns/SimulatedClock.js";
-
-function createRequest(...traits: readonly string[]): TrackedRequest {
-  return { traits, partTraits: traits.filter(isPartTrait) };
-}
-
-const ids = ["i-1", "i-2", "i-3", "i-4"];
-
-class Fixture {
-  readonly clock = new SimulatedClock();
-  readonly endpoints = new EndpointTable(this.clock.nowMs);
-  readonly sent: CrashReportsMessage[] = [];
-  probeResult: ProbeResult = "refused";
-  probes = 0;
-  trialRank = 0;
-  readonly crashed: string[] = [];
-  readonly detector = new CrashDetector({
-    endpoints: this.endpoints,
-    log: new DecisionLog(new SilentLogOutput(), this.clock.nowMs),
-    probe: () => {
-      this.probes += 1;
-      return Promise.resolve(this.probeResult);
-    },
-    broadcast: (reports) => this.sent.push(reports),
-    onCrash: ({ id }) => this.crashed.push(id),
-    getTrialRank: () => this.trialRank,
-    nowMs: this.clock.nowMs,
-    pause: this.clock.sleep,
-  });
-
-  constructor(changes: Partial<ListedEndpoint> = {}) {
-    this.list(changes);
-  }
-
-  list(changes: Partial<ListedEndpoint>, listed: readonly string[] = ids): void {
-    this.endpoints.setAll(new Map(listed.map((id) => [id, createListed(id, changes)])));
-  }
-
-  get(id: string): Endpoint {
-    const endpoint = this.endpoints.get(id);
-    if (endpoint === undefined) throw new RangeError(id);
-    return endpoint;
-  }
-
-  createRun(endpointId: string, changes: Partial<TrackedRun> = {}): TrackedRun {
-    return {
-      request: createRequest("a"),
-      endpointId,
-      hasBegun: true,
-      firstEventAtMs: undefined,
-      ...changes,
-    };
-  }
-
-  /** Completes a run. */
-  complete(endpointId: string, request: typeof harmlessRequest): void {
-    const run = this.createRun(endpointId, { request });
-    this.detector.noteCompleted("streaming", request, run, this.get(endpointId));
-  }
-
-  /** Loses the connections of runs in their initial phase, one after the other, far enough apart for separate crashes. */
-  async loseInTurn(endpointIds: readonly string[], changes: Partial<TrackedRun> = {}): Promise<void> {
-    for (const id of endpointIds) {
-      await this.lose(id, changes);
-      await this.clock.run(this.clock.nowMs() + 150);
-    }
-  }
-
-  /** Loses the connection of a run in its initial phase. */
-  async lose(endpointId: string, changes: Partial<TrackedRun> = {}): Promise<void> {
-    await this.detector.noteLost(this.createRun(endpointId, changes), this.get(endpointId));
-  }
-}
+  CrashDetectorFixture as Fixture,
+  createRequest,
+  harmlessDigest,
+  harmlessRequest,
+  identity,
+  ids,
+} from "./CrashDetectorFixture.js";
 
 test("a closed connection does not count as a crash while the endpoint still accepts connections", async (t) => {
   const fixture = new Fixture();
@@ -217,6 +139,15 @@
   t.true((fixture.detector.getQuarantineMs(createRequest("a")) ?? 0) > leftMs);
 });
 
+// Guards against two instances that begin trials of different requests at the same moment, perhaps at the same engine.
+test("the instances take turns for all traits together", async (t) => {
+  const fixture = new Fixture();
+  await fixture.loseInTurn(["i-1", "i-2", "i-3"], { request: createRequest("a", "b") });
+  await fixture.clock.run(fixture.clock.nowMs() + 10_000);
+  for (const trait of ["b", "a"]) fixture.detector.getQuarantineMs(createRequest(trait));
+  t.deepEqual(fixture.rankedTraits, ["a", "a"]);
+});
+
 test("an instance does not try a request during its trial at another instance", async (t) => {
   const fixture = new Fixture();
   await fixture.loseInTurn(["i-1", "i-2", "i-3"]);
@@ -227,10 +158,6 @@
   t.not(fixture.detector.getQuarantineMs(createRequest("a")), undefined);
 });
 
-const identity = { method: "POST", path: "/a/x", accountName: "farm", body: Buffer.from("{}") };
-const harmlessDigest = digestRequest(identity);
-const harmlessRequest = { ...createRequest(harmlessDigest), identity };
-
 test("a request identical to a recently completed one is not quarantined for crashes of the endpoints that run it", async (t) => {
   const fixture = new Fixture();
   await fixture.clock.run(10_000);
--- a/packages/gateway/src/tests/patterns/CrashingFleet.ts
+++ b/packages/gateway/src/tests/patterns/CrashingFleet.ts
@@ -35,6 +35,8 @@
   readonly instances: number;
   readonly engines: number;
   readonly seed: number;
+  /** Number of running engines that get requests, as chains that begin elsewhere cost more; by default all. */
+  readonly firstEngines?: number;
 }
 
 /** A request that callers may repeat. */
@@ -99,6 +101,8 @@
   readonly crashesAtMs = new Map<string, number[]>();
   /** Times at which engines received crashing requests. */
   readonly arrivalsAtMs: number[] = [];
+  /** By digest of the request: the times at which engines received it while it crashed them. */
+  readonly crashingArrivalsAtMs = new Map<string, number[]>();
   /** Digests that any instance has ever quarantined. */
   readonly quarantined = new Set<string>();
   /** Names of the instances that are partitioned from all others. */
@@ -111,8 +115,9 @@
 
   constructor(
     private readonly _clock: SimulatedClock,
-    options: CrashingFleetOptions,
+    private readonly _options: CrashingFleetOptions,
   ) {
+    const options = _options;
     this._random = new utils.RandomSource(options.seed);
     this._endpoints = new EndpointTable(_clock.nowMs);
     for (let index = 0; index < options.engines; index++) this._engines.push(this._createEngine());
@@ -188,7 +193,7 @@
     };
     const run: EngineRun = { tracked, instance, ended: new utils.Deferred() };
     const { detector } = instance.quarantine;
-    if (isCrashing(request)) this.arrivalsAtMs.push(this._clock.nowMs());
+    if (isCrashing(request)) this._noteArrival(request.digest);
     detector.begin(tracked);
     engine.runs.add(run);
     void this._simulateRun(run, engine, request);
@@ -201,6 +206,12 @@
     return end;
   }
 
+  private _noteArrival(digest: string): void {
+    this.arrivalsAtMs.push(this._clock.nowMs());
+    const times = this.crashingArrivalsAtMs.get(digest) ?? [];
+    this.crashingArrivalsAtMs.set(digest, [...times, this._clock.nowMs()]);
+  }
+
   private async _simulateRun(run: EngineRun, engine: SimulatedEngine, request: SentRequest): Promise<void> {
     const isOver = (): boolean => !engine.runs.has(run);
     await this._clock.sleep(this._random.nextUnit() * maxWaitMs);
@@ -253,7 +264,8 @@
 
   private _pickEngine(avoidedIds: readonly string[]): SimulatedEngine | undefined {
     const up = this._engines.filter((engine) => engine.isUp);
-    const preferred = up.filter((engine) => !avoidedIds.includes(engine.endpoint.id));
+    const apart = up.filter((engine) => !avoidedIds.includes(engine.endpoint.id));
+    const preferred = apart.slice(0, this._options.firstEngines);
     return this._random.pick(preferred.length > 0 ? preferred : up);
   }
 
