connections: a reset after CONNECT does not end the process

What callers saw: a caller that sends CONNECT and resets its connection ended the process, and with it all requests in flight. Cause: Node.js takes its own listener for errors off the socket of a CONNECT, and nothing else listened. Looked at elsewhere: listeners without a handler for CONNECT, as those of metrics and readiness, have the socket destroyed by Node.js; the peers' listener handles errors. Change: errors of such a connection are handled like those of any other. The test ends with an uncaught ECONNRESET without the change.

--- a/packages/common/src/connections/ServerConnections.ts
+++ b/packages/common/src/connections/ServerConnections.ts
@@ -32,6 +32,8 @@
     // Sockets are the only streams of a server.
     server.on("clientError", (error, socket) => this._noteError(error, socket as net.Socket));
     server.on("connect", (message, socket) => {
+      // Node removes its own listeners; without one for errors, a reset would end the process.
+      socket.on("error", (error) => this._noteError(error, message.socket));
       this.get(message.socket).fail(invalidRequest);
       socket.resume();
     });
