connections: the silence of a sound endpoint does not cut callers that have ended their sending half

Cause: after the head of an answer only its parts tell a caller that has left from one that waits, and fewer than two within 300 ms counted as a caller that has left. The class: the silence of one side is taken for the end of the other. Change: the probe goes on after 300 ms until two writes have shown that the caller is there, or until nothing was written for two seconds, the longest silence of a sound endpoint. Before the head nothing changes: the probe writes interim responses itself. Ruled out: probes within the body, which would change the bytes of the answer.

--- a/packages/common/src/connections/DepartureProbe.ts
+++ b/packages/common/src/connections/DepartureProbe.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import { monotonicMs } from "../utils/clock.js";
 
 /**
  * Times from one probe to the next. The reset that answers a probe shows only in the write of a later one, since a connection whose receiving
@@ -9,6 +10,13 @@
 
 /** Writes during which a caller that had left would have reset the connection: the reset of one shows in the next. */
 const minWrites = 2;
+/**
+ * Time without a write after which a caller counts as one that has left. A sound endpoint may be silent for up to two seconds, which is
+ * no reason to end its answer; callers do not wait for longer.
+ */
+const maxSilenceMs = 2_000;
+/** Interval of the looks for further writes after the last probe. */
+const lookIntervalMs = 100;
 
 /** Dependencies of {@link DepartureProbe}. */
 export interface DepartureProbeStructure {
@@ -18,6 +26,10 @@
   readonly getBytesWritten: () => number;
   /** Called if too little was written for a reset, so that the caller counts as one that has left. */
   readonly onLeft: () => void;
+  /** Monotonic clock; replaced in tests. */
+  readonly nowMs?: () => number;
+  /** Waits; replaced in tests. */
+  readonly pause?: (durationMs: number) => Promise<void>;
 }
 
 /**
@@ -26,32 +38,52 @@
  * skip (RFC 9110, 15.2); after it, the parts of the answer itself serve.
  */
 export class DepartureProbe {
+  private readonly _nowMs: () => number;
+  private readonly _pause: (durationMs: number) => Promise<void>;
   private _writes = 0;
   private _bytesWritten: number;
+  private _writtenAtMs: number;
 
-  /** Starts the probes, which end by themselves. */
   constructor(private readonly _structure: DepartureProbeStructure) {
+    this._nowMs = _structure.nowMs ?? monotonicMs;
+    this._pause = _structure.pause ?? pauseUnreferenced;
     this._bytesWritten = _structure.getBytesWritten();
-    this._probe(0);
+    this._writtenAtMs = this._nowMs();
   }
 
-  private _probe(index: number): void {
-    const awaited = this._structure.getAwaited();
-    if (awaited === undefined) return;
-    this._noteWrites();
-    if (canPrecede(awaited)) awaited.writeContinue();
-    const delayMs = delaysMs[index];
-    if (delayMs !== undefined) setTimeout(() => this._probe(index + 1), delayMs).unref();
-    else if (this._writes < minWrites) this._structure.onLeft();
+  /** Probes until the caller must have reset the connection if it had left, counts as one that has left, or has its answers. */
+  async run(): Promise<void> {
+    for (const delayMs of [0, ...delaysMs]) {
+      if (delayMs > 0) await this._pause(delayMs);
+      if (!this._look()) return;
+      const awaited = this._structure.getAwaited();
+      if (awaited !== undefined && canPrecede(awaited)) awaited.writeContinue();
+    }
+    while (this._writes < minWrites) {
+      if (this._nowMs() - this._writtenAtMs >= maxSilenceMs) return this._structure.onLeft();
+      await this._pause(lookIntervalMs);
+      if (!this._look()) return;
+    }
   }
 
-  private _noteWrites(): void {
+  /** Notes what has been written; returns whether the caller still waits for an answer. */
+  private _look(): boolean {
+    if (this._structure.getAwaited() === undefined) return false;
     const bytesWritten = this._structure.getBytesWritten();
-    if (bytesWritten > this._bytesWritten) this._writes += 1;
+    if (bytesWritten > this._bytesWritten) {
+      this._writes += 1;
+      this._writtenAtMs = this._nowMs();
+    }
     this._bytesWritten = bytesWritten;
+    return true;
   }
 }
 
+/** Waits without keeping the process alive. */
+function pauseUnreferenced(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs).unref());
+}
+
 /** Whether an interim response may precede the answer. */
 function canPrecede(response: http.ServerResponse): boolean {
   return !response.headersSent && response.req.httpVersion === "1.1";
--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -177,11 +177,12 @@
   private _noteCallerEnd(): void {
     const [awaited] = this._pending;
     if (awaited === undefined || awaited.writableEnded) return;
-    new DepartureProbe({
+    const probe = new DepartureProbe({
       getAwaited: () => this._pending[0],
       getBytesWritten: () => this._socket.bytesWritten,
       onLeft: () => this.close(),
     });
+    void probe.run();
   }
 
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
