peers: a relayed page is dated by the receiver's clock

Cause: a page that the reader of a zone relays carries the age of its proof as of its send, and the receiver counted from the arrival. What a link had held up for seconds proved the configuration of its arrival. The class: an age is stated where it is sent and counted where it arrives. Change: pages carry the sender's time, and PeerClocks tells the earliest own time at which it can have been sent: a peer that is asked reads its clock after the question was sent. Until a peer's clock is known, its pages change the set and prove nothing. Peers of earlier builds are taken as before. Looked at elsewhere: answers to requests between peers count from the request; the ages of limits, crashes and clearings are not bounds that a key or an endpoint's end depends on. The test of reads that were buffered during a suspension let pages be sent after it and took them for old ones; it holds up and delivers those that were sent at its beginning, with the same bound.

--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -23,6 +23,7 @@
 import { ConfigurationChangeCodec } from "./ConfigurationChangeCodec.js";
 import { WholeChangeCodec } from "./WholeChangeCodec.js";
 import { SharedFigures } from "./SharedFigures.js";
+import { PeerClocks } from "./PeerClocks.js";
 import { StoreRelay } from "./StoreRelay.js";
 
 /**
@@ -58,12 +59,14 @@
   readonly drainingBroadcast: DrainingBroadcast;
   private readonly _directory: PeerDirectory;
   private readonly _history: ConfigurationHistory;
+  private readonly _clocks: PeerClocks;
   private _assumptionTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _structure: GatewayPeersStructure) {
     const { activeConfiguration, endpoints, log } = _structure;
     this._history = new ConfigurationHistory(activeConfiguration);
     this.membership = this._createMembership();
+    this._clocks = new PeerClocks({ membership: this.membership });
     this._directory = this._createDirectory();
     this.exchange = this._createExchange();
     this.loads = new LoadExchange({
@@ -101,6 +104,7 @@
       this.exchange.run(signal),
       this.loads.run(signal),
       this.relay.run(signal),
+      this._clocks.run(signal),
       this.permits.run(signal),
     ];
   }
@@ -177,7 +181,7 @@
 
   private _createRelay(): StoreRelay {
     const { configurationWatch, endpointWatch, log } = this._structure;
-    const relay = new StoreRelay({ membership: this.membership, log });
+    const relay = new StoreRelay({ membership: this.membership, log, clocks: this._clocks });
     const { configurationRead, endpointsRead } = peerTopics;
     relay.addFeed(
       configurationRead,
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { logInvalidPeerMessage } from "./logInvalidPeerMessage.js";
 import type { ChangeCodec } from "./ChangeCodec.js";
+import type { PeerClocks } from "./PeerClocks.js";
 import { ZoneRole } from "./ZoneRole.js";
 
 const roleName = "store-reader";
@@ -35,6 +36,7 @@
 export interface StoreRelayStructure {
   readonly membership: Pick<Membership, "self" | "getZoneRoleCandidates" | "notifyAll" | "onNotice">;
   readonly log: DecisionLog;
+  readonly clocks: Pick<PeerClocks, "getSentAtMs">;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: (() => number) | undefined;
 }
@@ -122,7 +124,8 @@
       const { nextOffset, endOffset } = page;
       // A page that was cut off leaves the freshness of the complete set before it.
       const proofAgeMs = follower.getFreshnessAgeMs();
-      this._notifyZone(topic, { fromOffset, nextOffset, endOffset, changes, proofAgeMs });
+      const sentAtMs = this._nowMs();
+      this._notifyZone(topic, { fromOffset, nextOffset, endOffset, changes, proofAgeMs, sentAtMs });
     });
   }
 
@@ -137,16 +140,24 @@
       const page = pageSchema.safeParse(body);
       if (!page.success) return logInvalidPeerMessage(log, topic, from);
       const { proofAgeMs, fromOffset, nextOffset, endOffset = nextOffset } = page.data;
+      const sentAtMs = this._getSentAtMs(from.name, page.data.sentAtMs);
       const encoded = page.data.changes;
       const changes = encoded === undefined ? undefined : codec.decode(encoded as TEncoded);
-      // A message that was buffered while this instance was suspended is older than it states: a key may have been revoked since.
-      const ageMs = proofAgeMs + this._pauses.getRecentPauseMs();
-      follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, this._nowMs() - ageMs);
+      follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, sentAtMs - proofAgeMs);
       const hasStoreAnswered = proofAgeMs < staleMs || isCutOff({ nextOffset, endOffset });
       if (from.name === this._role.holder && hasStoreAnswered) this._role.noteActivity();
     });
   }
 
+  /**
+   * Returns the earliest time at which a message can have been sent. A link may have held it up, or this instance may have been suspended, and a
+   * key may have been revoked since. Until the clock of the peer is known, its pages prove nothing.
+   */
+  private _getSentAtMs(peer: string, peerMs: number | undefined): number {
+    if (peerMs === undefined) return this._nowMs() - this._pauses.getRecentPauseMs();
+    return this._structure.clocks.getSentAtMs(peer, peerMs) ?? Number.NEGATIVE_INFINITY;
+  }
+
   private _notifyZone(topic: string, body: object): void {
     const { membership } = this._structure;
     const { availabilityZone } = membership.self;
@@ -162,6 +173,8 @@
     /** Undefined if the peer is of an earlier version, which does not state the end. */
     endOffset: zod.number().optional(),
     proofAgeMs: zod.number(),
+    /** Time of the sender's clock; undefined if the peer is of an earlier version. */
+    sentAtMs: zod.number().optional(),
     changes: changesSchema.optional(),
   });
 }
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -29,6 +29,7 @@
   tunnelOpen: "tunnel-open",
   tunnelEnd: "tunnel-end",
   tunnelsClosing: "tunnels-closing",
+  clock: "clock",
 } as const;
 
 /** Requests in flight and reserved token-layers, by the life id of the endpoint. Endpoints without requests are left out. */
--- /dev/null
+++ b/packages/gateway/src/tests/peers/PeerClocksTests.ts
@@ -0,0 +1,76 @@
+/** Messages of peers are dated by the own clock. */
+import { results } from "@shedtiller/common";
+import type { LinkedListener, RequestHandler } from "@shedtiller/membership";
+import test from "ava";
+import { PeerClocks } from "../../peers/PeerClocks.js";
+import { toMember } from "./toMember.js";
+
+const peer = { name: "peer", availabilityZone: "east" };
+/** The clock of the peer is ahead by this much. */
+const aheadMs = 5_000;
+
+/** An instance whose question reaches the peer after a delay, as does the answer. */
+class Fixture {
+  nowMs = 100_000;
+  delayMs = 1;
+  peerAheadMs = aheadMs;
+  private readonly _listeners: LinkedListener[] = [];
+  readonly clocks = new PeerClocks({
+    membership: {
+      getLinked: () => [toMember(peer)],
+      onLinked: (listener) => void this._listeners.push(listener),
+      onRequest: (_topic: string, handler: RequestHandler) => void (this.handler = handler),
+      request: () => {
+        this.nowMs += this.delayMs;
+        const reply = { nowMs: this.nowMs + this.peerAheadMs };
+        this.nowMs += this.delayMs;
+        return Promise.resolve(results.Ok(reply));
+      },
+    },
+    nowMs: () => this.nowMs,
+  });
+  handler: RequestHandler | undefined;
+
+  link(isResumed: boolean): void {
+    for (const listener of this._listeners) listener(toMember(peer), isResumed);
+  }
+}
+
+// Guards against a message that a cut holds up for seconds and that counts as sent when it arrives, so that a revoked key is served.
+test("a message is as old as its send, however late it arrives", async (t) => {
+  const fixture = new Fixture();
+  await fixture.clocks.ask("peer");
+  const sentAtMs = fixture.nowMs;
+  fixture.nowMs += 7_000;
+  const dated = fixture.clocks.getSentAtMs("peer", sentAtMs + aheadMs) ?? 0;
+  t.true(dated <= sentAtMs && dated >= sentAtMs - 1, `${dated - sentAtMs} ms`);
+});
+
+test("a slow answer dates messages too early, never too late, and does not replace a better one", async (t) => {
+  const fixture = new Fixture();
+  fixture.delayMs = 400;
+  await fixture.clocks.ask("peer");
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs), fixture.nowMs - 400);
+  fixture.delayMs = 1;
+  await fixture.clocks.ask("peer");
+  fixture.delayMs = 400;
+  await fixture.clocks.ask("peer");
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs), fixture.nowMs - 1);
+});
+
+test("nothing is known of a clock before its first answer, and after a link to another process", async (t) => {
+  const fixture = new Fixture();
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
+  await fixture.clocks.ask("peer");
+  t.not(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
+  fixture.link(true);
+  t.not(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
+  fixture.link(false);
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
+});
+
+test("no message is dated in the future", async (t) => {
+  const fixture = new Fixture();
+  await fixture.clocks.ask("peer");
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs + 60_000), fixture.nowMs);
+});
--- a/packages/gateway/src/tests/peers/PeerNetwork.ts
+++ b/packages/gateway/src/tests/peers/PeerNetwork.ts
@@ -26,6 +26,7 @@
   private readonly _silent = new Set<string>();
   private readonly _removed = new Set<string>();
   private readonly _cutZones = new Set<string>();
+  private readonly _held = new Map<string, (() => void)[]>();
 
   /** Adds an instance that is linked to all others. */
   join(self: PeerIdentity): NetworkMembership {
@@ -71,6 +72,16 @@
     this._silent.delete(name);
   }
 
+  /** Holds up the notices to the instance from now on, as a cut does; each of `held` delivers one of them. */
+  hold(name: string, held: (() => void)[]): void {
+    this._held.set(name, held);
+  }
+
+  /** Delivers the notices to the instance at once again. */
+  release(name: string): void {
+    this._held.delete(name);
+  }
+
   /** Drops all notices between the zone and all others from now on. */
   cutZone(availabilityZone: string): void {
     this._cutZones.add(availabilityZone);
@@ -89,6 +100,9 @@
   private _deliver(from: PeerIdentity, to: string, topic: string, body: unknown): void {
     if (this._silent.has(from.name) || this._silent.has(to)) return;
     this.sent.set(topic, (this.sent.get(topic) ?? 0) + 1);
-    this._handlers.get(to)?.get(topic)?.(body, from);
+    const deliver = (): void => this._handlers.get(to)?.get(topic)?.(body, from);
+    const held = this._held.get(to);
+    if (held === undefined) deliver();
+    else held.push(deliver);
   }
 }
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -66,6 +66,11 @@
   }
 }
 
+/** All instances of a zone have the same clock. */
+function getSentAtMs(_peer: string, peerMs: number): number {
+  return peerMs;
+}
+
 interface Instance {
   readonly known: Set<string>;
   readonly follower: FeedFollower<ListedEndpoint>;
@@ -137,7 +142,8 @@
     const options = { waitMs: 0, retryMs: 0, gatherMs: 0, nowMs, pause: utils.yieldToEvents };
     const follower = new FeedFollower(feed, listener, options);
     const membership = this.network.join({ name, availabilityZone: "east" });
-    const relay = new StoreRelay({ membership, log: new DecisionLog(new SilentLogOutput(), nowMs), nowMs });
+    const log = new DecisionLog(new SilentLogOutput(), nowMs);
+    const relay = new StoreRelay({ membership, log, clocks: { getSentAtMs }, nowMs });
     relay.addFeed(topic, follower, new WholeChangeCodec(listedEndpointSchema));
     this.instances.set(name, { known, follower, relay, regained: 0 });
     void follower.run(this._stop.signal);
@@ -234,10 +240,11 @@
   await zone.run(8);
   const suspended = names.find((name) => !zone.get(name).relay.isReader) ?? "";
   const isSuspended = (name: string): boolean => name === suspended;
-  zone.network.silence(suspended);
+  const buffered: (() => void)[] = [];
+  zone.network.hold(suspended, buffered);
   await zone.run(30, isSuspended);
-  zone.network.restore(suspended);
-  await zone.run(1, isSuspended);
+  zone.network.release(suspended);
+  buffered[0]?.();
   t.true(
     zone.get(suspended).follower.getFreshnessAgeMs() >= 29 * tickMs,
     "processed before the first tick after the suspension",
@@ -272,3 +279,21 @@
     t.is(zone.get(name).regained, 1, name);
   }
 });
+
+// Guards against a page that a cut has held up and that proves the configuration of its arrival, so that a revoked key is served.
+test("a page proves nothing that is newer than its send, however late it arrives", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  await zone.run(20);
+  const cut = names.find((name) => !zone.get(name).relay.isReader) ?? "";
+  const getAgeMs = (): number => zone.get(cut).follower.getFreshnessAgeMs();
+  const held: (() => void)[] = [];
+  zone.network.hold(cut, held);
+  zone.store.cutOff.add(cut);
+  await zone.run(30);
+  t.true(getAgeMs() >= 29 * tickMs, `${getAgeMs()} ms`);
+  held[0]?.();
+  t.true(getAgeMs() >= 29 * tickMs, `${getAgeMs()} ms after a page from the beginning of the cut`);
+  held.at(-1)?.();
+  t.true(getAgeMs() <= 2 * tickMs, `${getAgeMs()} ms after the newest page`);
+});
