gateway: a planned stop closes kept connections with its last refusals

Cause: between the last refusals and the exit kept connections stayed open, and the process exited before the connections that it destroyed were closed. Change: with the last refusals connections without a request in progress are closed, what arrives until then is refused, and the process goes on for a turn of the event loop after it has closed everything, so that callers see the close and not the exit.

--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -215,6 +215,8 @@
     this._peers.membership.close();
     this._reachability.server.close();
     this._httpClient.close();
+    // The process may exit right after this, and connections are closed in the next turns of the event loop.
+    await utils.readArrived();
   }
 
   private _createStatements(): EndpointStatements {
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -24,6 +24,9 @@
 const keepAliveMarginMs = 1_500;
 /** Size of the heads that are read at least; a request that is over the limit of the configuration can then be named in the log. */
 const minHeaderBytes = 64 * 1024;
+/** Time for the refusals at the end of the process: a fraction of the reserve that a planned stop keeps for the exit. */
+const maxRefusalMs = 100;
+const refusalPollMs = 5;
 /** Interval in which connections are checked for heads that take too long; Node's own is longer than the time for a head. */
 const headerCheckIntervalMs = 1_000;
 /** Length of the accept queue; the kernel may cap it lower. */
@@ -142,7 +145,10 @@
     return true;
   }
 
-  /** Refuses the requests whose answers have not begun, and those that arrive; resolves once the refusals have been written. */
+  /**
+   * Refuses the requests whose answers have not begun, and those that arrive, and closes the connections on which none is in progress. Resolves
+   * once the refusals have been written, or after a short time.
+   */
   async refuseInFlight(): Promise<void> {
     this._isEnding = true;
     for (const refuse of this._unadmitted.values()) refuse();
@@ -153,6 +159,10 @@
         stopping.retryAfterMs,
       );
     await utils.readArrived();
+    // A connection that stays open until the exit takes requests that nothing answers.
+    await this._connections.closeIdle();
+    const dueAtMs = utils.monotonicMs() + maxRefusalMs;
+    while (this.isBusy && utils.monotonicMs() < dueAtMs) await utils.sleep(refusalPollMs);
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -233,3 +233,16 @@
   await caller.waitForEnd();
   t.deepEqual(caller.statuses, [503]);
 });
+
+// Guards against kept connections that stay open until the process exits, and take requests that nothing answers.
+test("kept connections are closed with the last refusals", async (t) => {
+  const stop = await setUpStop(t);
+  const caller = connect(t, stop);
+  await rest(stop, caller, "r1");
+  stop.fixture.listener.drain();
+  await stop.fixture.listener.refuseInFlight();
+  // Were the connection still open, this request would be read.
+  caller.socket.write(formatRequest("r2", "/a/x"));
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [200]);
+});
