gateway: no connection is accepted at the end of a planned stop that nobody reads

Cause: the process went on accepting while it wrote its last refusals, and closed what it had just accepted. Change: listening ends before the last refusals, so that what was accepted is read and refused in the next turns of the event loop.

--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -151,6 +151,8 @@
    */
   async refuseInFlight(): Promise<void> {
     this._isEnding = true;
+    // Connections that are accepted from now on would be closed unread.
+    closeListeningSocket(this._server);
     for (const refuse of this._unadmitted.values()) refuse();
     for (const request of this._requests)
       request.refuse(
