peers: an old answer about a peer's clock is replaced, and a failure to ask is logged

An answer that is a minute old is replaced by any other one; a test of its own fails without it. A failure of the questions was swallowed; it is logged.

--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -66,7 +66,7 @@
     const { activeConfiguration, endpoints, log } = _structure;
     this._history = new ConfigurationHistory(activeConfiguration);
     this.membership = this._createMembership();
-    this._clocks = new PeerClocks({ membership: this.membership });
+    this._clocks = new PeerClocks({ membership: this.membership, log });
     this._directory = this._createDirectory();
     this.exchange = this._createExchange();
     this.loads = new LoadExchange({
--- a/packages/gateway/src/peers/PeerClocks.ts
+++ b/packages/gateway/src/peers/PeerClocks.ts
@@ -2,20 +2,31 @@
 import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import * as zod from "zod";
+import type { DecisionLog } from "../logs/DecisionLog.js";
 import { peerTopics } from "./peerMessages.js";
 
 /** Time for the answer to a question for the time: many round trips. */
 const askingTimeoutMs = 1_000;
 /** Interval between two questions to a peer; clocks drift by less than a millisecond meanwhile. */
 const askingIntervalMs = 10_000;
-/** Round trip from which on an answer is taken only if there is no other one, since it places the peer's time too early. */
+/** Round trip from which on an answer is taken only if there is no recent one, since it places the peer's time too early. */
 const longRoundTripMs = 50;
+/** Age from which on an answer is replaced by any other one; clocks drift by a few milliseconds until then. */
+const maxAgeMs = 60_000;
 
 const clockSchema = zod.object({ nowMs: zod.number() });
 
+/** What a peer's answer tells of its clock. */
+interface ClockAnswer {
+  /** The own time less the peer's time, at least. */
+  readonly offsetMs: number;
+  readonly askedAtMs: number;
+}
+
 /** Dependencies of {@link PeerClocks}. */
 export interface PeerClocksStructure {
   readonly membership: Pick<Membership, "getLinked" | "request" | "onRequest" | "onLinked">;
+  readonly log: Pick<DecisionLog, "error">;
   /** Monotonic clock; replaced in tests. */
   readonly nowMs?: (() => number) | undefined;
 }
@@ -26,8 +37,8 @@
  * of its clock was sent later than the question by at least the difference.
  */
 export class PeerClocks {
-  /** By peer: the own time less the peer's time, at least. */
-  private readonly _offsetsMs = new Map<string, number>();
+  /** Latest answers by peer. */
+  private readonly _answers = new Map<string, ClockAnswer>();
   private readonly _nowMs: () => number;
 
   constructor(private readonly _structure: PeerClocksStructure) {
@@ -36,15 +47,15 @@
     membership.onRequest(peerTopics.clock, () => Promise.resolve({ nowMs: this._nowMs() }));
     membership.onLinked((peer, isResumed) => {
       // The process of a new link may be another one, with another clock.
-      if (isResumed !== true) this._offsetsMs.delete(peer.name);
+      if (isResumed !== true) this._answers.delete(peer.name);
       void this.ask(peer.name);
     });
   }
 
   /** Returns the earliest own time at which a peer can have sent a message; undefined until its clock is known. */
   getSentAtMs(peer: string, peerMs: number): number | undefined {
-    const offsetMs = this._offsetsMs.get(peer);
-    return offsetMs === undefined ? undefined : Math.min(this._nowMs(), peerMs + offsetMs);
+    const answer = this._answers.get(peer);
+    return answer === undefined ? undefined : Math.min(this._nowMs(), peerMs + answer.offsetMs);
   }
 
   /** Asks all linked peers again and again until `signal` aborts. */
@@ -53,7 +64,7 @@
       askingIntervalMs,
       signal,
       () => void this._structure.membership.getLinked().map((peer) => this.ask(peer.name)),
-      () => undefined,
+      (error) => this._structure.log.error("peer-clocks-failed", { cause: String(error) }),
     );
   }
 
@@ -64,6 +75,8 @@
     const clock = clockSchema.safeParse(reply.ok ? reply.val : undefined);
     if (!clock.success) return;
     const isLong = this._nowMs() - askedAtMs > longRoundTripMs;
-    if (!isLong || !this._offsetsMs.has(peer)) this._offsetsMs.set(peer, askedAtMs - clock.data.nowMs);
+    const known = this._answers.get(peer);
+    if (isLong && known !== undefined && askedAtMs - known.askedAtMs < maxAgeMs) return;
+    this._answers.set(peer, { offsetMs: askedAtMs - clock.data.nowMs, askedAtMs });
   }
 }
--- a/packages/gateway/src/tests/peers/PeerClocksTests.ts
+++ b/packages/gateway/src/tests/peers/PeerClocksTests.ts
@@ -27,6 +27,7 @@
         return Promise.resolve(results.Ok(reply));
       },
     },
+    log: { error: () => undefined },
     nowMs: () => this.nowMs,
   });
   handler: RequestHandler | undefined;
@@ -58,6 +59,17 @@
   t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs), fixture.nowMs - 1);
 });
 
+// Guards against a clock that drifts away from an old answer, so that messages count as sent later than they were.
+test("an old answer is replaced by any other one", async (t) => {
+  const fixture = new Fixture();
+  await fixture.clocks.ask("peer");
+  fixture.nowMs += 60_000;
+  fixture.peerAheadMs = aheadMs + 3;
+  fixture.delayMs = 400;
+  await fixture.clocks.ask("peer");
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + fixture.peerAheadMs), fixture.nowMs - 400);
+});
+
 test("nothing is known of a clock before its first answer, and after a link to another process", async (t) => {
   const fixture = new Fixture();
   t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
