--- a/packages/crashes/src/CrashEvidence.ts
+++ b/packages/crashes/src/CrashEvidence.ts
@@ -187,22 +187,10 @@
     const coincident = [...this._crashes.values()].filter(
       ({ atMs }) => Math.abs(atMs - crash.atMs) <= coincidenceMs,
     );
-    const others = coincident.filter(
-      (other) => !other.suspects.has(trait) && !this._hasRecurringSuspect(other),
-    ).length;
+    const others = coincident.filter(({ suspects }) => !suspects.has(trait)).length;
     return others >= coincidentCrashes && others >= coincident.length - others;
   }
 
-  /** Returns whether a crash has a suspect of its own from an earlier crash, which is then more likely than a common cause. */
-  private _hasRecurringSuspect({ suspects, atMs }: Crash): boolean {
-    return [...suspects.keys()].some((suspect) => {
-      if (this.isKnownHarmless(suspect, atMs)) return false;
-      for (const earlier of this._crashesByTrait.get(suspect) ?? [])
-        if (earlier.atMs < atMs - coincidenceMs) return true;
-      return false;
-    });
-  }
-
   /**
    * Sorts suspects by how much is lost if they exceed the maximum of a crash: first those with crashes of their own, then those with more
    * weight, those that were not harmless shortly before, and parts of prompts before single requests.
