routing: one ring of slices serves both counts

EstablishedCount wrote the ring of WindowedCount again: its slices, their index, and the clearing of those that have left. SliceRing holds that now, and the counts keep what they differ in. Nothing changes in what they return; their tests and those of the retry budget pass unchanged.

--- a/packages/routing/src/EstablishedCount.ts
+++ b/packages/routing/src/EstablishedCount.ts
@@ -1,3 +1,5 @@
+import { SliceRing } from "./SliceRing.js";
+
 /** Slices per window. */
 const slicesPerWindow = 20;
 /** Any window contains this many whole slices. */
@@ -12,47 +14,30 @@
  * move from one counter to another.
  */
 export class EstablishedCount {
-  private readonly _slices = new Float64Array(keptSlices);
-  private _slice = Number.NEGATIVE_INFINITY;
+  private readonly _ring: SliceRing;
 
-  /** @param _windowMs - Length of the window. */
-  constructor(private readonly _windowMs: number) {}
+  /** @param windowMs - Length of the window. */
+  constructor(windowMs: number) {
+    this._ring = new SliceRing(windowMs / slicesPerWindow, keptSlices);
+  }
 
   /** Counts an event at a monotonic time. */
   add(nowMs: number): void {
-    this._advance(nowMs);
-    const index = toIndex(this._slice);
-    this._slices[index] = (this._slices[index] ?? 0) + 1;
+    this._ring.advance(nowMs);
+    this._ring.add();
   }
 
   /** Returns the smallest number of events in the windows that end within the last window, of which only whole slices count. */
   get(nowMs: number): number {
-    this._advance(nowMs);
+    this._ring.advance(nowMs);
     let sum = 0;
     let smallest = Number.POSITIVE_INFINITY;
     for (let age = keptSlices - 1; age >= 1; age--) {
-      sum += this._getSlice(age);
+      sum += this._ring.get(age);
       if (age > keptSlices - wholeSlices) continue;
       smallest = Math.min(smallest, sum);
-      sum -= this._getSlice(age + wholeSlices - 1);
+      sum -= this._ring.get(age + wholeSlices - 1);
     }
     return smallest;
   }
-
-  /** Returns the number of events in the slice that began `age` slices before the current one. */
-  private _getSlice(age: number): number {
-    return this._slices[toIndex(this._slice - age)] ?? 0;
-  }
-
-  /** Clears the slices that are not kept any more. */
-  private _advance(nowMs: number): void {
-    const slice = Math.floor((nowMs * slicesPerWindow) / this._windowMs);
-    const passed = Math.min(keptSlices, slice - this._slice);
-    for (let step = 0; step < passed; step++) this._slices[toIndex(slice - step)] = 0;
-    this._slice = Math.max(this._slice, slice);
-  }
-}
-
-function toIndex(slice: number): number {
-  return ((slice % keptSlices) + keptSlices) % keptSlices;
 }
