State that follows from other state is not kept

HttpExchange kept whether a request may have arrived beside the connection to which it was written, which are set together; DepartureProbe asked twice for the answer that is awaited; CrashingFleet kept arrivals once in all and once by request.

--- a/packages/common/src/connections/DepartureProbe.ts
+++ b/packages/common/src/connections/DepartureProbe.ts
@@ -55,27 +55,26 @@
   async run(): Promise<void> {
     for (const delayMs of [0, ...delaysMs]) {
       if (delayMs > 0) await this._pause(delayMs);
-      if (!this._look()) return;
-      const awaited = this._structure.getAwaited();
-      if (awaited !== undefined && canPrecede(awaited)) awaited.writeContinue();
+      const awaited = this._look();
+      if (awaited === undefined) return;
+      if (canPrecede(awaited)) awaited.writeContinue();
     }
     while (this._writes < minWrites) {
       if (this._nowMs() - this._writtenAtMs >= maxSilenceMs) return this._structure.onLeft();
       await this._pause(lookIntervalMs);
-      if (!this._look()) return;
+      if (this._look() === undefined) return;
     }
   }
 
-  /** Notes what has been written; returns whether the caller still waits for an answer. */
-  private _look(): boolean {
-    if (this._structure.getAwaited() === undefined) return false;
+  /** Notes what has been written; returns the answer for which the caller still waits. */
+  private _look(): http.ServerResponse | undefined {
     const bytesWritten = this._structure.getBytesWritten();
     if (bytesWritten > this._bytesWritten) {
       this._writes += 1;
       this._writtenAtMs = this._nowMs();
     }
     this._bytesWritten = bytesWritten;
-    return true;
+    return this._structure.getAwaited();
   }
 }
 
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -21,9 +21,8 @@
 /** Sends one request, and records whether the server may have received it. */
 export class HttpExchange {
   private _isSettled = false;
-  private _mayHaveArrived = false;
   private _request: http.ClientRequest | undefined;
-  /** The connection to which the request was written. */
+  /** The connection to which the request was written; undefined as long as the server cannot have received it. */
   private _socket: net.Socket | undefined;
   private _connectTimeout: utils.IoTimeout | undefined;
   private _headTimeout: utils.IoTimeout | undefined;
@@ -93,7 +92,7 @@
   private _watchConnection(socket: net.Socket): void {
     this._countReceived(socket);
     const onConnected = (): void => {
-      this._mayHaveArrived = true;
+      this._socket = socket;
       this._connectTimeout?.clear();
       this._noteSent(socket);
     };
@@ -114,7 +113,6 @@
   }
 
   private _noteSent(socket: net.Socket): void {
-    this._socket = socket;
     const path = this._connector?.getPath(socket);
     this._call.onConnected?.(path);
     if (this._isSettled || this._connector === undefined || path !== undefined) return;
@@ -159,14 +157,14 @@
 
   private _fail(cause: unknown): void {
     const { address } = this._call;
-    if (this._mayHaveArrived)
+    if (this._socket !== undefined)
       return this._settle(results.Err(new errors.ConnectionLostError(address, cause)));
     const isNotReached = cause instanceof errors.NotReachedError;
     this._settle(results.Err(isNotReached ? cause : new errors.NotReachedError(address, cause)));
   }
 
   private _endUnconnected(): void {
-    if (this._mayHaveArrived) return;
+    if (this._socket !== undefined) return;
     this._settle(results.Err(new errors.NotReachedError(this._call.address)));
     this._request?.destroy();
   }
--- a/packages/gateway/src/tests/patterns/CrashingFleet.ts
+++ b/packages/gateway/src/tests/patterns/CrashingFleet.ts
@@ -99,8 +99,6 @@
   readonly allCrashesAtMs: number[] = [];
   /** By digest of the request: the times at which it crashed engines. */
   readonly crashesAtMs = new Map<string, number[]>();
-  /** Times at which engines received crashing requests. */
-  readonly arrivalsAtMs: number[] = [];
   /** By digest of the request: the times at which engines received it while it crashed them. */
   readonly crashingArrivalsAtMs = new Map<string, number[]>();
   /** Digests that any instance has ever quarantined. */
@@ -129,6 +127,11 @@
     this._listEngines();
   }
 
+  /** Times at which engines received crashing requests. */
+  get arrivalsAtMs(): number[] {
+    return [...this.crashingArrivalsAtMs.values()].flat();
+  }
+
   get upEngines(): number {
     return this._engines.filter((engine) => engine.isUp).length;
   }
@@ -207,7 +210,6 @@
   }
 
   private _noteArrival(digest: string): void {
-    this.arrivalsAtMs.push(this._clock.nowMs());
     const times = this.crashingArrivalsAtMs.get(digest) ?? [];
     this.crashingArrivalsAtMs.set(digest, [...times, this._clock.nowMs()]);
   }
