peers: a page without the time of its send proves nothing

Cause: a page of an instance of the earlier build does not tell when it was sent, and the receiver dated it by its arrival less its own recent pause. Ruled out: the clocks of the peers (all new instances: 0 late), the answers to requests between peers (dated by the question). Change: such a page changes the set and proves nothing; the instance proves its configuration by its own reads and questions. The test failed before: 0 ms after pages that the cut had held up for 5.8 s.

--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -151,11 +151,11 @@
 
   /**
    * Returns the earliest time at which a message can have been sent. A link may have held it up, or this instance may have been suspended, and a
-   * key may have been revoked since. Until the clock of the peer is known, its pages prove nothing.
+   * key may have been revoked since. A page without the time of its send, or of a peer whose clock is not known, proves nothing.
    */
   private _getSentAtMs(peer: string, peerMs: number | undefined): number {
-    if (peerMs === undefined) return this._nowMs() - this._pauses.getRecentPauseMs();
-    return this._structure.clocks.getSentAtMs(peer, peerMs) ?? Number.NEGATIVE_INFINITY;
+    const sentAtMs = peerMs === undefined ? undefined : this._structure.clocks.getSentAtMs(peer, peerMs);
+    return sentAtMs ?? Number.NEGATIVE_INFINITY;
   }
 
   private _notifyZone(topic: string, body: object): void {
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -15,7 +15,7 @@
 import { StoreRelay } from "../../peers/StoreRelay.js";
 import { createListed } from "../testData.js";
 import { SilentLogOutput } from "../SilentLogOutput.js";
-import { PeerNetwork } from "./PeerNetwork.js";
+import { PeerNetwork, type NetworkMembership } from "./PeerNetwork.js";
 
 const topic = "endpoints-read";
 const tickMs = 200;
@@ -82,6 +82,8 @@
   readonly store = new Store();
   readonly network = new PeerNetwork();
   readonly instances = new Map<string, Instance>();
+  /** Instances of an earlier build, whose pages do not tell when they were sent. */
+  readonly ofEarlierBuild = new Set<string>();
   private readonly _stop = new AbortController();
   private _nowMs = 0;
 
@@ -141,13 +143,22 @@
     // A pause is one turn of the event loop. With timers, the result would depend on how fast the machine runs the turns of `run`.
     const options = { waitMs: 0, retryMs: 0, gatherMs: 0, nowMs, pause: utils.yieldToEvents };
     const follower = new FeedFollower(feed, listener, options);
-    const membership = this.network.join({ name, availabilityZone: "east" });
+    const membership = this._join(name);
     const log = new DecisionLog(new SilentLogOutput(), nowMs);
     const relay = new StoreRelay({ membership, log, clocks: { getSentAtMs }, nowMs });
     relay.addFeed(topic, follower, new WholeChangeCodec(listedEndpointSchema));
     this.instances.set(name, { known, follower, relay, regained: 0 });
     void follower.run(this._stop.signal);
   }
+
+  private _join(name: string): NetworkMembership {
+    const membership = this.network.join({ name, availabilityZone: "east" });
+    const notifyAll: NetworkMembership["notifyAll"] = (noticeTopic, body, isRecipient) => {
+      const { sentAtMs: _, ...undated } = body as { sentAtMs?: number };
+      membership.notifyAll(noticeTopic, this.ofEarlierBuild.has(name) ? undated : body, isRecipient);
+    };
+    return { ...membership, notifyAll };
+  }
 }
 
 test("one instance reads, and the others receive each change and stay fresh without a call", async (t) => {
@@ -297,3 +308,23 @@
   held.at(-1)?.();
   t.true(getAgeMs() <= 2 * tickMs, `${getAgeMs()} ms after the newest page`);
 });
+
+// Guards against a rollout in which pages of instances of the earlier build, held up by a cut, keep a revoked key alive.
+test("a page that does not tell when it was sent proves nothing, and the instance reads by itself", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  for (const name of names) zone.ofEarlierBuild.add(name);
+  await zone.run(20);
+  const cut = names.find((name) => !zone.get(name).relay.isReader) ?? "";
+  const getAgeMs = (): number => zone.get(cut).follower.getFreshnessAgeMs();
+  t.true(getAgeMs() <= boundMs, `${getAgeMs()} ms while the store answers`);
+  const held: (() => void)[] = [];
+  zone.network.hold(cut, held);
+  zone.store.cutOff.add(cut);
+  await zone.run(30);
+  for (const deliver of held) deliver();
+  t.true(getAgeMs() >= 29 * tickMs, `${getAgeMs()} ms after pages that the cut has held up`);
+  zone.store.cutOff.delete(cut);
+  await zone.run(10);
+  t.true(getAgeMs() <= boundMs, `${getAgeMs()} ms after the cut`);
+});
