peers: pages are dated by the steady clock of their sender

Cause: PeerClocks takes the clocks of both sides to run alike. The monotonic clock counts a step of the wall clock as elapsed time where nothing tells it from a suspension, so what the sender sends after the step is dated too late by the step, and a page that the cut held up counts as new. Ruled out: a step at the receiver, which makes what it knows older, and a suspended sender, whose pages become older, too. Change: peers read the steady clock, which never runs ahead of the time that has passed. A reading names its clock, so that a process that has restarted or is of an earlier build is never dated by another clock; this replaces the assumption about new links. The test of a link to another process is replaced by one of another clock, with a late answer in addition.

--- a/packages/gateway/src/peers/PeerClocks.ts
+++ b/packages/gateway/src/peers/PeerClocks.ts
@@ -1,4 +1,5 @@
 /** The clocks of the other instances, compared with the own one. */
+import { randomUUID } from "node:crypto";
 import { utils } from "@shedtiller/common";
 import type { Membership } from "@shedtiller/membership";
 import * as zod from "zod";
@@ -14,10 +15,18 @@
 /** Age from which on an answer is replaced by any other one; clocks drift by a few milliseconds until then. */
 const maxAgeMs = 60_000;
 
-const clockSchema = zod.object({ nowMs: zod.number() });
+/** A reading of a steady clock. */
+export const clockReadingSchema = zod.object({
+  /** Time of the clock, which never runs ahead of the time that has passed. */
+  nowMs: zod.number(),
+  /** Identifies the process that has the clock. */
+  clockId: zod.string(),
+});
+export type ClockReading = zod.infer<typeof clockReadingSchema>;
 
 /** What a peer's answer tells of its clock. */
 interface ClockAnswer {
+  readonly clockId: string;
   /** The own time less the peer's time, at least. */
   readonly offsetMs: number;
   readonly askedAtMs: number;
@@ -29,33 +38,46 @@
   readonly log: Pick<DecisionLog, "error">;
   /** Monotonic clock; replaced in tests. */
   readonly nowMs?: (() => number) | undefined;
+  /** Clock that peers date the messages of this instance by; replaced in tests. */
+  readonly steadyMs?: (() => number) | undefined;
 }
 
 /**
  * Dates messages of peers by the own clock, however long a link has held them up: behind a cut a message waits for seconds, and its age as of
  * its send says nothing of that. A peer that is asked reads its clock after the question was sent, so what it sends at a later time
  * of its clock was sent later than the question by at least the difference.
+ *
+ * Peers read the steady clock, which stops while a machine is suspended, so that a message may count as older than it is. The monotonic
+ * clock, which may count a step of the wall clock as elapsed time, would make it younger.
  */
 export class PeerClocks {
   /** Latest answers by peer. */
   private readonly _answers = new Map<string, ClockAnswer>();
   private readonly _nowMs: () => number;
+  private readonly _steadyMs: () => number;
+  private readonly _clockId = randomUUID();
 
   constructor(private readonly _structure: PeerClocksStructure) {
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
+    this._steadyMs = _structure.steadyMs ?? utils.steadyMs;
     const { membership } = _structure;
-    membership.onRequest(peerTopics.clock, () => Promise.resolve({ nowMs: this._nowMs() }));
-    membership.onLinked((peer, isResumed) => {
-      // The process of a new link may be another one, with another clock.
-      if (isResumed !== true) this._answers.delete(peer.name);
-      void this.ask(peer.name);
-    });
+    membership.onRequest(peerTopics.clock, () => Promise.resolve(this.read()));
+    membership.onLinked((peer) => void this.ask(peer.name));
   }
 
-  /** Returns the earliest own time at which a peer can have sent a message; undefined until its clock is known. */
-  getSentAtMs(peer: string, peerMs: number): number | undefined {
+  /** Reads the clock of this instance, for a message to its peers. */
+  read(): ClockReading {
+    return { nowMs: this._steadyMs(), clockId: this._clockId };
+  }
+
+  /**
+   * Returns the earliest own time at which a peer can have sent a message that carries a reading of its clock. Undefined without a reading, and
+   * until the same clock has answered: a process that has restarted has another one.
+   */
+  getSentAtMs(peer: string, sentAtMs: number | undefined, clockId: string | undefined): number | undefined {
     const answer = this._answers.get(peer);
-    return answer === undefined ? undefined : Math.min(this._nowMs(), peerMs + answer.offsetMs);
+    if (answer === undefined || sentAtMs === undefined || answer.clockId !== clockId) return undefined;
+    return Math.min(this._nowMs(), sentAtMs + answer.offsetMs);
   }
 
   /** Asks all linked peers again and again until `signal` aborts. */
@@ -68,15 +90,16 @@
     );
   }
 
-  /** Asks a peer for the time of its clock. A peer of an earlier build does not answer. */
+  /** Asks a peer for the time of its clock. A peer of an earlier build does not answer, or with a clock that may run ahead. */
   async ask(peer: string): Promise<void> {
     const askedAtMs = this._nowMs();
     const reply = await this._structure.membership.request(peer, peerTopics.clock, null, askingTimeoutMs);
-    const clock = clockSchema.safeParse(reply.ok ? reply.val : undefined);
+    const clock = clockReadingSchema.safeParse(reply.ok ? reply.val : undefined);
     if (!clock.success) return;
+    const { nowMs, clockId } = clock.data;
     const isLong = this._nowMs() - askedAtMs > longRoundTripMs;
     const known = this._answers.get(peer);
-    if (isLong && known !== undefined && askedAtMs - known.askedAtMs < maxAgeMs) return;
-    this._answers.set(peer, { offsetMs: askedAtMs - clock.data.nowMs, askedAtMs });
+    if (isLong && known?.clockId === clockId && askedAtMs - known.askedAtMs < maxAgeMs) return;
+    this._answers.set(peer, { clockId, offsetMs: askedAtMs - nowMs, askedAtMs });
   }
 }
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -36,7 +36,7 @@
 export interface StoreRelayStructure {
   readonly membership: Pick<Membership, "self" | "getZoneRoleCandidates" | "notifyAll" | "onNotice">;
   readonly log: DecisionLog;
-  readonly clocks: Pick<PeerClocks, "getSentAtMs">;
+  readonly clocks: Pick<PeerClocks, "read" | "getSentAtMs">;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: (() => number) | undefined;
 }
@@ -124,8 +124,9 @@
       const { nextOffset, endOffset } = page;
       // A page that was cut off leaves the freshness of the complete set before it.
       const proofAgeMs = follower.getFreshnessAgeMs();
-      const sentAtMs = this._nowMs();
-      this._notifyZone(topic, { fromOffset, nextOffset, endOffset, changes, proofAgeMs, sentAtMs });
+      const { nowMs: sentAtMs, clockId } = this._structure.clocks.read();
+      const position = { fromOffset, nextOffset, endOffset };
+      this._notifyZone(topic, { ...position, changes, proofAgeMs, sentAtMs, clockId });
     });
   }
 
@@ -140,7 +141,10 @@
       const page = pageSchema.safeParse(body);
       if (!page.success) return logInvalidPeerMessage(log, topic, from);
       const { proofAgeMs, fromOffset, nextOffset, endOffset = nextOffset } = page.data;
-      const sentAtMs = this._getSentAtMs(from.name, page.data.sentAtMs);
+      const { sentAtMs: peerMs, clockId } = page.data;
+      // A key may have been revoked since the page was sent. A page that can't be dated proves nothing.
+      const sentAtMs =
+        this._structure.clocks.getSentAtMs(from.name, peerMs, clockId) ?? Number.NEGATIVE_INFINITY;
       const encoded = page.data.changes;
       const changes = encoded === undefined ? undefined : codec.decode(encoded as TEncoded);
       follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, sentAtMs - proofAgeMs);
@@ -149,15 +153,6 @@
     });
   }
 
-  /**
-   * Returns the earliest time at which a message can have been sent. A link may have held it up, or this instance may have been suspended, and a
-   * key may have been revoked since. A page without the time of its send, or of a peer whose clock is not known, proves nothing.
-   */
-  private _getSentAtMs(peer: string, peerMs: number | undefined): number {
-    const sentAtMs = peerMs === undefined ? undefined : this._structure.clocks.getSentAtMs(peer, peerMs);
-    return sentAtMs ?? Number.NEGATIVE_INFINITY;
-  }
-
   private _notifyZone(topic: string, body: object): void {
     const { membership } = this._structure;
     const { availabilityZone } = membership.self;
@@ -175,6 +170,8 @@
     proofAgeMs: zod.number(),
     /** Time of the sender's clock; undefined if the peer is of an earlier version. */
     sentAtMs: zod.number().optional(),
+    /** Identifies the sender's clock; undefined if the peer is of an earlier version, whose clock may run ahead. */
+    clockId: zod.string().optional(),
     changes: changesSchema.optional(),
   });
 }
--- a/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
+++ b/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
@@ -115,7 +115,10 @@
     const watch = new ConfigurationWatch(activeConfiguration, feed, log, deadlineMs, time);
     const endpointFeed = new UnchangedFeed<ListedEndpoint>(clock, isCutOff);
     const endpointWatch = new EndpointWatch(new EndpointTable(), endpointFeed, log, time);
-    const clocks = { getSentAtMs: (_peer: string, peerMs: number): number => peerMs };
+    const clocks = {
+      read: () => ({ nowMs: clock.nowMs(), clockId: "" }),
+      getSentAtMs: (_peer: string, sentAtMs?: number) => sentAtMs,
+    };
     const relay = new StoreRelay({ membership, log, clocks, nowMs: clock.nowMs });
     relay.addFeed(peerTopics.configurationRead, watch.follower, new ConfigurationChangeCodec(history));
     relay.addFeed(
--- a/packages/gateway/src/tests/peers/PeerClocksTests.ts
+++ b/packages/gateway/src/tests/peers/PeerClocksTests.ts
@@ -1,5 +1,5 @@
 /** Messages of peers are dated by the own clock. */
-import { results } from "@shedtiller/common";
+import { results, utils } from "@shedtiller/common";
 import type { LinkedListener, RequestHandler } from "@shedtiller/membership";
 import test from "ava";
 import { PeerClocks } from "../../peers/PeerClocks.js";
@@ -14,6 +14,7 @@
   nowMs = 100_000;
   delayMs = 1;
   peerAheadMs = aheadMs;
+  peerClockId = "first";
   private readonly _listeners: LinkedListener[] = [];
   readonly clocks = new PeerClocks({
     membership: {
@@ -22,7 +23,7 @@
       onRequest: (_topic: string, handler: RequestHandler) => void (this.handler = handler),
       request: () => {
         this.nowMs += this.delayMs;
-        const reply = { nowMs: this.nowMs + this.peerAheadMs };
+        const reply = { nowMs: this.nowMs + this.peerAheadMs, clockId: this.peerClockId };
         this.nowMs += this.delayMs;
         return Promise.resolve(results.Ok(reply));
       },
@@ -32,8 +33,15 @@
   });
   handler: RequestHandler | undefined;
 
-  link(isResumed: boolean): void {
+  /** Links the peer, which is asked then. */
+  async link(isResumed: boolean): Promise<void> {
     for (const listener of this._listeners) listener(toMember(peer), isResumed);
+    await utils.yieldToEvents();
+  }
+
+  /** Returns when the peer sent a message at most, which carries `peerMs` of its clock. */
+  getSentAtMs(peerMs: number): number | undefined {
+    return this.clocks.getSentAtMs("peer", peerMs, this.peerClockId);
   }
 }
 
@@ -43,7 +51,7 @@
   await fixture.clocks.ask("peer");
   const sentAtMs = fixture.nowMs;
   fixture.nowMs += 7_000;
-  const dated = fixture.clocks.getSentAtMs("peer", sentAtMs + aheadMs) ?? 0;
+  const dated = fixture.getSentAtMs(sentAtMs + aheadMs) ?? 0;
   t.true(dated <= sentAtMs && dated >= sentAtMs - 1, `${dated - sentAtMs} ms`);
 });
 
@@ -51,12 +59,12 @@
   const fixture = new Fixture();
   fixture.delayMs = 400;
   await fixture.clocks.ask("peer");
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs), fixture.nowMs - 400);
+  t.is(fixture.getSentAtMs(fixture.nowMs + aheadMs), fixture.nowMs - 400);
   fixture.delayMs = 1;
   await fixture.clocks.ask("peer");
   fixture.delayMs = 400;
   await fixture.clocks.ask("peer");
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs), fixture.nowMs - 1);
+  t.is(fixture.getSentAtMs(fixture.nowMs + aheadMs), fixture.nowMs - 1);
 });
 
 // Guards against a clock that drifts away from an old answer, so that messages count as sent later than they were.
@@ -67,22 +75,34 @@
   fixture.peerAheadMs = aheadMs + 3;
   fixture.delayMs = 400;
   await fixture.clocks.ask("peer");
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + fixture.peerAheadMs), fixture.nowMs - 400);
+  t.is(fixture.getSentAtMs(fixture.nowMs + fixture.peerAheadMs), fixture.nowMs - 400);
+});
+
+// Guards against a peer that has restarted and whose messages are dated by the clock of its earlier process.
+test("nothing is known of a clock before its first answer, and of that of another process", async (t) => {
+  const fixture = new Fixture();
+  t.is(fixture.getSentAtMs(fixture.nowMs), undefined);
+  await fixture.clocks.ask("peer");
+  t.not(fixture.getSentAtMs(fixture.nowMs), undefined);
+  await fixture.link(true);
+  t.not(fixture.getSentAtMs(fixture.nowMs), undefined);
+  fixture.peerClockId = "second";
+  t.is(fixture.getSentAtMs(fixture.nowMs), undefined);
+  fixture.delayMs = 400;
+  await fixture.link(false);
+  t.not(fixture.getSentAtMs(fixture.nowMs), undefined, "also a slow answer replaces that of another clock");
 });
 
-test("nothing is known of a clock before its first answer, and after a link to another process", async (t) => {
+test("a message without a reading of a clock is not dated", async (t) => {
   const fixture = new Fixture();
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
   await fixture.clocks.ask("peer");
-  t.not(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
-  fixture.link(true);
-  t.not(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
-  fixture.link(false);
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs), undefined);
+  t.is(fixture.clocks.getSentAtMs("peer", undefined, "first"), undefined);
+  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs, undefined), undefined);
+  t.is(fixture.clocks.getSentAtMs("other", fixture.nowMs, undefined), undefined);
 });
 
 test("no message is dated in the future", async (t) => {
   const fixture = new Fixture();
   await fixture.clocks.ask("peer");
-  t.is(fixture.clocks.getSentAtMs("peer", fixture.nowMs + aheadMs + 60_000), fixture.nowMs);
+  t.is(fixture.getSentAtMs(fixture.nowMs + aheadMs + 60_000), fixture.nowMs);
 });
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -11,6 +11,7 @@
 import { FeedFollower } from "../../discovery/FeedFollower.js";
 import { listedEndpointSchema, type ListedEndpoint } from "../../discovery/ListedEndpoint.js";
 import { DecisionLog } from "../../logs/DecisionLog.js";
+import { PeerClocks } from "../../peers/PeerClocks.js";
 import { WholeChangeCodec } from "../../peers/WholeChangeCodec.js";
 import { StoreRelay } from "../../peers/StoreRelay.js";
 import { createListed } from "../testData.js";
@@ -66,15 +67,11 @@
   }
 }
 
-/** All instances of a zone have the same clock. */
-function getSentAtMs(_peer: string, peerMs: number): number {
-  return peerMs;
-}
-
 interface Instance {
   readonly known: Set<string>;
   readonly follower: FeedFollower<ListedEndpoint>;
   readonly relay: StoreRelay;
+  readonly clocks: PeerClocks;
   regained: number;
 }
 
@@ -84,11 +81,14 @@
   readonly instances = new Map<string, Instance>();
   /** Instances of an earlier build, whose pages do not tell when they were sent. */
   readonly ofEarlierBuild = new Set<string>();
+  /** By how much the wall clocks of instances have been set forward, which their monotonic clocks count as elapsed time. */
+  readonly setForwardMs = new Map<string, number>();
   private readonly _stop = new AbortController();
   private _nowMs = 0;
 
   constructor() {
     for (const name of names) this._add(name);
+    for (const { clocks } of this.instances.values()) for (const name of names) void clocks.ask(name);
   }
 
   /** Advances the clock tick by tick; `isSkipped` selects suspended instances. After each tick all pending reads have completed. */
@@ -123,7 +123,7 @@
   }
 
   private _add(name: string): void {
-    const nowMs = (): number => this._nowMs;
+    const nowMs = (): number => this._nowMs + (this.setForwardMs.get(name) ?? 0);
     const known = new Set<string>();
     const apply = (changes: readonly Change<ListedEndpoint>[]): void => {
       for (const { key, value } of changes)
@@ -145,16 +145,17 @@
     const follower = new FeedFollower(feed, listener, options);
     const membership = this._join(name);
     const log = new DecisionLog(new SilentLogOutput(), nowMs);
-    const relay = new StoreRelay({ membership, log, clocks: { getSentAtMs }, nowMs });
+    const clocks = new PeerClocks({ membership, log, nowMs, steadyMs: () => this._nowMs });
+    const relay = new StoreRelay({ membership, log, clocks, nowMs });
     relay.addFeed(topic, follower, new WholeChangeCodec(listedEndpointSchema));
-    this.instances.set(name, { known, follower, relay, regained: 0 });
+    this.instances.set(name, { known, follower, relay, clocks, regained: 0 });
     void follower.run(this._stop.signal);
   }
 
   private _join(name: string): NetworkMembership {
     const membership = this.network.join({ name, availabilityZone: "east" });
     const notifyAll: NetworkMembership["notifyAll"] = (noticeTopic, body, isRecipient) => {
-      const { sentAtMs: _, ...undated } = body as { sentAtMs?: number };
+      const { sentAtMs: _, clockId: __, ...undated } = body as { sentAtMs?: number; clockId?: string };
       membership.notifyAll(noticeTopic, this.ofEarlierBuild.has(name) ? undated : body, isRecipient);
     };
     return { ...membership, notifyAll };
@@ -328,3 +329,22 @@
   await zone.run(10);
   t.true(getAgeMs() <= boundMs, `${getAgeMs()} ms after the cut`);
 });
+
+// Guards against a step of the reader's wall clock during a cut, which makes the pages of the cut look younger and keeps a revoked key alive.
+test("a page is as old as its send although the clock of its sender has been set forward", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  await zone.run(20);
+  const cut = names.find((name) => !zone.get(name).relay.isReader) ?? "";
+  const held: (() => void)[] = [];
+  zone.network.hold(cut, held);
+  zone.store.cutOff.add(cut);
+  await zone.run(1);
+  for (const name of names) if (name !== cut) zone.setForwardMs.set(name, 8_000);
+  await zone.run(1);
+  const sent = held.length;
+  await zone.run(28);
+  for (const deliver of held.slice(0, sent)) deliver();
+  const ageMs = zone.get(cut).follower.getFreshnessAgeMs();
+  t.true(ageMs >= 28 * tickMs, `${ageMs} ms after pages from the beginning of the cut`);
+});
