discovery: a page from before the loss of the store does not end the loss

What callers saw: nothing yet; found by reading. After a cut, endpoints whose entries lapsed while the store was away may be dropped at once, which cuts the requests that they run, since the grace time began with a page that the cut had held up. Cause: a page proves nothing that is newer than its send, but it ended the loss of the store whatever its time was, also without any known time. A page that was cut off counted as answered when it arrived. Change: a page ends the loss only if the store answered after the first read of the loss was sent. A page that can't be dated is not taken while the store is unavailable here, since nobody knows whether the entries that it removes are to be kept; the store and the peers are asked instead. Both tests failed before: "regained" after a page from before the loss, and "1 changes" from a page without a time.

--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -64,6 +64,8 @@
   /** The latest time at which the store is known to have answered, here or to a peer that relays its reads. */
   private _answeredAtMs = Number.NEGATIVE_INFINITY;
   private _isLost = false;
+  /** Time at which the first read was sent that the store has not answered since it was lost. */
+  private _lostSinceMs = Number.NEGATIVE_INFINITY;
   private _isReader = true;
   private _isFallbackReader = false;
   /** Whether the next read returns without long polling, because the freshness of the set is unknown or changes are known to be missing. */
@@ -132,16 +134,20 @@
   }
 
   /**
-   * Applies a page that a peer has read. A page that does not continue at the known offset causes a read of the store.
+   * Applies a page that a peer has read. A page that does not continue at the known offset causes a read of the store. So does a page without a
+   * known time while the store is unavailable: whether removed entries are to be kept for a while depends on when the store has returned.
    * @param freshAtMs - Time as of which the peer's set was complete after this page.
+   * @param answeredAtMs - Time at which the store answered the peer, at least; negative infinity if it is not known.
    */
-  applyPeerPage(page: PeerPage<T>, freshAtMs: number): void {
+  applyPeerPage(page: PeerPage<T>, freshAtMs: number, answeredAtMs = freshAtMs): void {
     if (this._offset === undefined || page.nextOffset < this._offset) return;
     const isKnown = page.nextOffset === this._offset;
     const { nextOffset, endOffset = nextOffset } = page;
     this._knownEndOffset = Math.max(this._knownEndOffset, nextOffset, endOffset);
-    if (!isKnown && (page.changes === undefined || page.fromOffset !== this._offset)) return this._catchUp();
-    this._noteRelayed(isCutOff({ nextOffset, endOffset }) ? this._nowMs() : freshAtMs);
+    const isDated = Number.isFinite(answeredAtMs) || !this._isUnavailable();
+    if (!isKnown && (page.changes === undefined || page.fromOffset !== this._offset || !isDated))
+      return this._catchUp();
+    this._noteRelayed(answeredAtMs);
     this._advanceTo(nextOffset);
     this._applyChanges(isKnown ? [] : (page.changes ?? []), freshAtMs);
   }
@@ -184,8 +190,9 @@
 
   private async _readAndPause(signal: AbortSignal): Promise<void> {
     const before = this._offset;
+    const requestedAtMs = this._nowMs();
     const error = await this._read();
-    if (error !== undefined) this._noteFailed(error);
+    if (error !== undefined) this._noteFailed(error, requestedAtMs);
     else this._failures = 0;
     await this._pause(this._getPauseMs(error, before), signal).catch(() => undefined);
   }
@@ -258,11 +265,21 @@
     this._wakeUp.resolve();
   }
 
-  /** Notifies the listener that the store has recovered, since a peer has read it after a long gap or after a failed read. */
+  private _isUnavailable(): boolean {
+    return this._isLost || this.getAnswerAgeMs() > unavailableAfterMs;
+  }
+
+  /**
+   * Notifies the listener that the store has recovered, since a peer has read it after a long gap or after a failed read. A page from before
+   * the failed read, which a link has held up, tells nothing of a recovery.
+   */
   private _noteRelayed(answeredAtMs: number): void {
-    if (answeredAtMs - this._answeredAtMs > unavailableAfterMs || this._isLost) this._listener.onRegained();
+    const isBack = this._isLost && answeredAtMs > this._lostSinceMs;
+    if (answeredAtMs - this._answeredAtMs > unavailableAfterMs || isBack) {
+      this._isLost = false;
+      this._listener.onRegained();
+    }
     this._answeredAtMs = Math.max(this._answeredAtMs, answeredAtMs);
-    this._isLost = false;
   }
 
   /** Notifies the listener that the store has recovered before the content of the answer is passed on. */
@@ -272,11 +289,13 @@
     this._isLost = false;
   }
 
-  private _noteFailed(error: StoreError): void {
+  private _noteFailed(error: StoreError, requestedAtMs: number): void {
     this._isNextReadImmediate = true;
     this._failures += 1;
-    if (!this._isLost) this._listener.onLost(error);
+    if (this._isLost) return;
     this._isLost = true;
+    this._lostSinceMs = requestedAtMs;
+    this._listener.onLost(error);
   }
 
   private _getRetryMs(): number {
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -147,7 +147,9 @@
         this._structure.clocks.getSentAtMs(from.name, peerMs, clockId) ?? Number.NEGATIVE_INFINITY;
       const encoded = page.data.changes;
       const changes = encoded === undefined ? undefined : codec.decode(encoded as TEncoded);
-      follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, sentAtMs - proofAgeMs);
+      const freshAtMs = sentAtMs - proofAgeMs;
+      const answeredAtMs = isCutOff({ nextOffset, endOffset }) ? sentAtMs : freshAtMs;
+      follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, freshAtMs, answeredAtMs);
       const hasStoreAnswered = proofAgeMs < staleMs || isCutOff({ nextOffset, endOffset });
       if (from.name === this._role.holder && hasStoreAnswered) this._role.noteActivity();
     });
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -260,10 +260,68 @@
   void follower.run(stop.signal);
   await utils.waitUntil(() => follower.nextOffset === 10, timeoutMs);
   nowMs = outageMs;
-  follower.applyPeerPage({ fromOffset: 10, nextOffset: 11, endOffset: 12, changes: [change] }, 0);
+  const cutOff = { fromOffset: 10, nextOffset: 11, endOffset: 12, changes: [change] };
+  follower.applyPeerPage(cutOff, 0, outageMs);
   t.is(follower.getAnswerAgeMs(), 0);
   t.is(follower.getFreshnessAgeMs(), outageMs);
   follower.applyPeerPage({ fromOffset: 11, nextOffset: 12, endOffset: 12, changes: [change] }, outageMs);
   t.deepEqual(events, ["regained", "changes, fresh at 0", `changes, fresh at ${outageMs}`]);
   stop.abort();
 });
+
+/** A follower that has read a snapshot at 0, was cut off from the store then, and has lost it. */
+async function followUntilLost(stop: AbortController) {
+  const clock = { nowMs: 0 };
+  const events: string[] = [];
+  const listener = {
+    onSnapshot: () => undefined,
+    onChanges: (changes: readonly unknown[]) => events.push(`${changes.length} changes`),
+    onLost: () => events.push("lost"),
+    onRegained: () => events.push("regained"),
+  };
+  const feed = new CutOffFeed();
+  const follower = new FeedFollower(feed, listener, {
+    waitMs: 0,
+    retryMs: 0,
+    nowMs: () => clock.nowMs,
+    pause: async () => {
+      clock.nowMs += 1_000;
+      await utils.yieldToEvents();
+    },
+  });
+  void follower.run(stop.signal);
+  await utils.waitUntil(() => events.includes("lost"), timeoutMs);
+  return { clock, events, follower };
+}
+
+/** Answers the first snapshot, and nothing then. */
+class CutOffFeed extends ChangeFeed<string> {
+  override getSnapshot(): Promise<results.Result<FeedSnapshot<string>, StoreError>> {
+    return Promise.resolve(results.Ok({ values: new Map(), nextOffset: 10 }));
+  }
+
+  override getChanges(): Promise<Page> {
+    return Promise.resolve(results.Err(new errors.ConnectionLostError("store")));
+  }
+}
+
+// Guards against endpoints that are dropped since a page held up by a cut has ended the loss of the store before its real end.
+test("a page from before the loss of the store does not end it, and one from after it does", async (t) => {
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  const { clock, events, follower } = await followUntilLost(stop);
+  follower.applyPeerPage({ fromOffset: 10, nextOffset: 11, changes: [change] }, 500);
+  t.deepEqual(events, ["lost", "1 changes"]);
+  follower.applyPeerPage({ fromOffset: 11, nextOffset: 12, changes: [change] }, clock.nowMs);
+  t.deepEqual(events, ["lost", "1 changes", "regained", "1 changes"]);
+});
+
+// Guards against running requests that end since a page without a known time removes endpoints as if the store had been there all the time.
+test("changes without a known time are not taken while the store is lost, and the store is read instead", async (t) => {
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  const { events, follower } = await followUntilLost(stop);
+  follower.applyPeerPage({ fromOffset: 10, nextOffset: 11, changes: [change] }, Number.NEGATIVE_INFINITY);
+  t.deepEqual(events, ["lost"]);
+  t.is(follower.nextOffset, 10);
+});
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -155,7 +155,7 @@
   private _join(name: string): NetworkMembership {
     const membership = this.network.join({ name, availabilityZone: "east" });
     const notifyAll: NetworkMembership["notifyAll"] = (noticeTopic, body, isRecipient) => {
-      const { sentAtMs: _, clockId: __, ...undated } = body as { sentAtMs?: number; clockId?: string };
+      const undated = { ...(body as object), sentAtMs: undefined, clockId: undefined };
       membership.notifyAll(noticeTopic, this.ofEarlierBuild.has(name) ? undated : body, isRecipient);
     };
     return { ...membership, notifyAll };
