peers: after a cut, an instance asks the first peer that it hears again

Cause: the instance knew that its configuration was outdated, and waited for the next page of the reader, for its next round of requests, or for the next read of the store. The link that brought the first message counted as in doubt for up to 200 ms more, so nobody could be asked over it. Change: the sender of a page that is outdated or can't be dated is asked at once for its clock, its configuration and its list; so is a peer that is linked again while they are outdated, two peers at a time. A link is used again with its first message. This is also what keeps instances fresh in a fleet of two builds, where pages of the earlier build prove nothing: a request to a peer, not one to the store.

--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -181,7 +181,14 @@
 
   private _createRelay(): StoreRelay {
     const { configurationWatch, endpointWatch, log } = this._structure;
-    const relay = new StoreRelay({ membership: this.membership, log, clocks: this._clocks });
+    const relay = new StoreRelay({
+      membership: this.membership,
+      log,
+      clocks: this._clocks,
+      refreshFrom: async (peer) => {
+        await Promise.all([this._clocks.ask(peer), this.exchange.requestFrom(peer)]);
+      },
+    });
     const { configurationRead, endpointsRead } = peerTopics;
     relay.addFeed(
       configurationRead,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -66,6 +66,8 @@
   private readonly _nowMs: () => number;
   private readonly _pause: (durationMs: number) => Promise<void>;
   private readonly _random: () => number;
+  /** Peers to which a request of {@link requestFrom} is open. */
+  private readonly _asked = new Set<string>();
   private _suspicionListener: (endpointId: string, suspicion: ReportedSuspicion) => void;
 
   constructor(private readonly _structure: PeerExchangeStructure) {
@@ -87,7 +89,10 @@
     membership.onNotice(peerTopics.newVersion, (body, from) => this._handleNewVersion(body, from));
     membership.onRequest(peerTopics.endpoints, (body) => this._respondEndpoints(body));
     membership.onRequest(peerTopics.instances, () => [..._structure.getInstances()]);
-    membership.onLinked((peer) => void this._requestInstances(peer));
+    membership.onLinked((peer) => {
+      void this._requestInstances(peer);
+      if (this._isOutOfTouch()) void this.requestFrom(peer.name);
+    });
   }
 
   /** Requests stale data periodically until `signal` aborts. */
@@ -216,16 +221,35 @@
 
   /** Requests the configuration and the list of endpoints from peers if they are stale at this instance. */
   async requestIfStale(): Promise<void> {
-    const { membership, getEndpointListAgeMs } = this._structure;
-    const linked = membership.getLinked().map((member) => member.name);
+    const linked = this._structure.membership.getLinked().map((member) => member.name);
     const sampled = utils.sample(linked, peersPerRound, this._random);
-    const isListStale = getEndpointListAgeMs() > staleListAfterMs;
     await Promise.all([
       this._configurations.requestIfStale(sampled),
-      ...(isListStale ? sampled.map((name) => this._requestEndpoints(name)) : []),
+      ...(this._isListStale() ? sampled.map((name) => this._requestEndpoints(name)) : []),
     ]);
   }
 
+  /**
+   * Requests the configuration and the list of endpoints from a peer at once, unless such requests are open to it or to enough others: at the
+   * end of a cut all links come back at the same time.
+   */
+  async requestFrom(name: string): Promise<void> {
+    if (this._asked.has(name) || this._asked.size >= peersPerRound) return;
+    this._asked.add(name);
+    await Promise.all([this._configurations.requestFrom(name), this._requestEndpoints(name)]);
+    this._asked.delete(name);
+  }
+
+  /** Returns whether what this instance has read before is outdated. An instance that starts reads the store. */
+  private _isOutOfTouch(): boolean {
+    const hasRead = this._structure.getEndpointListOffset() !== undefined;
+    return hasRead && (this._isListStale() || this._configurations.isStale());
+  }
+
+  private _isListStale(): boolean {
+    return this._structure.getEndpointListAgeMs() > staleListAfterMs;
+  }
+
   /**
    * Responds with the list of endpoints. A requester of an earlier version would take missing endpoints for gone, and lose the requests
    * that they are working on, or for listed ones, and keep them for good: it gets no list while there are any.
--- a/packages/gateway/src/peers/StoreRelay.ts
+++ b/packages/gateway/src/peers/StoreRelay.ts
@@ -37,6 +37,8 @@
   readonly membership: Pick<Membership, "self" | "getZoneRoleCandidates" | "notifyAll" | "onNotice">;
   readonly log: DecisionLog;
   readonly clocks: Pick<PeerClocks, "read" | "getSentAtMs">;
+  /** Asks a peer for its clock and for what its pages would tell. */
+  readonly refreshFrom: (peer: string) => Promise<void>;
   /** Monotonic clock, replaced in tests. */
   readonly nowMs?: (() => number) | undefined;
 }
@@ -56,6 +58,8 @@
   private readonly _nowMs: () => number;
   private readonly _role: ZoneRole;
   private readonly _feeds: RelayedFeed[] = [];
+  /** Peers that are being asked because a page of theirs was outdated. */
+  private readonly _refreshing = new Set<string>();
   private readonly _pauses: utils.PauseDetector;
   private readonly _startedAtMs: number;
   private readonly _fallbackDelayMs: number;
@@ -152,9 +156,21 @@
       follower.applyPeerPage({ fromOffset, nextOffset, endOffset, changes }, freshAtMs, answeredAtMs);
       const hasStoreAnswered = proofAgeMs < staleMs || isCutOff({ nextOffset, endOffset });
       if (from.name === this._role.holder && hasStoreAnswered) this._role.noteActivity();
+      if (this._nowMs() - sentAtMs > staleMs) void this._refreshFrom(from.name);
     });
   }
 
+  /**
+   * Asks the sender of a page that was sent too long ago to prove anything of use, or that can't be dated. After a cut, the answer to a
+   * question takes only a round trip, while the next page takes a long poll of the reader.
+   */
+  private async _refreshFrom(peer: string): Promise<void> {
+    if (this._refreshing.has(peer)) return;
+    this._refreshing.add(peer);
+    await this._structure.refreshFrom(peer);
+    this._refreshing.delete(peer);
+  }
+
   private _notifyZone(topic: string, body: object): void {
     const { membership } = this._structure;
     const { availabilityZone } = membership.self;
--- a/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
+++ b/packages/gateway/src/tests/patterns/ConfigurationFleet.ts
@@ -119,7 +119,8 @@
       read: () => ({ nowMs: clock.nowMs(), clockId: "" }),
       getSentAtMs: (_peer: string, sentAtMs?: number) => sentAtMs,
     };
-    const relay = new StoreRelay({ membership, log, clocks, nowMs: clock.nowMs });
+    const refreshFrom = (peer: string): Promise<void> => exchange.requestFrom(peer);
+    const relay = new StoreRelay({ membership, log, clocks, refreshFrom, nowMs: clock.nowMs });
     relay.addFeed(peerTopics.configurationRead, watch.follower, new ConfigurationChangeCodec(history));
     relay.addFeed(
       peerTopics.endpointsRead,
--- a/packages/gateway/src/tests/peers/PeerExchangeTests.ts
+++ b/packages/gateway/src/tests/peers/PeerExchangeTests.ts
@@ -18,8 +18,13 @@
   readonly exchange: PeerExchange;
 }
 
-function join(network: PeerNetwork, name: string, availabilityZone = "east"): Joined {
-  const activeConfiguration = new ActiveConfiguration();
+function join(
+  network: PeerNetwork,
+  name: string,
+  availabilityZone = "east",
+  nowMs = utils.monotonicMs,
+): Joined {
+  const activeConfiguration = new ActiveConfiguration(nowMs);
   const endpoints = new EndpointTable();
   const exchange = new PeerExchange({
     membership: network.join({ name, availabilityZone }),
@@ -36,6 +41,7 @@
     isRegistryReached: () => true,
     getInstances: () => [],
     addInstances: () => undefined,
+    nowMs,
   });
   return { activeConfiguration, endpoints, exchange };
 }
@@ -124,3 +130,24 @@
   t.deepEqual(behind.endpoints.get("e")?.listed.layers, []);
   t.deepEqual(ahead.endpoints.get("e")?.listed.layers, newer);
 });
+
+// Guards against an instance that refuses all keys after the end of a cut until its next round of requests, and that asks all peers at once.
+test("an instance whose configuration is outdated asks two of the peers that are linked again", async (t) => {
+  const network = new PeerNetwork();
+  const clock = { nowMs: 0 };
+  const joined = ["a", "b", "c", "d"].map((name) => join(network, name, "east", () => clock.nowMs));
+  for (const { activeConfiguration } of joined) {
+    activeConfiguration.accept(createConfiguration(7));
+    activeConfiguration.confirmFreshness(7, clock.nowMs);
+  }
+  network.relink("d");
+  await utils.yieldToEvents();
+  t.is(network.sent.get("configuration"), undefined, "while the configuration is fresh");
+  clock.nowMs += 10_000;
+  for (const { activeConfiguration } of joined.slice(0, -1))
+    activeConfiguration.confirmFreshness(7, clock.nowMs - 500);
+  network.relink("d");
+  await utils.yieldToEvents();
+  t.is(network.sent.get("configuration"), 2);
+  t.is(joined.at(-1)?.activeConfiguration.getFreshnessAgeMs(), 500);
+});
--- a/packages/gateway/src/tests/peers/PeerNetwork.ts
+++ b/packages/gateway/src/tests/peers/PeerNetwork.ts
@@ -1,6 +1,12 @@
 /** Memberships without sockets: notices arrive at once, and tests can drop the notices of an instance or remove the instance. */
 import { errors, results } from "@shedtiller/common";
-import type { Membership, NoticeHandler, PeerIdentity, RequestHandler } from "@shedtiller/membership";
+import type {
+  LinkedListener,
+  Membership,
+  NoticeHandler,
+  PeerIdentity,
+  RequestHandler,
+} from "@shedtiller/membership";
 import { toMember } from "./toMember.js";
 
 /** The part of a membership that the simulated networks of tests provide. */
@@ -22,6 +28,7 @@
   readonly sent = new Map<string, number>();
   private readonly _handlers = new Map<string, Map<string, NoticeHandler>>();
   private readonly _requestHandlers = new Map<string, Map<string, RequestHandler>>();
+  private readonly _linkedListeners = new Map<string, LinkedListener>();
   private readonly _peers: PeerIdentity[] = [];
   private readonly _silent = new Set<string>();
   private readonly _removed = new Set<string>();
@@ -44,7 +51,7 @@
         return [...inZone.map((peer) => peer.name), self.name];
       },
       getLinked: () => getOthers().map(toMember),
-      onLinked: () => undefined,
+      onLinked: (listener) => void this._linkedListeners.set(self.name, listener),
       onNotice: (topic, handler) => void handlers.set(topic, handler),
       onRequest: (topic, handler) => void requestHandlers.set(topic, handler),
       request: async (name, topic, body) => {
@@ -62,6 +69,11 @@
     };
   }
 
+  /** Tells an instance that all others are linked again. */
+  relink(name: string): void {
+    for (const peer of this._peers) if (peer.name !== name) this._linkedListeners.get(name)?.(peer, true);
+  }
+
   /** Drops all notices to and from the instance from now on, while its links stay up. */
   silence(name: string): void {
     this._silent.add(name);
--- a/packages/gateway/src/tests/peers/StoreRelayTests.ts
+++ b/packages/gateway/src/tests/peers/StoreRelayTests.ts
@@ -72,6 +72,8 @@
   readonly follower: FeedFollower<ListedEndpoint>;
   readonly relay: StoreRelay;
   readonly clocks: PeerClocks;
+  /** Peers that were asked because a page of theirs was outdated. */
+  readonly refreshed: string[];
   regained: number;
 }
 
@@ -146,9 +148,14 @@
     const membership = this._join(name);
     const log = new DecisionLog(new SilentLogOutput(), nowMs);
     const clocks = new PeerClocks({ membership, log, nowMs, steadyMs: () => this._nowMs });
-    const relay = new StoreRelay({ membership, log, clocks, nowMs });
+    const refreshed: string[] = [];
+    const refreshFrom = async (peer: string): Promise<void> => {
+      refreshed.push(peer);
+      await utils.yieldToEvents();
+    };
+    const relay = new StoreRelay({ membership, log, clocks, refreshFrom, nowMs });
     relay.addFeed(topic, follower, new WholeChangeCodec(listedEndpointSchema));
-    this.instances.set(name, { known, follower, relay, clocks, regained: 0 });
+    this.instances.set(name, { known, follower, relay, clocks, refreshed, regained: 0 });
     void follower.run(this._stop.signal);
   }
 
@@ -348,3 +355,22 @@
   const ageMs = zone.get(cut).follower.getFreshnessAgeMs();
   t.true(ageMs >= 28 * tickMs, `${ageMs} ms after pages from the beginning of the cut`);
 });
+
+// Guards against an instance that refuses all keys after the end of a cut until the reader of its zone has read the next page.
+test("the sender of outdated pages is asked at once, and once for pages that arrive together", async (t) => {
+  const zone = new Zone();
+  t.teardown(() => zone.stop());
+  await zone.run(20);
+  const [reader = ""] = zone.getReaders();
+  const cut = names.find((name) => name !== reader) ?? "";
+  const held: (() => void)[] = [];
+  zone.network.hold(cut, held);
+  zone.store.cutOff.add(cut);
+  await zone.run(5);
+  zone.network.silence(cut);
+  await zone.run(25);
+  t.deepEqual(zone.get(cut).refreshed, []);
+  for (const deliver of held) deliver();
+  t.true(held.length > 1);
+  t.deepEqual(zone.get(cut).refreshed, [reader]);
+});
--- a/packages/membership/src/LinkTable.ts
+++ b/packages/membership/src/LinkTable.ts
@@ -123,13 +123,17 @@
     if (entry !== undefined) entry.statement = { value, atMs: this._nowMs() };
   }
 
+  /** Ends the doubt about a link if something has been received on it since. Returns whether it is used again. */
+  noteReceived(link: T): boolean {
+    const entry = this._entries.get(link);
+    if (entry?.doubtedAtMs === undefined || link.lastReceivedAtMs <= entry.doubtedAtMs) return false;
+    entry.doubtedAtMs = undefined;
+    return entry.retiredAtMs === undefined;
+  }
+
   /** Ends the doubt about links on which something has been received since, and returns those that are used again. */
   takeResumed(): T[] {
-    const heard = [...this._entries.values()].filter(
-      ({ link, doubtedAtMs = Number.POSITIVE_INFINITY }) => link.lastReceivedAtMs > doubtedAtMs,
-    );
-    for (const entry of heard) entry.doubtedAtMs = undefined;
-    return heard.filter((entry) => entry.retiredAtMs === undefined).map((entry) => entry.link);
+    return this.getAll().filter((link) => this.noteReceived(link));
   }
 
   /** Returns the retired links that neither side uses any more. */
--- a/packages/membership/src/PeerLinks.ts
+++ b/packages/membership/src/PeerLinks.ts
@@ -86,11 +86,7 @@
   }
 
   private _maintain(): void {
-    for (const link of this._table.takeResumed()) {
-      link.notify(linkTopic, "used");
-      this._report("resumed", link);
-      this._structure.onResumed(link.peer);
-    }
+    for (const link of this._table.takeResumed()) this._resume(link);
     for (const link of this._table.getFinished()) {
       this._report("finished", link);
       link.end();
@@ -134,7 +130,10 @@
 
   private _createEvents(): PeerLinkEvents {
     return {
-      onRequest: this._structure.onRequest,
+      onRequest: (link, topic, body) => {
+        this._noteReceived(link);
+        return this._structure.onRequest(link, topic, body);
+      },
       onNotice: (link, topic, body) => this._handleNotice(link, topic, body),
       onClosed: (link) => this._remove(link),
       onTraffic: this._structure.onTraffic,
@@ -143,12 +142,24 @@
 
   /** Notices on a retired link may be older than those on its replacement, and are dropped. */
   private _handleNotice(link: PeerLink, topic: string, body: unknown): void {
+    this._noteReceived(link);
     if (topic === linkTopic) {
       const statement = linkStatementSchema.safeParse(body);
       if (statement.success) this._table.noteStatement(link, statement.data);
     } else if (!this._table.isRetired(link)) this._structure.onNotice(link, topic, body);
   }
 
+  /** Uses a link again with its first message, whose handler may have to ask the peer. */
+  private _noteReceived(link: PeerLink): void {
+    if (this._table.noteReceived(link)) this._resume(link);
+  }
+
+  private _resume(link: PeerLink): void {
+    link.notify(linkTopic, "used");
+    this._report("resumed", link);
+    this._structure.onResumed(link.peer);
+  }
+
   private _remove(link: PeerLink): void {
     if (!this._table.remove(link)) return;
     this._report("closed", link);
--- a/packages/membership/src/tests/LinkTableTests.ts
+++ b/packages/membership/src/tests/LinkTableTests.ts
@@ -52,6 +52,20 @@
   t.is(fixture.table.getUsable("c"), link);
 });
 
+// Guards against an instance that can't ask the peer whose message shows that a cut has ended.
+test("a doubted link is usable for the handler of the first message on it", (t) => {
+  const fixture = new Fixture();
+  const [link, other] = [fixture.add("c", true), fixture.add("d", true)];
+  fixture.wait(1_000);
+  for (const doubted of [link, other]) fixture.table.noteSilence(doubted);
+  t.false(fixture.table.noteReceived(link), "nothing has been received since");
+  fixture.receive(link);
+  t.true(fixture.table.noteReceived(link));
+  t.is(fixture.table.getUsable("c"), link);
+  t.is(fixture.table.getUsable("d"), undefined);
+  t.false(fixture.table.noteReceived(link), "a link that is not in doubt does not come back");
+});
+
 // Guards against requests that end with a link although their peer is only suspended.
 test("a link survives the silence of the longest suspension, and is closed if it stays silent", (t) => {
   const fixture = new Fixture();
