--- a/packages/gateway/src/discovery/FeedFollower.ts
+++ b/packages/gateway/src/discovery/FeedFollower.ts
@@ -224,12 +224,16 @@
 
   private async _readSnapshot(): Promise<StoreError | undefined> {
     const requestedAtMs = this._nowMs();
+    const offsetBefore = this._offset;
     const snapshot = await this._feed.getSnapshot();
     if (snapshot.err) return snapshot.val;
     this._noteAnswered(requestedAtMs);
-    this._advanceTo(snapshot.val.nextOffset);
-    this._freshAtMs = requestedAtMs;
-    this._listener.onSnapshot(snapshot.val.values, requestedAtMs);
+    const { values, nextOffset } = snapshot.val;
+    // A peer sent a newer set while this read was in progress.
+    if (this._offset !== offsetBefore && nextOffset < (this._offset ?? 0)) return undefined;
+    this._advanceTo(nextOffset);
+    this._freshAtMs = Math.max(this._freshAtMs, requestedAtMs);
+    this._listener.onSnapshot(values, this._freshAtMs);
     return undefined;
   }
 
--- a/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
+++ b/packages/gateway/src/tests/discovery/FeedFollowerTests.ts
@@ -325,3 +325,53 @@
   t.deepEqual(events, ["lost"]);
   t.is(follower.nextOffset, 10);
 });
+
+/** Answers the first snapshot or a compacted read with a snapshot when the test says so. */
+class LateSnapshotFeed extends ChangeFeed<string> {
+  readonly snapshot = new utils.Deferred<void>();
+  snapshots = 0;
+
+  constructor(private readonly _isFirstLate: boolean) {
+    super();
+  }
+
+  override async getSnapshot(): Promise<results.Result<FeedSnapshot<string>, StoreError>> {
+    this.snapshots += 1;
+    if (this.snapshots > 1 || this._isFirstLate) await this.snapshot.promise;
+    return results.Ok({ values: new Map([["gone", "v"]]), nextOffset: 10 });
+  }
+
+  override getChanges(offset: number): Promise<Page> {
+    const isCompacted = this.snapshots === 1 && !this._isFirstLate;
+    return Promise.resolve(results.Ok({ changes: [], nextOffset: offset, endOffset: offset, isCompacted }));
+  }
+}
+
+for (const isFirstLate of [true, false]) {
+  const name = isFirstLate ? "first snapshot" : "snapshot after a gap in the history";
+  // Guards against an endpoint that comes back although its removal has been read, and stays if the store is lost then.
+  test(`a ${name} that is older than what a peer has sent meanwhile is not taken`, async (t) => {
+    const stop = new AbortController();
+    t.teardown(() => stop.abort());
+    const feed = new LateSnapshotFeed(isFirstLate);
+    let values: string[] = [];
+    const listener = {
+      onSnapshot: (all: ReadonlyMap<string, string>) => (values = [...all.keys()]),
+      onChanges: () => undefined,
+      onLost: () => undefined,
+      onRegained: () => undefined,
+    };
+    const clock = { nowMs: 1_000 };
+    const options = { waitMs: 0, retryMs: 0, nowMs: () => clock.nowMs, pause: utils.yieldToEvents };
+    const follower = new FeedFollower(feed, listener, options);
+    void follower.run(stop.signal);
+    await utils.waitUntil(() => feed.snapshots === (isFirstLate ? 1 : 2), timeoutMs);
+    clock.nowMs += 500;
+    follower.applyPeerSnapshot(new Map([["here", "v"]]), 20, clock.nowMs - 100);
+    feed.snapshot.resolve();
+    for (let turn = 0; turn < 5; turn++) await utils.yieldToEvents();
+    t.deepEqual(values, ["here"]);
+    t.is(follower.nextOffset, 20);
+    t.true(follower.getFreshnessAgeMs() <= 100);
+  });
+}
