--- a/packages/common/src/utils/ElapsedClock.ts
+++ b/packages/common/src/utils/ElapsedClock.ts
@@ -63,6 +63,11 @@
     return this._lostMs;
   }
 
+  /** Returns the steady clock, which never runs ahead of the time that has passed: a step of the wall clock does not count. */
+  steadyMs(): number {
+    return this._sources.steadyMs();
+  }
+
   /** Returns the milliseconds since an arbitrary moment before the clock was created; never goes back. */
   nowMs(): number {
     const { steadyMs, wallMs } = this._read();
--- a/packages/common/src/utils/clock.ts
+++ b/packages/common/src/utils/clock.ts
@@ -1,5 +1,4 @@
 /** Clocks of the process. Durations use the monotonic clock; timestamps that leave the process use the wall clock. */
-import { performance } from "node:perf_hooks";
 import { ElapsedClock } from "./ElapsedClock.js";
 
 export const msPerSecond = 1000;
@@ -16,7 +15,7 @@
  * `monotonicMs` may count a step of the wall clock.
  */
 export function steadyMs(): number {
-  return performance.now();
+  return elapsed.steadyMs();
 }
 
 /** Returns the milliseconds since the Unix epoch. */
