common: a server waits for its address if it is in use

Cause, by reading: a port between its choice and the start of the process is free for outgoing connections; a process whose port is taken ends with EADDRINUSE. Change: each listener tries an address that is in use again for 10 s and logs it once; then the process ends with a typed error that names the address.

--- a/packages/cli/src/tests/pressureTests.ts
+++ b/packages/cli/src/tests/pressureTests.ts
@@ -27,7 +27,7 @@
 async function serve(t: ExecutionContext, content: unknown): Promise<string> {
   const metrics = new GatewayMetrics();
   metrics.addPage("/pressure", () => content);
-  await metrics.listen(host, 0);
+  await metrics.listen({ host, port: 0 });
   t.teardown(() => metrics.close());
   return `${host}:${metrics.port}`;
 }
--- a/packages/common/src/errors/ShedtillerError.ts
+++ b/packages/common/src/errors/ShedtillerError.ts
@@ -42,6 +42,18 @@
   }
 }
 
+/** A server can't listen on its address. */
+export class NotListeningError extends ShedtillerError {
+  readonly code = "not_listening";
+
+  constructor(
+    readonly address: string,
+    cause: Error,
+  ) {
+    super(`The server can't listen on ${address}: ${cause.message}.`, { cause });
+  }
+}
+
 /** A connection was lost after something was written, so that the other side may have acted on it. */
 export class ConnectionLostError extends ShedtillerError {
   readonly code = "connection_lost";
--- a/packages/common/src/utils/index.ts
+++ b/packages/common/src/utils/index.ts
@@ -1,6 +1,7 @@
 export * from "./clock.js";
 export * from "./ElapsedClock.js";
 export * from "./IoTimeout.js";
+export * from "./listen.js";
 export * from "./readArrived.js";
 export * from "./PauseDetector.js";
 export * from "./sample.js";
--- a/packages/entry/src/http/HttpListener.ts
+++ b/packages/entry/src/http/HttpListener.ts
@@ -105,10 +105,7 @@
   /** Binds the address; resolves once connections are accepted. */
   listen(): Promise<void> {
     const [host, port] = splitAddress(this._structure.address);
-    return new Promise((resolve, reject) => {
-      this._httpServer.once("error", reject);
-      this._httpServer.listen(port, host, () => resolve());
-    });
+    return utils.listen(this._httpServer, { host, port });
   }
 
   /** Replaces the certificate for new connections. */
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -155,10 +155,10 @@
     const { signal } = this._stop;
     // All tasks listen to this signal, so the default limit on the number of listeners does not apply.
     setMaxListeners(0, signal);
-    await this._callerListener.listen();
-    await this._readinessListener.listen();
-    await this._peers.membership.listen();
-    await this.metrics.listen(this._settings.metrics.host, this._settings.metrics.port);
+    const onInUse = (address: string): void => this._log.warn("address-in-use", { address });
+    for (const listener of [this._callerListener, this._readinessListener, this._peers.membership])
+      await listener.listen({ onInUse });
+    await this.metrics.listen(this._settings.metrics, { onInUse });
     const tasks = [
       this._configurationWatch.run(signal),
       this._endpointWatch.run(signal),
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -1,8 +1,8 @@
 import * as http from "node:http";
 import type * as net from "node:net";
-import { errors } from "@shedtiller/common";
+import { errors, utils } from "@shedtiller/common";
 import * as prom from "prom-client";
-import { startListening, stopListening } from "./http/startListening.js";
+import { stopListening } from "./http/stopListening.js";
 
 /** Upper bounds of the duration buckets in seconds, from fast plain requests to the longest streams. */
 const durationBuckets = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20];
@@ -214,8 +214,8 @@
   }
 
   /** Starts the listener, and resolves once it accepts connections. */
-  listen(host: string, port: number): Promise<void> {
-    return startListening(this._server, { host, port });
+  listen({ host, port }: utils.ListenAddress, options?: utils.ListenOptions): Promise<void> {
+    return utils.listen(this._server, { host, port }, options);
   }
 
   /** The port of the listener, which the system picks if the given one is 0. */
--- a/packages/gateway/src/http/stopListening.ts
+++ b/packages/gateway/src/http/stopListening.ts
@@ -1,15 +1,7 @@
-/** Start and stop of HTTP servers. */
+/** Stop of HTTP servers. */
 import type * as http from "node:http";
 import * as net from "node:net";
 
-/** Starts a server; resolves once it listens, and rejects if it cannot listen. */
-export function startListening(server: http.Server, options: net.ListenOptions): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(options, resolve);
-  });
-}
-
 /** Stops a server and closes all of its connections. */
 export function stopListening(server: http.Server): void {
   server.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,7 +25,7 @@
 export * from "./http/HttpClient.js";
 export * from "./http/MessageCodec.js";
 export * from "./http/readBody.js";
-export * from "./http/startListening.js";
+export * from "./http/stopListening.js";
 export * from "./loadcontrol/PressureSource.js";
 export * from "./loadcontrol/PressureView.js";
 export * from "./logs/DecisionLog.js";
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -5,7 +5,7 @@
 import type { DenialFreshness } from "../configuration/DenialFreshness.js";
 import type { CallerLimits } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
-import { closeListeningSocket, startListening, stopListening } from "../http/startListening.js";
+import { closeListeningSocket, stopListening } from "../http/stopListening.js";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import type { AdmittedRequest, Refusal } from "./admitCaller.js";
 import { CallerAdmission } from "./CallerAdmission.js";
@@ -106,9 +106,9 @@
   }
 
   /** Starts to listen; resolves once the port is open. */
-  listen(): Promise<void> {
+  listen(options?: utils.ListenOptions): Promise<void> {
     const { host, port } = this._structure;
-    return startListening(this._server, { host, port, backlog: acceptBacklog });
+    return utils.listen(this._server, { host, port, backlog: acceptBacklog }, options);
   }
 
   /** Sends `Connection: close` with every answer from now on. */
--- a/packages/gateway/src/requests/ReadinessListener.ts
+++ b/packages/gateway/src/requests/ReadinessListener.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for the load balancer's readiness probes. */
 import * as http from "node:http";
-import { startListening, stopListening } from "../http/startListening.js";
+import { utils } from "@shedtiller/common";
+import { stopListening } from "../http/stopListening.js";
 
 const readyStatus = 200;
 const notReadyStatus = 503;
@@ -20,8 +21,8 @@
   }
 
   /** Starts to listen; resolves once the port is open. */
-  listen(): Promise<void> {
-    return startListening(this._server, { host: this._host, port: this._port });
+  listen(options?: utils.ListenOptions): Promise<void> {
+    return utils.listen(this._server, { host: this._host, port: this._port }, options);
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/gateway/src/tests/loadcontrol/PressureViewTests.ts
+++ b/packages/gateway/src/tests/loadcontrol/PressureViewTests.ts
@@ -57,7 +57,7 @@
 async function serve(t: ExecutionContext, view: PressureView): Promise<(path: string) => Promise<Response>> {
   const metrics = new GatewayMetrics();
   view.addTo(metrics);
-  await metrics.listen("127.0.0.1", 0);
+  await metrics.listen({ host: "127.0.0.1", port: 0 });
   t.teardown(() => metrics.close());
   return (path) => fetch(`http://127.0.0.1:${metrics.port}${path}`);
 }
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -88,11 +88,9 @@
   }
 
   /** Starts to accept connections from peers. */
-  listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this._server.once("error", reject);
-      this._server.listen(this._structure.port, this._structure.host, resolve);
-    });
+  listen(options?: utils.ListenOptions): Promise<void> {
+    const { host, port } = this._structure;
+    return utils.listen(this._server, { host, port }, options);
   }
 
   /** Maintains the links and sends heartbeats until `signal` aborts. */
