crashes: reports of peers are as old as at their send and their way

A survival that a cut had held up released a request that has crashed endpoints since, and a crash that was held up counted against a request that has survived since. Cause: reports carry ages as of their send, which counted from their arrival. Change: reports carry a reading of the sender's clock, and their ages and remaining times include the time on their way. What an instance forwards is stamped anew. Reports of earlier builds count from their arrival as before: one that is dropped is not sent again.

--- a/packages/crashes/src/crashMessages.ts
+++ b/packages/crashes/src/crashMessages.ts
@@ -2,6 +2,7 @@
  * Messages between instances about crashes and suspected traits of requests. They contain ages rather than times, since the clocks of
  * instances differ. A trait is in the field `digest`, the name that earlier builds read.
  */
+import { clockReadingSchema } from "@shedtiller/membership";
 import * as zod from "zod";
 
 const age = zod.number().nonnegative();
@@ -45,6 +46,8 @@
   clearings: zod.array(clearingMessageSchema).max(maxItems),
   holds: zod.array(quarantineMessageSchema).max(maxItems),
   trials: zod.array(trialMessageSchema).max(maxItems),
+  /** When the message was sent, by the sender's clock; absent from messages of earlier builds. */
+  sent: clockReadingSchema.optional(),
 });
 export type CrashReportsMessage = zod.infer<typeof crashReportsMessageSchema>;
 
@@ -55,3 +58,15 @@
 export function hasCrashReports({ crashes, clearings, holds, trials }: CrashReportsMessage): boolean {
   return crashes.length + clearings.length + holds.length + trials.length > 0;
 }
+
+/** Returns reports that have been on their way for a while, with the ages and remaining times that they have at their arrival. */
+export function addDelay(reports: CrashReportsMessage, delayMs: number): CrashReportsMessage {
+  const age = <T extends { readonly ageMs: number }>(items: readonly T[]): T[] =>
+    items.map((item) => ({ ...item, ageMs: item.ageMs + delayMs }));
+  return {
+    crashes: age(reports.crashes),
+    clearings: age(reports.clearings),
+    holds: age(reports.holds).map((hold) => ({ ...hold, leftMs: hold.leftMs - delayMs })),
+    trials: age(reports.trials),
+  };
+}
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -254,12 +254,11 @@
   }
 
   private _createQuarantine(store: QuarantineStore): RequestQuarantine {
-    const { membership, relay } = this._peers;
+    const { membership, clocks, relay } = this._peers;
+    const observed = { membership, clocks, endpoints: this.endpoints, log: this._log };
     return new RequestQuarantine({
-      membership,
-      endpoints: this.endpoints,
+      ...observed,
       store,
-      log: this._log,
       probe: this._reachability.connector.probe,
       isReader: () => relay.isReader,
       getInstanceNames: () => this._peers.getInstanceNames(),
--- a/packages/gateway/src/crashes/RequestQuarantine.ts
+++ b/packages/gateway/src/crashes/RequestQuarantine.ts
@@ -18,6 +18,7 @@
   "probe" | "count" | "onCrash" | "nowMs" | "pause"
 > {
   readonly membership: CrashReportBroadcastStructure["membership"];
+  readonly clocks?: CrashReportBroadcastStructure["clocks"];
   readonly endpoints: EndpointTable;
   readonly store: QuarantineStore;
   readonly log: DecisionLog;
@@ -37,7 +38,7 @@
   private readonly _reconciler: QuarantineReconciler;
 
   constructor(private readonly _structure: RequestQuarantineStructure) {
-    const { membership, log, store, isReader } = _structure;
+    const { membership, clocks, log, store, isReader } = _structure;
     this.detector = new CrashDetector({
       ..._structure,
       broadcast: (added) => this._broadcast.broadcast(added),
@@ -46,6 +47,7 @@
     });
     this._broadcast = new CrashReportBroadcast({
       membership,
+      clocks,
       onInvalid: (topic, from) => logInvalidPeerMessage(log, topic, from),
       applyUpdate: (reports) => this.detector.mergeReports(reports),
       getFullState: () => this.detector.ledger.getAllReports(),
--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -54,19 +54,19 @@
   /** Figures that are summed over all instances together with the loads. */
   readonly figures = new SharedFigures();
   readonly relay: StoreRelay;
+  readonly clocks: PeerClocks;
   readonly permits: PermitExchange;
   readonly limitBroadcast: LimitBroadcast;
   readonly drainingBroadcast: DrainingBroadcast;
   private readonly _directory: PeerDirectory;
   private readonly _history: ConfigurationHistory;
-  private readonly _clocks: PeerClocks;
   private _assumptionTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _structure: GatewayPeersStructure) {
     const { activeConfiguration, endpoints, log } = _structure;
     this._history = new ConfigurationHistory(activeConfiguration);
     this.membership = this._createMembership();
-    this._clocks = new PeerClocks({ membership: this.membership, log });
+    this.clocks = new PeerClocks({ membership: this.membership, log });
     this._directory = this._createDirectory();
     this.exchange = this._createExchange();
     this.loads = new LoadExchange({
@@ -104,7 +104,7 @@
       this.exchange.run(signal),
       this.loads.run(signal),
       this.relay.run(signal),
-      this._clocks.run(signal),
+      this.clocks.run(signal),
       this.permits.run(signal),
     ];
   }
@@ -184,9 +184,9 @@
     const relay = new StoreRelay({
       membership: this.membership,
       log,
-      clocks: this._clocks,
+      clocks: this.clocks,
       refreshFrom: async (peer) => {
-        await Promise.all([this._clocks.ask(peer), this.exchange.requestFrom(peer)]);
+        await Promise.all([this.clocks.ask(peer), this.exchange.requestFrom(peer)]);
       },
     });
     const { configurationRead, endpointsRead } = peerTopics;
--- a/packages/gateway/src/peers/PeerClocks.ts
+++ b/packages/gateway/src/peers/PeerClocks.ts
@@ -1,8 +1,12 @@
 /** The clocks of the other instances, compared with the own one. */
 import { randomUUID } from "node:crypto";
 import { utils } from "@shedtiller/common";
-import type { Membership } from "@shedtiller/membership";
-import * as zod from "zod";
+import {
+  clockReadingSchema,
+  MessageClocks,
+  type ClockReading,
+  type Membership,
+} from "@shedtiller/membership";
 import type { DecisionLog } from "../logs/DecisionLog.js";
 import { peerTopics } from "./peerMessages.js";
 
@@ -15,15 +19,6 @@
 /** Age from which on an answer is replaced by any other one; clocks drift by a few milliseconds until then. */
 const maxAgeMs = 60_000;
 
-/** A reading of a steady clock. */
-export const clockReadingSchema = zod.object({
-  /** Time of the clock, which never runs ahead of the time that has passed. */
-  nowMs: zod.number(),
-  /** Identifies the process that has the clock. */
-  clockId: zod.string(),
-});
-export type ClockReading = zod.infer<typeof clockReadingSchema>;
-
 /** What a peer's answer tells of its clock. */
 interface ClockAnswer {
   readonly clockId: string;
@@ -50,7 +45,7 @@
  * Peers read the steady clock, which stops while a machine is suspended, so that a message may count as older than it is. The monotonic
  * clock, which may count a step of the wall clock as elapsed time, would make it younger.
  */
-export class PeerClocks {
+export class PeerClocks extends MessageClocks {
   /** Latest answers by peer. */
   private readonly _answers = new Map<string, ClockAnswer>();
   private readonly _nowMs: () => number;
@@ -58,6 +53,7 @@
   private readonly _clockId = randomUUID();
 
   constructor(private readonly _structure: PeerClocksStructure) {
+    super();
     this._nowMs = _structure.nowMs ?? utils.monotonicMs;
     this._steadyMs = _structure.steadyMs ?? utils.steadyMs;
     const { membership } = _structure;
@@ -65,8 +61,7 @@
     membership.onLinked((peer) => void this.ask(peer.name));
   }
 
-  /** Reads the clock of this instance, for a message to its peers. */
-  read(): ClockReading {
+  override read(): ClockReading {
     return { nowMs: this._steadyMs(), clockId: this._clockId };
   }
 
@@ -80,6 +75,11 @@
     return Math.min(this._nowMs(), sentAtMs + answer.offsetMs);
   }
 
+  override getDelayMs(peer: string, reading: ClockReading | undefined): number {
+    const nowMs = this._nowMs();
+    return nowMs - (this.getSentAtMs(peer, reading?.nowMs, reading?.clockId) ?? nowMs);
+  }
+
   /** Asks all linked peers again and again until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await utils.repeat(
--- a/packages/membership/src/PeerBroadcast.ts
+++ b/packages/membership/src/PeerBroadcast.ts
@@ -20,7 +20,7 @@
   /** Called for a message that does not match the schema. The message is dropped: a peer of another version may have sent it. */
   readonly onInvalid: (topic: string, from: PeerIdentity) => void;
   /** Applies an update from a peer; returns the entries that were new to this instance, or undefined if none were. */
-  readonly applyUpdate: (update: T) => T | undefined;
+  readonly applyUpdate: (update: T, from: PeerIdentity) => T | undefined;
   /** Returns the full local state; undefined if it is empty. */
   readonly getFullState: () => T | undefined;
   /** Returns random numbers from 0 to 1; replaced in tests. */
@@ -50,7 +50,7 @@
     const { schema, topic, onInvalid, applyUpdate } = this._structure;
     const parsed = schema.safeParse(body);
     if (!parsed.success) return onInvalid(topic, from);
-    const unseenUpdate = applyUpdate(parsed.data);
+    const unseenUpdate = applyUpdate(parsed.data, from);
     if (unseenUpdate === undefined || this._isOwnZone(from)) return;
     this._notify(unseenUpdate, (member) => this._isOwnZone(member));
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./PeerLink.js";
 export * from "./peerHandshake.js";
 export * from "./Member.js";
+export * from "./MessageClocks.js";
 export * from "./LinkChange.js";
 export * from "./Membership.js";
 export * from "./TrafficCounter.js";
