peers: limits of peers are as old as at their send and their way

An endpoint gets more requests than it allows after a cut that held up the notice of an earlier, higher limit, until the next notice or answer. Cause: a limit carries its age as of its send, which counted from its arrival. Change: each limit carries a reading of the sender's clock, and its age includes the time on its way.

--- a/packages/gateway/src/peers/GatewayPeers.ts
+++ b/packages/gateway/src/peers/GatewayPeers.ts
@@ -76,7 +76,11 @@
       figures: this.figures,
     });
     this.relay = this._createRelay();
-    this.limitBroadcast = new LimitBroadcast({ ..._structure, membership: this.membership });
+    this.limitBroadcast = new LimitBroadcast({
+      ..._structure,
+      membership: this.membership,
+      clocks: this.clocks,
+    });
     this.drainingBroadcast = new DrainingBroadcast({ ..._structure, membership: this.membership });
     this.permits = this._createPermits();
   }
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,4 +1,5 @@
 /** Topics and schemas of the messages between instances. */
+import { clockReadingSchema } from "@shedtiller/membership";
 import * as zod from "zod";
 import { configurationDeltaSchema } from "../configuration/configurationDelta.js";
 import { gatewayConfigurationSchema } from "../configuration/gatewayConfiguration.js";
@@ -49,6 +50,8 @@
     lifeId: zod.string(),
     perSecond: zod.number().nonnegative().nullable(),
     ageMs: zod.number().nonnegative(),
+    /** When the message was sent, by the sender's clock; omitted by instances of earlier versions. */
+    sent: clockReadingSchema.optional(),
   }),
 );
 export type LimitMessage = zod.infer<typeof endpointLimitsSchema>[number];
