crashes: crashes that their own suspects explain make no others coincident

What callers saw: requests that crash endpoints crash one or two more each if several of them run at the same time, since their crashes took each other for ones with a common cause and counted half (the test of the known failures, red in each run). Change: a crash with a single suspect, which was one of an earlier crash as well, has a cause of its own. A crash at which several traits were present has none that is known, and counts as before.

--- a/packages/crashes/src/CrashEvidence.ts
+++ b/packages/crashes/src/CrashEvidence.ts
@@ -182,13 +182,25 @@
     return (weight + eventWeight) * (isKnownHarmless ? knownHarmlessFactor : 1);
   }
 
-  /** Returns whether a crash probably has a common cause with others. A trait that was present at most of them is itself that cause. */
+  /**
+   * Returns whether a crash probably has a common cause with others. A trait that was present at most of them is itself that cause, and crashes
+   * that their own suspects explain have no other one.
+   */
   private _isCoincident(crash: Crash, trait: string): boolean {
     const coincident = [...this._crashes.values()].filter(
       ({ atMs }) => Math.abs(atMs - crash.atMs) <= coincidenceMs,
     );
-    const others = coincident.filter(({ suspects }) => !suspects.has(trait)).length;
-    return others >= coincidentCrashes && others >= coincident.length - others;
+    const others = coincident.filter(({ suspects }) => !suspects.has(trait));
+    const unexplained = others.filter((other) => !this._hasOwnCause(other));
+    return unexplained.length >= coincidentCrashes && others.length >= coincident.length - others.length;
+  }
+
+  /** Returns whether a crash has a single suspect, which was one of an earlier crash as well. */
+  private _hasOwnCause({ atMs, suspects }: Crash): boolean {
+    const [suspect] = suspects.keys();
+    if (suspect === undefined || suspects.size > 1) return false;
+    const crashes = this._crashesByTrait.get(suspect) ?? [];
+    return [...crashes].some((earlier) => atMs - earlier.atMs >= sameEventMs);
   }
 
   /**
