paths: the test of the peers that are asked has a clock of its own

Cause: the test left TunnelClient on the real clock. Peers are asked two at a time for 400 ms; if the process stands still for longer after the first two, no others are asked. With a clock that moves by 402 ms in between, 2 peers are asked, as was seen: that is right, and a test of its own now. The test has the clock of its file; 4 are expected as before.

--- a/packages/gateway/src/tests/patterns/TunnelFleetTests.ts
+++ b/packages/gateway/src/tests/patterns/TunnelFleetTests.ts
@@ -98,8 +98,10 @@
   });
 }
 
-test("few peers are asked about an endpoint whose process has ended", async (t) => {
+/** Returns how many peers are asked about an endpoint that refuses connections, if each answer takes a while. */
+async function countAsked(answerMs: number): Promise<number> {
   const random = new utils.RandomSource(7);
+  let nowMs = 0;
   const peers = Array.from({ length: instancesPerZone }, (_, index) =>
     toMember({ name: `east-${index}`, availabilityZone: "east" }),
   );
@@ -112,13 +114,23 @@
       onNotice: () => undefined,
       request: () => {
         asked += 1;
+        nowMs += answerMs;
         return Promise.resolve(results.Ok({ outcome: "refused", carried: 0 }));
       },
     },
+    nowMs: () => nowMs,
     random: () => random.nextUnit(),
   });
-  t.true((await client.open("10.0.0.1:80")).err);
-  t.is(asked, 4);
+  const opened = await client.open("10.0.0.1:80");
+  return opened.err ? asked : Number.NaN;
+}
+
+test("few peers are asked about an endpoint whose process has ended", async (t) => {
+  t.is(await countAsked(0), 4);
+});
+
+test("no further peers are asked about an endpoint once the time for asking is over", async (t) => {
+  t.is(await countAsked(201), 2);
 });
 
 test("a zone of 65 instances that are all cut is served by most instances of the other zones, within the maximum of each", async (t) => {
