gateway: a planned stop refuses the first requests of connections that it accepted last

The connection had been accepted at the same moment, and its request was on its way. Change: the last refusals wait for the first bytes of open connections, for the 100 ms that they may take anyway, and what has arrived by then is read and refused. What is sent later finds its connection closed unread, as before; such a caller may send again. The test failed before: no status, where 503 is expected.

--- a/packages/common/src/connections/ServerConnections.ts
+++ b/packages/common/src/connections/ServerConnections.ts
@@ -49,6 +49,11 @@
     return [...this._connections.values()].some(({ isBusy }) => isBusy);
   }
 
+  /** Whether the first request of a connection has not begun to arrive. */
+  get hasUnused(): boolean {
+    return [...this._connections.values()].some(({ isUnused }) => isUnused);
+  }
+
   /** Closes the connections on which all answers have been written and no further request has arrived. */
   async closeIdle(): Promise<void> {
     await readArrived();
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -147,7 +147,7 @@
 
   /**
    * Refuses the requests whose answers have not begun, and those that arrive, and closes the connections on which none is in progress. Resolves
-   * once the refusals have been written, or after a short time.
+   * once the refusals have been written and new connections have brought their first requests, or after a short time.
    */
   async refuseInFlight(): Promise<void> {
     this._isEnding = true;
@@ -164,7 +164,10 @@
     // A connection that stays open until the exit takes requests that nothing answers.
     await this._connections.closeIdle();
     const dueAtMs = utils.monotonicMs() + maxRefusalMs;
-    while (this.isBusy && utils.monotonicMs() < dueAtMs) await utils.sleep(refusalPollMs);
+    const isAwaited = (): boolean => this.isBusy || this._connections.hasUnused;
+    while (isAwaited() && utils.monotonicMs() < dueAtMs) await utils.sleep(refusalPollMs);
+    // The last sleep may end before what has arrived meanwhile is read.
+    await utils.readArrived();
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/gateway/src/tests/requests/drainCallersTests.ts
+++ b/packages/gateway/src/tests/requests/drainCallersTests.ts
@@ -246,3 +246,26 @@
   await caller.waitForEnd();
   t.deepEqual(caller.statuses, [200]);
 });
+
+/** More turns of the event loop than the last refusals of an instance without requests take. */
+const laterTurns = 20;
+
+// Guards against the first request of a connection that was accepted last, and is closed before it is read.
+test.serial(
+  "the first request of a new connection that arrives during the last refusals is refused",
+  async (t) => {
+    const stop = await setUpStop(t);
+    const { listener } = stop.fixture;
+    await rest(stop, connect(t, stop), "r1");
+    listener.takeConnectionCounts();
+    const caller = connect(t, stop);
+    await utils.waitUntil(() => listener.takeConnectionCounts().accepted > 0, generousMs);
+    listener.drain();
+    const closed = listener.refuseInFlight().then(() => listener.close());
+    for (let turn = 0; turn < laterTurns; turn++) await utils.yieldToEvents();
+    caller.socket.write(formatRequest("r2", "/a/x"));
+    await caller.waitForEnd();
+    t.deepEqual(caller.statuses, [503]);
+    await closed;
+  },
+);
