gateway: what became of a caller that ended its sending half is logged and counted

What callers saw: nothing; the log could not tell when a caller's end was read, nor by what it was known that it had left. Change: the line caller-ended and the counter caller_ends_total name the sign (reset, silence, present), the time since the end, the time between the last request and the end as both were read (near 0 if the process read both late), and the writes meanwhile. No change of logic.

--- a/packages/common/src/connections/DepartureProbe.ts
+++ b/packages/common/src/connections/DepartureProbe.ts
@@ -51,6 +51,11 @@
     this._writtenAtMs = this._nowMs();
   }
 
+  /** Number of writes since the caller has ended its sending half. */
+  get writes(): number {
+    return this._writes;
+  }
+
   /** Probes until the caller must have reset the connection if it had left, counts as one that has left, or has its answers. */
   async run(): Promise<void> {
     for (const delayMs of [0, ...delaysMs]) {
--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
+import { monotonicMs } from "../utils/clock.js";
 import { readArrived } from "../utils/readArrived.js";
 import type { FaultWriter } from "./FaultWriter.js";
 import { formatLastHead } from "./formatLastHead.js";
@@ -17,6 +18,23 @@
 /** Time without bytes after which a stopping instance refuses a request that has begun to arrive; packets that were lost come earlier. */
 const stoppingSilenceMs = 1_000;
 
+/**
+ * What is known of a caller that has ended its sending half before its answers: it has reset the connection, it counts as one that has left
+ * since nothing was written to it for too long, or it is present.
+ */
+export type CallerEndSign = "reset" | "silence" | "present";
+
+/** What became of a caller that ended its sending half before its answers. */
+export interface CallerEnd {
+  readonly sign: CallerEndSign;
+  /** Time since the end of the sending half was read. */
+  readonly sinceEndMs: number;
+  /** Time from the last request to the end of the sending half, as they were read; near 0 if the process read both late. */
+  readonly sinceRequestMs: number;
+  /** Writes to the connection meanwhile. */
+  readonly writes: number;
+}
+
 /** One connection of an HTTP server. Decides when the connection ends: after the answers to all requests that were read from it. */
 export class ServerConnection {
   /** Answers that have not been written to the connection, in the order of their requests. */
@@ -29,15 +47,18 @@
   private _fault: ReadFault | undefined;
   /** How the caller is told that the rest of its request has not arrived. */
   private _silenceFault = headTooLate;
+  private _requestAtMs = monotonicMs();
 
   /**
    * Takes charge of a socket.
    * @param _handshakeBytes - Number of bytes that had been read before the first request could arrive.
+   * @param _onCallerEnd - Called once it is known what became of a caller that ended its sending half before its answers.
    */
   constructor(
     private readonly _socket: net.Socket,
     private readonly _writer: FaultWriter,
     private readonly _handshakeBytes: number,
+    private readonly _onCallerEnd?: (end: CallerEnd, connection: ServerConnection) => void,
   ) {
     this._requestBytes = _handshakeBytes;
     // Node calls this after the last answer; its own version closes the connection without reading what arrives meanwhile.
@@ -80,6 +101,7 @@
     // The caller itself asks for the end of the connection.
     if (!response.shouldKeepAlive) this._isCloseAnnounced = true;
     this._lastMessage = message;
+    this._requestAtMs = monotonicMs();
     this._pending.push(response);
     this._requestBytes = this._socket.bytesRead;
     message.once("end", () => (this._requestBytes = this._socket.bytesRead));
@@ -177,12 +199,30 @@
   private _noteCallerEnd(): void {
     const [awaited] = this._pending;
     if (awaited === undefined || awaited.writableEnded) return;
+    void this._probeCaller();
+  }
+
+  private async _probeCaller(): Promise<void> {
+    const endedAtMs = monotonicMs();
+    const sinceRequestMs = endedAtMs - this._requestAtMs;
     const probe = new DepartureProbe({
       getAwaited: () => this._pending[0],
       getBytesWritten: () => this._socket.bytesWritten,
-      onLeft: () => this.close(),
+      onLeft: () => report("silence"),
+    });
+    let isKnown = false;
+    const report = (sign: CallerEndSign): void => {
+      if (isKnown) return;
+      isKnown = true;
+      const { writes } = probe;
+      this._onCallerEnd?.({ sign, sinceEndMs: monotonicMs() - endedAtMs, sinceRequestMs, writes }, this);
+      if (sign === "silence") this.close();
+    };
+    this._socket.once("close", (hadError) => {
+      if (hadError) report("reset");
     });
-    void probe.run();
+    await probe.run();
+    if (!this._socket.destroyed) report("present");
   }
 
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
--- a/packages/common/src/connections/ServerConnections.ts
+++ b/packages/common/src/connections/ServerConnections.ts
@@ -3,7 +3,7 @@
 import * as tls from "node:tls";
 import type { FaultWriter } from "./FaultWriter.js";
 import { readArrived } from "../utils/readArrived.js";
-import { ServerConnection } from "./ServerConnection.js";
+import { ServerConnection, type CallerEnd } from "./ServerConnection.js";
 import { headTooLate, invalidRequest, toReadFault, type ReadFault } from "./toReadFault.js";
 
 /** Dependencies of {@link ServerConnections}. */
@@ -12,6 +12,8 @@
   readonly writer: FaultWriter;
   /** Called when bytes can't be read as a request. */
   readonly onFault: (cause: string, fault: ReadFault, connection: ServerConnection) => void;
+  /** Called once it is known what became of a caller that ended its sending half before its answers. */
+  readonly onCallerEnd?: (end: CallerEnd, connection: ServerConnection) => void;
 }
 
 /**
@@ -67,7 +69,8 @@
 
   private _add(socket: net.Socket): ServerConnection {
     const handshakeBytes = socket instanceof tls.TLSSocket ? socket.bytesRead : 0;
-    const connection = new ServerConnection(socket, this._structure.writer, handshakeBytes);
+    const { writer, onCallerEnd } = this._structure;
+    const connection = new ServerConnection(socket, writer, handshakeBytes, onCallerEnd);
     this._connections.set(socket, connection);
     socket.once("close", () => this._connections.delete(socket));
     return connection;
--- a/packages/gateway/src/GatewayInstance.ts
+++ b/packages/gateway/src/GatewayInstance.ts
@@ -287,8 +287,7 @@
       areKeysFresh: () => this._keys.areKeysFresh(),
       denialFreshness: this._createDenialFreshness(),
       forward: (request) => this._forward(request),
-      onRefused: (reason) => this.metrics.callerRefusals.inc({ reason }),
-      onUnanswered: (cause) => this.metrics.unansweredRequests.inc({ cause }),
+      ...this.metrics.callerEvents,
     });
   }
 
--- a/packages/gateway/src/GatewayMetrics.ts
+++ b/packages/gateway/src/GatewayMetrics.ts
@@ -3,6 +3,7 @@
 import { errors, utils } from "@shedtiller/common";
 import * as prom from "prom-client";
 import { stopListening } from "./http/stopListening.js";
+import type { CallerListenerStructure } from "./requests/CallerListener.js";
 
 /** Upper bounds of the duration buckets in seconds, from fast plain requests to the longest streams. */
 const durationBuckets = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20];
@@ -50,6 +51,8 @@
   readonly callerRefusals: prom.Counter<"reason">;
   /** Requests whose connections ended before their whole answers, by cause. */
   readonly unansweredRequests: prom.Counter<"cause">;
+  /** Callers that ended their sending half before their answers, by the sign that they left or stayed. */
+  readonly callerEnds: prom.Counter<"sign">;
   /** Changes of the zones to which requests of the own zone go, at the collector of the zone. */
   readonly zoneFlowChanges: prom.Counter<"service">;
   /** Streams sent to chains with prompts in front that take a considerable part of the target latency. */
@@ -165,6 +168,11 @@
       "Requests whose connections ended before their whole answers, by cause",
       ["cause"],
     );
+    this.callerEnds = this._createCounter(
+      "caller_ends_total",
+      "Callers that ended their sending half before their answers, by the sign that they left or stayed",
+      ["sign"],
+    );
     this.hedges = this._createCounter(
       "hedges_total",
       "Requests that were sent to a second endpoint while the first one had not answered, by service",
@@ -218,6 +226,15 @@
     return utils.listen(this._server, { host, port }, options);
   }
 
+  /** Counts what the listener for callers reports. */
+  get callerEvents(): Required<Pick<CallerListenerStructure, "onRefused" | "onUnanswered" | "onCallerEnd">> {
+    return {
+      onRefused: (reason) => this.callerRefusals.inc({ reason }),
+      onUnanswered: (cause) => this.unansweredRequests.inc({ cause }),
+      onCallerEnd: (sign) => this.callerEnds.inc({ sign }),
+    };
+  }
+
   /** The port of the listener, which the system picks if the given one is 0. */
   get port(): number {
     return (this._server.address() as net.AddressInfo).port;
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -48,6 +48,8 @@
   readonly onRefused?: (reason: RefusalReason) => void;
   /** Called for each request whose connection ended before its whole answer. */
   readonly onUnanswered?: (cause: CloseCause) => void;
+  /** Called for each caller that ended its sending half before its answers, once it is known whether it left. */
+  readonly onCallerEnd?: (sign: connections.CallerEndSign) => void;
   /** Maximum time that a request waits for the first configuration; replaced in tests. */
   readonly startupTimeoutMs?: number;
 }
@@ -207,6 +209,10 @@
           callerPort: remotePort,
           inProgress,
         }),
+      onCallerEnd: (end, { remotePort, inProgress }) => {
+        this._structure.onCallerEnd?.(end.sign);
+        this._structure.log.info("caller-ended", { ...end, callerPort: remotePort, inProgress });
+      },
     });
   }
 
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -1,7 +1,7 @@
 /** A gateway's request path over real sockets, with scripted endpoints. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import { results, utils } from "@shedtiller/common";
+import { results, utils, type connections } from "@shedtiller/common";
 import { ChainAdmission } from "../../chains/ChainAdmission.js";
 import { ChainChooser } from "../../chains/ChainChooser.js";
 import { ConcurrentRestarts } from "../../chains/ConcurrentRestarts.js";
@@ -123,6 +123,8 @@
   readonly refusals: RefusalReason[] = [];
   /** Why connections ended before the answers to their requests. */
   readonly unanswered: CloseCause[] = [];
+  /** By what it was known whether callers that ended their sending half had left. */
+  readonly callerEnds: connections.CallerEndSign[] = [];
   private readonly _servers: http.Server[] = [];
   private readonly _httpClient = new HttpClient();
   private _listener: CallerListener | undefined;
@@ -213,6 +215,7 @@
       onRefused: (reason) => void this.refusals.push(reason),
       startupTimeoutMs: generousMs,
       onUnanswered: (cause) => this.unanswered.push(cause),
+      onCallerEnd: (sign) => this.callerEnds.push(sign),
     });
     await this._listener.listen();
   }
