connections: a caller that left after the head of its answer is found by zeros of the next chunk size

What callers and endpoints saw: engines worked on for callers that had left, until two further events or two seconds of silence: 1.4 to 1.6 s at an event each 900 ms, 3.2 to 3.4 s behind a relay, 2.0 s in a silence. Cause: after the head, only the answer's own events probed the connection. The limit of two seconds without a write stood between two promises about one signal: callers that leave, and callers that end only their sending half while a sound engine is silent. Ruled out: another limit, which trades one promise for the other; further interim responses, which may not follow the head; reads, since a connection whose receiving half has ended shows no reset. Change: the size of a chunk may have leading zeros. A zero is written at a chunk's boundary where an interim response would have been written before the head, at most eight a chunk, and in later silences of callers that count as present, for chains of relays. A probe also begins if the first answer on the connection has ended and others wait behind it. The verdict comes 50 ms after the last probe, so that a failure of that one shows. No limit is moved.

--- a/packages/common/src/connections/DepartureProbe.ts
+++ b/packages/common/src/connections/DepartureProbe.ts
@@ -8,6 +8,9 @@
  */
 const delaysMs = [50, 100, 150];
 
+/** Time after the last probe in which its failure shows. */
+const verdictMs = 50;
+
 /** Writes during which a caller that had left would have reset the connection: the reset of one shows in the next. */
 const minWrites = 2;
 /**
@@ -17,6 +20,10 @@
 const maxSilenceMs = 2_000;
 /** Interval of the looks for further writes after the last probe. */
 const lookIntervalMs = 100;
+/** Time without a write after which a caller that counts as present is probed once more: several relays learn of a reset one after the other. */
+const watchIntervalMs = 200;
+/** Maximum number of interim responses to a request; some clients take more of them for an error. */
+const maxInterims = 5;
 
 /** Dependencies of {@link DepartureProbe}. */
 export interface DepartureProbeStructure {
@@ -26,6 +33,8 @@
   readonly getBytesWritten: () => number;
   /** Called if too little was written for a reset, so that the caller counts as one that has left. */
   readonly onLeft: () => void;
+  /** Writes bytes within an answer whose head has been sent that change none of its content, if there are any. */
+  readonly writeWithin?: (response: http.ServerResponse) => void;
   /** Monotonic clock; replaced in tests. */
   readonly nowMs?: () => number;
   /** Waits; replaced in tests. */
@@ -35,12 +44,13 @@
 /**
  * Tells a caller that has closed its connection from one that has ended only its sending half, as RFC 9112, 9.6 permits: both send the same
  * packet, but a closed connection is reset by what it receives. Until the head of the answer, the probes are interim responses, which callers
- * skip (RFC 9110, 15.2); after it, the parts of the answer itself serve.
+ * skip (RFC 9110, 15.2); after it, bytes of the answer's framing, or the parts of the answer itself where the framing has none to spare.
  */
 export class DepartureProbe {
   private readonly _nowMs: () => number;
   private readonly _pause: (durationMs: number) => Promise<void>;
   private _writes = 0;
+  private _interims = 0;
   private _bytesWritten: number;
   private _writtenAtMs: number;
 
@@ -62,8 +72,10 @@
       if (delayMs > 0) await this._pause(delayMs);
       const awaited = this._look();
       if (awaited === undefined) return;
-      if (canPrecede(awaited)) awaited.writeContinue();
+      this._write(awaited);
     }
+    await this._pause(verdictMs);
+    if (this._look() === undefined) return;
     while (this._writes < minWrites) {
       if (this._nowMs() - this._writtenAtMs >= maxSilenceMs) return this._structure.onLeft();
       await this._pause(lookIntervalMs);
@@ -71,6 +83,24 @@
     }
   }
 
+  /** Probes in further silences of a caller that counts as present, until it has its answers or the connection is closed. */
+  async watch(): Promise<void> {
+    for (;;) {
+      const writes = this._writes;
+      await this._pause(watchIntervalMs);
+      const awaited = this._look();
+      if (awaited === undefined) return;
+      if (this._writes === writes) this._write(awaited);
+    }
+  }
+
+  private _write(awaited: http.ServerResponse): void {
+    if (!canPrecede(awaited)) return this._structure.writeWithin?.(awaited);
+    if (this._interims >= maxInterims) return;
+    this._interims += 1;
+    awaited.writeContinue();
+  }
+
   /** Notes what has been written; returns the answer for which the caller still waits. */
   private _look(): http.ServerResponse | undefined {
     const bytesWritten = this._structure.getBytesWritten();
--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -3,6 +3,7 @@
 import { DepartureProbe } from "./DepartureProbe.js";
 import { monotonicMs } from "../utils/clock.js";
 import { readArrived } from "../utils/readArrived.js";
+import { FramingAhead } from "./FramingAhead.js";
 import type { FaultWriter } from "./FaultWriter.js";
 import { formatLastHead } from "./formatLastHead.js";
 import { headTooLate, stoppingFault, type ReadFault } from "./toReadFault.js";
@@ -197,32 +198,33 @@
 
   /** Waits with the end of the connection for the answers if the caller may have ended only its sending half. */
   private _noteCallerEnd(): void {
-    const [awaited] = this._pending;
-    if (awaited === undefined || awaited.writableEnded) return;
-    void this._probeCaller();
+    if (this._pending.some((response) => !response.writableEnded)) void this._probeCaller();
   }
 
   private async _probeCaller(): Promise<void> {
     const endedAtMs = monotonicMs();
     const sinceRequestMs = endedAtMs - this._requestAtMs;
-    const probe = new DepartureProbe({
-      getAwaited: () => this._pending[0],
-      getBytesWritten: () => this._socket.bytesWritten,
-      onLeft: () => report("silence"),
-    });
-    let isKnown = false;
+    const framing = new FramingAhead(this._socket);
     const report = (sign: CallerEndSign): void => {
-      if (isKnown) return;
-      isKnown = true;
       const { writes } = probe;
       this._onCallerEnd?.({ sign, sinceEndMs: monotonicMs() - endedAtMs, sinceRequestMs, writes }, this);
-      if (sign === "silence") this.close();
     };
+    const probe = new DepartureProbe({
+      getAwaited: () => this._pending[0],
+      getBytesWritten: () => this._socket.bytesWritten,
+      onLeft: () => {
+        report("silence");
+        this.close();
+      },
+      writeWithin: (response) => framing.write(response),
+    });
     this._socket.once("close", (hadError) => {
       if (hadError) report("reset");
     });
     await probe.run();
-    if (!this._socket.destroyed) report("present");
+    if (this._socket.destroyed) return;
+    report("present");
+    await probe.watch();
   }
 
   /** Ends the sending half once all answers have been written, and closes the connection when the caller ends its half. */
