gateway: nothing new is begun for a caller that may have left

What endpoints saw: requests that arrived long after their callers had left, where the process reads late. Cause: the end of a connection is read after the request in front of it, and the request was sent in between. The class: something new is begun for a caller whose end has been read, or has arrived, before it is known whether it left or ended only its sending half. The same for retries, second sends and successors of lost runs. Ruled out: a late answer of the endpoint (the requests reach it after the close), and timers (the send follows the request in the same turn). Change: a connection knows whether its caller is in doubt. All sends, of plain requests and of streams, first, further, hedged and successors, wait in CallerRequest.confirmCaller until what has arrived is read and a doubt is over; running streams of callers in doubt are not moved. Conclusion: the two sending functions ask one place; a caller is not known to be gone by anything else.

--- a/packages/common/src/connections/ServerConnection.ts
+++ b/packages/common/src/connections/ServerConnection.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { DepartureProbe } from "./DepartureProbe.js";
+import { Deferred } from "../utils/Deferred.js";
 import { monotonicMs } from "../utils/clock.js";
 import { readArrived } from "../utils/readArrived.js";
 import { FramingAhead } from "./FramingAhead.js";
@@ -49,6 +50,8 @@
   /** How the caller is told that the rest of its request has not arrived. */
   private _silenceFault = headTooLate;
   private _requestAtMs = monotonicMs();
+  /** Resolves once it is known whether the caller has left; undefined unless that is in doubt. */
+  private _doubt: Deferred<void> | undefined;
 
   /**
    * Takes charge of a socket.
@@ -93,6 +96,18 @@
     return this._pending.length > 0 || (!this.isIdle && !this._isCloseAnnounced);
   }
 
+  /** Whether the caller has ended its sending half and it is not known yet whether it has left. */
+  get isCallerInDoubt(): boolean {
+    return this._doubt !== undefined;
+  }
+
+  /** Resolves once it is known whether the caller has left, by all that has arrived before the call. */
+  async whenCallerCertain(): Promise<void> {
+    // The end of a connection is read after the request in front of it.
+    await readArrived();
+    await this._doubt?.promise;
+  }
+
   /**
    * Records a request, whose answer has been written once `response` closes.
    * @returns Whether the request may be processed; false if an earlier answer has announced the end of the connection.
@@ -205,6 +220,11 @@
     const endedAtMs = monotonicMs();
     const sinceRequestMs = endedAtMs - this._requestAtMs;
     const framing = new FramingAhead(this._socket);
+    const doubt = (this._doubt = new Deferred<void>());
+    const resolveDoubt = (): void => {
+      doubt.resolve();
+      this._doubt = undefined;
+    };
     const report = (sign: CallerEndSign): void => {
       const { writes } = probe;
       this._onCallerEnd?.({ sign, sinceEndMs: monotonicMs() - endedAtMs, sinceRequestMs, writes }, this);
@@ -220,8 +240,10 @@
     });
     this._socket.once("close", (hadError) => {
       if (hadError) report("reset");
+      resolveDoubt();
     });
     await probe.run();
+    resolveDoubt();
     if (this._socket.destroyed) return;
     report("present");
     await probe.watch();
--- a/packages/gateway/src/requests/CallerListener.ts
+++ b/packages/gateway/src/requests/CallerListener.ts
@@ -320,6 +320,7 @@
       arrivedAtMs,
       codec: this._structure.codec,
       endsConnection: () => this._endsConnection(response),
+      presence: this._connections.get(message.socket),
     });
   }
 
--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -1,6 +1,6 @@
 /** One request of a caller: its input, its deadline and the answer that is written to the caller. */
 import type * as http from "node:http";
-import { utils } from "@shedtiller/common";
+import { utils, type connections } from "@shedtiller/common";
 import type { GatewayAccount, Route } from "../configuration/gatewayConfiguration.js";
 import type { CallerFields, MessageCodec } from "../http/MessageCodec.js";
 import type { LogFields } from "../logs/LogOutput.js";
@@ -21,8 +21,12 @@
   readonly codec: MessageCodec;
   /** Decides, as the head of the answer is written, whether the connection ends after the answer. */
   readonly endsConnection: () => boolean;
+  readonly presence: CallerPresence;
 }
 
+/** What is known of the caller of a request at the other end of its connection. */
+export type CallerPresence = Pick<connections.ServerConnection, "isCallerInDoubt" | "whenCallerCertain">;
+
 /** A request in flight. Its final answer is written exactly once. */
 export class CallerRequest {
   readonly fields: CallerFields;
@@ -112,6 +116,17 @@
     return this._over.signal;
   }
 
+  /** Whether it is not known yet if the caller has left. Nothing new is begun for it meanwhile. */
+  get isCallerInDoubt(): boolean {
+    return this._structure.presence.isCallerInDoubt;
+  }
+
+  /** Waits while it is in doubt whether the caller has left, before the request is sent; returns whether the request still wants an answer. */
+  async confirmCaller(): Promise<boolean> {
+    await this._structure.presence.whenCallerCertain();
+    return !this._over.signal.aborted;
+  }
+
   get isHeadSent(): boolean {
     return this._structure.response.headersSent;
   }
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -143,6 +143,11 @@
     signal: AbortSignal,
   ): Promise<SendOutcome> {
     const { endpoint } = choice;
+    const isWanted = (await request.confirmCaller()) && !signal.aborted;
+    if (!isWanted || !this._mayBeSentNow(request)) {
+      choice.permit.release();
+      return { kind: "not-run", error: "given up before the send" };
+    }
     const run = { request, endpointId: endpoint.id, hasBegun: true, firstEventAtMs: undefined };
     const send = concurrency?.begin(endpoint);
     this.context.crashes.begin(run);
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -217,10 +217,11 @@
 
   private async _send(attempt: StreamAttempt): Promise<RunEnd> {
     const { request, firstStage } = attempt;
+    const isWanted = (await request.confirmCaller()) && !attempt.abort.signal.aborted;
     const first = firstStage === undefined ? undefined : this.context.endpoints.get(firstStage.endpointId);
     // While the request waited for capacity, an identical one may have crashed engines, or its caller may have left.
     const isQuarantined = this.context.crashes.getQuarantineMs(request) !== undefined;
-    if (first === undefined || isQuarantined || request.signal.aborted) {
+    if (first === undefined || isQuarantined || !isWanted) {
       attempt.reservation.permit?.release();
       return "again";
     }
--- a/packages/gateway/src/requests/moves/StreamMover.ts
+++ b/packages/gateway/src/requests/moves/StreamMover.ts
@@ -63,7 +63,8 @@
     attempt.triedMoveAtMs = this._structure.nowMs();
     if (order.faultyAddresses.includes(first.address))
       return this._doubt(attempt, "engine-suspected", order.cause);
-    if (attempt.isMoving) return;
+    // Engines get no new work for a caller that may have left; a later check moves the stream.
+    if (attempt.isMoving || attempt.request.isCallerInDoubt) return;
     if (order.cause !== "draining") this._noteLost(attempt, order);
     // No further engine gets a quarantined request; the run stays where it is.
     if (context.crashes.getQuarantineMs(attempt.request) !== undefined) return;
--- a/packages/gateway/src/tests/requests/CallerRequestTests.ts
+++ b/packages/gateway/src/tests/requests/CallerRequestTests.ts
@@ -17,6 +17,7 @@
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
     endsConnection: () => false,
+    presence: { isCallerInDoubt: false, whenCallerCertain: () => Promise.resolve() },
   });
 }
 
--- a/packages/gateway/src/tests/requests/StallMonitorTests.ts
+++ b/packages/gateway/src/tests/requests/StallMonitorTests.ts
@@ -46,6 +46,7 @@
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
     endsConnection: () => false,
+    presence: { isCallerInDoubt: false, whenCallerCertain: () => Promise.resolve() },
   });
 }
 
--- a/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
+++ b/packages/gateway/src/tests/requests/moves/EarlyMoveFixture.ts
@@ -17,7 +17,7 @@
 import { EndpointPaths } from "../../../paths/EndpointPaths.js";
 import type { ChainStage, MessageCodec } from "../../../http/MessageCodec.js";
 import { DecisionLog } from "../../../logs/DecisionLog.js";
-import { CallerRequest } from "../../../requests/CallerRequest.js";
+import { CallerRequest, type CallerPresence } from "../../../requests/CallerRequest.js";
 import { EarlyMoves } from "../../../requests/moves/EarlyMoves.js";
 import type { ForwardContext } from "../../../requests/RequestForwarder.js";
 import { RetryBudgets } from "../../../requests/RetryBudgets.js";
@@ -57,6 +57,8 @@
   /** Suspicions that were broadcast, as `id evidence`. */
   readonly broadcasts: string[] = [];
   readonly monitor: StallMonitor;
+  /** What is known of the callers of all streams. */
+  readonly presence = { isCallerInDoubt: false, whenCallerCertain: () => Promise.resolve() };
   private readonly _targetPauseMs: number;
   private readonly _random = new utils.RandomSource(7);
   private readonly _log = new DecisionLog(new SilentLogOutput(), () => 0);
@@ -76,7 +78,7 @@
     const stages = Array.from({ length: chainLength }, (_, index) => toStage(copy, index));
     const reservation = new ChainReservation(this.endpoints, stages, 2 + answerTokens);
     const route = createRoute({ kind: "streaming", isResumable, targetPauseMs: this._targetPauseMs });
-    const request = createRequest(requestId, route, answerTokens);
+    const request = createRequest(requestId, route, answerTokens, this.presence);
     const attempt = new StreamAttempt(request, "engines", reservation, new StreamProgress(undefined));
     attempt.firstEventMs = usualPauseMs;
     attempt.lastActivityAtMs = this.clock.nowMs;
@@ -160,7 +162,12 @@
   return { endpointId: `${copy}${index}`, address: `${copy}${index}:1`, start, end: start + layersPerEngine };
 }
 
-function createRequest(requestId: string, route: Route, answerTokens: number): CallerRequest {
+function createRequest(
+  requestId: string,
+  route: Route,
+  answerTokens: number,
+  presence: CallerPresence,
+): CallerRequest {
   return new CallerRequest({
     message: new EventEmitter() as http.IncomingMessage,
     response: new EventEmitter() as http.ServerResponse,
@@ -180,5 +187,6 @@
     arrivedAtMs: 0,
     codec: {} as MessageCodec,
     endsConnection: () => false,
+    presence,
   });
 }
--- a/packages/gateway/src/tests/requests/moves/earlyMoveTests.ts
+++ b/packages/gateway/src/tests/requests/moves/earlyMoveTests.ts
@@ -20,6 +20,20 @@
   t.is(other.progress.moves, 0);
 });
 
+// Guards against engines that get work for a caller that has left, since its stream is moved while that is in doubt.
+test("a stream whose caller may have left is not moved until it is known to be there", async (t) => {
+  const fixture = new EarlyMoveFixture();
+  const stream = fixture.start("r1");
+  fixture.presence.isCallerInDoubt = true;
+  fixture.endpoints.suspect("a2", "lost");
+  await new Promise((resolve) => setImmediate(resolve));
+  t.is(fixture.getEngines(stream)[2], "a2");
+  fixture.presence.isCallerInDoubt = false;
+  fixture.pass(usualPauseMs * 10);
+  await fixture.monitor.check();
+  t.not(fixture.getEngines(stream)[2], "a2");
+});
+
 test("a stream may have a successor at once when its first engine is lost, and a stream that may run only once is left alone", (t) => {
   const fixture = new EarlyMoveFixture();
   const resumable = fixture.start("r1");
