connections: a caller over HTTP/1.0 that left before its answer is found by the status line's first bytes

What endpoints saw: work of 2,004 to 2,018 ms for HTTP/1.0 callers that had left before the first byte of their answer. HTTP/1.0 callers that had ended only their sending half were cut after the same 2 s. Cause: no interim response may be sent to an HTTP/1.0 caller (RFC 9110, 15.2), so that nothing probed the connection. Ruled out: sending the head early, since the status is not known; a shorter limit. Change: each answer begins with "HTTP/1.1 ". These bytes are written one by one ahead of the head, and left out of the write of the head. Conclusion: after the head, an HTTP/1.0 answer has no framing that could be written ahead. There the events and the limit of two seconds remain; that is left open.

--- a/packages/common/src/connections/DepartureProbe.ts
+++ b/packages/common/src/connections/DepartureProbe.ts
@@ -33,7 +33,7 @@
   readonly getBytesWritten: () => number;
   /** Called if too little was written for a reset, so that the caller counts as one that has left. */
   readonly onLeft: () => void;
-  /** Writes bytes within an answer whose head has been sent that change none of its content, if there are any. */
+  /** Writes bytes of an answer that no interim response may precede and that change none of its content, if there are any. */
   readonly writeWithin?: (response: http.ServerResponse) => void;
   /** Monotonic clock; replaced in tests. */
   readonly nowMs?: () => number;
@@ -44,7 +44,8 @@
 /**
  * Tells a caller that has closed its connection from one that has ended only its sending half, as RFC 9112, 9.6 permits: both send the same
  * packet, but a closed connection is reset by what it receives. Until the head of the answer, the probes are interim responses, which callers
- * skip (RFC 9110, 15.2); after it, bytes of the answer's framing, or the parts of the answer itself where the framing has none to spare.
+ * skip (RFC 9110, 15.2); after it, and for HTTP/1.0, bytes of the answer's framing, or the parts of the answer itself where the framing has none to
+ * spare.
  */
 export class DepartureProbe {
   private readonly _nowMs: () => number;
--- a/packages/common/src/tests/FramingAheadTests.ts
+++ b/packages/common/src/tests/FramingAheadTests.ts
@@ -75,3 +75,15 @@
   }, lastRequest);
   t.is(getBody(received), "ok");
 });
+
+// Guards against a status line that is written twice, or in part.
+test("the beginning of the status line is written once, ahead of the head", async (t) => {
+  const received = await receive((_request, response) => {
+    const framing = new FramingAhead(response.socket as net.Socket);
+    for (let count = 0; count < 12; count++) framing.write(response);
+    response.writeHead(404, { "Content-Length": "2" });
+    response.end("no");
+  }, lastRequest);
+  t.regex(received, /^HTTP\/1\.1 404 Not Found\r\nContent-Length: 2\r\n/);
+  t.is(getBody(received), "no");
+});
