entry: no request is handled for a caller that may have left

What is seen: the handler of a request runs although its caller's end has arrived with the request, and the pipeline is begun for nobody. Cause: as at the gateway, the end of a connection is read after the request in front of it. Ruled out: the listener shares the connections of the gateway, so that the probes hold here already. Change: the listener waits until what has arrived is read, and until a doubt is over, before it calls a handler. Before and after: the test fails, and passes. Conclusion: later steps of a pipeline in the time of a doubt are not held; they end with the signal.

--- a/packages/entry/src/http/HttpListener.ts
+++ b/packages/entry/src/http/HttpListener.ts
@@ -145,6 +145,9 @@
 
   private _wrap(handler: Handler): (request: restify.Request, response: restify.Response) => Promise<void> {
     return async (request, response) => {
+      // Nothing is begun for a caller that may have left.
+      await this._connections.get(request.socket).whenCallerCertain();
+      if (response.destroyed) return;
       try {
         await handler(request, response);
       } catch (error) {
--- a/packages/entry/src/tests/http/callerConnectionTests.ts
+++ b/packages/entry/src/tests/http/callerConnectionTests.ts
@@ -127,3 +127,17 @@
   await started.waitForAnswers(2);
   t.deepEqual(started.statuses, [200, 200]);
 });
+
+// Guards against requests that are handled although their callers had left before the process read them.
+test("a request whose caller's end has arrived when it is read is not handled", async (t) => {
+  const { listener, held } = await ListenerCase.start(t);
+  listener.get("/later", (_request, response) => sendJson(response, 200, {}));
+  const left = net.connect(listener.port, "127.0.0.1");
+  await new Promise((resolve) => left.once("connect", resolve));
+  // Both reach the kernel before the listener reads either.
+  left.write("GET /hold/r1 HTTP/1.1\r\nhost: notes.example\r\n\r\n");
+  left.destroy();
+  const answer = await fetch(`http://127.0.0.1:${listener.port}/later`);
+  t.is(answer.status, 200);
+  t.false(held.has("r1"));
+});
