discovery: what an endpoint asked for outlasts a removal of its entry

What callers saw: an endpoint that had asked an instance to leave it alone got up to eleven requests of it within that time, where two are allowed, if its entry had been removed from the list and written again meanwhile. Callers were refused there once more. Cause: back-off, stated limit, circuit breaker and the own load belonged to the entry. The entry of a living endpoint lapses if its heartbeats do not reach the store; once it was written again, the endpoint was a new one to every instance. Change: the table keeps the endpoints whose entries were removed, by life, and takes the same one up again. Another start or another address is another life. A suspicion ends, as before, and the loads that peers reported are dropped. The new test failed before. Conclusion: what an endpoint asked for lasts as long as its life.

--- a/packages/gateway/src/discovery/Endpoint.ts
+++ b/packages/gateway/src/discovery/Endpoint.ts
@@ -35,6 +35,11 @@
 /** Separates the endpoint id from the start time of the process. Ids of the platform consist of letters, digits and dashes. */
 export const lifeSeparator = "@";
 
+/** Returns the id of the life that an entry describes. */
+export function getLifeId({ id, bornAtMs }: Pick<ListedEndpoint, "id" | "bornAtMs">): string {
+  return bornAtMs === undefined ? id : `${id}${lifeSeparator}${bornAtMs}`;
+}
+
 /** The number of other instances that are assumed to put the same load on endpoints as this instance. */
 export interface AssumedPeers {
   count: number;
@@ -94,8 +99,7 @@
 
   /** Identifies one life of the endpoint's process. Reports of peers on an earlier life must not be applied to the current one. */
   get lifeId(): string {
-    const { id, bornAtMs } = this.listed;
-    return bornAtMs === undefined ? id : `${id}${lifeSeparator}${bornAtMs}`;
+    return getLifeId(this.listed);
   }
 
   /** The recipient of orders and report requests for the current life of the endpoint. */
@@ -103,6 +107,16 @@
     return { id: this.id, address: this.listed.address, lifeId: this.lifeId };
   }
 
+  /**
+   * Takes up an entry that is listed again after it was removed. What the endpoint asked for and what failed there still apply, a suspicion
+   * does not, and the loads that peers reported meanwhile are not known.
+   */
+  returnWith(listed: ListedEndpoint): void {
+    this.listed = listed;
+    this.suspectUntilMs = 0;
+    this.retainPeerLoads(new Set());
+  }
+
   get ownLoad(): EndpointLoad {
     return this._ownLoad;
   }
--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -1,6 +1,6 @@
 import { utils } from "@shedtiller/common";
 import type { Change } from "./ChangeFeed.js";
-import { Endpoint, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
+import { Endpoint, getLifeId, lifeSeparator, type AssumedPeers, type EndpointLoad } from "./Endpoint.js";
 import { EndpointTrial } from "./EndpointTrial.js";
 import { areSameLayers } from "./layerSpans.js";
 import type { LayerSpan, ListedEndpoint, MissingEndpoint } from "./ListedEndpoint.js";
@@ -21,6 +21,8 @@
  * recognised, and an entry that reappears does not undo the draining.
  */
 const maxRememberedLives = 4_096;
+/** Maximum number of lives whose back-offs, limits and failures are kept beyond their entries; the least recently removed is dropped first. */
+const maxFormerLives = 1_024;
 /**
  * Duration of the first suspicion of an endpoint: two heartbeats of a typical deployment, after which a dead endpoint drops out of the
  * list.
@@ -58,6 +60,8 @@
   private readonly _newestStarts = new Map<string, number>();
   /** Lives of endpoints that have stated that they are draining; the oldest come first. */
   private readonly _drainingLives = new Set<string>();
+  /** Endpoints whose entries were removed, by life. An entry may lapse and be written again while its endpoint goes on. */
+  private readonly _formerLives = new utils.BoundedMap<Endpoint>(maxFormerLives);
   private _graceUntilMs = 0;
   private readonly _assumedPeers: AssumedPeers = { count: 0 };
   private _mayAssumePeers = true;
@@ -338,11 +342,22 @@
   }
 
   private _add(listed: ListedEndpoint): void {
-    const endpoint = this._create(listed);
+    const endpoint = this._takeFormer(listed) ?? this._create(listed);
     this._endpoints.set(listed.id, endpoint);
     this._notify(endpoint, "added");
   }
 
+  /** Returns the endpoint of an earlier entry if the entry is of the same life, which has the same address throughout. */
+  private _takeFormer(listed: ListedEndpoint): Endpoint | undefined {
+    const lifeId = getLifeId(listed);
+    const endpoint = this._formerLives.get(lifeId);
+    if (endpoint === undefined) return undefined;
+    this._formerLives.remove(lifeId);
+    if (endpoint.listed.address !== listed.address) return undefined;
+    endpoint.returnWith(this._drainingLives.has(lifeId) ? { ...listed, isDraining: true } : listed);
+    return endpoint;
+  }
+
   private _create(listed: ListedEndpoint): Endpoint {
     const endpoint = new Endpoint(listed, this._assumedPeers);
     if (this._drainingLives.has(endpoint.lifeId)) endpoint.listed = { ...listed, isDraining: true };
@@ -368,6 +383,7 @@
     const endpoint = this._endpoints.get(id);
     if (endpoint === undefined) return;
     this._endpoints.delete(id);
+    this._formerLives.set(endpoint.lifeId, endpoint);
     this._notify(endpoint, "gone");
   }
 
--- a/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
+++ b/packages/gateway/src/tests/discovery/EndpointLivesTests.ts
@@ -188,3 +188,34 @@
   table.dropMissing();
   t.is(table.get("a"), undefined);
 });
+
+// Guards against a back-off and a limit that are forgotten with the entry, although the endpoint that asked for them goes on.
+test("an endpoint whose entry lapses and is written again keeps its back-off, its limit and its load", (t) => {
+  for (const bornAtMs of [undefined, first]) {
+    const { clock, table, list } = setUp({ bornAtMs });
+    const before = table.get("a");
+    before?.backoff.extendTo(clock.nowMs + 5_000, clock.nowMs);
+    before?.addOwnLoad(1, 0);
+    if (before !== undefined) before.limit = { perSecond: 3, atMs: clock.nowMs };
+    table.suspect("a");
+    table.apply([{ key: "a", value: undefined }]);
+    clock.nowMs += 1_500;
+    list({ bornAtMs });
+    const after = table.get("a");
+    t.false(after?.hasPermit(clock.nowMs));
+    t.is(after?.backoff.getLeftMs(clock.nowMs), 3_500);
+    t.is(after?.limit?.perSecond, 3);
+    t.is(after?.ownLoad.requests, 1);
+    t.false(after?.isSuspect(clock.nowMs));
+  }
+});
+
+test("the back-off of an endpoint whose entry lapsed does not apply to another life, or to another address", (t) => {
+  for (const changes of [{ bornAtMs: second }, { bornAtMs: first, address: "10.0.0.99:1" }]) {
+    const { clock, table, list } = setUp();
+    table.get("a")?.backoff.extendTo(clock.nowMs + 5_000, clock.nowMs);
+    table.apply([{ key: "a", value: undefined }]);
+    list(changes);
+    t.true(table.get("a")?.hasPermit(clock.nowMs));
+  }
+});
