requests: a request is not sent once its endpoint asked for a back-off, or the request was quarantined, while it waited for a connection

What callers saw: none were seen to lose anything. By a test with connections that are held up: eight requests that had chosen an endpoint reached it after it had asked to be left alone, plain ones and streams. Cause: permits and quarantines are checked when the endpoint is chosen and before the call, which then waits for its connection for up to 400 ms, and before that for the caller's presence for up to 350 ms. What is forbidden meanwhile takes effect for later requests only: a bound is counted where it is granted and judged where it takes effect. Ruled out: the deadline that the endpoint gets is written before the wait as well; it is at most 400 ms too long, where 500 ms are allowed. Change: once the connection is there, a call asks whether it may still be sent, and is withdrawn otherwise. A withdrawn request has not been sent: its permit, its attempt and its retry are free again, and nothing is said against the endpoint. Conclusion: the last look is right before the first byte.

--- a/packages/gateway/src/http/HttpCall.ts
+++ b/packages/gateway/src/http/HttpCall.ts
@@ -1,15 +1,19 @@
 /** The types of an HTTP/1.1 call, its answer and its errors. */
 import type * as http from "node:http";
-import type { errors } from "@shedtiller/common";
+import { errors } from "@shedtiller/common";
 import type { AnswerTooLargeError } from "./AnswerTooLargeError.js";
 import type { AnswerMemory } from "./AnswerMemory.js";
 import type { ConnectionPath } from "./Connector.js";
 import type { EndlessAnswerError } from "./EndlessAnswerError.js";
 import type { PathLostError } from "./PathLostError.js";
+import { WithdrawnError } from "./WithdrawnError.js";
 
-/** The error of a call without a usable answer. Only `NotReachedError` proves that the server did not receive the request. */
+/** An error that proves that the server did not receive the request. */
+export type UnsentError = errors.NotReachedError | WithdrawnError;
+
+/** The error of a call without a usable answer. Only an {@link UnsentError} proves that the server did not receive the request. */
 export type CallError =
-  | errors.NotReachedError
+  | UnsentError
   | errors.ConnectionLostError
   | errors.DeadlineError
   | errors.CancelledError
@@ -35,6 +39,8 @@
   readonly isRepeatable?: boolean | undefined;
   /** Called in place of such an early end, for a call that is only given up once a repetition has been answered. */
   readonly onPathLost?: (() => void) | undefined;
+  /** Called once the connection is established; the call is withdrawn if the request may not be sent any more. */
+  readonly mayStillBeSent?: (() => boolean) | undefined;
   /** Called with the path of the connection before anything is sent; undefined for a direct connection. */
   readonly onConnected?: ((path: ConnectionPath | undefined) => void) | undefined;
   /** Called after `onConnected` once the request has arrived, as its answer shows, or can arrive no longer. */
@@ -64,3 +70,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
 }
+
+/** Returns whether an error proves that the server did not receive the request. */
+export function isUnsent(error: CallError): error is UnsentError {
+  return error instanceof errors.NotReachedError || error instanceof WithdrawnError;
+}
--- a/packages/gateway/src/http/HttpExchange.ts
+++ b/packages/gateway/src/http/HttpExchange.ts
@@ -11,6 +11,7 @@
 import { KeepAliveAgent } from "./KeepAliveAgent.js";
 import { PathLostError } from "./PathLostError.js";
 import { waitForConnectionEnd } from "./waitForConnectionEnd.js";
+import { WithdrawnError } from "./WithdrawnError.js";
 
 /**
  * Time without an answer after which the path of the connection is checked, and after which a call ends if that path is lost. Most answers
@@ -92,6 +93,9 @@
   private _watchConnection(socket: net.Socket): void {
     this._countReceived(socket);
     const onConnected = (): void => {
+      if (this._isSettled) return;
+      // What forbids the request may have become known while the connection was being established.
+      if (this._call.mayStillBeSent?.() === false) return this._end(new WithdrawnError(this._call.address));
       this._socket = socket;
       this._connectTimeout?.clear();
       this._noteSent(socket);
--- a/packages/gateway/src/requests/PlainForwarder.ts
+++ b/packages/gateway/src/requests/PlainForwarder.ts
@@ -2,7 +2,7 @@
 import { errors, utils, type results } from "@shedtiller/common";
 import type { Endpoint } from "../discovery/Endpoint.js";
 import type { SendPermit } from "../discovery/SendPermit.js";
-import type { CallError, BufferedAnswer } from "../http/HttpCall.js";
+import { isUnsent, type CallError, type BufferedAnswer } from "../http/HttpCall.js";
 import type { EndpointConcurrency } from "../loadcontrol/EndpointConcurrency.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { pickPlainEndpoint } from "./pickPlainEndpoint.js";
@@ -309,7 +309,7 @@
     const isLate = utils.monotonicMs() - headAtMs >= minBodyMs;
     if (result.err && isEndless(result.val) && (isLate || !(result.val instanceof errors.DeadlineError)))
       this.noteEndless(request, endpoint, result.val, sentAtMs);
-    if (result.err && result.val instanceof errors.NotReachedError) permit.release();
+    if (result.err && isUnsent(result.val)) permit.release();
     const isLost = result.err && result.val instanceof errors.ConnectionLostError;
     const isAbandoned = result.err && isAbandonedConnection(result.val, sentAtMs, connectMs);
     if (isLost || isAbandoned) endpoint.circuitBreaker.noteFailed(sentAtMs, utils.monotonicMs());
@@ -326,7 +326,7 @@
   ): SendOutcome {
     if (result.err) {
       if (result.val instanceof errors.ConnectionLostError) return { kind: "lost", error: result.val.code };
-      if (!(result.val instanceof errors.NotReachedError)) return { kind: "unknown", error: result.val.code };
+      if (!isUnsent(result.val)) return { kind: "unknown", error: result.val.code };
       request.attempts -= 1;
       return { kind: "not-run", error: result.val.code };
     }
--- a/packages/gateway/src/requests/RequestForwarder.ts
+++ b/packages/gateway/src/requests/RequestForwarder.ts
@@ -122,6 +122,7 @@
       headTimeoutMs: options.headTimeoutMs,
       signal: options.signal ?? request.signal,
       isRepeatable: request.isIdempotent,
+      mayStillBeSent: () => this._mayStillBeSent(request, endpoint),
       onPathLost: options.onPathLost,
       onConnected: (path) => {
         request.sends.noteSent();
@@ -177,6 +178,13 @@
     });
   }
 
+  /** Returns whether nothing that became known after the choice of the endpoint forbids the send. */
+  private _mayStillBeSent(request: CallerRequest, endpoint: Endpoint): boolean {
+    if (endpoint.backoff.getLeftMs(utils.monotonicMs()) > 0) return false;
+    const { crashes } = this.context;
+    return crashes.isQuiet || crashes.ledger.getRequestStatus(request.traits) !== "held";
+  }
+
   private _notePath(request: CallerRequest, endpoint: Endpoint, path: ConnectionPath | undefined): void {
     request.peer = path?.peer;
     if (path === undefined) return;
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -7,8 +7,9 @@
 import { getEvidence } from "../discovery/SuspicionEvidence.js";
 import { discardBody } from "../http/discardBody.js";
 import { EndlessAnswerError } from "../http/EndlessAnswerError.js";
-import type { HttpAnswer } from "../http/HttpCall.js";
+import { isUnsent, type HttpAnswer } from "../http/HttpCall.js";
 import { readBody } from "../http/readBody.js";
+import { WithdrawnError } from "../http/WithdrawnError.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { isReturn, refuseAtGates } from "./refuseAtGates.js";
 import { failureStatus, isEndless, RequestForwarder, type ForwardContext } from "./RequestForwarder.js";
@@ -255,9 +256,10 @@
       first.circuitBreaker.noteFailed(attempt.sentAtMs, utils.monotonicMs());
     if (sent.val instanceof errors.ConnectionLostError || attempt.abort.signal.aborted)
       void this.context.crashes.noteLost(attempt, first);
-    if (!(sent.val instanceof errors.NotReachedError)) return "lost";
+    if (!isUnsent(sent.val)) return "lost";
     request.attempts -= 1;
     attempt.reservation.permit?.release();
+    if (sent.val instanceof WithdrawnError) return "again";
     this.context.failureDetector.noteUnresponsive(
       first.id,
       sent.val.code,
--- a/packages/gateway/src/tests/requests/GatewayFixture.ts
+++ b/packages/gateway/src/tests/requests/GatewayFixture.ts
@@ -14,6 +14,7 @@
 import { EndpointLimits } from "../../discovery/EndpointLimits.js";
 import { EndpointTable } from "../../discovery/EndpointTable.js";
 import type { ListedEndpoint } from "../../discovery/ListedEndpoint.js";
+import type { Connector } from "../../http/Connector.js";
 import { HttpClient } from "../../http/HttpClient.js";
 import { EndpointPaths } from "../../paths/EndpointPaths.js";
 import type { EndpointConcurrency } from "../../loadcontrol/EndpointConcurrency.js";
@@ -130,6 +131,11 @@
   private _listener: CallerListener | undefined;
   private _port = 0;
 
+  /** Establishes the connections to endpoints with `connector`. */
+  useConnector(connector: Connector): void {
+    this._httpClient.useConnector(connector);
+  }
+
   /** Starts the gateway with one route. */
   async start(route: Route): Promise<void> {
     await this.listen(route);
--- a/packages/gateway/src/tests/requests/endpointStatementTests.ts
+++ b/packages/gateway/src/tests/requests/endpointStatementTests.ts
@@ -5,6 +5,7 @@
 import type { Route } from "../../configuration/gatewayConfiguration.js";
 import { answer, recordRequests, generousMs, callerHeaders, setUp } from "./endpointHandlers.js";
 import type { EndpointHandler, GatewayFixture } from "./GatewayFixture.js";
+import { HeldConnector } from "./HeldConnector.js";
 
 /** Longer than any test takes, so that the speed of a test does not affect its result. */
 const backoffMs = 60_000;
@@ -81,6 +82,37 @@
   });
 }
 
+const underWay = 8;
+
+for (const [requestKind, route, changes] of [
+  ["requests that run once", { kind: "unsafe" }, {}],
+  ["streams", streaming, { layers }],
+] as const) {
+  // Guards against requests that were on their way to an endpoint when it requested a back-off, and reach it late.
+  test(`${requestKind} that wait for their connections are not sent to an endpoint that requests a back-off meanwhile`, async (t) => {
+    const fixture = await setUp(t, route);
+    const connector = new HeldConnector(1);
+    fixture.useConnector(connector);
+    let reject = (): void => undefined;
+    const backingOff = recordRequests((request, response, crash) => {
+      reject = () => rejectWithBackoff(request, response, crash);
+    });
+    await fixture.list([backingOff], changes);
+    const first = fixture.request("POST", callerHeaders);
+    while (backingOff.requests.length === 0) await utils.yieldToEvents();
+    const others = Array.from({ length: underWay }, () => fixture.request("POST", callerHeaders));
+    while (connector.requested < 1 + underWay) await utils.yieldToEvents();
+    reject();
+    const isBackingOff = (): boolean =>
+      fixture.endpoints.getAll().every(({ backoff }) => backoff.getLeftMs(utils.monotonicMs()) > 0);
+    while (!isBackingOff()) await utils.yieldToEvents();
+    connector.release();
+    const statuses = (await Promise.all([first, ...others])).map(({ status }) => status);
+    t.deepEqual(new Set(statuses), new Set([503]));
+    t.is(backingOff.requests.length, 1);
+  });
+}
+
 const endpointCount = 24;
 const failingCount = 8;
 const callerCount = 400;
