connections: callers that connect once and keep their connections are no reason for a limit

Callers that connect at its start count as the cause of an overload that goes on without them; under the limit each answer ends its connection, so that the same callers come back as the new connections that the limit refuses. Ruled out: a limit that follows from one interval alone (a test of its own holds that). Change: a limit begins only if more than the least number of connections were accepted in at least two of the three intervals of overload. The test failed before.

--- a/packages/gateway/src/requests/ConnectionLimitPolicy.ts
+++ b/packages/gateway/src/requests/ConnectionLimitPolicy.ts
@@ -23,6 +23,11 @@
 const maxIncreaseFactor = 1.5;
 /** Connections that are always accepted in an interval, so that an instance which counts as ready never stops taking callers. */
 const minAccepted = 1;
+/**
+ * Intervals of the overload in which more than the least number must have been accepted. Callers that connect once and keep their
+ * connections are no reason for a limit, which would end these connections with each answer and so cause the new ones that it refuses.
+ */
+const minLoadedIntervals = 2;
 /** Intervals without overload and without a refused connection after which the limit ends. */
 const calmIntervals = 3;
 
@@ -71,7 +76,8 @@
   /** Callers cause an overload only if they are more than the least number, and a single interval says little of how many it can bear. */
   private _getFirstLimit(): number | undefined {
     if (this._acceptedOverloaded.length < overloadIntervals) return undefined;
-    const accepted = Math.max(...this._acceptedOverloaded);
-    return accepted > minAccepted ? Math.max(minAccepted, accepted * decreaseFactor) : undefined;
+    const loaded = this._acceptedOverloaded.filter((accepted) => accepted > minAccepted);
+    if (loaded.length < minLoadedIntervals) return undefined;
+    return Math.max(minAccepted, Math.max(...loaded) * decreaseFactor);
   }
 }
--- a/packages/gateway/src/tests/requests/ConnectionLimitPolicyTests.ts
+++ b/packages/gateway/src/tests/requests/ConnectionLimitPolicyTests.ts
@@ -24,6 +24,19 @@
   }
 });
 
+// Guards against callers that are refused, since a limit ends the connections that they would have kept.
+test("a busy process whose callers connect once and keep their connections is not limited", (t) => {
+  for (const arriving of [
+    [4, 0, 0],
+    [0, 8, 0],
+    [1, 0, 30],
+  ]) {
+    const policy = new ConnectionLimitPolicy();
+    for (const count of arriving) play(policy, count, [1]);
+    t.deepEqual(new Set(play(policy, 0, Array<number>(10).fill(1))), new Set([undefined]), String(arriving));
+  }
+});
+
 // Guards against a limit that follows from the one interval in which a process that is held up accepts next to nothing.
 test("the first limit follows the interval of the overload with the most connections", (t) => {
   const policy = new ConnectionLimitPolicy();
