streams: over HTTP/1.0 the head is written with the first event

Cause: the head of a stream goes out with the engine's head. After it, an HTTP/1.0 answer has no framing in which anything can be written ahead, so that only the engine's events showed whether the caller was there. Ruled out: a shorter limit on the silence, which would cut more callers that are present. Change: such a caller gets the head with the first event; until then the bytes of the status line tell whether it is there, as before the head of any answer. Both new tests failed before ("silence" where "reset" and "present" are expected).

--- a/packages/gateway/src/requests/CallerRequest.ts
+++ b/packages/gateway/src/requests/CallerRequest.ts
@@ -127,6 +127,14 @@
     return !this._over.signal.aborted;
   }
 
+  /**
+   * Whether the head of a stream may be written before its first event. It may not over HTTP/1.0: once the head is written, nothing else can
+   * show there that the caller has left.
+   */
+  get mayStartEarly(): boolean {
+    return this._structure.message.httpVersion !== "1.0";
+  }
+
   get isHeadSent(): boolean {
     return this._structure.response.headersSent;
   }
--- a/packages/gateway/src/requests/StreamForwarder.ts
+++ b/packages/gateway/src/requests/StreamForwarder.ts
@@ -287,7 +287,8 @@
       return "lost";
     }
     if (answer.status !== successStatus) return this._forwardFailure(attempt, answer);
-    if (attempt.isLeading && !request.isHeadSent) request.startStream(answer.status, answer.headers);
+    const startsNow = attempt.isLeading && request.mayStartEarly && !request.isHeadSent;
+    if (startsNow) request.startStream(answer.status, answer.headers);
     const end = await attempt.relay(answer);
     this._placement.noteFirstEvent(attempt);
     if (end === "caller-left") return "caller-left";
--- a/packages/gateway/src/tests/requests/HeldEndpoint.ts
+++ b/packages/gateway/src/tests/requests/HeldEndpoint.ts
@@ -26,6 +26,11 @@
     await utils.waitUntil(() => this.has(id), generousMs);
   }
 
+  /** Sends the head of a stream. */
+  sendHead(id: string): void {
+    this._require(id).writeHead(200, { "x-id": id }).flushHeaders();
+  }
+
   /** Sends the head and the first event of a stream. */
   begin(id: string): void {
     const response = this._require(id);
--- a/packages/gateway/src/tests/requests/departedCallerTests.ts
+++ b/packages/gateway/src/tests/requests/departedCallerTests.ts
@@ -75,6 +75,33 @@
   t.deepEqual(fixture.callerEnds, ["reset"]);
 });
 
+// Guards against engines that work on for HTTP/1.0 callers, to whom nothing can be written between the head of a stream and its events.
+test("an HTTP/1.0 caller that leaves before the first event of its stream is noticed by its reset", async (t) => {
+  const { fixture, endpoint, caller } = await setUpCaller(t, resumable);
+  await caller.send(formatOldRequest("r1"));
+  await endpoint.waitFor("r1");
+  endpoint.sendHead("r1");
+  const hasBegun = (): boolean => fixture.monitor?.attempts.some((attempt) => attempt.hasBegun) === true;
+  t.true(await utils.waitUntil(hasBegun, generousMs));
+  await leave({ endpoint, caller });
+  t.deepEqual(fixture.callerEnds, ["reset"]);
+});
+
+// Guards against mending the above at the cost of HTTP/1.0 callers that have ended only their sending half.
+test("an HTTP/1.0 caller that ends its sending half before the first event gets the whole stream", async (t) => {
+  const { fixture, endpoint, caller } = await setUpCaller(t, resumable);
+  await caller.send(formatOldRequest("r1"));
+  await endpoint.waitFor("r1");
+  endpoint.sendHead("r1");
+  caller.endSending();
+  await utils.waitUntil(() => fixture.callerEnds.length > 0, generousMs);
+  t.deepEqual(fixture.callerEnds, ["present"]);
+  endpoint.sendEvent("r1");
+  endpoint.release("r1");
+  await caller.waitForEnd();
+  t.regex(caller.received, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nid: 1\ndata: r1\n\nid: 2\ndata: r1\n\n$/);
+});
+
 // Guards against mending the above at the cost of HTTP/1.0 callers that have ended only their sending half.
 test("an HTTP/1.0 caller that ends its sending half gets its whole answer and nothing else", async (t) => {
   const { fixture, endpoint, caller } = await setUpCaller(t, { kind: "safe" });
