discovery: one place applies a stated draining to an entry

A new endpoint and one whose entry returns did so by the same expression in two forms. Behaviour stays: 102 tests of discovery and of statements pass, and the tests of lapsed entries and of statements with processes.

--- a/packages/gateway/src/discovery/EndpointTable.ts
+++ b/packages/gateway/src/discovery/EndpointTable.ts
@@ -354,14 +354,17 @@
     if (endpoint === undefined) return undefined;
     this._formerLives.remove(lifeId);
     if (endpoint.listed.address !== listed.address) return undefined;
-    endpoint.returnWith(this._drainingLives.has(lifeId) ? { ...listed, isDraining: true } : listed);
+    endpoint.returnWith(this._applyDraining(listed));
     return endpoint;
   }
 
   private _create(listed: ListedEndpoint): Endpoint {
-    const endpoint = new Endpoint(listed, this._assumedPeers);
-    if (this._drainingLives.has(endpoint.lifeId)) endpoint.listed = { ...listed, isDraining: true };
-    return endpoint;
+    return new Endpoint(this._applyDraining(listed), this._assumedPeers);
+  }
+
+  /** Returns the entry as draining if its life has stated that it is. */
+  private _applyDraining(listed: ListedEndpoint): ListedEndpoint {
+    return this._drainingLives.has(getLifeId(listed)) ? { ...listed, isDraining: true } : listed;
   }
 
   private _noteHeartbeat(endpoint: Endpoint): void {
